--- /dev/null
+++ b/app/src/ConsolaLog.ts
@@ -0,0 +1,51 @@
+/**
+ * Logs as JSON lines through `consola`.
+ */
+import { createConsola, type ConsolaInstance } from 'consola/core'
+import { Log, LOG_LEVELS, type LogFields, type LogLevel } from '@auburnpin/common'
+
+type Context = Readonly<{ level: LogLevel, component: string, fields: LogFields }>
+
+/** Where lines go; standard error, so that commands keep standard output for results. */
+export type LineWriter = (line: string) => void
+
+const CONSOLA_LEVELS: Readonly<Record<LogLevel, number>> = { error: 0, warn: 1, info: 3, debug: 4 }
+
+/** One JSON object a line: time, level, component, message, fields. */
+export class ConsolaLog extends Log {
+  readonly #consola: ConsolaInstance
+  readonly #component: string
+
+  private constructor (consola: ConsolaInstance, component: string) {
+    super()
+    this.#consola = consola
+    this.#component = component
+  }
+
+  /** A log that drops records below `level`. */
+  static create (level: LogLevel, writeLine: LineWriter): ConsolaLog {
+    const consola = createConsola({
+      level: CONSOLA_LEVELS[level],
+      throttle: 0,
+      reporters: [{
+        log: record => {
+          const [message, { level: recordLevel, component, fields }] = record.args as [string, Context]
+          writeLine(JSON.stringify({ time: record.date.toISOString(), level: recordLevel, component, message, fields }))
+        }
+      }]
+    })
+    return new ConsolaLog(consola, 'auburnpin')
+  }
+
+  write (level: LogLevel, message: string, fields: LogFields = {}): void {
+    const context: Context = { level, component: this.#component, fields }
+    this.#consola[level](message, context)
+  }
+
+  forComponent (component: string): Log {
+    return new ConsolaLog(this.#consola, component)
+  }
+}
+
+/** Whether a text names a level. */
+export const isLogLevel = (text: string): text is LogLevel => LOG_LEVELS.includes(text as LogLevel)
--- /dev/null
+++ b/app/src/Member.ts
@@ -0,0 +1,157 @@
+/**
+ * One process of auburnpin: the roles its settings name, wired together.
+ */
+import {
+  brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
+} from '@auburnpin/common'
+import {
+  CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+} from '@auburnpin/cluster'
+import { CallerServer, OperatorServer } from '@auburnpin/gateway'
+import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
+import { Scheduler } from '@auburnpin/scheduler'
+import type { Settings } from './settings/settingsSchema.ts'
+import { StatsdMetrics } from './StatsdMetrics.ts'
+
+/** Where a running member listens. */
+export type MemberAddresses = Readonly<{ peers: string, callers?: string, operators?: string }>
+
+const STORE_SOCKETS = 32
+const WORKER_SOCKETS_PER_WORKER = 4
+const INCARNATION_LENGTH = 12
+/** How long the listener goes on after the health answer says leaving, in milliseconds. */
+const BALANCER_NOTICE_MS = 2_000
+
+/** Runs from `start` to `stop`. */
+export class Member {
+  readonly #settings: Settings
+  readonly #log: Log
+  readonly #clock = new SystemClock()
+  readonly #random = new SystemRandom()
+  readonly #invariants = new InvariantCounter()
+  readonly #metrics: Metrics
+  readonly #storeClient = new HttpClient(STORE_SOCKETS)
+  readonly #workerClient = new HttpClient(WORKER_SOCKETS_PER_WORKER)
+  readonly #table: TableStore
+  readonly #peers: WebSocketPeers
+  readonly #directory: CellDirectory
+  readonly #configuration: ConfigurationFollower
+  readonly #endpoints = new EndpointDirectory()
+  #membership: Membership | undefined
+  #scheduler: Scheduler | undefined
+  #callers: CallerServer | undefined
+  #operators: OperatorServer | undefined
+
+  constructor (settings: Settings, log: Log) {
+    this.#settings = settings
+    this.#log = log
+    this.#metrics = settings.metrics === undefined
+      ? new SilentMetrics()
+      : new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
+    this.#table = new ReliableTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#clock, this.#random, STORE_DEADLINE_MS)
+    const [host, port] = splitAddress(settings.listen.peers)
+    const member = brand<MemberId>(settings.member)
+    this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys }, this.#clock, this.#random, log.forComponent('peers'))
+    this.#directory = new CellDirectory(this.#table, this.#clock, log.forComponent('cells'))
+    this.#configuration = new ConfigurationFollower(this.#table, this.#peers, this.#clock, log.forComponent('configuration'))
+  }
+
+  get invariants (): InvariantCounter {
+    return this.#invariants
+  }
+
+  get configuration (): ConfigurationFollower {
+    return this.#configuration
+  }
+
+  /** Opens all listeners, then joins. */
+  async start (): Promise<MemberAddresses> {
+    const peers = await this.#peers.listen()
+    this.#peers.onNotice(notice => {
+      if (notice.kind === 'endpoints') this.#endpoints.publish(notice)
+    })
+    const membership = this.#join(peers)
+    const scheduler = this.#createScheduler(membership)
+    this.#peers.onRequest(request => this.#answer(request, scheduler))
+    const gateway = await this.#openGateway(membership, scheduler)
+    membership.start()
+    this.#directory.start()
+    this.#configuration.start()
+    if (this.#settings.roles.includes('scheduler')) scheduler.start()
+    this.#log.info('Member started', { member: this.#settings.member, peers, ...gateway })
+    return { peers, ...gateway }
+  }
+
+  /** Leaves without cutting anything that is in progress. */
+  async stop (): Promise<void> {
+    this.#callers?.leave()
+    await this.#membership?.leave()
+    await this.#scheduler?.stop()
+    await this.#clock.sleep(BALANCER_NOTICE_MS)
+    await this.#callers?.close()
+    await this.#operators?.close()
+    await this.#configuration.stop()
+    await this.#directory.stop()
+    await this.#membership?.stop()
+    await this.#peers.close()
+    if (this.#metrics instanceof StatsdMetrics) await this.#metrics.close()
+    this.#storeClient.close()
+    this.#workerClient.close()
+    this.#log.info('Member stopped', { member: this.#settings.member })
+  }
+
+  #join (peerAddress: string): Membership {
+    const { member, dataCentre, roles } = this.#settings
+    const identity = {
+      member: brand<MemberId>(member),
+      dataCentre: brand<DataCentre>(dataCentre),
+      roles,
+      peerAddress,
+      incarnation: this.#random.id(INCARNATION_LENGTH)
+    }
+    const membership = new Membership(identity, this.#table, this.#clock, this.#random, this.#log.forComponent('membership'))
+    membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
+    this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
+    this.#membership = membership
+    return membership
+  }
+
+  #createScheduler (membership: Membership): Scheduler {
+    const { region, platform } = this.#settings
+    const layout = { dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre }
+    this.#scheduler = new Scheduler(layout, {
+      table: this.#table,
+      workers: new HttpWorkers(this.#workerClient),
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log.forComponent('scheduler'),
+      metrics: this.#metrics,
+      invariants: this.#invariants,
+      publish: notice => this.#peers.broadcast(notice),
+      vmList: new HttpVmList(this.#storeClient, platform.vmList),
+      membership,
+      directory: this.#directory,
+      configuration: this.#configuration
+    })
+    return this.#scheduler
+  }
+
+  async #openGateway (membership: Membership, scheduler: Scheduler): Promise<Omit<MemberAddresses, 'peers'>> {
+    const { listen, operators, roles } = this.#settings
+    if (!roles.includes('gateway') || listen.callers === undefined || listen.operators === undefined) return {}
+    const shared = { clock: this.#clock, random: this.#random, configuration: this.#configuration, endpoints: this.#endpoints }
+    this.#callers = new CallerServer({ ...shared, log: this.#log.forComponent('callers'), metrics: this.#metrics })
+    this.#operators = new OperatorServer({
+      ...shared, table: this.#table, peers: this.#peers, membership, directory: this.#directory, cells: scheduler.cells
+    }, operators, this.#log.forComponent('operators'))
+    return {
+      callers: await this.#callers.listen(...splitAddress(listen.callers)),
+      operators: await this.#operators.listen(...splitAddress(listen.operators))
+    }
+  }
+
+  async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
+    if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
+    return await scheduler.answer(request)
+  }
+}
--- /dev/null
+++ b/app/src/commands/CheckCommand.ts
@@ -0,0 +1,35 @@
+/**
+ * `auburnpin check`: checks a settings file or a release note.
+ */
+import type { Argv } from 'yargs'
+import { noteSchema } from '@auburnpin/core'
+import { EXIT_DONE } from '../exitCodes.ts'
+import { readYamlFile } from '../settings/readYamlFile.ts'
+import { settingsSchema } from '../settings/settingsSchema.ts'
+import { Command, type CommandOptions } from './Command.ts'
+import { printFaults, printLine } from './output.ts'
+import { z } from 'zod'
+
+const looksLikeNote = z.looseObject({ id: z.unknown().refine(id => id !== undefined) })
+
+/** A file with the key `id` is taken for a release note, any other for settings. */
+export class CheckCommand extends Command {
+  readonly usage = 'check <file>'
+  readonly description = 'Check a settings file or a release note'
+
+  describe (argv: Argv): Argv {
+    return argv
+      .positional('file', { type: 'string', demandOption: true, describe: 'The file to check' })
+      .example('$0 check examples/lanka/settings-1.yaml', 'Check settings')
+      .example('$0 check examples/lanka/notes/1-stockline.yaml', 'Check a release note')
+  }
+
+  async run (options: CommandOptions): Promise<number> {
+    const file = String(options.file)
+    const isNote = readYamlFile(file, looksLikeNote).ok
+    const checked = isNote ? readYamlFile(file, noteSchema) : readYamlFile(file, settingsSchema)
+    if (checked.err) return printFaults(checked.val)
+    printLine(`${file}: valid ${isNote ? 'release note' : 'settings'}`)
+    return EXIT_DONE
+  }
+}
--- /dev/null
+++ b/app/src/commands/ServeCommand.ts
@@ -0,0 +1,38 @@
+/**
+ * `auburnpin serve`: runs the roles that the settings name.
+ */
+import type { Argv } from 'yargs'
+import { ConsolaLog } from '../ConsolaLog.ts'
+import { EXIT_DONE } from '../exitCodes.ts'
+import { Member } from '../Member.ts'
+import { readYamlFile } from '../settings/readYamlFile.ts'
+import { settingsSchema } from '../settings/settingsSchema.ts'
+import { Command, type CommandOptions } from './Command.ts'
+import { printFaults } from './output.ts'
+
+/** Runs until SIGTERM or SIGINT, then leaves gracefully. */
+export class ServeCommand extends Command {
+  readonly usage = 'serve'
+  readonly description = 'Run a member: gateway, scheduler, or both'
+
+  describe (argv: Argv): Argv {
+    return argv
+      .option('settings', { type: 'string', demandOption: true, describe: 'Settings file (YAML)' })
+      .example('$0 serve --settings examples/lanka/settings-1.yaml', 'Run the first member of the Lanka example')
+  }
+
+  async run (options: CommandOptions): Promise<number> {
+    const settings = readYamlFile(String(options.settings), settingsSchema)
+    if (settings.err) return printFaults(settings.val)
+    const log = ConsolaLog.create(settings.val.log.level, line => { process.stderr.write(`${line}\n`) })
+    const member = new Member(settings.val, log)
+    const stopAsked = new Promise<void>(resolve => {
+      process.once('SIGTERM', () => resolve())
+      process.once('SIGINT', () => resolve())
+    })
+    await member.start()
+    await stopAsked
+    await member.stop()
+    return EXIT_DONE
+  }
+}
--- /dev/null
+++ b/app/src/commands/commands.ts
@@ -0,0 +1,24 @@
+/**
+ * All commands, in the order in which `--help` shows them.
+ */
+import { ApplyCommand } from './ApplyCommand.ts'
+import { AuditCommand } from './AuditCommand.ts'
+import { CheckCommand } from './CheckCommand.ts'
+import type { Command } from './Command.ts'
+import { DemoCommand } from './DemoCommand.ts'
+import { JobsCommand } from './JobsCommand.ts'
+import { ServeCommand } from './ServeCommand.ts'
+import { StandInCommand } from './StandInCommand.ts'
+import { StatusCommand } from './StatusCommand.ts'
+
+/** The one list in which a command is registered. */
+export const COMMANDS: readonly Command[] = [
+  new ServeCommand(),
+  new CheckCommand(),
+  new ApplyCommand(),
+  new StatusCommand(),
+  new JobsCommand(),
+  new AuditCommand(),
+  new StandInCommand(),
+  new DemoCommand()
+]
--- /dev/null
+++ b/app/src/main.ts
@@ -0,0 +1,29 @@
+/**
+ * The command line.
+ */
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { COMMANDS } from './commands/commands.ts'
+import { EXIT_FAILED, EXIT_INVALID } from './exitCodes.ts'
+
+const VERSION = '0.1.0'
+
+const main = async (): Promise<void> => {
+  let exitCode = 0
+  const parser = yargs(hideBin(process.argv)).scriptName('auburnpin').version(VERSION).strict().demandCommand(1, 'Name a command.')
+  for (const command of COMMANDS) {
+    parser.command(command.usage, command.description, argv => command.describe(argv), async options => { exitCode = await command.run(options) })
+  }
+  parser.fail((message, error) => {
+    if (error !== undefined && error !== null) throw error
+    process.stderr.write(`${message} See auburnpin --help.\n`)
+    process.exit(EXIT_INVALID)
+  })
+  await parser.parseAsync()
+  process.exitCode = exitCode
+}
+
+main().catch((error: unknown) => {
+  process.stderr.write(`${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+  process.exitCode = EXIT_FAILED
+})
--- /dev/null
+++ b/app/src/settings/settingsSchema.ts
@@ -0,0 +1,54 @@
+/**
+ * The shape of a settings file, checked with `zod`.
+ */
+import { z } from 'zod'
+
+const ADDRESS_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/
+
+/** IP number and port; port 0 takes any free one. */
+export const addressSchema = z.string().regex(ADDRESS_PATTERN, 'must be an IP number and a port, such as 10.0.0.1:8080')
+
+const nameSchema = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes, starting with a letter')
+
+const SHORTEST_SECRET = 16
+
+const secretSchema = z.string().min(SHORTEST_SECRET, `must have at least ${SHORTEST_SECRET} characters`)
+
+/** The settings of one process. */
+export const settingsSchema = z.strictObject({
+  member: nameSchema.describe('Id of this process, unique in the region.'),
+  region: z.strictObject({
+    name: nameSchema,
+    dataCentres: z.array(nameSchema).min(1).describe('All data centres of the region; the same in every process.'),
+    cellsPerDataCentre: z.number().int().min(1).max(64).default(1).describe('Scheduling partitions of each data centre; the same in every process.')
+  }),
+  dataCentre: nameSchema.describe('The data centre of this process.'),
+  roles: z.array(z.enum(['gateway', 'scheduler'])).min(1),
+  listen: z.strictObject({
+    callers: addressSchema.optional().describe('Where callers come in; needed for the role gateway.'),
+    operators: addressSchema.optional().describe('Where operators come in; needed for the role gateway.'),
+    peers: addressSchema.describe('Where other members come in.')
+  }),
+  peerKeys: z.array(z.strictObject({ id: z.string().min(1), secret: secretSchema })).min(1).describe('Keys that members prove to each other; the first is used, all are accepted.'),
+  operators: z.array(z.strictObject({ operator: z.string().min(1), token: secretSchema })).default([]).describe('Who may use the operators\' listener.'),
+  platform: z.strictObject({
+    table: addressSchema,
+    objects: addressSchema,
+    vmList: addressSchema
+  }),
+  log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
+  metrics: z.strictObject({ address: addressSchema.describe('StatsD receiver.') }).optional()
+}).superRefine((settings, context) => {
+  if (!settings.region.dataCentres.includes(settings.dataCentre)) {
+    context.addIssue({ code: 'custom', path: ['dataCentre'], message: `is not one of region.dataCentres: ${settings.region.dataCentres.join(', ')}` })
+  }
+  if (!settings.roles.includes('gateway')) return
+  for (const listener of ['callers', 'operators'] as const) {
+    if (settings.listen[listener] === undefined) {
+      context.addIssue({ code: 'custom', path: ['listen', listener], message: 'is missing; the role gateway needs it' })
+    }
+  }
+})
+
+/** Settings after their defaults were filled in. */
+export type Settings = z.infer<typeof settingsSchema>
--- /dev/null
+++ b/packages/cluster/src/CellDirectory.ts
@@ -0,0 +1,59 @@
+/**
+ * Who owns which cell, as the store tells it.
+ */
+import { Ticker, type CellId, type Clock, type Log } from '@auburnpin/common'
+import type { Row, TableStore } from '@auburnpin/platform'
+import { CELLS_PREFIX } from './storeKeys.ts'
+import { DIRECTORY_POLL_MS } from './constants.ts'
+import type { CellRow } from './types.ts'
+
+/** A cell's row with the version to check when it is changed. */
+export type CellSighting = Readonly<{ row: CellRow, version: Row['version'] }>
+
+/** Polls the cells' rows. */
+export class CellDirectory {
+  readonly #table: TableStore
+  readonly #log: Log
+  readonly #ticker: Ticker
+  readonly #listeners: Array<() => Promise<void> | void> = []
+  #cells: ReadonlyMap<CellId, CellSighting> = new Map()
+
+  constructor (table: TableStore, clock: Clock, log: Log) {
+    this.#table = table
+    this.#log = log
+    this.#ticker = new Ticker(clock, DIRECTORY_POLL_MS, () => this.poll(), error => log.error(String(error)))
+  }
+
+  get cells (): ReadonlyMap<CellId, CellSighting> {
+    return this.#cells
+  }
+
+  /** Calls `listener` after each look at the cells. */
+  onPoll (listener: () => Promise<void> | void): void {
+    this.#listeners.push(listener)
+  }
+
+  start (): void {
+    this.#ticker.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#ticker.stop()
+  }
+
+  /** Looks at all cells' rows once. */
+  async poll (): Promise<void> {
+    const rows = await this.#table.listAll(CELLS_PREFIX)
+    if (rows.err) {
+      this.#log.warn('The cells could not be read', { reason: rows.val.message })
+      return
+    }
+    const cells = new Map<CellId, CellSighting>()
+    for (const { value, version } of rows.val) {
+      const row = value as CellRow
+      cells.set(row.cell, { row, version })
+    }
+    this.#cells = cells
+    for (const listener of this.#listeners) await listener()
+  }
+}
--- /dev/null
+++ b/packages/cluster/src/claimCell.ts
@@ -0,0 +1,33 @@
+/**
+ * Takes or gives back the ownership of a cell, in one transaction on its row.
+ */
+import { brand, Ok, type AuburnpinError, type CellId, type Epoch, type Random, type Result } from '@auburnpin/common'
+import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/platform'
+import type { CellSighting } from './CellDirectory.ts'
+import type { MemberIdentity } from './Membership.ts'
+import { cellKey } from './storeKeys.ts'
+import type { CellRow } from './types.ts'
+
+/** The term that a claim won, with the row version that every journal append checks. */
+export type ClaimedCell = Readonly<{ cell: CellId, epoch: Epoch, check: RowCheck }>
+
+/** Claims a cell; `null` when another member was first. */
+export const claimCell = async (
+  table: TableStore, random: Random, identity: MemberIdentity, cell: CellId, seen: CellSighting | undefined
+): Promise<Result<ClaimedCell | null, AuburnpinError>> => {
+  const key = cellKey(cell)
+  const epoch = brand<Epoch>((seen?.row.epoch ?? 0) + 1)
+  const row: CellRow = { cell, epoch, owner: identity.member, incarnation: identity.incarnation }
+  const check: RowCheck = seen === undefined ? { kind: 'absent', key } : { kind: 'version', key, version: seen.version }
+  const outcome = await table.transact({ id: newTransactionId(random), checks: [check], puts: [{ key, value: row }], deletes: [] })
+  if (outcome.err) return outcome
+  if (outcome.val.kind === 'conflict') return Ok(null)
+  return Ok({ cell, epoch, check: { kind: 'version', key, version: outcome.val.version } })
+}
+
+/** Gives a cell up, so that the next member need not wait for a lease to lapse. */
+export const releaseCell = async (table: TableStore, random: Random, claimed: ClaimedCell): Promise<Result<void, AuburnpinError>> => {
+  const row: CellRow = { cell: claimed.cell, epoch: claimed.epoch, owner: null, incarnation: null }
+  const outcome = await table.transact({ id: newTransactionId(random), checks: [claimed.check], puts: [{ key: claimed.check.key, value: row }], deletes: [] })
+  return outcome.map(() => undefined)
+}
--- /dev/null
+++ b/packages/cluster/src/constants.ts
@@ -0,0 +1,26 @@
+/** Time between two renewals of a member's row, in milliseconds. */
+export const MEMBER_RENEW_MS = 3_000
+/** How long a member's lease lasts after the start of its last renewal, in milliseconds. */
+export const MEMBER_LEASE_MS = 9_000
+/** Added by everyone but the holder before a member's lease counts as lapsed, in milliseconds. */
+export const MEMBER_MARGIN_MS = 1_000
+/** Time between two looks at the members' and cells' rows, in milliseconds. */
+export const DIRECTORY_POLL_MS = 1_000
+/** Time between two looks at the version of the configuration, in milliseconds. */
+export const CONFIGURATION_POLL_MS = 2_000
+/** Time between two heartbeats on a peer link, in milliseconds. */
+export const PEER_HEARTBEAT_MS = 2_000
+/** Silence after which a peer link is cut, in milliseconds. */
+export const PEER_SILENCE_MS = 6_000
+/** Longest wait for a peer's answer, in milliseconds. */
+export const PEER_TIMEOUT_MS = 10_000
+/** Wait before a lost peer link is opened again, in milliseconds. */
+export const PEER_RETRY_MS = 500
+/** Largest message on a peer link, in bytes. */
+export const PEER_MESSAGE_BYTES = 16 * 1024 * 1024
+/** Version of the messages between members. */
+export const PEER_PROTOCOL = 1
+/** Longest time in which a release note or a claim is tried again, in milliseconds. */
+export const STORE_DEADLINE_MS = 10_000
+/** Tries to merge a note while others are accepted at the same time. */
+export const MAX_REBASES = 50
--- /dev/null
+++ b/packages/cluster/src/storeKeys.ts
@@ -0,0 +1,23 @@
+/**
+ * Keys of the rows and objects that auburnpin keeps on the platform.
+ */
+import type { CellId, ConfigVersion, JournalSequence, MemberId } from '@auburnpin/common'
+
+// Keys are listed in the order of their text, so numbers in them have a fixed width.
+const NUMBER_WIDTH = 12
+
+const padNumber = (value: number): string => String(value).padStart(NUMBER_WIDTH, '0')
+
+export const CURRENT_CONFIGURATION_KEY = 'config/current'
+export const MEMBERS_PREFIX = 'members/'
+export const CELLS_PREFIX = 'cells/'
+export const AUDIT_PREFIX = 'audit/'
+
+export const configurationKey = (version: ConfigVersion): string => `config/${padNumber(version)}`
+export const auditKey = (version: ConfigVersion): string => `${AUDIT_PREFIX}${padNumber(version)}`
+export const noteKey = (note: string): string => `notes/${note}`
+export const memberKey = (member: MemberId): string => `${MEMBERS_PREFIX}${member}`
+export const cellKey = (cell: CellId): string => `${CELLS_PREFIX}${cell}`
+export const journalPrefix = (cell: CellId): string => `journal/${cell}/`
+export const journalKey = (cell: CellId, sequence: JournalSequence): string => `${journalPrefix(cell)}${padNumber(sequence)}`
+export const snapshotKey = (cell: CellId, sequence: JournalSequence): string => `snapshots/${cell}/${padNumber(sequence)}`
--- /dev/null
+++ b/packages/cluster/src/types.ts
@@ -0,0 +1,59 @@
+/**
+ * What members tell each other, and the rows they share.
+ */
+import type { CellId, ConfigVersion, DataCentre, Epoch, ErrorReport, MemberId, TaskId } from '@auburnpin/common'
+import type { Endpoint, Task, TaskSpec } from '@auburnpin/core'
+
+/** What a member does. */
+export type MemberRole = 'gateway' | 'scheduler'
+
+/** A member's row in the table service, renewed as a lease. */
+export type MemberRow = Readonly<{
+  member: MemberId
+  dataCentre: DataCentre
+  roles: readonly MemberRole[]
+  /** IP number and port of the peer listener. */
+  peerAddress: string
+  /** Changes with every start of the process. */
+  incarnation: string
+  renewals: number
+  configVersion: ConfigVersion
+  isLeaving: boolean
+}>
+
+/** A cell's row: who owns it, since which term. */
+export type CellRow = Readonly<{
+  cell: CellId
+  epoch: Epoch
+  /** `null` after a hand-over, until the next member claims the cell. */
+  owner: MemberId | null
+  /** The owner's incarnation, so that a restarted process does not take itself for the owner. */
+  incarnation: string | null
+}>
+
+/** A message that asks for no answer. */
+export type PeerNotice =
+  | Readonly<{ kind: 'configuration-accepted', version: ConfigVersion }>
+  | Readonly<{ kind: 'endpoints', cell: CellId, epoch: Epoch, revision: number, endpoints: readonly Endpoint[] }>
+
+/** A question to another member. */
+export type PeerRequest =
+  | Readonly<{ kind: 'submit', cell: CellId, spec: TaskSpec }>
+  | Readonly<{ kind: 'cancel', cell: CellId, task: TaskId }>
+  | Readonly<{ kind: 'find-task', cell: CellId, task: TaskId }>
+  | Readonly<{ kind: 'list-tasks', cell: CellId }>
+  | Readonly<{ kind: 'list-endpoints' }>
+
+/** The answer to a question. */
+export type PeerReply =
+  | Readonly<{ kind: 'accepted', task: Task }>
+  | Readonly<{ kind: 'task', task: Task | null }>
+  | Readonly<{ kind: 'tasks', tasks: readonly Task[] }>
+  | Readonly<{ kind: 'endpoints', published: readonly EndpointsNotice[] }>
+  | Readonly<{ kind: 'failed', error: ErrorReport }>
+
+/** A cell's endpoints as its owner published them last. */
+export type EndpointsNotice = Extract<PeerNotice, { kind: 'endpoints' }>
+
+/** A key that members prove to know when they connect. */
+export type PeerKey = Readonly<{ id: string, secret: string }>
--- /dev/null
+++ b/packages/common/src/Mailbox.ts
@@ -0,0 +1,46 @@
+/**
+ * The queue of messages of one long-lived task.
+ */
+import PQueue from 'p-queue'
+
+/**
+ * Handles messages one at a time, in the order they came.
+ *
+ * @example
+ * const mailbox = new Mailbox<Message>(message => handle(message), error => log.error(String(error)))
+ * mailbox.post({ kind: 'tick' })
+ */
+export class Mailbox<Message> {
+  readonly #queue = new PQueue({ concurrency: 1 })
+  readonly #handle: (message: Message) => Promise<void> | void
+  readonly #onError: (error: unknown) => void
+  #isClosed = false
+
+  constructor (handle: (message: Message) => Promise<void> | void, onError: (error: unknown) => void) {
+    this.#handle = handle
+    this.#onError = onError
+  }
+
+  /** Messages waiting to be handled. */
+  get length (): number {
+    return this.#queue.size
+  }
+
+  /** Puts a message at the end; dropped after `close`. */
+  post (message: Message): void {
+    if (this.#isClosed) return
+    void this.#queue.add(async () => {
+      try {
+        await this.#handle(message)
+      } catch (error) {
+        this.#onError(error)
+      }
+    })
+  }
+
+  /** Takes no more messages and resolves once the present ones are handled. */
+  async close (): Promise<void> {
+    this.#isClosed = true
+    await this.#queue.onIdle()
+  }
+}
--- /dev/null
+++ b/packages/common/src/SeededRandom.ts
@@ -0,0 +1,27 @@
+/**
+ * Reproducible chance from a seed.
+ */
+import { mersenne } from 'pure-rand/generator/mersenne'
+import { Random } from './Random.ts'
+
+const FRACTION_STEPS = 0x100000000
+
+/**
+ * The same seed gives the same numbers.
+ *
+ * @example
+ * const random = new SeededRandom(7)
+ * random.fraction()
+ */
+export class SeededRandom extends Random {
+  readonly #generator
+
+  constructor (seed: number) {
+    super()
+    this.#generator = mersenne(seed)
+  }
+
+  fraction (): number {
+    return (this.#generator.next() >>> 0) / FRACTION_STEPS
+  }
+}
--- /dev/null
+++ b/packages/common/src/ids.ts
@@ -0,0 +1,57 @@
+/**
+ * Branded identifiers: strings and numbers that the compiler keeps apart.
+ */
+
+/** A primitive `Value` that only passes where `Brand` is asked for. */
+export type Branded<Value, Brand extends string> = Value & { readonly __brand: Brand }
+
+/** A VM as the platform's VM list names it. */
+export type VmId = Branded<string, 'VmId'>
+/** A rack of VMs that share a switch and power. */
+export type RackId = Branded<string, 'RackId'>
+/** A data centre's name, as in the settings and the VM list. */
+export type DataCentre = Branded<string, 'DataCentre'>
+/** One scheduling partition: some racks of one data centre. */
+export type CellId = Branded<string, 'CellId'>
+/** One process of auburnpin; stable over a restart of the same entry VM. */
+export type MemberId = Branded<string, 'MemberId'>
+/** One task: a batch task, a standing watch, or a replica of a service. */
+export type TaskId = Branded<string, 'TaskId'>
+/** A service's name in the configuration. */
+export type ServiceName = Branded<string, 'ServiceName'>
+/** A team's name in the configuration; quotas belong to teams. */
+export type TeamName = Branded<string, 'TeamName'>
+/** An endpoint: one running replica of a service. */
+export type EndpointId = Branded<string, 'EndpointId'>
+/** Who sends requests, as the `auburnpin-caller` header tells. */
+export type CallerId = Branded<string, 'CallerId'>
+/** One request of a caller. */
+export type RequestId = Branded<string, 'RequestId'>
+/** One unbroken period during which a worker's lease was held. */
+export type LeaseSession = Branded<string, 'LeaseSession'>
+/** A release note's own id; the same id is applied once. */
+export type NoteId = Branded<string, 'NoteId'>
+/** One transaction on the platform's table service. */
+export type TransactionId = Branded<string, 'TransactionId'>
+
+/** Ownership term of a cell; it rises with every new owner. */
+export type Epoch = Branded<number, 'Epoch'>
+/** The how-manieth run of a task this is, from 1. */
+export type Attempt = Branded<number, 'Attempt'>
+/** Version of the configuration, from 0 (empty) upwards. */
+export type ConfigVersion = Branded<number, 'ConfigVersion'>
+/** Version of a row of the table service. */
+export type RowVersion = Branded<number, 'RowVersion'>
+/** Place of a record in a cell's journal, from 1. */
+export type JournalSequence = Branded<number, 'JournalSequence'>
+/** Monotonic time in milliseconds; only differences mean anything. */
+export type Instant = Branded<number, 'Instant'>
+
+/**
+ * Brands a primitive. The one place where a brand is put on.
+ *
+ * @example
+ * const vm = brand<VmId>('vm-1')
+ */
+export const brand = <Brand extends string | number>(value: Brand extends string ? string : number): Brand =>
+  value as unknown as Brand
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,21 @@
+/**
+ * What every package shares: ids, resources, errors, and the ports for time, chance, logs and figures.
+ */
+export * from './ids.ts'
+export * from './resources.ts'
+export * from './errors.ts'
+export * from './result.ts'
+export * from './invariants.ts'
+export * from './assertNever.ts'
+export * from './newWith.ts'
+export * from './rendezvousRank.ts'
+export { Clock, Timer } from './Clock.ts'
+export { SystemClock } from './SystemClock.ts'
+export { VirtualClock } from './VirtualClock.ts'
+export { Random } from './Random.ts'
+export { SystemRandom } from './SystemRandom.ts'
+export { SeededRandom } from './SeededRandom.ts'
+export { Log, SilentLog, LOG_LEVELS, type LogFields, type LogLevel } from './Log.ts'
+export { Metrics, SilentMetrics, METRIC_NAMES, type MetricName, type MetricTags } from './Metrics.ts'
+export { Ticker } from './Ticker.ts'
+export { Mailbox } from './Mailbox.ts'
--- /dev/null
+++ b/packages/core/src/cell/CellState.ts
@@ -0,0 +1,111 @@
+/**
+ * A cell's tasks and VMs, with what each VM has committed.
+ */
+import {
+  addResources, assertPromise, fitsWithin, newWith, NO_RESOURCES, subtractResources,
+  type Instant, type Resources, type TaskId, type VmId
+} from '@auburnpin/common'
+import { applyTransition } from './applyTransition.ts'
+import type { ListedVm, Placement, Task, Transition, Vm } from './types.ts'
+
+/** State of one cell in memory. Tasks change by transitions alone. */
+export class CellState {
+  readonly #tasks = new Map<TaskId, Task>()
+  readonly #waiting = new Set<TaskId>()
+  readonly #vms = new Map<VmId, Vm>()
+  readonly #committed = new Map<VmId, Resources>()
+  readonly #placed = new Map<VmId, Set<TaskId>>()
+
+  get tasks (): ReadonlyMap<TaskId, Task> {
+    return this.#tasks
+  }
+
+  /** Tasks that are queued and may be placed. */
+  get waiting (): ReadonlySet<TaskId> {
+    return this.#waiting
+  }
+
+  get vms (): ReadonlyMap<VmId, Vm> {
+    return this.#vms
+  }
+
+  /** Declared sizes of everything on the VM that has not surely ended. */
+  committedOn (vm: VmId): Resources {
+    return this.#committed.get(vm) ?? NO_RESOURCES
+  }
+
+  /** What the VM has left. */
+  freeOn (vm: Vm): Resources {
+    return subtractResources(vm.resources, this.committedOn(vm.id))
+  }
+
+  /** Tasks whose present attempt is on the VM. */
+  placedOn (vm: VmId): ReadonlySet<TaskId> {
+    return this.#placed.get(vm) ?? EMPTY_TASKS
+  }
+
+  /** Applies one transition, after checking that it commits no VM beyond its resources. */
+  apply (transition: Transition, now: Instant): void {
+    const id = transition.kind === 'accepted' ? transition.spec.id : transition.task
+    const before = this.#tasks.get(id)
+    if (transition.kind === 'assigned' && before !== undefined) this.#assertRoom(before, transition.vm)
+    const after = applyTransition(before, transition, now)
+    this.#release(before)
+    this.#commit(after)
+    if (after === undefined) this.#tasks.delete(id)
+    else this.#tasks.set(id, after)
+    if (after?.state === 'queued') this.#waiting.add(id)
+    else this.#waiting.delete(id)
+  }
+
+  /** Notes what a worker tells of a running attempt; nothing of it must last. */
+  observePlacement (id: TaskId, changes: Partial<Placement>): void {
+    const task = this.#tasks.get(id)
+    if (task?.placement === undefined) return
+    const placement = newWith(task.placement, changes)
+    const state = placement.isRunning && task.state === 'starting' ? 'running' : task.state
+    this.#tasks.set(id, newWith(task, { placement, state }))
+  }
+
+  /** Takes in the VM list: new VMs come, missing ones are marked, unused missing ones go. */
+  listVms (listed: readonly ListedVm[], now: Instant): void {
+    const present = new Set(listed.map(vm => vm.id))
+    for (const vm of listed) this.#vms.set(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
+    for (const vm of this.#vms.values()) {
+      if (present.has(vm.id)) continue
+      if (this.placedOn(vm.id).size === 0) this.#vms.delete(vm.id)
+      else if (vm.missingSince === undefined) this.#vms.set(vm.id, newWith(vm, { missingSince: now, session: undefined }))
+    }
+  }
+
+  /** Changes what is known of a VM. */
+  observeVm (id: VmId, changes: Partial<Vm>): void {
+    const vm = this.#vms.get(id)
+    if (vm !== undefined) this.#vms.set(id, newWith(vm, changes))
+  }
+
+  #assertRoom (task: Task, vmId: VmId): void {
+    const vm = this.#vms.get(vmId)
+    // While a journal is replayed the VM list is not known yet; the worker checks again at the start.
+    if (vm === undefined) return
+    assertPromise(fitsWithin(task.spec.resources, this.freeOn(vm)), 'vm-never-overcommitted', `task ${task.spec.id} does not fit on VM ${vmId}`)
+  }
+
+  #release (task: Task | undefined): void {
+    if (task?.placement === undefined) return
+    const { vm } = task.placement
+    this.#committed.set(vm, subtractResources(this.committedOn(vm), task.spec.resources))
+    this.#placed.get(vm)?.delete(task.spec.id)
+  }
+
+  #commit (task: Task | undefined): void {
+    if (task?.placement === undefined) return
+    const { vm } = task.placement
+    this.#committed.set(vm, addResources(this.committedOn(vm), task.spec.resources))
+    const placed = this.#placed.get(vm) ?? new Set<TaskId>()
+    placed.add(task.spec.id)
+    this.#placed.set(vm, placed)
+  }
+}
+
+const EMPTY_TASKS: ReadonlySet<TaskId> = new Set()
--- /dev/null
+++ b/packages/core/src/cell/applyTransition.ts
@@ -0,0 +1,86 @@
+/**
+ * The one place where a task's lasting state changes.
+ */
+import { assertNever, assertPromise, brand, newWith, type Attempt, type Instant } from '@auburnpin/common'
+import { MAX_ATTEMPTS_FAILED } from '../constants.ts'
+import type { Task, TaskSpec, Transition } from './types.ts'
+
+/**
+ * The task after the transition, `undefined` once it is forgotten.
+ *
+ * @example
+ * const task = applyTransition(undefined, { kind: 'accepted', spec }, now)
+ */
+export const applyTransition = (task: Task | undefined, transition: Transition, now: Instant): Task | undefined => {
+  if (transition.kind === 'accepted') return task ?? newTask(transition.spec)
+  if (task === undefined) return undefined
+  switch (transition.kind) {
+    case 'assigned':
+      return assign(task, transition, now)
+    case 'stopping':
+      return stopping(task, transition)
+    case 'ended':
+      return end(task, transition)
+    case 'withdrawn':
+      return withdraw(task, transition)
+    case 'unrunnable':
+      return newWith(task, { state: 'unrunnable', reason: transition.reason })
+    case 'runnable':
+      return newWith(task, { state: 'queued', reason: undefined })
+    case 'forgotten':
+      return undefined
+    default:
+      return assertNever(transition, 'transition')
+  }
+}
+
+const newTask = (spec: TaskSpec): Task => ({
+  spec, state: 'queued', attempt: brand<Attempt>(0), failures: 0, evictions: 0, isWithdrawn: false
+})
+
+const assign = (task: Task, transition: Extract<Transition, { kind: 'assigned' }>, now: Instant): Task => {
+  assertPromise(task.placement === undefined, 'task-never-in-two-places', `task ${task.spec.id} is assigned while attempt ${task.attempt} has not ended`)
+  assertPromise(transition.attempt === task.attempt + 1, 'evicted-work-resumes-once', `task ${task.spec.id} goes from attempt ${task.attempt} to ${transition.attempt}`)
+  return newWith(task, {
+    state: 'starting',
+    attempt: transition.attempt,
+    reason: undefined,
+    placement: { vm: transition.vm, session: transition.session, since: now, isRunning: false, isStopping: false }
+  })
+}
+
+const stopping = (task: Task, transition: Extract<Transition, { kind: 'stopping' }>): Task => {
+  if (task.placement === undefined || task.attempt !== transition.attempt) return task
+  return newWith(task, { state: 'evicting', reason: transition.reason, placement: newWith(task.placement, { isStopping: true }) })
+}
+
+const end = (task: Task, transition: Extract<Transition, { kind: 'ended' }>): Task => {
+  if (task.placement === undefined || task.attempt !== transition.attempt) return task
+  const ended = newWith(task, { placement: undefined, checkpoint: transition.checkpoint ?? task.checkpoint })
+  if (transition.end === 'finished') return newWith(ended, { state: 'finished', result: transition.result, reason: undefined })
+  if (task.isWithdrawn) return newWith(ended, { state: 'cancelled' })
+  if (transition.end === 'failed') return endFailed(ended, transition.result ?? 'no reason given')
+  const isEviction = task.placement.isStopping
+  return newWith(ended, {
+    state: 'queued',
+    evictions: task.evictions + (isEviction ? 1 : 0),
+    reason: transition.reason ?? task.reason
+  })
+}
+
+const endFailed = (task: Task, last: string): Task => {
+  const failures = task.failures + 1
+  const isHopeless = task.spec.kind === 'batch' && failures >= MAX_ATTEMPTS_FAILED
+  if (!isHopeless) return newWith(task, { state: 'queued', failures })
+  return newWith(task, { state: 'failed', failures, result: last, reason: { kind: 'attempts-used-up', last } })
+}
+
+const withdraw = (task: Task, transition: Extract<Transition, { kind: 'withdrawn' }>): Task => {
+  if (isFinal(task)) return task
+  if (task.placement !== undefined) return newWith(task, { isWithdrawn: true, reason: transition.reason })
+  return newWith(task, { isWithdrawn: true, state: 'cancelled', reason: transition.reason })
+}
+
+/** Whether nothing will happen to the task any more. */
+export const isFinal = (task: Task): boolean =>
+  task.state === 'finished' || task.state === 'failed' || task.state === 'cancelled'
--- /dev/null
+++ b/packages/core/src/cell/types.ts
@@ -0,0 +1,147 @@
+/**
+ * What a cell knows and does: tasks, VMs, transitions for its journal, actions for its shell.
+ */
+import type {
+  Attempt, CellId, DataCentre, EndpointId, Epoch, Instant, LeaseSession, RackId, Resources, ServiceName, TaskId, TeamName, VmId
+} from '@auburnpin/common'
+import type { Configuration } from '../configuration/types.ts'
+
+/** What kind of work a task is. */
+export type TaskKind = 'replica' | 'watch' | 'batch'
+
+/** A task as it was accepted; it never changes afterwards. */
+export type TaskSpec = Readonly<{
+  id: TaskId
+  kind: TaskKind
+  isUrgent: boolean
+  team: TeamName
+  resources: Resources
+  command: string
+  /** For replicas: the service they answer for. */
+  service?: ServiceName
+  /** Wall clock, milliseconds since 1970. */
+  acceptedAt: number
+}>
+
+/** Where a task stands. `finished`, `failed` and `cancelled` are final. */
+export type TaskState = 'queued' | 'starting' | 'running' | 'evicting' | 'finished' | 'failed' | 'cancelled' | 'unrunnable'
+
+/** Why a task waits, was moved or ended; typed, so that every reader words it alike. */
+export type TaskReason =
+  | Readonly<{ kind: 'waiting-for-room' }>
+  | Readonly<{ kind: 'waiting-for-workers' }>
+  | Readonly<{ kind: 'too-large', largest: Resources }>
+  | Readonly<{ kind: 'evicted-for', task: TaskId }>
+  | Readonly<{ kind: 'vm-leaving', vm: VmId }>
+  | Readonly<{ kind: 'vm-lost', vm: VmId }>
+  | Readonly<{ kind: 'lease-ran-out', vm: VmId }>
+  | Readonly<{ kind: 'attempts-used-up', last: string }>
+  | Readonly<{ kind: 'withdrawn' }>
+  | Readonly<{ kind: 'by-caller' }>
+
+/** Where the present attempt runs. */
+export type Placement = Readonly<{
+  vm: VmId
+  session: LeaseSession
+  /** When this owner learnt of it; older reports say nothing about it. */
+  since: Instant
+  isRunning: boolean
+  isStopping: boolean
+  /** Endpoint's IP number and port, once the worker has told it. */
+  address?: string
+}>
+
+/** A task with its history. */
+export type Task = Readonly<{
+  spec: TaskSpec
+  state: TaskState
+  /** Number of the present or last attempt, 0 before the first. */
+  attempt: Attempt
+  placement?: Placement
+  checkpoint?: string
+  result?: string
+  reason?: TaskReason
+  failures: number
+  evictions: number
+  /** Set once the task shall not run again, whatever its attempt says. */
+  isWithdrawn: boolean
+}>
+
+/** How an attempt ended. */
+export type AttemptEnd = 'finished' | 'failed' | 'stopped' | 'lost'
+
+/** One change of a cell's lasting state, as the journal keeps it. */
+export type Transition =
+  | Readonly<{ kind: 'accepted', spec: TaskSpec }>
+  | Readonly<{ kind: 'assigned', task: TaskId, attempt: Attempt, vm: VmId, session: LeaseSession }>
+  | Readonly<{ kind: 'stopping', task: TaskId, attempt: Attempt, reason: TaskReason }>
+  | Readonly<{ kind: 'ended', task: TaskId, attempt: Attempt, end: AttemptEnd, result?: string, checkpoint?: string, reason?: TaskReason }>
+  | Readonly<{ kind: 'withdrawn', task: TaskId, reason: TaskReason }>
+  | Readonly<{ kind: 'unrunnable', task: TaskId, reason: TaskReason }>
+  | Readonly<{ kind: 'runnable', task: TaskId }>
+  | Readonly<{ kind: 'forgotten', task: TaskId }>
+
+/** A VM as the cell sees it. */
+export type Vm = Readonly<{
+  id: VmId
+  dataCentre: DataCentre
+  rack: RackId
+  address: string
+  resources: Resources
+  isLeaving: boolean
+  /** Set while the VM is missing from the VM list. */
+  missingSince?: Instant
+  /** The lease session that this owner holds, if any. */
+  session?: LeaseSession
+  /** When the lease was last renewed, counted from before the renewal was sent. */
+  renewedAt?: Instant
+}>
+
+/** One VM of the VM list. */
+export type ListedVm = Pick<Vm, 'id' | 'dataCentre' | 'rack' | 'address' | 'resources' | 'isLeaving'>
+
+/** One task in a worker's report. */
+export type ReportedTask = Readonly<{
+  id: TaskId
+  attempt: Attempt
+  state: 'running' | 'finished' | 'failed' | 'stopped'
+  result?: string
+  checkpoint?: string
+  address?: string
+}>
+
+/** What the shell tells the cell. */
+export type CellEvent =
+  | Readonly<{ kind: 'tick' }>
+  | Readonly<{ kind: 'submitted', spec: TaskSpec }>
+  | Readonly<{ kind: 'cancelled', task: TaskId }>
+  | Readonly<{ kind: 'configured', configuration: Configuration, declared: readonly TaskSpec[] }>
+  | Readonly<{ kind: 'vms-listed', vms: readonly ListedVm[] }>
+  | Readonly<{ kind: 'lease-granted', vm: VmId, session: LeaseSession, sentAt: Instant }>
+  | Readonly<{ kind: 'lease-refused', vm: VmId, openSession: LeaseSession | null }>
+  | Readonly<{ kind: 'reported', vm: VmId, askedAt: Instant, session: LeaseSession | null, tasks: readonly ReportedTask[] }>
+
+/** What the cell asks its shell to do, once the step's transitions are durable. */
+export type CellAction =
+  | Readonly<{ kind: 'start', vm: VmId, address: string, task: Task, session: LeaseSession }>
+  | Readonly<{ kind: 'stop', vm: VmId, address: string, task: TaskId, attempt: Attempt, session: LeaseSession, isCheckpointed: boolean }>
+  | Readonly<{ kind: 'acknowledge', vm: VmId, address: string, task: TaskId, attempt: Attempt, session: LeaseSession }>
+  | Readonly<{ kind: 'publish-endpoints' }>
+
+/** The outcome of one step. */
+export type CellStep = Readonly<{ transitions: readonly Transition[], actions: readonly CellAction[] }>
+
+/** Whom a cell belongs to, for the time of one ownership. */
+export type CellTerm = Readonly<{ cell: CellId, epoch: Epoch }>
+
+/** An endpoint as gateways learn of it. */
+export type Endpoint = Readonly<{
+  id: EndpointId
+  service: ServiceName
+  vm: VmId
+  dataCentre: DataCentre
+  address: string
+  slots: number
+  connections: number
+  isLeaving: boolean
+}>
--- /dev/null
+++ b/packages/core/src/configuration/noteSchema.ts
@@ -0,0 +1,74 @@
+/**
+ * The shape of a release note, checked with `zod`. The JSON schema for editors is made from it.
+ */
+import { z } from 'zod'
+
+const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/
+
+/** A name: lower-case letters, digits and dashes, starting with a letter, at most 63 characters. */
+export const nameSchema = z.string().regex(NAME_PATTERN, 'must be lower-case letters, digits and dashes, starting with a letter')
+
+/** Resources as an operator writes them. */
+export const resourcesSchema = z.strictObject({
+  processors: z.number().positive().describe('Cores; fractions are allowed.'),
+  memoryMb: z.number().int().positive().describe('Memory in megabytes.'),
+  accelerators: z.number().int().min(0).default(0).describe('Whole accelerator devices.')
+})
+
+/** A service's declaration. */
+export const serviceSchema = z.strictObject({
+  replicas: z.number().int().min(0).max(10_000).describe('How many endpoints the service has.'),
+  resources: resourcesSchema,
+  command: z.string().min(1).describe('What the worker runs for each replica.'),
+  team: nameSchema,
+  slots: z.number().int().positive().default(8).describe('Requests that one endpoint works on at a time.'),
+  connections: z.number().int().positive().default(64).describe('Connections that one endpoint takes.'),
+  objectiveMs: z.number().positive().default(250).describe('Objective for the 99th percentile of answer times, in milliseconds.'),
+  queueMs: z.number().positive().default(2_000).describe('Longest wait for a slot, in milliseconds.'),
+  idempotentMethods: z.array(z.string().regex(/^[A-Z]+$/)).default(['GET', 'HEAD', 'OPTIONS']).describe('Methods that may be sent again after an unknown outcome.')
+})
+
+/** A declared task. */
+export const declaredTaskSchema = z.strictObject({
+  kind: z.enum(['watch', 'batch']).describe('A watch runs until withdrawn; a batch task until it finishes.'),
+  team: nameSchema,
+  resources: resourcesSchema,
+  command: z.string().min(1),
+  isUrgent: z.boolean().default(false).describe('Whether it goes before other work and may evict it.')
+})
+
+/** A team's declaration. */
+export const teamSchema = z.strictObject({ quota: resourcesSchema })
+
+/** A limit's declaration. */
+export const limitSchema = z.strictObject({ value: z.number().positive() })
+
+const sectionsSchema = z.strictObject({
+  services: z.record(nameSchema, serviceSchema).default({}),
+  tasks: z.record(nameSchema, declaredTaskSchema).default({}),
+  teams: z.record(nameSchema, teamSchema).default({}),
+  limits: z.record(nameSchema, limitSchema).default({})
+})
+
+const EMPTY_SECTIONS = { services: {}, tasks: {}, teams: {}, limits: {} }
+
+const withdrawnSchema = z.strictObject({
+  services: z.array(nameSchema).default([]),
+  tasks: z.array(nameSchema).default([]),
+  teams: z.array(nameSchema).default([]),
+  limits: z.array(nameSchema).default([])
+})
+
+const EMPTY_WITHDRAWN = { services: [], tasks: [], teams: [], limits: [] }
+
+/** A release note. */
+export const noteSchema = z.strictObject({
+  id: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/).describe('Unique id; the same id is applied once.'),
+  base: z.number().int().min(0).optional().describe('Version the note was written against; later changes of the same names are conflicts.'),
+  added: sectionsSchema.default(EMPTY_SECTIONS),
+  changed: sectionsSchema.default(EMPTY_SECTIONS),
+  withdrawn: withdrawnSchema.default(EMPTY_WITHDRAWN)
+})
+
+/** A release note after its defaults were filled in. */
+export type Note = z.infer<typeof noteSchema>
--- /dev/null
+++ b/packages/core/src/configuration/types.ts
@@ -0,0 +1,75 @@
+/**
+ * The configuration: what operators have declared, and which note declared it.
+ */
+import type { ConfigVersion, NoteId, Resources, ServiceName, TaskId, TeamName } from '@auburnpin/common'
+
+/** A service whose replicas answer callers. */
+export type Service = Readonly<{
+  replicas: number
+  resources: Resources
+  /** What the worker runs for each replica. */
+  command: string
+  team: TeamName
+  /** Requests that one endpoint works on at a time. */
+  slots: number
+  /** Connections that one endpoint takes. */
+  connections: number
+  /** Objective for the 99th percentile of answer times, in milliseconds. */
+  objectiveMs: number
+  /** Longest time that a request may wait for a slot, in milliseconds. */
+  queueMs: number
+  /** Methods whose requests may be sent again after an unknown outcome. */
+  idempotentMethods: readonly string[]
+}>
+
+/** A declared task: a standing watch runs until withdrawn, a batch task until it finishes. */
+export type DeclaredTask = Readonly<{
+  kind: 'watch' | 'batch'
+  team: TeamName
+  resources: Resources
+  command: string
+  isUrgent: boolean
+}>
+
+/** A team and what it may use at a time. */
+export type Team = Readonly<{ quota: Resources }>
+
+/** Limits that hold for the whole installation. */
+export type Limit = Readonly<{ value: number }>
+
+/** A declaration with the note that made it what it is. */
+export type Declared<Value> = Readonly<{ value: Value, changedBy: NoteId, changedIn: ConfigVersion }>
+
+/** Everything declared, by name. */
+export type Configuration = Readonly<{
+  version: ConfigVersion
+  services: Readonly<Record<ServiceName, Declared<Service>>>
+  tasks: Readonly<Record<TaskId, Declared<DeclaredTask>>>
+  teams: Readonly<Record<TeamName, Declared<Team>>>
+  limits: Readonly<Record<string, Declared<Limit>>>
+}>
+
+/** The parts of a configuration that hold declarations. */
+export const CONFIGURATION_SECTIONS = ['services', 'tasks', 'teams', 'limits'] as const
+
+/** One of the parts. */
+export type ConfigurationSection = typeof CONFIGURATION_SECTIONS[number]
+
+/** One declaration that a note touches. */
+export type ConfigurationChange = Readonly<{
+  action: 'added' | 'changed' | 'withdrawn'
+  section: ConfigurationSection
+  name: string
+  before?: unknown
+  after?: unknown
+}>
+
+/** An entry of the audit trail. */
+export type AuditEntry = Readonly<{
+  version: ConfigVersion
+  note: NoteId
+  operator: string
+  /** Wall clock, milliseconds since 1970. */
+  acceptedAt: number
+  changes: readonly ConfigurationChange[]
+}>
--- /dev/null
+++ b/packages/gateway/src/actions/Action.ts
@@ -0,0 +1,43 @@
+/**
+ * One operation that operators can ask for over HTTP.
+ */
+import type { AuburnpinError, CellId, Clock, MemberId, Random, Result } from '@auburnpin/common'
+import type { CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, Peers } from '@auburnpin/cluster'
+import type { TableStore } from '@auburnpin/platform'
+
+/** What operations work with. */
+export type ActionPorts = Readonly<{
+  table: TableStore
+  clock: Clock
+  random: Random
+  peers: Peers
+  membership: Membership
+  directory: CellDirectory
+  configuration: ConfigurationFollower
+  endpoints: EndpointDirectory
+  cells: readonly CellId[]
+}>
+
+/** An operator's request, already authenticated. */
+export type ActionRequest = Readonly<{
+  operator: string
+  /** The part of the path that stands for `:id`. */
+  id: string
+  query: URLSearchParams
+  headers: Readonly<Record<string, string | string[] | undefined>>
+  body: unknown
+}>
+
+/** What goes back: an HTTP status and a JSON body. */
+export type ActionAnswer = Readonly<{ status: number, body: unknown }>
+
+/** A named operation at one method and path; `:id` in the path matches one segment. */
+export abstract class Action {
+  abstract readonly name: string
+  abstract readonly method: 'GET' | 'POST' | 'DELETE'
+  abstract readonly path: string
+  abstract run (ports: ActionPorts, request: ActionRequest): Promise<Result<ActionAnswer, AuburnpinError>>
+}
+
+/** A member and the cell it owns. */
+export type OwnedCell = Readonly<{ cell: CellId, owner: MemberId }>
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,11 @@
+/**
+ * The gateway role: callers' requests to endpoints, operators' requests to actions.
+ */
+export * from './constants.ts'
+export { CallerServer, type CallerPorts } from './CallerServer.ts'
+export { OperatorServer, type OperatorToken } from './OperatorServer.ts'
+export { SlotQueue } from './SlotQueue.ts'
+export { forwardRequest, endToEndHeaders, type ForwardCall, type ForwardFault } from './forwardRequest.ts'
+export { ACTIONS } from './actions/actions.ts'
+export { Action, type ActionAnswer, type ActionPorts, type ActionRequest } from './actions/Action.ts'
+export { jobSchema } from './actions/SubmitJobAction.ts'
--- /dev/null
+++ b/packages/platform/src/HttpObjectStore.ts
@@ -0,0 +1,45 @@
+/**
+ * The object store over HTTP.
+ */
+import { Err, Ok, type AuburnpinError, type Result } from '@auburnpin/common'
+import { STORE_TIMEOUT_MS } from './constants.ts'
+import type { HttpClient } from './HttpClient.ts'
+import { isSuccess, unexpectedStatus } from './jsonAnswer.ts'
+import { ObjectStore } from './ObjectStore.ts'
+
+/** Speaks the object store's contract at one address. */
+export class HttpObjectStore extends ObjectStore {
+  readonly #client: HttpClient
+  readonly #address: string
+
+  constructor (client: HttpClient, address: string) {
+    super()
+    this.#client = client
+    this.#address = address
+  }
+
+  async read (key: string): Promise<Result<Uint8Array | null, AuburnpinError>> {
+    const answer = await this.#client.send({ address: this.#address, method: 'GET', path: pathOf(key), timeoutMs: STORE_TIMEOUT_MS })
+    if (answer.err) return answer
+    if (answer.val.status === 404) return Ok(null)
+    if (!isSuccess(answer.val)) return Err(unexpectedStatus(answer.val, 'The object store'))
+    return Ok(answer.val.body)
+  }
+
+  write (key: string, content: Uint8Array): Promise<Result<void, AuburnpinError>> {
+    return this.#change('PUT', key, content)
+  }
+
+  delete (key: string): Promise<Result<void, AuburnpinError>> {
+    return this.#change('DELETE', key)
+  }
+
+  async #change (method: 'PUT' | 'DELETE', key: string, body?: Uint8Array): Promise<Result<void, AuburnpinError>> {
+    const answer = await this.#client.send({ address: this.#address, method, path: pathOf(key), body, timeoutMs: STORE_TIMEOUT_MS })
+    if (answer.err) return answer
+    if (!isSuccess(answer.val)) return Err(unexpectedStatus(answer.val, 'The object store'))
+    return Ok(undefined)
+  }
+}
+
+const pathOf = (key: string): string => `/objects/${encodeURIComponent(key)}`
--- /dev/null
+++ b/packages/scheduler/src/constants.ts
@@ -0,0 +1,14 @@
+/** Time between two passes of placement of a cell, in milliseconds. */
+export const TICK_MS = 100
+/** Time between two looks at a worker, in milliseconds. */
+export const REPORT_MS = 1_000
+/** Time between two renewals of a worker's lease, in milliseconds. */
+export const LEASE_RENEW_MS = 3_000
+/** Time between two readings of the VM list, in milliseconds. */
+export const VM_LIST_POLL_MS = 1_000
+/** Most transitions in one journal record. */
+export const MAX_RECORD_TRANSITIONS = 256
+/** Wait before a journal append is tried again while the store fails, in milliseconds. */
+export const JOURNAL_RETRY_MS = 500
+/** Time between two looks at which cells this member should own, in milliseconds. */
+export const OWNERSHIP_MS = 1_000
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * The scheduler role: cells run by their owners.
+ */
+export * from './constants.ts'
+export { Scheduler, type RegionLayout, type SchedulerPorts } from './Scheduler.ts'
+export { CellRunner, type CellPorts } from './CellRunner.ts'
+export { JournalWriter, type JournalOptions } from './JournalWriter.ts'
+export { recoverCell, type RecoveredJournal } from './recoverCell.ts'
+export { WorkerLink } from './WorkerLink.ts'
+export { ActionRunner } from './ActionRunner.ts'
+export { cellOfVm, cellsOfRegion } from './cellOfVm.ts'
+export { chooseOwner } from './chooseOwner.ts'
--- /dev/null
+++ b/packages/standIn/src/StandInWorker.ts
@@ -0,0 +1,157 @@
+/**
+ * One VM's worker on loopback. It runs stand-in tasks under the worker contract and logs what really ran.
+ */
+import { JsonServer, type StandInAnswer, type StandInRequest } from './JsonServer.ts'
+import { parseCommand } from './parseCommand.ts'
+import { StandInEndpoint } from './StandInEndpoint.ts'
+import {
+  WorkerState, type WorkerAttempt, type WorkerEntry, type WorkerLeaseCall, type WorkerRefusal, type WorkerRoom, type WorkerStart
+} from './WorkerState.ts'
+
+type Running = { timer?: NodeJS.Timeout, endpoint?: StandInEndpoint, startedAt: number, doneMs: number }
+
+const SAMPLES_KEPT = 60
+
+/** A worker with its endpoints. */
+export class StandInWorker {
+  readonly #state: WorkerState
+  readonly #server = new JsonServer(request => this.#handle(request))
+  readonly #running = new Map<WorkerEntry, Running>()
+  readonly #endpoints: StandInEndpoint[] = []
+  readonly #samples: Array<Readonly<{ measuredAt: number, tasks: readonly object[] }>> = []
+  readonly #room: WorkerRoom
+  #leaseTimer: NodeJS.Timeout | undefined
+  #isSilent = false
+
+  constructor (room: WorkerRoom) {
+    this.#room = room
+    this.#state = new WorkerState(room, entry => this.#run(entry), entry => this.#halt(entry))
+  }
+
+  get state (): WorkerState {
+    return this.#state
+  }
+
+  get room (): WorkerRoom {
+    return this.#room
+  }
+
+  /** All endpoints that this worker has opened. */
+  get endpoints (): readonly StandInEndpoint[] {
+    return this.#endpoints
+  }
+
+  /** A silent worker takes calls and never answers; its tasks and its lease run on. */
+  setSilent (isSilent: boolean): void {
+    this.#isSilent = isSilent
+  }
+
+  listen (port = 0): Promise<string> {
+    return this.#server.listen(port)
+  }
+
+  /** The VM dies: everything ends at once. */
+  async close (): Promise<void> {
+    clearTimeout(this.#leaseTimer)
+    this.#state.expire()
+    await Promise.all(this.#endpoints.map(endpoint => endpoint.close()))
+    await this.#server.close()
+  }
+
+  async #handle (request: StandInRequest): Promise<StandInAnswer | null> {
+    if (this.#isSilent) return await new Promise<null>(() => {})
+    const parts = request.path.split('/')
+    if (request.method === 'GET') return request.path === '/usage' ? this.#usage(request) : this.#report()
+    const message: unknown = JSON.parse(request.body.toString('utf8'))
+    if (request.path === '/lease') return this.#lease(message as WorkerLeaseCall)
+    if (request.path === '/tasks') return await this.#start(message as WorkerStart)
+    return this.#change(parts.at(-1) ?? '', message as WorkerAttempt & { share?: number })
+  }
+
+  #lease (call: WorkerLeaseCall): StandInAnswer {
+    const refusal = this.#state.lease(call)
+    if (refusal !== undefined) return this.#refuse(refusal)
+    clearTimeout(this.#leaseTimer)
+    this.#leaseTimer = setTimeout(() => this.#state.expire(), call.ttlMs)
+    return { status: 200, body: call }
+  }
+
+  async #start (start: WorkerStart): Promise<StandInAnswer> {
+    const entry = this.#state.start(start)
+    if (typeof entry === 'string') return this.#refuse(entry)
+    await this.#openEndpoint(entry)
+    return { status: 200, body: toReported(entry) }
+  }
+
+  #change (verb: string, call: WorkerAttempt & { share?: number }): StandInAnswer {
+    if (verb === 'acknowledge') {
+      const refusal = this.#state.acknowledge(call)
+      return refusal === undefined ? { status: 200, body: Buffer.from('null') } : this.#refuse(refusal)
+    }
+    const entry = this.#apply(verb, call)
+    return typeof entry === 'string' ? this.#refuse(entry) : { status: 200, body: toReported(entry) }
+  }
+
+  #apply (verb: string, call: WorkerAttempt & { share?: number }): WorkerEntry | WorkerRefusal {
+    if (verb === 'checkpoint') return this.#state.checkpoint(call, entry => String(this.#doneMs(entry)))
+    if (verb === 'throttle') return this.#state.throttle(call, call.share ?? 1)
+    return this.#state.stop(call)
+  }
+
+  #report (): StandInAnswer {
+    return { status: 200, body: { session: this.#state.session, epoch: this.#state.epoch, tasks: this.#state.entries.map(toReported) } }
+  }
+
+  #usage (request: StandInRequest): StandInAnswer {
+    const since = Number(request.query.get('since') ?? 0)
+    const tasks = this.#state.entries.filter(entry => entry.state === 'running').map(({ start }) => ({
+      id: start.id, attempt: start.attempt, processors: start.resources.processors, memoryMb: start.resources.memoryMb
+    }))
+    this.#samples.push({ measuredAt: Date.now(), tasks })
+    if (this.#samples.length > SAMPLES_KEPT) this.#samples.shift()
+    return { status: 200, body: { samples: this.#samples.filter(sample => sample.measuredAt > since) } }
+  }
+
+  #refuse (reason: WorkerRefusal): StandInAnswer {
+    return { status: 409, body: { reason, session: this.#state.session, epoch: this.#state.epoch } }
+  }
+
+  #run (entry: WorkerEntry): void {
+    const command = parseCommand(entry.start.command)
+    const doneMs = Number(entry.start.checkpoint ?? 0)
+    const running: Running = { startedAt: Date.now(), doneMs }
+    this.#running.set(entry, running)
+    if (command.kind === 'work') running.timer = setTimeout(() => this.#state.finish(entry, 'finished', `worked ${command.durationMs} ms`), command.durationMs - doneMs)
+    if (command.kind === 'fail') running.timer = setTimeout(() => this.#state.finish(entry, 'failed', 'told to fail'), command.durationMs)
+    if (command.kind === 'serve') running.endpoint = new StandInEndpoint(command.serviceMs)
+  }
+
+  async #openEndpoint (entry: WorkerEntry): Promise<void> {
+    const endpoint = this.#running.get(entry)?.endpoint
+    if (endpoint === undefined || entry.address !== undefined) return
+    this.#endpoints.push(endpoint)
+    entry.address = await endpoint.listen()
+  }
+
+  #halt (entry: WorkerEntry): void {
+    const running = this.#running.get(entry)
+    this.#running.delete(entry)
+    clearTimeout(running?.timer)
+    void running?.endpoint?.close()
+  }
+
+  #doneMs (entry: WorkerEntry): number {
+    const running = this.#running.get(entry)
+    return running === undefined ? 0 : running.doneMs + Date.now() - running.startedAt
+  }
+}
+
+const toReported = (entry: WorkerEntry): object => ({
+  id: entry.start.id,
+  attempt: entry.start.attempt,
+  state: entry.state,
+  result: entry.result,
+  checkpoint: entry.checkpoint,
+  address: entry.address,
+  throttle: entry.throttle
+})
--- /dev/null
+++ b/scripts/buildBinary.ts
@@ -0,0 +1,63 @@
+/**
+ * Builds `dist/auburnpin`: one bundle, put into a copy of this Node as a single executable application.
+ */
+import { execFileSync } from 'node:child_process'
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { build, type Plugin } from 'esbuild'
+import { inject } from 'postject'
+
+const SENTINEL_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+const BINARY_MODE = 0o755
+
+const root = fileURLToPath(new URL('..', import.meta.url))
+const dist = join(root, 'dist')
+const bundle = join(dist, 'auburnpin.cjs')
+const blob = join(dist, 'auburnpin.blob')
+const seaConfig = join(dist, 'sea.json')
+const binary = join(dist, 'auburnpin')
+
+// Optional native parts: a single executable can't load them, and warns when it is asked to.
+const ABSENT_MODULES = /^(unix-dgram|msgpackr-extract|bufferutil|utf-8-validate)$/
+
+/** Lets each optional module fail to load, which the libraries that ask for one expect. */
+const absentModules: Plugin = {
+  name: 'absent-modules',
+  setup (bundler) {
+    bundler.onResolve({ filter: ABSENT_MODULES }, ({ path }) => ({ path, namespace: 'absent' }))
+    bundler.onLoad({ filter: /.*/, namespace: 'absent' }, ({ path }) => ({ contents: `throw new Error('${path} is not part of this build')` }))
+  }
+}
+
+const bundleProgram = async (): Promise<void> => {
+  await build({
+    entryPoints: [join(root, 'app/src/main.ts')],
+    outfile: bundle,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    plugins: [absentModules],
+    banner: { js: 'const importMetaUrl = require("node:url").pathToFileURL(process.execPath).href;' },
+    define: { 'import.meta.url': 'importMetaUrl' },
+    logLevel: 'warning'
+  })
+}
+
+const makeBlob = (): void => {
+  writeFileSync(seaConfig, JSON.stringify({ main: bundle, output: blob, disableExperimentalSEAWarning: true }))
+  execFileSync(process.execPath, ['--experimental-sea-config', seaConfig], { stdio: ['ignore', 'ignore', 'inherit'] })
+}
+
+const injectBlob = async (): Promise<void> => {
+  copyFileSync(process.execPath, binary)
+  chmodSync(binary, BINARY_MODE)
+  await inject(binary, 'NODE_SEA_BLOB', readFileSync(blob), { sentinelFuse: SENTINEL_FUSE })
+}
+
+rmSync(dist, { recursive: true, force: true })
+mkdirSync(dist)
+await bundleProgram()
+makeBlob()
+await injectBlob()
