Fakes at the interfaces, on a virtual clock

Cause: failure tests of the shells need a store, workers and peers that lose, delay and refuse on demand. Change: packages/fakes implements the abstract clients over the stand-ins' own rules. Conclusion: kept small; no model of a network.

--- /dev/null
+++ b/packages/fakes/src/FakeVmList.ts
@@ -0,0 +1,25 @@
+/**
+ * A VM list that says what it is told to.
+ */
+import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
+import { VmList, type VmEntry } from '@auburnpin/platform'
+import type { FakeLink } from './FakeLink.ts'
+
+/** Shared by all members. */
+export class FakeVmList extends VmList {
+  readonly #link: FakeLink
+  #vms: readonly VmEntry[] = []
+
+  constructor (link: FakeLink) {
+    super()
+    this.#link = link
+  }
+
+  set (vms: readonly VmEntry[]): void {
+    this.#vms = vms
+  }
+
+  read (): Promise<Result<readonly VmEntry[], AuburnpinError>> {
+    return this.#link.carry('member', 'vm-list', 'read', () => Ok(this.#vms))
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/FakeWorkers.ts
@@ -0,0 +1,153 @@
+/**
+ * Workers in memory, under the same rules as the stand-in worker, on any clock.
+ */
+import { AuburnpinError, Err, Ok, type Clock, type Result, type Timer } from '@auburnpin/common'
+import {
+  Worker, Workers, type AttemptAddress, type TaskStart, type UsageSample, type WorkerAnswer, type WorkerLease, type WorkerReport, type WorkerTask
+} from '@auburnpin/platform'
+import { WorkerState, type WorkerEntry, type WorkerRefusal, type WorkerRoom } from '@auburnpin/stand-in'
+import type { FakeLink } from './FakeLink.ts'
+
+/** What a fake task does: run for a time and end, or run until stopped. */
+export type FakeCourse = Readonly<{ kind: 'finish' | 'fail', afterMs: number }> | Readonly<{ kind: 'stay' }>
+
+/** Tells the course of a task from its start. */
+export type FakeCourses = (start: WorkerEntry['start']) => FakeCourse
+
+/** One VM's worker; `state.events` is the observers' log of what really ran. */
+export class FakeVmWorker {
+  readonly #state: WorkerState
+  readonly #clock: Clock
+  readonly #courses: FakeCourses
+  readonly #timers = new Map<WorkerEntry, Timer>()
+  #leaseTimer: Timer | undefined
+  #isDead = false
+
+  constructor (room: WorkerRoom, clock: Clock, courses: FakeCourses) {
+    this.#clock = clock
+    this.#courses = courses
+    this.#state = new WorkerState(room, entry => this.#run(entry), entry => this.#timers.get(entry)?.cancel())
+  }
+
+  get state (): WorkerState {
+    return this.#state
+  }
+
+  get isDead (): boolean {
+    return this.#isDead
+  }
+
+  /** The VM dies: everything ends at once and nothing is answered any more. */
+  kill (): void {
+    this.#isDead = true
+    this.#state.expire()
+  }
+
+  lease (lease: WorkerLease): WorkerRefusal | undefined {
+    const refusal = this.#state.lease(lease)
+    if (refusal !== undefined) return refusal
+    this.#leaseTimer?.cancel()
+    this.#leaseTimer = this.#clock.after(lease.ttlMs, () => this.#state.expire())
+    return undefined
+  }
+
+  #run (entry: WorkerEntry): void {
+    if (entry.start.service !== undefined) entry.address = `127.0.0.1:${entry.start.attempt}`
+    const course = this.#courses(entry.start)
+    if (course.kind === 'stay') return
+    const end = course.kind === 'finish' ? 'finished' : 'failed'
+    this.#timers.set(entry, this.#clock.after(course.afterMs, () => this.#state.finish(entry, end, `attempt ${entry.start.attempt}`)))
+  }
+}
+
+/** All workers by address. */
+export class FakeWorkers extends Workers {
+  readonly #link: FakeLink
+  readonly #member: string
+  readonly #vms: ReadonlyMap<string, FakeVmWorker>
+
+  constructor (vms: ReadonlyMap<string, FakeVmWorker>, link: FakeLink, member: string) {
+    super()
+    this.#vms = vms
+    this.#link = link
+    this.#member = member
+  }
+
+  at (address: string): Worker {
+    return new FakeWorker(this.#vms.get(address), this.#link, this.#member, address)
+  }
+}
+
+class FakeWorker extends Worker {
+  readonly #vm: FakeVmWorker | undefined
+  readonly #link: FakeLink
+  readonly #member: string
+  readonly #address: string
+
+  constructor (vm: FakeVmWorker | undefined, link: FakeLink, member: string, address: string) {
+    super()
+    this.#vm = vm
+    this.#link = link
+    this.#member = member
+    this.#address = address
+  }
+
+  lease (lease: WorkerLease): Promise<Result<WorkerAnswer<WorkerLease>, AuburnpinError>> {
+    return this.#ask('lease', vm => toAnswer(vm, vm.lease(lease) ?? lease))
+  }
+
+  start (start: TaskStart): Promise<Result<WorkerAnswer<WorkerTask>, AuburnpinError>> {
+    return this.#ask(`start ${start.id}`, vm => toTaskAnswer(vm, vm.state.start(start)))
+  }
+
+  stop (address: AttemptAddress): Promise<Result<WorkerAnswer<WorkerTask>, AuburnpinError>> {
+    return this.#ask(`stop ${address.id}`, vm => toTaskAnswer(vm, vm.state.stop(address)))
+  }
+
+  checkpoint (address: AttemptAddress): Promise<Result<WorkerAnswer<WorkerTask>, AuburnpinError>> {
+    return this.#ask(`checkpoint ${address.id}`, vm => toTaskAnswer(vm, vm.state.checkpoint(address, entry => `after attempt ${entry.start.attempt}`)))
+  }
+
+  throttle (address: AttemptAddress, share: number): Promise<Result<WorkerAnswer<WorkerTask>, AuburnpinError>> {
+    return this.#ask(`throttle ${address.id}`, vm => toTaskAnswer(vm, vm.state.throttle(address, share)))
+  }
+
+  acknowledge (address: AttemptAddress): Promise<Result<WorkerAnswer<null>, AuburnpinError>> {
+    return this.#ask(`acknowledge ${address.id}`, vm => toAnswer(vm, vm.state.acknowledge(address) ?? null))
+  }
+
+  report (): Promise<Result<WorkerReport, AuburnpinError>> {
+    return this.#ask('report', vm => ({
+      session: vm.state.session, epoch: vm.state.epoch, tasks: vm.state.entries.map(toTask)
+    } as unknown as WorkerReport))
+  }
+
+  usage (): Promise<Result<readonly UsageSample[], AuburnpinError>> {
+    return this.#ask('usage', () => [])
+  }
+
+  #ask<Value> (operation: string, effect: (vm: FakeVmWorker) => Value): Promise<Result<Value, AuburnpinError>> {
+    return this.#link.carry(this.#member, this.#address, operation, () => {
+      if (this.#vm === undefined || this.#vm.isDead) return Err(new AuburnpinError('unreachable', `No worker at ${this.#address}`, 'See the VM list.'))
+      return Ok(effect(this.#vm))
+    })
+  }
+}
+
+const toTask = (entry: WorkerEntry): WorkerTask => ({
+  id: entry.start.id,
+  attempt: entry.start.attempt,
+  state: entry.state,
+  result: entry.result,
+  checkpoint: entry.checkpoint,
+  address: entry.address,
+  throttle: entry.throttle
+} as unknown as WorkerTask)
+
+const toAnswer = <Value>(vm: FakeVmWorker, value: Value | WorkerRefusal): WorkerAnswer<Value> => {
+  if (typeof value !== 'string') return { kind: 'done', value }
+  return { kind: 'refused', reason: value as WorkerRefusal, session: vm.state.session, epoch: vm.state.epoch } as unknown as WorkerAnswer<Value>
+}
+
+const toTaskAnswer = (vm: FakeVmWorker, value: WorkerEntry | WorkerRefusal): WorkerAnswer<WorkerTask> =>
+  typeof value === 'string' ? toAnswer<WorkerTask>(vm, value) : { kind: 'done', value: toTask(value) }
