A seam for policies, and usage samples up to it

Cause: order, placement and relief will be measured against each other, so they must be exchangeable; the samples they learn from did not reach the cell. Change: abstract Policy (place, observe, relieve) with PlainPolicy as baseline; workers' usage becomes an event.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -6,11 +6,10 @@
 import { LEASE_MARGIN_MS, WORKER_LEASE_MS } from '../constants.ts'
 import type { Configuration } from '../configuration/types.ts'
 import { EMPTY_CONFIGURATION } from '../configuration/mergeNote.ts'
-import type { PlacementPolicy } from '../placement/PlacementPolicy.ts'
+import type { Policy } from '../policy/Policy.ts'
 import { isFinal } from './applyTransition.ts'
 import { CellState } from './CellState.ts'
 import { endLostVms, reconcileReport, stopAction } from './reconcileReport.ts'
-import { placeWaiting } from './placeWaiting.ts'
 import { listEndpoints } from './listEndpoints.ts'
 import type { CellAction, CellEvent, CellStep, CellTerm, Endpoint, Task, TaskSpec, Transition } from './types.ts'
 
@@ -18,17 +17,17 @@
  * The state machine of one cell for the time of one ownership.
  *
  * @example
- * const cell = new Cell(term, new SpreadPolicy())
+ * const cell = new Cell(term, new PlainPolicy(new SpreadPolicy()))
  * cell.restore(journaledTransitions, now)
  * const { transitions, actions } = cell.step({ kind: 'tick' }, now)
  */
 export class Cell {
   readonly #term: CellTerm
-  readonly #policy: PlacementPolicy
+  readonly #policy: Policy
   readonly #state = new CellState()
   #configuration: Configuration = EMPTY_CONFIGURATION
 
-  constructor (term: CellTerm, policy: PlacementPolicy) {
+  constructor (term: CellTerm, policy: Policy) {
     this.#term = term
     this.#policy = policy
   }
@@ -73,6 +72,9 @@
         return NOTHING
       case 'reported':
         return this.#reconcile(event, now)
+      case 'usage':
+        this.#policy.observe(this.#state, event.vm, event.readings, now)
+        return NOTHING
       default:
         return assertNever(event, 'cell event')
     }
@@ -82,15 +84,18 @@
     this.#expireLeases(now)
     const lost = endLostVms(this.#state, now, WORKER_LEASE_MS + LEASE_MARGIN_MS)
     this.#apply(lost, now)
-    const placed = placeWaiting(this.#state, this.#policy, now)
-    const actions: CellAction[] = lost.length > 0 ? [{ kind: 'publish-endpoints' }] : []
+    const relief = this.#policy.relieve(this.#state, now)
+    this.#apply(relief.transitions, now)
+    const placed = this.#policy.place(this.#state, now)
+    const actions: CellAction[] = [...relief.actions]
+    if (lost.length > 0) actions.push({ kind: 'publish-endpoints' })
     for (const transition of placed) {
       if (transition.kind !== 'assigned') continue
       const task = this.#state.tasks.get(transition.task) as Task
       const vm = this.#state.vms.get(transition.vm)
       if (vm !== undefined) actions.push({ kind: 'start', vm: vm.id, address: vm.address, task, session: transition.session })
     }
-    return { transitions: [...lost, ...placed], actions }
+    return { transitions: [...lost, ...relief.transitions, ...placed], actions }
   }
 
   // Nothing new is assigned under a lease that may have run out at the worker.
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -47,6 +47,8 @@
   since: Instant
   isRunning: boolean
   isStopping: boolean
+  /** Share of its declared processors that the attempt may use, 0 to 1; 1 if not told. */
+  throttle?: number
   /** Endpoint's IP number and port, once the worker has told it. */
   address?: string
 }>
@@ -110,6 +112,25 @@
   address?: string
 }>
 
+/** One usage sample of a worker: what was true at `measuredAt`, known only later. */
+export type UsageReading = Readonly<{
+  /** When it was measured, by this process's clock. */
+  measuredAt: Instant
+  tasks: readonly TaskReading[]
+}>
+
+/** One task in a usage sample. */
+export type TaskReading = Readonly<{
+  id: TaskId
+  attempt: Attempt
+  /** Cores in use. */
+  processors: number
+  memoryMb: number
+  /** 99th percentile of answer times, for replicas. */
+  latencyP99Ms?: number
+  requests?: number
+}>
+
 /** What the shell tells the cell. */
 export type CellEvent =
   | Readonly<{ kind: 'tick' }>
@@ -120,12 +141,14 @@
   | Readonly<{ kind: 'lease-granted', vm: VmId, session: LeaseSession, sentAt: Instant }>
   | Readonly<{ kind: 'lease-refused', vm: VmId, openSession: LeaseSession | null }>
   | Readonly<{ kind: 'reported', vm: VmId, askedAt: Instant, session: LeaseSession | null, tasks: readonly ReportedTask[] }>
+  | Readonly<{ kind: 'usage', vm: VmId, readings: readonly UsageReading[] }>
 
 /** What the cell asks its shell to do, once the step's transitions are durable. */
 export type CellAction =
   | Readonly<{ kind: 'start', vm: VmId, address: string, task: Task, session: LeaseSession }>
   | Readonly<{ kind: 'stop', vm: VmId, address: string, task: TaskId, attempt: Attempt, session: LeaseSession, isCheckpointed: boolean }>
   | Readonly<{ kind: 'acknowledge', vm: VmId, address: string, task: TaskId, attempt: Attempt, session: LeaseSession }>
+  | Readonly<{ kind: 'throttle', vm: VmId, address: string, task: TaskId, attempt: Attempt, session: LeaseSession, share: number }>
   | Readonly<{ kind: 'publish-endpoints' }>
 
 /** The outcome of one step. */
--- /dev/null
+++ b/packages/core/src/policy/PlainPolicy.ts
@@ -0,0 +1,31 @@
+/**
+ * Places by one rule and relieves nothing: the baseline for other policies.
+ */
+import type { Instant } from '@auburnpin/common'
+import type { CellState } from '../cell/CellState.ts'
+import type { Transition } from '../cell/types.ts'
+import type { PlacementPolicy } from '../placement/PlacementPolicy.ts'
+import { placeWaiting } from './placeWaiting.ts'
+import { Policy, type Relief } from './Policy.ts'
+
+const NO_RELIEF: Relief = { transitions: [], actions: [] }
+
+/** Neither learns nor evicts. */
+export class PlainPolicy extends Policy {
+  readonly #placement: PlacementPolicy
+
+  constructor (placement: PlacementPolicy) {
+    super()
+    this.#placement = placement
+  }
+
+  place (state: CellState, now: Instant): readonly Transition[] {
+    return placeWaiting(state, this.#placement, now)
+  }
+
+  observe (): void {}
+
+  relieve (): Relief {
+    return NO_RELIEF
+  }
+}
--- a/packages/core/src/cell/placeWaiting.ts
+++ b/packages/core/src/policy/placeWaiting.ts
@@ -4,8 +4,8 @@
 import { brand, fitsWithin, type Attempt, type Instant, type Resources } from '@auburnpin/common'
 import { MAX_STARTS_PER_PASS } from '../constants.ts'
 import type { Candidate, PlacementPolicy } from '../placement/PlacementPolicy.ts'
-import type { CellState } from './CellState.ts'
-import type { Task, TaskSpec, Transition, Vm } from './types.ts'
+import type { CellState } from '../cell/CellState.ts'
+import type { Task, TaskSpec, Transition, Vm } from '../cell/types.ts'
 
 /** Decides starts and finds tasks that fit on no VM at all; applies each to the state at once. */
 export const placeWaiting = (state: CellState, policy: PlacementPolicy, now: Instant): Transition[] => {
--- a/packages/core/tests/cell.test.ts
+++ b/packages/core/tests/cell.test.ts
@@ -2,7 +2,7 @@
 import {
   brand, type Attempt, type CellId, type DataCentre, type Epoch, type Instant, type LeaseSession, type RackId, type TaskId, type TeamName, type VmId
 } from '@auburnpin/common'
-import { Cell, SpreadPolicy, type CellEvent, type CellStep, type ListedVm, type ReportedTask, type TaskSpec } from '../src/index.ts'
+import { Cell, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type ListedVm, type ReportedTask, type TaskSpec } from '../src/index.ts'
 
 const VM = brand<VmId>('vm-1')
 const SESSION = brand<LeaseSession>('session-1')
@@ -22,7 +22,7 @@
 })
 
 class Story {
-  readonly cell = new Cell({ cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(1) }, new SpreadPolicy())
+  readonly cell = new Cell({ cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(1) }, new PlainPolicy(new SpreadPolicy()))
   #now = 0
 
   tell (event: CellEvent, afterMs = 10): CellStep {
--- a/packages/scheduler/src/ActionRunner.ts
+++ b/packages/scheduler/src/ActionRunner.ts
@@ -33,6 +33,8 @@
         return worker.start(this.#toStart(action))
       case 'stop':
         return action.isCheckpointed ? this.#checkpointAndStop(action) : worker.stop(this.#toAddress(action))
+      case 'throttle':
+        return worker.throttle(this.#toAddress(action), action.share)
       case 'acknowledge':
         return worker.acknowledge(this.#toAddress(action))
       default:
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -6,7 +6,7 @@
   type CellId, type Clock, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, declaredTasks, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type ListedVm, type Task, type TaskSpec
+  Cell, declaredTasks, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type ListedVm, type Task, type TaskSpec
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { TableStore, Workers } from '@auburnpin/platform'
@@ -58,7 +58,7 @@
   static async open (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, onFenced: () => void): Promise<Result<CellRunner, AuburnpinError>> {
     const recovered = await recoverCell(ports.table, claimed.cell)
     if (recovered.err) return recovered
-    const cell = new Cell(claimed, new SpreadPolicy())
+    const cell = new Cell(claimed, new PlainPolicy(new SpreadPolicy()))
     cell.restore(recovered.val.transitions, ports.clock.now())
     const journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, { claimed, last: recovered.val.last, onFenced })
     const runner = new CellRunner(claimed, allCells, ports, cell, journal)
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -2,9 +2,9 @@
  * Keeps one worker's lease and asks for its reports.
  */
 import { brand, Ticker, type Clock, type Instant, type LeaseSession, type Log, type Random } from '@auburnpin/common'
-import { WORKER_LEASE_MS, type CellEvent, type CellTerm, type Vm } from '@auburnpin/core'
-import type { Worker, WorkerReport } from '@auburnpin/platform'
-import { LEASE_RENEW_MS, REPORT_MS } from './constants.ts'
+import { WORKER_LEASE_MS, type CellEvent, type CellTerm, type UsageReading, type Vm } from '@auburnpin/core'
+import type { UsageSample, Worker, WorkerReport } from '@auburnpin/platform'
+import { LEASE_RENEW_MS, REPORT_MS, USAGE_MS } from './constants.ts'
 
 const SESSION_ID_LENGTH = 12
 
@@ -19,6 +19,8 @@
   readonly #ticker: Ticker
   #session: LeaseSession | undefined
   #renewedAt: Instant | undefined
+  #usageAt: Instant | undefined
+  #usageSince = 0
 
   constructor (vm: Vm, term: CellTerm, worker: Worker, clock: Clock, random: Random, log: Log, post: (event: CellEvent) => void) {
     this.#vm = vm
@@ -45,6 +47,21 @@
     if (report.err) return
     if (this.#isRenewalDue(report.val)) await this.#renew(report.val)
     this.#post({ kind: 'reported', vm: this.#vm.id, askedAt, session: report.val.session, tasks: report.val.tasks })
+    if (this.#usageAt === undefined || askedAt - this.#usageAt >= USAGE_MS) await this.#readUsage(askedAt)
+  }
+
+  async #readUsage (askedAt: Instant): Promise<void> {
+    this.#usageAt = askedAt
+    const usage = await this.#worker.usage(this.#usageSince)
+    if (usage.err || usage.val.length === 0) return
+    this.#usageSince = Math.max(...usage.val.map(sample => sample.measuredAt))
+    this.#post({ kind: 'usage', vm: this.#vm.id, readings: usage.val.map(sample => this.#toReading(sample)) })
+  }
+
+  // Workers date samples by the wall clock; a sample from the future counts as measured now.
+  #toReading (sample: UsageSample): UsageReading {
+    const ageMs = Math.max(0, this.#clock.wallTime() - sample.measuredAt)
+    return { measuredAt: brand<Instant>(this.#clock.now() - ageMs), tasks: sample.tasks }
   }
 
   #isRenewalDue (report: WorkerReport): boolean {
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -2,6 +2,8 @@
 export const TICK_MS = 100
 /** Time between two looks at a worker, in milliseconds. */
 export const REPORT_MS = 1_000
+/** Time between two readings of a worker's usage, in milliseconds. */
+export const USAGE_MS = 2_000
 /** Time between two renewals of a worker's lease, in milliseconds. */
 export const LEASE_RENEW_MS = 3_000
 /** Time between two readings of the VM list, in milliseconds. */
