Commands that show the difference, explain, drain and page

Cause: apply sent a note blindly, status showed three columns of text, a declared watch could not be shown as only the hash cell was asked, nothing explained why a task waits, and a VM could not be emptied by an operator.

--- a/app/src/OperatorClient.ts
+++ b/app/src/OperatorClient.ts
@@ -6,6 +6,7 @@
 
 const OPERATOR_TIMEOUT_MS = 30_000
 const OPERATOR_SOCKETS = 4
+const FIRST_REDIRECT_STATUS = 300
 
 /** Calls operations with a token. */
 export class OperatorClient {
@@ -29,8 +30,9 @@
       timeoutMs: OPERATOR_TIMEOUT_MS
     })
     if (answer.err) return answer
-    const body: unknown = JSON.parse(answer.val.body.toString('utf8'))
-    if (answer.val.status < 300) return Ok(body as Value)
+    const body = parseJson(answer.val.body)
+    if (body === undefined) return Err(new AuburnpinError('invalid-request', `${this.#address} does not speak JSON`, 'Give the address of a member\'s operators\' listener.'))
+    if (answer.val.status < FIRST_REDIRECT_STATUS) return Ok(body as Value)
     const { kind, message: text, remedy } = body as ErrorReport
     return Err(new AuburnpinError(kind, text, remedy))
   }
@@ -39,3 +41,11 @@
     this.#client.close()
   }
 }
+
+const parseJson = (body: Buffer): unknown => {
+  try {
+    return JSON.parse(body.toString('utf8')) as unknown
+  } catch {
+    return undefined
+  }
+}
--- a/app/src/commands/AuditCommand.ts
+++ b/app/src/commands/AuditCommand.ts
@@ -1,25 +1,42 @@
 /**
  * `auburnpin audit`: the audit trail.
  */
+import type { Argv } from 'yargs'
 import type { AuburnpinError, Result } from '@auburnpin/common'
 import type { AuditEntry } from '@auburnpin/core'
 import type { OperatorClient } from '../OperatorClient.ts'
-import { OperatorCommand } from './OperatorCommand.ts'
+import type { CommandOptions } from './Command.ts'
+import { describeChange } from './describeChange.ts'
+import { QueryCommand } from './QueryCommand.ts'
 
-/** Shows who changed what and when. */
-export class AuditCommand extends OperatorCommand {
+const DEFAULT_LIMIT = 20
+
+type AuditPage = Readonly<{ entries: readonly AuditEntry[], next: number | null }>
+
+/** Shows who changed what and when, newest first. */
+export class AuditCommand extends QueryCommand {
   readonly usage = 'audit'
-  readonly description = 'Show the audit trail of configuration changes'
+  readonly description = 'Show the audit trail of configuration changes, newest first'
+
+  protected override describeOwn (argv: Argv): Argv {
+    return argv
+      .option('limit', { type: 'number', default: DEFAULT_LIMIT, describe: 'Entries on this page' })
+      .option('before', { type: 'number', describe: 'Only versions below this one' })
+      .example('$0 audit --limit 5', 'The last five changes')
+      .example('$0 audit --before 40', 'The changes before version 40')
+  }
 
-  protected ask (client: OperatorClient): Promise<Result<unknown, AuburnpinError>> {
-    return client.call('GET', '/v1/audit')
+  protected ask (client: OperatorClient, options: CommandOptions): Promise<Result<unknown, AuburnpinError>> {
+    const before = options.before === undefined ? '' : `&before=${Number(options.before)}`
+    return client.call('GET', `/v1/audit?limit=${Number(options.limit)}${before}`)
   }
 
   protected format (answer: unknown): readonly string[] {
-    const { entries } = answer as { entries: readonly AuditEntry[] }
-    return entries.flatMap(entry => [
+    const { entries, next } = answer as AuditPage
+    const lines = entries.flatMap(entry => [
       `version ${entry.version}  ${new Date(entry.acceptedAt).toISOString()}  ${entry.operator}  note ${entry.note}`,
-      ...entry.changes.map(change => `  ${change.action} ${change.section}.${change.name}`)
+      ...entry.changes.flatMap(describeChange).map(line => `  ${line}`)
     ])
+    return next === null ? lines : [...lines, `Older: auburnpin audit --before ${next}`]
   }
 }
--- a/app/src/commands/commands.ts
+++ b/app/src/commands/commands.ts
@@ -6,6 +6,8 @@
 import { CheckCommand } from './CheckCommand.ts'
 import type { Command } from './Command.ts'
 import { DemoCommand } from './DemoCommand.ts'
+import { DrainCommand } from './DrainCommand.ts'
+import { ExplainCommand } from './ExplainCommand.ts'
 import { JobsCommand } from './JobsCommand.ts'
 import { ServeCommand } from './ServeCommand.ts'
 import { StandInCommand } from './StandInCommand.ts'
@@ -18,6 +20,8 @@
   new ApplyCommand(),
   new StatusCommand(),
   new JobsCommand(),
+  new ExplainCommand(),
+  new DrainCommand(),
   new AuditCommand(),
   new StandInCommand(),
   new DemoCommand()
--- a/app/src/main.ts
+++ b/app/src/main.ts
@@ -4,13 +4,15 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { COMMANDS } from './commands/commands.ts'
-import { EXIT_FAILED, EXIT_INVALID } from './exitCodes.ts'
+import { EXIT_DONE, EXIT_FAILED, EXIT_INVALID } from './exitCodes.ts'
 
 const VERSION = '0.1.0'
+const HELP_COLUMNS = 80
 
 const main = async (): Promise<void> => {
   let exitCode = 0
-  const parser = yargs(hideBin(process.argv)).scriptName('auburnpin').version(VERSION).strict().demandCommand(1, 'Name a command.')
+  const parser = yargs(hideBin(process.argv)).scriptName('auburnpin').version(VERSION).strict()
+    .demandCommand(1, 'Name a command.').completion('completion', 'Print a completion script for bash or zsh').wrap(HELP_COLUMNS)
   for (const command of COMMANDS) {
     parser.command(command.usage, command.description, argv => command.describe(argv), async options => { exitCode = await command.run(options) })
   }
@@ -23,6 +25,12 @@
   process.exitCode = exitCode
 }
 
+// A reader such as `head` may have seen enough.
+process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+  if (error.code !== 'EPIPE') throw error
+  process.exit(EXIT_DONE)
+})
+
 main().catch((error: unknown) => {
   process.stderr.write(`${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
   process.exitCode = EXIT_FAILED
--- /dev/null
+++ b/app/tests/output.test.ts
@@ -0,0 +1,37 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { describeChange } from '../src/commands/describeChange.ts'
+import { formatTable, TABLE_COLUMNS } from '../src/commands/formatTable.ts'
+import { Program } from './support/Program.ts'
+
+test('a table never exceeds 80 columns, whatever is in it', t => {
+  const cell = fc.string({ maxLength: 120, unit: 'grapheme-ascii' })
+  const table = fc.integer({ min: 1, max: 8 }).chain(columns => fc.tuple(
+    fc.array(cell, { minLength: columns, maxLength: columns }),
+    fc.array(fc.array(cell, { minLength: columns, maxLength: columns }), { maxLength: 6 })
+  ))
+  fc.assert(fc.property(table, ([header, rows]) => {
+    const lines = formatTable(header, rows)
+    t.is(lines.length, rows.length + 1)
+    t.true(lines.every(line => line.length <= TABLE_COLUMNS))
+  }), { seed: 8, numRuns: 300 })
+})
+
+test('a table that fits is not cut', t => {
+  t.deepEqual(formatTable(['TASK', 'STATE'], [['cream-watch', 'running']]), ['TASK         STATE', 'cream-watch  running'])
+})
+
+test('a change shows only the keys that differ', t => {
+  const before = { slots: 8, resources: { processors: 4, memoryMb: 100 }, idempotentMethods: ['GET'] }
+  const after = { slots: 4, resources: { processors: 4, memoryMb: 200 }, idempotentMethods: ['GET'] }
+  t.deepEqual(describeChange({ action: 'changed', section: 'services', name: 'stockline', before, after }), [
+    '~ services.stockline', '    resources.memoryMb: 100 -> 200', '    slots: 8 -> 4'
+  ])
+})
+
+test('a reader that has seen enough ends a command quietly', async t => {
+  const program = new Program('check', new URL('../../examples/lanka/settings-1.yaml', import.meta.url).pathname)
+  program.closeOutput()
+  t.is(await program.exit(), 0)
+  t.is(program.errors, '')
+})
--- a/app/tests/support/Program.ts
+++ b/app/tests/support/Program.ts
@@ -32,6 +32,11 @@
     this.#process.kill(name)
   }
 
+  /** Reads no more, as `head` does. */
+  closeOutput (): void {
+    this.#process.stdout?.destroy()
+  }
+
   /** Resolves to the exit code once the process has ended. */
   exit (): Promise<number | null> {
     if (this.#process.exitCode !== null) return Promise.resolve(this.#process.exitCode)
--- a/packages/cluster/src/acceptNote.ts
+++ b/packages/cluster/src/acceptNote.ts
@@ -21,7 +21,8 @@
 /** What accepting a note needs. */
 export type AcceptancePorts = Readonly<{ table: TableStore, clock: Clock, random: Random }>
 
-type Current = Readonly<{ configuration: Configuration, check: RowCheck }>
+/** The configuration that a new note would be merged into, with the check that it still is the current one. */
+export type Current = Readonly<{ configuration: Configuration, check: RowCheck }>
 
 /**
  * Merges the note into the current configuration and stores it, starting over when another note came first.
@@ -32,7 +33,7 @@
 export const acceptNote = async (ports: AcceptancePorts, note: Note, operator: string): Promise<Result<Acceptance, AuburnpinError>> => {
   let base = note.base === undefined ? undefined : brand<ConfigVersion>(note.base)
   for (let rebase = 0; rebase < MAX_REBASES; rebase++) {
-    const earlier = await readEarlier(ports.table, note)
+    const earlier = await readAcceptance(ports.table, note)
     if (earlier.err) return earlier
     if (earlier.val !== null) return Ok(earlier.val)
     const current = await readCurrent(ports.table)
@@ -59,7 +60,8 @@
   return Err(new AuburnpinError('overloaded', `Note "${note.id}" was overtaken ${MAX_REBASES} times`, 'Apply it again when fewer notes come at once.'))
 }
 
-const readEarlier = async (table: TableStore, note: Note): Promise<Result<Acceptance | null, AuburnpinError>> => {
+/** What became of the note when it was accepted, `null` if it never was. */
+export const readAcceptance = async (table: TableStore, note: Note): Promise<Result<Acceptance | null, AuburnpinError>> => {
   const row = await table.read(noteKey(note.id))
   if (row.err) return row
   if (row.val === null) return Ok(null)
@@ -70,7 +72,8 @@
   return Ok({ version, changes, isRepeat: true })
 }
 
-const readCurrent = async (table: TableStore): Promise<Result<Current, AuburnpinError>> => {
+/** The current configuration as the store has it. */
+export const readCurrent = async (table: TableStore): Promise<Result<Current, AuburnpinError>> => {
   const row = await table.read(CURRENT_CONFIGURATION_KEY)
   if (row.err) return row
   if (row.val === null) return Ok({ configuration: EMPTY_CONFIGURATION, check: { kind: 'absent', key: CURRENT_CONFIGURATION_KEY } })
@@ -84,5 +87,6 @@
   const row = await table.read(configurationKey(version))
   if (row.err) return row
   if (row.val === null) return Err(new AuburnpinError('not-found', `Version ${version} of the configuration is missing`, 'Restore the row from the platform\'s backup.'))
-  return Ok(row.val.value as Configuration)
+  // A row of an earlier release lacks the sections that came later.
+  return Ok({ ...EMPTY_CONFIGURATION, ...(row.val.value as Configuration) })
 }
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -2,7 +2,7 @@
  * What members tell each other, and the rows they share.
  */
 import type { CellId, ConfigVersion, DataCentre, Epoch, ErrorReport, MemberId, TaskId } from '@auburnpin/common'
-import type { Endpoint, Task, TaskSpec } from '@auburnpin/core'
+import type { CellSummary, Endpoint, Task, TaskSpec } from '@auburnpin/core'
 
 /** What a member does. */
 export type MemberRole = 'gateway' | 'scheduler'
@@ -42,6 +42,7 @@
   | Readonly<{ kind: 'cancel', cell: CellId, task: TaskId }>
   | Readonly<{ kind: 'find-task', cell: CellId, task: TaskId }>
   | Readonly<{ kind: 'list-tasks', cell: CellId }>
+  | Readonly<{ kind: 'summarise-cell', cell: CellId }>
   | Readonly<{ kind: 'list-endpoints' }>
 
 /** The answer to a question. */
@@ -49,6 +50,7 @@
   | Readonly<{ kind: 'accepted', task: Task }>
   | Readonly<{ kind: 'task', task: Task | null }>
   | Readonly<{ kind: 'tasks', tasks: readonly Task[] }>
+  | Readonly<{ kind: 'cell-summary', summary: CellSummary }>
   | Readonly<{ kind: 'endpoints', published: readonly EndpointsNotice[] }>
   | Readonly<{ kind: 'failed', error: ErrorReport }>
 
--- a/packages/core/src/configuration/noteSchema.ts
+++ b/packages/core/src/configuration/noteSchema.ts
@@ -40,6 +40,14 @@
 /** A team's declaration. */
 export const teamSchema = z.strictObject({ quota: resourcesSchema })
 
+/** A VM's id as the platform's VM list writes it. */
+export const vmNameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, 'must be a VM id of the VM list')
+
+/** A drain's declaration. */
+export const drainSchema = z.strictObject({
+  reason: z.string().min(1).max(200).default('drained by an operator').describe('Why the VM shall be empty, for the audit trail.')
+})
+
 /** A limit's declaration. */
 export const limitSchema = z.strictObject({ value: z.number().positive() })
 
@@ -47,19 +55,21 @@
   services: z.record(nameSchema, serviceSchema).default({}),
   tasks: z.record(nameSchema, declaredTaskSchema).default({}),
   teams: z.record(nameSchema, teamSchema).default({}),
-  limits: z.record(nameSchema, limitSchema).default({})
+  limits: z.record(nameSchema, limitSchema).default({}),
+  drains: z.record(vmNameSchema, drainSchema).default({})
 })
 
-const EMPTY_SECTIONS = { services: {}, tasks: {}, teams: {}, limits: {} }
+const EMPTY_SECTIONS = { services: {}, tasks: {}, teams: {}, limits: {}, drains: {} }
 
 const withdrawnSchema = z.strictObject({
   services: z.array(nameSchema).default([]),
   tasks: z.array(nameSchema).default([]),
   teams: z.array(nameSchema).default([]),
-  limits: z.array(nameSchema).default([])
+  limits: z.array(nameSchema).default([]),
+  drains: z.array(vmNameSchema).default([])
 })
 
-const EMPTY_WITHDRAWN = { services: [], tasks: [], teams: [], limits: [] }
+const EMPTY_WITHDRAWN = { services: [], tasks: [], teams: [], limits: [], drains: [] }
 
 /** A release note. */
 export const noteSchema = z.strictObject({
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -1,7 +1,7 @@
 /**
  * The configuration: what operators have declared, and which note declared it.
  */
-import type { ConfigVersion, NoteId, Resources, ServiceName, TaskId, TeamName } from '@auburnpin/common'
+import type { ConfigVersion, NoteId, Resources, ServiceName, TaskId, TeamName, VmId } from '@auburnpin/common'
 
 /** A service whose replicas answer callers. */
 export type Service = Readonly<{
@@ -37,6 +37,9 @@
 /** Limits that hold for the whole installation. */
 export type Limit = Readonly<{ value: number }>
 
+/** A VM that shall be emptied; it counts as leaving for as long as this is declared. */
+export type Drain = Readonly<{ reason: string }>
+
 /** A declaration with the note that made it what it is. */
 export type Declared<Value> = Readonly<{ value: Value, changedBy: NoteId, changedIn: ConfigVersion }>
 
@@ -47,10 +50,11 @@
   tasks: Readonly<Record<TaskId, Declared<DeclaredTask>>>
   teams: Readonly<Record<TeamName, Declared<Team>>>
   limits: Readonly<Record<string, Declared<Limit>>>
+  drains: Readonly<Record<VmId, Declared<Drain>>>
 }>
 
 /** The parts of a configuration that hold declarations. */
-export const CONFIGURATION_SECTIONS = ['services', 'tasks', 'teams', 'limits'] as const
+export const CONFIGURATION_SECTIONS = ['services', 'tasks', 'teams', 'limits', 'drains'] as const
 
 /** One of the parts. */
 export type ConfigurationSection = typeof CONFIGURATION_SECTIONS[number]
--- /dev/null
+++ b/packages/core/tests/explainTask.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { brand, type Attempt, type Instant, type LeaseSession, type TaskId, type TeamName, type VmId } from '@auburnpin/common'
+import { explainTask, summariseTasks, type Task, type TaskReason } from '../src/index.ts'
+
+const VM = brand<VmId>('vm-007')
+
+const TASK: Task = {
+  spec: {
+    id: brand<TaskId>('order-17'),
+    kind: 'batch',
+    isUrgent: false,
+    team: brand<TeamName>('buyers'),
+    resources: { processors: 64, memoryMb: 1_000, accelerators: 0 },
+    command: 'work 1',
+    acceptedAt: 5_000
+  },
+  state: 'queued',
+  attempt: brand<Attempt>(0),
+  failures: 0,
+  evictions: 0,
+  isWithdrawn: false
+}
+
+const PLACEMENT = { vm: VM, session: brand<LeaseSession>('s'), since: brand<Instant>(0), isRunning: true, isStopping: false }
+
+const REASONS: readonly TaskReason[] = [
+  { kind: 'waiting-for-room' },
+  { kind: 'waiting-for-workers' },
+  { kind: 'too-large', largest: { processors: 32, memoryMb: 125_000, accelerators: 0 } },
+  { kind: 'evicted-for', task: brand<TaskId>('stockline.0') },
+  { kind: 'vm-leaving', vm: VM },
+  { kind: 'vm-lost', vm: VM },
+  { kind: 'lease-ran-out', vm: VM },
+  { kind: 'attempts-used-up', last: 'exit 1' },
+  { kind: 'withdrawn' },
+  { kind: 'by-caller' }
+]
+
+test('a task that is too large learns the largest VM and what would change it', t => {
+  const task: Task = { ...TASK, state: 'unrunnable', reason: { kind: 'too-large', largest: { processors: 32, memoryMb: 125_000, accelerators: 0 } } }
+  t.is(explainTask(task), 'order-17 can\'t run because no VM of its cell is large enough; the largest offer 32 cores and 125000 MB; submit it with smaller sizes or add a larger VM, upon which it is examined again.')
+})
+
+test('a throttled task says to how much it is held', t => {
+  const task: Task = { ...TASK, state: 'running', attempt: brand<Attempt>(2), evictions: 1, placement: { ...PLACEMENT, throttle: 0.4 } }
+  t.regex(explainTask(task), /^order-17 runs on VM vm-007 as attempt 2 after 1 eviction, held to 40 % of its cores/)
+})
+
+test('every state and reason gives one sentence that names the task and a way on', t => {
+  const states = fc.constantFrom<Task['state']>('queued', 'starting', 'running', 'evicting', 'finished', 'failed', 'cancelled', 'unrunnable')
+  const reasons = fc.constantFrom<TaskReason | undefined>(undefined, ...REASONS)
+  fc.assert(fc.property(states, reasons, fc.boolean(), (state, reason, isPlaced) => {
+    const sentence = explainTask({ ...TASK, state, reason, placement: isPlaced ? PLACEMENT : undefined })
+    t.regex(sentence, /^order-17 [^\n]+; [^\n]+\.$/)
+    t.notRegex(sentence, /undefined|\.\./)
+  }), { seed: 8, numRuns: 300 })
+})
+
+test('a summary counts each state once and ignores declared tasks for the queue\'s age', t => {
+  const declared: Task = { ...TASK, spec: { ...TASK.spec, acceptedAt: 0 } }
+  const summary = summariseTasks([TASK, declared, { ...TASK, state: 'finished', evictions: 2 }])
+  t.is(summary.states.queued, 2)
+  t.is(summary.states.finished, 1)
+  t.is(summary.evictions, 2)
+  t.is(summary.oldestQueuedAt, 5_000)
+})
--- a/packages/gateway/src/actions/ApplyNoteAction.ts
+++ b/packages/gateway/src/actions/ApplyNoteAction.ts
@@ -1,9 +1,9 @@
 /**
  * `POST /v1/notes`: accepts a release note.
  */
-import { AuburnpinError, Err, Ok, type Result } from '@auburnpin/common'
-import { mergeNote, noteSchema } from '@auburnpin/core'
-import { acceptNote } from '@auburnpin/cluster'
+import { AuburnpinError, brand, Err, Ok, type ConfigVersion, type Result } from '@auburnpin/common'
+import { mergeNote, noteSchema, type Note } from '@auburnpin/core'
+import { acceptNote, readAcceptance, readCurrent } from '@auburnpin/cluster'
 import { Action, type ActionAnswer, type ActionPorts, type ActionRequest } from './Action.ts'
 
 /** Accepts the note, or with `?dry-run=true` only shows what it would change. */
@@ -18,13 +18,22 @@
       const [issue] = parsed.error.issues
       return Err(new AuburnpinError('invalid-request', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`, 'Check the note with `auburnpin check FILE`.'))
     }
-    if (request.query.get('dry-run') === 'true') {
-      const { current } = ports.configuration
-      return mergeNote(current, parsed.data, current.version).map(({ changes }) => ({ status: 200, body: { changes } }))
-    }
+    if (request.query.get('dry-run') === 'true') return await this.#preview(ports, parsed.data)
     const accepted = await acceptNote(ports, parsed.data, request.operator)
     if (accepted.err) return accepted
     ports.peers.broadcast({ kind: 'configuration-accepted', version: accepted.val.version })
     return Ok({ status: accepted.val.isRepeat ? 200 : 201, body: accepted.val })
   }
+
+  async #preview (ports: ActionPorts, note: Note): Promise<Result<ActionAnswer, AuburnpinError>> {
+    const earlier = await readAcceptance(ports.table, note)
+    if (earlier.err) return earlier
+    if (earlier.val !== null) return Ok({ status: 200, body: earlier.val })
+    // From the store, as this member may not have heard of the newest note yet.
+    const current = await readCurrent(ports.table)
+    if (current.err) return current
+    const { configuration } = current.val
+    const base = note.base === undefined ? configuration.version : brand<ConfigVersion>(note.base)
+    return mergeNote(configuration, note, base).map(({ changes }) => ({ status: 200, body: { changes } }))
+  }
 }
--- a/packages/gateway/src/actions/CancelJobAction.ts
+++ b/packages/gateway/src/actions/CancelJobAction.ts
@@ -1,9 +1,10 @@
 /**
  * `DELETE /v1/jobs/:id`: cancels a job.
  */
-import { brand, Ok, type AuburnpinError, type Result, type TaskId } from '@auburnpin/common'
+import { AuburnpinError, brand, Err, Ok, type Result, type TaskId } from '@auburnpin/common'
 import { Action, type ActionAnswer, type ActionPorts, type ActionRequest } from './Action.ts'
-import { askOwner, cellOfJob } from './askOwner.ts'
+import { askOwner } from './askOwner.ts'
+import { findTask } from './findTask.ts'
 
 /** Cancels a job; `outcome` is `not-run` when no attempt was ever assigned. */
 export class CancelJobAction extends Action {
@@ -12,11 +13,15 @@
   readonly path = '/v1/jobs/:id'
 
   async run (ports: ActionPorts, request: ActionRequest): Promise<Result<ActionAnswer, AuburnpinError>> {
-    const task = brand<TaskId>(request.id)
-    const cell = cellOfJob(ports, task)
-    const reply = await askOwner(ports, cell, { kind: 'cancel', cell, task })
+    const found = await findTask(ports, brand<TaskId>(request.id))
+    if (found.err) return found
+    const { cell, task } = found.val
+    if (task.spec.kind !== 'batch') {
+      return Err(new AuburnpinError('invalid-request', `Task "${task.spec.id}" is declared as a ${task.spec.kind}`, 'Withdraw it with a release note.'))
+    }
+    const reply = await askOwner(ports, cell, { kind: 'cancel', cell, task: task.spec.id })
     if (reply.err) return reply
-    const isNotRun = reply.val.kind === 'accepted' && reply.val.task.attempt === 0
-    return Ok({ status: 200, body: { id: task, outcome: isNotRun ? 'not-run' : 'unknown' } })
+    const cancelled = reply.val.kind === 'accepted' ? reply.val.task : task
+    return Ok({ status: 200, body: { id: task.spec.id, state: cancelled.state, outcome: cancelled.attempt === 0 ? 'not-run' : 'unknown' } })
   }
 }
--- a/packages/gateway/src/actions/ListJobsAction.ts
+++ b/packages/gateway/src/actions/ListJobsAction.ts
@@ -1,10 +1,11 @@
 /**
  * `GET /v1/jobs`: lists the tasks of all cells.
  */
-import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
-import type { Task } from '@auburnpin/core'
-import { Action, type ActionAnswer, type ActionPorts } from './Action.ts'
+import { AuburnpinError, Err, Ok, type Result } from '@auburnpin/common'
+import { TASK_STATES, type Task } from '@auburnpin/core'
+import { Action, type ActionAnswer, type ActionPorts, type ActionRequest } from './Action.ts'
 import { askOwner } from './askOwner.ts'
+import { readLimit } from './readLimit.ts'
 
 /** Lists tasks; cells that gave no answer are named, so that a short list is not taken for a whole one. */
 export class ListJobsAction extends Action {
@@ -12,14 +13,26 @@
   readonly method = 'GET'
   readonly path = '/v1/jobs'
 
-  async run (ports: ActionPorts): Promise<Result<ActionAnswer, AuburnpinError>> {
-    const tasks: Task[] = []
-    const missing: string[] = []
-    for (const cell of ports.cells) {
-      const reply = await askOwner(ports, cell, { kind: 'list-tasks', cell })
-      if (reply.ok && reply.val.kind === 'tasks') tasks.push(...reply.val.tasks)
-      else missing.push(cell)
+  async run (ports: ActionPorts, request: ActionRequest): Promise<Result<ActionAnswer, AuburnpinError>> {
+    const state = request.query.get('state')
+    if (state !== null && !TASK_STATES.some(known => known === state)) {
+      return Err(new AuburnpinError('invalid-request', `There is no state "${state}"`, `Use one of ${TASK_STATES.join(', ')}.`))
     }
-    return Ok({ status: 200, body: { tasks, missing } })
+    const limit = readLimit(request.query, Infinity)
+    if (limit.err) return limit
+    const { tasks, missing } = await listTasks(ports)
+    const matching = state === null ? tasks : tasks.filter(task => task.state === state)
+    return Ok({ status: 200, body: { tasks: matching.slice(0, limit.val), total: matching.length, missing } })
   }
 }
+
+const listTasks = async (ports: ActionPorts): Promise<{ tasks: Task[], missing: string[] }> => {
+  const tasks: Task[] = []
+  const missing: string[] = []
+  const replies = await Promise.all(ports.cells.map(cell => askOwner(ports, cell, { kind: 'list-tasks', cell })))
+  for (const [index, reply] of replies.entries()) {
+    if (reply.ok && reply.val.kind === 'tasks') tasks.push(...reply.val.tasks)
+    else missing.push(ports.cells[index] as string)
+  }
+  return { tasks, missing }
+}
--- a/packages/gateway/src/actions/ShowJobAction.ts
+++ b/packages/gateway/src/actions/ShowJobAction.ts
@@ -1,24 +1,19 @@
 /**
  * `GET /v1/jobs/:id`: shows one task.
  */
-import { AuburnpinError, brand, Err, Ok, type Result, type TaskId } from '@auburnpin/common'
+import { brand, type AuburnpinError, type Result, type TaskId } from '@auburnpin/common'
+import { explainTask } from '@auburnpin/core'
 import { Action, type ActionAnswer, type ActionPorts, type ActionRequest } from './Action.ts'
-import { askOwner, cellOfJob } from './askOwner.ts'
+import { findTask } from './findTask.ts'
 
-/** Shows a submitted job. */
+/** Shows any task, submitted or declared, with its cell and one sentence on why it is where it is. */
 export class ShowJobAction extends Action {
   readonly name = 'show-job'
   readonly method = 'GET'
   readonly path = '/v1/jobs/:id'
 
   async run (ports: ActionPorts, request: ActionRequest): Promise<Result<ActionAnswer, AuburnpinError>> {
-    const task = brand<TaskId>(request.id)
-    const cell = cellOfJob(ports, task)
-    const reply = await askOwner(ports, cell, { kind: 'find-task', cell, task })
-    if (reply.err) return reply
-    if (reply.val.kind !== 'task' || reply.val.task === null) {
-      return Err(new AuburnpinError('not-found', `Job "${task}" is not known`, 'List the jobs with `auburnpin jobs list`.'))
-    }
-    return Ok({ status: 200, body: reply.val.task })
+    const found = await findTask(ports, brand<TaskId>(request.id))
+    return found.map(({ cell, task }) => ({ status: 200, body: { ...task, cell, explanation: explainTask(task) } }))
   }
 }
--- a/packages/gateway/src/actions/StatusAction.ts
+++ b/packages/gateway/src/actions/StatusAction.ts
@@ -1,8 +1,14 @@
 /**
- * `GET /v1/status`: members, cells, endpoints and the configuration in force.
+ * `GET /v1/status`: members, cells, endpoints, tasks and the configuration in force.
  */
 import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
+import type { CellSummary } from '@auburnpin/core'
+import type { CellRow } from '@auburnpin/cluster'
 import { Action, type ActionAnswer, type ActionPorts } from './Action.ts'
+import { askOwner } from './askOwner.ts'
+
+/** A cell's row with its tasks in figures; `tasks` is `null` when its owner gave no answer. */
+export type CellStatus = CellRow & Readonly<{ tasks: CellSummary | null }>
 
 /** Shows the region as this member sees it. */
 export class StatusAction extends Action {
@@ -12,12 +18,19 @@
 
   async run (ports: ActionPorts): Promise<Result<ActionAnswer, AuburnpinError>> {
     const { configuration, directory, membership, endpoints } = ports
+    const rows = [...directory.cells.values()].map(({ row }) => row)
     const body = {
       configVersion: configuration.current.version,
+      drains: Object.keys(configuration.current.drains),
       members: membership.live,
-      cells: [...directory.cells.values()].map(({ row }) => row),
+      cells: await Promise.all(rows.map(row => summarise(ports, row))),
       endpoints: endpoints.published.flatMap(notice => notice.endpoints)
     }
     return Ok({ status: 200, body })
   }
 }
+
+const summarise = async (ports: ActionPorts, row: CellRow): Promise<CellStatus> => {
+  const reply = await askOwner(ports, row.cell, { kind: 'summarise-cell', cell: row.cell })
+  return { ...row, tasks: reply.ok && reply.val.kind === 'cell-summary' ? reply.val.summary : null }
+}
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -2,7 +2,7 @@
  * The scheduler role: claims the cells that this member should own and runs them.
  */
 import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result } from '@auburnpin/common'
-import type { Configuration, Task } from '@auburnpin/core'
+import { summariseTasks, type Configuration, type Task } from '@auburnpin/core'
 import {
   claimCell, releaseCell, type CellDirectory, type ClaimedCell, type ConfigurationFollower, type Membership, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
@@ -81,6 +81,8 @@
         return toReply(await runner.cancel(request.task))
       case 'find-task':
         return { kind: 'task', task: runner.tasks.get(request.task) ?? null }
+      case 'summarise-cell':
+        return { kind: 'cell-summary', summary: summariseTasks(runner.tasks.values()) }
       case 'list-tasks':
         return { kind: 'tasks', tasks: [...runner.tasks.values()] }
     }
@@ -134,10 +136,15 @@
       return
     }
     for (const [cell, runner] of this.#runners) {
-      runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: vm.state === 'leaving' })))
+      runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: this.#isLeaving(vm) })))
     }
   }
 
+  // An operator's drain counts like the VM list's own word.
+  #isLeaving (vm: VmEntry): boolean {
+    return vm.state === 'leaving' || this.#ports.configuration.current.drains[vm.id] !== undefined
+  }
+
   #belongsTo (vm: VmEntry, cell: CellId): boolean {
     return cellOfVm(vm.dataCentre, vm.rack, this.#layout.cellsPerDataCentre) === cell
   }
