Schemas, reference pages and metrics from one place each

Cause: docs/SETTINGS.md was named by a remedy but missing, editors had no schema, and several metrics had no writer; status could not show tail latency, throughput or evictions. Every metric stands in one table with unit, tags, meaning and when to worry; queue length and age, lease age, lag of the configuration and broken invariants are reported; evictions carry their reason, and the stop of a withdrawn task no longer counts as one. Members keep the last one to two minutes in memory, and status gathers them.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -11,7 +11,10 @@
 import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
-import { StatsdMetrics } from './StatsdMetrics.ts'
+import { GaugeReporter } from './metrics/GaugeReporter.ts'
+import { RecentFigures } from './metrics/RecentFigures.ts'
+import { StatsdMetrics } from './metrics/StatsdMetrics.ts'
+import { TeeMetrics } from './metrics/TeeMetrics.ts'
 
 /** Where a running member listens. */
 export type MemberAddresses = Readonly<{ peers: string, callers?: string, operators?: string }>
@@ -29,6 +32,8 @@
   readonly #clock = new SystemClock()
   readonly #random = new SystemRandom()
   readonly #invariants = new InvariantCounter()
+  readonly #recent = new RecentFigures(this.#clock)
+  readonly #statsd: StatsdMetrics | undefined
   readonly #metrics: Metrics
   readonly #storeClient = new HttpClient(STORE_SOCKETS)
   readonly #workerClient = new HttpClient(WORKER_SOCKETS_PER_WORKER)
@@ -39,15 +44,15 @@
   readonly #endpoints = new EndpointDirectory()
   #membership: Membership | undefined
   #scheduler: Scheduler | undefined
+  #gauges: GaugeReporter | undefined
   #callers: CallerServer | undefined
   #operators: OperatorServer | undefined
 
   constructor (settings: Settings, log: Log) {
     this.#settings = settings
     this.#log = log
-    this.#metrics = settings.metrics === undefined
-      ? new SilentMetrics()
-      : new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
+    if (settings.metrics !== undefined) this.#statsd = new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
+    this.#metrics = new TeeMetrics([this.#recent, this.#statsd ?? new SilentMetrics()])
     this.#table = new ReliableTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#clock, this.#random, STORE_DEADLINE_MS)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
@@ -74,7 +79,9 @@
     const scheduler = this.#createScheduler(membership)
     this.#peers.onRequest(request => this.#answer(request, scheduler))
     const gateway = await this.#openGateway(membership, scheduler)
+    this.#gauges = new GaugeReporter({ membership, scheduler, configuration: this.#configuration, invariants: this.#invariants }, this.#clock, this.#metrics, this.#log)
     membership.start()
+    this.#gauges.start()
     this.#directory.start()
     this.#configuration.start()
     if (this.#settings.roles.includes('scheduler')) scheduler.start()
@@ -94,7 +101,8 @@
     await this.#directory.stop()
     await this.#membership?.stop()
     await this.#peers.close()
-    if (this.#metrics instanceof StatsdMetrics) await this.#metrics.close()
+    await this.#gauges?.stop()
+    await this.#statsd?.close()
     this.#storeClient.close()
     this.#workerClient.close()
     this.#log.info('Member stopped', { member: this.#settings.member })
@@ -152,6 +160,7 @@
 
   async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
     if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
+    if (request.kind === 'read-figures') return { kind: 'figures', figures: this.#recent.read(this.#invariants.total) }
     return await scheduler.answer(request)
   }
 }
--- a/app/src/commands/formatStatus.ts
+++ b/app/src/commands/formatStatus.ts
@@ -1,9 +1,9 @@
 /**
  * The status of a region as a person reads it.
  */
-import type { MemberRow } from '@auburnpin/cluster'
+import type { MemberFigures, MemberRow } from '@auburnpin/cluster'
 import type { CellStatus } from '@auburnpin/gateway'
-import type { Endpoint, TaskState } from '@auburnpin/core'
+import type { Endpoint } from '@auburnpin/core'
 import { formatTable } from './formatTable.ts'
 
 /** What `GET /v1/status` answers. */
@@ -12,6 +12,7 @@
   drains: readonly string[]
   members: readonly MemberRow[]
   cells: readonly CellStatus[]
+  figures: readonly MemberFigures[]
   endpoints: readonly Endpoint[]
 }>
 
@@ -26,9 +27,10 @@
   '',
   ...formatTable(['CELL', 'OWNER', 'EPOCH', 'QUEUED', 'RUNNING', 'UNRUNNABLE', 'OLDEST'], status.cells.map(cell => cellRow(cell, now))),
   '',
-  ...formatTable(['SERVICE', 'ENDPOINTS', 'LEAVING', 'SLOTS'], serviceRows(status.endpoints)),
+  ...formatTable(['SERVICE', 'ENDPOINTS', 'LEAVING', 'SLOTS', 'ANSWERED', 'REFUSED', 'WORST P99'], serviceRows(status)),
   '',
-  summary(status)
+  `tasks finished ${sumOf(status.figures, figures => figures.tasksFinished)}; evictions ${evictions(status.figures)}; invariants broken ${sumOf(status.figures, figures => figures.invariantsBroken)}`,
+  `measured over the last ${measuredSeconds(status.figures)} s at ${status.figures.length} of ${status.members.length} members`
 ]
 
 const countInForce = (status: Status): number => status.members.filter(row => row.configVersion >= status.configVersion).length
@@ -45,18 +47,29 @@
   return [cell.cell, owner, String(cell.epoch), String(states.queued), String(states.starting + states.running + states.evicting), String(states.unrunnable), oldest]
 }
 
-const serviceRows = (endpoints: readonly Endpoint[]): string[][] => {
-  const services = [...new Set(endpoints.map(endpoint => endpoint.service))].sort()
-  return services.map(service => {
-    const own = endpoints.filter(endpoint => endpoint.service === service)
+const serviceRows = (status: Status): string[][] => {
+  const measured = status.figures.flatMap(figures => figures.services)
+  const services = new Set([...status.endpoints.map(endpoint => String(endpoint.service)), ...measured.map(figures => figures.service)])
+  return [...services].sort().map(service => {
+    const own = status.endpoints.filter(endpoint => endpoint.service === service)
     const ready = own.filter(endpoint => !endpoint.isLeaving)
-    const slots = ready.reduce((total, endpoint) => total + endpoint.slots, 0)
-    return [service, String(ready.length), String(own.length - ready.length), String(slots)]
+    const figures = measured.filter(candidate => candidate.service === service)
+    const worst = Math.max(0, ...figures.map(candidate => candidate.p99Ms))
+    return [
+      service, ready.length, own.length - ready.length, sumOf(ready, endpoint => endpoint.slots),
+      sumOf(figures, candidate => candidate.answered), sumOf(figures, candidate => candidate.refused), `${worst} ms`
+    ].map(String)
   })
 }
 
-const summary = (status: Status): string => {
-  const total = (state: TaskState): number => status.cells.reduce((sum, cell) => sum + (cell.tasks?.states[state] ?? 0), 0)
-  const evictions = status.cells.reduce((sum, cell) => sum + (cell.tasks?.evictions ?? 0), 0)
-  return `tasks finished ${total('finished')}, failed ${total('failed')}, cancelled ${total('cancelled')}; evictions ${evictions}`
+const evictions = (figures: readonly MemberFigures[]): string => {
+  const counts = new Map<string, number>()
+  for (const { reason, count } of figures.flatMap(member => member.evictions)) counts.set(reason, (counts.get(reason) ?? 0) + count)
+  const parts = [...counts].sort().map(([reason, count]) => `${count} ${reason}`)
+  return parts.length === 0 ? '0' : parts.join(', ')
 }
+
+const measuredSeconds = (figures: readonly MemberFigures[]): number =>
+  Math.round(Math.max(0, ...figures.map(member => member.windowMs)) / MS_PER_SECOND)
+
+const sumOf = <Item>(items: readonly Item[], read: (item: Item) => number): number => items.reduce((sum, item) => sum + read(item), 0)
--- /dev/null
+++ b/app/src/metrics/GaugeReporter.ts
@@ -0,0 +1,65 @@
+/**
+ * Reads the figures that stand rather than happen, at intervals.
+ */
+import { Ticker, type Clock, type InvariantCounter, type Log, type Metrics } from '@auburnpin/common'
+import type { Configuration } from '@auburnpin/core'
+import type { ConfigurationFollower, Membership } from '@auburnpin/cluster'
+import type { Scheduler } from '@auburnpin/scheduler'
+
+/** What is read. */
+export type GaugeSources = Readonly<{
+  membership: Membership
+  scheduler: Scheduler
+  configuration: ConfigurationFollower
+  invariants: InvariantCounter
+}>
+
+const REPORT_MS = 5_000
+const MS_PER_SECOND = 1_000
+
+/** Reports queues, the lease, the configuration and the invariants. */
+export class GaugeReporter {
+  readonly #sources: GaugeSources
+  readonly #clock: Clock
+  readonly #metrics: Metrics
+  readonly #ticker: Ticker
+
+  constructor (sources: GaugeSources, clock: Clock, metrics: Metrics, log: Log) {
+    this.#sources = sources
+    this.#clock = clock
+    this.#metrics = metrics
+    this.#ticker = new Ticker(clock, REPORT_MS, () => this.report(), error => log.error(String(error)))
+    sources.configuration.onChange(configuration => this.#reportLag(configuration))
+  }
+
+  start (): void {
+    this.#ticker.start(REPORT_MS)
+  }
+
+  stop (): Promise<void> {
+    return this.#ticker.stop()
+  }
+
+  /** Reports every gauge once. */
+  report (): void {
+    const { membership, configuration, invariants } = this.#sources
+    const { leaseAgeMs } = membership
+    if (leaseAgeMs !== undefined) this.#metrics.gauge('lease.age', leaseAgeMs)
+    this.#metrics.gauge('config.version', configuration.current.version)
+    this.#metrics.gauge('invariants.broken', invariants.total)
+    this.#reportQueues()
+  }
+
+  #reportQueues (): void {
+    for (const [cell, { states, oldestQueuedAt }] of this.#sources.scheduler.summaries) {
+      const ageMs = oldestQueuedAt === null ? 0 : Math.max(0, this.#clock.wallTime() - oldestQueuedAt)
+      this.#metrics.gauge('queue.length', states.queued, { cell })
+      this.#metrics.gauge('queue.age', ageMs / MS_PER_SECOND, { cell })
+    }
+  }
+
+  // Wall clocks of two processes may differ, so a negative lag counts as none.
+  #reportLag ({ acceptedAt }: Configuration): void {
+    if (acceptedAt !== undefined) this.#metrics.timing('config.lag', Math.max(0, this.#clock.wallTime() - acceptedAt))
+  }
+}
--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -18,26 +18,34 @@
 export const settingsSchema = z.strictObject({
   member: nameSchema.describe('Id of this process, unique in the region.'),
   region: z.strictObject({
-    name: nameSchema,
+    name: nameSchema.describe('Name of the region.'),
     dataCentres: z.array(nameSchema).min(1).describe('All data centres of the region; the same in every process.'),
     cellsPerDataCentre: z.number().int().min(1).max(64).default(1).describe('Scheduling partitions of each data centre; the same in every process.')
   }),
   dataCentre: nameSchema.describe('The data centre of this process.'),
-  roles: z.array(z.enum(['gateway', 'scheduler'])).min(1),
+  roles: z.array(z.enum(['gateway', 'scheduler'])).min(1).describe('What this process does; one process may do both.'),
   listen: z.strictObject({
     callers: addressSchema.optional().describe('Where callers come in; needed for the role gateway.'),
     operators: addressSchema.optional().describe('Where operators come in; needed for the role gateway.'),
     peers: addressSchema.describe('Where other members come in.')
   }),
-  peerKeys: z.array(z.strictObject({ id: z.string().min(1), secret: secretSchema })).min(1).describe('Keys that members prove to each other; the first is used, all are accepted.'),
-  operators: z.array(z.strictObject({ operator: z.string().min(1), token: secretSchema })).default([]).describe('Who may use the operators\' listener.'),
+  peerKeys: z.array(z.strictObject({
+    id: z.string().min(1).describe('Name of the key.'),
+    secret: secretSchema.describe('The key; the same in every process.')
+  })).min(1).describe('Keys that members prove to each other; the first is used, all are accepted.'),
+  operators: z.array(z.strictObject({
+    operator: z.string().min(1).describe('Name for the audit trail.'),
+    token: secretSchema.describe('Sent as a bearer token.')
+  })).default([]).describe('Who may use the operators\' listener.'),
   platform: z.strictObject({
-    table: addressSchema,
-    objects: addressSchema,
-    vmList: addressSchema
+    table: addressSchema.describe('Transactional table service.'),
+    objects: addressSchema.describe('Object store.'),
+    vmList: addressSchema.describe('VM list.')
   }),
-  log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
-  metrics: z.strictObject({ address: addressSchema.describe('StatsD receiver.') }).optional()
+  log: z.strictObject({
+    level: z.enum(['debug', 'info', 'warn', 'error']).describe('Least important records that are written.')
+  }).default({ level: 'info' }).describe('JSON lines on standard error.'),
+  metrics: z.strictObject({ address: addressSchema.describe('StatsD receiver.') }).optional().describe('Without it no metrics are sent.')
 }).superRefine((settings, context) => {
   if (!settings.region.dataCentres.includes(settings.dataCentre)) {
     context.addIssue({ code: 'custom', path: ['dataCentre'], message: `is not one of region.dataCentres: ${settings.region.dataCentres.join(', ')}` })
--- a/packages/cluster/src/Membership.ts
+++ b/packages/cluster/src/Membership.ts
@@ -52,6 +52,11 @@
     return this.#renewedAt !== undefined && this.#clock.now() - this.#renewedAt < MEMBER_LEASE_MS
   }
 
+  /** Time since the lease was last renewed, in milliseconds; `undefined` before the first renewal. */
+  get leaseAgeMs (): number | undefined {
+    return this.#renewedAt === undefined ? undefined : this.#clock.now() - this.#renewedAt
+  }
+
   /** Rows of all members whose lease has not lapsed as seen from here. */
   get live (): readonly MemberRow[] {
     const now = this.#clock.now()
--- a/packages/cluster/src/acceptNote.ts
+++ b/packages/cluster/src/acceptNote.ts
@@ -41,8 +41,10 @@
     base ??= current.val.configuration.version
     const merged = mergeNote(current.val.configuration, note, base)
     if (merged.err) return merged
-    const { configuration, changes } = merged.val
-    const entry: AuditEntry = { version: configuration.version, note: brand<NoteId>(note.id), operator, acceptedAt: ports.clock.wallTime(), changes }
+    const { changes } = merged.val
+    const acceptedAt = ports.clock.wallTime()
+    const configuration: Configuration = { ...merged.val.configuration, acceptedAt }
+    const entry: AuditEntry = { version: configuration.version, note: brand<NoteId>(note.id), operator, acceptedAt, changes }
     const outcome = await ports.table.transact({
       id: newTransactionId(ports.random),
       checks: [current.val.check, { kind: 'absent', key: noteKey(note.id) }],
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -31,6 +31,23 @@
   incarnation: string | null
 }>
 
+/** Answers of one service during the last one to two minutes, as one gateway saw them. */
+export type ServiceFigures = Readonly<{ service: string, answered: number, refused: number, p50Ms: number, p99Ms: number }>
+
+/** Evictions for one reason. */
+export type EvictionFigures = Readonly<{ reason: string, count: number }>
+
+/** The measures of one member during the last one to two minutes. */
+export type MemberFigures = Readonly<{
+  /** How far back the figures reach, in milliseconds. */
+  windowMs: number
+  services: readonly ServiceFigures[]
+  tasksFinished: number
+  evictions: readonly EvictionFigures[]
+  /** Since the start of the process. */
+  invariantsBroken: number
+}>
+
 /** A message that asks for no answer. */
 export type PeerNotice =
   | Readonly<{ kind: 'configuration-accepted', version: ConfigVersion }>
@@ -44,6 +61,7 @@
   | Readonly<{ kind: 'list-tasks', cell: CellId }>
   | Readonly<{ kind: 'summarise-cell', cell: CellId }>
   | Readonly<{ kind: 'list-endpoints' }>
+  | Readonly<{ kind: 'read-figures' }>
 
 /** The answer to a question. */
 export type PeerReply =
@@ -52,6 +70,7 @@
   | Readonly<{ kind: 'tasks', tasks: readonly Task[] }>
   | Readonly<{ kind: 'cell-summary', summary: CellSummary }>
   | Readonly<{ kind: 'endpoints', published: readonly EndpointsNotice[] }>
+  | Readonly<{ kind: 'figures', figures: MemberFigures }>
   | Readonly<{ kind: 'failed', error: ErrorReport }>
 
 /** A cell's endpoints as its owner published them last. */
--- a/packages/common/src/Metrics.ts
+++ b/packages/common/src/Metrics.ts
@@ -1,24 +1,13 @@
 /**
  * The port through which the program reports figures.
  */
+import { METRICS } from './metricReference.ts'
 
-/** Every metric's name; docs/METRICS.md says what each means. */
-export const METRIC_NAMES = [
-  'requests.answered',
-  'requests.refused',
-  'requests.duration',
-  'tasks.started',
-  'tasks.finished',
-  'tasks.evicted',
-  'queue.length',
-  'table.writes',
-  'table.reads',
-  'config.version',
-  'invariants.broken'
-] as const
+/** One of the metrics; docs/METRICS.md says what each means. */
+export type MetricName = keyof typeof METRICS
 
-/** One of the metrics. */
-export type MetricName = typeof METRIC_NAMES[number]
+/** Every metric's name. */
+export const METRIC_NAMES = Object.keys(METRICS) as readonly MetricName[]
 
 /** Labels of a figure, such as the service's name. */
 export type MetricTags = Readonly<Record<string, string>>
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,8 @@
 export * from './ids.ts'
 export * from './resources.ts'
 export * from './errors.ts'
+export { ERROR_REFERENCE, type ErrorNote } from './errorReference.ts'
+export { METRICS, type MetricNote } from './metricReference.ts'
 export * from './result.ts'
 export * from './invariants.ts'
 export * from './assertNever.ts'
--- a/packages/core/src/configuration/noteSchema.ts
+++ b/packages/core/src/configuration/noteSchema.ts
@@ -18,9 +18,9 @@
 /** A service's declaration. */
 export const serviceSchema = z.strictObject({
   replicas: z.number().int().min(0).max(10_000).describe('How many endpoints the service has.'),
-  resources: resourcesSchema,
+  resources: resourcesSchema.describe('Size of each replica.'),
   command: z.string().min(1).describe('What the worker runs for each replica.'),
-  team: nameSchema,
+  team: nameSchema.describe('Team whose quota it uses.'),
   slots: z.number().int().positive().default(8).describe('Requests that one endpoint works on at a time.'),
   connections: z.number().int().positive().default(64).describe('Connections that one endpoint takes.'),
   objectiveMs: z.number().positive().default(250).describe('Objective for the 99th percentile of answer times, in milliseconds.'),
@@ -31,14 +31,14 @@
 /** A declared task. */
 export const declaredTaskSchema = z.strictObject({
   kind: z.enum(['watch', 'batch']).describe('A watch runs until withdrawn; a batch task until it finishes.'),
-  team: nameSchema,
-  resources: resourcesSchema,
-  command: z.string().min(1),
+  team: nameSchema.describe('Team whose quota it uses.'),
+  resources: resourcesSchema.describe('Size of the task.'),
+  command: z.string().min(1).describe('What the worker runs.'),
   isUrgent: z.boolean().default(false).describe('Whether it goes before other work and may evict it.')
 })
 
 /** A team's declaration. */
-export const teamSchema = z.strictObject({ quota: resourcesSchema })
+export const teamSchema = z.strictObject({ quota: resourcesSchema.describe('What the team may use at a time.') })
 
 /** A VM's id as the platform's VM list writes it. */
 export const vmNameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, 'must be a VM id of the VM list')
@@ -49,14 +49,14 @@
 })
 
 /** A limit's declaration. */
-export const limitSchema = z.strictObject({ value: z.number().positive() })
+export const limitSchema = z.strictObject({ value: z.number().positive().describe('The limit.') })
 
 const sectionsSchema = z.strictObject({
-  services: z.record(nameSchema, serviceSchema).default({}),
-  tasks: z.record(nameSchema, declaredTaskSchema).default({}),
-  teams: z.record(nameSchema, teamSchema).default({}),
-  limits: z.record(nameSchema, limitSchema).default({}),
-  drains: z.record(vmNameSchema, drainSchema).default({})
+  services: z.record(nameSchema, serviceSchema).default({}).describe('Services by name.'),
+  tasks: z.record(nameSchema, declaredTaskSchema).default({}).describe('Standing watches and batch tasks by name.'),
+  teams: z.record(nameSchema, teamSchema).default({}).describe('Teams by name.'),
+  limits: z.record(nameSchema, limitSchema).default({}).describe('Limits of the installation by name.'),
+  drains: z.record(vmNameSchema, drainSchema).default({}).describe('VMs to empty, by their id in the VM list.')
 })
 
 const EMPTY_SECTIONS = { services: {}, tasks: {}, teams: {}, limits: {}, drains: {} }
@@ -75,9 +75,9 @@
 export const noteSchema = z.strictObject({
   id: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/).describe('Unique id; the same id is applied once.'),
   base: z.number().int().min(0).optional().describe('Version the note was written against; later changes of the same names are conflicts.'),
-  added: sectionsSchema.default(EMPTY_SECTIONS),
-  changed: sectionsSchema.default(EMPTY_SECTIONS),
-  withdrawn: withdrawnSchema.default(EMPTY_WITHDRAWN)
+  added: sectionsSchema.default(EMPTY_SECTIONS).describe('Names that are not there yet.'),
+  changed: sectionsSchema.default(EMPTY_SECTIONS).describe('Names that are there, each with its whole new declaration; the same keys as under added.'),
+  withdrawn: withdrawnSchema.default(EMPTY_WITHDRAWN).describe('Names to take away.')
 })
 
 /** A release note after its defaults were filled in. */
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -46,6 +46,8 @@
 /** Everything declared, by name. */
 export type Configuration = Readonly<{
   version: ConfigVersion
+  /** Wall clock of the acceptance, milliseconds since 1970; absent before the first note. */
+  acceptedAt?: number
   services: Readonly<Record<ServiceName, Declared<Service>>>
   tasks: Readonly<Record<TaskId, Declared<DeclaredTask>>>
   teams: Readonly<Record<TeamName, Declared<Team>>>
--- a/packages/gateway/src/OperatorServer.ts
+++ b/packages/gateway/src/OperatorServer.ts
@@ -15,7 +15,7 @@
 type Match = Readonly<{ action: Action, id: string }>
 
 /** HTTP status for each kind of error. */
-const STATUS_OF_KIND: Readonly<Record<ErrorKind, number>> = {
+export const STATUS_OF_KIND: Readonly<Record<ErrorKind, number>> = {
   'invalid-file': 400,
   'invalid-request': 400,
   unauthorised: 401,
--- a/packages/gateway/src/actions/StatusAction.ts
+++ b/packages/gateway/src/actions/StatusAction.ts
@@ -3,7 +3,7 @@
  */
 import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
 import type { CellSummary } from '@auburnpin/core'
-import type { CellRow } from '@auburnpin/cluster'
+import type { CellRow, MemberFigures, MemberRow } from '@auburnpin/cluster'
 import { Action, type ActionAnswer, type ActionPorts } from './Action.ts'
 import { askOwner } from './askOwner.ts'
 
@@ -24,6 +24,7 @@
       drains: Object.keys(configuration.current.drains),
       members: membership.live,
       cells: await Promise.all(rows.map(row => summarise(ports, row))),
+      figures: await readFigures(ports, membership.live),
       endpoints: endpoints.published.flatMap(notice => notice.endpoints)
     }
     return Ok({ status: 200, body })
@@ -34,3 +35,9 @@
   const reply = await askOwner(ports, row.cell, { kind: 'summarise-cell', cell: row.cell })
   return { ...row, tasks: reply.ok && reply.val.kind === 'cell-summary' ? reply.val.summary : null }
 }
+
+/** Figures of the members that answer. */
+const readFigures = async (ports: ActionPorts, members: readonly MemberRow[]): Promise<MemberFigures[]> => {
+  const replies = await Promise.all(members.map(row => ports.peers.request(row.member, { kind: 'read-figures' })))
+  return replies.flatMap(reply => reply.ok && reply.val.kind === 'figures' ? [reply.val.figures] : [])
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,7 @@
  */
 export * from './constants.ts'
 export { CallerServer, type CallerPorts } from './CallerServer.ts'
-export { OperatorServer, type OperatorToken } from './OperatorServer.ts'
+export { OperatorServer, STATUS_OF_KIND, type OperatorToken } from './OperatorServer.ts'
 export { SlotQueue } from './SlotQueue.ts'
 export { forwardRequest, endToEndHeaders, type ForwardCall, type ForwardFault } from './forwardRequest.ts'
 export { ACTIONS } from './actions/actions.ts'
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -160,10 +160,14 @@
 
   #count (step: CellStep): void {
     const { metrics } = this.#ports
+    const { cell } = this.#claimed
     for (const transition of step.transitions) {
-      if (transition.kind === 'assigned') metrics.count('tasks.started')
-      if (transition.kind === 'ended' && transition.end === 'finished') metrics.count('tasks.finished')
-      if (transition.kind === 'ended' && transition.end === 'stopped') metrics.count('tasks.evicted')
+      if (transition.kind === 'assigned') metrics.count('tasks.started', 1, { cell })
+      if (transition.kind !== 'ended') continue
+      if (transition.end === 'finished') metrics.count('tasks.finished', 1, { cell })
+      const task = this.#cell.state.tasks.get(transition.task)
+      // A stopped attempt of a withdrawn task does not run again, so it is no eviction.
+      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'unknown' })
     }
   }
 
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -2,7 +2,7 @@
  * The scheduler role: claims the cells that this member should own and runs them.
  */
 import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result } from '@auburnpin/common'
-import { summariseTasks, type Configuration, type Task } from '@auburnpin/core'
+import { summariseTasks, type CellSummary, type Configuration, type Task } from '@auburnpin/core'
 import {
   claimCell, releaseCell, type CellDirectory, type ClaimedCell, type ConfigurationFollower, type Membership, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
@@ -52,6 +52,11 @@
     return [...this.#runners.keys()]
   }
 
+  /** Tasks of the cells that this member owns, in figures. */
+  get summaries (): ReadonlyMap<CellId, CellSummary> {
+    return new Map([...this.#runners].map(([cell, runner]) => [cell, summariseTasks(runner.tasks.values())]))
+  }
+
   start (): void {
     this.#ownership.start()
     this.#vmPoll.start()
@@ -71,7 +76,7 @@
 
   /** Answers a question about a cell that this member owns. */
   async answer (request: PeerRequest): Promise<PeerReply> {
-    if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: [] }
+    if (request.kind === 'list-endpoints' || request.kind === 'read-figures') return { kind: 'failed', error: notAboutCell().toReport() }
     const runner = this.#runners.get(request.cell)
     if (runner === undefined) return { kind: 'failed', error: notOwner(request.cell).toReport() }
     switch (request.kind) {
@@ -157,3 +162,6 @@
 
 const notOwner = (cell: CellId): AuburnpinError =>
   new AuburnpinError('unreachable', `This member does not own cell ${cell}`, 'Ask again in a moment; the cell is moving.')
+
+const notAboutCell = (): AuburnpinError =>
+  new AuburnpinError('invalid-request', 'The question concerns no cell', 'Ask the member itself.')
