A demo of either installation, with a VM drained under work and real counts

Cause: the demo knew one installation, showed no eviction, and counted broken invariants in a way that could miss a task in two places.

--- /dev/null
+++ b/app/src/demo/demoNotes.ts
@@ -0,0 +1,39 @@
+/**
+ * The release notes of the demo.
+ */
+import { LONG_TASK_MS, VM_PROCESSORS, VMS_PER_DATA_CENTRE, SPARE_VMS } from './constants.ts'
+import type { DemoExample } from './DemoExample.ts'
+
+const REPLICA_PROCESSORS = 4
+
+/** Endpoints of the service: all VMs but the spare ones get one. */
+export const replicasOf = (example: DemoExample): number => example.dataCentres.length * (VMS_PER_DATA_CENTRE - SPARE_VMS)
+
+/** Declares the service, the watch, the long tasks and the teams. */
+export const firstNote = (example: DemoExample): object => ({
+  id: `${example.region}-1`,
+  added: {
+    teams: {
+      [example.serviceTeam]: { quota: { processors: 400, memoryMb: 1_600_000 } },
+      [example.batchTeam]: { quota: { processors: 400, memoryMb: 1_600_000 } }
+    },
+    services: {
+      [example.service]: {
+        replicas: replicasOf(example), resources: { processors: REPLICA_PROCESSORS, memoryMb: 8_000 }, command: `serve ${example.serviceMs}`, team: example.serviceTeam
+      }
+    },
+    tasks: {
+      [example.watch]: { kind: 'watch', team: example.serviceTeam, resources: { processors: 1, memoryMb: 1_000 }, command: 'watch' },
+      ...Object.fromEntries(example.longTasks.map(task => [task, longTask(example)]))
+    }
+  }
+})
+
+// Too large for a VM with an endpoint, so that draining its VM moves batch work alone.
+const longTask = (example: DemoExample): object => ({
+  kind: 'batch', team: example.batchTeam, resources: { processors: VM_PROCESSORS - REPLICA_PROCESSORS + 1, memoryMb: 8_000 }, command: `work ${LONG_TASK_MS}`
+})
+
+/** Drains one VM. */
+export const drainNote = (vm: string): object =>
+  ({ id: `drain-${vm}`, added: { drains: { [vm]: { reason: 'shown by the demo' } } } })
--- a/app/src/demo/runDemo.ts
+++ b/app/src/demo/runDemo.ts
@@ -1,15 +1,14 @@
 /**
- * Runs a region of stand-ins, three members, callers and jobs in one process, and sums up what happened.
+ * Shows the whole path in one process: a note in force, callers answered, jobs finished, a VM drained under work.
  */
-import { request } from 'node:http'
-import { build, type Histogram } from 'hdr-histogram-js'
-import { SilentLog } from '@auburnpin/common'
 import type { Task } from '@auburnpin/core'
-import { splitAddress } from '@auburnpin/platform'
-import { StandInRegion } from '@auburnpin/stand-in'
-import { Member, type MemberAddresses } from '../Member.ts'
-import { OperatorClient } from '../OperatorClient.ts'
-import { settingsSchema } from '../settings/settingsSchema.ts'
+import type { OperatorClient } from '../OperatorClient.ts'
+import { countFinishedOnce, countOvercommitted, countRepeated, countStopped, OverlapWatch } from './checkRegion.ts'
+import { JOB_MS, JOBS, LAST_VERSION, LOOK_MS, PATIENCE_MS, REQUESTS } from './constants.ts'
+import type { DemoExample } from './DemoExample.ts'
+import { drainNote, firstNote, replicasOf } from './demoNotes.ts'
+import { DemoRegion } from './DemoRegion.ts'
+import { sendRequests, type CallerFigures } from './sendRequests.ts'
 
 /** What the demo saw. */
 export type DemoSummary = Readonly<{
@@ -20,6 +19,7 @@
   tasksFinished: number
   evictions: number
   configVersion: number
+  /** By the members' own checks and by the stand-ins' counts. */
   invariantsBroken: number
   isHeld: boolean
 }>
@@ -27,168 +27,97 @@
 /** Prints a line of progress. */
 export type Narrator = (line: string) => void
 
-const DATA_CENTRES = ['colombo', 'negombo', 'kalutara']
-const WORKERS = 9
-const REPLICAS = 9
-const REQUESTS = 600
-const JOBS = 30
-const OPERATOR_TOKEN = 'demo-operator-token'
-const PATIENCE_MS = 20_000
-const LOOK_MS = 100
-const CALLERS = 16
-const LONGEST_RECORDED_MS = 60_000
-
-type Running = Readonly<{ region: StandInRegion, members: readonly Member[], addresses: readonly MemberAddresses[], operator: OperatorClient }>
-
-/** Runs the whole path once. */
-export const runDemo = async (narrate: Narrator): Promise<DemoSummary> => {
-  const running = await startAll(narrate)
+/** Runs one example once. */
+export const runDemo = async (example: DemoExample, narrate: Narrator): Promise<DemoSummary> => {
+  const region = await DemoRegion.start(example)
+  narrate(`${region.members.length} members and ${region.standIns.workers.size} stand-in workers of ${example.region} started`)
+  const overlaps = new OverlapWatch(region.standIns)
+  overlaps.start()
   try {
-    return await demonstrate(running, narrate)
+    return await demonstrate(region, example, overlaps, narrate)
   } finally {
-    running.operator.close()
-    await Promise.all(running.members.map(member => member.stop()))
-    await running.region.stop()
-  }
-}
-
-const startAll = async (narrate: Narrator): Promise<Running> => {
-  const region = new StandInRegion({ dataCentres: DATA_CENTRES, workers: WORKERS, workersPerRack: 3, room: { processors: 32, memoryMb: 125_000, accelerators: 0 } })
-  const platform = await region.start()
-  narrate(`Stand-in platform with ${WORKERS} workers at ${platform}`)
-  const members: Member[] = []
-  const addresses: MemberAddresses[] = []
-  for (const [index, dataCentre] of DATA_CENTRES.entries()) {
-    const member = new Member(settingsFor(`entry-${index + 1}`, dataCentre, platform), new SilentLog())
-    members.push(member)
-    addresses.push(await member.start())
+    overlaps.stop()
+    await region.stop()
   }
-  narrate(`${members.length} members started, callers at ${addresses.map(address => address.callers).join(', ')}`)
-  const operator = new OperatorClient(addresses[0]?.operators ?? '', OPERATOR_TOKEN)
-  return { region, members, addresses, operator }
 }
 
-const settingsFor = (member: string, dataCentre: string, platform: string) => settingsSchema.parse({
-  member,
-  region: { name: 'lk-west', dataCentres: DATA_CENTRES },
-  dataCentre,
-  roles: ['gateway', 'scheduler'],
-  listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0' },
-  peerKeys: [{ id: 'demo', secret: 'demo-peer-secret-0' }],
-  operators: [{ operator: 'demo', token: OPERATOR_TOKEN }],
-  platform: { table: platform, objects: platform, vmList: platform }
-})
-
-const demonstrate = async (running: Running, narrate: Narrator): Promise<DemoSummary> => {
-  const { members, operator } = running
-  const applied = await operator.call<{ version: number }>('POST', '/v1/notes', demoNote())
-  narrate(applied.ok ? `Release note accepted as version ${applied.val.version}` : `Release note refused: ${applied.val.message}`)
-  await until(() => members.every(member => member.configuration.current.version === 1))
-  narrate('Configuration in force at all members')
-  await until(async () => await countEndpoints(operator) === REPLICAS)
-  narrate(`${REPLICAS} endpoints of stockline are ready`)
-  const jobs = await submitJobs(operator)
+const demonstrate = async (region: DemoRegion, example: DemoExample, overlaps: OverlapWatch, narrate: Narrator): Promise<DemoSummary> => {
+  const { operator } = region
+  await applyNote(region, firstNote(example), narrate)
+  await until(async () => await countEndpoints(operator) === replicasOf(example))
+  narrate(`${replicasOf(example)} endpoints of ${example.service} are ready`)
+  const jobs = await submitJobs(operator, example)
   narrate(`${jobs.length} batch jobs submitted`)
-  const durations = build({ highestTrackableValue: LONGEST_RECORDED_MS })
-  const answered = await sendRequests(running, durations)
-  narrate(`${answered} of ${REQUESTS} requests answered, p50 ${durations.getValueAtPercentile(50)} ms, p99 ${durations.getValueAtPercentile(99)} ms`)
-  await until(async () => (await finishedJobs(operator, jobs)) === jobs.length)
-  return await sumUp(running, jobs, answered, durations, narrate)
+  const tasks = [...jobs, ...example.longTasks]
+  const [callers] = await Promise.all([sendRequests(example.service, region.callers), drainUnderWork(region, example, narrate)])
+  narrate(`${callers.answered} of ${REQUESTS} requests answered, p50 ${callers.p50Ms} ms, p99 ${callers.p99Ms} ms`)
+  await until(async () => await countFinished(operator, tasks) === tasks.length)
+  return await sumUp(region, tasks, callers, overlaps, narrate)
 }
 
-const demoNote = (): object => ({
-  id: 'demo-1',
-  added: {
-    teams: { franchise: { quota: { processors: 200, memoryMb: 800_000 } }, buyers: { quota: { processors: 100, memoryMb: 400_000 } } },
-    services: { stockline: { replicas: REPLICAS, resources: { processors: 4, memoryMb: 8_000 }, command: 'serve 5', team: 'franchise' } },
-    tasks: { 'cream-watch': { kind: 'watch', team: 'franchise', resources: { processors: 1, memoryMb: 1_000 }, command: 'watch' } }
-  }
-})
+const applyNote = async (region: DemoRegion, note: object, narrate: Narrator): Promise<void> => {
+  const applied = await region.operator.call<{ version: number }>('POST', '/v1/notes', note)
+  if (applied.err) return narrate(`Release note refused: ${applied.val.message}`)
+  const { version } = applied.val
+  await until(() => region.configVersion >= version)
+  narrate(`Release note accepted as version ${version}, in force at all ${region.members.length} members`)
+}
 
-const submitJobs = async (operator: OperatorClient): Promise<string[]> => {
+const submitJobs = async (operator: OperatorClient, example: DemoExample): Promise<string[]> => {
   const jobs: string[] = []
   for (let index = 0; index < JOBS; index++) {
-    const job = { team: 'buyers', resources: { processors: 2, memoryMb: 2_000 }, command: 'work 300' }
-    const submitted = await operator.call<{ id: string }>('POST', '/v1/jobs', job, { 'idempotency-key': `order-${index}` })
+    const job = { team: example.batchTeam, resources: { processors: 2, memoryMb: 2_000 }, command: `work ${JOB_MS}` }
+    const submitted = await operator.call<{ id: string }>('POST', '/v1/jobs', job, { 'idempotency-key': `${example.job}-${index}` })
     if (submitted.ok) jobs.push(submitted.val.id)
   }
   return jobs
 }
 
-const sendRequests = async (running: Running, durations: Histogram): Promise<number> => {
-  let next = 0
-  let answered = 0
-  const runCaller = async (): Promise<void> => {
-    while (next < REQUESTS) {
-      const index = next++
-      const address = running.addresses[index % running.addresses.length]?.callers ?? ''
-      const startedAt = performance.now()
-      if (await sendOne(address, `/stockline/items/${index}`)) answered++
-      durations.recordValue(Math.round(performance.now() - startedAt))
-    }
-  }
-  await Promise.all(Array.from({ length: CALLERS }, runCaller))
-  return answered
-}
-
-const sendOne = (address: string, path: string): Promise<boolean> => new Promise(resolve => {
-  const [host, port] = splitAddress(address)
-  const outgoing = request({ host, port, path }, incoming => {
-    incoming.resume()
-    incoming.on('end', () => resolve(incoming.statusCode === 200))
-    incoming.on('error', () => resolve(false))
+const drainUnderWork = async (region: DemoRegion, example: DemoExample, narrate: Narrator): Promise<void> => {
+  const [task = ''] = example.longTasks
+  let vm = ''
+  await until(async () => {
+    const shown = await region.operator.call<Task>('GET', `/v1/jobs/${task}`)
+    if (shown.ok && shown.val.state === 'running') vm = shown.val.placement?.vm ?? ''
+    return vm !== ''
   })
-  outgoing.on('error', () => resolve(false))
-  outgoing.end()
-})
+  narrate(`Draining ${vm} while ${task} runs on it`)
+  await applyNote(region, drainNote(vm), narrate)
+}
 
 const countEndpoints = async (operator: OperatorClient): Promise<number> => {
   const status = await operator.call<{ endpoints: readonly unknown[] }>('GET', '/v1/status')
   return status.ok ? status.val.endpoints.length : 0
 }
 
-const finishedJobs = async (operator: OperatorClient, jobs: readonly string[]): Promise<number> => {
+const listTasks = async (operator: OperatorClient, ids: readonly string[]): Promise<Task[]> => {
   const listed = await operator.call<{ tasks: readonly Task[] }>('GET', '/v1/jobs')
-  if (listed.err) return 0
-  return listed.val.tasks.filter(task => jobs.includes(task.spec.id) && task.state === 'finished').length
+  return listed.ok ? listed.val.tasks.filter(task => ids.includes(task.spec.id)) : []
 }
 
-const sumUp = async (running: Running, jobs: readonly string[], answered: number, durations: Histogram, narrate: Narrator): Promise<DemoSummary> => {
-  const tasksFinished = await finishedJobs(running.operator, jobs)
-  const listed = await running.operator.call<{ tasks: readonly Task[] }>('GET', '/v1/jobs')
-  const evictions = listed.ok ? listed.val.tasks.reduce((sum, task) => sum + task.evictions, 0) : 0
-  const invariantsBroken = running.members.reduce((sum, member) => sum + member.invariants.total, 0) + countBroken(running.region)
-  const configVersion = Math.min(...running.members.map(member => member.configuration.current.version))
-  const isHeld = answered === REQUESTS && tasksFinished === JOBS && configVersion === 1 && invariantsBroken === 0
-  narrate(`Tasks finished: ${tasksFinished} of ${JOBS}; evictions: ${evictions}; configuration version in force: ${configVersion}; invariants broken: ${invariantsBroken}`)
+const countFinished = async (operator: OperatorClient, ids: readonly string[]): Promise<number> =>
+  (await listTasks(operator, ids)).filter(task => task.state === 'finished').length
+
+const sumUp = async (region: DemoRegion, tasks: readonly string[], callers: CallerFigures, overlaps: OverlapWatch, narrate: Narrator): Promise<DemoSummary> => {
+  const { standIns, configVersion } = region
+  const known = await countFinished(region.operator, tasks)
+  const tasksFinished = Math.min(known, countFinishedOnce(standIns, tasks))
+  const evictions = countStopped(standIns, tasks)
+  const ownChecks = region.members.reduce((sum, member) => sum + member.invariants.total, 0)
+  const invariantsBroken = ownChecks + overlaps.stop() + countOvercommitted(standIns) + countRepeated(standIns)
+  const isWorkDone = callers.answered === REQUESTS && tasksFinished === tasks.length && evictions > 0
+  narrate(`${tasksFinished} of ${tasks.length} tasks finished exactly once, ${evictions} evicted and resumed; configuration version ${configVersion}; invariants broken: ${invariantsBroken}`)
   return {
-    requestsAnswered: answered,
-    requestsLost: REQUESTS - answered,
-    p50Ms: durations.getValueAtPercentile(50),
-    p99Ms: durations.getValueAtPercentile(99),
+    requestsAnswered: callers.answered,
+    requestsLost: REQUESTS - callers.answered,
+    p50Ms: callers.p50Ms,
+    p99Ms: callers.p99Ms,
     tasksFinished,
     evictions,
     configVersion,
     invariantsBroken,
-    isHeld
-  }
-}
-
-// Counted by the workers themselves: a task that ran in two places, and an over-committed VM.
-const countBroken = (region: StandInRegion): number => {
-  let broken = 0
-  const running = new Map<string, number>()
-  for (const worker of region.workers.values()) {
-    for (const event of worker.state.events) {
-      if (event.kind === 'started') running.set(event.id, (running.get(event.id) ?? 0) + 1)
-      else running.set(event.id, (running.get(event.id) ?? 0) - 1)
-    }
-    if (worker.state.mostCommitted.processors > worker.room.processors) broken++
-  }
-  for (const count of running.values()) {
-    if (count > 1) broken++
+    isHeld: isWorkDone && configVersion === LAST_VERSION && invariantsBroken === 0
   }
-  return broken
 }
 
 const until = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
