Workers keep ends until they are acknowledged; processes can be paused in tests

Cause: the stand-in worker dropped finished tasks when its lease ran out, so a recorded-too-late end looked like a lost attempt and the work would have been run again. Change: ends outlive the session and are acknowledged under any epoch not lower; refused over-commitments are counted; FakeLink has a gate and PausableClock holds one process. Conclusion: the observers' log is now true across lapsed leases.

--- a/packages/fakes/src/FakeLink.ts
+++ b/packages/fakes/src/FakeLink.ts
@@ -18,6 +18,9 @@
 /** Decides the fate of each call by who calls whom and for what. */
 export type FateChooser = (from: string, to: string, operation: string) => Fate
 
+/** Resolves once the named process runs; a paused process neither handles calls nor sees answers. */
+export type ProcessGate = (process: string) => Promise<void> | undefined
+
 /** How long a lost answer is waited for, in milliseconds. */
 const TIMEOUT_MS = 2_000
 
@@ -25,6 +28,7 @@
 export class FakeLink {
   readonly #clock: Clock
   #choose: FateChooser = () => PROMPT
+  #gate: ProcessGate | undefined
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -35,15 +39,22 @@
     this.#choose = choose
   }
 
+  /** Sets the gate that holds calls to and answers for paused processes. */
+  setGate (gate: ProcessGate): void {
+    this.#gate = gate
+  }
+
   /** Runs `effect` at the other side unless the call is lost on the way there. */
   async carry<Value> (from: string, to: string, operation: string, effect: () => Result<Value, AuburnpinError> | Promise<Result<Value, AuburnpinError>>): Promise<Result<Value, AuburnpinError>> {
     const fate = this.#choose(from, to, operation)
     if (fate.loss === 'refused') return Err(new AuburnpinError('unreachable', `${to} refused ${operation}`, 'Try again.'))
     if (fate.thereMs > 0) await this.#clock.sleep(fate.thereMs)
     if (fate.loss === 'there') return await this.#lose(to, operation)
+    await this.#gate?.(to)
     const answer = await effect()
     if (fate.loss === 'back') return await this.#lose(to, operation)
     if (fate.backMs > 0) await this.#clock.sleep(fate.backMs)
+    await this.#gate?.(from)
     return answer
   }
 
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,8 +1,9 @@
 /**
  * Fakes at the program's interfaces, for tests on a virtual clock. A fake delays, drops, duplicates or refuses.
  */
-export { FakeLink, PROMPT, type Fate, type FateChooser } from './FakeLink.ts'
+export { FakeLink, PROMPT, type Fate, type FateChooser, type ProcessGate } from './FakeLink.ts'
 export { FakeTableStore } from './FakeTableStore.ts'
+export { PausableClock } from './PausableClock.ts'
 export { FakeObjectStore } from './FakeObjectStore.ts'
 export { FakeVmList } from './FakeVmList.ts'
 export { FakeVmWorker, FakeWorkers, type FakeCourse, type FakeCourses } from './FakeWorkers.ts'
--- a/packages/standIn/src/WorkerState.ts
+++ b/packages/standIn/src/WorkerState.ts
@@ -50,6 +50,7 @@
   readonly #events: WorkerEvent[] = []
   #session: string | null = null
   #epoch = 0
+  #overCommitments = 0
   #mostCommitted: WorkerRoom = { processors: 0, memoryMb: 0, accelerators: 0 }
 
   constructor (room: WorkerRoom, onStart: (entry: WorkerEntry) => void, onEnd: (entry: WorkerEntry) => void) {
@@ -80,6 +81,11 @@
     return this.#mostCommitted
   }
 
+  /** Starts that would have committed more than there is. */
+  get overCommitments (): number {
+    return this.#overCommitments
+  }
+
   /** Takes or renews the lease. */
   lease (call: WorkerLeaseCall): WorkerRefusal | undefined {
     if (call.epoch < this.#epoch) return 'lower-epoch'
@@ -90,14 +96,13 @@
     return undefined
   }
 
-  /** The lease has run out: everything running stops and the session is closed for good. */
+  /** The lease has run out: everything running stops and the session is closed for good. Ends stay until acknowledged. */
   expire (): void {
     if (this.#session === null) return
     this.#closedSessions.add(this.#session)
     this.#session = null
-    for (const [key, entry] of this.#entries) {
+    for (const entry of this.#entries.values()) {
       if (entry.state === 'running') this.#end(entry, 'stopped')
-      this.#entries.delete(key)
     }
   }
 
@@ -108,7 +113,10 @@
     if (present !== undefined) return present
     if ((this.#endedAttempts.get(start.id) ?? 0) >= start.attempt) return 'ended-attempt'
     const committed = this.#committedWith(start.resources)
-    if (!isWithin(committed, this.#room)) return 'over-committed'
+    if (!isWithin(committed, this.#room)) {
+      this.#overCommitments++
+      return 'over-committed'
+    }
     this.#mostCommitted = largerOf(this.#mostCommitted, committed)
     const entry: WorkerEntry = { start, state: 'running', throttle: 1 }
     this.#entries.set(keyOf(start), entry)
@@ -143,8 +151,8 @@
   }
 
   acknowledge (call: WorkerAttempt): WorkerRefusal | undefined {
-    const refusal = this.#check(call)
-    if (refusal !== undefined) return refusal
+    // An end may be recorded after its session was closed, so only the epoch counts here.
+    if (call.epoch < this.#epoch) return 'lower-epoch'
     const entry = this.#entries.get(keyOf(call))
     if (entry !== undefined && entry.state !== 'running') this.#entries.delete(keyOf(call))
     return undefined
