Random histories over nine members on a virtual clock

A member paused past its lease with nothing to append kept its runner for ever; a claim whose answer was lost left a row naming an owner without a runner. Change: npm run soak (fast-check generates and shrinks; observers outside the program judge); the scheduler drops a runner whose cell has a higher epoch and takes a cell whose row names its own process.

--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -91,6 +91,7 @@
   }
 
   async #takeCells (): Promise<void> {
+    this.#dropTaken()
     if (this.#isStopping || !this.#ports.membership.isLeaseHeld) return
     for (const cell of this.#cells) {
       if (!this.#shouldTake(cell)) continue
@@ -100,9 +101,19 @@
     }
   }
 
+  // A paused owner with nothing to append would never learn from its journal that it was replaced.
+  #dropTaken (): void {
+    for (const [cell, runner] of this.#runners) {
+      const seen = this.#ports.directory.cells.get(cell)?.row
+      if (seen !== undefined && seen.epoch > runner.claimed.epoch) this.#drop(cell)
+    }
+  }
+
   #shouldTake (cell: CellId): boolean {
     if (this.#runners.has(cell)) return false
     const { directory, membership } = this.#ports
+    // A claim whose answer was lost has made this process the owner; nobody else will take the cell.
+    if (directory.cells.get(cell)?.row.incarnation === membership.identity.incarnation) return true
     const dataCentre = this.#layout.dataCentres.find(candidate => cell.startsWith(`${candidate}-`)) as DataCentre
     if (chooseOwner(cell, dataCentre, membership.live) !== membership.identity.member) return false
     const seen = directory.cells.get(cell)?.row
--- /dev/null
+++ b/soak/soak.ts
@@ -0,0 +1,54 @@
+/**
+ * `npm run soak -- --seed N --minutes M`: random histories until M virtual minutes have been run.
+ */
+import fc from 'fast-check'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { runHistory, type HistoryReport } from './runHistory.ts'
+import { soakSteps } from './steps.ts'
+
+const LONGEST_HISTORY = 40
+const MINUTES_PER_HISTORY = 4
+const SHRINKING_MS = 120_000
+
+const options = yargs(hideBin(process.argv))
+  .option('seed', { type: 'number', default: 1 })
+  .option('minutes', { type: 'number', default: 60, describe: 'Virtual minutes' })
+  .strict()
+  .parseSync()
+
+const reports: HistoryReport[] = []
+
+const property = fc.asyncProperty(soakSteps(LONGEST_HISTORY), async steps => {
+  const report = await runHistory(options.seed, steps)
+  reports.push(report)
+  const [violation] = report.violations
+  if (violation !== undefined) throw new Error(`${violation.promised}: ${violation.detail}`)
+})
+
+const startedAt = performance.now()
+const numRuns = Math.max(1, Math.ceil(options.minutes / MINUTES_PER_HISTORY))
+const outcome = await fc.check(property, { seed: options.seed, numRuns, interruptAfterTimeLimit: numRuns * 10_000 + SHRINKING_MS, markInterruptAsFailure: false })
+
+const faults: Record<string, number> = {}
+for (const report of reports) {
+  for (const [kind, count] of Object.entries(report.faults)) faults[kind] = (faults[kind] ?? 0) + count
+}
+const sumOf = (pick: (report: HistoryReport) => number): number => reports.reduce((sum, report) => sum + pick(report), 0)
+
+process.stdout.write(`${JSON.stringify({
+  seed: options.seed,
+  histories: reports.length,
+  virtualHours: Number((sumOf(report => report.virtualSeconds) / 3_600).toFixed(2)),
+  realSeconds: Math.round((performance.now() - startedAt) / 1_000),
+  jobsAccepted: sumOf(report => report.jobsAccepted),
+  jobsFinished: sumOf(report => report.jobsFinished),
+  notesAccepted: sumOf(report => report.notesAccepted),
+  faults,
+  violations: sumOf(report => report.violations.length),
+  isFailed: outcome.failed
+})}\n`)
+if (outcome.failed) {
+  process.stdout.write(`${fc.defaultReportMessage(outcome) ?? ''}\n`)
+  process.exitCode = 1
+}
