--- /dev/null
+++ b/packages/scheduler/tests/support/World.ts
@@ -0,0 +1,150 @@
+/**
+ * A few workers, one store and any number of owners of one cell, on a virtual clock, with an outside observer.
+ */
+import {
+  brand, InvariantCounter, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
+  type CellId, type DataCentre, type Epoch, type MemberId, type RackId, type TaskId, type TeamName
+} from '@auburnpin/common'
+import type { ListedVm, TaskSpec } from '@auburnpin/core'
+import { cellKey, claimCell, type CellRow, type EndpointsNotice } from '@auburnpin/cluster'
+import { FakeLink, FakeObjectStore, FakeTableStore, FakeVmWorker, FakeWorkers, type FakeCourse } from '@auburnpin/fakes'
+import { ReliableTable, type TableStore } from '@auburnpin/platform'
+import { MemoryTable } from '@auburnpin/stand-in'
+import { CellRunner } from '../../src/index.ts'
+
+export const CELL = brand<CellId>('colombo-0')
+export const ROOM = { processors: 4, memoryMb: 8_000, accelerators: 1 }
+const STORE_DEADLINE_MS = 10_000
+const STEP_MS = 250
+
+/** A batch task's spec, unless told otherwise. */
+export const specOf = (id: string, more: Partial<TaskSpec> = {}): TaskSpec => ({
+  id: brand<TaskId>(id),
+  kind: 'batch',
+  isUrgent: false,
+  team: brand<TeamName>('buyers'),
+  resources: { processors: 2, memoryMb: 1_000, accelerators: 0 },
+  command: 'work',
+  acceptedAt: 1,
+  ...more
+})
+
+/** What the observer saw go wrong. */
+export type Breach = string
+
+/** Everything outside the owners. */
+export class World {
+  readonly clock = new VirtualClock()
+  readonly link = new FakeLink(this.clock)
+  readonly table = new MemoryTable()
+  readonly objects = new Map<string, Uint8Array>()
+  readonly vms = new Map<string, FakeVmWorker>()
+  readonly invariants = new InvariantCounter()
+  readonly breaches: Breach[] = []
+  readonly published: EndpointsNotice[] = []
+  readonly #courses: (id: string) => FakeCourse
+  listed: ListedVm[] = []
+
+  constructor (vmCount: number, courses: (id: string) => FakeCourse) {
+    this.#courses = courses
+    for (let index = 1; index <= vmCount; index++) this.#addVm(`vm-${index}`)
+  }
+
+  /** Claims the cell for `member` and runs it; `undefined` when that fails. */
+  async open (member: string, onLost: () => void = () => {}): Promise<CellRunner | undefined> {
+    const random = new SeededRandom(member.length + member.charCodeAt(0))
+    const table = new ReliableTable(new FakeTableStore(this.table, this.link, member), this.clock, random, STORE_DEADLINE_MS)
+    const row = await table.read(cellKey(CELL))
+    if (row.err) return undefined
+    const seen = row.val === null ? undefined : { row: row.val.value as CellRow, version: row.val.version }
+    const identity = { member: brand<MemberId>(member), dataCentre: brand<DataCentre>('colombo'), roles: [], peerAddress: '', incarnation: member }
+    const claimed = await claimCell(table, random, identity, CELL, seen)
+    if (claimed.err || claimed.val === null) return undefined
+    const opened = await CellRunner.open(claimed.val, [CELL], this.ports(member, table), onLost)
+    if (opened.err) return undefined
+    opened.val.listVms(this.listed)
+    return opened.val
+  }
+
+  /** What a runner of `member` needs. */
+  ports (member: string, table: TableStore): Parameters<typeof CellRunner.open>[2] {
+    return {
+      table,
+      objects: new FakeObjectStore(this.objects, this.link, member),
+      workers: new FakeWorkers(this.vms, this.link, member),
+      clock: this.clock,
+      random: new SeededRandom(member.length),
+      log: new SilentLog(),
+      metrics: new SilentMetrics(),
+      invariants: this.invariants,
+      publish: notice => this.published.push(notice)
+    }
+  }
+
+  /** Opens a cell while virtual time goes on. */
+  async openWithin (member: string, limitMs: number, onLost: () => void = () => {}): Promise<CellRunner | undefined> {
+    let opened: CellRunner | undefined
+    let isDone = false
+    const opening = this.open(member, onLost).then(runner => { opened = runner }).finally(() => { isDone = true })
+    for (let waited = 0; waited < limitMs && !isDone; waited += STEP_MS) await this.clock.advance(STEP_MS)
+    if (isDone) await opening
+    return opened
+  }
+
+  /** Lets time pass until the condition holds or the limit is reached; tells whether it holds. */
+  async until (limitMs: number, holds: () => boolean): Promise<boolean> {
+    for (let waited = 0; waited < limitMs; waited += STEP_MS) {
+      if (holds()) return true
+      await this.clock.advance(STEP_MS)
+    }
+    return holds()
+  }
+
+  /** How often the task's own end was seen at the workers. */
+  finishes (id: string): number {
+    return this.#events().filter(event => event.kind === 'ended' && event.id === id && event.end === 'finished').length
+  }
+
+  /** How often the task was started at the workers. */
+  starts (id: string): number {
+    return this.#events().filter(event => event.kind === 'started' && event.id === id).length
+  }
+
+  /** Where the task runs now. */
+  runningOn (id: string): string[] {
+    const found: string[] = []
+    for (const [name, vm] of this.vms) {
+      if (vm.state.entries.some(entry => entry.start.id === id && entry.state === 'running')) found.push(name)
+    }
+    return found
+  }
+
+  /** Breaches seen so far, with VMs that were committed beyond their room. */
+  allBreaches (): Breach[] {
+    const found = [...this.breaches]
+    for (const [name, vm] of this.vms) {
+      if (vm.state.mostCommitted.processors > ROOM.processors) found.push(`${name} over-committed`)
+    }
+    if (this.invariants.total > 0) found.push(`${this.invariants.total} invariants broken`)
+    return found
+  }
+
+  #addVm (name: string): void {
+    const vm = new FakeVmWorker(ROOM, this.clock, start => {
+      const places = this.runningOn(start.id)
+      if (places.length > 1) this.breaches.push(`${start.id} runs on ${places.join(' and ')} at ${this.clock.now()}`)
+      return this.#courses(start.id)
+    })
+    this.vms.set(name, vm)
+    this.listed.push({
+      id: brand(name), dataCentre: brand<DataCentre>('colombo'), rack: brand<RackId>('r1'), address: name, resources: ROOM, isLeaving: false
+    })
+  }
+
+  #events () {
+    return [...this.vms.values()].flatMap(vm => [...vm.state.events])
+  }
+}
+
+/** The epoch that stands in the cell's row. */
+export const epochIn = (world: World): Epoch => (world.table.read(cellKey(CELL))?.value as { value: CellRow }).value.epoch
