A cell tells only what is durable, refuses what it can't record, and answers every submission

Cause: submissions to a fenced or closed runner never settled; a step that broke off left its state in use; calls to workers ran without bound; tasks were shown finished before their record was durable; an empty VM list lost every task; a renewal in flight could outlive the wait for a VM that had left the list. Change: steps settle as durable, fenced or unknown; the runner stops at a broken step; calls per worker are few, deduplicated and bounded; a durable view of the tasks; reports are told before the renewal that follows them.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -40,9 +40,16 @@
     return this.#state
   }
 
-  /** Replays journaled transitions, before the first step. */
-  restore (transitions: Iterable<Transition>, now: Instant): void {
-    for (const transition of transitions) this.#state.apply(transition, now)
+  /** Takes in a snapshot's tasks and replays the transitions journaled after it, before the first step. */
+  restore (transitions: readonly Transition[], now: Instant, tasks: readonly Task[] = []): void {
+    for (const task of tasks) this.#state.load(task)
+    this.#apply(transitions, now)
+    this.settle(transitions, now)
+  }
+
+  /** Notes that the transitions of a step are in the journal. Steps are settled in their order. */
+  settle (transitions: readonly Transition[], now: Instant): void {
+    this.#state.durable.release(transitions, now)
   }
 
   /** The running replicas, as gateways shall see them. */
@@ -65,8 +72,7 @@
         this.#state.listVms(event.vms, now)
         return this.#leaveVms(now)
       case 'lease-granted':
-        this.#state.observeVm(event.vm, { session: event.session, renewedAt: event.sentAt })
-        return NOTHING
+        return this.#takeLease(event)
       case 'lease-refused':
         this.#state.observeVm(event.vm, { session: undefined })
         return NOTHING
@@ -164,12 +170,28 @@
     return { transitions, actions }
   }
 
+  // Nothing new is placed on a VM that the list does not name, though its worker may still answer.
+  #takeLease (event: Extract<CellEvent, { kind: 'lease-granted' }>): CellStep {
+    const isMissing = this.#state.vms.get(event.vm)?.missingSince !== undefined
+    this.#state.observeVm(event.vm, { session: isMissing ? undefined : event.session, renewedAt: event.sentAt })
+    return NOTHING
+  }
+
   #reconcile (event: Extract<CellEvent, { kind: 'reported' }>, now: Instant): CellStep {
+    this.#state.noteContact(event.vm, now)
+    this.#forgetClosedSession(event)
     const { transitions, actions } = reconcileReport(this.#state, event)
     this.#apply(transitions, now)
     return { transitions, actions }
   }
 
+  // A report from before the last renewal says nothing about the session that was opened by it.
+  #forgetClosedSession (event: Extract<CellEvent, { kind: 'reported' }>): void {
+    const vm = this.#state.vms.get(event.vm)
+    if (vm?.session === undefined || vm.session === event.session) return
+    if (vm.renewedAt === undefined || event.askedAt > vm.renewedAt) this.#state.observeVm(vm.id, { session: undefined })
+  }
+
   #apply (transitions: readonly Transition[], now: Instant): void {
     for (const transition of transitions) this.#state.apply(transition, now)
   }
--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -6,20 +6,30 @@
   type Instant, type Resources, type TaskId, type VmId
 } from '@auburnpin/common'
 import { applyTransition } from './applyTransition.ts'
+import { DurableTasks, taskOf } from './DurableTasks.ts'
+import { EMPTY_LIST_MS } from '../constants.ts'
 import type { ListedVm, Placement, Task, Transition, Vm } from './types.ts'
 
 /** State of one cell in memory. Tasks change by transitions alone. */
 export class CellState {
   readonly #tasks = new Map<TaskId, Task>()
+  readonly #durable = new DurableTasks(this.#tasks)
   readonly #waiting = new Set<TaskId>()
   readonly #vms = new Map<VmId, Vm>()
   readonly #committed = new Map<VmId, Resources>()
   readonly #placed = new Map<VmId, Set<TaskId>>()
+  readonly #unlisted = new Map<VmId, Instant>()
+  #emptySince: Instant | undefined
 
   get tasks (): ReadonlyMap<TaskId, Task> {
     return this.#tasks
   }
 
+  /** Tasks as the journal has them; only these may be told to anyone. */
+  get durable (): DurableTasks {
+    return this.#durable
+  }
+
   /** Tasks that are queued and may be placed. */
   get waiting (): ReadonlySet<TaskId> {
     return this.#waiting
@@ -46,10 +56,11 @@
 
   /** Applies one transition, after checking that it commits no VM beyond its resources. */
   apply (transition: Transition, now: Instant): void {
-    const id = transition.kind === 'accepted' ? transition.spec.id : transition.task
+    const id = taskOf(transition)
     const before = this.#tasks.get(id)
     if (transition.kind === 'assigned' && before !== undefined) this.#assertRoom(before, transition.vm)
     const after = applyTransition(before, transition, now)
+    this.#durable.hold(id, before)
     this.#release(before)
     this.#commit(after)
     if (after === undefined) this.#tasks.delete(id)
@@ -58,6 +69,13 @@
     else this.#waiting.delete(id)
   }
 
+  /** Puts a task in as a snapshot has it. */
+  load (task: Task): void {
+    this.#commit(task)
+    this.#tasks.set(task.spec.id, task)
+    if (task.state === 'queued') this.#waiting.add(task.spec.id)
+  }
+
   /** Notes what a worker tells of a running attempt; nothing of it must last. */
   observePlacement (id: TaskId, changes: Partial<Placement>): void {
     const task = this.#tasks.get(id)
@@ -67,8 +85,14 @@
     this.#tasks.set(id, newWith(task, { placement, state }))
   }
 
-  /** Takes in the VM list: new VMs come, missing ones are marked, unused missing ones go. */
+  /**
+   * Takes in the VM list: new VMs come, missing ones are marked, unused missing ones go. An empty list is
+   * not believed until it has stayed empty for a while.
+   */
   listVms (listed: readonly ListedVm[], now: Instant): void {
+    if (listed.length > 0) this.#emptySince = undefined
+    else this.#emptySince ??= now
+    if (this.#emptySince !== undefined && now - this.#emptySince < EMPTY_LIST_MS) return
     const present = new Set(listed.map(vm => vm.id))
     for (const vm of listed) this.#vms.set(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
     for (const vm of this.#vms.values()) {
@@ -76,6 +100,18 @@
       if (this.placedOn(vm.id).size === 0) this.#vms.delete(vm.id)
       else if (vm.missingSince === undefined) this.#vms.set(vm.id, newWith(vm, { missingSince: now, session: undefined }))
     }
+    this.#noteUnlisted(present, now)
+  }
+
+  /** VMs with placed tasks that are on no list since this owner took over, with the time of the first such list. */
+  get unlisted (): ReadonlyMap<VmId, Instant> {
+    return this.#unlisted
+  }
+
+  /** A worker that still speaks is not gone, whatever the VM list says. */
+  noteContact (id: VmId, now: Instant): void {
+    const vm = this.#vms.get(id)
+    if (vm?.missingSince !== undefined) this.#vms.set(id, newWith(vm, { missingSince: now }))
   }
 
   /** Changes what is known of a VM. */
@@ -84,6 +120,16 @@
     if (vm !== undefined) this.#vms.set(id, newWith(vm, changes))
   }
 
+  // The journal names VMs that were listed for a former owner.
+  #noteUnlisted (present: ReadonlySet<VmId>, now: Instant): void {
+    for (const [vm, tasks] of this.#placed) {
+      if (tasks.size === 0) this.#placed.delete(vm)
+      const isKnown = tasks.size === 0 || present.has(vm) || this.#vms.has(vm)
+      if (isKnown) this.#unlisted.delete(vm)
+      else if (!this.#unlisted.has(vm)) this.#unlisted.set(vm, now)
+    }
+  }
+
   #assertRoom (task: Task, vmId: VmId): void {
     const vm = this.#vms.get(vmId)
     // While a journal is replayed the VM list is not known yet; the worker checks again at the start.
--- a/packages/core/src/cell/reconcileReport.ts
+++ b/packages/core/src/cell/reconcileReport.ts
@@ -89,6 +89,10 @@
     if (vm.missingSince === undefined || now - vm.missingSince < leaseMs) continue
     for (const id of state.placedOn(vm.id)) transitions.push(endLost(state, id, vm.id))
   }
+  for (const [vm, since] of state.unlisted) {
+    if (now - since < leaseMs) continue
+    for (const id of state.placedOn(vm)) transitions.push(endLost(state, id, vm))
+  }
   return transitions
 }
 
--- a/packages/scheduler/src/ActionRunner.ts
+++ b/packages/scheduler/src/ActionRunner.ts
@@ -1,17 +1,21 @@
 /**
  * Carries out what a cell asks of its workers.
  */
-import { assertNever, type AuburnpinError, type Log, type Result } from '@auburnpin/common'
+import PQueue from 'p-queue'
+import { assertNever, type AuburnpinError, type Log, type Result, type VmId } from '@auburnpin/common'
 import type { CellAction, CellTerm } from '@auburnpin/core'
 import type { AttemptAddress, TaskStart, WorkerAnswer, Workers } from '@auburnpin/platform'
+import { MAX_VM_ACTIONS, VM_ACTIONS_AT_ONCE } from './constants.ts'
 
 type WorkerAction = Exclude<CellAction, { kind: 'publish-endpoints' }>
+type VmActions = Readonly<{ queue: PQueue, keys: Set<string> }>
 
-/** Sends each action once; what gets lost is sent again after the worker's next report. */
+/** Sends each action once, few at a time to a worker; what gets lost is sent again after its next report. */
 export class ActionRunner {
   readonly #term: CellTerm
   readonly #workers: Workers
   readonly #log: Log
+  readonly #vms = new Map<VmId, VmActions>()
 
   constructor (term: CellTerm, workers: Workers, log: Log) {
     this.#term = term
@@ -19,8 +23,35 @@
     this.#log = log
   }
 
-  /** Resolves when the worker has answered or failed to. */
-  async run (action: WorkerAction): Promise<void> {
+  /** Actions that were taken and are not answered yet. */
+  get pending (): number {
+    let pending = 0
+    for (const { keys } of this.#vms.values()) pending += keys.size
+    return pending
+  }
+
+  /** Takes an action, unless the same one is on its way or the worker has too many waiting already. */
+  run (action: WorkerAction): void {
+    const { queue, keys } = this.#actionsOf(action.vm)
+    const key = keyOf(action)
+    if (keys.has(key) || keys.size >= MAX_VM_ACTIONS) return
+    keys.add(key)
+    void queue.add(async () => {
+      await this.#carryOut(action)
+      keys.delete(key)
+      if (keys.size === 0) this.#vms.delete(action.vm)
+    })
+  }
+
+  #actionsOf (vm: VmId): VmActions {
+    const present = this.#vms.get(vm)
+    if (present !== undefined) return present
+    const created: VmActions = { queue: new PQueue({ concurrency: VM_ACTIONS_AT_ONCE }), keys: new Set() }
+    this.#vms.set(vm, created)
+    return created
+  }
+
+  async #carryOut (action: WorkerAction): Promise<void> {
     const answer = await this.#send(action)
     if (answer.err) this.#log.debug('A worker gave no answer', { vm: action.vm, action: action.kind, reason: answer.val.message })
     else if (answer.val.kind === 'refused') this.#log.warn('A worker refused', { vm: action.vm, action: action.kind, reason: answer.val.reason })
@@ -68,3 +99,9 @@
     return { id: action.task, attempt: action.attempt, leaseSession: action.session, epoch: this.#term.epoch }
   }
 }
+
+const keyOf = (action: WorkerAction): string => {
+  if (action.kind === 'start') return `start ${action.task.spec.id}/${action.task.attempt} ${action.session}`
+  const share = action.kind === 'throttle' ? ` ${action.share}` : ''
+  return `${action.kind} ${action.task}/${action.attempt} ${action.session}${share}`
+}
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -2,17 +2,17 @@
  * One owned cell: its mailbox, its journal, its workers.
  */
 import {
-  AuburnpinError, Err, InvariantError, Mailbox, Ok, Ticker,
-  type CellId, type Clock, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
+  AuburnpinError, Err, InvariantError, Mailbox, Ok, Ticker, toAuburnpinError,
+  type CellId, type Clock, type InvariantCounter, type JournalSequence, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, declaredTasks, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type ListedVm, type Task, type TaskSpec
+  Cell, declaredTasks, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { TableStore, Workers } from '@auburnpin/platform'
 import { ActionRunner } from './ActionRunner.ts'
 import { TICK_MS } from './constants.ts'
-import { JournalWriter } from './JournalWriter.ts'
+import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
 import { recoverCell } from './recoverCell.ts'
 import { WorkerLink } from './WorkerLink.ts'
 
@@ -28,7 +28,8 @@
   publish: (notice: EndpointsNotice) => void
 }>
 
-type Message = Readonly<{ event: CellEvent, onDurable?: () => void }>
+type Settle = (outcome: JournalOutcome) => void
+type Message = Readonly<{ event: CellEvent, settle?: Settle }>
 
 /** Runs one cell for the time of one ownership. */
 export class CellRunner {
@@ -41,27 +42,33 @@
   readonly #mailbox: Mailbox<Message>
   readonly #ticker: Ticker
   readonly #links = new Map<VmId, WorkerLink>()
+  readonly #onLost: () => void
+  #isClosed = false
+  #isLost = false
   #revision = 0
 
-  private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, journal: JournalWriter) {
+  private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, last: JournalSequence, onLost: () => void) {
     this.#claimed = claimed
     this.#allCells = allCells
     this.#ports = ports
     this.#cell = cell
-    this.#journal = journal
+    this.#onLost = onLost
+    this.#journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, { claimed, last, onFenced: () => this.#lose(), onRecord: () => {} })
     this.#actions = new ActionRunner(claimed, ports.workers, ports.log)
     this.#mailbox = new Mailbox(message => this.#handle(message), error => this.#fail(error))
     this.#ticker = new Ticker(ports.clock, TICK_MS, () => this.#mailbox.post({ event: { kind: 'tick' } }), error => this.#fail(error))
   }
 
-  /** Rebuilds the cell from its journal and starts to run it. */
-  static async open (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, onFenced: () => void): Promise<Result<CellRunner, AuburnpinError>> {
+  /**
+   * Rebuilds the cell from its journal and starts to run it. `onLost` is called when another owner has taken
+   * over, or when a step broke off and the cell must be rebuilt.
+   */
+  static async open (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, onLost: () => void): Promise<Result<CellRunner, AuburnpinError>> {
     const recovered = await recoverCell(ports.table, claimed.cell)
     if (recovered.err) return recovered
     const cell = new Cell(claimed, new PlainPolicy(new SpreadPolicy()))
     cell.restore(recovered.val.transitions, ports.clock.now())
-    const journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, { claimed, last: recovered.val.last, onFenced })
-    const runner = new CellRunner(claimed, allCells, ports, cell, journal)
+    const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val.last, onLost)
     runner.#ticker.start()
     ports.log.info('Cell taken', { cell: claimed.cell, epoch: claimed.epoch, tasks: cell.state.tasks.size })
     return Ok(runner)
@@ -71,8 +78,14 @@
     return this.#claimed
   }
 
-  get tasks (): ReadonlyMap<TaskId, Task> {
-    return this.#cell.state.tasks
+  /** The tasks as far as they are durable. */
+  get tasks (): DurableTasks {
+    return this.#cell.state.durable
+  }
+
+  /** Steps and calls to workers that wait. */
+  get backlog (): number {
+    return this.#journal.waiting + this.#mailbox.length + this.#actions.pending
   }
 
   /** Brings the declared tasks into line with the configuration. */
@@ -86,73 +99,107 @@
     this.#mailbox.post({ event: { kind: 'vms-listed', vms } })
   }
 
-  /** Accepts a task; resolves once it is durable, also when it was accepted before. */
+  /**
+   * Accepts a task; resolves once it is durable, also when it was accepted before. Errors: `overloaded` and
+   * `fenced` mean surely not accepted, `unknown-outcome` that the next owner knows.
+   */
   async submit (spec: TaskSpec): Promise<Result<Task, AuburnpinError>> {
-    await this.#postDurably({ kind: 'submitted', spec })
-    return this.#find(spec.id)
+    const outcome = await this.#postDurably({ kind: 'submitted', spec })
+    return outcome.err ? outcome : this.#find(spec.id)
   }
 
-  /** Withdraws a task; resolves once that is durable. */
+  /** Withdraws a task; resolves once that is durable. Errors as for `submit`. */
   async cancel (task: TaskId): Promise<Result<Task, AuburnpinError>> {
-    await this.#postDurably({ kind: 'cancelled', task })
-    return this.#find(task)
+    const outcome = await this.#postDurably({ kind: 'cancelled', task })
+    return outcome.err ? outcome : this.#find(task)
   }
 
-  /** Stops deciding. With `isFenced` nothing more is written. */
+  /** Stops deciding. With `isFenced` nothing more is written. Every open submission gets its answer. */
   async close (isFenced: boolean): Promise<void> {
+    this.#isClosed = true
+    if (isFenced) await this.#journal.close(true)
     await this.#ticker.stop()
     await Promise.all([...this.#links.values()].map(link => link.stop()))
     await this.#mailbox.close()
     await this.#journal.close(isFenced)
   }
 
-  #postDurably (event: CellEvent): Promise<void> {
-    return new Promise(resolve => this.#mailbox.post({ event, onDurable: resolve }))
+  #postDurably (event: CellEvent): Promise<JournalOutcome> {
+    if (this.#isClosed) return Promise.resolve(Err(this.#closed()))
+    if (this.#journal.isStalled) return Promise.resolve(Err(this.#overloaded()))
+    return new Promise(resolve => this.#mailbox.post({ event, settle: resolve }))
   }
 
   #find (id: TaskId): Result<Task, AuburnpinError> {
-    const task = this.#cell.state.tasks.get(id)
+    const task = this.tasks.get(id)
     if (task === undefined) return Err(new AuburnpinError('not-found', `Task "${id}" is not known in cell ${this.#claimed.cell}`, 'List the tasks with `auburnpin jobs list`.'))
     return Ok(task)
   }
 
-  #handle (message: Message): void {
-    const step = this.#cell.step(message.event, this.#ports.clock.now())
-    if (message.event.kind === 'vms-listed') this.#followVms()
-    this.#count(step)
-    if (step.transitions.length === 0 && step.actions.length === 0 && message.onDurable === undefined) return
-    this.#journal.append(step.transitions, () => {
-      this.#carryOut(step)
-      message.onDurable?.()
+  #handle ({ event, settle }: Message): void {
+    if (this.#isLost) {
+      settle?.(Err(this.#closed()))
+      return
+    }
+    // A worker tells the same again with its next report, so nothing piles up here.
+    if (REPEATED_EVENTS.has(event.kind) && this.#journal.isStalled) return
+    const step = this.#decide(event)
+    if (step.err) {
+      settle?.(step)
+      return
+    }
+    if (event.kind === 'vms-listed') this.#followVms()
+    this.#count(step.val)
+    this.#publishIfAsked(step.val)
+    if (step.val.transitions.length === 0 && step.val.actions.length === 0 && settle === undefined) return
+    this.#journal.append(step.val.transitions, outcome => {
+      if (outcome.ok) this.#carryOut(step.val)
+      settle?.(outcome)
     })
   }
 
+  // A step that breaks off half-way leaves a state that nobody may act on; the journal holds the last whole one.
+  #decide (event: CellEvent): Result<CellStep, AuburnpinError> {
+    try {
+      return Ok(this.#cell.step(event, this.#ports.clock.now()))
+    } catch (error) {
+      this.#fail(error)
+      this.#lose()
+      return Err(toAuburnpinError(error, 'invariant', 'Report this as a bug with the log around it.'))
+    }
+  }
+
+  #lose (): void {
+    if (this.#isLost) return
+    this.#isLost = true
+    void this.close(true)
+    this.#onLost()
+  }
+
   #carryOut (step: CellStep): void {
-    let isPublished = false
+    this.#cell.settle(step.transitions, this.#ports.clock.now())
     for (const action of step.actions) {
-      if (action.kind !== 'publish-endpoints') void this.#actions.run(action)
-      else if (!isPublished) isPublished = this.#publish()
+      if (action.kind !== 'publish-endpoints') this.#actions.run(action)
     }
   }
 
-  #publish (): boolean {
+  // Gateways need not wait for the journal: an endpoint is running or leaving whatever the store does.
+  #publishIfAsked (step: CellStep): void {
+    if (!step.actions.some(action => action.kind === 'publish-endpoints')) return
     const { cell, epoch } = this.#claimed
     this.#ports.publish({ kind: 'endpoints', cell, epoch, revision: ++this.#revision, endpoints: this.#cell.endpoints })
-    return true
   }
 
   #followVms (): void {
     const { clock, random, log, workers } = this.#ports
     for (const vm of this.#cell.state.vms.values()) {
-      const isFollowed = this.#links.has(vm.id)
-      if (isFollowed || vm.missingSince !== undefined) continue
-      const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, event => this.#mailbox.post({ event }))
+      if (this.#links.has(vm.id)) continue
+      const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, event => this.#mailbox.post({ event }), () => this.#lose())
       this.#links.set(vm.id, link)
       link.start()
     }
     for (const [id, link] of this.#links) {
-      const vm = this.#cell.state.vms.get(id)
-      if (vm !== undefined && vm.missingSince === undefined) continue
+      if (this.#cell.state.vms.has(id)) continue
       this.#links.delete(id)
       void link.stop()
     }
@@ -171,4 +218,14 @@
     if (error instanceof InvariantError) this.#ports.invariants.record(error)
     this.#ports.log.error(error instanceof Error ? error.message : String(error), { cell: this.#claimed.cell })
   }
+
+  #closed (): AuburnpinError {
+    return new AuburnpinError('fenced', `This member no longer runs cell ${this.#claimed.cell}`, 'Ask again; the next owner answers.')
+  }
+
+  #overloaded (): AuburnpinError {
+    return new AuburnpinError('overloaded', `Cell ${this.#claimed.cell} can record nothing just now; this was not accepted`, 'Try again in some seconds.')
+  }
 }
+
+const REPEATED_EVENTS: ReadonlySet<CellEvent['kind']> = new Set(['tick', 'reported', 'usage'])
--- a/packages/scheduler/src/JournalWriter.ts
+++ b/packages/scheduler/src/JournalWriter.ts
@@ -1,13 +1,16 @@
 /**
  * Appends a cell's transitions to its journal, many steps in one record.
  */
-import { brand, type AuburnpinError, type Clock, type JournalSequence, type Log, type Random } from '@auburnpin/common'
+import { AuburnpinError, brand, Err, Ok, type Clock, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
 import { CELL_FORMAT, type JournalRecord, type Transition } from '@auburnpin/core'
 import { journalKey, type ClaimedCell } from '@auburnpin/cluster'
 import { newTransactionId, type TableStore, type Transaction } from '@auburnpin/platform'
-import { JOURNAL_RETRY_MS, MAX_RECORD_TRANSITIONS } from './constants.ts'
+import { JOURNAL_RETRY_MS, MAX_RECORD_TRANSITIONS, MAX_WAITING_STEPS, STALL_MS } from './constants.ts'
 
-type Entry = Readonly<{ transitions: readonly Transition[], onDurable: () => void }>
+/** What became of a step: durable, surely not (`fenced`), or `unknown-outcome`. */
+export type JournalOutcome = Result<void, AuburnpinError>
+
+type Entry = Readonly<{ transitions: readonly Transition[], settle: (outcome: JournalOutcome) => void }>
 
 /** Where a journal goes on and what to do when another owner has taken over. */
 export type JournalOptions = Readonly<{
@@ -15,6 +18,8 @@
   /** Sequence of the last record written so far. */
   last: JournalSequence
   onFenced: () => void
+  /** Called after each record's steps are settled, with the record's sequence and size. */
+  onRecord: (sequence: JournalSequence, transitions: number) => void
 }>
 
 /** Group commit: while one record is on its way, all that becomes ready waits for the next. */
@@ -27,6 +32,8 @@
   #last: JournalSequence
   #entries: Entry[] = []
   #writing: Promise<void> | undefined
+  #sentAt: Instant | undefined
+  #isFailing = false
   #isClosed = false
 
   constructor (table: TableStore, clock: Clock, random: Random, log: Log, options: JournalOptions) {
@@ -48,34 +55,51 @@
     return this.#entries.length
   }
 
-  /** Calls `onDurable` once the transitions, and all before them, are in the store. */
-  append (transitions: readonly Transition[], onDurable: () => void): void {
-    if (this.#isClosed) return
+  /** Whether nothing more should be decided until the store keeps up again. */
+  get isStalled (): boolean {
+    const isOverdue = this.#sentAt !== undefined && this.#clock.now() - this.#sentAt >= STALL_MS
+    return this.#isFailing || isOverdue || this.#entries.length >= MAX_WAITING_STEPS
+  }
+
+  /** Calls `settle` once the transitions, and all before them, are in the store, or will never be. */
+  append (transitions: readonly Transition[], settle: (outcome: JournalOutcome) => void): void {
+    if (this.#isClosed) {
+      settle(Err(fenced(this.#options.claimed)))
+      return
+    }
     if (transitions.length === 0 && this.#writing === undefined) {
-      onDurable()
+      settle(Ok(undefined))
       return
     }
-    this.#entries.push({ transitions, onDurable })
+    this.#entries.push({ transitions, settle })
     this.#writing ??= this.#writeAll()
   }
 
-  /** Takes nothing more; waits for what is on its way unless `isAbandoned`. */
+  /** Takes nothing more; waits for what is on its way unless `isAbandoned`. Every step is settled in the end. */
   async close (isAbandoned: boolean): Promise<void> {
     this.#isClosed = true
-    if (isAbandoned) this.#entries = []
+    if (isAbandoned) this.#refuseWaiting()
     else await this.#writing
   }
 
   async #writeAll (): Promise<void> {
     while (this.#entries.length > 0) {
       const batch = this.#takeBatch()
-      const isWritten = await this.#writeBatch(batch)
-      if (!isWritten) break
-      for (const entry of batch) entry.onDurable()
+      const outcome = await this.#writeBatch(batch)
+      for (const entry of batch) entry.settle(outcome.map(() => undefined))
+      if (outcome.err) break
+      if (outcome.val > 0) this.#options.onRecord(this.#last, outcome.val)
     }
+    this.#refuseWaiting()
     this.#writing = undefined
   }
 
+  #refuseWaiting (): void {
+    const refused = this.#entries
+    this.#entries = []
+    for (const entry of refused) entry.settle(Err(fenced(this.#options.claimed)))
+  }
+
   #takeBatch (): Entry[] {
     const batch: Entry[] = []
     let size = 0
@@ -88,26 +112,35 @@
     return batch
   }
 
-  async #writeBatch (batch: readonly Entry[]): Promise<boolean> {
+  // Answers with the number of transitions written.
+  async #writeBatch (batch: readonly Entry[]): Promise<Result<number, AuburnpinError>> {
     const transitions = batch.flatMap(entry => entry.transitions)
-    if (transitions.length === 0) return true
+    if (transitions.length === 0) return Ok(0)
     const sequence = brand<JournalSequence>(this.#last + 1)
-    const transaction = this.#toTransaction(sequence, transitions)
+    this.#sentAt = this.#clock.now()
+    const outcome = await this.#commit(this.#toTransaction(sequence, transitions))
+    this.#sentAt = undefined
+    this.#isFailing = false
+    if (outcome.err) return outcome
+    this.#last = sequence
+    return Ok(transitions.length)
+  }
+
+  async #commit (transaction: Transaction): Promise<JournalOutcome> {
+    const { claimed } = this.#options
     for (;;) {
       const outcome = await this.#table.transact(transaction)
-      if (outcome.ok && outcome.val.kind === 'committed') {
-        this.#last = sequence
-        return true
-      }
+      if (outcome.ok && outcome.val.kind === 'committed') return Ok(undefined)
       if (outcome.ok) {
-        this.#log.warn('The journal belongs to another owner now', { cell: this.#options.claimed.cell, epoch: this.#options.claimed.epoch })
+        this.#log.warn('The journal belongs to another owner now', { cell: claimed.cell, epoch: claimed.epoch })
         this.#isClosed = true
-        this.#entries = []
         this.#options.onFenced()
-        return false
+        // The next owner may have trimmed a record that was written, so its absence proves nothing.
+        return Err(unknownOutcome(claimed))
       }
-      this.#logRetry(outcome.val)
-      if (this.#isClosed) return false
+      this.#isFailing = true
+      this.#log.warn('The journal could not be written; trying again', { cell: claimed.cell, reason: outcome.val.message })
+      if (this.#isClosed) return Err(unknownOutcome(claimed))
       await this.#clock.sleep(JOURNAL_RETRY_MS)
     }
   }
@@ -123,8 +156,10 @@
       deletes: []
     }
   }
-
-  #logRetry (error: AuburnpinError): void {
-    this.#log.warn('The journal could not be written; trying again', { cell: this.#options.claimed.cell, reason: error.message })
-  }
 }
+
+const fenced = ({ cell, epoch }: ClaimedCell): AuburnpinError =>
+  new AuburnpinError('fenced', `Epoch ${epoch} of cell ${cell} has ended; nothing of this was recorded`, 'Ask again; the next owner answers.')
+
+const unknownOutcome = ({ cell, epoch }: ClaimedCell): AuburnpinError =>
+  new AuburnpinError('unknown-outcome', `Epoch ${epoch} of cell ${cell} ended while this was being recorded`, 'Ask the next owner whether it was recorded, or send it again under the same id.')
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -16,19 +16,21 @@
   readonly #clock: Clock
   readonly #random: Random
   readonly #post: (event: CellEvent) => void
+  readonly #onFenced: () => void
   readonly #ticker: Ticker
   #session: LeaseSession | undefined
   #renewedAt: Instant | undefined
   #usageAt: Instant | undefined
   #usageSince = 0
 
-  constructor (vm: Vm, term: CellTerm, worker: Worker, clock: Clock, random: Random, log: Log, post: (event: CellEvent) => void) {
+  constructor (vm: Vm, term: CellTerm, worker: Worker, clock: Clock, random: Random, log: Log, post: (event: CellEvent) => void, onFenced: () => void) {
     this.#vm = vm
     this.#term = term
     this.#worker = worker
     this.#clock = clock
     this.#random = random
     this.#post = post
+    this.#onFenced = onFenced
     this.#ticker = new Ticker(clock, REPORT_MS, () => this.exchange(), error => log.error(String(error), { vm: vm.id }))
   }
 
@@ -45,8 +47,9 @@
     const askedAt = this.#clock.now()
     const report = await this.#worker.report()
     if (report.err) return
-    if (this.#isRenewalDue(report.val)) await this.#renew(report.val)
+    // Told before the renewal: whoever waits for the lease to run out must know that one may be on its way.
     this.#post({ kind: 'reported', vm: this.#vm.id, askedAt, session: report.val.session, tasks: report.val.tasks })
+    if (this.#isRenewalDue(report.val)) await this.#renew(report.val)
     if (this.#usageAt === undefined || askedAt - this.#usageAt >= USAGE_MS) await this.#readUsage(askedAt)
   }
 
@@ -77,6 +80,8 @@
     if (answer.err) return
     if (answer.val.kind === 'refused') {
       this.#session = undefined
+      // A worker only knows a higher epoch from an owner who has claimed the cell since.
+      if (answer.val.reason === 'lower-epoch') this.#onFenced()
       this.#post({ kind: 'lease-refused', vm: this.#vm.id, openSession: answer.val.session })
       return
     }
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -14,3 +14,11 @@
 export const JOURNAL_RETRY_MS = 500
 /** Time between two looks at which cells this member should own, in milliseconds. */
 export const OWNERSHIP_MS = 1_000
+/** Steps that may wait for the journal before nothing more is decided or accepted. */
+export const MAX_WAITING_STEPS = 1_024
+/** Time that one journal record may take before nothing more is decided or accepted, in milliseconds. */
+export const STALL_MS = 12_000
+/** Calls to one worker at a time. */
+export const VM_ACTIONS_AT_ONCE = 4
+/** Calls to one worker that may wait; further ones are asked for again after its next report. */
+export const MAX_VM_ACTIONS = 256
--- a/packages/scheduler/tests/support/World.ts
+++ b/packages/scheduler/tests/support/World.ts
@@ -7,7 +7,7 @@
 } from '@auburnpin/common'
 import type { ListedVm, TaskSpec } from '@auburnpin/core'
 import { cellKey, claimCell, type CellRow, type EndpointsNotice } from '@auburnpin/cluster'
-import { FakeLink, FakeObjectStore, FakeTableStore, FakeVmWorker, FakeWorkers, type FakeCourse } from '@auburnpin/fakes'
+import { FakeLink, FakeTableStore, FakeVmWorker, FakeWorkers, type FakeCourse } from '@auburnpin/fakes'
 import { ReliableTable, type TableStore } from '@auburnpin/platform'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { CellRunner } from '../../src/index.ts'
@@ -70,7 +70,6 @@
   ports (member: string, table: TableStore): Parameters<typeof CellRunner.open>[2] {
     return {
       table,
-      objects: new FakeObjectStore(this.objects, this.link, member),
       workers: new FakeWorkers(this.vms, this.link, member),
       clock: this.clock,
       random: new SeededRandom(member.length),
@@ -83,12 +82,14 @@
 
   /** Opens a cell while virtual time goes on. */
   async openWithin (member: string, limitMs: number, onLost: () => void = () => {}): Promise<CellRunner | undefined> {
-    let opened: CellRunner | undefined
-    let isDone = false
-    const opening = this.open(member, onLost).then(runner => { opened = runner }).finally(() => { isDone = true })
-    for (let waited = 0; waited < limitMs && !isDone; waited += STEP_MS) await this.clock.advance(STEP_MS)
-    if (isDone) await opening
-    return opened
+    const opening: { runner?: CellRunner, isDone: boolean } = { isDone: false }
+    const open = async (): Promise<void> => {
+      opening.runner = await this.open(member, onLost)
+      opening.isDone = true
+    }
+    void open()
+    await this.until(limitMs, () => opening.isDone)
+    return opening.runner
   }
 
   /** Lets time pass until the condition holds or the limit is reached; tells whether it holds. */
@@ -123,7 +124,7 @@
   allBreaches (): Breach[] {
     const found = [...this.breaches]
     for (const [name, vm] of this.vms) {
-      if (vm.state.mostCommitted.processors > ROOM.processors) found.push(`${name} over-committed`)
+      if (vm.state.overCommitments > 0 || vm.state.mostCommitted.processors > ROOM.processors) found.push(`${name} over-committed`)
     }
     if (this.invariants.total > 0) found.push(`${this.invariants.total} invariants broken`)
     return found
