A gate to the store: budget by class, breaker, read-back

Cause: every process wrote and read as it liked; a store that came back met all writers at once, and a commit with a lost answer was taken for a conflict once another transaction had changed the checked row. VirtualClock cancels timers in constant time; FakeLink has calls that arrive after they were given up.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -5,10 +5,12 @@
   brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
-import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
+import {
+  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+} from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
 import { StatsdMetrics } from './StatsdMetrics.ts'
@@ -32,6 +34,8 @@
   readonly #metrics: Metrics
   readonly #storeClient = new HttpClient(STORE_SOCKETS)
   readonly #workerClient = new HttpClient(WORKER_SOCKETS_PER_WORKER)
+  readonly #gate: StoreGate
+  readonly #store: BudgetedTable
   readonly #table: TableStore
   readonly #peers: WebSocketPeers
   readonly #directory: CellDirectory
@@ -48,7 +52,9 @@
     this.#metrics = settings.metrics === undefined
       ? new SilentMetrics()
       : new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
-    this.#table = new ReliableTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#clock, this.#random, STORE_DEADLINE_MS)
+    this.#gate = new StoreGate(this.#clock, this.#random, this.#metrics)
+    this.#store = new BudgetedTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#gate, callClassOf)
+    this.#table = new ReliableTable(this.#store, this.#clock, this.#random, STORE_DEADLINE_MS)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
     this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys }, this.#clock, this.#random, log.forComponent('peers'))
@@ -109,7 +115,10 @@
       peerAddress,
       incarnation: this.#random.id(INCARNATION_LENGTH)
     }
-    const membership = new Membership(identity, this.#table, this.#clock, this.#random, this.#log.forComponent('membership'))
+    // A renewal that comes late is worth nothing, so it is given up sooner than other writes.
+    const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
+    const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
+    membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
     this.#membership = membership
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -24,3 +24,5 @@
 export const STORE_DEADLINE_MS = 10_000
 /** Tries to merge a note while others are accepted at the same time. */
 export const MAX_REBASES = 50
+/** Longest time in which one renewal of a member's lease is tried again, in milliseconds. */
+export const LEASE_DEADLINE_MS = 2_000
--- a/packages/cluster/src/storeKeys.ts
+++ b/packages/cluster/src/storeKeys.ts
@@ -12,12 +12,13 @@
 export const MEMBERS_PREFIX = 'members/'
 export const CELLS_PREFIX = 'cells/'
 export const AUDIT_PREFIX = 'audit/'
+export const JOURNAL_PREFIX = 'journal/'
 
 export const configurationKey = (version: ConfigVersion): string => `config/${padNumber(version)}`
 export const auditKey = (version: ConfigVersion): string => `${AUDIT_PREFIX}${padNumber(version)}`
 export const noteKey = (note: string): string => `notes/${note}`
 export const memberKey = (member: MemberId): string => `${MEMBERS_PREFIX}${member}`
 export const cellKey = (cell: CellId): string => `${CELLS_PREFIX}${cell}`
-export const journalPrefix = (cell: CellId): string => `journal/${cell}/`
+export const journalPrefix = (cell: CellId): string => `${JOURNAL_PREFIX}${cell}/`
 export const journalKey = (cell: CellId, sequence: JournalSequence): string => `${journalPrefix(cell)}${padNumber(sequence)}`
 export const snapshotKey = (cell: CellId, sequence: JournalSequence): string => `snapshots/${cell}/${padNumber(sequence)}`
--- a/packages/common/src/VirtualClock.ts
+++ b/packages/common/src/VirtualClock.ts
@@ -4,7 +4,7 @@
 import { Clock, Timer } from './Clock.ts'
 import { brand, type Instant } from './ids.ts'
 
-type Pending = { readonly due: number, readonly order: number, readonly action: () => void }
+type Pending = { readonly due: number, readonly order: number, readonly action: () => void, isCancelled: boolean }
 
 // Enough turns for chains of promises between two timers to settle.
 const SETTLING_TURNS = 40
@@ -33,7 +33,7 @@
 export class VirtualClock extends Clock {
   #now = 0
   #order = 0
-  #pending: Pending[] = []
+  readonly #pending: Pending[] = []
 
   now (): Instant {
     return brand<Instant>(this.#now)
@@ -44,9 +44,9 @@
   }
 
   after (delayMs: number, action: () => void): Timer {
-    const pending = { due: this.#now + Math.max(0, delayMs), order: this.#order++, action }
+    const pending: Pending = { due: this.#now + Math.max(0, delayMs), order: this.#order++, action, isCancelled: false }
     this.#insert(pending)
-    return new VirtualTimer(() => { this.#pending = this.#pending.filter(other => other !== pending) })
+    return new VirtualTimer(() => { pending.isCancelled = true })
   }
 
   /** Moves time on, running every timer due on the way and letting promises settle between them. */
@@ -57,6 +57,7 @@
       const next = this.#pending[0]
       if (next === undefined || next.due > end) break
       this.#pending.shift()
+      if (next.isCancelled) continue
       this.#now = next.due
       next.action()
       await settlePromises()
--- a/packages/fakes/src/FakeLink.ts
+++ b/packages/fakes/src/FakeLink.ts
@@ -9,7 +9,8 @@
   thereMs: number
   /** Time before the answer arrives, in milliseconds. */
   backMs: number
-  loss: 'none' | 'there' | 'back' | 'refused'
+  /** `late`: the caller gives up, and the call still arrives after `thereMs`. */
+  loss: 'none' | 'there' | 'back' | 'refused' | 'late'
 }>
 
 /** A call that arrives and is answered at once. */
@@ -39,6 +40,10 @@
   async carry<Value> (from: string, to: string, operation: string, effect: () => Result<Value, AuburnpinError> | Promise<Result<Value, AuburnpinError>>): Promise<Result<Value, AuburnpinError>> {
     const fate = this.#choose(from, to, operation)
     if (fate.loss === 'refused') return Err(new AuburnpinError('unreachable', `${to} refused ${operation}`, 'Try again.'))
+    if (fate.loss === 'late') {
+      this.#clock.after(fate.thereMs, () => { void effect() })
+      return await this.#lose(to, operation)
+    }
     if (fate.thereMs > 0) await this.#clock.sleep(fate.thereMs)
     if (fate.loss === 'there') return await this.#lose(to, operation)
     const answer = await effect()
--- /dev/null
+++ b/packages/platform/tests/ReliableTable.test.ts
@@ -0,0 +1,102 @@
+import test from 'ava'
+import { brand, SeededRandom, VirtualClock, type TransactionId } from '@auburnpin/common'
+import { FakeLink, FakeTableStore, PROMPT, type Fate } from '@auburnpin/fakes'
+import { MemoryTable } from '@auburnpin/stand-in'
+import { ReliableTable, type Row, type Transaction } from '../src/index.ts'
+
+const DEADLINE_MS = 20_000
+
+const create = () => {
+  const clock = new VirtualClock()
+  const memory = new MemoryTable()
+  const link = new FakeLink(clock)
+  const inner = new FakeTableStore(memory, link, 'a')
+  return { clock, memory, link, inner, table: new ReliableTable(inner, clock, new SeededRandom(3), DEADLINE_MS) }
+}
+
+const make = (id: string, key: string, checks: Transaction['checks'] = [{ kind: 'absent', key }]): Transaction =>
+  ({ id: brand<TransactionId>(id), checks, puts: [{ key, value: id }], deletes: [] })
+
+/** Deals out these fates to transactions, then prompt ones. */
+const dealing = (...fates: Fate[]) => (_from: string, _to: string, operation: string): Fate =>
+  (operation.startsWith('transact') ? fates.shift() : undefined) ?? PROMPT
+
+const LOST: Fate = { thereMs: 0, backMs: 0, loss: 'back' }
+
+const settle = async <Value>(clock: VirtualClock, promise: Promise<Value>): Promise<Value> => {
+  const state = { isSettled: false }
+  void promise.then(() => { state.isSettled = true })
+  while (!state.isSettled) await clock.advance(100)
+  return await promise
+}
+
+test('an answer lost after taking effect is read back, and nothing is written twice', async t => {
+  const { clock, memory, link, table } = create()
+  link.setFates(dealing(LOST, LOST))
+  const outcome = await settle(clock, table.transact(make('one', 'row')))
+  t.is(outcome.unwrap().kind, 'committed')
+  t.is(memory.history.length, 1)
+})
+
+test('a transaction whose call arrives after it was given up commits once', async t => {
+  const { clock, memory, link, table } = create()
+  link.setFates(dealing({ thereMs: 5_000, backMs: 0, loss: 'late' }))
+  const outcome = await settle(clock, table.transact(make('one', 'row')))
+  await clock.advance(10_000)
+  t.is(outcome.unwrap().kind, 'committed')
+  t.is(memory.history.length, 1)
+})
+
+test('a commit with a lost answer is found although another transaction has changed a checked row since', async t => {
+  const { clock, memory, link, inner, table } = create()
+  await inner.transact(make('base', 'current'))
+  const { version } = (await inner.read('current')).unwrap() as Row
+  link.setFates(dealing(LOST))
+  const mine = table.transact({
+    id: brand<TransactionId>('mine'),
+    checks: [{ kind: 'version', key: 'current', version }, { kind: 'absent', key: 'note' }],
+    puts: [{ key: 'current', value: 1 }, { key: 'note', value: 1 }],
+    deletes: []
+  })
+  await clock.advance(1)
+  const seen = (await inner.read('current')).unwrap()
+  await inner.transact(make('other', 'current', [{ kind: 'version', key: 'current', version: seen?.version ?? version }]))
+  t.is((await settle(clock, mine)).unwrap().kind, 'committed')
+  t.is(memory.history.filter(write => write.transaction === 'mine').length, 2)
+})
+
+test('a real conflict is told with the row that differs', async t => {
+  const { clock, link, inner, table } = create()
+  await inner.transact(make('base', 'row'))
+  link.setFates(dealing({ thereMs: 0, backMs: 0, loss: 'there' }))
+  const outcome = (await settle(clock, table.transact(make('late', 'row')))).unwrap()
+  t.is(outcome.kind === 'conflict' && outcome.row?.value, 'base')
+})
+
+test('the same transaction sent again by its caller after an unknown outcome is known to be committed', async t => {
+  const { clock, memory, link, table } = create()
+  const transaction = make('one', 'row')
+  link.setFates((_from, _to, operation) => operation.startsWith('transact') ? LOST : PROMPT)
+  const first = await settle(clock, table.transact(transaction))
+  t.is(first.err && first.val.kind, 'unknown-outcome')
+  link.setFates(() => PROMPT)
+  t.is((await settle(clock, table.transact(transaction))).unwrap().kind, 'committed')
+  t.is(memory.history.length, 1)
+})
+
+test('a deletion whose answer was lost counts as committed', async t => {
+  const { clock, link, inner, table } = create()
+  await inner.transact(make('base', 'row'))
+  const { version } = (await inner.read('row')).unwrap() as Row
+  link.setFates(dealing(LOST))
+  const outcome = await settle(clock, table.transact({
+    id: brand<TransactionId>('gone'), checks: [{ kind: 'version', key: 'row', version }], puts: [], deletes: ['row']
+  }))
+  t.is(outcome.unwrap().kind, 'committed')
+})
+
+test('a transaction that checks no row that it changes is refused', async t => {
+  const { table } = create()
+  const outcome = await table.transact(make('blind', 'row', [{ kind: 'absent', key: 'other' }]))
+  t.is(outcome.err && outcome.val.kind, 'invalid-request')
+})
--- /dev/null
+++ b/packages/platform/tests/StoreGate.test.ts
@@ -0,0 +1,105 @@
+import test from 'ava'
+import { brand, SeededRandom, SilentMetrics, VirtualClock, type TransactionId } from '@auburnpin/common'
+import { FakeLink, FakeTableStore, PROMPT } from '@auburnpin/fakes'
+import { MemoryTable } from '@auburnpin/stand-in'
+import {
+  BREAKER_FAILURES, BudgetedTable, CallBudget, CircuitBreaker, LONGEST_PAUSE_MS, MAX_WAITING_CALLS, REGION_WRITES_PER_SECOND, ReliableTable,
+  StoreGate, type CallClass, type CallClassifier
+} from '../src/index.ts'
+
+const OUTAGE_MS = 60_000
+const PROCESSES = 18
+const WRITES_EACH = 100
+
+const classify: CallClassifier = ([key = '']) => key.startsWith('lease') ? 'ownership' : 'journal'
+
+test('the most urgent class goes first, however long the others have waited', async t => {
+  const clock = new VirtualClock()
+  const budget = new CallBudget(clock, 4)
+  const order: CallClass[] = []
+  const ask = async (callClass: CallClass): Promise<void> => {
+    if ((await budget.acquire(callClass)).ok) order.push(callClass)
+  }
+  await budget.acquire('other')
+  for (const callClass of ['other', 'snapshot', 'journal', 'ownership'] as const) void ask(callClass)
+  await clock.advance(2_000)
+  t.deepEqual(order, ['ownership', 'journal', 'snapshot', 'other'])
+})
+
+test('what waits is bounded in number and time, and is told so', async t => {
+  const clock = new VirtualClock()
+  const budget = new CallBudget(clock, 0.01)
+  await budget.acquire('other')
+  const waiting = Array.from({ length: MAX_WAITING_CALLS }, () => budget.acquire('other'))
+  const refused = await budget.acquire('other')
+  t.is(refused.err && refused.val.kind, 'overloaded')
+  t.is(budget.waiting, MAX_WAITING_CALLS)
+  await clock.advance(10_000)
+  t.true((await Promise.all(waiting)).every(result => result.err && result.val.kind === 'overloaded'))
+  t.is(budget.waiting, 0)
+})
+
+test('the breaker opens after failures in a row, lets one probe through, and closes on success', async t => {
+  const clock = new VirtualClock()
+  const breaker = new CircuitBreaker(clock, new SeededRandom(1))
+  for (let failure = 0; failure < BREAKER_FAILURES; failure++) breaker.report(breaker.admit(), false)
+  t.is(breaker.admit(), 'refused')
+  await clock.advance(LONGEST_PAUSE_MS)
+  t.is(breaker.admit(), 'probe')
+  t.is(breaker.admit(), 'refused')
+  breaker.report('call', true)
+  t.true(breaker.isOpen, 'an answer to a call from before the outage closes nothing')
+  breaker.report('probe', true)
+  t.is(breaker.admit(), 'call')
+})
+
+test('a store that was down gets no stampede, and everything is written once', async t => {
+  const clock = new VirtualClock()
+  const memory = new MemoryTable()
+  const link = new FakeLink(clock)
+  let calls = 0
+  const isDown = (): boolean => clock.now() < OUTAGE_MS
+  link.setFates(() => {
+    calls++
+    return isDown() ? { thereMs: 0, backMs: 0, loss: 'refused' } : PROMPT
+  })
+  const random = new SeededRandom(11)
+  const committedAt: number[] = []
+  const gates: StoreGate[] = []
+  const write = async (table: ReliableTable, key: string): Promise<void> => {
+    for (;;) {
+      const outcome = await table.transact({ id: brand<TransactionId>(key), checks: [{ kind: 'absent', key }], puts: [{ key, value: 0 }], deletes: [] })
+      if (outcome.ok) {
+        committedAt.push(clock.now())
+        return
+      }
+      await clock.sleep(500)
+    }
+  }
+  for (let process = 0; process < PROCESSES; process++) {
+    const gate = new StoreGate(clock, random, new SilentMetrics())
+    gate.share(PROCESSES)
+    gates.push(gate)
+    const table = new ReliableTable(new BudgetedTable(new FakeTableStore(memory, link, `m${process}`), gate, classify), clock, random, 10_000)
+    for (let index = 0; index < WRITES_EACH; index++) void write(table, `p${process}-${index}`)
+  }
+  await clock.advance(OUTAGE_MS - 20_000)
+  const callsInOutage = calls
+  await clock.advance(20_000)
+  t.true(calls - callsInOutage <= PROCESSES * 20, `a store that is down was called ${calls - callsInOutage} times in 20 s`)
+  t.true(gates.every(gate => gate.isDown && gate.downMs > OUTAGE_MS - 5_000))
+  await clock.advance(60_000)
+  t.is(committedAt.length, PROCESSES * WRITES_EACH)
+  t.is(memory.history.length, PROCESSES * WRITES_EACH)
+  t.true(busiestSecond(committedAt) <= REGION_WRITES_PER_SECOND * 1.3, `${busiestSecond(committedAt)} writes in one second`)
+})
+
+const busiestSecond = (times: readonly number[]): number => {
+  let most = 0
+  let first = 0
+  for (let last = 0; last < times.length; last++) {
+    while ((times[last] ?? 0) - (times[first] ?? 0) >= 1_000) first++
+    most = Math.max(most, last - first + 1)
+  }
+  return most
+}
