Leases judged by what was seen, and one process to an id

Cause: a lease counted as lapsed from the moment the rows were asked for, in time that nobody watched (an outage, a pause), and two processes with one id took the row from each other in turn; renewals whose answers were lost for good read as a stranger's; a store of 5 s an answer cost the lease. Change: MemberSightings counts from the answer and only under successful looks; a holder that meets another incarnation stops (serve exits 1); a renewal knows its own incarnation; the next renewal follows a slow one at once; the lease lasts 10.5 s; rows still for 60 s are removed by one member.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -41,6 +41,7 @@
   readonly #directory: CellDirectory
   readonly #configuration: ConfigurationFollower
   readonly #endpoints = new EndpointDirectory()
+  readonly #replacedListeners: Array<() => void> = []
   #membership: Membership | undefined
   #scheduler: Scheduler | undefined
   #callers: CallerServer | undefined
@@ -70,6 +71,11 @@
     return this.#configuration
   }
 
+  /** Calls `listener` when a later process has taken this member's id; this one must be stopped. */
+  onReplaced (listener: () => void): void {
+    this.#replacedListeners.push(listener)
+  }
+
   /** Opens all listeners, then joins. */
   async start (): Promise<MemberAddresses> {
     const peers = await this.#peers.listen()
@@ -118,6 +124,7 @@
     // A renewal that comes late is worth nothing, so it is given up sooner than other writes.
     const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
     const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
+    membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
     membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
--- a/app/src/commands/ServeCommand.ts
+++ b/app/src/commands/ServeCommand.ts
@@ -3,7 +3,7 @@
  */
 import type { Argv } from 'yargs'
 import { ConsolaLog } from '../ConsolaLog.ts'
-import { EXIT_DONE } from '../exitCodes.ts'
+import { EXIT_DONE, EXIT_FAILED } from '../exitCodes.ts'
 import { Member } from '../Member.ts'
 import { readYamlFile } from '../settings/readYamlFile.ts'
 import { settingsSchema } from '../settings/settingsSchema.ts'
@@ -26,13 +26,18 @@
     if (settings.err) return printFaults(settings.val)
     const log = ConsolaLog.create(settings.val.log.level, line => { process.stderr.write(`${line}\n`) })
     const member = new Member(settings.val, log)
+    let exitCode = EXIT_DONE
     const stopAsked = new Promise<void>(resolve => {
       process.once('SIGTERM', () => resolve())
       process.once('SIGINT', () => resolve())
+      member.onReplaced(() => {
+        exitCode = EXIT_FAILED
+        resolve()
+      })
     })
     await member.start()
     await stopAsked
     await member.stop()
-    return EXIT_DONE
+    return exitCode
   }
 }
--- a/packages/cluster/src/Membership.ts
+++ b/packages/cluster/src/Membership.ts
@@ -2,19 +2,17 @@
  * This member's own lease, and which other members hold theirs.
  */
 import {
-  AuburnpinError, brand, Err, Ok, Ticker, type Clock, type ConfigVersion, type Instant, type Log, type MemberId, type Random,
-  type Result, type RowVersion
+  AuburnpinError, brand, Err, Ok, rendezvousRank, Ticker, type Clock, type ConfigVersion, type Instant, type Log, type MemberId, type Random, type Result
 } from '@auburnpin/common'
-import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/platform'
-import { DIRECTORY_POLL_MS, MEMBER_LEASE_MS, MEMBER_MARGIN_MS, MEMBER_RENEW_MS } from './constants.ts'
+import { newTransactionId, type Row, type RowCheck, type TableStore } from '@auburnpin/platform'
+import { DIRECTORY_POLL_MS, MEMBER_LEASE_MS, MEMBER_RENEW_MS, MEMBER_TICK_MS } from './constants.ts'
+import { MemberSightings } from './MemberSightings.ts'
 import { memberKey, MEMBERS_PREFIX } from './storeKeys.ts'
 import type { MemberRow } from './types.ts'
 
 /** What a member tells of itself. */
 export type MemberIdentity = Pick<MemberRow, 'member' | 'dataCentre' | 'roles' | 'peerAddress' | 'incarnation'>
 
-type Sighting = Readonly<{ row: MemberRow, version: RowVersion, changedAt: Instant }>
-
 /** Renews this member's row, and judges others by whether theirs change. */
 export class Membership {
   readonly #identity: MemberIdentity
@@ -24,11 +22,14 @@
   readonly #log: Log
   readonly #renewal: Ticker
   readonly #poll: Ticker
-  readonly #sightings = new Map<MemberId, Sighting>()
+  readonly #sightings: MemberSightings
   readonly #listeners: Array<() => void> = []
+  readonly #replacedListeners: Array<() => void> = []
   #check: RowCheck
   #renewals = 0
+  #sentAt: Instant | undefined
   #renewedAt: Instant | undefined
+  #isReplaced = false
   #isLeaving = false
   #configVersion = brand<ConfigVersion>(0)
 
@@ -38,8 +39,9 @@
     this.#clock = clock
     this.#random = random
     this.#log = log
+    this.#sightings = new MemberSightings(clock)
     this.#check = { kind: 'absent', key: memberKey(identity.member) }
-    this.#renewal = new Ticker(clock, MEMBER_RENEW_MS, () => this.#renewLogged(), error => log.error(String(error)))
+    this.#renewal = new Ticker(clock, MEMBER_TICK_MS, () => this.#renewWhenDue(), error => log.error(String(error)))
     this.#poll = new Ticker(clock, DIRECTORY_POLL_MS, () => this.poll(), error => log.error(String(error)))
   }
 
@@ -49,23 +51,28 @@
 
   /** Whether this member's own lease stands, counted from before the last renewal was sent. */
   get isLeaseHeld (): boolean {
-    return this.#renewedAt !== undefined && this.#clock.now() - this.#renewedAt < MEMBER_LEASE_MS
+    return !this.#isReplaced && this.#renewedAt !== undefined && this.#clock.now() - this.#renewedAt < MEMBER_LEASE_MS
+  }
+
+  /** Whether a later process has taken this member's id; this one must stop. */
+  get isReplaced (): boolean {
+    return this.#isReplaced
   }
 
   /** Rows of all members whose lease has not lapsed as seen from here. */
   get live (): readonly MemberRow[] {
-    const now = this.#clock.now()
-    const rows: MemberRow[] = []
-    for (const { row, changedAt } of this.#sightings.values()) {
-      if (now - changedAt < MEMBER_LEASE_MS + MEMBER_MARGIN_MS) rows.push(row)
-    }
-    return rows
+    return this.#sightings.live
   }
 
   /** Whether a member's lease has lapsed: its row has stood still for longer than the lease, or is gone. */
   isLapsed (member: MemberId, incarnation: string): boolean {
-    const row = this.live.find(candidate => candidate.member === member)
-    return row === undefined || row.incarnation !== incarnation
+    return this.#sightings.isLapsed(member, incarnation)
+  }
+
+  /** Takes over the members that a peer knows, until this process has read the rows itself. */
+  adopt (rows: readonly MemberRow[]): void {
+    this.#sightings.adopt(rows)
+    for (const listener of this.#listeners) listener()
   }
 
   /** Calls `listener` after each look at the members. */
@@ -73,6 +80,11 @@
     this.#listeners.push(listener)
   }
 
+  /** Calls `listener` once when a later process has taken this member's id. */
+  onReplaced (listener: () => void): void {
+    this.#replacedListeners.push(listener)
+  }
+
   /** Tells the others with the next renewal. */
   setConfigVersion (version: ConfigVersion): void {
     this.#configVersion = version
@@ -89,23 +101,27 @@
     await this.#renewLogged()
   }
 
-  /** Gives the lease up. */
+  /** Gives the lease up by removing the row; ends also while the store is down. */
   async stop (): Promise<void> {
     await this.#renewal.stop()
     await this.#poll.stop()
-    if (this.#check.kind === 'absent') return
-    await this.#table.transact({ id: newTransactionId(this.#random), checks: [this.#check], puts: [{ key: this.#check.key, value: this.#toRow(true) }], deletes: [] })
+    if (this.#check.kind === 'absent' || this.#isReplaced) return
+    const removed = await this.#remove(this.#check)
+    if (removed.err) this.#log.warn('The member row could not be removed; it lapses by itself', { reason: removed.val.message })
   }
 
   /** Renews the lease once. */
   async renew (): Promise<Result<void, AuburnpinError>> {
+    if (this.#isReplaced) return Err(replaced(this.#identity.member))
     const sentAt = this.#clock.now()
+    this.#sentAt = sentAt
+    const { key } = this.#check
     const outcome = await this.#table.transact({
-      id: newTransactionId(this.#random), checks: [this.#check], puts: [{ key: this.#check.key, value: this.#toRow(this.#isLeaving) }], deletes: []
+      id: newTransactionId(this.#random), checks: [this.#check], puts: [{ key, value: this.#toRow() }], deletes: []
     })
     if (outcome.err) return outcome
-    if (outcome.val.kind === 'conflict') return this.#replaceEarlier(outcome.val.row)
-    this.#check = { kind: 'version', key: this.#check.key, version: outcome.val.version }
+    if (outcome.val.kind === 'conflict') return await this.#resolve(outcome.val.row)
+    this.#check = { kind: 'version', key, version: outcome.val.version }
     this.#renewals++
     this.#renewedAt = sentAt
     return Ok(undefined)
@@ -113,24 +129,20 @@
 
   /** Looks at all members' rows once. */
   async poll (): Promise<void> {
-    const askedAt = this.#clock.now()
     const rows = await this.#table.listAll(MEMBERS_PREFIX)
     if (rows.err) {
       this.#log.warn('The members could not be read', { reason: rows.val.message })
       return
     }
-    const present = new Set<MemberId>()
-    for (const { value, version } of rows.val) {
-      const row = value as MemberRow
-      present.add(row.member)
-      const before = this.#sightings.get(row.member)
-      const changedAt = before?.version === version ? before.changedAt : askedAt
-      this.#sightings.set(row.member, { row, version, changedAt })
-    }
-    for (const member of this.#sightings.keys()) {
-      if (!present.has(member)) this.#sightings.delete(member)
-    }
+    this.#sightings.look(rows.val)
     for (const listener of this.#listeners) listener()
+    await this.#removeForgotten()
+  }
+
+  // A renewal that took long is followed by the next at once, so that a slow store costs no lease.
+  async #renewWhenDue (): Promise<void> {
+    const isDue = this.#sentAt === undefined || this.#clock.now() - this.#sentAt >= MEMBER_RENEW_MS
+    if (isDue && !this.#isReplaced) await this.#renewLogged()
   }
 
   async #renewLogged (): Promise<void> {
@@ -138,19 +150,48 @@
     if (renewed.err) this.#log.warn('The member lease could not be renewed', { reason: renewed.val.message })
   }
 
-  // An earlier process of the same member may have left its row; two live ones would fight over it.
-  #replaceEarlier (row: { readonly version: RowVersion, readonly value: unknown } | null): Result<void, AuburnpinError> {
-    this.#renewedAt = undefined
+  /** Finds out whose the row is that differs from what was expected, and goes on from it. */
+  async #resolve (row: Row | null): Promise<Result<void, AuburnpinError>> {
     const { key } = this.#check
     if (row === null) {
       this.#check = { kind: 'absent', key }
-      return Err(new AuburnpinError('conflict', 'The member row has vanished', 'It is written again by itself.'))
+      return await this.renew()
+    }
+    const isOwn = (row.value as MemberRow).incarnation === this.#identity.incarnation
+    // Whoever has held the lease before came first; the other process can only have come later.
+    if (!isOwn && this.#renewals > 0) {
+      this.#beReplaced()
+      return Err(replaced(this.#identity.member))
     }
     this.#check = { kind: 'version', key, version: row.version }
-    return Err(new AuburnpinError('conflict', `Another process is or was member ${this.#identity.member}`, 'Give each process a member id of its own; after a restart this passes by itself.'))
+    return await this.renew()
   }
 
-  #toRow (isLeaving: boolean): MemberRow {
-    return { ...this.#identity, renewals: this.#renewals, configVersion: this.#configVersion, isLeaving }
+  #beReplaced (): void {
+    this.#isReplaced = true
+    this.#log.error('A later process has this member\'s id; this one stops', { member: this.#identity.member })
+    for (const listener of this.#replacedListeners) listener()
+  }
+
+  // One member does it, chosen alike by all; another one does it if that one is gone too.
+  async #removeForgotten (): Promise<void> {
+    if (!this.isLeaseHeld) return
+    const members = this.live.map(row => row.member)
+    for (const { row, version } of this.#sightings.forgettable) {
+      if (rendezvousRank(row.member, members)[0] !== this.#identity.member) continue
+      const removed = await this.#remove({ kind: 'version', key: memberKey(row.member), version })
+      if (removed.ok) this.#log.info('The row of a member that is gone was removed', { gone: row.member })
+    }
+  }
+
+  async #remove (check: RowCheck): Promise<Result<unknown, AuburnpinError>> {
+    return await this.#table.transact({ id: newTransactionId(this.#random), checks: [check], puts: [], deletes: [check.key] })
+  }
+
+  #toRow (): MemberRow {
+    return { ...this.#identity, renewals: this.#renewals, configVersion: this.#configVersion, isLeaving: this.#isLeaving }
   }
 }
+
+const replaced = (member: MemberId): AuburnpinError =>
+  new AuburnpinError('fenced', `A later process is member ${member} now`, 'Give each process a member id of its own; after a replacement this is as it should be.')
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -1,7 +1,7 @@
 /** Time between two renewals of a member's row, in milliseconds. */
 export const MEMBER_RENEW_MS = 3_000
 /** How long a member's lease lasts after the start of its last renewal, in milliseconds. */
-export const MEMBER_LEASE_MS = 9_000
+export const MEMBER_LEASE_MS = 10_500
 /** Added by everyone but the holder before a member's lease counts as lapsed, in milliseconds. */
 export const MEMBER_MARGIN_MS = 1_000
 /** Time between two looks at the members' and cells' rows, in milliseconds. */
@@ -26,3 +26,9 @@
 export const MAX_REBASES = 50
 /** Longest time in which one renewal of a member's lease is tried again, in milliseconds. */
 export const LEASE_DEADLINE_MS = 2_000
+/** Time between two looks at whether a member's renewal is due, in milliseconds. */
+export const MEMBER_TICK_MS = 250
+/** Longest time between two looks at the members' rows for which both still count as one watch, in milliseconds. */
+export const SIGHTING_GAP_MS = 7_000
+/** How long a member's row stands still before it is removed, in milliseconds. */
+export const MEMBER_FORGET_MS = 60_000
--- /dev/null
+++ b/packages/cluster/tests/Membership.test.ts
@@ -0,0 +1,131 @@
+import test from 'ava'
+import { brand, SeededRandom, SilentLog, VirtualClock, type DataCentre, type MemberId } from '@auburnpin/common'
+import { FakeLink, FakeTableStore, PROMPT, type Fate } from '@auburnpin/fakes'
+import { ReliableTable } from '@auburnpin/platform'
+import { MemoryTable } from '@auburnpin/stand-in'
+import { LEASE_DEADLINE_MS, MEMBER_FORGET_MS, MEMBER_LEASE_MS, MEMBER_MARGIN_MS, memberKey, Membership } from '../src/index.ts'
+
+const id = (name: string): MemberId => brand<MemberId>(name)
+const REFUSED: Fate = { thereMs: 0, backMs: 0, loss: 'refused' }
+
+class Region {
+  readonly clock = new VirtualClock()
+  readonly memory = new MemoryTable()
+  readonly link = new FakeLink(this.clock)
+  readonly #random = new SeededRandom(5)
+
+  create (name: string, incarnation = name, from = name): Membership {
+    const table = new ReliableTable(new FakeTableStore(this.memory, this.link, from), this.clock, this.#random, LEASE_DEADLINE_MS)
+    return new Membership(
+      { member: id(name), dataCentre: brand<DataCentre>('colombo'), roles: ['scheduler'], peerAddress: '127.0.0.1:1', incarnation },
+      table, this.clock, this.#random, new SilentLog())
+  }
+
+  start (name: string, incarnation = name, from = name): Membership {
+    const member = this.create(name, incarnation, from)
+    member.start()
+    return member
+  }
+}
+
+const names = (membership: Membership): string[] => membership.live.map(row => row.member).sort()
+
+test('of two processes with one id the later one stays and the earlier one stops, for good', async t => {
+  const region = new Region()
+  const earlier = region.start('a', 'first', 'vm-1')
+  await region.clock.advance(4_000)
+  let replacements = 0
+  earlier.onReplaced(() => replacements++)
+  const later = region.start('a', 'second', 'vm-2')
+  await region.clock.advance(10_000)
+  t.true(earlier.isReplaced)
+  t.false(earlier.isLeaseHeld)
+  t.true(later.isLeaseHeld)
+  await region.clock.advance(120_000)
+  t.true(later.isLeaseHeld)
+  t.false(later.isReplaced)
+  t.is(replacements, 1)
+})
+
+test('a process paused past its lease wakes without it, and renews it only if nobody took its id', async t => {
+  const region = new Region()
+  const paused = region.create('a')
+  await paused.renew()
+  await region.clock.advance(MEMBER_LEASE_MS)
+  t.false(paused.isLeaseHeld)
+  t.true((await paused.renew()).ok)
+  t.true(paused.isLeaseHeld)
+  await region.create('a', 'second').renew()
+  t.true((await paused.renew()).err)
+  t.true(paused.isReplaced)
+})
+
+test('a renewal whose answer was lost for good is known again as this process\'s own', async t => {
+  const region = new Region()
+  const member = region.start('a')
+  await region.clock.advance(1_000)
+  region.link.setFates((_from, _to, operation) => operation.startsWith('list') ? PROMPT : { thereMs: 0, backMs: 0, loss: 'back' })
+  await region.clock.advance(6_000)
+  region.link.setFates(() => PROMPT)
+  await region.clock.advance(4_000)
+  t.true(member.isLeaseHeld)
+  t.false(member.isReplaced)
+})
+
+test('no observer takes a lease for lapsed before its holder does, however slow reads are', async t => {
+  const region = new Region()
+  const holder = region.create('holder')
+  const watcher = region.start('watcher')
+  // The row changes after the question was asked and before the store answers it.
+  region.link.setFates((from, _to, operation) => from === 'watcher' && operation.startsWith('list') ? { thereMs: 4_000, backMs: 2_000, loss: 'none' } : PROMPT)
+  await region.clock.advance(3_500)
+  await holder.renew()
+  for (let step = 0; step < 200; step++) {
+    await region.clock.advance(100)
+    if (holder.isLeaseHeld && watcher.live.length > 0) t.false(watcher.isLapsed(id('holder'), 'holder'), `after ${step * 100} ms`)
+  }
+  await region.clock.advance(MEMBER_LEASE_MS + MEMBER_MARGIN_MS + 7_000)
+  t.true(watcher.isLapsed(id('holder'), 'holder'))
+})
+
+test('after an outage of the store nobody counts as lapsed before it could renew', async t => {
+  const region = new Region()
+  const members = ['a', 'b', 'c'].map(name => region.start(name))
+  await region.clock.advance(5_000)
+  region.link.setFates(() => REFUSED)
+  await region.clock.advance(3_600_000)
+  for (const member of members) t.deepEqual(names(member), ['a', 'b', 'c'])
+  region.link.setFates(() => PROMPT)
+  for (let step = 0; step < 300; step++) {
+    await region.clock.advance(100)
+    for (const member of members) t.deepEqual(names(member), ['a', 'b', 'c'], `${step * 100} ms after the return`)
+  }
+})
+
+test('a slow store, 5 s an answer, costs no lease', async t => {
+  const region = new Region()
+  const member = region.start('a')
+  await region.clock.advance(1_000)
+  region.link.setFates(() => ({ thereMs: 2_500, backMs: 2_500, loss: 'none' }))
+  let lapses = 0
+  for (let step = 0; step < 600; step++) {
+    await region.clock.advance(100)
+    if (!member.isLeaseHeld) lapses++
+  }
+  t.is(lapses, 0)
+})
+
+test('the row of a member that died is removed, once, and stopping ends while the store is down', async t => {
+  const region = new Region()
+  const dead = region.create('dead')
+  await dead.renew()
+  const members = ['a', 'b'].map(name => region.start(name))
+  await region.clock.advance(MEMBER_FORGET_MS + 10_000)
+  t.is(region.memory.read(memberKey(id('dead'))), null)
+  t.is(region.memory.history.filter(write => write.isDelete).length, 1)
+  region.link.setFates(() => REFUSED)
+  let stopped = 0
+  for (const member of members) void member.stop().then(() => stopped++)
+  await region.clock.advance(20_000)
+  t.is(stopped, 2)
+})
