--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -5,10 +5,12 @@
   brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
-import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
+import {
+  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+} from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
 import { StatsdMetrics } from './StatsdMetrics.ts'
@@ -32,11 +34,14 @@
   readonly #metrics: Metrics
   readonly #storeClient = new HttpClient(STORE_SOCKETS)
   readonly #workerClient = new HttpClient(WORKER_SOCKETS_PER_WORKER)
+  readonly #gate: StoreGate
+  readonly #store: BudgetedTable
   readonly #table: TableStore
   readonly #peers: WebSocketPeers
   readonly #directory: CellDirectory
   readonly #configuration: ConfigurationFollower
   readonly #endpoints = new EndpointDirectory()
+  readonly #replacedListeners: Array<() => void> = []
   #membership: Membership | undefined
   #scheduler: Scheduler | undefined
   #callers: CallerServer | undefined
@@ -48,7 +53,9 @@
     this.#metrics = settings.metrics === undefined
       ? new SilentMetrics()
       : new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
-    this.#table = new ReliableTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#clock, this.#random, STORE_DEADLINE_MS)
+    this.#gate = new StoreGate(this.#clock, this.#random, this.#metrics)
+    this.#store = new BudgetedTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#gate, callClassOf)
+    this.#table = new ReliableTable(this.#store, this.#clock, this.#random, STORE_DEADLINE_MS)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
     this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys }, this.#clock, this.#random, log.forComponent('peers'))
@@ -64,6 +71,11 @@
     return this.#configuration
   }
 
+  /** Calls `listener` when a later process has taken this member's id; this one must be stopped. */
+  onReplaced (listener: () => void): void {
+    this.#replacedListeners.push(listener)
+  }
+
   /** Opens all listeners, then joins. */
   async start (): Promise<MemberAddresses> {
     const peers = await this.#peers.listen()
@@ -109,7 +121,11 @@
       peerAddress,
       incarnation: this.#random.id(INCARNATION_LENGTH)
     }
-    const membership = new Membership(identity, this.#table, this.#clock, this.#random, this.#log.forComponent('membership'))
+    // A renewal that comes late is worth nothing, so it is given up sooner than other writes.
+    const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
+    const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
+    membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
+    membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
     this.#membership = membership
