Requests: exact slots, true outcomes, bounded waits

Cause: a retry could follow a body that was already being sent, a cancelled request freed a slot on which the endpoint still worked, callers waited out their whole queue time before a refusal, and nothing bounded what callers send.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -7,6 +7,7 @@
 import {
   CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
+import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
 import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
@@ -140,7 +141,18 @@
     const { listen, operators, roles } = this.#settings
     if (!roles.includes('gateway') || listen.callers === undefined || listen.operators === undefined) return {}
     const shared = { clock: this.#clock, random: this.#random, configuration: this.#configuration, endpoints: this.#endpoints }
-    this.#callers = new CallerServer({ ...shared, log: this.#log.forComponent('callers'), metrics: this.#metrics })
+    const callers = new CallerServer({
+      ...shared,
+      self: membership.identity.member,
+      log: this.#log.forComponent('callers'),
+      metrics: this.#metrics,
+      limits: this.#settings.limits,
+      sessionKeys: () => this.#settings.sessionKeys ?? this.#settings.peerKeys,
+      gateways: () => this.#liveGateways(membership),
+      streams: this.#peers
+    })
+    membership.onPoll(() => callers.refresh())
+    this.#callers = callers
     this.#operators = new OperatorServer({
       ...shared, table: this.#table, peers: this.#peers, membership, directory: this.#directory, cells: scheduler.cells
     }, operators, this.#log.forComponent('operators'))
@@ -150,6 +162,18 @@
     }
   }
 
+  // A gateway without a link can not be asked, whatever its lease says.
+  #liveGateways (membership: Membership): readonly GatewaySeat[] {
+    const { member, dataCentre } = membership.identity
+    const seats: GatewaySeat[] = [{ member, dataCentre }]
+    const reachable = new Set(this.#peers.reachable)
+    for (const row of membership.live) {
+      const isCandidate = row.member !== member && !row.isLeaving && row.roles.includes('gateway')
+      if (isCandidate && reachable.has(row.member)) seats.push({ member: row.member, dataCentre: row.dataCentre })
+    }
+    return seats
+  }
+
   async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
     if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
     return await scheduler.answer(request)
--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -2,6 +2,7 @@
  * The shape of a settings file, checked with `zod`.
  */
 import { z } from 'zod'
+import { DEFAULT_LIMITS } from '@auburnpin/gateway'
 
 const ADDRESS_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/
 
@@ -14,6 +15,20 @@
 
 const secretSchema = z.string().min(SHORTEST_SECRET, `must have at least ${SHORTEST_SECRET} characters`)
 
+const boundSchema = z.number().int().positive()
+
+/** Bounds of the callers' listener. */
+export const limitsSchema = z.strictObject({
+  maxHeaderBytes: boundSchema.default(DEFAULT_LIMITS.maxHeaderBytes).describe('Largest headers of one request, in bytes.'),
+  maxHeaders: boundSchema.default(DEFAULT_LIMITS.maxHeaders).describe('Most headers of one request.'),
+  maxBodyBytes: boundSchema.default(DEFAULT_LIMITS.maxBodyBytes).describe('Largest body of one request, in bytes.'),
+  maxQueued: boundSchema.default(DEFAULT_LIMITS.maxQueued).describe('Most requests that wait for a slot of one service.'),
+  headersMs: boundSchema.default(DEFAULT_LIMITS.headersMs).describe('Longest time for a caller to send its headers, in milliseconds.'),
+  callerIdleMs: boundSchema.default(DEFAULT_LIMITS.callerIdleMs).describe('Longest silence of a caller within a request, in milliseconds.'),
+  endpointIdleMs: boundSchema.default(DEFAULT_LIMITS.endpointIdleMs).describe('Longest silence of an endpoint that works on a request, in milliseconds.'),
+  connectMs: boundSchema.default(DEFAULT_LIMITS.connectMs).describe('Longest time to connect to an endpoint, in milliseconds.')
+})
+
 /** The settings of one process. */
 export const settingsSchema = z.strictObject({
   member: nameSchema.describe('Id of this process, unique in the region.'),
@@ -30,12 +45,14 @@
     peers: addressSchema.describe('Where other members come in.')
   }),
   peerKeys: z.array(z.strictObject({ id: z.string().min(1), secret: secretSchema })).min(1).describe('Keys that members prove to each other; the first is used, all are accepted.'),
+  sessionKeys: z.array(z.strictObject({ id: z.string().min(1), secret: secretSchema })).min(1).optional().describe('Keys that sign session tokens, the same in every process; the first signs, all are accepted. Without them the peer keys are used.'),
   operators: z.array(z.strictObject({ operator: z.string().min(1), token: secretSchema })).default([]).describe('Who may use the operators\' listener.'),
   platform: z.strictObject({
     table: addressSchema,
     objects: addressSchema,
     vmList: addressSchema
   }),
+  limits: limitsSchema.default(DEFAULT_LIMITS),
   log: z.strictObject({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
   metrics: z.strictObject({ address: addressSchema.describe('StatsD receiver.') }).optional()
 }).superRefine((settings, context) => {
--- a/packages/cluster/src/PeerConnection.ts
+++ b/packages/cluster/src/PeerConnection.ts
@@ -5,6 +5,8 @@
 import { AuburnpinError, Err, Ok, type Clock, type Instant, type MemberId, type Result, type Timer } from '@auburnpin/common'
 import { PEER_HEARTBEAT_MS, PEER_SILENCE_MS, PEER_TIMEOUT_MS } from './constants.ts'
 import { packFrame, unpackFrame, type PeerFrame } from './PeerFrame.ts'
+import type { PeerStream } from './PeerStream.ts'
+import { PeerStreams } from './PeerStreams.ts'
 import type { PeerReply, PeerRequest } from './types.ts'
 
 type Pending = Readonly<{ resolve: (result: Result<PeerReply, AuburnpinError>) => void, timer: Timer }>
@@ -13,6 +15,7 @@
 export type ConnectionHandlers = Readonly<{
   onRequest: (request: PeerRequest, from: MemberId) => Promise<PeerReply>
   onNotice: (frame: Extract<PeerFrame, { kind: 'notice' }>, from: MemberId) => void
+  onStream: (head: unknown, stream: PeerStream, from: MemberId) => void
   onClose: (connection: PeerConnection) => void
 }>
 
@@ -23,6 +26,7 @@
   readonly #clock: Clock
   readonly #handlers: ConnectionHandlers
   readonly #pending = new Map<number, Pending>()
+  readonly #streams: PeerStreams
   #nextId = 1
   #lastHeard: Instant
   #heartbeat: Timer
@@ -32,6 +36,7 @@
     this.#member = member
     this.#clock = clock
     this.#handlers = handlers
+    this.#streams = new PeerStreams(frame => this.send(frame), (head, stream) => handlers.onStream(head, stream, member))
     this.#lastHeard = clock.now()
     this.#heartbeat = clock.after(PEER_HEARTBEAT_MS, () => this.#beat())
     socket.on('message', (data: Buffer) => this.#receive(data))
@@ -53,6 +58,11 @@
     })
   }
 
+  /** Opens a stream; only on a link that this side has dialled. */
+  openStream (head: unknown): PeerStream {
+    return this.#streams.open(head)
+  }
+
   send (frame: PeerFrame): void {
     this.#socket.send(packFrame(frame))
   }
@@ -79,6 +89,7 @@
     }
     if (frame.kind === 'request') void this.#answer(frame.id, frame.request)
     else if (frame.kind === 'reply') this.#settle(frame.id, Ok(frame.reply))
+    else if (frame.kind === 'stream') this.#streams.receive(frame)
     else if (frame.kind === 'notice') this.#handlers.onNotice(frame, this.#member)
   }
 
@@ -99,6 +110,7 @@
   #closed (): void {
     this.#heartbeat.cancel()
     for (const id of [...this.#pending.keys()]) this.#settle(id, Err(lostAnswer(this.#member)))
+    this.#streams.close()
     this.#handlers.onClose(this)
   }
 }
--- a/packages/cluster/src/PeerFrame.ts
+++ b/packages/cluster/src/PeerFrame.ts
@@ -3,6 +3,7 @@
  */
 import { pack, unpack } from 'msgpackr'
 import type { MemberId } from '@auburnpin/common'
+import type { StreamFrame } from './PeerStreams.ts'
 import type { PeerNotice, PeerReply, PeerRequest } from './types.ts'
 
 /** One message on the wire. */
@@ -14,6 +15,7 @@
   | Readonly<{ kind: 'request', id: number, request: PeerRequest }>
   | Readonly<{ kind: 'reply', id: number, reply: PeerReply }>
   | Readonly<{ kind: 'notice', notice: PeerNotice }>
+  | StreamFrame
 
 /** Packs one frame. */
 export const packFrame = (frame: PeerFrame): Buffer => pack(frame)
--- a/packages/cluster/src/WebSocketPeers.ts
+++ b/packages/cluster/src/WebSocketPeers.ts
@@ -11,6 +11,8 @@
 import { packFrame, unpackFrame } from './PeerFrame.ts'
 import { isProven, makeProof } from './peerProof.ts'
 import { Peers, type NoticeHandler, type RequestHandler } from './Peers.ts'
+import type { PeerStream } from './PeerStream.ts'
+import type { StreamHandler, StreamPeers } from './StreamPeers.ts'
 import type { PeerKey, PeerNotice, PeerReply, PeerRequest } from './types.ts'
 
 const NONCE_LENGTH = 26
@@ -25,7 +27,7 @@
 }>
 
 /** Links to all members over `ws`. */
-export class WebSocketPeers extends Peers {
+export class WebSocketPeers extends Peers implements StreamPeers {
   readonly #options: PeerOptions
   readonly #clock: Clock
   readonly #random: Random
@@ -36,6 +38,7 @@
   readonly #dialling = new Set<MemberId>()
   #members: ReadonlyMap<MemberId, string> = new Map()
   #handleRequest: RequestHandler = async () => ({ kind: 'failed', error: NOT_READY.toReport() })
+  #handleStream: StreamHandler = (_head, stream) => { stream.destroy(NOT_READY) }
   #server: WebSocketServer | undefined
   #isClosed = false
 
@@ -62,7 +65,7 @@
   async request (to: MemberId, request: PeerRequest): Promise<Result<PeerReply, AuburnpinError>> {
     if (to === this.#options.member) return Ok(await this.#answer(request, to))
     const link = this.#links.get(to)
-    if (link === undefined) return Err(new AuburnpinError('unreachable', `There is no link to member ${to}`, 'Try again in a moment; the link is opened again by itself.'))
+    if (link === undefined) return Err(noLink(to))
     return await link.request(request)
   }
 
@@ -71,6 +74,15 @@
     for (const link of this.#links.values()) link.send({ kind: 'notice', notice })
   }
 
+  openStream (to: MemberId, head: unknown): Result<PeerStream, AuburnpinError> {
+    const link = this.#links.get(to)
+    return link === undefined ? Err(noLink(to)) : Ok(link.openStream(head))
+  }
+
+  onStream (handler: StreamHandler): void {
+    this.#handleStream = handler
+  }
+
   onRequest (handler: RequestHandler): void {
     this.#handleRequest = handler
   }
@@ -158,6 +170,7 @@
       onNotice: (frame, from) => {
         for (const handler of this.#noticeHandlers) handler(frame.notice, from)
       },
+      onStream: (head, stream, from) => this.#handleStream(head, stream, from),
       onClose
     }
   }
@@ -173,4 +186,7 @@
   }
 }
 
+const noLink = (to: MemberId): AuburnpinError =>
+  new AuburnpinError('unreachable', `There is no link to member ${to}`, 'Try again in a moment; the link is opened again by itself.')
+
 const NOT_READY = new AuburnpinError('unreachable', 'The member is still starting', 'Try again in a moment.')
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -18,6 +18,8 @@
 export const PEER_RETRY_MS = 500
 /** Largest message on a peer link, in bytes. */
 export const PEER_MESSAGE_BYTES = 16 * 1024 * 1024
+/** Bytes that a stream may send ahead of its reader. */
+export const PEER_STREAM_WINDOW_BYTES = 256 * 1024
 /** Version of the messages between members. */
 export const PEER_PROTOCOL = 1
 /** Longest time in which a release note or a claim is tried again, in milliseconds. */
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -1,29 +1,37 @@
 /**
  * The listener for callers: `/SERVICE/path` goes to an endpoint of the service.
  */
-import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-import {
-  AuburnpinError, brand, type Clock, type Log, type Metrics, type Random, type RequestId, type Result, type ServiceName
-} from '@auburnpin/common'
-import type { Service } from '@auburnpin/core'
-import type { ConfigurationFollower, EndpointDirectory } from '@auburnpin/cluster'
-import { IDLE_REUSE_MS, MAX_TRIES, OUTCOME_HEADER, REQUEST_ID_HEADER, RETRY_AFTER_SECONDS } from './constants.ts'
-import { forwardRequest, type ForwardFault } from './forwardRequest.ts'
-import { SlotQueue } from './SlotQueue.ts'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { brand, type Clock, type Log, type MemberId, type Metrics, type Random, type RequestId } from '@auburnpin/common'
+import type { GatewaySeat } from '@auburnpin/core'
+import type { ConfigurationFollower, EndpointDirectory, StreamPeers } from '@auburnpin/cluster'
+import { checkRequest, refuse } from './checkRequest.ts'
+import { CLOSING_LOOK_MS } from './constants.ts'
+import { HttpExchange } from './HttpExchange.ts'
+import type { GatewayLimits } from './limits.ts'
+import { RequestRunner } from './RequestRunner.ts'
+import { SessionTokens, type SessionKey } from './SessionTokens.ts'
+import { SlotOwners } from './SlotOwners.ts'
+import { faultBody, faultHeaders, tellFault } from './tellFault.ts'
 
 /** What the listener needs from outside. */
 export type CallerPorts = Readonly<{
+  self: MemberId
   clock: Clock
   random: Random
   log: Log
   metrics: Metrics
-  configuration: ConfigurationFollower
+  limits: GatewayLimits
+  configuration: Pick<ConfigurationFollower, 'current'>
   endpoints: EndpointDirectory
+  sessionKeys: () => readonly SessionKey[]
+  /** Live gateways as this one sees them, itself included. */
+  gateways: () => readonly GatewaySeat[]
+  /** Links to the other gateways; without them all slots are handed out here. */
+  streams?: StreamPeers
 }>
 
-type Target = Readonly<{ name: ServiceName, service: Service, path: string }>
-
 const REQUEST_ID_LENGTH = 16
 const HEALTH_PATH = '/.auburnpin/health'
 
@@ -31,16 +39,18 @@
 export class CallerServer {
   readonly #ports: CallerPorts
   readonly #server: Server
-  readonly #agent = new Agent({ keepAlive: true, timeout: IDLE_REUSE_MS })
-  readonly #queues = new Map<ServiceName, SlotQueue>()
+  readonly #tokens: SessionTokens
+  readonly #runner: RequestRunner
+  readonly #sockets = new Set<Socket>()
   #isLeaving = false
   #inProgress = 0
   #answered = 0
 
   constructor (ports: CallerPorts) {
     this.#ports = ports
-    this.#server = createServer((incoming, outgoing) => { void this.#handle(incoming, outgoing) })
-    ports.endpoints.onChange(() => this.#updateQueues())
+    this.#tokens = new SessionTokens(ports.sessionKeys)
+    this.#runner = new RequestRunner({ ...ports, owners: new SlotOwners(ports) })
+    this.#server = this.#createServer()
   }
 
   /** Requests answered by an endpoint. */
@@ -55,18 +65,46 @@
     })
   }
 
+  /** Looks again at which endpoints this gateway owns; to be called when the live gateways change. */
+  refresh (): void {
+    this.#runner.refresh()
+  }
+
   /** From now on the health answer tells the balancer to send nothing more. */
   leave (): void {
     this.#isLeaving = true
   }
 
-  /** Takes no new connections and resolves once the requests in progress have ended. */
+  /** Takes no new connections and resolves once the requests in progress have ended, other gateways' included. */
   async close (): Promise<void> {
     const closed = new Promise<void>(resolve => { this.#server.close(() => resolve()) })
-    while (this.#inProgress > 0) await this.#ports.clock.sleep(20)
+    while (this.#inProgress > 0 || this.#runner.inProgress > 0) await this.#ports.clock.sleep(CLOSING_LOOK_MS)
     this.#server.closeIdleConnections()
+    this.#closeUnused()
     await closed
-    this.#agent.destroy()
+    this.#runner.close()
+  }
+
+  #createServer (): Server {
+    const { limits } = this.#ports
+    const options = { maxHeaderSize: limits.maxHeaderBytes, headersTimeout: limits.headersMs, requestTimeout: 0 }
+    const server = createServer(options, (incoming, outgoing) => { void this.#handle(incoming, outgoing) })
+    // Excess headers are refused by the check; Node would drop them without a word.
+    server.maxHeadersCount = 0
+    server.timeout = limits.callerIdleMs
+    server.on('connection', (socket: Socket) => {
+      this.#sockets.add(socket)
+      socket.on('close', () => this.#sockets.delete(socket))
+    })
+    server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => this.#refuseMalformed(error, socket))
+    return server
+  }
+
+  // Node takes a connection that never carried a request for a busy one.
+  #closeUnused (): void {
+    for (const socket of this.#sockets) {
+      if (socket.bytesRead === 0) socket.destroy()
+    }
   }
 
   async #handle (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
@@ -74,13 +112,15 @@
     const requestId = brand<RequestId>(this.#ports.random.id(REQUEST_ID_LENGTH))
     const startedAt = this.#ports.clock.now()
     this.#inProgress++
+    outgoing.once('close', () => { this.#inProgress-- })
     if (this.#isLeaving) outgoing.setHeader('connection', 'close')
     try {
       await this.#serve(incoming, outgoing, requestId)
-    } finally {
-      this.#inProgress--
-      this.#ports.metrics.timing('requests.duration', this.#ports.clock.now() - startedAt)
+    } catch (thrown) {
+      this.#ports.log.error(String(thrown), { requestId })
+      outgoing.destroy()
     }
+    this.#ports.metrics.timing('requests.duration', this.#ports.clock.now() - startedAt)
   }
 
   #answerHealth (outgoing: ServerResponse): void {
@@ -90,73 +130,39 @@
   }
 
   async #serve (incoming: IncomingMessage, outgoing: ServerResponse, requestId: RequestId): Promise<void> {
-    const target = this.#findTarget(incoming.url ?? '/')
-    if (target === undefined) {
-      tellCaller(outgoing, 404, requestId, true, new AuburnpinError('not-found', 'The path names no service', 'Send the request to /SERVICE/...; `auburnpin status` lists the services.'))
+    const { configuration, limits, metrics } = this.#ports
+    const checked = checkRequest(incoming, requestId, { configuration: configuration.current, limits, tokens: this.#tokens })
+    if (checked.err) {
+      // What is left of the body is not waited for.
+      outgoing.setHeader('connection', 'close')
+      incoming.resume()
+      tellFault(outgoing, checked.val, requestId)
       return
     }
-    for (let tries = 1; ; tries++) {
-      const queue = this.#queueOf(target.name)
-      const slot = await queue.acquire(target.service.queueMs)
-      if (slot.err) {
-        this.#ports.metrics.count('requests.refused')
-        tellCaller(outgoing, 503, requestId, true, slot.val)
-        return
-      }
-      const result = await forwardRequest({ incoming, outgoing, endpoint: slot.val, agent: this.#agent, requestId, path: target.path })
-      queue.release(slot.val)
-      if (!this.#isRetried(result, tries)) {
-        this.#finish(result, outgoing, requestId)
-        return
-      }
-    }
+    const { head, service } = checked.val
+    const exchange = new HttpExchange(head, incoming, outgoing, limits.maxBodyBytes, this.#tokens)
+    const isAnswered = await this.#runner.run(exchange, service)
+    metrics.count(isAnswered ? 'requests.answered' : 'requests.refused')
+    if (isAnswered) this.#answered++
   }
 
-  #isRetried (result: Result<void, ForwardFault>, tries: number): boolean {
-    return result.err && result.val.isNotRun && tries < MAX_TRIES
-  }
-
-  #finish (result: Result<void, ForwardFault>, outgoing: ServerResponse, requestId: RequestId): void {
-    if (result.ok) {
-      this.#answered++
-      this.#ports.metrics.count('requests.answered')
+  // What Node's parser refuses has no request object, so the answer is written to the socket.
+  #refuseMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
       return
     }
-    tellCaller(outgoing, result.val.isNotRun ? 503 : 502, requestId, result.val.isNotRun, result.val.error)
-  }
-
-  #findTarget (url: string): Target | undefined {
-    const [, first = ''] = url.split(/[/?]/)
-    const name = brand<ServiceName>(first)
-    const service = this.#ports.configuration.current.services[name]?.value
-    if (service === undefined) return undefined
-    const rest = url.slice(first.length + 1)
-    return { name, service, path: rest.startsWith('/') ? rest : `/${rest}` }
-  }
-
-  #queueOf (name: ServiceName): SlotQueue {
-    const existing = this.#queues.get(name)
-    if (existing !== undefined) return existing
-    const queue = new SlotQueue(this.#ports.clock)
-    queue.update(this.#ports.endpoints.endpointsOf(name))
-    this.#queues.set(name, queue)
-    return queue
-  }
-
-  #updateQueues (): void {
-    for (const [name, queue] of this.#queues) queue.update(this.#ports.endpoints.endpointsOf(name))
+    const requestId = brand<RequestId>(this.#ports.random.id(REQUEST_ID_LENGTH))
+    const fault = malformed(error.code ?? '', this.#ports.limits)
+    const body = faultBody(fault, requestId)
+    const lines = [`HTTP/1.1 ${fault.status} Refused`, 'connection: close', `content-length: ${Buffer.byteLength(body)}`]
+    for (const [name, value] of Object.entries(faultHeaders(fault, requestId))) lines.push(`${name}: ${value}`)
+    socket.end(`${lines.join('\r\n')}\r\n\r\n${body}`)
   }
 }
 
-const tellCaller = (outgoing: ServerResponse, status: number, requestId: RequestId, isNotRun: boolean, error: AuburnpinError): void => {
-  if (outgoing.headersSent) {
-    outgoing.destroy()
-    return
-  }
-  const headers: Record<string, string | number> = {
-    'content-type': 'application/json', [OUTCOME_HEADER]: isNotRun ? 'not-run' : 'unknown', [REQUEST_ID_HEADER]: requestId
-  }
-  if (status === 503) headers['retry-after'] = RETRY_AFTER_SECONDS
-  outgoing.writeHead(status, headers)
-  outgoing.end(`${JSON.stringify({ ...error.toReport(), requestId })}\n`)
+const malformed = (code: string, limits: GatewayLimits) => {
+  if (code === 'HPE_HEADER_OVERFLOW') return refuse(431, `The headers are larger than ${limits.maxHeaderBytes} bytes`, 'Send smaller headers, or raise limits.maxHeaderBytes in the settings.')
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return refuse(408, `The headers did not come within ${limits.headersMs} ms`, 'Send the whole request at once.')
+  return refuse(400, 'The request is not valid HTTP/1.1', 'Correct the request line, the headers or the framing of the body.')
 }
--- /dev/null
+++ b/packages/gateway/src/checkRequest.ts
@@ -0,0 +1,89 @@
+/**
+ * Checks a caller's request before anything is done with it.
+ */
+import type { IncomingMessage } from 'node:http'
+import { AuburnpinError, brand, Err, Ok, type CallerId, type RequestId, type Result, type ServiceName } from '@auburnpin/common'
+import type { Configuration, Service } from '@auburnpin/core'
+import { CALLER_HEADER, NEW_SESSION, SESSION_COOKIE, SESSION_HEADER } from './constants.ts'
+import { cookieValue, requestHeaders } from './headers.ts'
+import type { GatewayLimits } from './limits.ts'
+import type { Session, SessionTokens } from './SessionTokens.ts'
+import type { RequestFault, RequestHead } from './types.ts'
+
+/** A request that may go on, with the declaration of its service. */
+export type CheckedRequest = Readonly<{ head: RequestHead, service: Service }>
+
+/** What a request is checked against. */
+export type RequestRules = Readonly<{ configuration: Configuration, limits: GatewayLimits, tokens: SessionTokens }>
+
+type Target = Readonly<{ name: ServiceName, service: Service, path: string }>
+
+const MAX_CALLER_LENGTH = 200
+
+/**
+ * The request's head as endpoints and other gateways get it, or the 4xx that the caller gets.
+ *
+ * @example
+ * const checked = checkRequest(incoming, requestId, rules)
+ */
+export const checkRequest = (incoming: IncomingMessage, requestId: RequestId, rules: RequestRules): Result<CheckedRequest, RequestFault> => {
+  const excess = findExcess(incoming, rules.limits)
+  if (excess !== undefined) return Err(excess)
+  const target = findTarget(incoming.url ?? '', rules.configuration)
+  if (target.err) return target
+  const session = readSession(incoming, target.val.name, rules.tokens)
+  if (session.err) return session
+  const head: RequestHead = {
+    requestId,
+    service: target.val.name,
+    caller: callerOf(incoming),
+    method: incoming.method ?? 'GET',
+    path: target.val.path,
+    headers: requestHeaders(incoming.headers),
+    isSession: session.val.isWanted,
+    ...(session.val.session === undefined ? {} : { bound: session.val.session.endpoint })
+  }
+  return Ok({ head, service: target.val.service })
+}
+
+/** A fault of the caller's own; nothing was run. */
+export const refuse = (status: number, message: string, remedy: string): RequestFault =>
+  ({ error: new AuburnpinError(status === 404 ? 'not-found' : 'invalid-request', message, remedy), cause: 'caller', isNotRun: true, status })
+
+const findExcess = (incoming: IncomingMessage, limits: GatewayLimits): RequestFault | undefined => {
+  const headers = incoming.rawHeaders.length / 2
+  if (headers > limits.maxHeaders) return refuse(431, `The request has ${headers} headers, more than ${limits.maxHeaders}`, 'Send fewer headers, or raise limits.maxHeaders in the settings.')
+  const length = Number(incoming.headers['content-length'] ?? 0)
+  if (length > limits.maxBodyBytes) return refuse(413, `The body is larger than ${limits.maxBodyBytes} bytes`, 'Send less, or raise limits.maxBodyBytes in the settings.')
+  const caller = incoming.headers[CALLER_HEADER]
+  if (typeof caller === 'string' && caller.length > MAX_CALLER_LENGTH) return refuse(400, `The header ${CALLER_HEADER} is longer than ${MAX_CALLER_LENGTH} characters`, 'Send a shorter name.')
+  return undefined
+}
+
+const findTarget = (url: string, configuration: Configuration): Result<Target, RequestFault> => {
+  if (!url.startsWith('/')) return Err(refuse(400, 'The request target is no path', 'Send a path that starts with "/", not a whole URL.'))
+  const [, first = ''] = url.split(/[/?]/)
+  const name = brand<ServiceName>(first)
+  const service = Object.hasOwn(configuration.services, name) ? configuration.services[name]?.value : undefined
+  if (service === undefined) return Err(refuse(404, 'The path names no service', 'Send the request to /SERVICE/...; `auburnpin status` lists the services.'))
+  const rest = url.slice(first.length + 1)
+  return Ok({ name, service, path: rest.startsWith('/') ? rest : `/${rest}` })
+}
+
+type SessionWish = Readonly<{ isWanted: boolean, session?: Session }>
+
+const readSession = (incoming: IncomingMessage, service: ServiceName, tokens: SessionTokens): Result<SessionWish, RequestFault> => {
+  const header = incoming.headers[SESSION_HEADER]
+  const token = typeof header === 'string' ? header : cookieValue(incoming.headers.cookie, SESSION_COOKIE)
+  if (token === undefined) return Ok({ isWanted: false })
+  if (token === NEW_SESSION) return Ok({ isWanted: true })
+  const session = tokens.read(token)
+  if (session.err) return Err({ error: session.val, cause: 'caller', isNotRun: true, status: 400 })
+  if (session.val.service !== service) return Err(refuse(400, 'The session token is of another service', `Start a session with the header "${SESSION_HEADER}: ${NEW_SESSION}".`))
+  return Ok({ isWanted: true, session: session.val })
+}
+
+const callerOf = (incoming: IncomingMessage): CallerId => {
+  const named = incoming.headers[CALLER_HEADER]
+  return brand<CallerId>(typeof named === 'string' ? named : incoming.socket.remoteAddress ?? '')
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,9 +3,11 @@
  */
 export * from './constants.ts'
 export { CallerServer, type CallerPorts } from './CallerServer.ts'
+export { DEFAULT_LIMITS, type GatewayLimits } from './limits.ts'
 export { OperatorServer, type OperatorToken } from './OperatorServer.ts'
-export { SlotQueue } from './SlotQueue.ts'
-export { forwardRequest, endToEndHeaders, type ForwardCall, type ForwardFault } from './forwardRequest.ts'
+export { ServiceRouter, type Slot } from './ServiceRouter.ts'
+export { SessionTokens, type Session, type SessionKey } from './SessionTokens.ts'
+export type * from './types.ts'
 export { ACTIONS } from './actions/actions.ts'
 export { Action, type ActionAnswer, type ActionPorts, type ActionRequest } from './actions/Action.ts'
 export { jobSchema } from './actions/SubmitJobAction.ts'
--- /dev/null
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -0,0 +1,167 @@
+/**
+ * Gateways and endpoints on loopback, for tests.
+ */
+import {
+  brand, SeededRandom, SilentLog, SilentMetrics, SystemClock, type CellId, type ConfigVersion, type DataCentre, type EndpointId, type Epoch,
+  type MemberId, type NoteId, type ServiceName, type TeamName, type VmId
+} from '@auburnpin/common'
+import { EMPTY_CONFIGURATION, serviceSchema, type Configuration, type Endpoint, type GatewaySeat, type Service } from '@auburnpin/core'
+import { EndpointDirectory, WebSocketPeers } from '@auburnpin/cluster'
+import { StandInEndpoint } from '@auburnpin/stand-in'
+import { CallerServer, DEFAULT_LIMITS, type GatewayLimits, type SessionKey } from '../../src/index.ts'
+
+/** What a rig may differ in. */
+export type RigOptions = Readonly<{
+  endpoints?: number
+  serviceMs?: number
+  slots?: number
+  queueMs?: number
+  limits?: Partial<GatewayLimits>
+}>
+
+/** One gateway with what is changed about it from outside. */
+export type RigGateway = Readonly<{
+  member: MemberId
+  server: CallerServer
+  peers: WebSocketPeers
+  directory: EndpointDirectory
+  address: string
+}>
+
+const SERVICE = brand<ServiceName>('stockline')
+const COLOMBO = brand<DataCentre>('colombo')
+const KEYS = [{ id: 'test', secret: 'rig-peer-secret' }]
+
+/** Starts endpoints at once and gateways as asked. */
+export class GatewayRig {
+  readonly endpoints: StandInEndpoint[] = []
+  readonly gateways: RigGateway[] = []
+  readonly #options: RigOptions
+  readonly #addresses: string[] = []
+  readonly #left = new Set<number>()
+  readonly #clock = new SystemClock()
+  #revision = 0
+  sessionKeys: readonly SessionKey[] = [{ id: 'first', secret: 'rig-session-secret' }]
+
+  constructor (options: RigOptions = {}) {
+    this.#options = options
+  }
+
+  async start (gateways: number): Promise<this> {
+    const { endpoints = 2, serviceMs = 0, slots } = this.#options
+    for (let index = 0; index < endpoints; index++) {
+      const endpoint = new StandInEndpoint(serviceMs, slots)
+      this.endpoints.push(endpoint)
+      this.#addresses.push(await endpoint.listen())
+    }
+    for (let index = 0; index < gateways; index++) await this.addGateway()
+    return this
+  }
+
+  /** Starts one more gateway and links it with the others. */
+  async addGateway (): Promise<RigGateway> {
+    const member = brand<MemberId>(`entry-${this.#nextMember++}`)
+    const random = new SeededRandom(this.#nextMember)
+    const peers = new WebSocketPeers({ member, host: '127.0.0.1', port: 0, keys: KEYS }, this.#clock, random, new SilentLog())
+    const peerAddress = await peers.listen()
+    const directory = new EndpointDirectory()
+    const server = new CallerServer({
+      self: member,
+      clock: this.#clock,
+      random,
+      log: new SilentLog(),
+      metrics: new SilentMetrics(),
+      limits: { ...DEFAULT_LIMITS, ...this.#options.limits },
+      configuration: { current: this.#configuration() },
+      endpoints: directory,
+      sessionKeys: () => this.sessionKeys,
+      gateways: () => this.#seats(peers),
+      streams: peers
+    })
+    const gateway = { member, server, peers, directory, address: await server.listen('127.0.0.1', 0) }
+    this.gateways.push(gateway)
+    this.#peerAddresses.set(member, peerAddress)
+    this.relink()
+    this.publish()
+    return gateway
+  }
+
+  readonly #peerAddresses = new Map<MemberId, string>()
+  readonly #leaving = new Set<MemberId>()
+  #nextMember = 0
+
+  /** The others take the gateway for gone; its own listeners stay open. */
+  exclude (gateway: RigGateway): void {
+    this.#leaving.add(gateway.member)
+    this.refresh()
+  }
+
+  /** Everyone looks again at who owns what. */
+  refresh (): void {
+    for (const { server } of this.gateways) server.refresh()
+  }
+
+  relink (): void {
+    for (const { peers } of this.gateways) peers.setMembers(this.#peerAddresses)
+  }
+
+  /** Whether every gateway has a link to every other. */
+  get isLinked (): boolean {
+    return this.gateways.every(({ peers }) => peers.reachable.length === this.gateways.length)
+  }
+
+  /** Tells all gateways of the endpoints, those named as leaving. */
+  publish (leaving: readonly number[] = []): void {
+    for (const index of leaving) this.#left.add(index)
+    this.#revision++
+    const endpoints = this.#addresses.map((address, index) => this.#describe(address, index))
+    for (const { directory } of this.gateways) {
+      directory.publish({ kind: 'endpoints', cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(1), revision: this.#revision, endpoints })
+    }
+  }
+
+  get runs (): Array<StandInEndpoint['runs'][number]> {
+    return this.endpoints.flatMap(endpoint => [...endpoint.runs])
+  }
+
+  /** Stops one gateway for good. */
+  async remove (gateway: RigGateway): Promise<void> {
+    this.gateways.splice(this.gateways.indexOf(gateway), 1)
+    this.#peerAddresses.delete(gateway.member)
+    await gateway.server.close()
+    await gateway.peers.close()
+    this.relink()
+    this.refresh()
+  }
+
+  async stop (): Promise<void> {
+    for (const gateway of [...this.gateways]) await this.remove(gateway)
+    await Promise.all(this.endpoints.map(endpoint => endpoint.close()))
+  }
+
+  #seats (own: WebSocketPeers): readonly GatewaySeat[] {
+    const [self] = own.reachable
+    return own.reachable.filter(member => member === self || !this.#leaving.has(member)).map(member => ({ member, dataCentre: COLOMBO }))
+  }
+
+  #describe (address: string, index: number): Endpoint {
+    return {
+      id: brand<EndpointId>(`replica-${index}/1`),
+      service: SERVICE,
+      vm: brand<VmId>(`vm-${index}`),
+      dataCentre: COLOMBO,
+      address,
+      slots: this.#options.slots ?? 8,
+      connections: 64,
+      isLeaving: this.#left.has(index)
+    }
+  }
+
+  #configuration (): Configuration {
+    const declared = serviceSchema.parse({ replicas: 2, resources: { processors: 1, memoryMb: 1 }, command: 'serve', team: 'franchise' })
+    const value: Service = { ...declared, team: brand<TeamName>(declared.team), queueMs: this.#options.queueMs ?? 20_000 }
+    const changedBy = brand<NoteId>('rig')
+    const version = brand<ConfigVersion>(1)
+    return { ...EMPTY_CONFIGURATION, version, services: { [SERVICE]: { value, changedBy, changedIn: version } } }
+  }
+}
