A cell tells its policy of changes, configuration and questions

Cause: a policy could only scan the whole state at each tick, and knew neither quotas nor objectives. Change: CellState tells one watcher of each change; Policy gains attach, configure and explain; a task keeps the VMs on which it failed.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -11,7 +11,7 @@
 import { CellState } from './CellState.ts'
 import { endLostVms, reconcileReport, stopAction } from './reconcileReport.ts'
 import { listEndpoints } from './listEndpoints.ts'
-import type { CellAction, CellEvent, CellStep, CellTerm, Endpoint, Task, TaskSpec, Transition } from './types.ts'
+import type { CellAction, CellEvent, CellStep, CellTerm, Endpoint, Task, TaskReason, TaskSpec, Transition } from './types.ts'
 
 /**
  * The state machine of one cell for the time of one ownership.
@@ -30,6 +30,7 @@
   constructor (term: CellTerm, policy: Policy) {
     this.#term = term
     this.#policy = policy
+    policy.attach(this.#state)
   }
 
   get term (): CellTerm {
@@ -50,6 +51,11 @@
     return listEndpoints(this.#state, this.#configuration)
   }
 
+  /** Why a task is where it is: the lasting reason if it has one, otherwise what the policy knows. */
+  explain (id: TaskId, now: Instant): TaskReason | undefined {
+    return this.#state.tasks.get(id)?.reason ?? this.#policy.explain(this.#state, id, now)
+  }
+
   /** Takes one event in. State changes at once; the actions wait until the transitions are durable. */
   step (event: CellEvent, now: Instant): CellStep {
     switch (event.kind) {
@@ -134,6 +140,7 @@
   #configure (configuration: Configuration, declared: readonly TaskSpec[], now: Instant): CellStep {
     if (configuration.version < this.#configuration.version) return NOTHING
     this.#configuration = configuration
+    this.#policy.configure(configuration)
     const wanted = new Set(declared.map(spec => spec.id))
     const surplus: TaskId[] = []
     for (const task of this.#state.tasks.values()) {
--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -6,6 +6,7 @@
   type Instant, type Resources, type TaskId, type VmId
 } from '@auburnpin/common'
 import { applyTransition } from './applyTransition.ts'
+import type { StateWatcher } from './StateWatcher.ts'
 import type { ListedVm, Placement, Task, Transition, Vm } from './types.ts'
 
 /** State of one cell in memory. Tasks change by transitions alone. */
@@ -15,6 +16,12 @@
   readonly #vms = new Map<VmId, Vm>()
   readonly #committed = new Map<VmId, Resources>()
   readonly #placed = new Map<VmId, Set<TaskId>>()
+  #watcher: StateWatcher | undefined
+
+  /** Tells `watcher` of every later change. */
+  watch (watcher: StateWatcher): void {
+    this.#watcher = watcher
+  }
 
   get tasks (): ReadonlyMap<TaskId, Task> {
     return this.#tasks
@@ -56,6 +63,7 @@
     else this.#tasks.set(id, after)
     if (after?.state === 'queued') this.#waiting.add(id)
     else this.#waiting.delete(id)
+    this.#watcher?.taskChanged(before, after)
   }
 
   /** Notes what a worker tells of a running attempt; nothing of it must last. */
@@ -70,18 +78,24 @@
   /** Takes in the VM list: new VMs come, missing ones are marked, unused missing ones go. */
   listVms (listed: readonly ListedVm[], now: Instant): void {
     const present = new Set(listed.map(vm => vm.id))
-    for (const vm of listed) this.#vms.set(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
+    for (const vm of listed) this.#setVm(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
     for (const vm of this.#vms.values()) {
       if (present.has(vm.id)) continue
-      if (this.placedOn(vm.id).size === 0) this.#vms.delete(vm.id)
-      else if (vm.missingSince === undefined) this.#vms.set(vm.id, newWith(vm, { missingSince: now, session: undefined }))
+      if (this.placedOn(vm.id).size === 0) this.#setVm(vm.id, undefined)
+      else if (vm.missingSince === undefined) this.#setVm(vm.id, newWith(vm, { missingSince: now, session: undefined }))
     }
   }
 
   /** Changes what is known of a VM. */
   observeVm (id: VmId, changes: Partial<Vm>): void {
     const vm = this.#vms.get(id)
-    if (vm !== undefined) this.#vms.set(id, newWith(vm, changes))
+    if (vm !== undefined) this.#setVm(id, newWith(vm, changes))
+  }
+
+  #setVm (id: VmId, vm: Vm | undefined): void {
+    if (vm === undefined) this.#vms.delete(id)
+    else this.#vms.set(id, vm)
+    this.#watcher?.vmChanged(id, vm)
   }
 
   #assertRoom (task: Task, vmId: VmId): void {
--- a/packages/core/src/cell/applyTransition.ts
+++ b/packages/core/src/cell/applyTransition.ts
@@ -1,7 +1,7 @@
 /**
  * The one place where a task's lasting state changes.
  */
-import { assertNever, assertPromise, brand, newWith, type Attempt, type Instant } from '@auburnpin/common'
+import { assertNever, assertPromise, brand, newWith, type Attempt, type Instant, type VmId } from '@auburnpin/common'
 import { MAX_ATTEMPTS_FAILED } from '../constants.ts'
 import type { Task, TaskSpec, Transition } from './types.ts'
 
@@ -59,7 +59,7 @@
   const ended = newWith(task, { placement: undefined, checkpoint: transition.checkpoint ?? task.checkpoint })
   if (transition.end === 'finished') return newWith(ended, { state: 'finished', result: transition.result, reason: undefined })
   if (task.isWithdrawn) return newWith(ended, { state: 'cancelled' })
-  if (transition.end === 'failed') return endFailed(ended, transition.result ?? 'no reason given')
+  if (transition.end === 'failed') return endFailed(ended, task.placement.vm, transition.result ?? 'no reason given')
   const isEviction = task.placement.isStopping
   return newWith(ended, {
     state: 'queued',
@@ -68,11 +68,12 @@
   })
 }
 
-const endFailed = (task: Task, last: string): Task => {
+const endFailed = (task: Task, vm: VmId, last: string): Task => {
   const failures = task.failures + 1
+  const failedOn = [...new Set(task.failedOn ?? []).add(vm)]
   const isHopeless = task.spec.kind === 'batch' && failures >= MAX_ATTEMPTS_FAILED
-  if (!isHopeless) return newWith(task, { state: 'queued', failures })
-  return newWith(task, { state: 'failed', failures, result: last, reason: { kind: 'attempts-used-up', last } })
+  if (!isHopeless) return newWith(task, { state: 'queued', failures, failedOn })
+  return newWith(task, { state: 'failed', failures, failedOn, result: last, reason: { kind: 'attempts-used-up', last } })
 }
 
 const withdraw = (task: Task, transition: Extract<Transition, { kind: 'withdrawn' }>): Task => {
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -31,7 +31,13 @@
   | Readonly<{ kind: 'waiting-for-room' }>
   | Readonly<{ kind: 'waiting-for-workers' }>
   | Readonly<{ kind: 'too-large', largest: Resources }>
+  | Readonly<{ kind: 'over-quota', team: TeamName, quota: Resources }>
+  | Readonly<{ kind: 'would-slow', service: ServiceName }>
+  | Readonly<{ kind: 'waiting-for-eviction', vm: VmId }>
+  | Readonly<{ kind: 'placed', vm: VmId, servicesOnVm: readonly ServiceName[] }>
+  | Readonly<{ kind: 'throttled-for', service: ServiceName, share: number }>
   | Readonly<{ kind: 'evicted-for', task: TaskId }>
+  | Readonly<{ kind: 'evicted-for-service', service: ServiceName, vm: VmId }>
   | Readonly<{ kind: 'vm-leaving', vm: VmId }>
   | Readonly<{ kind: 'vm-lost', vm: VmId }>
   | Readonly<{ kind: 'lease-ran-out', vm: VmId }>
@@ -64,6 +70,8 @@
   result?: string
   reason?: TaskReason
   failures: number
+  /** VMs on which an attempt failed, each once. */
+  failedOn?: readonly VmId[]
   evictions: number
   /** Set once the task shall not run again, whatever its attempt says. */
   isWithdrawn: boolean
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -8,6 +8,7 @@
 export type * from './cell/types.ts'
 export { applyTransition, isFinal } from './cell/applyTransition.ts'
 export { Cell } from './cell/Cell.ts'
+export { StateWatcher } from './cell/StateWatcher.ts'
 export { CellState } from './cell/CellState.ts'
 export { checkFormat, type CellSnapshot, type JournalRecord } from './cell/snapshot.ts'
 export { declaredTasks } from './cell/declaredTasks.ts'
