--- /dev/null
+++ b/packages/core/src/health/WorkerHealth.ts
@@ -0,0 +1,91 @@
+/**
+ * Finds workers that fail everything they start.
+ */
+import type { Instant, TaskId, VmId } from '@auburnpin/common'
+import type { Task } from '../cell/types.ts'
+import {
+  FAILED_TASKS_TO_QUARANTINE, FAILED_VMS_TO_BLAME_KIND, MAX_QUARANTINE_MS, MAX_QUARANTINED_SHARE, QUARANTINE_MS
+} from '../constants.ts'
+import { kindOf } from '../interference/kindOf.ts'
+
+type Quarantine = { until: Instant, lengthMs: number, isProbing: boolean }
+
+/**
+ * A VM on which several distinct tasks failed and none finished is left out for a while, then tried
+ * with one task at a time. Failures of a kind of task that fails on many VMs are the kind's own.
+ */
+export class WorkerHealth {
+  readonly #failedTasks = new Map<VmId, Set<TaskId>>()
+  readonly #failedVms = new Map<string, Set<VmId>>()
+  readonly #quarantines = new Map<VmId, Quarantine>()
+
+  /** Takes in the end of an attempt; answers whether the VM's standing may have changed. */
+  observe (before: Task, after: Task, vmCount: number, now: Instant): void {
+    const vm = before.placement?.vm
+    if (vm === undefined || after.placement !== undefined) return
+    if (after.state === 'finished') this.#succeed(vm, kindOf(after.spec))
+    else if (after.failures > before.failures) this.#fail(vm, after, vmCount, now)
+    else this.#endProbe(vm)
+  }
+
+  /** Whether the VM may take a task now. */
+  isOpen (vm: VmId, now: Instant): boolean {
+    const quarantine = this.#quarantines.get(vm)
+    return quarantine === undefined || (now >= quarantine.until && !quarantine.isProbing)
+  }
+
+  isQuarantined (vm: VmId): boolean {
+    return this.#quarantines.has(vm)
+  }
+
+  /** VMs whose quarantine, or whose wait for a probe, is at an end. */
+  dueProbes (now: Instant): VmId[] {
+    const due: VmId[] = []
+    for (const [vm, { until, isProbing }] of this.#quarantines) {
+      if (now >= until && !isProbing) due.push(vm)
+    }
+    return due
+  }
+
+  /** Notes that a task was put on a VM. */
+  noteStart (vm: VmId): void {
+    const quarantine = this.#quarantines.get(vm)
+    if (quarantine !== undefined) quarantine.isProbing = true
+  }
+
+  /** Forgets a VM that has gone. */
+  delete (vm: VmId): void {
+    this.#failedTasks.delete(vm)
+    this.#quarantines.delete(vm)
+  }
+
+  #succeed (vm: VmId, kind: string): void {
+    this.#failedTasks.delete(vm)
+    this.#quarantines.delete(vm)
+    this.#failedVms.delete(kind)
+  }
+
+  #fail (vm: VmId, task: Task, vmCount: number, now: Instant): void {
+    const quarantine = this.#quarantines.get(vm)
+    if (quarantine !== undefined) {
+      quarantine.lengthMs = Math.min(2 * quarantine.lengthMs, MAX_QUARANTINE_MS)
+      quarantine.until = (now + quarantine.lengthMs) as Instant
+      quarantine.isProbing = false
+      return
+    }
+    const kind = kindOf(task.spec)
+    const vms = this.#failedVms.get(kind) ?? new Set<VmId>()
+    this.#failedVms.set(kind, vms.add(vm))
+    if (vms.size >= FAILED_VMS_TO_BLAME_KIND) return
+    const failed = this.#failedTasks.get(vm) ?? new Set<TaskId>()
+    this.#failedTasks.set(vm, failed.add(task.spec.id))
+    const isWithinShare = this.#quarantines.size + 1 <= Math.max(1, vmCount * MAX_QUARANTINED_SHARE)
+    if (failed.size < FAILED_TASKS_TO_QUARANTINE || !isWithinShare) return
+    this.#quarantines.set(vm, { until: (now + QUARANTINE_MS) as Instant, lengthMs: QUARANTINE_MS, isProbing: false })
+  }
+
+  #endProbe (vm: VmId): void {
+    const quarantine = this.#quarantines.get(vm)
+    if (quarantine !== undefined) quarantine.isProbing = false
+  }
+}
--- /dev/null
+++ b/packages/core/src/interference/LearntInterference.ts
@@ -0,0 +1,116 @@
+/**
+ * Interference learnt from lagging samples: per service, kind of task and load band.
+ */
+import type { Instant, ServiceName } from '@auburnpin/common'
+import {
+  BASE_LOAD_STEPS, FORGET_MS, LOAD_BANDS, PRIOR_BASE_RATIO, PRIOR_BASE_DEVIATION, PRIOR_RATIO_PER_CORE, PRIOR_RATIO_PER_CORE_DEVIATION, SAMPLE_NOISE
+} from '../constants.ts'
+import { InterferenceModel, type Observation } from './InterferenceModel.ts'
+
+type Estimate = { mean: number, variance: number, at: Instant }
+type Term = Readonly<{ estimate: Estimate, amount: number, priorVariance: number }>
+
+/**
+ * A Kalman filter with one variance per estimate: each sample's surprise is shared out over what ran
+ * then, most to what is least known. Doubt grows back with time, so old learning gives way. A pair
+ * not seen yet takes the mean of what the service's other pairs have shown.
+ */
+export class LearntInterference extends InterferenceModel {
+  readonly #bases = new Map<string, Estimate>()
+  readonly #pairs = new Map<string, Estimate>()
+  readonly #pairsOf = new Map<ServiceName, Set<Estimate>>()
+
+  baseRatio (service: ServiceName, load: number): number {
+    const known = this.#bases.get(baseKey(service, load))
+    return known?.mean ?? PRIOR_BASE_RATIO
+  }
+
+  ratioPerCore (service: ServiceName, kind: string, load: number): number {
+    const known = this.#pairs.get(pairKey(service, kind, load))
+    return known?.mean ?? this.#priorOf(service)
+  }
+
+  learn (observation: Observation): void {
+    const terms = this.#termsOf(observation)
+    const noise = SAMPLE_NOISE * Math.max(observation.ratio, PRIOR_BASE_RATIO)
+    let predicted = 0
+    let spread = noise * noise
+    for (const term of terms) {
+      forget(term, observation.measuredAt)
+      predicted += term.estimate.mean * term.amount
+      spread += term.estimate.variance * term.amount * term.amount
+    }
+    const surprise = observation.ratio - predicted
+    for (const { estimate, amount } of terms) {
+      const gain = estimate.variance * amount / spread
+      estimate.mean = Math.max(0, estimate.mean + gain * surprise)
+      estimate.variance *= 1 - gain * amount
+    }
+  }
+
+  #termsOf ({ service, load, neighbours, measuredAt }: Observation): Term[] {
+    const base = this.#baseOf(service, load, measuredAt)
+    const terms: Term[] = [{ estimate: base, amount: 1, priorVariance: PRIOR_BASE_DEVIATION ** 2 }]
+    const coresOf = new Map<string, number>()
+    for (const { kind, cores } of neighbours) coresOf.set(kind, (coresOf.get(kind) ?? 0) + cores)
+    for (const [kind, amount] of coresOf) {
+      const estimate = this.#pairOf(service, kind, load, measuredAt)
+      terms.push({ estimate, amount, priorVariance: PRIOR_RATIO_PER_CORE_DEVIATION ** 2 })
+    }
+    return terms
+  }
+
+  #baseOf (service: ServiceName, load: number, at: Instant): Estimate {
+    const key = baseKey(service, load)
+    const known = this.#bases.get(key) ?? { mean: PRIOR_BASE_RATIO, variance: PRIOR_BASE_DEVIATION ** 2, at }
+    this.#bases.set(key, known)
+    return known
+  }
+
+  #pairOf (service: ServiceName, kind: string, load: number, at: Instant): Estimate {
+    const key = pairKey(service, kind, load)
+    const known = this.#pairs.get(key)
+    if (known !== undefined) return known
+    const fresh = { mean: this.#priorOf(service), variance: PRIOR_RATIO_PER_CORE_DEVIATION ** 2, at }
+    this.#pairs.set(key, fresh)
+    const siblings = this.#pairsOf.get(service) ?? new Set<Estimate>()
+    siblings.add(fresh)
+    this.#pairsOf.set(service, siblings)
+    return fresh
+  }
+
+  // Mean over the service's pairs, each counted by how well it is known, and the fixed prior once.
+  #priorOf (service: ServiceName): number {
+    const priorWeight = 1 / PRIOR_RATIO_PER_CORE_DEVIATION ** 2
+    let sum = PRIOR_RATIO_PER_CORE * priorWeight
+    let weights = priorWeight
+    for (const { mean, variance } of this.#pairsOf.get(service) ?? []) {
+      // Beyond ten times the prior's own weight a pair speaks for itself alone.
+      const weight = Math.min(1 / variance - priorWeight, 10 * priorWeight)
+      if (weight <= 0) continue
+      sum += mean * weight
+      weights += weight
+    }
+    return sum / weights
+  }
+}
+
+const forget = ({ estimate, priorVariance }: Term, at: Instant): void => {
+  const passedMs = Math.max(0, at - estimate.at)
+  estimate.variance = Math.min(priorVariance, estimate.variance + priorVariance * passedMs / FORGET_MS)
+  estimate.at = at
+}
+
+const baseKey = (service: ServiceName, load: number): string =>
+  `${service}/${Math.min(BASE_LOAD_STEPS, Math.floor(load * BASE_LOAD_STEPS))}`
+
+const pairKey = (service: ServiceName, kind: string, load: number): string => `${service}/${bandOf(load)}/${kind}`
+
+const bandOf = (load: number): number => {
+  let band = 0
+  for (const upTo of LOAD_BANDS) {
+    if (load < upTo) break
+    band++
+  }
+  return band
+}
