auburnpin replay: traces against stated outcomes, with baselines and an oracle

Fake VMs with a hidden table of slowdowns, lag and noise drive real cells on a virtual clock; the same trace gives the same summary (tested). First fit was seen to win only because it also packed replicas together away from batch work; the baselines now place replicas as the policy does.

--- a/app/src/commands/commands.ts
+++ b/app/src/commands/commands.ts
@@ -7,6 +7,7 @@
 import type { Command } from './Command.ts'
 import { DemoCommand } from './DemoCommand.ts'
 import { JobsCommand } from './JobsCommand.ts'
+import { ReplayCommand } from './ReplayCommand.ts'
 import { ServeCommand } from './ServeCommand.ts'
 import { StandInCommand } from './StandInCommand.ts'
 import { StatusCommand } from './StatusCommand.ts'
@@ -19,6 +20,7 @@
   new StatusCommand(),
   new JobsCommand(),
   new AuditCommand(),
+  new ReplayCommand(),
   new StandInCommand(),
   new DemoCommand()
 ]
--- /dev/null
+++ b/packages/replay/src/Region.ts
@@ -0,0 +1,84 @@
+/**
+ * The fake VMs of a trace and what happens to them.
+ */
+import { brand, SeededRandom, type CellId, type DataCentre, type RackId, type VmId } from '@auburnpin/common'
+import { VM_LIST_LAG_MS } from './constants.ts'
+import { FakeVm, type VmLedger } from './FakeVm.ts'
+import type { HiddenTable } from './HiddenTable.ts'
+import type { Trace } from './Trace.ts'
+
+/** A data centre's VMs; one cell owns them all. */
+export type RegionCell = Readonly<{ id: CellId, vms: readonly FakeVm[] }>
+
+/** All VMs, by cell and by id. */
+export class Region {
+  readonly cells: readonly RegionCell[]
+  readonly #vms = new Map<VmId, FakeVm>()
+  readonly #lostAt = new Map<VmId, number>()
+  readonly #trace: Trace
+
+  constructor (trace: Trace, table: HiddenTable, ledger: VmLedger) {
+    this.#trace = trace
+    const { seed } = trace.region
+    this.cells = trace.region.dataCentres.map(dataCentre => {
+      const vms: FakeVm[] = []
+      for (let index = 0; index < dataCentre.vms; index++) {
+        const id = brand<VmId>(`${dataCentre.name}-${index + 1}`)
+        const accelerators = index < dataCentre.acceleratorVms ? dataCentre.accelerators : 0
+        const vm = new FakeVm({
+          id,
+          dataCentre: brand<DataCentre>(dataCentre.name),
+          rack: brand<RackId>(`${dataCentre.name}-r${Math.floor(index / dataCentre.vmsPerRack) + 1}`),
+          address: `${id}:1`,
+          resources: { ...dataCentre.resources, accelerators },
+          isLeaving: false
+        }, table, new SeededRandom(seed + this.#vms.size + 1), ledger)
+        vms.push(vm)
+        this.#vms.set(id, vm)
+      }
+      return { id: brand<CellId>(`${dataCentre.name}-0`), vms }
+    })
+  }
+
+  get vms (): Iterable<FakeVm> {
+    return this.#vms.values()
+  }
+
+  get (id: VmId): FakeVm | undefined {
+    return this.#vms.get(id)
+  }
+
+  /** Whether the lagging VM list shows the VM. */
+  isListed (vm: FakeVm, nowMs: number): boolean {
+    const lostAt = this.#lostAt.get(vm.listed.id)
+    return lostAt === undefined || nowMs - lostAt < VM_LIST_LAG_MS
+  }
+
+  /** Loses and brings back racks, makes workers fail and lets them recover. */
+  disturb (nowMs: number): void {
+    for (const { rack, atMs, untilMs } of this.#trace.of('rack-lost')) {
+      for (const vm of this.#vms.values()) {
+        if (vm.listed.rack !== rack) continue
+        if (atMs === nowMs) this.#lose(vm, nowMs)
+        if (untilMs === nowMs) this.#bringBack(vm)
+      }
+    }
+    for (const { vms, atMs, untilMs } of this.#trace.of('workers-fail')) {
+      for (const id of vms) {
+        const vm = this.#vms.get(brand<VmId>(id))
+        if (vm !== undefined && atMs === nowMs) vm.isFailing = true
+        if (vm !== undefined && untilMs === nowMs) vm.isFailing = false
+      }
+    }
+  }
+
+  #lose (vm: FakeVm, nowMs: number): void {
+    vm.lose()
+    this.#lostAt.set(vm.listed.id, nowMs)
+  }
+
+  #bringBack (vm: FakeVm): void {
+    vm.isLost = false
+    this.#lostAt.delete(vm.listed.id)
+  }
+}
--- /dev/null
+++ b/packages/replay/src/checks.ts
@@ -0,0 +1,37 @@
+/**
+ * What a replay checks from outside the cells.
+ */
+import { addResources, NO_RESOURCES, RESOURCE_DIMENSIONS, type Resources, type TaskId, type TeamName } from '@auburnpin/common'
+import type { Configuration, Task } from '@auburnpin/core'
+import type { FakeVm } from './FakeVm.ts'
+
+/** VMs that run more than they have, and tasks that run twice. */
+export const findBreaches = (vms: Iterable<FakeVm>): number => {
+  let breaches = 0
+  const running = new Set<TaskId>()
+  for (const vm of vms) {
+    if (vm.committedProcessors > vm.listed.resources.processors) breaches++
+    for (const id of vm.runningIds) {
+      if (running.has(id)) breaches++
+      running.add(id)
+    }
+  }
+  return breaches
+}
+
+/** Share by which the furthest team is past its quota over the whole region; 0 if none is. */
+export const quotaErrorOf = (tasks: readonly Task[], { teams }: Configuration): number => {
+  const used = new Map<TeamName, Resources>()
+  for (const { spec, placement } of tasks) {
+    if (placement !== undefined) used.set(spec.team, addResources(used.get(spec.team) ?? NO_RESOURCES, spec.resources))
+  }
+  let error = 0
+  for (const [team, resources] of used) {
+    const quota = teams[team]?.value.quota
+    if (quota === undefined) continue
+    for (const dimension of RESOURCE_DIMENSIONS) {
+      if (quota[dimension] > 0) error = Math.max(error, resources[dimension] / quota[dimension] - 1)
+    }
+  }
+  return error
+}
