--- /dev/null
+++ b/packages/core/src/explain/describeReason.ts
@@ -0,0 +1,70 @@
+/**
+ * The one place where a task's typed reason is put into words.
+ */
+import { assertNever, type Resources, type ServiceName, type VmId } from '@auburnpin/common'
+import type { TaskReason } from '../cell/types.ts'
+
+/** Two clauses without full stops: what is the case, and what would change it. */
+export type Wording = Readonly<{ cause: string, change: string }>
+
+/**
+ * Words a reason.
+ *
+ * @example
+ * describeReason({ kind: 'vm-lost', vm }).cause // 'VM vm-007 has left the VM list'
+ */
+export const describeReason = (reason: TaskReason): Wording => {
+  switch (reason.kind) {
+    case 'waiting-for-room':
+      return { cause: 'no VM of its cell has room for it at present', change: 'it starts by itself once other work ends or a VM is added' }
+    case 'waiting-for-workers':
+      return { cause: 'no worker of its cell holds a lease at present', change: 'it starts by itself once a worker answers again; `auburnpin status` shows the cells' }
+    case 'too-large':
+      return { cause: `no VM of its cell is large enough; the largest offer ${describeResources(reason.largest)}`, change: 'submit it with smaller sizes or add a larger VM, upon which it is examined again' }
+    case 'over-quota':
+      return { cause: `team ${reason.team} uses all of its quota of ${describeResources(reason.quota)}`, change: 'it starts by itself once other work of the team ends, or a release note raises the quota' }
+    case 'would-slow':
+      return { cause: `on every VM with room it would slow ${reason.service} past its objective`, change: 'it starts by itself once there is room away from that service, or its load falls' }
+    case 'waiting-for-eviction':
+      return { cause: `other work on VM ${reason.vm} is being stopped for it`, change: 'it starts by itself once that work has surely ended' }
+    case 'placed':
+      return { cause: describePlaced(reason.vm, reason.servicesOnVm), change: 'draining the VM or withdrawing the task moves it' }
+    case 'throttled-for':
+      return { cause: `it is held to ${Math.round(reason.share * 100)} % of its processors for ${reason.service}`, change: 'it speeds up by itself once that service meets its objective' }
+    case 'evicted-for-service':
+      return { cause: `it slowed ${reason.service} on VM ${reason.vm}`, change: 'it resumes by itself from its checkpoint on another VM' }
+    case 'evicted-for':
+      return { cause: `it made room for ${reason.task}`, change: 'it resumes by itself from its checkpoint once there is room' }
+    case 'vm-leaving':
+      return { cause: `VM ${reason.vm} is leaving`, change: 'it resumes by itself on another VM once there is room' }
+    case 'vm-lost':
+      return { cause: `VM ${reason.vm} has left the VM list`, change: 'it resumes by itself on another VM once there is room' }
+    case 'lease-ran-out':
+      return { cause: `the worker's lease on VM ${reason.vm} ran out`, change: 'it resumes by itself on a VM whose lease stands' }
+    case 'attempts-used-up':
+      return { cause: `all its attempts failed, the last with "${reason.last}"`, change: 'correct its command, then submit it under a new key' }
+    case 'withdrawn':
+      return { cause: 'a release note has withdrawn it', change: 'declare it again under a new name to run it' }
+    case 'by-caller':
+      return { cause: 'it was cancelled on request', change: 'submit it under a new key to run it' }
+    default:
+      return assertNever(reason, 'task reason')
+  }
+}
+
+const describePlaced = (vm: VmId, services: readonly ServiceName[]): string => {
+  if (services.length === 0) return `VM ${vm} has room for it and runs no service`
+  return `VM ${vm} has room for it beside ${services.join(', ')}`
+}
+
+/**
+ * Sizes as a person reads them.
+ *
+ * @example
+ * describeResources({ processors: 2, memoryMb: 512, accelerators: 0 }) // '2 cores and 512 MB'
+ */
+export const describeResources = ({ processors, memoryMb, accelerators }: Resources): string => {
+  const cores = `${processors} ${processors === 1 ? 'core' : 'cores'}`
+  if (accelerators === 0) return `${cores} and ${memoryMb} MB`
+  return `${cores}, ${memoryMb} MB and ${accelerators} ${accelerators === 1 ? 'accelerator' : 'accelerators'}`
+}
