--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -5,10 +5,13 @@
   brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
+import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
-import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
+import {
+  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+} from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
 import { GaugeReporter } from './metrics/GaugeReporter.ts'
@@ -37,11 +40,14 @@
   readonly #metrics: Metrics
   readonly #storeClient = new HttpClient(STORE_SOCKETS)
   readonly #workerClient = new HttpClient(WORKER_SOCKETS_PER_WORKER)
+  readonly #gate: StoreGate
+  readonly #store: BudgetedTable
   readonly #table: TableStore
   readonly #peers: WebSocketPeers
   readonly #directory: CellDirectory
   readonly #configuration: ConfigurationFollower
   readonly #endpoints = new EndpointDirectory()
+  readonly #replacedListeners: Array<() => void> = []
   #membership: Membership | undefined
   #scheduler: Scheduler | undefined
   #gauges: GaugeReporter | undefined
@@ -53,7 +59,9 @@
     this.#log = log
     if (settings.metrics !== undefined) this.#statsd = new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
     this.#metrics = new TeeMetrics([this.#recent, this.#statsd ?? new SilentMetrics()])
-    this.#table = new ReliableTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#clock, this.#random, STORE_DEADLINE_MS)
+    this.#gate = new StoreGate(this.#clock, this.#random, this.#metrics)
+    this.#store = new BudgetedTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#gate, callClassOf)
+    this.#table = new ReliableTable(this.#store, this.#clock, this.#random, STORE_DEADLINE_MS)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
     this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys }, this.#clock, this.#random, log.forComponent('peers'))
@@ -69,6 +77,11 @@
     return this.#configuration
   }
 
+  /** Calls `listener` when a later process has taken this member's id; this one must be stopped. */
+  onReplaced (listener: () => void): void {
+    this.#replacedListeners.push(listener)
+  }
+
   /** Opens all listeners, then joins. */
   async start (): Promise<MemberAddresses> {
     const peers = await this.#peers.listen()
@@ -117,7 +130,11 @@
       peerAddress,
       incarnation: this.#random.id(INCARNATION_LENGTH)
     }
-    const membership = new Membership(identity, this.#table, this.#clock, this.#random, this.#log.forComponent('membership'))
+    // A renewal that comes late is worth nothing, so it is given up sooner than other writes.
+    const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
+    const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
+    membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
+    membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
     this.#membership = membership
@@ -148,7 +165,18 @@
     const { listen, operators, roles } = this.#settings
     if (!roles.includes('gateway') || listen.callers === undefined || listen.operators === undefined) return {}
     const shared = { clock: this.#clock, random: this.#random, configuration: this.#configuration, endpoints: this.#endpoints }
-    this.#callers = new CallerServer({ ...shared, log: this.#log.forComponent('callers'), metrics: this.#metrics })
+    const callers = new CallerServer({
+      ...shared,
+      self: membership.identity.member,
+      log: this.#log.forComponent('callers'),
+      metrics: this.#metrics,
+      limits: this.#settings.limits,
+      sessionKeys: () => this.#settings.sessionKeys ?? this.#settings.peerKeys,
+      gateways: () => this.#liveGateways(membership),
+      streams: this.#peers
+    })
+    membership.onPoll(() => callers.refresh())
+    this.#callers = callers
     this.#operators = new OperatorServer({
       ...shared, table: this.#table, peers: this.#peers, membership, directory: this.#directory, cells: scheduler.cells
     }, operators, this.#log.forComponent('operators'))
@@ -158,6 +186,18 @@
     }
   }
 
+  // A gateway without a link can not be asked, whatever its lease says.
+  #liveGateways (membership: Membership): readonly GatewaySeat[] {
+    const { member, dataCentre } = membership.identity
+    const seats: GatewaySeat[] = [{ member, dataCentre }]
+    const reachable = new Set(this.#peers.reachable)
+    for (const row of membership.live) {
+      const isCandidate = row.member !== member && !row.isLeaving && row.roles.includes('gateway')
+      if (isCandidate && reachable.has(row.member)) seats.push({ member: row.member, dataCentre: row.dataCentre })
+    }
+    return seats
+  }
+
   async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
     if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
     if (request.kind === 'read-figures') return { kind: 'figures', figures: this.#recent.read(this.#invariants.total) }
--- a/app/src/commands/commands.ts
+++ b/app/src/commands/commands.ts
@@ -9,6 +9,7 @@
 import { DrainCommand } from './DrainCommand.ts'
 import { ExplainCommand } from './ExplainCommand.ts'
 import { JobsCommand } from './JobsCommand.ts'
+import { ReplayCommand } from './ReplayCommand.ts'
 import { ServeCommand } from './ServeCommand.ts'
 import { StandInCommand } from './StandInCommand.ts'
 import { StatusCommand } from './StatusCommand.ts'
@@ -23,6 +24,7 @@
   new ExplainCommand(),
   new DrainCommand(),
   new AuditCommand(),
+  new ReplayCommand(),
   new StandInCommand(),
   new DemoCommand()
 ]
--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -2,6 +2,7 @@
  * The shape of a settings file, checked with `zod`.
  */
 import { z } from 'zod'
+import { DEFAULT_LIMITS } from '@auburnpin/gateway'
 
 const ADDRESS_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/
 
@@ -14,6 +15,20 @@
 
 const secretSchema = z.string().min(SHORTEST_SECRET, `must have at least ${SHORTEST_SECRET} characters`)
 
+const boundSchema = z.number().int().positive()
+
+/** Bounds of the callers' listener. */
+export const limitsSchema = z.strictObject({
+  maxHeaderBytes: boundSchema.default(DEFAULT_LIMITS.maxHeaderBytes).describe('Largest headers of one request, in bytes.'),
+  maxHeaders: boundSchema.default(DEFAULT_LIMITS.maxHeaders).describe('Most headers of one request.'),
+  maxBodyBytes: boundSchema.default(DEFAULT_LIMITS.maxBodyBytes).describe('Largest body of one request, in bytes.'),
+  maxQueued: boundSchema.default(DEFAULT_LIMITS.maxQueued).describe('Most requests that wait for a slot of one service.'),
+  headersMs: boundSchema.default(DEFAULT_LIMITS.headersMs).describe('Longest time for a caller to send its headers, in milliseconds.'),
+  callerIdleMs: boundSchema.default(DEFAULT_LIMITS.callerIdleMs).describe('Longest silence of a caller within a request, in milliseconds.'),
+  endpointIdleMs: boundSchema.default(DEFAULT_LIMITS.endpointIdleMs).describe('Longest silence of an endpoint that works on a request, in milliseconds.'),
+  connectMs: boundSchema.default(DEFAULT_LIMITS.connectMs).describe('Longest time to connect to an endpoint, in milliseconds.')
+})
+
 /** The settings of one process. */
 export const settingsSchema = z.strictObject({
   member: nameSchema.describe('Id of this process, unique in the region.'),
@@ -33,6 +48,10 @@
     id: z.string().min(1).describe('Name of the key.'),
     secret: secretSchema.describe('The key; the same in every process.')
   })).min(1).describe('Keys that members prove to each other; the first is used, all are accepted.'),
+  sessionKeys: z.array(z.strictObject({
+    id: z.string().min(1).describe('Name of the key.'),
+    secret: secretSchema.describe('The key; the same in every process.')
+  })).min(1).optional().describe('Keys that sign session tokens, the same in every process; the first signs, all are accepted. Without them the peer keys are used.'),
   operators: z.array(z.strictObject({
     operator: z.string().min(1).describe('Name for the audit trail.'),
     token: secretSchema.describe('Sent as a bearer token.')
@@ -42,6 +61,7 @@
     objects: addressSchema.describe('Object store.'),
     vmList: addressSchema.describe('VM list.')
   }),
+  limits: limitsSchema.default(DEFAULT_LIMITS).describe('Bounds of what callers may send.'),
   log: z.strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error']).describe('Least important records that are written.')
   }).default({ level: 'info' }).describe('JSON lines on standard error.'),
