--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -17,8 +17,8 @@
 /** The one table of metrics, by name without the prefix `auburnpin.`. */
 export const METRICS = define({
   'requests.answered': { type: 'count', unit: 'requests', tags: ['service'], meaning: 'Requests whose answer came from an endpoint.', worry: 'Falls while callers still come.' },
-  'requests.refused': { type: 'count', unit: 'requests', tags: ['service'], meaning: 'Requests refused before they ran, each told as not-run.', worry: 'Above 1 % of answered for five minutes.' },
-  'requests.duration': { type: 'timing', unit: 'milliseconds', tags: ['service'], meaning: 'From a request\'s arrival to the end of its answer; the tail latency of the service.', worry: '99th percentile above the service\'s objectiveMs.' },
+  'requests.refused': { type: 'count', unit: 'requests', tags: ['service'], meaning: 'Requests that no endpoint answered, told as not-run or unknown.', worry: 'Above 1 % of answered for five minutes.' },
+  'requests.duration': { type: 'timing', unit: 'milliseconds', tags: ['service'], meaning: 'From the arrival of a request to the end of its answer, of those answered; the tail latency of the service.', worry: '99th percentile above the service\'s objectiveMs.' },
   'tasks.started': { type: 'count', unit: 'attempts', tags: ['cell'], meaning: 'Attempts that were assigned to a VM.', worry: 'Far above tasks.finished: attempts fail or are moved.' },
   'tasks.finished': { type: 'count', unit: 'tasks', tags: ['cell'], meaning: 'Tasks that finished; the batch throughput.', worry: 'Zero while the queue is not empty.' },
   'tasks.evicted': { type: 'count', unit: 'attempts', tags: ['cell', 'reason'], meaning: 'Attempts stopped to run again elsewhere, by reason.', worry: 'Steady evictions on the same cell.' },
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -110,7 +110,6 @@
   async #handle (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     if (incoming.url === HEALTH_PATH) return this.#answerHealth(outgoing)
     const requestId = brand<RequestId>(this.#ports.random.id(REQUEST_ID_LENGTH))
-    const startedAt = this.#ports.clock.now()
     this.#inProgress++
     outgoing.once('close', () => { this.#inProgress-- })
     if (this.#isLeaving) outgoing.setHeader('connection', 'close')
@@ -120,7 +119,6 @@
       this.#ports.log.error(String(thrown), { requestId })
       outgoing.destroy()
     }
-    this.#ports.metrics.timing('requests.duration', this.#ports.clock.now() - startedAt)
   }
 
   #answerHealth (outgoing: ServerResponse): void {
@@ -130,7 +128,7 @@
   }
 
   async #serve (incoming: IncomingMessage, outgoing: ServerResponse, requestId: RequestId): Promise<void> {
-    const { configuration, limits, metrics } = this.#ports
+    const { clock, configuration, limits, metrics } = this.#ports
     const checked = checkRequest(incoming, requestId, { configuration: configuration.current, limits, tokens: this.#tokens })
     if (checked.err) {
       // What is left of the body is not waited for.
@@ -141,9 +139,13 @@
     }
     const { head, service } = checked.val
     const exchange = new HttpExchange(head, incoming, outgoing, limits.maxBodyBytes, this.#tokens)
+    const startedAt = clock.now()
     const isAnswered = await this.#runner.run(exchange, service)
-    metrics.count(isAnswered ? 'requests.answered' : 'requests.refused')
-    if (isAnswered) this.#answered++
+    const tags = { service: head.service }
+    metrics.count(isAnswered ? 'requests.answered' : 'requests.refused', 1, tags)
+    if (!isAnswered) return
+    metrics.timing('requests.duration', clock.now() - startedAt, tags)
+    this.#answered++
   }
 
   // What Node's parser refuses has no request object, so the answer is written to the socket.
