--- a/app/src/commands/StandInCommand.ts
+++ b/app/src/commands/StandInCommand.ts
@@ -2,7 +2,7 @@
  * `auburnpin stand-in`: runs a region of stand-ins for trying things out.
  */
 import type { Argv } from 'yargs'
-import { StandInRegion } from '@auburnpin/stand-in'
+import { StandInControl, StandInRegion } from '@auburnpin/stand-in'
 import { EXIT_DONE } from '../exitCodes.ts'
 import { Command, type CommandOptions } from './Command.ts'
 import { printLine } from './output.ts'
@@ -17,10 +17,15 @@
   describe (argv: Argv): Argv {
     return argv
       .option('port', { type: 'number', default: 9000, describe: 'Port of the platform' })
+      .option('control-port', { type: 'number', default: 9001, describe: 'Port on which faults are switched on' })
       .option('data-centres', { type: 'string', default: 'colombo,negombo,kalutara', describe: 'Names, separated by commas' })
-      .option('workers', { type: 'number', default: 33 })
-      .option('workers-per-rack', { type: 'number', default: 8 })
+      .option('workers', { type: 'number', default: 33, describe: 'Workers in all' })
+      .option('workers-per-rack', { type: 'number', default: 8, describe: 'Workers in each rack' })
       .option('processors', { type: 'number', default: 32, describe: 'Cores of each worker' })
+      .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
+      .example('$0 stand-in', 'The Lanka region')
+      .example('$0 stand-in --data-centres derby,nottingham,leicester,burton --workers 32 --workers-per-rack 6 --processors 64', 'The Trentside region')
+      .epilogue('Faults, for trying out: PUT /store {"kind":"down"} or {"kind":"none"}, PUT /vms/vm-007 {"state":"gone"}, "leaving", "silent" or "live", at the control port.')
   }
 
   async run (options: CommandOptions): Promise<number> {
@@ -32,11 +37,15 @@
       room: { processors, memoryMb: processors * MEGABYTES_PER_CORE, accelerators: 0 }
     })
     const address = await region.start(Number(options.port))
-    printLine(`Stand-in platform at ${address} with ${region.workers.size} workers; end it with Ctrl-C.`)
+    const control = new StandInControl(region)
+    const controlAddress = await control.listen(Number(options.controlPort))
+    if (options.json === true) printLine(JSON.stringify({ platform: address, control: controlAddress, workers: region.workers.size }))
+    else printLine(`Stand-in platform at ${address} with ${region.workers.size} workers, faults at ${controlAddress}; end it with Ctrl-C.`)
     await new Promise<void>(resolve => {
       process.once('SIGTERM', () => resolve())
       process.once('SIGINT', () => resolve())
     })
+    await control.close()
     await region.stop()
     return EXIT_DONE
   }
--- a/app/tests/commands.test.ts
+++ b/app/tests/commands.test.ts
@@ -52,7 +52,7 @@
 
 test.before(async t => {
   const folder = mkdtempSync(join(tmpdir(), 'auburnpin-'))
-  const standIn = new Program('stand-in', '--port', '0', '--workers', '2', '--workers-per-rack', '1', '--data-centres', 'derby,burton')
+  const standIn = new Program('stand-in', '--port', '0', '--control-port', '0', '--workers', '2', '--workers-per-rack', '1', '--data-centres', 'derby,burton')
   const file = join(folder, 'settings.yaml')
   writeFileSync(file, stringify(settingsOf(await standIn.find(/platform at (\S+)/))))
   const member = new Program('serve', '--settings', file)
--- a/app/tests/wholePath.test.ts
+++ b/app/tests/wholePath.test.ts
@@ -29,7 +29,7 @@
 
 test('as separate processes: a note is applied, a caller answered, a task finished, and SIGTERM exits 0', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'auburnpin-'))
-  const standIn = new Program('stand-in', '--port', '0', '--workers', '2', '--data-centres', 'colombo')
+  const standIn = new Program('stand-in', '--port', '0', '--control-port', '0', '--workers', '2', '--data-centres', 'colombo')
   const platform = await standIn.find(/platform at (\S+)/)
   const file = join(folder, 'settings.yaml')
   writeFileSync(file, stringify(settingsOf('entry-1', platform)))
