--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -36,3 +36,5 @@
 export const HOLD_WEIGHT = 0.05
 /** Time between two looks for slots that come free by themselves, in milliseconds. */
 export const POOL_LOOK_MS = 25
+/** Longest wait for the owner of a cell to confirm an operation, in milliseconds. */
+export const OWNER_DEADLINE_MS = 10_000
--- a/packages/platform/src/HttpClient.ts
+++ b/packages/platform/src/HttpClient.ts
@@ -29,7 +29,7 @@
   }
 
   /**
-   * Sends one call. `unreachable`: no byte left, surely without effect; `unknown-outcome`: it may have taken effect.
+   * Sends one call. `unreachable`: surely without effect, as no byte left or as it was a reading; `unknown-outcome`: it may have taken effect.
    *
    * @example
    * const answer = await client.send({ address: '127.0.0.1:9000', method: 'GET', path: '/vms', timeoutMs: 1_000 })
@@ -81,6 +81,7 @@
 
 const describeFailure = (call: HttpCall, error: Error, isConnected: boolean): AuburnpinError => {
   const what = `${call.method} ${call.path} at ${call.address}: ${error.message}`
+  if (call.method === 'GET') return new AuburnpinError('unreachable', what, 'Nothing was changed; check that the service runs, then ask again.', { cause: error })
   if (isConnected) return new AuburnpinError('unknown-outcome', what, 'Read back before you repeat it.', { cause: error })
   return new AuburnpinError('unreachable', what, 'Check that the address is right and that the service runs.', { cause: error })
 }
