Workers' reports are asked for conditionally

Weighed: longer intervals (ends are noticed later, room stands idle); differences since a revision (a new part of the workers' contract); HTTP's own conditional GET (workers without it answer as before). The last was taken. Change: HttpWorker sends If-None-Match and keeps the last report; the stand-in gives entity tags.

--- a/packages/platform/src/HttpClient.ts
+++ b/packages/platform/src/HttpClient.ts
@@ -15,8 +15,8 @@
   timeoutMs: number
 }>
 
-/** Status and whole body of an answer. */
-export type HttpAnswer = Readonly<{ status: number, body: Buffer }>
+/** Status and whole body of an answer, with the entity tag if the service gives one. */
+export type HttpAnswer = Readonly<{ status: number, body: Buffer, etag?: string }>
 
 const IDLE_SOCKET_MS = 4_000
 
@@ -55,7 +55,7 @@
         incoming.on('error', fail)
         incoming.on('end', () => {
           clearTimeout(timer)
-          resolve(Ok({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks) }))
+          resolve(Ok({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks), etag: incoming.headers.etag }))
         })
       })
       const timer = setTimeout(() => outgoing.destroy(new Error(`No answer within ${call.timeoutMs} ms`)), call.timeoutMs)
--- a/packages/platform/src/HttpWorker.ts
+++ b/packages/platform/src/HttpWorker.ts
@@ -1,19 +1,25 @@
 /**
  * A worker over HTTP and JSON.
  */
-import { Err, type AuburnpinError, type Result } from '@auburnpin/common'
+import { Err, Ok, type AuburnpinError, type Result } from '@auburnpin/common'
 import { WORKER_TIMEOUT_MS } from './constants.ts'
 import type { HttpCall, HttpClient } from './HttpClient.ts'
 import { isConflict, isSuccess, parseJsonAnswer, unexpectedStatus } from './jsonAnswer.ts'
 import type { TaskStart, UsageSample, WorkerAnswer, WorkerLease, WorkerReport, WorkerTask } from './types.ts'
 import { Worker, Workers, type AttemptAddress } from './Worker.ts'
 
+/** The last report and its entity tag; most reports say the same again. */
+type KnownReport = Readonly<{ etag: string, report: WorkerReport }>
+
+const HTTP_NOT_MODIFIED = 304
+
 type Refusal = Omit<Extract<WorkerAnswer<unknown>, { kind: 'refused' }>, 'kind'>
 
 /** Speaks the worker's contract at one address. */
 export class HttpWorker extends Worker {
   readonly #client: HttpClient
   readonly #address: string
+  #known: KnownReport | undefined
 
   constructor (client: HttpClient, address: string) {
     super()
@@ -45,8 +51,17 @@
     return this.#ask('POST', pathOf(address, 'acknowledge'), address)
   }
 
-  report (): Promise<Result<WorkerReport, AuburnpinError>> {
-    return this.#read('/tasks')
+  async report (): Promise<Result<WorkerReport, AuburnpinError>> {
+    const known = this.#known
+    const headers = known === undefined ? undefined : { 'if-none-match': known.etag }
+    const answer = await this.#client.send({ address: this.#address, method: 'GET', path: '/tasks', headers, timeoutMs: WORKER_TIMEOUT_MS })
+    if (answer.err) return answer
+    if (answer.val.status === HTTP_NOT_MODIFIED && known !== undefined) return Ok(known.report)
+    if (!isSuccess(answer.val)) return Err(unexpectedStatus(answer.val, 'The worker'))
+    const report = parseJsonAnswer<WorkerReport>(answer.val, 'The worker')
+    const { etag } = answer.val
+    this.#known = report.ok && etag !== undefined ? { etag, report: report.val } : undefined
+    return report
   }
 
   async usage (since: number): Promise<Result<readonly UsageSample[], AuburnpinError>> {
--- a/packages/standIn/src/JsonServer.ts
+++ b/packages/standIn/src/JsonServer.ts
@@ -1,6 +1,7 @@
 /**
  * A small HTTP server of JSON messages on loopback.
  */
+import { createHash } from 'node:crypto'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 
@@ -64,6 +65,11 @@
     return
   }
   const body = Buffer.isBuffer(answer.body) ? answer.body : Buffer.from(answer.body === null ? '' : JSON.stringify(answer.body))
-  outgoing.writeHead(answer.status, { 'content-length': body.length })
+  const etag = `"${createHash('sha1').update(body).digest('base64url')}"`
+  if (incoming.method === 'GET' && incoming.headers['if-none-match'] === etag) {
+    outgoing.writeHead(304, { etag }).end()
+    return
+  }
+  outgoing.writeHead(answer.status, { 'content-length': body.length, etag })
   outgoing.end(body)
 }
