--- a/packages/cluster/src/PeerConnection.ts
+++ b/packages/cluster/src/PeerConnection.ts
@@ -7,6 +7,7 @@
 import { packFrame, unpackFrame, type PeerFrame } from './PeerFrame.ts'
 import type { PeerStream } from './PeerStream.ts'
 import { PeerStreams } from './PeerStreams.ts'
+import type { StreamHandler } from './StreamPeers.ts'
 import type { PeerReply, PeerRequest } from './types.ts'
 
 type Pending = Readonly<{ resolve: (result: Result<PeerReply, AuburnpinError>) => void, timer: Timer }>
@@ -15,7 +16,7 @@
 export type ConnectionHandlers = Readonly<{
   onRequest: (request: PeerRequest, from: MemberId) => Promise<PeerReply>
   onNotice: (frame: Extract<PeerFrame, { kind: 'notice' }>, from: MemberId) => void
-  onStream: (head: unknown, stream: PeerStream, from: MemberId) => void
+  onStream: StreamHandler
   onClose: (connection: PeerConnection) => void
 }>
 
@@ -36,7 +37,7 @@
     this.#member = member
     this.#clock = clock
     this.#handlers = handlers
-    this.#streams = new PeerStreams(frame => this.send(frame), (head, stream) => handlers.onStream(head, stream, member))
+    this.#streams = new PeerStreams(frame => this.send(frame), (head, stream, confirmed) => handlers.onStream(head, stream, confirmed, member))
     this.#lastHeard = clock.now()
     this.#heartbeat = clock.after(PEER_HEARTBEAT_MS, () => this.#beat())
     socket.on('message', (data: Buffer) => this.#receive(data))
--- a/packages/cluster/src/PeerStream.ts
+++ b/packages/cluster/src/PeerStream.ts
@@ -12,6 +12,8 @@
   | Readonly<{ kind: 'credit', bytes: number }>
   | Readonly<{ kind: 'end' }>
   | Readonly<{ kind: 'reset', reason: string }>
+  /** The other side's last part has come; nothing more is sent. */
+  | Readonly<{ kind: 'done' }>
 
 type Acknowledge = (error?: Error | null) => void
 
@@ -84,7 +86,7 @@
 
   override _destroy (error: Error | null, acknowledge: Acknowledge): void {
     const isDone = this.#isPeerDone && this.writableFinished
-    if (!isDone) this.#sendPart({ kind: 'reset', reason: error?.message ?? 'The stream was given up' })
+    this.#sendPart(isDone ? { kind: 'done' } : { kind: 'reset', reason: error?.message ?? 'The stream was given up' })
     acknowledge(error)
   }
 
--- a/packages/cluster/src/StreamPeers.ts
+++ b/packages/cluster/src/StreamPeers.ts
@@ -3,9 +3,10 @@
  */
 import type { AuburnpinError, MemberId, Result } from '@auburnpin/common'
 import type { PeerStream } from './PeerStream.ts'
+import type { OpenHandler } from './PeerStreams.ts'
 
 /** Takes in a stream that another member has opened. */
-export type StreamHandler = (head: unknown, stream: PeerStream, from: MemberId) => void
+export type StreamHandler = (...opened: [...Parameters<OpenHandler>, from: MemberId]) => void
 
 /** Opens streams to members by id. */
 export abstract class StreamPeers {
--- a/packages/cluster/src/WebSocketPeers.ts
+++ b/packages/cluster/src/WebSocketPeers.ts
@@ -170,7 +170,7 @@
       onNotice: (frame, from) => {
         for (const handler of this.#noticeHandlers) handler(frame.notice, from)
       },
-      onStream: (head, stream, from) => this.#handleStream(head, stream, from),
+      onStream: (...opened) => this.#handleStream(...opened),
       onClose
     }
   }
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -2,13 +2,14 @@
  * The listener for callers: `/SERVICE/path` goes to an endpoint of the service.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import { Server as TcpServer, type AddressInfo, type Socket } from 'node:net'
 import { brand, type Clock, type Log, type MemberId, type Metrics, type Random, type RequestId } from '@auburnpin/common'
 import type { GatewaySeat } from '@auburnpin/core'
 import type { ConfigurationFollower, EndpointDirectory, StreamPeers } from '@auburnpin/cluster'
 import { checkRequest, refuse } from './checkRequest.ts'
 import { CLOSING_LOOK_MS } from './constants.ts'
 import { HttpExchange } from './HttpExchange.ts'
+import { IdleSockets } from './IdleSockets.ts'
 import type { GatewayLimits } from './limits.ts'
 import { RequestRunner } from './RequestRunner.ts'
 import { SessionTokens, type SessionKey } from './SessionTokens.ts'
@@ -42,6 +43,8 @@
   readonly #tokens: SessionTokens
   readonly #runner: RequestRunner
   readonly #sockets = new Set<Socket>()
+  /** Connections with a request in progress. */
+  readonly #serving = new Set<Socket>()
   #isLeaving = false
   #inProgress = 0
   #answered = 0
@@ -53,6 +56,11 @@
     this.#server = this.#createServer()
   }
 
+  /** Requests that have not ended, those of other gateways included. */
+  get inProgress (): number {
+    return Math.max(this.#inProgress, this.#runner.inProgress)
+  }
+
   /** Requests answered by an endpoint. */
   get answered (): number {
     return this.#answered
@@ -77,14 +85,21 @@
 
   /** Takes no new connections and resolves once the requests in progress have ended, other gateways' included. */
   async close (): Promise<void> {
-    const closed = new Promise<void>(resolve => { this.#server.close(() => resolve()) })
-    while (this.#inProgress > 0 || this.#runner.inProgress > 0) await this.#ports.clock.sleep(CLOSING_LOOK_MS)
-    this.#server.closeIdleConnections()
-    this.#closeUnused()
+    const closed = this.#closeListener()
+    const idle = new IdleSockets(this.#sockets)
+    while (this.inProgress > 0 || this.#sockets.size > 0) {
+      await this.#ports.clock.sleep(CLOSING_LOOK_MS)
+      idle.closeQuiet(this.#serving)
+    }
     await closed
     this.#runner.close()
   }
 
+  // Node's own close cuts idle connections at once, and with them requests that are just coming in.
+  #closeListener (): Promise<void> {
+    return new Promise(resolve => { TcpServer.prototype.close.call(this.#server, () => resolve()) })
+  }
+
   #createServer (): Server {
     const { limits } = this.#ports
     const options = { maxHeaderSize: limits.maxHeaderBytes, headersTimeout: limits.headersMs, requestTimeout: 0 }
@@ -100,19 +115,17 @@
     return server
   }
 
-  // Node takes a connection that never carried a request for a busy one.
-  #closeUnused (): void {
-    for (const socket of this.#sockets) {
-      if (socket.bytesRead === 0) socket.destroy()
-    }
-  }
-
   async #handle (incoming: IncomingMessage, outgoing: ServerResponse): Promise<void> {
     if (incoming.url === HEALTH_PATH) return this.#answerHealth(outgoing)
     const requestId = brand<RequestId>(this.#ports.random.id(REQUEST_ID_LENGTH))
     const startedAt = this.#ports.clock.now()
+    const { socket } = incoming
     this.#inProgress++
-    outgoing.once('close', () => { this.#inProgress-- })
+    this.#serving.add(socket)
+    outgoing.once('close', () => {
+      this.#inProgress--
+      this.#serving.delete(socket)
+    })
     if (this.#isLeaving) outgoing.setHeader('connection', 'close')
     try {
       await this.#serve(incoming, outgoing, requestId)
--- a/packages/gateway/src/RequestRunner.ts
+++ b/packages/gateway/src/RequestRunner.ts
@@ -45,7 +45,7 @@
   constructor (ports: RunnerPorts) {
     this.#ports = ports
     ports.endpoints.onChange(() => this.refresh())
-    ports.streams?.onStream((head, stream) => { void this.#serveStream(head as ForwardOpening, stream) })
+    ports.streams?.onStream((head, stream, confirmed) => { void this.#serveStream(head as ForwardOpening, stream, confirmed) })
   }
 
   /** Requests that have not ended, those of other gateways included. */
@@ -88,6 +88,8 @@
       const isIdempotent = service.idempotentMethods.includes(exchange.head.method)
       const failed = { tries, isNotRun, isRefused, isIdempotent, isReplayable: exchange.body.isReplayable, isBegun: exchange.isBegun }
       if (cause === 'admission' || cause === 'caller' || !isRetryAllowed(failed, retries)) return result
+      // Who owned the slots is gone, and its endpoints may be this gateway's now.
+      if (cause === 'peer') this.refresh()
       // A refusal marks the endpoint, so the next one differs; the time to wait for a slot bounds them.
       if (!isRefused) tries++
       if (isRefused && clock.now() >= deadline) return result
@@ -158,7 +160,7 @@
   }
 
   // One try for another gateway, which alone decides on retries.
-  async #serveStream (opening: ForwardOpening, stream: PeerStream): Promise<void> {
+  async #serveStream (opening: ForwardOpening, stream: PeerStream, confirmed: Promise<void>): Promise<void> {
     const { head, tried, waitMs } = opening
     const router = this.#routerOf(head.service)
     const exchange = new PeerExchange(head, stream, this.#ports.limits.maxBodyBytes, () => router.freeSlots)
@@ -169,6 +171,7 @@
       if (slot.ok) exchange.ready(slot.val.endpoint.id)
       const result = slot.err ? slot : await this.#useSlot(journey, slot.val)
       if (result.err) exchange.fail(result.val)
+      await confirmed
     } finally {
       this.#inProgress--
     }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -32,6 +32,8 @@
 export const SOCKETS_PER_ENDPOINT = 8
 /** Time between two looks for requests in progress while closing, in milliseconds. */
 export const CLOSING_LOOK_MS = 20
+/** Looks at which a connection must have been quiet before a closing gateway cuts it. */
+export const QUIET_LOOKS = 10
 /** Weight of the last request in the running mean of how long a slot is held. */
 export const HOLD_WEIGHT = 0.05
 /** Time between two looks for slots that come free by themselves, in milliseconds. */
--- /dev/null
+++ b/packages/gateway/tests/manyGateways.test.ts
@@ -0,0 +1,206 @@
+import { Agent } from 'node:http'
+import test, { type ExecutionContext } from 'ava'
+import { call, open, until, type Answer } from './support/call.ts'
+import { GatewayRig, type RigGateway, type RigOptions } from './support/GatewayRig.ts'
+
+const startRig = async (t: ExecutionContext, gateways: number, options: RigOptions = {}): Promise<GatewayRig> => {
+  const rig = await new GatewayRig(options).start(gateways)
+  t.teardown(() => rig.stop())
+  await until(() => rig.isLinked)
+  rig.refresh()
+  return rig
+}
+
+const pathOf = (answer: Answer): string => (JSON.parse(answer.body) as { path: string }).path
+
+const at = (rig: GatewayRig, index: number): RigGateway => rig.gateways[index % rig.gateways.length] as RigGateway
+
+/** Sends orders over all gateways, a bounded number at a time, with `during` somewhere in the middle. */
+const sendOrders = async (t: ExecutionContext, rig: GatewayRig, count: number, during: () => Promise<void> | void): Promise<Answer[]> => {
+  const agent = new Agent({ keepAlive: true, maxSockets: 200 })
+  t.teardown(() => agent.destroy())
+  const answers: Answer[] = []
+  let next = 0
+  const send = async (): Promise<void> => {
+    while (next < count) {
+      const index = next++
+      answers[index] = await call(at(rig, index).address, `/stockline/${index}`, { method: 'POST', body: `order ${index}`, agent })
+    }
+  }
+  const acting = (async () => {
+    await until(() => next > count / 4)
+    await during()
+  })()
+  await Promise.all([acting, ...Array.from({ length: 48 }, send)])
+  return answers
+}
+
+const checkTruth = (t: ExecutionContext, rig: GatewayRig, answers: readonly Answer[]): void => {
+  const runs = new Map<string, number>()
+  for (const { path } of rig.runs) runs.set(path, (runs.get(path) ?? 0) + 1)
+  for (const [index, answer] of answers.entries()) {
+    const times = runs.get(`/${index}`) ?? 0
+    t.true(times <= 1, `order ${index} ran ${times} times`)
+    if (answer.status === 200) t.is(pathOf(answer), `/${index}`)
+    if (answer.headers['auburnpin-outcome'] === 'not-run') t.is(times, 0, `order ${index} was told as not run`)
+  }
+}
+
+const checkLimits = (t: ExecutionContext, rig: GatewayRig): void => {
+  for (const endpoint of rig.endpoints) {
+    t.true(endpoint.mostBusy <= 8)
+    t.true(endpoint.mostConnections <= 64)
+  }
+}
+
+test('nine gateways never ask an endpoint for more than its slots', async t => {
+  const rig = await startRig(t, 9, { endpoints: 5, serviceMs: 3 })
+  const answers = await sendOrders(t, rig, 1_200, () => {})
+  t.true(answers.every(answer => answer.status === 200))
+  checkTruth(t, rig, answers)
+  checkLimits(t, rig)
+  t.is(rig.endpoints.reduce((sum, endpoint) => sum + endpoint.refusals, 0), 0)
+})
+
+test('while ownership moves, limits hold and every order runs once', async t => {
+  const rig = await startRig(t, 9, { endpoints: 5, serviceMs: 3 })
+  const answers = await sendOrders(t, rig, 1_200, async () => {
+    for (const gateway of rig.gateways.slice(0, 5)) {
+      rig.exclude(gateway)
+      await new Promise(resolve => setTimeout(resolve, 10))
+    }
+  })
+  t.true(answers.every(answer => answer.status === 200))
+  t.is(rig.runs.length, 1_200)
+  checkTruth(t, rig, answers)
+  checkLimits(t, rig)
+})
+
+test('a gateway without endpoints of its own forwards: large bodies go both ways whole', async t => {
+  const rig = await startRig(t, 3, { endpoints: 1 })
+  const body = Buffer.alloc(3_000_000, 'c')
+  for (const { address } of rig.gateways) {
+    const sent = await call(address, '/stockline/in', { method: 'POST', body })
+    t.is((JSON.parse(sent.body) as { bytes: number }).bytes, body.length)
+    const got = await call(address, '/stockline/out?bytes=3000000')
+    t.true(got.isWhole)
+    t.is(got.body.length, 3_000_000)
+  }
+})
+
+test('an answer that breaks off behind another gateway never looks whole', async t => {
+  const rig = await startRig(t, 3, { endpoints: 1 })
+  for (const fault of ['cut-answer', 'cut-chunks'] as const) {
+    rig.endpoints[0]?.setFault(fault)
+    for (const { address } of rig.gateways) {
+      const answer = await call(address, '/stockline/')
+      t.false(answer.isWhole && answer.status === 200)
+    }
+  }
+  t.is(rig.runs.length, 6)
+})
+
+test('a slow caller holds the endpoint back through two gateways, in bounded memory', async t => {
+  const rig = await startRig(t, 2, { endpoints: 1, slots: 2 })
+  const total = 96 * 1024 * 1024
+  const readers = await Promise.all(rig.gateways.map(({ address }) => open(address, `/stockline/?bytes=${total}`)))
+  await until(() => rig.endpoints[0]?.isHeldBack === true)
+  t.true((rig.endpoints[0]?.bytesAnswered ?? 0) < total)
+  for (const reader of readers) {
+    let received = 0
+    for await (const chunk of reader) received += (chunk as Buffer).length
+    t.is(received, total)
+  }
+})
+
+test('the owner of the slots dies while an endpoint works: the order is told as unknown and runs once', async t => {
+  const rig = await startRig(t, 3, { endpoints: 1, serviceMs: 300 })
+  const [owner, other] = rig.ownerAndOther(0)
+  const sending = call(other.address, '/stockline/order', { method: 'POST', body: 'order' })
+  await until(() => rig.runs.length === 1)
+  await owner.peers.close()
+  const answer = await sending
+  t.is(answer.status, 502)
+  t.is(answer.headers['auburnpin-outcome'], 'unknown')
+  t.is(rig.runs.length, 1)
+})
+
+test('the owner dies while an endpoint works: a check is answered through the next owner', async t => {
+  const rig = await startRig(t, 3, { endpoints: 1, serviceMs: 300 })
+  const [owner, other] = rig.ownerAndOther(0)
+  const sending = call(other.address, '/stockline/check')
+  await until(() => rig.endpoints[0]?.busy === 1)
+  await owner.peers.close()
+  rig.refresh()
+  t.is((await sending).status, 200)
+})
+
+test('the owner dies while an order waits for a slot: it surely was not run, so it goes to the next owner', async t => {
+  const rig = await startRig(t, 2, { endpoints: 1, slots: 1, serviceMs: 300 })
+  const [owner, other] = rig.ownerAndOther(0)
+  const holder = call(owner.address, '/stockline/holder')
+  await until(() => rig.endpoints[0]?.busy === 1)
+  const waiting = call(other.address, '/stockline/order', { method: 'POST', body: 'order' })
+  await until(() => owner.server.inProgress === 2)
+  await owner.peers.close()
+  rig.refresh()
+  t.is((await waiting).status, 200)
+  await holder
+  t.is(rig.runs.filter(run => run.method === 'POST').length, 1)
+})
+
+test('an owner that stops waits until the other gateway has all of its answer', async t => {
+  const rig = await startRig(t, 2, { endpoints: 1 })
+  const [owner, other] = rig.ownerAndOther(0)
+  const total = 32 * 1024 * 1024
+  const stream = await open(other.address, `/stockline/?bytes=${total}`)
+  await until(() => rig.endpoints[0]?.isHeldBack === true)
+  rig.exclude(owner)
+  const removed = rig.remove(owner)
+  let received = 0
+  for await (const chunk of stream) received += (chunk as Buffer).length
+  t.is(received, total)
+  await removed
+})
+
+test('gateways replaced one after another under load lose no order and no session', async t => {
+  const rig = await startRig(t, 3, { endpoints: 4, serviceMs: 3 })
+  const opening = await call(at(rig, 0).address, '/stockline/session', { headers: { 'auburnpin-session': 'new' } })
+  const token = opening.headers['auburnpin-session'] as string
+  const answers = await sendOrders(t, rig, 1_500, async () => {
+    for (const gateway of rig.gateways.slice(0, 3)) {
+      await rig.addGateway()
+      await until(() => rig.isLinked)
+      rig.refresh()
+      gateway.server.leave()
+      rig.exclude(gateway)
+      rig.takeOff(gateway)
+      // The answer on a connection that was opened last shows that all earlier ones have been taken in.
+      t.is((await call(gateway.address, '/.auburnpin/health')).status, 503)
+      await rig.remove(gateway)
+    }
+  })
+  t.deepEqual(answers.filter(answer => answer.status !== 200).map(({ status, body }) => ({ status, body })), [])
+  t.is(rig.runs.filter(run => run.method === 'POST').length, 1_500)
+  checkTruth(t, rig, answers)
+  checkLimits(t, rig)
+  const home = rig.endpoints.find(endpoint => endpoint.runs.some(run => run.path === '/session'))
+  for (const { address } of rig.gateways) t.is((await call(address, '/stockline/session', { headers: { 'auburnpin-session': token } })).status, 200)
+  t.is(home?.runs.filter(run => run.path === '/session').length, 4)
+})
+
+test('a gateway told to stop with a stream open ends it whole before it closes', async t => {
+  const rig = await startRig(t, 2, { endpoints: 2 })
+  const total = 32 * 1024 * 1024
+  const gateway = rig.gateways[0] as RigGateway
+  const stream = await open(gateway.address, `/stockline/?bytes=${total}`)
+  gateway.server.leave()
+  t.is((await call(gateway.address, '/.auburnpin/health')).status, 503)
+  rig.exclude(gateway)
+  const removed = rig.remove(gateway)
+  let received = 0
+  for await (const chunk of stream) received += (chunk as Buffer).length
+  t.is(received, total)
+  t.true(stream.complete)
+  await removed
+})
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -5,7 +5,7 @@
   brand, SeededRandom, SilentLog, SilentMetrics, SystemClock, type CellId, type ConfigVersion, type DataCentre, type EndpointId, type Epoch,
   type MemberId, type NoteId, type ServiceName, type TeamName, type VmId
 } from '@auburnpin/common'
-import { EMPTY_CONFIGURATION, serviceSchema, type Configuration, type Endpoint, type GatewaySeat, type Service } from '@auburnpin/core'
+import { EMPTY_CONFIGURATION, ownerOfEndpoint, serviceSchema, type Configuration, type Endpoint, type GatewaySeat, type Service } from '@auburnpin/core'
 import { EndpointDirectory, WebSocketPeers } from '@auburnpin/cluster'
 import { StandInEndpoint } from '@auburnpin/stand-in'
 import { CallerServer, DEFAULT_LIMITS, type GatewayLimits, type SessionKey } from '../../src/index.ts'
@@ -96,6 +96,14 @@
     this.refresh()
   }
 
+  /** The gateway that owns an endpoint's slots, and another one. */
+  ownerAndOther (index: number): [RigGateway, RigGateway] {
+    const seats = this.gateways.map(({ member }) => ({ member, dataCentre: COLOMBO }))
+    const owner = ownerOfEndpoint(this.#describe('', index), seats)
+    const [first, second] = [...this.gateways].sort((left, right) => Number(right.member === owner) - Number(left.member === owner))
+    return [first as RigGateway, second as RigGateway]
+  }
+
   /** Everyone looks again at who owns what. */
   refresh (): void {
     for (const { server } of this.gateways) server.refresh()
@@ -124,9 +132,15 @@
     return this.endpoints.flatMap(endpoint => [...endpoint.runs])
   }
 
+  /** Callers send nothing more to the gateway, as after a look of the balancer. */
+  takeOff (gateway: RigGateway): void {
+    const index = this.gateways.indexOf(gateway)
+    if (index >= 0) this.gateways.splice(index, 1)
+  }
+
   /** Stops one gateway for good. */
   async remove (gateway: RigGateway): Promise<void> {
-    this.gateways.splice(this.gateways.indexOf(gateway), 1)
+    this.takeOff(gateway)
     this.#peerAddresses.delete(gateway.member)
     await gateway.server.close()
     await gateway.peers.close()
