Relief by proportion, judged by the mean of fresh samples

Change: the most harmful cores are throttled first and only as far as the excess asks; easing gives back what the measured slack bears, over several tasks at once; a longer wait only after a relapse.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -58,12 +58,16 @@
 export const MAX_CLEARINGS_PER_PASS = 64
 /** Span whose evictions may be made at once, in milliseconds. */
 export const EVICTION_BURST_MS = 60_000
-/** Samples past the objective, less those within it, before relief acts. */
-export const BAD_SAMPLES_TO_ACT = 3
-/** Samples in a row well within the objective before a throttle is eased. */
-export const GOOD_SAMPLES_TO_EASE = 5
-/** Ratio of answer time to objective below which a sample counts as well within it. */
+/** Samples whose mean past the objective makes relief act. */
+export const SAMPLES_TO_ACT = 3
+/** Samples whose mean well within the objective lets a throttle be eased. */
+export const SAMPLES_TO_EASE = 4
+/** Ratio of answer time to objective below which a service counts as well within it. */
 export const CALM_RATIO = 0.8
+/** Time after an easing in which suffering is put down to it, in milliseconds. */
+export const RELAPSE_MS = 60_000
+/** Smallest gain in share for which a throttle is eased. */
+export const MIN_EASE_SHARE = 0.1
 /** Time from an act until samples show its effect, in milliseconds. */
 export const SETTLE_MS = 2_000
 /** Ratio of answer time to objective that throttling aims at. */
--- a/packages/core/src/interference/ServiceLoads.ts
+++ b/packages/core/src/interference/ServiceLoads.ts
@@ -57,7 +57,22 @@
 
   /** What `task` adds to a service's ratio when it runs unthrottled. */
   harmOf (task: Task, { service, load }: Expectation): number {
-    return this.#sizes.coresOf(task.spec) * this.#model.ratioPerCore(service, kindOf(task.spec), load)
+    return this.unthrottledCoresOf(task) * this.harmPerCore(task, { service, load })
+  }
+
+  /** What each core that `task` uses adds to a service's ratio. */
+  harmPerCore ({ spec }: Task, { service, load }: Pick<Expectation, 'service' | 'load'>): number {
+    return this.#model.ratioPerCore(service, kindOf(spec), load)
+  }
+
+  /** Cores that a task is expected to use under its present throttle. */
+  coresOf ({ spec, placement }: Task): number {
+    return this.#sizes.coresAt(spec, placement?.throttle ?? 1)
+  }
+
+  /** Cores that it would use without. */
+  unthrottledCoresOf ({ spec }: Task): number {
+    return this.#sizes.coresOf(spec)
   }
 
   /** Forgets a VM that has gone. */
--- a/packages/core/src/relief/ReliefControl.ts
+++ b/packages/core/src/relief/ReliefControl.ts
@@ -5,7 +5,7 @@
 import type { CellState } from '../cell/CellState.ts'
 import { stopAction } from '../cell/reconcileReport.ts'
 import type { CellAction, Placement, Task, Transition, Vm } from '../cell/types.ts'
-import { EVICTION_PAUSE_MS, MAX_EVICTIONS_OF_TASK, MIN_THROTTLE_SHARE, RELIEF_TARGET_RATIO } from '../constants.ts'
+import { EVICTION_PAUSE_MS, MAX_EVICTIONS_OF_TASK, MIN_EASE_SHARE, MIN_THROTTLE_SHARE, RELIEF_TARGET_RATIO } from '../constants.ts'
 import type { Expectation, ServiceLoads } from '../interference/ServiceLoads.ts'
 import { isEvictable, tasksOn } from '../placement/Rooms.ts'
 import type { VmChooser } from '../placement/VmChooser.ts'
@@ -16,7 +16,7 @@
 /** What relief may do. */
 export type ReliefSettings = Readonly<{ throttles: boolean, evicts: boolean, waitsOutLag: boolean }>
 
-type Culprit = Readonly<{ task: Task, placement: Placement, harm: number }>
+type Culprit = Readonly<{ task: Task, placement: Placement, harmPerCore: number }>
 
 /** Decides VM by VM, from fresh samples alone. */
 export class ReliefControl {
@@ -84,43 +84,45 @@
     return this.#throttle(state, vm, watch, culprits, expected, now) ?? this.#evict(state, vm, watch, culprits, expected, now) ?? NO_RELIEF
   }
 
-  // Most harmful first; each eviction that a task has had makes it less likely to be taken again.
   #culpritsOn (state: CellState, vm: VmId, expected: Expectation): Culprit[] {
     const culprits: Culprit[] = []
     for (const task of tasksOn(state, vm)) {
       if (!isEvictable(task) || task.placement === undefined) continue
-      culprits.push({ task, placement: task.placement, harm: this.#loads.harmOf(task, expected) })
+      const harmPerCore = this.#loads.harmPerCore(task, expected)
+      if (harmPerCore > 0) culprits.push({ task, placement: task.placement, harmPerCore })
     }
-    const rank = ({ harm, task }: Culprit): number => harm / (1 + task.evictions)
-    return culprits.sort((left, right) => rank(right) - rank(left))
+    return culprits
   }
 
+  // The most harmful cores go first, so that the least work is held up for the same relief.
   #throttle (state: CellState, vm: Vm, watch: VmWatch, culprits: readonly Culprit[], { service }: Expectation, now: Instant): Relief | undefined {
     if (!this.#settings.throttles) return undefined
     const actions: CellAction[] = []
-    let excess = watch.worstRatio - RELIEF_TARGET_RATIO
-    for (const { task, placement, harm } of culprits) {
-      const before = placement.throttle ?? 1
+    let excess = watch.meanRatio - RELIEF_TARGET_RATIO
+    for (const { task, placement, harmPerCore } of sortedByHarm(culprits)) {
       if (excess <= 0) break
-      if (before <= MIN_THROTTLE_SHARE || harm <= 0) continue
-      const share = Math.max(MIN_THROTTLE_SHARE, before - excess / harm)
-      excess -= (before - share) * harm
-      actions.push(this.#setShare(state, vm, task, placement, share))
+      const before = this.#loads.coresOf(task)
+      const least = MIN_THROTTLE_SHARE * this.#loads.unthrottledCoresOf(task)
+      const after = Math.max(least, before - excess / harmPerCore)
+      if (after >= before - LEAST_CORES) continue
+      excess -= (before - after) * harmPerCore
+      actions.push(this.#setShare(state, vm, task, placement, after / task.spec.resources.processors))
       this.#throttledFor.set(task.spec.id, service)
     }
     if (actions.length === 0) return undefined
-    watch.noteAct(now)
-    watch.noteRelapse()
+    watch.noteRelief(now)
     return { transitions: [], actions }
   }
 
+  // Each eviction that a task has had makes it less likely to be taken again.
   #evict (state: CellState, vm: Vm, watch: VmWatch, culprits: readonly Culprit[], { service }: Expectation, now: Instant): Relief | undefined {
     if (!this.#settings.evicts || now < watch.pausedUntil) return undefined
-    for (const { task, placement, harm } of culprits) {
-      if (harm <= 0 || task.evictions >= MAX_EVICTIONS_OF_TASK) continue
+    const rank = ({ task, harmPerCore }: Culprit): number => this.#loads.coresOf(task) * harmPerCore / (1 + task.evictions)
+    for (const { task, placement } of [...culprits].sort((left, right) => rank(right) - rank(left))) {
+      if (task.evictions >= MAX_EVICTIONS_OF_TASK) continue
       if (!this.#chooser.hasBetterPlace(state, task, vm.id)) continue
       if (!this.#budget.take(now)) return undefined
-      watch.noteAct(now)
+      watch.noteRelief(now)
       if (this.#settings.waitsOutLag) watch.pausedUntil = now + EVICTION_PAUSE_MS
       const reason = { kind: 'evicted-for-service', service, vm: vm.id } as const
       return {
@@ -131,19 +133,25 @@
     return undefined
   }
 
-  // Gives back the share of the most throttled task, as far as the service is expected to bear it.
+  // Gives back what the service is expected to bear, the least harmful cores first.
   #ease (state: CellState, vm: Vm, watch: VmWatch, expected: Expectation, now: Instant): Relief {
-    const throttled = this.#culpritsOn(state, vm.id, expected).filter(({ placement }) => (placement.throttle ?? 1) < 1)
-    throttled.sort((left, right) => (left.placement.throttle ?? 1) - (right.placement.throttle ?? 1))
-    for (const { task, placement, harm } of throttled) {
-      const before = placement.throttle ?? 1
-      const share = Math.min(1, 2 * before)
-      if (watch.worstRatio + (share - before) * harm > RELIEF_TARGET_RATIO) continue
+    const throttled = tasksOn(state, vm.id).filter(task => isEvictable(task) && (task.placement?.throttle ?? 1) < 1)
+    const actions: CellAction[] = []
+    let room = RELIEF_TARGET_RATIO - watch.meanRatio
+    throttled.sort((left, right) => this.#loads.harmPerCore(left, expected) - this.#loads.harmPerCore(right, expected))
+    for (const task of throttled) {
+      const harmPerCore = this.#loads.harmPerCore(task, expected)
+      const before = this.#loads.coresOf(task)
+      const whole = this.#loads.unthrottledCoresOf(task)
+      const after = harmPerCore === 0 ? whole : Math.min(whole, before + room / harmPerCore)
+      if (room <= 0 || after - before < MIN_EASE_SHARE * whole) continue
+      room -= (after - before) * harmPerCore
+      const share = after >= whole - LEAST_CORES ? 1 : after / task.spec.resources.processors
       if (share === 1) this.#throttledFor.delete(task.spec.id)
-      watch.noteAct(now)
-      return { transitions: [], actions: [this.#setShare(state, vm, task, placement, share)] }
+      actions.push(this.#setShare(state, vm, task, task.placement as Placement, share))
     }
-    return NO_RELIEF
+    if (actions.length > 0) watch.noteEasing(now)
+    return { transitions: [], actions }
   }
 
   #setShare (state: CellState, vm: Vm, task: Task, placement: Placement, share: number): CellAction {
@@ -155,3 +163,9 @@
 }
 
 const NO_RELIEF: Relief = { transitions: [], actions: [] }
+
+// Smaller differences in cores are rounding.
+const LEAST_CORES = 0.01
+
+const sortedByHarm = (culprits: readonly Culprit[]): Culprit[] =>
+  [...culprits].sort((left, right) => right.harmPerCore - left.harmPerCore)
--- a/packages/core/src/relief/VmWatch.ts
+++ b/packages/core/src/relief/VmWatch.ts
@@ -2,20 +2,21 @@
  * What the samples of one VM say about its services since the last act there.
  */
 import type { Instant, ServiceName } from '@auburnpin/common'
-import { BAD_SAMPLES_TO_ACT, CALM_RATIO, GOOD_SAMPLES_TO_EASE, SETTLE_MS } from '../constants.ts'
+import { CALM_RATIO, RELAPSE_MS, SAMPLES_TO_ACT, SAMPLES_TO_EASE, SETTLE_MS } from '../constants.ts'
 
 /** What the samples call for. */
 export type Verdict = 'suffering' | 'calm' | 'undecided'
 
+const MAX_EASE_FACTOR = 16
+
 /** Counts only samples measured after the last act had taken effect, so none is acted upon twice. */
 export class VmWatch {
   readonly #waitsOutLag: boolean
   #freshFrom = -Infinity
-  #bad = 0
-  #good = 0
+  #ratios: number[] = []
   #worst: ServiceName | undefined
-  #worstRatio = 0
-  #easeAfter = GOOD_SAMPLES_TO_EASE
+  #easeFactor = 1
+  #easedAt = -Infinity
 
   /** Time before which no eviction is made here. */
   pausedUntil = -Infinity
@@ -24,43 +25,56 @@
     this.#waitsOutLag = waitsOutLag
   }
 
+  /** The service that the latest sample showed worst off. */
   get worst (): ServiceName | undefined {
     return this.#worst
   }
 
-  get worstRatio (): number {
-    return this.#worstRatio
+  /** Mean ratio over the latest fresh samples; 0 without any. */
+  get meanRatio (): number {
+    let sum = 0
+    for (const ratio of this.#ratios) sum += ratio
+    return sum / Math.max(1, this.#ratios.length)
   }
 
   /** Takes in the ratio of the VM's worst service in one sample. */
   observe (service: ServiceName, ratio: number, measuredAt: Instant): void {
     if (measuredAt < this.#freshFrom) return
     this.#worst = service
-    this.#worstRatio = this.#worstRatio === 0 ? ratio : (this.#worstRatio + ratio) / 2
-    if (ratio > 1) {
-      this.#bad++
-      this.#good = 0
-    } else {
-      this.#bad = Math.max(0, this.#bad - 1)
-      this.#good = ratio < CALM_RATIO ? this.#good + 1 : 0
-    }
+    this.#ratios.push(ratio)
+    if (this.#ratios.length > SAMPLES_TO_EASE * this.#easeFactor) this.#ratios.shift()
   }
 
   get verdict (): Verdict {
-    if (this.#bad >= BAD_SAMPLES_TO_ACT) return 'suffering'
-    return this.#good >= this.#easeAfter ? 'calm' : 'undecided'
+    const latest = this.#ratios.slice(-SAMPLES_TO_ACT)
+    const isSuffering = latest.length === SAMPLES_TO_ACT && meanOf(latest) > 1
+    if (isSuffering) return 'suffering'
+    const isProven = this.#ratios.length >= SAMPLES_TO_EASE * this.#easeFactor
+    return isProven && this.meanRatio < CALM_RATIO ? 'calm' : 'undecided'
   }
 
-  /** An act was made: what was measured before it takes effect says nothing about what it did. */
-  noteAct (now: Instant): void {
-    this.#bad = 0
-    this.#good = 0
-    this.#worstRatio = 0
-    if (this.#waitsOutLag) this.#freshFrom = now + SETTLE_MS
+  /** Throttled or evicted. Suffering soon after an easing makes the next one take twice the proof. */
+  noteRelief (now: Instant): void {
+    const isRelapse = now - this.#easedAt < RELAPSE_MS
+    this.#easeFactor = isRelapse ? Math.min(2 * this.#easeFactor, MAX_EASE_FACTOR) : 1
+    this.#noteAct(now)
   }
 
-  /** Easing was followed by suffering: the next easing takes twice the proof. */
-  noteRelapse (): void {
-    this.#easeAfter = Math.min(2 * this.#easeAfter, 16 * GOOD_SAMPLES_TO_EASE)
+  /** Gave some of a throttle back. */
+  noteEasing (now: Instant): void {
+    this.#easedAt = now
+    this.#noteAct(now)
   }
+
+  // What was measured before an act takes effect says nothing about what it did.
+  #noteAct (now: Instant): void {
+    this.#ratios = []
+    if (this.#waitsOutLag) this.#freshFrom = now + SETTLE_MS
+  }
+}
+
+const meanOf = (values: readonly number[]): number => {
+  let sum = 0
+  for (const value of values) sum += value
+  return sum / values.length
 }
