--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -73,7 +73,7 @@
 /** Ratio of answer time to objective that throttling aims at. */
 export const RELIEF_TARGET_RATIO = 0.85
 /** Smallest share of its processors that a throttled task keeps. */
-export const MIN_THROTTLE_SHARE = 0.25
+export const MIN_THROTTLE_SHARE = 0.1
 /** Time between two evictions on one VM for a service's sake, in milliseconds. */
 export const EVICTION_PAUSE_MS = 20_000
 /** Evictions after which a task is only throttled for a service's sake. */
