--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -5,13 +5,19 @@
   brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
+import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
-import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
+import {
+  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+} from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
-import { StatsdMetrics } from './StatsdMetrics.ts'
+import { GaugeReporter } from './metrics/GaugeReporter.ts'
+import { RecentFigures } from './metrics/RecentFigures.ts'
+import { StatsdMetrics } from './metrics/StatsdMetrics.ts'
+import { TeeMetrics } from './metrics/TeeMetrics.ts'
 
 /** Where a running member listens. */
 export type MemberAddresses = Readonly<{ peers: string, callers?: string, operators?: string }>
@@ -29,26 +35,33 @@
   readonly #clock = new SystemClock()
   readonly #random = new SystemRandom()
   readonly #invariants = new InvariantCounter()
+  readonly #recent = new RecentFigures(this.#clock)
+  readonly #statsd: StatsdMetrics | undefined
   readonly #metrics: Metrics
   readonly #storeClient = new HttpClient(STORE_SOCKETS)
   readonly #workerClient = new HttpClient(WORKER_SOCKETS_PER_WORKER)
+  readonly #gate: StoreGate
+  readonly #store: BudgetedTable
   readonly #table: TableStore
   readonly #peers: WebSocketPeers
   readonly #directory: CellDirectory
   readonly #configuration: ConfigurationFollower
   readonly #endpoints = new EndpointDirectory()
+  readonly #replacedListeners: Array<() => void> = []
   #membership: Membership | undefined
   #scheduler: Scheduler | undefined
+  #gauges: GaugeReporter | undefined
   #callers: CallerServer | undefined
   #operators: OperatorServer | undefined
 
   constructor (settings: Settings, log: Log) {
     this.#settings = settings
     this.#log = log
-    this.#metrics = settings.metrics === undefined
-      ? new SilentMetrics()
-      : new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
-    this.#table = new ReliableTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#clock, this.#random, STORE_DEADLINE_MS)
+    if (settings.metrics !== undefined) this.#statsd = new StatsdMetrics(settings.metrics.address, settings.member, error => log.warn(error.message))
+    this.#metrics = new TeeMetrics([this.#recent, this.#statsd ?? new SilentMetrics()])
+    this.#gate = new StoreGate(this.#clock, this.#random, this.#metrics)
+    this.#store = new BudgetedTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#gate, callClassOf)
+    this.#table = new ReliableTable(this.#store, this.#clock, this.#random, STORE_DEADLINE_MS)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
     this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys }, this.#clock, this.#random, log.forComponent('peers'))
@@ -64,6 +77,11 @@
     return this.#configuration
   }
 
+  /** Calls `listener` when a later process has taken this member's id; this one must be stopped. */
+  onReplaced (listener: () => void): void {
+    this.#replacedListeners.push(listener)
+  }
+
   /** Opens all listeners, then joins. */
   async start (): Promise<MemberAddresses> {
     const peers = await this.#peers.listen()
@@ -74,7 +92,9 @@
     const scheduler = this.#createScheduler(membership)
     this.#peers.onRequest(request => this.#answer(request, scheduler))
     const gateway = await this.#openGateway(membership, scheduler)
+    this.#gauges = new GaugeReporter({ membership, scheduler, configuration: this.#configuration, invariants: this.#invariants }, this.#clock, this.#metrics, this.#log)
     membership.start()
+    this.#gauges.start()
     this.#directory.start()
     this.#configuration.start()
     if (this.#settings.roles.includes('scheduler')) scheduler.start()
@@ -94,7 +114,8 @@
     await this.#directory.stop()
     await this.#membership?.stop()
     await this.#peers.close()
-    if (this.#metrics instanceof StatsdMetrics) await this.#metrics.close()
+    await this.#gauges?.stop()
+    await this.#statsd?.close()
     this.#storeClient.close()
     this.#workerClient.close()
     this.#log.info('Member stopped', { member: this.#settings.member })
@@ -109,7 +130,11 @@
       peerAddress,
       incarnation: this.#random.id(INCARNATION_LENGTH)
     }
-    const membership = new Membership(identity, this.#table, this.#clock, this.#random, this.#log.forComponent('membership'))
+    // A renewal that comes late is worth nothing, so it is given up sooner than other writes.
+    const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
+    const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
+    membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
+    membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
     this.#membership = membership
@@ -140,7 +165,18 @@
     const { listen, operators, roles } = this.#settings
     if (!roles.includes('gateway') || listen.callers === undefined || listen.operators === undefined) return {}
     const shared = { clock: this.#clock, random: this.#random, configuration: this.#configuration, endpoints: this.#endpoints }
-    this.#callers = new CallerServer({ ...shared, log: this.#log.forComponent('callers'), metrics: this.#metrics })
+    const callers = new CallerServer({
+      ...shared,
+      self: membership.identity.member,
+      log: this.#log.forComponent('callers'),
+      metrics: this.#metrics,
+      limits: this.#settings.limits,
+      sessionKeys: () => this.#settings.sessionKeys ?? this.#settings.peerKeys,
+      gateways: () => this.#liveGateways(membership),
+      streams: this.#peers
+    })
+    membership.onPoll(() => callers.refresh())
+    this.#callers = callers
     this.#operators = new OperatorServer({
       ...shared, table: this.#table, peers: this.#peers, membership, directory: this.#directory, cells: scheduler.cells
     }, operators, this.#log.forComponent('operators'))
@@ -150,8 +186,21 @@
     }
   }
 
+  // A gateway without a link can not be asked, whatever its lease says.
+  #liveGateways (membership: Membership): readonly GatewaySeat[] {
+    const { member, dataCentre } = membership.identity
+    const seats: GatewaySeat[] = [{ member, dataCentre }]
+    const reachable = new Set(this.#peers.reachable)
+    for (const row of membership.live) {
+      const isCandidate = row.member !== member && !row.isLeaving && row.roles.includes('gateway')
+      if (isCandidate && reachable.has(row.member)) seats.push({ member: row.member, dataCentre: row.dataCentre })
+    }
+    return seats
+  }
+
   async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
     if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
+    if (request.kind === 'read-figures') return { kind: 'figures', figures: this.#recent.read(this.#invariants.total) }
     return await scheduler.answer(request)
   }
 }
--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -6,16 +6,21 @@
   type Instant, type Resources, type TaskId, type VmId
 } from '@auburnpin/common'
 import { applyTransition } from './applyTransition.ts'
+import { DurableTasks, taskOf } from './DurableTasks.ts'
 import type { StateWatcher } from './StateWatcher.ts'
+import { EMPTY_LIST_MS } from '../constants.ts'
 import type { ListedVm, Placement, Task, Transition, Vm } from './types.ts'
 
 /** State of one cell in memory. Tasks change by transitions alone. */
 export class CellState {
   readonly #tasks = new Map<TaskId, Task>()
+  readonly #durable = new DurableTasks(this.#tasks)
   readonly #waiting = new Set<TaskId>()
   readonly #vms = new Map<VmId, Vm>()
   readonly #committed = new Map<VmId, Resources>()
   readonly #placed = new Map<VmId, Set<TaskId>>()
+  readonly #unlisted = new Map<VmId, Instant>()
+  #emptySince: Instant | undefined
   #watcher: StateWatcher | undefined
 
   /** Tells `watcher` of every later change. */
@@ -27,6 +32,11 @@
     return this.#tasks
   }
 
+  /** Tasks as the journal has them; only these may be told to anyone. */
+  get durable (): DurableTasks {
+    return this.#durable
+  }
+
   /** Tasks that are queued and may be placed. */
   get waiting (): ReadonlySet<TaskId> {
     return this.#waiting
@@ -53,10 +63,11 @@
 
   /** Applies one transition, after checking that it commits no VM beyond its resources. */
   apply (transition: Transition, now: Instant): void {
-    const id = transition.kind === 'accepted' ? transition.spec.id : transition.task
+    const id = taskOf(transition)
     const before = this.#tasks.get(id)
     if (transition.kind === 'assigned' && before !== undefined) this.#assertRoom(before, transition.vm)
     const after = applyTransition(before, transition, now)
+    this.#durable.hold(id, before)
     this.#release(before)
     this.#commit(after)
     if (after === undefined) this.#tasks.delete(id)
@@ -66,6 +77,14 @@
     this.#watcher?.taskChanged(before, after)
   }
 
+  /** Puts a task in as a snapshot has it. */
+  load (task: Task): void {
+    this.#commit(task)
+    this.#tasks.set(task.spec.id, task)
+    if (task.state === 'queued') this.#waiting.add(task.spec.id)
+    this.#watcher?.taskChanged(undefined, task)
+  }
+
   /** Notes what a worker tells of a running attempt; nothing of it must last. */
   observePlacement (id: TaskId, changes: Partial<Placement>): void {
     const task = this.#tasks.get(id)
@@ -75,8 +94,14 @@
     this.#tasks.set(id, newWith(task, { placement, state }))
   }
 
-  /** Takes in the VM list: new VMs come, missing ones are marked, unused missing ones go. */
+  /**
+   * Takes in the VM list: new VMs come, missing ones are marked, unused missing ones go. An empty list is
+   * not believed until it has stayed empty for a while.
+   */
   listVms (listed: readonly ListedVm[], now: Instant): void {
+    if (listed.length > 0) this.#emptySince = undefined
+    else this.#emptySince ??= now
+    if (this.#emptySince !== undefined && now - this.#emptySince < EMPTY_LIST_MS) return
     const present = new Set(listed.map(vm => vm.id))
     for (const vm of listed) this.#setVm(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
     for (const vm of this.#vms.values()) {
@@ -84,6 +109,18 @@
       if (this.placedOn(vm.id).size === 0) this.#setVm(vm.id, undefined)
       else if (vm.missingSince === undefined) this.#setVm(vm.id, newWith(vm, { missingSince: now, session: undefined }))
     }
+    this.#noteUnlisted(present, now)
+  }
+
+  /** VMs with placed tasks that are on no list since this owner took over, with the time of the first such list. */
+  get unlisted (): ReadonlyMap<VmId, Instant> {
+    return this.#unlisted
+  }
+
+  /** A worker that still speaks is not gone, whatever the VM list says. */
+  noteContact (id: VmId, now: Instant): void {
+    const vm = this.#vms.get(id)
+    if (vm?.missingSince !== undefined) this.#setVm(id, newWith(vm, { missingSince: now }))
   }
 
   /** Changes what is known of a VM. */
@@ -98,6 +135,16 @@
     this.#watcher?.vmChanged(id, vm)
   }
 
+  // The journal names VMs that were listed for a former owner.
+  #noteUnlisted (present: ReadonlySet<VmId>, now: Instant): void {
+    for (const [vm, tasks] of this.#placed) {
+      if (tasks.size === 0) this.#placed.delete(vm)
+      const isKnown = tasks.size === 0 || present.has(vm) || this.#vms.has(vm)
+      if (isKnown) this.#unlisted.delete(vm)
+      else if (!this.#unlisted.has(vm)) this.#unlisted.set(vm, now)
+    }
+  }
+
   #assertRoom (task: Task, vmId: VmId): void {
     const vm = this.#vms.get(vmId)
     // While a journal is replayed the VM list is not known yet; the worker checks again at the start.
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -2,7 +2,7 @@
  * The scheduler role: claims the cells that this member should own and runs them.
  */
 import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result } from '@auburnpin/common'
-import type { Configuration, Task } from '@auburnpin/core'
+import { summariseTasks, type CellSummary, type Configuration, type Task } from '@auburnpin/core'
 import {
   claimCell, releaseCell, type CellDirectory, type ClaimedCell, type ConfigurationFollower, type Membership, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
@@ -52,6 +52,11 @@
     return [...this.#runners.keys()]
   }
 
+  /** Tasks of the cells that this member owns, in figures. */
+  get summaries (): ReadonlyMap<CellId, CellSummary> {
+    return new Map([...this.#runners].map(([cell, runner]) => [cell, summariseTasks(runner.tasks.values())]))
+  }
+
   start (): void {
     this.#ownership.start()
     this.#vmPoll.start()
@@ -71,7 +76,7 @@
 
   /** Answers a question about a cell that this member owns. */
   async answer (request: PeerRequest): Promise<PeerReply> {
-    if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: [] }
+    if (request.kind === 'list-endpoints' || request.kind === 'read-figures') return { kind: 'failed', error: notAboutCell().toReport() }
     const runner = this.#runners.get(request.cell)
     if (runner === undefined) return { kind: 'failed', error: notOwner(request.cell).toReport() }
     switch (request.kind) {
@@ -81,6 +86,8 @@
         return toReply(await runner.cancel(request.task))
       case 'find-task':
         return { kind: 'task', task: runner.tasks.get(request.task) ?? null }
+      case 'summarise-cell':
+        return { kind: 'cell-summary', summary: summariseTasks(runner.tasks.values()) }
       case 'list-tasks':
         return { kind: 'tasks', tasks: [...runner.tasks.values()] }
     }
@@ -91,6 +98,7 @@
   }
 
   async #takeCells (): Promise<void> {
+    this.#dropTaken()
     if (this.#isStopping || !this.#ports.membership.isLeaseHeld) return
     for (const cell of this.#cells) {
       if (!this.#shouldTake(cell)) continue
@@ -100,9 +108,19 @@
     }
   }
 
+  // A paused owner with nothing to append would never learn from its journal that it was replaced.
+  #dropTaken (): void {
+    for (const [cell, runner] of this.#runners) {
+      const seen = this.#ports.directory.cells.get(cell)?.row
+      if (seen !== undefined && seen.epoch > runner.claimed.epoch) this.#drop(cell)
+    }
+  }
+
   #shouldTake (cell: CellId): boolean {
     if (this.#runners.has(cell)) return false
     const { directory, membership } = this.#ports
+    // A claim whose answer was lost has made this process the owner; nobody else will take the cell.
+    if (directory.cells.get(cell)?.row.incarnation === membership.identity.incarnation) return true
     const dataCentre = this.#layout.dataCentres.find(candidate => cell.startsWith(`${candidate}-`)) as DataCentre
     if (chooseOwner(cell, dataCentre, membership.live) !== membership.identity.member) return false
     const seen = directory.cells.get(cell)?.row
@@ -134,10 +152,15 @@
       return
     }
     for (const [cell, runner] of this.#runners) {
-      runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: vm.state === 'leaving' })))
+      runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: this.#isLeaving(vm) })))
     }
   }
 
+  // An operator's drain counts like the VM list's own word.
+  #isLeaving (vm: VmEntry): boolean {
+    return vm.state === 'leaving' || this.#ports.configuration.current.drains[vm.id] !== undefined
+  }
+
   #belongsTo (vm: VmEntry, cell: CellId): boolean {
     return cellOfVm(vm.dataCentre, vm.rack, this.#layout.cellsPerDataCentre) === cell
   }
@@ -150,3 +173,6 @@
 
 const notOwner = (cell: CellId): AuburnpinError =>
   new AuburnpinError('unreachable', `This member does not own cell ${cell}`, 'Ask again in a moment; the cell is moving.')
+
+const notAboutCell = (): AuburnpinError =>
+  new AuburnpinError('invalid-request', 'The question concerns no cell', 'Ask the member itself.')
