--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -8,7 +8,7 @@
   CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
-import { HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
+import { HttpClient, HttpObjectStore, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, type TableStore } from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
 import { StatsdMetrics } from './StatsdMetrics.ts'
@@ -121,6 +121,7 @@
     const layout = { dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre }
     this.#scheduler = new Scheduler(layout, {
       table: this.#table,
+      objects: new HttpObjectStore(this.#storeClient, platform.objects),
       workers: new HttpWorkers(this.#workerClient),
       clock: this.#clock,
       random: this.#random,
--- a/packages/cluster/src/storeKeys.ts
+++ b/packages/cluster/src/storeKeys.ts
@@ -21,3 +21,4 @@
 export const journalPrefix = (cell: CellId): string => `journal/${cell}/`
 export const journalKey = (cell: CellId, sequence: JournalSequence): string => `${journalPrefix(cell)}${padNumber(sequence)}`
 export const snapshotKey = (cell: CellId, sequence: JournalSequence): string => `snapshots/${cell}/${padNumber(sequence)}`
+export const snapshotPointerKey = (cell: CellId): string => `snapshots/${cell}`
--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -3,7 +3,7 @@
  * step's transitions are in the journal.
  */
 import { assertNever, newWith, type Instant, type TaskId } from '@auburnpin/common'
-import { LEASE_MARGIN_MS, WORKER_LEASE_MS } from '../constants.ts'
+import { FINAL_RETENTION_MS, LEASE_MARGIN_MS, MAX_FINAL_TASKS, MAX_FORGOTTEN_PER_PASS, WORKER_LEASE_MS } from '../constants.ts'
 import type { Configuration } from '../configuration/types.ts'
 import { EMPTY_CONFIGURATION } from '../configuration/mergeNote.ts'
 import type { Policy } from '../policy/Policy.ts'
@@ -26,6 +26,7 @@
   readonly #policy: Policy
   readonly #state = new CellState()
   #configuration: Configuration = EMPTY_CONFIGURATION
+  #declared: ReadonlySet<TaskId> = new Set()
 
   constructor (term: CellTerm, policy: Policy) {
     this.#term = term
@@ -42,7 +43,7 @@
 
   /** Takes in a snapshot's tasks and replays the transitions journaled after it, before the first step. */
   restore (transitions: readonly Transition[], now: Instant, tasks: readonly Task[] = []): void {
-    for (const task of tasks) this.#state.load(task)
+    for (const task of tasks) this.#state.load(task, now)
     this.#apply(transitions, now)
     this.settle(transitions, now)
   }
@@ -90,6 +91,7 @@
     this.#expireLeases(now)
     const lost = endLostVms(this.#state, now, WORKER_LEASE_MS + LEASE_MARGIN_MS)
     this.#apply(lost, now)
+    const forgotten = this.#forgetOld(now)
     const relief = this.#policy.relieve(this.#state, now)
     this.#apply(relief.transitions, now)
     const placed = this.#policy.place(this.#state, now)
@@ -101,7 +103,23 @@
       const vm = this.#state.vms.get(transition.vm)
       if (vm !== undefined) actions.push({ kind: 'start', vm: vm.id, address: vm.address, task, session: transition.session })
     }
-    return { transitions: [...lost, ...relief.transitions, ...placed], actions }
+    return { transitions: [...lost, ...forgotten, ...relief.transitions, ...placed], actions }
+  }
+
+  // A declared task is kept as long as it is declared, or its declaration would run it again.
+  #forgetOld (now: Instant): Transition[] {
+    if (this.#configuration.version === EMPTY_CONFIGURATION.version) return []
+    const transitions: Transition[] = []
+    let surplus = this.#state.finals.size - MAX_FINAL_TASKS
+    for (const [id, since] of this.#state.finals) {
+      if (transitions.length >= MAX_FORGOTTEN_PER_PASS) break
+      if (surplus <= 0 && now - since < FINAL_RETENTION_MS) break
+      if (this.#declared.has(id)) continue
+      transitions.push({ kind: 'forgotten', task: id })
+      surplus--
+    }
+    this.#apply(transitions, now)
+    return transitions
   }
 
   // Nothing new is assigned under a lease that may have run out at the worker.
@@ -141,9 +159,10 @@
     if (configuration.version < this.#configuration.version) return NOTHING
     this.#configuration = configuration
     const wanted = new Set(declared.map(spec => spec.id))
+    this.#declared = wanted
     const surplus: TaskId[] = []
     for (const task of this.#state.tasks.values()) {
-      const isDeclared = task.spec.kind !== 'batch'
+      const isDeclared = task.spec.kind !== 'batch' || task.spec.isDeclared === true
       if (isDeclared && !wanted.has(task.spec.id)) surplus.push(task.spec.id)
     }
     const accepted = this.#accept(declared, now)
--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -5,7 +5,7 @@
   addResources, assertPromise, fitsWithin, newWith, NO_RESOURCES, subtractResources,
   type Instant, type Resources, type TaskId, type VmId
 } from '@auburnpin/common'
-import { applyTransition } from './applyTransition.ts'
+import { applyTransition, isFinal } from './applyTransition.ts'
 import { DurableTasks, taskOf } from './DurableTasks.ts'
 import { EMPTY_LIST_MS } from '../constants.ts'
 import type { ListedVm, Placement, Task, Transition, Vm } from './types.ts'
@@ -19,6 +19,7 @@
   readonly #committed = new Map<VmId, Resources>()
   readonly #placed = new Map<VmId, Set<TaskId>>()
   readonly #unlisted = new Map<VmId, Instant>()
+  readonly #finals = new Map<TaskId, Instant>()
   #emptySince: Instant | undefined
 
   get tasks (): ReadonlyMap<TaskId, Task> {
@@ -67,13 +68,20 @@
     else this.#tasks.set(id, after)
     if (after?.state === 'queued') this.#waiting.add(id)
     else this.#waiting.delete(id)
+    this.#noteFinal(id, after, now)
+  }
+
+  /** Finished, failed and cancelled tasks, oldest first, with the time since which this owner knows them so. */
+  get finals (): ReadonlyMap<TaskId, Instant> {
+    return this.#finals
   }
 
   /** Puts a task in as a snapshot has it. */
-  load (task: Task): void {
+  load (task: Task, now: Instant): void {
     this.#commit(task)
     this.#tasks.set(task.spec.id, task)
     if (task.state === 'queued') this.#waiting.add(task.spec.id)
+    this.#noteFinal(task.spec.id, task, now)
   }
 
   /** Notes what a worker tells of a running attempt; nothing of it must last. */
@@ -120,6 +128,11 @@
     if (vm !== undefined) this.#vms.set(id, newWith(vm, changes))
   }
 
+  #noteFinal (id: TaskId, task: Task | undefined, now: Instant): void {
+    if (task === undefined) this.#finals.delete(id)
+    else if (isFinal(task) && !this.#finals.has(id)) this.#finals.set(id, now)
+  }
+
   // The journal names VMs that were listed for a former owner.
   #noteUnlisted (present: ReadonlySet<VmId>, now: Instant): void {
     for (const [vm, tasks] of this.#placed) {
--- a/packages/core/src/cell/DurableTasks.ts
+++ b/packages/core/src/cell/DurableTasks.ts
@@ -39,6 +39,11 @@
     }
   }
 
+  /** Tasks in memory. */
+  get size (): number {
+    return this.#tasks.size
+  }
+
   /** Tasks with changes that are not durable yet. */
   get pending (): number {
     return this.#held.size
--- a/packages/core/src/cell/declaredTasks.ts
+++ b/packages/core/src/cell/declaredTasks.ts
@@ -30,7 +30,7 @@
   for (const [name, { value: task }] of Object.entries(configuration.tasks)) {
     if (rendezvousRank(name, sorted)[0] !== cell) continue
     const { kind, isUrgent, team, resources, command } = task
-    specs.push({ id: brand<TaskId>(name), kind, isUrgent, team, resources, command, acceptedAt: 0 })
+    specs.push({ id: brand<TaskId>(name), kind, isUrgent, team, resources, command, isDeclared: true, acceptedAt: 0 })
   }
   return specs
 }
--- a/packages/core/src/cell/snapshot.ts
+++ b/packages/core/src/cell/snapshot.ts
@@ -1,9 +1,11 @@
 /**
- * A cell's tasks as one versioned object, and back.
+ * A cell's journal records and snapshots as versioned objects, and back.
  */
-import { AuburnpinError, Err, Ok, type JournalSequence, type Result } from '@auburnpin/common'
+import type { z } from 'zod'
+import { AuburnpinError, Err, newWith, Ok, type Instant, type JournalSequence, type Result } from '@auburnpin/common'
 import { CELL_FORMAT } from '../constants.ts'
-import type { Task } from './types.ts'
+import { recordSchema, snapshotSchema } from './journalSchema.ts'
+import type { Task, Transition } from './types.ts'
 
 /** Everything lasting of a cell up to and including a journal record. */
 export type CellSnapshot = Readonly<{ format: number, through: JournalSequence, tasks: readonly Task[] }>
@@ -11,8 +13,48 @@
 /** One record of the journal: transitions committed together. */
 export type JournalRecord<Entry> = Readonly<{ format: number, epoch: number, transitions: readonly Entry[] }>
 
+/** The snapshot of a cell's durable tasks; what only a worker's next report can tell is left out. */
+export const toSnapshot = (through: JournalSequence, tasks: Iterable<Task>): CellSnapshot =>
+  ({ format: CELL_FORMAT, through, tasks: [...tasks].map(toLasting) })
+
+/** The snapshot's tasks as a new owner takes them over: every placement is learnt anew at `now`. */
+export const fromSnapshot = (snapshot: CellSnapshot, now: Instant): Task[] =>
+  snapshot.tasks.map(task => task.placement === undefined ? task : newWith(task, { placement: newWith(task.placement, { since: now }) }))
+
+/** Reads a journal record; anything that this version can't read whole is refused. */
+export const readRecord = (value: unknown, what: string): Result<JournalRecord<Transition>, AuburnpinError> =>
+  readVersioned<JournalRecord<Transition>>(value, recordSchema, what)
+
+/** Reads a snapshot; anything that this version can't read whole is refused. */
+export const readSnapshot = (value: unknown, what: string): Result<CellSnapshot, AuburnpinError> =>
+  readVersioned<CellSnapshot>(value, snapshotSchema, what)
+
 /** Refuses anything that this version can't read. */
 export const checkFormat = <Value extends { readonly format: number }>(value: Value, what: string): Result<Value, AuburnpinError> => {
   if (value.format === CELL_FORMAT) return Ok(value)
   return Err(new AuburnpinError('version-mismatch', `${what} has format ${value.format}, this program reads ${CELL_FORMAT}`, 'Run the version of auburnpin that wrote it, or a newer one.'))
 }
+
+const readVersioned = <Value extends { readonly format: number }>(value: unknown, schema: z.ZodType, what: string): Result<Value, AuburnpinError> => {
+  const hasFormat = typeof value === 'object' && value !== null && 'format' in value && typeof value.format === 'number'
+  if (!hasFormat) return Err(corrupt(what, 'it carries no format'))
+  const format = checkFormat(value as Value, what)
+  if (format.err) return format
+  const parsed = schema.safeParse(value)
+  if (parsed.success) return Ok(value as Value)
+  const [issue] = parsed.error.issues
+  return Err(corrupt(what, `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`))
+}
+
+const corrupt = (what: string, detail: string): AuburnpinError =>
+  new AuburnpinError('corrupt', `${what} can't be read: ${detail}`, 'Restore it from the platform\'s backup; nothing was dropped or guessed.')
+
+const toLasting = (task: Task): Task => {
+  if (task.placement === undefined) return task
+  const { vm, session, isStopping } = task.placement
+  const since = 0 as Instant
+  return newWith(task, {
+    state: task.state === 'running' ? 'starting' : task.state,
+    placement: { vm, session, since, isRunning: false, isStopping }
+  })
+}
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -17,6 +17,8 @@
   team: TeamName
   resources: Resources
   command: string
+  /** Set for batch tasks that the configuration declares; they end when they are withdrawn. */
+  isDeclared?: boolean
   /** For replicas: the service they answer for. */
   service?: ServiceName
   /** Wall clock, milliseconds since 1970. */
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -4,6 +4,12 @@
 export const LEASE_MARGIN_MS = 3_000
 /** Time that a VM list must stay empty before it is believed, in milliseconds. */
 export const EMPTY_LIST_MS = 60_000
+/** How long a finished, failed or cancelled task can be asked for, in milliseconds. */
+export const FINAL_RETENTION_MS = 24 * 60 * 60 * 1_000
+/** Finished, failed and cancelled tasks that a cell keeps at most, whatever their age. */
+export const MAX_FINAL_TASKS = 20_000
+/** Most tasks forgotten in one step. */
+export const MAX_FORGOTTEN_PER_PASS = 256
 /** Failed attempts after which a batch task counts as hopeless. */
 export const MAX_ATTEMPTS_FAILED = 5
 /** Most starts decided in one pass of placement. */
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -3,22 +3,24 @@
  */
 import {
   AuburnpinError, Err, InvariantError, Mailbox, Ok, Ticker, toAuburnpinError,
-  type CellId, type Clock, type InvariantCounter, type JournalSequence, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
+  type CellId, type Clock, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, declaredTasks, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
+  Cell, declaredTasks, fromSnapshot, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
-import type { TableStore, Workers } from '@auburnpin/platform'
+import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
 import { ActionRunner } from './ActionRunner.ts'
 import { TICK_MS } from './constants.ts'
 import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
-import { recoverCell } from './recoverCell.ts'
+import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
+import { SnapshotWriter } from './SnapshotWriter.ts'
 import { WorkerLink } from './WorkerLink.ts'
 
 /** What a cell's runner needs from outside. */
 export type CellPorts = Readonly<{
   table: TableStore
+  objects: ObjectStore
   workers: Workers
   clock: Clock
   random: Random
@@ -38,6 +40,7 @@
   readonly #ports: CellPorts
   readonly #cell: Cell
   readonly #journal: JournalWriter
+  readonly #snapshots: SnapshotWriter
   readonly #actions: ActionRunner
   readonly #mailbox: Mailbox<Message>
   readonly #ticker: Ticker
@@ -47,13 +50,19 @@
   #isLost = false
   #revision = 0
 
-  private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, last: JournalSequence, onLost: () => void) {
+  private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, recovered: RecoveredJournal, onLost: () => void) {
     this.#claimed = claimed
     this.#allCells = allCells
     this.#ports = ports
     this.#cell = cell
     this.#onLost = onLost
-    this.#journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, { claimed, last, onFenced: () => this.#lose(), onRecord: () => {} })
+    this.#snapshots = new SnapshotWriter(ports, claimed, recovered.seen, recovered.transitions.length)
+    this.#journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, {
+      claimed,
+      last: recovered.last,
+      onFenced: () => this.#lose(),
+      onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks)
+    })
     this.#actions = new ActionRunner(claimed, ports.workers, ports.log)
     this.#mailbox = new Mailbox(message => this.#handle(message), error => this.#fail(error))
     this.#ticker = new Ticker(ports.clock, TICK_MS, () => this.#mailbox.post({ event: { kind: 'tick' } }), error => this.#fail(error))
@@ -64,11 +73,13 @@
    * over, or when a step broke off and the cell must be rebuilt.
    */
   static async open (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, onLost: () => void): Promise<Result<CellRunner, AuburnpinError>> {
-    const recovered = await recoverCell(ports.table, claimed.cell)
+    const recovered = await recoverCell(ports.table, ports.objects, ports.log, claimed.cell)
     if (recovered.err) return recovered
     const cell = new Cell(claimed, new PlainPolicy(new SpreadPolicy()))
-    cell.restore(recovered.val.transitions, ports.clock.now())
-    const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val.last, onLost)
+    const { snapshot, transitions } = recovered.val
+    const now = ports.clock.now()
+    cell.restore(transitions, now, snapshot === undefined ? [] : fromSnapshot(snapshot, now))
+    const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val, onLost)
     runner.#ticker.start()
     ports.log.info('Cell taken', { cell: claimed.cell, epoch: claimed.epoch, tasks: cell.state.tasks.size })
     return Ok(runner)
@@ -122,6 +133,7 @@
     await Promise.all([...this.#links.values()].map(link => link.stop()))
     await this.#mailbox.close()
     await this.#journal.close(isFenced)
+    if (!isFenced) await this.#snapshots.close()
   }
 
   #postDurably (event: CellEvent): Promise<JournalOutcome> {
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -22,3 +22,11 @@
 export const VM_ACTIONS_AT_ONCE = 4
 /** Calls to one worker that may wait; further ones are asked for again after its next report. */
 export const MAX_VM_ACTIONS = 256
+/** Transitions in the journal after which a snapshot is written, unless the cell has more tasks than that. */
+export const SNAPSHOT_TRANSITIONS = 2_000
+/** Snapshots kept; the journal is trimmed up to the oldest of them. */
+export const SNAPSHOTS_KEPT = 2
+/** Wait after a snapshot that could not be written, in milliseconds. */
+export const SNAPSHOT_RETRY_MS = 10_000
+/** Most journal records deleted in one transaction. */
+export const TRIM_ROWS = 100
--- a/packages/scheduler/tests/support/World.ts
+++ b/packages/scheduler/tests/support/World.ts
@@ -7,7 +7,7 @@
 } from '@auburnpin/common'
 import type { ListedVm, TaskSpec } from '@auburnpin/core'
 import { cellKey, claimCell, type CellRow, type EndpointsNotice } from '@auburnpin/cluster'
-import { FakeLink, FakeTableStore, FakeVmWorker, FakeWorkers, type FakeCourse } from '@auburnpin/fakes'
+import { FakeLink, FakeObjectStore, FakeTableStore, FakeVmWorker, FakeWorkers, type FakeCourse } from '@auburnpin/fakes'
 import { ReliableTable, type TableStore } from '@auburnpin/platform'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { CellRunner } from '../../src/index.ts'
@@ -70,6 +70,7 @@
   ports (member: string, table: TableStore): Parameters<typeof CellRunner.open>[2] {
     return {
       table,
+      objects: new FakeObjectStore(this.objects, this.link, member),
       workers: new FakeWorkers(this.vms, this.link, member),
       clock: this.clock,
       random: new SeededRandom(member.length),
