--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -7,6 +7,7 @@
 } from '@auburnpin/common'
 import { applyTransition, isFinal } from './applyTransition.ts'
 import { DurableTasks, taskOf } from './DurableTasks.ts'
+import type { StateWatcher } from './StateWatcher.ts'
 import { EMPTY_LIST_MS } from '../constants.ts'
 import type { ListedVm, Placement, Task, Transition, Vm } from './types.ts'
 
@@ -21,6 +22,12 @@
   readonly #unlisted = new Map<VmId, Instant>()
   readonly #finals = new Map<TaskId, Instant>()
   #emptySince: Instant | undefined
+  #watcher: StateWatcher | undefined
+
+  /** Tells `watcher` of every later change. */
+  watch (watcher: StateWatcher): void {
+    this.#watcher = watcher
+  }
 
   get tasks (): ReadonlyMap<TaskId, Task> {
     return this.#tasks
@@ -69,6 +76,7 @@
     if (after?.state === 'queued') this.#waiting.add(id)
     else this.#waiting.delete(id)
     this.#noteFinal(id, after, now)
+    this.#watcher?.taskChanged(before, after)
   }
 
   /** Finished, failed and cancelled tasks, oldest first, with the time since which this owner knows them so. */
@@ -82,6 +90,7 @@
     this.#tasks.set(task.spec.id, task)
     if (task.state === 'queued') this.#waiting.add(task.spec.id)
     this.#noteFinal(task.spec.id, task, now)
+    this.#watcher?.taskChanged(undefined, task)
   }
 
   /** Notes what a worker tells of a running attempt; nothing of it must last. */
@@ -102,11 +111,11 @@
     else this.#emptySince ??= now
     if (this.#emptySince !== undefined && now - this.#emptySince < EMPTY_LIST_MS) return
     const present = new Set(listed.map(vm => vm.id))
-    for (const vm of listed) this.#vms.set(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
+    for (const vm of listed) this.#setVm(vm.id, { ...this.#vms.get(vm.id), ...vm, missingSince: undefined })
     for (const vm of this.#vms.values()) {
       if (present.has(vm.id)) continue
-      if (this.placedOn(vm.id).size === 0) this.#vms.delete(vm.id)
-      else if (vm.missingSince === undefined) this.#vms.set(vm.id, newWith(vm, { missingSince: now, session: undefined }))
+      if (this.placedOn(vm.id).size === 0) this.#setVm(vm.id, undefined)
+      else if (vm.missingSince === undefined) this.#setVm(vm.id, newWith(vm, { missingSince: now, session: undefined }))
     }
     this.#noteUnlisted(present, now)
   }
@@ -119,13 +128,19 @@
   /** A worker that still speaks is not gone, whatever the VM list says. */
   noteContact (id: VmId, now: Instant): void {
     const vm = this.#vms.get(id)
-    if (vm?.missingSince !== undefined) this.#vms.set(id, newWith(vm, { missingSince: now }))
+    if (vm?.missingSince !== undefined) this.#setVm(id, newWith(vm, { missingSince: now }))
   }
 
   /** Changes what is known of a VM. */
   observeVm (id: VmId, changes: Partial<Vm>): void {
     const vm = this.#vms.get(id)
-    if (vm !== undefined) this.#vms.set(id, newWith(vm, changes))
+    if (vm !== undefined) this.#setVm(id, newWith(vm, changes))
+  }
+
+  #setVm (id: VmId, vm: Vm | undefined): void {
+    if (vm === undefined) this.#vms.delete(id)
+    else this.#vms.set(id, vm)
+    this.#watcher?.vmChanged(id, vm)
   }
 
   #noteFinal (id: TaskId, task: Task | undefined, now: Instant): void {
