--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -10,7 +10,7 @@
 import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
 import {
-  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+  BudgetedTable, HttpClient, HttpObjectStore, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
 } from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
@@ -146,6 +146,7 @@
     const layout = { dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre }
     this.#scheduler = new Scheduler(layout, {
       table: this.#table,
+      objects: new HttpObjectStore(this.#storeClient, platform.objects),
       workers: new HttpWorkers(this.#workerClient),
       clock: this.#clock,
       random: this.#random,
--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -5,7 +5,7 @@
   addResources, assertPromise, fitsWithin, newWith, NO_RESOURCES, subtractResources,
   type Instant, type Resources, type TaskId, type VmId
 } from '@auburnpin/common'
-import { applyTransition } from './applyTransition.ts'
+import { applyTransition, isFinal } from './applyTransition.ts'
 import { DurableTasks, taskOf } from './DurableTasks.ts'
 import type { StateWatcher } from './StateWatcher.ts'
 import { EMPTY_LIST_MS } from '../constants.ts'
@@ -20,6 +20,7 @@
   readonly #committed = new Map<VmId, Resources>()
   readonly #placed = new Map<VmId, Set<TaskId>>()
   readonly #unlisted = new Map<VmId, Instant>()
+  readonly #finals = new Map<TaskId, Instant>()
   #emptySince: Instant | undefined
   #watcher: StateWatcher | undefined
 
@@ -74,14 +75,21 @@
     else this.#tasks.set(id, after)
     if (after?.state === 'queued') this.#waiting.add(id)
     else this.#waiting.delete(id)
+    this.#noteFinal(id, after, now)
     this.#watcher?.taskChanged(before, after)
   }
 
+  /** Finished, failed and cancelled tasks, oldest first, with the time since which this owner knows them so. */
+  get finals (): ReadonlyMap<TaskId, Instant> {
+    return this.#finals
+  }
+
   /** Puts a task in as a snapshot has it. */
-  load (task: Task): void {
+  load (task: Task, now: Instant): void {
     this.#commit(task)
     this.#tasks.set(task.spec.id, task)
     if (task.state === 'queued') this.#waiting.add(task.spec.id)
+    this.#noteFinal(task.spec.id, task, now)
     this.#watcher?.taskChanged(undefined, task)
   }
 
@@ -135,6 +143,11 @@
     this.#watcher?.vmChanged(id, vm)
   }
 
+  #noteFinal (id: TaskId, task: Task | undefined, now: Instant): void {
+    if (task === undefined) this.#finals.delete(id)
+    else if (isFinal(task) && !this.#finals.has(id)) this.#finals.set(id, now)
+  }
+
   // The journal names VMs that were listed for a former owner.
   #noteUnlisted (present: ReadonlySet<VmId>, now: Instant): void {
     for (const [vm, tasks] of this.#placed) {
