Cells stay with their owners and move past a threshold

Cause: an owner was chosen by rendezvous hashing alone; a cell whose recovery failed, or whose runner was fenced without anything to record, could stay unserved; releases went one after the other and failed ones were forgotten. Change: assignCells keeps owners, gives orphans to the least loaded and moves a cell when two members differ by two; CellOwnership claims in parallel, retries failed recoveries and releases, drops runners that have lost their cell; a planned stop announces what it released.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -84,6 +84,9 @@
     })
     const membership = this.#join(peers)
     const scheduler = this.#createScheduler(membership)
+    this.#peers.onNotice((notice, from) => {
+      if (notice.kind === 'cells-released' && from !== membership.identity.member) void scheduler.reconsider()
+    })
     this.#peers.onRequest(request => this.#answer(request, scheduler))
     const gateway = await this.#openGateway(membership, scheduler)
     membership.start()
@@ -144,6 +147,7 @@
       metrics: this.#metrics,
       invariants: this.#invariants,
       publish: notice => this.#peers.broadcast(notice),
+      announce: notice => this.#peers.broadcast(notice),
       vmList: new HttpVmList(this.#storeClient, platform.vmList),
       membership,
       directory: this.#directory,
--- a/packages/cluster/src/CellDirectory.ts
+++ b/packages/cluster/src/CellDirectory.ts
@@ -48,10 +48,12 @@
       this.#log.warn('The cells could not be read', { reason: rows.val.message })
       return
     }
-    const cells = new Map<CellId, CellSighting>()
+    const cells = new Map(this.#cells)
     for (const { value, version } of rows.val) {
       const row = value as CellRow
-      cells.set(row.cell, { row, version })
+      const before = cells.get(row.cell)
+      // Two looks may overlap, and the older answer come last.
+      if (before === undefined || before.version < version) cells.set(row.cell, { row, version })
     }
     this.#cells = cells
     for (const listener of this.#listeners) await listener()
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -35,6 +35,8 @@
 export type PeerNotice =
   | Readonly<{ kind: 'configuration-accepted', version: ConfigVersion }>
   | Readonly<{ kind: 'endpoints', cell: CellId, epoch: Epoch, revision: number, endpoints: readonly Endpoint[] }>
+  /** Cells were given up: whoever should own them may claim them at once. */
+  | Readonly<{ kind: 'cells-released', cells: readonly CellId[] }>
 
 /** A question to another member. */
 export type PeerRequest =
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -1,25 +1,21 @@
 /**
  * The scheduler role: claims the cells that this member should own and runs them.
  */
-import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result } from '@auburnpin/common'
+import { AuburnpinError, Ticker, type CellId, type DataCentre, type Result } from '@auburnpin/common'
 import type { Configuration, Task } from '@auburnpin/core'
-import {
-  claimCell, releaseCell, type CellDirectory, type ClaimedCell, type ConfigurationFollower, type Membership, type PeerReply, type PeerRequest
-} from '@auburnpin/cluster'
+import type { ConfigurationFollower, PeerReply, PeerRequest } from '@auburnpin/cluster'
 import type { VmEntry, VmList } from '@auburnpin/platform'
 import { cellOfVm, cellsOfRegion } from './cellOfVm.ts'
-import { CellRunner, type CellPorts } from './CellRunner.ts'
-import { chooseOwner } from './chooseOwner.ts'
-import { OWNERSHIP_MS, VM_LIST_POLL_MS } from './constants.ts'
+import { CellOwnership, type OwnershipPorts } from './CellOwnership.ts'
+import type { CellRunner } from './CellRunner.ts'
+import { VM_LIST_POLL_MS } from './constants.ts'
 
 /** The region's cells. */
 export type RegionLayout = Readonly<{ dataCentres: readonly DataCentre[], cellsPerDataCentre: number }>
 
 /** What the scheduler needs from outside. */
-export type SchedulerPorts = CellPorts & Readonly<{
+export type SchedulerPorts = OwnershipPorts & Readonly<{
   vmList: VmList
-  membership: Membership
-  directory: CellDirectory
   configuration: ConfigurationFollower
 }>
 
@@ -28,18 +24,17 @@
   readonly #ports: SchedulerPorts
   readonly #layout: RegionLayout
   readonly #cells: readonly CellId[]
-  readonly #runners = new Map<CellId, CellRunner>()
-  readonly #ownership: Ticker
+  readonly #ownership: CellOwnership
   readonly #vmPoll: Ticker
-  #isStopping = false
 
   constructor (layout: RegionLayout, ports: SchedulerPorts) {
     this.#ports = ports
     this.#layout = layout
     this.#cells = cellsOfRegion(layout.dataCentres, layout.cellsPerDataCentre)
-    const logError = (error: unknown): void => ports.log.error(String(error))
-    this.#ownership = new Ticker(ports.clock, OWNERSHIP_MS, () => this.#takeCells(), logError)
-    this.#vmPoll = new Ticker(ports.clock, VM_LIST_POLL_MS, () => this.#pollVms(), logError)
+    const places = layout.dataCentres.flatMap(dataCentre =>
+      cellsOfRegion([dataCentre], layout.cellsPerDataCentre).map(cell => ({ cell, dataCentre })))
+    this.#ownership = new CellOwnership(places, ports, runner => this.#prepare(runner))
+    this.#vmPoll = new Ticker(ports.clock, VM_LIST_POLL_MS, () => this.#pollVms(), error => ports.log.error(String(error)))
     ports.configuration.onChange(configuration => this.#configure(configuration))
   }
 
@@ -49,7 +44,7 @@
 
   /** Cells that this member owns now. */
   get owned (): readonly CellId[] {
-    return [...this.#runners.keys()]
+    return [...this.#ownership.runners.keys()]
   }
 
   start (): void {
@@ -59,20 +54,19 @@
 
   /** Hands all cells over. */
   async stop (): Promise<void> {
-    this.#isStopping = true
-    await this.#ownership.stop()
     await this.#vmPoll.stop()
-    for (const runner of this.#runners.values()) {
-      await runner.close(false)
-      await releaseCell(this.#ports.table, this.#ports.random, runner.claimed)
-    }
-    this.#runners.clear()
+    await this.#ownership.stop()
+  }
+
+  /** Looks at once whether this member should claim cells that were given up. */
+  async reconsider (): Promise<void> {
+    await this.#ownership.reconsider()
   }
 
   /** Answers a question about a cell that this member owns. */
   async answer (request: PeerRequest): Promise<PeerReply> {
     if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: [] }
-    const runner = this.#runners.get(request.cell)
+    const runner = this.#ownership.runners.get(request.cell)
     if (runner === undefined) return { kind: 'failed', error: notOwner(request.cell).toReport() }
     switch (request.kind) {
       case 'submit':
@@ -87,44 +81,12 @@
   }
 
   #configure (configuration: Configuration): void {
-    for (const runner of this.#runners.values()) runner.configure(configuration)
-  }
-
-  async #takeCells (): Promise<void> {
-    if (this.#isStopping || !this.#ports.membership.isLeaseHeld) return
-    for (const cell of this.#cells) {
-      if (!this.#shouldTake(cell)) continue
-      const claimed = await claimCell(this.#ports.table, this.#ports.random, this.#ports.membership.identity, cell, this.#ports.directory.cells.get(cell))
-      if (claimed.err) this.#ports.log.warn('A cell could not be claimed', { cell, reason: claimed.val.message })
-      else if (claimed.val !== null) await this.#open(claimed.val)
-    }
-  }
-
-  #shouldTake (cell: CellId): boolean {
-    if (this.#runners.has(cell)) return false
-    const { directory, membership } = this.#ports
-    const dataCentre = this.#layout.dataCentres.find(candidate => cell.startsWith(`${candidate}-`)) as DataCentre
-    if (chooseOwner(cell, dataCentre, membership.live) !== membership.identity.member) return false
-    const seen = directory.cells.get(cell)?.row
-    if (seen === undefined || seen.owner === null || seen.incarnation === null) return true
-    const isOwn: boolean = seen.owner === (membership.identity.member as MemberId)
-    return isOwn || membership.isLapsed(seen.owner, seen.incarnation)
-  }
-
-  async #open (claimed: ClaimedCell): Promise<void> {
-    const opened = await CellRunner.open(claimed, this.#cells, this.#ports, () => this.#drop(claimed.cell))
-    if (opened.err) {
-      this.#ports.log.error('A cell could not be recovered', { cell: claimed.cell, reason: opened.val.message })
-      return
-    }
-    this.#runners.set(claimed.cell, opened.val)
-    opened.val.configure(this.#ports.configuration.current)
+    for (const runner of this.#ownership.runners.values()) runner.configure(configuration)
   }
 
-  #drop (cell: CellId): void {
-    const runner = this.#runners.get(cell)
-    this.#runners.delete(cell)
-    void runner?.close(true)
+  #prepare (runner: CellRunner): void {
+    runner.configure(this.#ports.configuration.current)
+    void this.#pollVms()
   }
 
   async #pollVms (): Promise<void> {
@@ -133,7 +95,7 @@
       this.#ports.log.warn('The VM list could not be read', { reason: vms.val.message })
       return
     }
-    for (const [cell, runner] of this.#runners) {
+    for (const [cell, runner] of this.#ownership.runners) {
       runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: vm.state === 'leaving' })))
     }
   }
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -14,3 +14,11 @@
 export const JOURNAL_RETRY_MS = 500
 /** Time between two looks at which cells this member should own, in milliseconds. */
 export const OWNERSHIP_MS = 1_000
+/** By how many cells two members of a data centre differ before one is moved. */
+export const REBALANCE_THRESHOLD = 2
+/** How long an assignment stands unchanged before a cell is handed over for it, in milliseconds. */
+export const REBALANCE_SETTLE_MS = 10_000
+/** Shortest wait before a cell that could not be recovered is tried again, in milliseconds. */
+export const FIRST_REOPEN_MS = 1_000
+/** Longest wait before a cell that could not be recovered is tried again, in milliseconds. */
+export const LONGEST_REOPEN_MS = 30_000
