--- a/packages/scheduler/src/CellOwnership.ts
+++ b/packages/scheduler/src/CellOwnership.ts
@@ -2,10 +2,10 @@
  * Which cells this member owns: claims, recoveries, hand-overs.
  */
 import { brand, Ticker, type CellId, type DataCentre, type Instant, type MemberId } from '@auburnpin/common'
-import { claimCell, releaseCell, type CellDirectory, type ClaimedCell, type Membership, type PeerNotice } from '@auburnpin/cluster'
+import { cellKey, claimCell, releaseCell, type CellDirectory, type ClaimedCell, type Membership, type PeerNotice } from '@auburnpin/cluster'
 import { assignCells, type CellPlace } from './assignCells.ts'
 import { CellRunner, type CellPorts } from './CellRunner.ts'
-import { FIRST_REOPEN_MS, LONGEST_REOPEN_MS, OWNERSHIP_MS, REBALANCE_SETTLE_MS } from './constants.ts'
+import { FIRST_REOPEN_MS, JOIN_SETTLE_MS, LONGEST_REOPEN_MS, OWNERSHIP_MS, REBALANCE_SETTLE_MS } from './constants.ts'
 
 /** A cell and its data centre. */
 export type PlacedCell = Readonly<{ cell: CellId, dataCentre: DataCentre }>
@@ -34,6 +34,7 @@
   readonly #ticker: Ticker
   #lastPlan = ''
   #plannedAt: Instant | undefined
+  #joinedAt: Instant | undefined
   #isStopping = false
 
   constructor (cells: readonly PlacedCell[], ports: OwnershipPorts, onOpen: (runner: CellRunner) => void) {
@@ -72,12 +73,16 @@
   /** Brings what this member owns into line with the assignment once. */
   async follow (): Promise<void> {
     const { membership, clock } = this.#ports
-    if (this.#isStopping || !membership.isLeaseHeld) return
     this.#dropLost()
+    if (this.#isStopping || !membership.isLeaseHeld) return
+    // Members that start together know each other only after a moment; the first would claim all.
+    this.#joinedAt ??= clock.now()
+    if (clock.now() - this.#joinedAt < JOIN_SETTLE_MS) return
     const plan = assignCells(this.#cells.map(place => this.#locate(place)), membership.live)
     const me: MemberId = membership.identity.member
     for (const { cell } of this.#cells) {
       if (plan.get(cell) === me) this.#take(cell)
+      else this.#noteStray(cell)
     }
     if (this.#unreleased.size > 0) await this.#release()
     const misplaced = [...this.#runners.keys()].find(cell => plan.has(cell) && plan.get(cell) !== me)
@@ -95,6 +100,15 @@
     }
   }
 
+  // A claim whose answer was lost has made this process the owner of a cell that it does not run.
+  #noteStray (cell: CellId): void {
+    const { directory, membership } = this.#ports
+    const seen = directory.cells.get(cell)
+    if (seen === undefined || seen.row.incarnation !== membership.identity.incarnation) return
+    if (this.#runners.has(cell) || this.#taking.has(cell)) return
+    this.#unreleased.set(cell, { cell, epoch: seen.row.epoch, check: { kind: 'version', key: cellKey(cell), version: seen.version } })
+  }
+
   // A wave of joins and departures changes the assignment often; only the last one is worth a move.
   #isSettled (plan: string, now: Instant): boolean {
     if (plan !== this.#lastPlan || this.#plannedAt === undefined) {
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -22,3 +22,13 @@
 export const FIRST_REOPEN_MS = 1_000
 /** Longest wait before a cell that could not be recovered is tried again, in milliseconds. */
 export const LONGEST_REOPEN_MS = 30_000
+/** Steps that may wait for the journal before nothing more is decided or accepted. */
+export const MAX_WAITING_STEPS = 1_024
+/** Time that one journal record may take before nothing more is decided or accepted, in milliseconds. */
+export const STALL_MS = 12_000
+/** Calls to one worker at a time. */
+export const VM_ACTIONS_AT_ONCE = 4
+/** Calls to one worker that may wait; further ones are asked for again after its next report. */
+export const MAX_VM_ACTIONS = 256
+/** How long a member has held its lease before it claims cells, in milliseconds. */
+export const JOIN_SETTLE_MS = 2_000
