--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -10,7 +10,7 @@
 import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
 import {
-  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+  BudgetedTable, HttpClient, HttpObjectStore, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
 } from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
@@ -90,6 +90,9 @@
     })
     const membership = this.#join(peers)
     const scheduler = this.#createScheduler(membership)
+    this.#peers.onNotice((notice, from) => {
+      if (notice.kind === 'cells-released' && from !== membership.identity.member) void scheduler.reconsider()
+    })
     this.#peers.onRequest(request => this.#answer(request, scheduler))
     const gateway = await this.#openGateway(membership, scheduler)
     this.#gauges = new GaugeReporter({ membership, scheduler, configuration: this.#configuration, invariants: this.#invariants }, this.#clock, this.#metrics, this.#log)
@@ -146,6 +149,7 @@
     const layout = { dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre }
     this.#scheduler = new Scheduler(layout, {
       table: this.#table,
+      objects: new HttpObjectStore(this.#storeClient, platform.objects),
       workers: new HttpWorkers(this.#workerClient),
       clock: this.#clock,
       random: this.#random,
@@ -153,6 +157,7 @@
       metrics: this.#metrics,
       invariants: this.#invariants,
       publish: notice => this.#peers.broadcast(notice),
+      announce: notice => this.#peers.broadcast(notice),
       vmList: new HttpVmList(this.#storeClient, platform.vmList),
       membership,
       directory: this.#directory,
