explain says so when a task sits on a VM that nobody can ask

Cause: found by trying the runbook: a task on a VM that had left the VM list, or whose worker had fallen silent, was said to run there. Change: the cell's owner sends the VM with the task; explain names the missing VM or the lapsed lease, and what is waited for.

--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -2,7 +2,7 @@
  * What members tell each other, and the rows they share.
  */
 import type { CellId, ConfigVersion, DataCentre, Epoch, ErrorReport, MemberId, TaskId } from '@auburnpin/common'
-import type { CellSummary, Endpoint, Task, TaskSpec } from '@auburnpin/core'
+import type { CellSummary, Endpoint, Task, TaskSpec, Vm } from '@auburnpin/core'
 
 /** What a member does. */
 export type MemberRole = 'gateway' | 'scheduler'
@@ -68,7 +68,8 @@
 /** The answer to a question. */
 export type PeerReply =
   | Readonly<{ kind: 'accepted', task: Task }>
-  | Readonly<{ kind: 'task', task: Task | null }>
+  /** With the VM that the task is placed on, as its cell sees it. */
+  | Readonly<{ kind: 'task', task: Task | null, vm?: Vm }>
   | Readonly<{ kind: 'tasks', tasks: readonly Task[] }>
   | Readonly<{ kind: 'cell-summary', summary: CellSummary }>
   | Readonly<{ kind: 'endpoints', published: readonly EndpointsNotice[] }>
--- a/packages/core/src/explain/explainTask.ts
+++ b/packages/core/src/explain/explainTask.ts
@@ -2,23 +2,33 @@
  * Says in one sentence why a task is where it is, and what would change that.
  */
 import { assertNever } from '@auburnpin/common'
-import type { Task } from '../cell/types.ts'
+import type { Task, Vm } from '../cell/types.ts'
 import { describeReason, describeResources, type Wording } from './describeReason.ts'
 
 const FULL_SHARE = 1
 const PERCENT = 100
 
 /**
- * One sentence for one task.
+ * One sentence for one task; `vm` is the VM of its placement as its cell sees it.
  *
  * @example
  * explainTask(task) // 'order-17 is queued because VM vm-007 is leaving; it resumes by itself on another VM once there is room.'
  */
-export const explainTask = (task: Task): string => {
-  const { cause, change } = wordingOf(task)
+export const explainTask = (task: Task, vm?: Vm): string => {
+  const { cause, change } = vm === undefined || task.placement === undefined ? wordingOf(task) : unreachable(task, vm) ?? wordingOf(task)
   return `${task.spec.id} ${cause}; ${change}.`
 }
 
+// An attempt on a VM that nobody can ask may still run, so no other may be started yet.
+const unreachable = (task: Task, vm: Vm): Wording | undefined => {
+  const standing = `sits on VM ${vm.id} as attempt ${task.attempt}`
+  if (vm.missingSince !== undefined) {
+    return { cause: `${standing}, which has left the VM list`, change: 'it is moved by itself once a lease has surely run out there' }
+  }
+  if (vm.session !== undefined) return undefined
+  return { cause: `${standing}, whose worker holds no lease as it does not answer`, change: 'it goes on by itself once the worker answers, or is moved once the VM leaves the VM list' }
+}
+
 const wordingOf = (task: Task): Wording => {
   switch (task.state) {
     case 'queued':
--- a/packages/core/tests/explainTask.test.ts
+++ b/packages/core/tests/explainTask.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { brand, type Attempt, type Instant, type LeaseSession, type TaskId, type TeamName, type VmId } from '@auburnpin/common'
+import { brand, type Attempt, type DataCentre, type Instant, type LeaseSession, type RackId, type TaskId, type TeamName, type VmId } from '@auburnpin/common'
 import { explainTask, summariseTasks, type Task, type TaskReason } from '../src/index.ts'
 
 const VM = brand<VmId>('vm-007')
@@ -47,6 +47,14 @@
   t.regex(explainTask(task), /^order-17 runs on VM vm-007 as attempt 2 after 1 eviction, held to 40 % of its cores/)
 })
 
+test('a task on a VM that nobody can ask says why it is not moved yet', t => {
+  const vm = { id: VM, dataCentre: brand<DataCentre>('derby'), rack: brand<RackId>('r1'), address: '', resources: TASK.spec.resources, isLeaving: false }
+  const task: Task = { ...TASK, state: 'running', attempt: brand<Attempt>(1), placement: PLACEMENT }
+  t.is(explainTask(task, { ...vm, session: PLACEMENT.session }), explainTask(task))
+  t.regex(explainTask(task, vm), /^order-17 sits on VM vm-007 as attempt 1, whose worker holds no lease/)
+  t.regex(explainTask(task, { ...vm, missingSince: brand<Instant>(1) }), /which has left the VM list; it is moved by itself once a lease has surely run out there\.$/)
+})
+
 test('every state and reason gives one sentence that names the task and a way on', t => {
   const states = fc.constantFrom<Task['state']>('queued', 'starting', 'running', 'evicting', 'finished', 'failed', 'cancelled', 'unrunnable')
   const reasons = fc.constantFrom<TaskReason | undefined>(undefined, ...REASONS)
--- a/packages/gateway/src/actions/ShowJobAction.ts
+++ b/packages/gateway/src/actions/ShowJobAction.ts
@@ -14,6 +14,6 @@
 
   async run (ports: ActionPorts, request: ActionRequest): Promise<Result<ActionAnswer, AuburnpinError>> {
     const found = await findTask(ports, brand<TaskId>(request.id))
-    return found.map(({ cell, task }) => ({ status: 200, body: { ...task, cell, explanation: explainTask(task) } }))
+    return found.map(({ cell, task, vm }) => ({ status: 200, body: { ...task, cell, explanation: explainTask(task, vm) } }))
   }
 }
--- a/packages/gateway/src/actions/findTask.ts
+++ b/packages/gateway/src/actions/findTask.ts
@@ -2,12 +2,12 @@
  * Finds a task in whichever cell keeps it.
  */
 import { AuburnpinError, Err, Ok, type CellId, type Result, type TaskId } from '@auburnpin/common'
-import type { Task } from '@auburnpin/core'
+import type { Task, Vm } from '@auburnpin/core'
 import type { ActionPorts } from './Action.ts'
 import { askOwner, cellOfJob } from './askOwner.ts'
 
 /** A task and the cell that keeps it. */
-export type FoundTask = Readonly<{ cell: CellId, task: Task }>
+export type FoundTask = Readonly<{ cell: CellId, task: Task, vm?: Vm }>
 
 /**
  * Asks the cell that a submitted job would be in, then all others at once: declared tasks and tasks that were
@@ -32,5 +32,5 @@
 
 const findIn = async (ports: ActionPorts, cell: CellId, task: TaskId): Promise<Result<FoundTask | null, AuburnpinError>> => {
   const reply = await askOwner(ports, cell, { kind: 'find-task', cell, task })
-  return reply.map(found => found.kind === 'task' && found.task !== null ? { cell, task: found.task } : null)
+  return reply.map(found => found.kind === 'task' && found.task !== null ? { cell, task: found.task, vm: found.vm } : null)
 }
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -6,7 +6,7 @@
   type CellId, type Clock, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, declaredTasks, fromSnapshot, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
+  Cell, declaredTasks, fromSnapshot, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec, type Vm
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
@@ -94,6 +94,11 @@
     return this.#cell.state.durable
   }
 
+  /** The VM that the task is placed on, if any. */
+  vmOf (task: Task): Vm | undefined {
+    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm)
+  }
+
   /** Steps and calls to workers that wait. */
   get backlog (): number {
     return this.#journal.waiting + this.#mailbox.length + this.#actions.pending
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -1,7 +1,7 @@
 /**
  * The scheduler role: claims the cells that this member should own and runs them.
  */
-import { AuburnpinError, Ticker, type CellId, type DataCentre, type Result } from '@auburnpin/common'
+import { AuburnpinError, Ticker, type CellId, type DataCentre, type Result, type TaskId } from '@auburnpin/common'
 import { summariseTasks, type CellSummary, type Configuration, type Task } from '@auburnpin/core'
 import type { ConfigurationFollower, PeerReply, PeerRequest } from '@auburnpin/cluster'
 import type { VmEntry, VmList } from '@auburnpin/platform'
@@ -79,7 +79,7 @@
       case 'cancel':
         return toReply(await runner.cancel(request.task))
       case 'find-task':
-        return { kind: 'task', task: runner.tasks.get(request.task) ?? null }
+        return findTask(runner, request.task)
       case 'summarise-cell':
         return { kind: 'cell-summary', summary: summariseTasks(runner.tasks.values()) }
       case 'list-tasks':
@@ -122,6 +122,11 @@
   return { kind: 'accepted', task: result.val }
 }
 
+const findTask = (runner: CellRunner, id: TaskId): PeerReply => {
+  const task = runner.tasks.get(id) ?? null
+  return { kind: 'task', task, vm: task === null ? undefined : runner.vmOf(task) }
+}
+
 const notOwner = (cell: CellId): AuburnpinError =>
   new AuburnpinError('unreachable', `This member does not own cell ${cell}`, 'Ask again in a moment; the cell is moving.')
 
