--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -11,7 +11,7 @@
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
 import { ActionRunner } from './ActionRunner.ts'
-import { TICK_MS } from './constants.ts'
+import { MAX_WAITING_STEPS, TICK_MS } from './constants.ts'
 import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
 import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
 import { SnapshotWriter } from './SnapshotWriter.ts'
@@ -46,6 +46,8 @@
   readonly #ticker: Ticker
   readonly #links = new Map<VmId, WorkerLink>()
   readonly #onLost: () => void
+  /** Submissions and cancellations without an answer yet. */
+  #open = 0
   #isClosed = false
   #isLost = false
   #revision = 0
@@ -138,8 +140,15 @@
 
   #postDurably (event: CellEvent): Promise<JournalOutcome> {
     if (this.#isClosed) return Promise.resolve(Err(this.#closed()))
-    if (this.#journal.isStalled) return Promise.resolve(Err(this.#overloaded()))
-    return new Promise(resolve => this.#mailbox.post({ event, settle: resolve }))
+    if (this.#journal.isStalled || this.#open >= MAX_WAITING_STEPS) return Promise.resolve(Err(this.#overloaded()))
+    this.#open++
+    return new Promise(resolve => {
+      const settle = (outcome: JournalOutcome): void => {
+        this.#open--
+        resolve(outcome)
+      }
+      this.#mailbox.post({ event, settle })
+    })
   }
 
   #find (id: TaskId): Result<Task, AuburnpinError> {
--- /dev/null
+++ b/packages/scheduler/tests/storeOutage.test.ts
@@ -0,0 +1,145 @@
+import test, { type ExecutionContext } from 'ava'
+import { brand, SeededRandom, type AuburnpinError, type Result, type TaskId } from '@auburnpin/common'
+import type { Task } from '@auburnpin/core'
+import { PROMPT, type FakeCourse, type Fate } from '@auburnpin/fakes'
+import { MAX_WAITING_STEPS, STALL_MS, type CellRunner } from '../src/index.ts'
+import { specOf, World } from './support/World.ts'
+
+const HOUR_MS = 3_600_000
+const MINUTE_MS = 60_000
+const SMALL = { processors: 0.1, memoryMb: 10, accelerators: 0 }
+const WATCH = 'cream-watch'
+
+const courses = (id: string): FakeCourse => {
+  if (id.startsWith('short')) return { kind: 'finish', afterMs: 10_000 }
+  if (id.startsWith('long')) return { kind: 'finish', afterMs: HOUR_MS / 2 }
+  return { kind: 'stay' }
+}
+
+const stateOf = (runner: CellRunner | undefined, id: string): string | undefined => runner?.tasks.get(brand<TaskId>(id))?.state
+
+const setStore = (world: World, choose: () => Fate): void =>
+  world.link.setFates((_from, to) => to === 'store' ? choose() : PROMPT)
+
+const REFUSED: Fate = { thereMs: 0, backMs: 0, loss: 'refused' }
+
+const started = async (t: ExecutionContext): Promise<Readonly<{ world: World, runner: CellRunner }>> => {
+  const world = new World(2, courses)
+  const runner = await world.openWithin('a', MINUTE_MS)
+  if (runner === undefined) throw new Error('The cell could not be opened')
+  for (const id of ['short-1', 'long-1']) void runner.submit(specOf(id, { resources: SMALL }))
+  void runner.submit(specOf(WATCH, { kind: 'watch', resources: SMALL }))
+  t.true(await world.until(MINUTE_MS, () => [WATCH, 'short-1', 'long-1'].every(id => world.runningOn(id).length === 1)))
+  return { world, runner }
+}
+
+test('the store is down for an hour: what runs runs on, nothing new starts, nothing is told that is not durable', async t => {
+  const { world, runner } = await started(t)
+  setStore(world, () => REFUSED)
+  const answers: Array<Result<Task, AuburnpinError>> = []
+  let mostBacklog = 0
+  for (let minute = 0; minute < 60; minute++) {
+    void runner.submit(specOf(`late-${minute}`, { resources: SMALL })).then(answer => answers.push(answer))
+    await world.clock.advance(MINUTE_MS)
+    mostBacklog = Math.max(mostBacklog, runner.backlog)
+    t.is(world.runningOn(WATCH).length, 1)
+  }
+  t.is(world.finishes('short-1'), 1)
+  t.is(stateOf(runner, 'short-1'), 'running')
+  t.true(answers.every(answer => answer.err && answer.val.kind === 'overloaded'))
+  t.is(answers.length, 59)
+  t.true(mostBacklog < 100, String(mostBacklog))
+  t.is(world.starts('late-0') + world.starts('late-59'), 0)
+  setStore(world, () => PROMPT)
+  t.true(await world.until(MINUTE_MS, () => ['short-1', 'long-1'].every(id => stateOf(runner, id) === 'finished')))
+  t.true(await world.until(MINUTE_MS, () => world.runningOn('late-0').length === 1))
+  t.is(stateOf(runner, 'late-59'), undefined)
+  for (const id of ['short-1', 'long-1', WATCH, 'late-0']) t.is(world.starts(id), 1, id)
+  t.deepEqual(world.allBreaches(), [])
+})
+
+const FLOOD = 5_000
+
+test('a flood of submissions in an outage is refused early, and memory stays bounded', async t => {
+  const { world, runner } = await started(t)
+  setStore(world, () => REFUSED)
+  const kinds: string[] = []
+  for (let index = 0; index < FLOOD; index++) {
+    void runner.submit(specOf(`flood-${index}`, { resources: SMALL })).then(answer => kinds.push(answer.err ? answer.val.kind : 'accepted'))
+    if (index % 100 === 99) await world.clock.advance(20)
+  }
+  t.true(runner.backlog <= MAX_WAITING_STEPS + 100, String(runner.backlog))
+  t.true(kinds.length >= FLOOD - MAX_WAITING_STEPS - 100)
+  t.deepEqual([...new Set(kinds)], ['overloaded'])
+  setStore(world, () => PROMPT)
+  await world.clock.advance(MINUTE_MS)
+  t.is(kinds.length, FLOOD)
+  const accepted = kinds.filter(kind => kind === 'accepted').length
+  t.is([...runner.tasks.values()].filter(task => task.spec.id.startsWith('flood')).length, accepted)
+})
+
+const half = new SeededRandom(7)
+const BAD_STORES: Readonly<Record<string, () => Fate>> = {
+  'takes 5 s for each answer': () => ({ thereMs: 2_500, backMs: 2_500, loss: 'none' }),
+  'fails half of its calls': () => half.fraction() < 0.5 ? (half.fraction() < 0.5 ? REFUSED : { ...PROMPT, loss: 'back' }) : PROMPT
+}
+
+for (const [name, fate] of Object.entries(BAD_STORES)) {
+  test(`a store that ${name} slows the work, and breaks nothing`, async t => {
+    const { world, runner } = await started(t)
+    setStore(world, fate)
+    const ids = Array.from({ length: 10 }, (_, index) => `short-${index + 2}`)
+    for (const id of ids) void runner.submit(specOf(id, { resources: SMALL }))
+    t.true(await world.until(5 * MINUTE_MS, () => ids.every(id => stateOf(runner, id) === 'finished')))
+    for (const id of ids) t.deepEqual([world.starts(id), world.finishes(id)], [1, 1], id)
+    t.deepEqual(world.allBreaches(), [])
+  })
+}
+
+test('submissions of a fenced owner are answered: unknown for what was on its way, fenced for the rest', async t => {
+  const { world, runner } = await started(t)
+  world.link.setFates((from, to) => from === 'a' && to === 'store' ? REFUSED : PROMPT)
+  const kinds = new Map<string, string>()
+  const submit = (id: string): void => {
+    void runner.submit(specOf(id, { resources: SMALL })).then(answer => kinds.set(id, answer.err ? answer.val.kind : 'accepted'))
+  }
+  submit('first')
+  await world.clock.advance(100)
+  submit('second')
+  await world.clock.advance(STALL_MS / 4)
+  const second = await world.openWithin('b', MINUTE_MS)
+  t.truthy(second)
+  world.link.setFates(() => PROMPT)
+  await world.clock.advance(MINUTE_MS)
+  t.deepEqual([...kinds], [['second', 'fenced'], ['first', 'unknown-outcome']])
+  submit('third')
+  await world.clock.advance(100)
+  t.is(kinds.get('third'), 'fenced')
+  t.is(stateOf(second, 'first'), undefined)
+})
+
+test('an owner that has nothing to write learns from a worker that it was followed', async t => {
+  const world = new World(1, courses)
+  let isLost = false
+  await world.openWithin('a', MINUTE_MS, () => { isLost = true })
+  await world.openWithin('b', MINUTE_MS)
+  t.true(await world.until(MINUTE_MS, () => isLost))
+})
+
+test('a step that breaks off stops the runner; the cell is rebuilt from its journal', async t => {
+  const world = new World(2, courses)
+  let isLost = false
+  const runner = await world.openWithin('a', MINUTE_MS, () => { isLost = true })
+  void runner?.submit(specOf(WATCH, { kind: 'watch', resources: SMALL }))
+  t.true(await world.until(MINUTE_MS, () => world.runningOn(WATCH).length === 1))
+  runner?.listVms([{ ...world.listed[0], resources: undefined } as never, ...world.listed.slice(1)])
+  void runner?.submit(specOf('short-1', { resources: SMALL }))
+  t.true(await world.until(MINUTE_MS, () => isLost))
+  const answer = await runner?.submit(specOf('short-1', { resources: SMALL }))
+  t.is(answer?.err && answer.val.kind, 'fenced')
+  const again = await world.openWithin('a', MINUTE_MS)
+  void again?.submit(specOf('short-1', { resources: SMALL }))
+  t.true(await world.until(MINUTE_MS, () => stateOf(again, 'short-1') === 'finished'))
+  t.is(stateOf(again, WATCH), 'running')
+  t.is(world.starts(WATCH), 1)
+})
