--- a/soak/SoakMember.ts
+++ b/soak/SoakMember.ts
@@ -58,13 +58,15 @@
       metrics: new SilentMetrics(),
       invariants: this.#invariants,
       publish: notice => this.#peers.broadcast(notice),
+      announce: notice => this.#peers.broadcast(notice),
       vmList: surroundings.vmList,
       membership: this.#membership,
       directory: this.#directory,
       configuration: this.#configuration
     })
-    this.#peers.onNotice(notice => {
+    this.#peers.onNotice((notice, from) => {
       if (notice.kind === 'endpoints') endpoints.publish(notice)
+      if (notice.kind === 'cells-released' && from !== id && !this.#isGone) void this.#scheduler.reconsider()
     })
     this.#peers.onRequest(request => this.#scheduler.answer(request))
     this.#configuration.onChange(configuration => this.#membership.setConfigVersion(configuration.version))
