Peers renew orphaned workers' leases in an outage; a lagging configuration withdraws nothing

Cause: when an owner died while the store was down its workers' leases ran out and all its work stopped; a new owner that had not read the configuration yet (version 0), or an older one, withdrew every watch and replica.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -161,7 +161,8 @@
       vmList: new HttpVmList(this.#storeClient, platform.vmList),
       membership,
       directory: this.#directory,
-      configuration: this.#configuration
+      configuration: this.#configuration,
+      reachable: () => this.#peers.reachable
     })
     return this.#scheduler
   }
--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -2,7 +2,7 @@
  * One cell's decisions. The shell feeds events and carries out the actions of each step, after the
  * step's transitions are in the journal.
  */
-import { assertNever, newWith, type Instant, type TaskId } from '@auburnpin/common'
+import { assertNever, newWith, type ConfigVersion, type Instant, type TaskId } from '@auburnpin/common'
 import { FINAL_RETENTION_MS, LEASE_MARGIN_MS, MAX_FINAL_TASKS, MAX_FORGOTTEN_PER_PASS, WORKER_LEASE_MS } from '../constants.ts'
 import type { Configuration } from '../configuration/types.ts'
 import { EMPTY_CONFIGURATION } from '../configuration/mergeNote.ts'
@@ -26,6 +26,7 @@
   readonly #policy: Policy
   readonly #state = new CellState()
   #configuration: Configuration = EMPTY_CONFIGURATION
+  #configured: ConfigVersion = EMPTY_CONFIGURATION.version
   #declared: ReadonlySet<TaskId> = new Set()
 
   constructor (term: CellTerm, policy: Policy) {
@@ -43,12 +44,18 @@
   }
 
   /** Takes in a snapshot's tasks and replays the transitions journaled after it, before the first step. */
-  restore (transitions: readonly Transition[], now: Instant, tasks: readonly Task[] = []): void {
+  restore (transitions: readonly Transition[], now: Instant, tasks: readonly Task[] = [], configured = EMPTY_CONFIGURATION.version): void {
+    this.#configured = configured
     for (const task of tasks) this.#state.load(task, now)
     this.#apply(transitions, now)
     this.settle(transitions, now)
   }
 
+  /** Version of the last configuration that this cell's tasks were brought into line with, by any owner. */
+  get configured (): ConfigVersion {
+    return this.#configured
+  }
+
   /** Notes that the transitions of a step are in the journal. Steps are settled in their order. */
   settle (transitions: readonly Transition[], now: Instant): void {
     this.#state.durable.release(transitions, now)
@@ -162,7 +169,9 @@
   }
 
   #configure (configuration: Configuration, declared: readonly TaskSpec[], now: Instant): CellStep {
-    if (configuration.version < this.#configuration.version) return NOTHING
+    // A new owner may know less than the one before it, or nothing yet; that withdraws nothing.
+    if (configuration.version < this.#configured || configuration.version === EMPTY_CONFIGURATION.version) return NOTHING
+    this.#configured = configuration.version
     this.#configuration = configuration
     this.#policy.configure(configuration)
     const wanted = new Set(declared.map(spec => spec.id))
--- a/packages/core/src/cell/journalSchema.ts
+++ b/packages/core/src/cell/journalSchema.ts
@@ -38,6 +38,7 @@
 export const recordSchema = z.looseObject({
   format: z.int(),
   epoch: z.int().min(1),
+  configured: z.int().optional(),
   transitions: z.array(z.discriminatedUnion('kind', Object.values(transitions) as [typeof transitions.accepted]))
 })
 
@@ -54,4 +55,4 @@
 })
 
 /** A cell's tasks up to a journal record. */
-export const snapshotSchema = z.looseObject({ format: z.int(), through: z.int().min(1), tasks: z.array(task) })
+export const snapshotSchema = z.looseObject({ format: z.int(), through: z.int().min(1), configured: z.int().optional(), tasks: z.array(task) })
--- a/packages/core/src/cell/snapshot.ts
+++ b/packages/core/src/cell/snapshot.ts
@@ -2,20 +2,20 @@
  * A cell's journal records and snapshots as versioned objects, and back.
  */
 import type { z } from 'zod'
-import { AuburnpinError, Err, newWith, Ok, type Instant, type JournalSequence, type Result } from '@auburnpin/common'
+import { AuburnpinError, Err, newWith, Ok, type ConfigVersion, type Instant, type JournalSequence, type Result } from '@auburnpin/common'
 import { CELL_FORMAT } from '../constants.ts'
 import { recordSchema, snapshotSchema } from './journalSchema.ts'
 import type { Task, Transition } from './types.ts'
 
 /** Everything lasting of a cell up to and including a journal record. */
-export type CellSnapshot = Readonly<{ format: number, through: JournalSequence, tasks: readonly Task[] }>
+export type CellSnapshot = Readonly<{ format: number, through: JournalSequence, configured?: ConfigVersion, tasks: readonly Task[] }>
 
-/** One record of the journal: transitions committed together. */
-export type JournalRecord<Entry> = Readonly<{ format: number, epoch: number, transitions: readonly Entry[] }>
+/** One record of the journal: transitions committed together, under a configuration at least as new as `configured`. */
+export type JournalRecord<Entry> = Readonly<{ format: number, epoch: number, configured?: ConfigVersion, transitions: readonly Entry[] }>
 
 /** The snapshot of a cell's durable tasks; what only a worker's next report can tell is left out. */
-export const toSnapshot = (through: JournalSequence, tasks: Iterable<Task>): CellSnapshot =>
-  ({ format: CELL_FORMAT, through, tasks: [...tasks].map(toLasting) })
+export const toSnapshot = (through: JournalSequence, tasks: Iterable<Task>, configured?: ConfigVersion): CellSnapshot =>
+  ({ format: CELL_FORMAT, through, configured, tasks: [...tasks].map(toLasting) })
 
 /** The snapshot's tasks as a new owner takes them over: every placement is learnt anew at `now`. */
 export const fromSnapshot = (snapshot: CellSnapshot, now: Instant): Task[] =>
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -63,7 +63,8 @@
       claimed,
       last: recovered.last,
       onFenced: () => this.#lose(),
-      onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks)
+      configured: () => this.#cell.configured,
+      onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks, this.#cell.configured)
     })
     this.#actions = new ActionRunner(claimed, ports.workers, ports.log)
     this.#mailbox = new Mailbox(message => this.#handle(message), error => this.#fail(error))
@@ -80,7 +81,7 @@
     const cell = new Cell(claimed, new PlainPolicy(new SpreadPolicy()))
     const { snapshot, transitions } = recovered.val
     const now = ports.clock.now()
-    cell.restore(transitions, now, snapshot === undefined ? [] : fromSnapshot(snapshot, now))
+    cell.restore(transitions, now, snapshot === undefined ? [] : fromSnapshot(snapshot, now), recovered.val.configured)
     const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val, onLost)
     runner.#ticker.start()
     ports.log.info('Cell taken', { cell: claimed.cell, epoch: claimed.epoch, tasks: cell.state.tasks.size })
--- a/packages/scheduler/src/JournalWriter.ts
+++ b/packages/scheduler/src/JournalWriter.ts
@@ -1,7 +1,7 @@
 /**
  * Appends a cell's transitions to its journal, many steps in one record.
  */
-import { AuburnpinError, brand, Err, Ok, type Clock, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
+import { AuburnpinError, brand, Err, Ok, type Clock, type ConfigVersion, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
 import { CELL_FORMAT, type JournalRecord, type Transition } from '@auburnpin/core'
 import { journalKey, type ClaimedCell } from '@auburnpin/cluster'
 import { newTransactionId, type TableStore, type Transaction } from '@auburnpin/platform'
@@ -18,6 +18,8 @@
   /** Sequence of the last record written so far. */
   last: JournalSequence
   onFenced: () => void
+  /** Version of the configuration that the transitions follow. */
+  configured?: () => ConfigVersion
   /** Called after each record's steps are settled, with the record's sequence and size. */
   onRecord: (sequence: JournalSequence, transitions: number) => void
 }>
@@ -148,7 +150,7 @@
   #toTransaction (sequence: JournalSequence, transitions: readonly Transition[]): Transaction {
     const { claimed } = this.#options
     const key = journalKey(claimed.cell, sequence)
-    const record: JournalRecord<Transition> = { format: CELL_FORMAT, epoch: claimed.epoch, transitions }
+    const record: JournalRecord<Transition> = { format: CELL_FORMAT, epoch: claimed.epoch, configured: this.#options.configured?.(), transitions }
     return {
       id: newTransactionId(this.#random),
       checks: [claimed.check, { kind: 'absent', key }],
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -1,13 +1,14 @@
 /**
  * The scheduler role: claims the cells that this member should own and runs them.
  */
-import { AuburnpinError, Ticker, type CellId, type DataCentre, type Result } from '@auburnpin/common'
+import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result } from '@auburnpin/common'
 import { summariseTasks, type CellSummary, type Configuration, type Task } from '@auburnpin/core'
 import type { ConfigurationFollower, PeerReply, PeerRequest } from '@auburnpin/cluster'
 import type { VmEntry, VmList } from '@auburnpin/platform'
 import { cellOfVm, cellsOfRegion } from './cellOfVm.ts'
 import { CellOwnership, type OwnershipPorts } from './CellOwnership.ts'
 import type { CellRunner } from './CellRunner.ts'
+import { LeaseKeeper } from './LeaseKeeper.ts'
 import { VM_LIST_POLL_MS } from './constants.ts'
 
 /** The region's cells. */
@@ -17,6 +18,8 @@
 export type SchedulerPorts = OwnershipPorts & Readonly<{
   vmList: VmList
   configuration: ConfigurationFollower
+  /** Members that this one can talk to just now. */
+  reachable: () => readonly MemberId[]
 }>
 
 /** Owns cells; any number of schedulers share a region. */
@@ -25,6 +28,7 @@
   readonly #layout: RegionLayout
   readonly #cells: readonly CellId[]
   readonly #ownership: CellOwnership
+  readonly #keeper: LeaseKeeper
   readonly #vmPoll: Ticker
 
   constructor (layout: RegionLayout, ports: SchedulerPorts) {
@@ -34,6 +38,7 @@
     const places = layout.dataCentres.flatMap(dataCentre =>
       cellsOfRegion([dataCentre], layout.cellsPerDataCentre).map(cell => ({ cell, dataCentre })))
     this.#ownership = new CellOwnership(places, ports, runner => this.#prepare(runner))
+    this.#keeper = new LeaseKeeper(ports, vm => cellOfVm(vm.dataCentre, vm.rack, layout.cellsPerDataCentre))
     this.#vmPoll = new Ticker(ports.clock, VM_LIST_POLL_MS, () => this.#pollVms(), error => ports.log.error(String(error)))
     ports.configuration.onChange(configuration => this.#configure(configuration))
   }
@@ -55,10 +60,12 @@
   start (): void {
     this.#ownership.start()
     this.#vmPoll.start()
+    this.#keeper.start()
   }
 
   /** Hands all cells over. */
   async stop (): Promise<void> {
+    await this.#keeper.stop()
     await this.#vmPoll.stop()
     await this.#ownership.stop()
   }
@@ -102,6 +109,7 @@
       this.#ports.log.warn('The VM list could not be read', { reason: vms.val.message })
       return
     }
+    this.#keeper.listVms(vms.val)
     for (const [cell, runner] of this.#ownership.runners) {
       runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: this.#isLeaving(vm) })))
     }
--- a/packages/scheduler/src/SnapshotWriter.ts
+++ b/packages/scheduler/src/SnapshotWriter.ts
@@ -1,7 +1,7 @@
 /**
  * Writes a cell's snapshots and trims the journal behind them.
  */
-import { brand, Err, newWith, Ok, type AuburnpinError, type Clock, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
+import { brand, Err, newWith, Ok, type AuburnpinError, type Clock, type ConfigVersion, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
 import { CELL_FORMAT, toSnapshot, type DurableTasks } from '@auburnpin/core'
 import { journalKey, snapshotKey, snapshotPointerKey, type ClaimedCell } from '@auburnpin/cluster'
 import { newTransactionId, type ObjectStore, type RowCheck, type TableStore } from '@auburnpin/platform'
@@ -34,12 +34,12 @@
   }
 
   /** Notes a durable record, and starts a snapshot when the journal has outgrown the state. */
-  note (sequence: JournalSequence, transitions: number, tasks: DurableTasks): void {
+  note (sequence: JournalSequence, transitions: number, tasks: DurableTasks, configured?: ConfigVersion): void {
     this.#transitions += transitions
     const dueAfter = Math.max(SNAPSHOT_TRANSITIONS, tasks.size)
     if (this.#writing !== undefined || this.#transitions < dueAfter) return
     if (this.#notBefore !== undefined && this.#ports.clock.now() < this.#notBefore) return
-    const snapshot = toSnapshot(sequence, tasks.values())
+    const snapshot = toSnapshot(sequence, tasks.values(), configured)
     this.#transitions = 0
     this.#writing = this.#write(sequence, Buffer.from(JSON.stringify(snapshot)))
   }
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -40,3 +40,5 @@
 export const TRIM_ROWS = 100
 /** How long a member has held its lease before it claims cells, in milliseconds. */
 export const JOIN_SETTLE_MS = 2_000
+/** Time between two renewals of orphaned workers' leases while the store is down, in milliseconds. */
+export const KEEPER_MS = 2_000
--- a/packages/scheduler/src/recoverCell.ts
+++ b/packages/scheduler/src/recoverCell.ts
@@ -2,7 +2,7 @@
  * Rebuilds a cell's lasting state from its newest readable snapshot and the journal after it.
  */
 import { createHash } from 'node:crypto'
-import { AuburnpinError, brand, Err, Ok, type CellId, type JournalSequence, type Log, type Result } from '@auburnpin/common'
+import { AuburnpinError, brand, Err, Ok, type CellId, type ConfigVersion, type JournalSequence, type Log, type Result } from '@auburnpin/common'
 import { readRecord, readSnapshot, type CellSnapshot, type Transition } from '@auburnpin/core'
 import { journalKey, journalPrefix } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore } from '@auburnpin/platform'
@@ -13,6 +13,8 @@
   snapshot: CellSnapshot | undefined
   transitions: readonly Transition[]
   last: JournalSequence
+  /** Version of the last configuration that an owner brought the tasks into line with. */
+  configured: ConfigVersion
   seen: SeenPointer
 }>
 
@@ -27,7 +29,7 @@
   if (snapshot.err) return snapshot
   const through = snapshot.val?.through ?? brand<JournalSequence>(0)
   const journal = await readJournal(table, cell, through)
-  return journal.map(({ transitions, last }) => ({ snapshot: snapshot.val, transitions, last, seen: seen.val }))
+  return journal.map(read => ({ ...read, configured: laterOf(read.configured, snapshot.val?.configured), snapshot: snapshot.val, seen: seen.val }))
 }
 
 const readNewest = async (objects: ObjectStore, log: Log, cell: CellId, { pointer }: SeenPointer): Promise<Result<CellSnapshot | undefined, AuburnpinError>> => {
@@ -57,21 +59,28 @@
   return snapshot
 }
 
-const readJournal = async (table: TableStore, cell: CellId, through: JournalSequence): Promise<Result<Pick<RecoveredJournal, 'transitions' | 'last'>, AuburnpinError>> => {
+const laterOf = (left: ConfigVersion, right: ConfigVersion | undefined): ConfigVersion =>
+  right === undefined || left >= right ? left : right
+
+type ReadJournal = Pick<RecoveredJournal, 'transitions' | 'last' | 'configured'>
+
+const readJournal = async (table: TableStore, cell: CellId, through: JournalSequence): Promise<Result<ReadJournal, AuburnpinError>> => {
   const prefix = journalPrefix(cell)
   const rows = await table.listAll(prefix, through === 0 ? '' : journalKey(cell, through))
   if (rows.err) return rows
   const transitions: Transition[] = []
   let last = through
+  let configured = brand<ConfigVersion>(0)
   for (const row of rows.val) {
     const sequence = Number(row.key.slice(prefix.length))
     if (sequence !== last + 1) return Err(corrupt(`The journal of cell ${cell} goes from record ${last} to ${sequence}`))
     const record = readRecord(row.value, `Journal record ${row.key}`)
     if (record.err) return record
     for (const transition of record.val.transitions) transitions.push(transition)
+    configured = laterOf(configured, record.val.configured)
     last = brand<JournalSequence>(sequence)
   }
-  return Ok({ transitions, last })
+  return Ok({ transitions, last, configured })
 }
 
 /** SHA-256 of a snapshot's bytes, in hexadecimal. */
--- a/packages/scheduler/tests/support/Owners.ts
+++ b/packages/scheduler/tests/support/Owners.ts
@@ -5,8 +5,9 @@
   brand, InvariantCounter, SeededRandom, SilentLog, SilentMetrics, VirtualClock, type CellId, type DataCentre, type MemberId
 } from '@auburnpin/common'
 import { CellDirectory, cellKey, ConfigurationFollower, LEASE_DEADLINE_MS, Membership, type CellRow } from '@auburnpin/cluster'
-import { FakeLink, FakePeers, FakeTableStore, FakeVmList, FakeWorkers, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
+import { FakeLink, FakeObjectStore, FakePeers, FakeTableStore, FakeVmList, FakeVmWorker, FakeWorkers, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
 import { ReliableTable } from '@auburnpin/platform'
+import type { TaskSpec } from '@auburnpin/core'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { Scheduler } from '../../src/index.ts'
 
@@ -20,19 +21,26 @@
   readonly clock = new VirtualClock()
   readonly memory = new MemoryTable()
   readonly #link = new FakeLink(this.clock)
+  readonly vms = new Map<string, FakeVmWorker>()
+  readonly vmList = new FakeVmList(this.#link)
   readonly #network: FakePeerNetwork = new Map()
   readonly #random: SeededRandom
   readonly #dataCentres: readonly DataCentre[]
   readonly #cellsPerDataCentre: number
   readonly #running = new Map<string, Running>()
   readonly #dead = new Set<string>()
+  /** Calls for a worker's lease, by process. */
+  readonly leases = new Map<string, number>()
   fates: (from: string, operation: string) => Fate = () => PROMPT
 
   constructor (dataCentres: readonly string[], cellsPerDataCentre: number, seed = 1) {
     this.#random = new SeededRandom(seed)
     this.#dataCentres = dataCentres.map(name => brand<DataCentre>(name))
     this.#cellsPerDataCentre = cellsPerDataCentre
-    this.#link.setFates((from, to, operation) => this.#dead.has(from) || this.#dead.has(to) ? REFUSED : this.fates(from, operation))
+    this.#link.setFates((from, to, operation) => {
+      if (operation === 'lease') this.leases.set(from, (this.leases.get(from) ?? 0) + 1)
+      return this.#dead.has(from) || this.#dead.has(to) ? REFUSED : this.fates(from, operation)
+    })
   }
 
   get names (): string[] {
@@ -61,8 +69,10 @@
       random: this.#random,
       metrics: new SilentMetrics(),
       invariants: new InvariantCounter(),
-      workers: new FakeWorkers(new Map(), this.#link, from),
-      vmList: new FakeVmList(this.#link),
+      objects: new FakeObjectStore(new Map(), this.#link, from),
+      workers: new FakeWorkers(this.vms, this.#link, from),
+      reachable: () => [...this.#running.keys()].map(name => brand<MemberId>(name)),
+      vmList: this.vmList,
       publish: () => {},
       announce: notice => peers.broadcast(notice)
     })
@@ -73,6 +83,13 @@
     this.#running.set(member, { member: from, scheduler, membership, directory, configuration, peers })
   }
 
+  /** Submits a task to whoever owns its cell, or to nobody. */
+  submit (spec: TaskSpec): void {
+    const [cell] = this.owners.keys()
+    const owner = this.#running.get(this.owners.values().next().value ?? '')
+    if (cell !== undefined) void owner?.scheduler.answer({ kind: 'submit', cell, spec })
+  }
+
   /** The process is gone from one moment to the next. */
   kill (member: string): void {
     const running = this.#running.get(member)
--- a/soak/SoakMember.ts
+++ b/soak/SoakMember.ts
@@ -62,7 +62,8 @@
       vmList: surroundings.vmList,
       membership: this.#membership,
       directory: this.#directory,
-      configuration: this.#configuration
+      configuration: this.#configuration,
+      reachable: () => this.#peers.reachable
     })
     this.#peers.onNotice((notice, from) => {
       if (notice.kind === 'endpoints') endpoints.publish(notice)
