Changed declarations take effect: replicas make-before-break, watches and batch tasks resume under the new one

Cause: a changed command or size left running replicas and watches as they were; one that was withdrawn and declared again never ran again; a replica on a leaving VM stopped before its successor ran; a withdrawn replica was stopped with requests in progress. Change: a replica's successor runs and answers before the old one is told to leave, and the old one is stopped 30 s after gateways were told; without room it gives way after 120 s, and a failing successor never displaces it.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -10,6 +10,8 @@
 import { isFinal } from './applyTransition.ts'
 import { CellState } from './CellState.ts'
 import { endLostVms, reconcileReport, stopAction } from './reconcileReport.ts'
+import { idsOf, redeclare } from './redeclare.ts'
+import { ReplicaReplacement } from './ReplicaReplacement.ts'
 import { listEndpoints } from './listEndpoints.ts'
 import type { CellAction, CellEvent, CellStep, CellTerm, Endpoint, Task, TaskReason, TaskSpec, Transition } from './types.ts'
 
@@ -28,9 +30,12 @@
   #configuration: Configuration = EMPTY_CONFIGURATION
   #configured: ConfigVersion = EMPTY_CONFIGURATION.version
   #declared: ReadonlySet<TaskId> = new Set()
+  #redeclared: readonly TaskSpec[] = []
+  readonly #replicas: ReplicaReplacement
 
   constructor (term: CellTerm, policy: Policy) {
     this.#term = term
+    this.#replicas = new ReplicaReplacement(term.epoch)
     this.#policy = policy
     policy.attach(this.#state)
   }
@@ -104,11 +109,13 @@
     this.#expireLeases(now)
     const lost = endLostVms(this.#state, now, WORKER_LEASE_MS + LEASE_MARGIN_MS)
     this.#apply(lost, now)
+    const replaced = this.#withdraw(this.#replicas.due(this.#state, now), { kind: 'replaced' }, now)
+    const redeclared = this.#redeclare(now)
     const forgotten = this.#forgetOld(now)
     const relief = this.#policy.relieve(this.#state, now)
     this.#apply(relief.transitions, now)
     const placed = this.#policy.place(this.#state, now)
-    const actions: CellAction[] = [...relief.actions]
+    const actions: CellAction[] = [...replaced.actions, ...redeclared.actions, ...relief.actions]
     if (lost.length > 0) actions.push({ kind: 'publish-endpoints' })
     for (const transition of placed) {
       if (transition.kind !== 'assigned') continue
@@ -116,7 +123,7 @@
       const vm = this.#state.vms.get(transition.vm)
       if (vm !== undefined) actions.push({ kind: 'start', vm: vm.id, address: vm.address, task, session: transition.session })
     }
-    return { transitions: [...lost, ...forgotten, ...relief.transitions, ...placed], actions }
+    return { transitions: [...lost, ...replaced.transitions, ...redeclared.transitions, ...forgotten, ...relief.transitions, ...placed], actions }
   }
 
   // A declared task is kept as long as it is declared, or its declaration would run it again.
@@ -161,48 +168,76 @@
       transitions.push({ kind: 'withdrawn', task: id, reason })
       const vm = task.placement === undefined ? undefined : this.#state.vms.get(task.placement.vm)
       if (task.placement === undefined || vm === undefined) continue
-      if (task.spec.kind === 'replica') actions.push({ kind: 'publish-endpoints' })
-      actions.push(stopAction(vm, newWith(task, { isWithdrawn: true }), task.placement))
+      if (task.spec.kind === 'replica') this.#drain(task, actions, now)
+      else actions.push(stopAction(vm, newWith(task, { isWithdrawn: true }), task.placement))
     }
     this.#apply(transitions, now)
     return { transitions, actions }
   }
 
+  // A replica's requests end before it is stopped, which a later report of its worker brings about.
+  #drain (task: Task, actions: CellAction[], now: Instant): void {
+    this.#state.observePlacement(task.spec.id, { drainedSince: task.placement?.drainedSince ?? now })
+    actions.push({ kind: 'publish-endpoints' })
+  }
+
   #configure (configuration: Configuration, declared: readonly TaskSpec[], now: Instant): CellStep {
     // A new owner may know less than the one before it, or nothing yet; that withdraws nothing.
     if (configuration.version < this.#configured || configuration.version === EMPTY_CONFIGURATION.version) return NOTHING
     this.#configured = configuration.version
     this.#configuration = configuration
     this.#policy.configure(configuration)
-    const wanted = new Set(declared.map(spec => spec.id))
-    this.#declared = wanted
+    this.#declared = idsOf(declared)
+    this.#replicas.declare(declared)
+    const withdrawn = this.#withdraw(this.#surplus(), { kind: 'withdrawn' }, now)
+    const accepted = this.#accept(declared.filter(spec => spec.kind !== 'replica'), now)
+    this.#redeclared = declared
+    return joinSteps([withdrawn, accepted, this.#redeclare(now), this.#replaceReplicas(now), PUBLISH])
+  }
+
+  // Surplus replicas are found where they are compared with the declared ones.
+  #surplus (): TaskId[] {
     const surplus: TaskId[] = []
-    for (const task of this.#state.tasks.values()) {
-      const isDeclared = task.spec.kind !== 'batch' || task.spec.isDeclared === true
-      if (isDeclared && !wanted.has(task.spec.id)) surplus.push(task.spec.id)
-    }
-    const accepted = this.#accept(declared, now)
-    const withdrawn = this.#withdraw(surplus, { kind: 'withdrawn' }, now)
-    return {
-      transitions: [...accepted.transitions, ...withdrawn.transitions],
-      actions: [...withdrawn.actions, { kind: 'publish-endpoints' }]
+    for (const { spec } of this.#state.tasks.values()) {
+      const isDeclared = spec.kind === 'watch' || spec.isDeclared === true
+      if (isDeclared && !this.#declared.has(spec.id)) surplus.push(spec.id)
     }
+    return surplus
+  }
+
+  #redeclare (now: Instant): CellStep {
+    if (this.#redeclared.length === 0) return NOTHING
+    const { transitions, actions, pending } = redeclare(this.#state, this.#redeclared)
+    this.#redeclared = pending
+    this.#apply(transitions, now)
+    return { transitions, actions }
+  }
+
+  #replaceReplicas (now: Instant): CellStep {
+    const { accepted, withdrawn } = this.#replicas.examine(this.#state, now)
+    return joinSteps([this.#accept(accepted, now), this.#withdraw(withdrawn, { kind: 'withdrawn' }, now)])
   }
 
   #leaveVms (now: Instant): CellStep {
     const transitions: Transition[] = []
     const actions: CellAction[] = []
+    let hasReplicas = false
     for (const vm of this.#state.vms.values()) {
       if (!vm.isLeaving) continue
       for (const id of this.#state.placedOn(vm.id)) {
         const task = this.#state.tasks.get(id) as Task
         if (task.placement === undefined || task.placement.isStopping) continue
+        if (task.spec.kind === 'replica') {
+          hasReplicas = true
+          continue
+        }
         transitions.push({ kind: 'stopping', task: id, attempt: task.attempt, reason: { kind: 'vm-leaving', vm: vm.id } })
-        actions.push(stopAction(vm, task, task.placement), { kind: 'publish-endpoints' })
+        actions.push(stopAction(vm, task, task.placement))
       }
     }
     this.#apply(transitions, now)
-    return { transitions, actions }
+    const stopped = { transitions, actions }
+    return hasReplicas ? joinSteps([stopped, this.#replaceReplicas(now), PUBLISH]) : stopped
   }
 
   // Nothing new is placed on a VM that the list does not name, though its worker may still answer.
@@ -215,7 +250,7 @@
   #reconcile (event: Extract<CellEvent, { kind: 'reported' }>, now: Instant): CellStep {
     this.#state.noteContact(event.vm, now)
     this.#forgetClosedSession(event)
-    const { transitions, actions } = reconcileReport(this.#state, event)
+    const { transitions, actions } = reconcileReport(this.#state, event, now)
     this.#apply(transitions, now)
     return { transitions, actions }
   }
@@ -233,3 +268,9 @@
 }
 
 const NOTHING: CellStep = { transitions: [], actions: [] }
+const PUBLISH: CellStep = { transitions: [], actions: [{ kind: 'publish-endpoints' }] }
+
+const joinSteps = (steps: readonly CellStep[]): CellStep => ({
+  transitions: steps.flatMap(step => step.transitions),
+  actions: steps.flatMap(step => step.actions)
+})
--- a/packages/core/src/cell/CellState.ts
+++ b/packages/core/src/cell/CellState.ts
@@ -144,8 +144,8 @@
   }
 
   #noteFinal (id: TaskId, task: Task | undefined, now: Instant): void {
-    if (task === undefined) this.#finals.delete(id)
-    else if (isFinal(task) && !this.#finals.has(id)) this.#finals.set(id, now)
+    if (task === undefined || !isFinal(task)) this.#finals.delete(id)
+    else if (!this.#finals.has(id)) this.#finals.set(id, now)
   }
 
   // The journal names VMs that were listed for a former owner.
--- a/packages/core/src/cell/applyTransition.ts
+++ b/packages/core/src/cell/applyTransition.ts
@@ -23,6 +23,8 @@
       return end(task, transition)
     case 'withdrawn':
       return withdraw(task, transition)
+    case 'respecified':
+      return respecify(task, transition.spec)
     case 'unrunnable':
       return newWith(task, { state: 'unrunnable', reason: transition.reason })
     case 'runnable':
@@ -34,6 +36,12 @@
   }
 }
 
+// The attempts are counted on, for a worker never starts one of them again.
+const respecify = (task: Task, spec: TaskSpec): Task => {
+  if (task.placement !== undefined) return task
+  return newWith(task, { spec, state: 'queued', failures: 0, failedOn: undefined, isWithdrawn: false, reason: undefined })
+}
+
 const newTask = (spec: TaskSpec): Task => ({
   spec, state: 'queued', attempt: brand<Attempt>(0), failures: 0, evictions: 0, isWithdrawn: false
 })
--- a/packages/core/src/cell/journalSchema.ts
+++ b/packages/core/src/cell/journalSchema.ts
@@ -29,6 +29,7 @@
   stopping: z.looseObject({ kind: z.literal('stopping'), task: z.string(), attempt, reason }),
   ended: z.looseObject({ kind: z.literal('ended'), task: z.string(), attempt, end: z.enum(['finished', 'failed', 'stopped', 'lost']) }),
   withdrawn: z.looseObject({ kind: z.literal('withdrawn'), task: z.string(), reason }),
+  respecified: z.looseObject({ kind: z.literal('respecified'), task: z.string(), spec }),
   unrunnable: z.looseObject({ kind: z.literal('unrunnable'), task: z.string(), reason }),
   runnable: z.looseObject({ kind: z.literal('runnable'), task: z.string() }),
   forgotten: z.looseObject({ kind: z.literal('forgotten'), task: z.string() })
--- a/packages/core/src/cell/reconcileReport.ts
+++ b/packages/core/src/cell/reconcileReport.ts
@@ -2,6 +2,7 @@
  * Compares what a worker reports with what the cell has assigned to it.
  */
 import type { Instant, LeaseSession, VmId } from '@auburnpin/common'
+import { REPLICA_DRAIN_MS } from '../constants.ts'
 import type { CellState } from './CellState.ts'
 import type { CellAction, CellEvent, Placement, ReportedTask, Task, Transition, Vm } from './types.ts'
 
@@ -14,7 +15,7 @@
  * Ends attempts by the worker's own word, starts again what has not arrived, stops what should not run.
  * The same path serves ordinary running, lost messages and the first reports after a take-over.
  */
-export const reconcileReport = (state: CellState, report: Report): Reconciliation => {
+export const reconcileReport = (state: CellState, report: Report, now: Instant): Reconciliation => {
   const found: Reconciliation = { transitions: [], actions: [] }
   const vm = state.vms.get(report.vm)
   if (vm === undefined) return found
@@ -23,19 +24,20 @@
     const task = state.tasks.get(id)
     if (task?.placement === undefined) continue
     const seen = reported.get(`${id}/${task.attempt}`)
-    if (seen !== undefined) reconcilePresent(state, vm, task, task.placement, seen, found)
+    if (seen !== undefined) reconcilePresent(state, vm, task, task.placement, seen, found, now)
     else if (report.askedAt > task.placement.since) reconcileMissing(vm, task, task.placement, report.session, found)
   }
   for (const seen of report.tasks) reconcileStray(state, vm, seen, report.session, found)
   return found
 }
 
-const reconcilePresent = (state: CellState, vm: Vm, task: Task, placement: Placement, seen: ReportedTask, found: Reconciliation): void => {
+const reconcilePresent = (state: CellState, vm: Vm, task: Task, placement: Placement, seen: ReportedTask, found: Reconciliation, now: Instant): void => {
   if (seen.state === 'running') {
     const isNews = !placement.isRunning || placement.address !== seen.address
     if (isNews) state.observePlacement(task.spec.id, { isRunning: true, address: seen.address })
     if (isNews && task.spec.kind === 'replica') found.actions.push({ kind: 'publish-endpoints' })
-    if (placement.isStopping || task.isWithdrawn) found.actions.push(stopAction(vm, task, placement))
+    const isLeaving = placement.isStopping || task.isWithdrawn
+    if (isLeaving && isDrained(state, task, placement, found, now)) found.actions.push(stopAction(vm, task, placement))
     return
   }
   found.transitions.push({
@@ -45,6 +47,15 @@
   if (task.spec.kind === 'replica') found.actions.push({ kind: 'publish-endpoints' })
 }
 
+// A replica's requests end before it is stopped; how long it has been leaving is known to this owner alone.
+const isDrained = (state: CellState, task: Task, placement: Placement, found: Reconciliation, now: Instant): boolean => {
+  if (task.spec.kind !== 'replica') return true
+  if (placement.drainedSince !== undefined) return now - placement.drainedSince >= REPLICA_DRAIN_MS
+  state.observePlacement(task.spec.id, { drainedSince: now })
+  found.actions.push({ kind: 'publish-endpoints' })
+  return false
+}
+
 const reconcileMissing = (vm: Vm, task: Task, placement: Placement, session: LeaseSession | null, found: Reconciliation): void => {
   if (session !== placement.session) {
     // A closed session never opens again, so a start under it can no longer take effect.
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -21,6 +21,8 @@
   isDeclared?: boolean
   /** For replicas: the service they answer for. */
   service?: ServiceName
+  /** For a replica that takes another's place: the declared replica whose place it is. */
+  slot?: TaskId
   /** Wall clock, milliseconds since 1970. */
   acceptedAt: number
 }>
@@ -44,6 +46,8 @@
   | Readonly<{ kind: 'vm-lost', vm: VmId }>
   | Readonly<{ kind: 'lease-ran-out', vm: VmId }>
   | Readonly<{ kind: 'attempts-used-up', last: string }>
+  | Readonly<{ kind: 'redeclared' }>
+  | Readonly<{ kind: 'replaced' }>
   | Readonly<{ kind: 'withdrawn' }>
   | Readonly<{ kind: 'by-caller' }>
 
@@ -55,6 +59,8 @@
   since: Instant
   isRunning: boolean
   isStopping: boolean
+  /** When this owner first told gateways that the replica leaves; it is stopped some time after. */
+  drainedSince?: Instant
   /** Share of its declared processors that the attempt may use, 0 to 1; 1 if not told. */
   throttle?: number
   /** Endpoint's IP number and port, once the worker has told it. */
@@ -89,6 +95,7 @@
   | Readonly<{ kind: 'stopping', task: TaskId, attempt: Attempt, reason: TaskReason }>
   | Readonly<{ kind: 'ended', task: TaskId, attempt: Attempt, end: AttemptEnd, result?: string, checkpoint?: string, reason?: TaskReason }>
   | Readonly<{ kind: 'withdrawn', task: TaskId, reason: TaskReason }>
+  | Readonly<{ kind: 'respecified', task: TaskId, spec: TaskSpec }>
   | Readonly<{ kind: 'unrunnable', task: TaskId, reason: TaskReason }>
   | Readonly<{ kind: 'runnable', task: TaskId }>
   | Readonly<{ kind: 'forgotten', task: TaskId }>
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -92,3 +92,7 @@
 export const MAX_REEXAMINED_PER_PASS = 256
 /** Share of its throttle from which on a task counts as held back by it. */
 export const THROTTLE_BOUND_SHARE = 0.9
+/** Longest time that a replica waits for its successor to find room, in milliseconds. */
+export const REPLACE_WAIT_MS = 120_000
+/** Time between telling gateways that a replica leaves and stopping it, in milliseconds. */
+export const REPLICA_DRAIN_MS = 30_000
--- a/packages/core/src/explain/describeReason.ts
+++ b/packages/core/src/explain/describeReason.ts
@@ -43,8 +43,12 @@
       return { cause: `the worker's lease on VM ${reason.vm} ran out`, change: 'it resumes by itself on a VM whose lease stands' }
     case 'attempts-used-up':
       return { cause: `all its attempts failed, the last with "${reason.last}"`, change: 'correct its command, then submit it under a new key' }
+    case 'redeclared':
+      return { cause: 'its declaration has changed', change: 'it resumes by itself under the new one' }
+    case 'replaced':
+      return { cause: 'another replica has taken its place', change: 'nothing; it stops by itself' }
     case 'withdrawn':
-      return { cause: 'a release note has withdrawn it', change: 'declare it again under a new name to run it' }
+      return { cause: 'a release note has withdrawn it', change: 'declare it again to run it' }
     case 'by-caller':
       return { cause: 'it was cancelled on request', change: 'submit it under a new key to run it' }
     default:
