--- a/packages/core/src/cell/journalSchema.ts
+++ b/packages/core/src/cell/journalSchema.ts
@@ -29,6 +29,7 @@
   stopping: z.looseObject({ kind: z.literal('stopping'), task: z.string(), attempt, reason }),
   ended: z.looseObject({ kind: z.literal('ended'), task: z.string(), attempt, end: z.enum(['finished', 'failed', 'stopped', 'lost']) }),
   withdrawn: z.looseObject({ kind: z.literal('withdrawn'), task: z.string(), reason }),
+  respecified: z.looseObject({ kind: z.literal('respecified'), task: z.string(), spec }),
   unrunnable: z.looseObject({ kind: z.literal('unrunnable'), task: z.string(), reason }),
   runnable: z.looseObject({ kind: z.literal('runnable'), task: z.string() }),
   forgotten: z.looseObject({ kind: z.literal('forgotten'), task: z.string() })
@@ -38,6 +39,7 @@
 export const recordSchema = z.looseObject({
   format: z.int(),
   epoch: z.int().min(1),
+  configured: z.int().optional(),
   transitions: z.array(z.discriminatedUnion('kind', Object.values(transitions) as [typeof transitions.accepted]))
 })
 
@@ -54,4 +56,4 @@
 })
 
 /** A cell's tasks up to a journal record. */
-export const snapshotSchema = z.looseObject({ format: z.int(), through: z.int().min(1), tasks: z.array(task) })
+export const snapshotSchema = z.looseObject({ format: z.int(), through: z.int().min(1), configured: z.int().optional(), tasks: z.array(task) })
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -11,7 +11,7 @@
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
 import { ActionRunner } from './ActionRunner.ts'
-import { TICK_MS } from './constants.ts'
+import { MAX_WAITING_STEPS, TICK_MS } from './constants.ts'
 import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
 import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
 import { SnapshotWriter } from './SnapshotWriter.ts'
@@ -46,6 +46,8 @@
   readonly #ticker: Ticker
   readonly #links = new Map<VmId, WorkerLink>()
   readonly #onLost: () => void
+  /** Submissions and cancellations without an answer yet. */
+  #open = 0
   #isClosed = false
   #isLost = false
   #revision = 0
@@ -61,7 +63,8 @@
       claimed,
       last: recovered.last,
       onFenced: () => this.#lose(),
-      onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks)
+      configured: () => this.#cell.configured,
+      onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks, this.#cell.configured)
     })
     this.#actions = new ActionRunner(claimed, ports.workers, ports.log)
     this.#mailbox = new Mailbox(message => this.#handle(message), error => this.#fail(error))
@@ -137,8 +140,15 @@
 
   #postDurably (event: CellEvent): Promise<JournalOutcome> {
     if (this.#isClosed) return Promise.resolve(Err(this.#closed()))
-    if (this.#journal.isStalled) return Promise.resolve(Err(this.#overloaded()))
-    return new Promise(resolve => this.#mailbox.post({ event, settle: resolve }))
+    if (this.#journal.isStalled || this.#open >= MAX_WAITING_STEPS) return Promise.resolve(Err(this.#overloaded()))
+    this.#open++
+    return new Promise(resolve => {
+      const settle = (outcome: JournalOutcome): void => {
+        this.#open--
+        resolve(outcome)
+      }
+      this.#mailbox.post({ event, settle })
+    })
   }
 
   #find (id: TaskId): Result<Task, AuburnpinError> {
@@ -246,9 +256,10 @@
 const REPEATED_EVENTS: ReadonlySet<CellEvent['kind']> = new Set(['tick', 'reported', 'usage'])
 
 // A journal that contradicts itself must stop this cell alone, not the process with its other cells.
-const restoreCell = (cell: Cell, { cell: id }: ClaimedCell, { snapshot, transitions }: RecoveredJournal, now: Instant): Result<void, AuburnpinError> => {
+const restoreCell = (cell: Cell, { cell: id }: ClaimedCell, recovered: RecoveredJournal, now: Instant): Result<void, AuburnpinError> => {
+  const { snapshot, transitions, configured } = recovered
   try {
-    cell.restore(transitions, now, snapshot === undefined ? [] : fromSnapshot(snapshot, now))
+    cell.restore(transitions, now, snapshot === undefined ? [] : fromSnapshot(snapshot, now), configured)
     return Ok(undefined)
   } catch (thrown) {
     if (!(thrown instanceof InvariantError)) throw thrown
