The scheduler runs the colocation policy; a new owner starts with a clean slate

Change: racks are counted when VMs become known; inherited throttles are lifted once. CellRunner now makes a ColocationPolicy with the cell's part of the quotas. The one setting tail-limit steers both placement and relief.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -48,7 +48,8 @@
   for (const id of ids) {
     const task = cell.state.tasks.get(id)
     if (task?.placement === undefined) continue
-    cell.step({ kind: 'reported', vm: task.placement.vm, askedAt: now, session: null, tasks: [] }, now)
+    const { transitions } = cell.step({ kind: 'reported', vm: task.placement.vm, askedAt: now, session: null, tasks: [] }, now)
+    cell.settle(transitions, now)
   }
 }
 
@@ -65,6 +66,7 @@
     const before = performance.now()
     const { transitions } = cell.step({ kind: 'tick' }, now)
     const tookMs = performance.now() - before
+    cell.settle(transitions, now)
     spentMs += tookMs
     if (pass % 4 === 0) worstUrgentMs = Math.max(worstUrgentMs, tookMs)
     const assigned = transitions.flatMap(transition => transition.kind === 'assigned' ? [transition.task] : [])
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -64,16 +64,16 @@
 export const SAMPLES_TO_ACT = 3
 /** Samples whose mean well within the objective lets a throttle be eased. */
 export const SAMPLES_TO_EASE = 4
-/** Ratio of answer time to objective below which a service counts as well within it. */
-export const CALM_RATIO = 0.8
+/** Ratio by which a service's mean must stay below the target before a throttle is eased. */
+export const CALM_BELOW_TARGET = 0.05
 /** Time after an easing in which suffering is put down to it, in milliseconds. */
 export const RELAPSE_MS = 60_000
 /** Smallest gain in share for which a throttle is eased. */
 export const MIN_EASE_SHARE = 0.1
 /** Time from an act until samples show its effect, in milliseconds. */
 export const SETTLE_MS = 2_000
-/** Ratio of answer time to objective that throttling aims at. */
-export const RELIEF_TARGET_RATIO = 0.85
+/** Ratio by which throttling aims below the limit up to which batch work is put beside a service. */
+export const TARGET_BELOW_LIMIT = 0.05
 /** Smallest share of its processors that a throttled task keeps. */
 export const MIN_THROTTLE_SHARE = 0.1
 /** Time between two evictions on one VM for a service's sake, in milliseconds. */
--- a/packages/core/src/placement/ReplicaSpread.ts
+++ b/packages/core/src/placement/ReplicaSpread.ts
@@ -4,37 +4,52 @@
 import type { RackId, ServiceName, VmId } from '@auburnpin/common'
 import type { Task } from '../cell/types.ts'
 
-/** Counts kept up with the state's changes. */
+/** Counts kept up with the state's changes; a rack counts once its VMs are known. */
 export class ReplicaSpread {
-  readonly #onVm = new Map<string, number>()
-  readonly #onRack = new Map<string, number>()
+  readonly #onVm = new Map<VmId, Map<ServiceName, number>>()
+  readonly #onRack = new Map<RackId, Map<ServiceName, number>>()
+  readonly #rackOf = new Map<VmId, RackId>()
 
-  /** Takes in the change of one task; `rackOf` names the rack of a VM. */
-  change (before: Task | undefined, after: Task | undefined, rackOf: (vm: VmId) => RackId | undefined): void {
-    this.#count(before, -1, rackOf)
-    this.#count(after, 1, rackOf)
+  /** Takes in the change of one task. */
+  change (before: Task | undefined, after: Task | undefined): void {
+    this.#count(before, -1)
+    this.#count(after, 1)
+  }
+
+  /** Takes in where a VM stands; replicas may have been restored on it before it was listed. */
+  locate (vm: VmId, rack: RackId): void {
+    const known = this.#rackOf.get(vm)
+    if (known === rack) return
+    for (const [service, count] of this.#onVm.get(vm) ?? []) {
+      if (known !== undefined) add(this.#onRack, known, service, -count)
+      add(this.#onRack, rack, service, count)
+    }
+    this.#rackOf.set(vm, rack)
   }
 
   onVm (service: ServiceName, vm: VmId): number {
-    return this.#onVm.get(`${service}/${vm}`) ?? 0
+    return this.#onVm.get(vm)?.get(service) ?? 0
   }
 
   onRack (service: ServiceName, rack: RackId): number {
-    return this.#onRack.get(`${service}/${rack}`) ?? 0
+    return this.#onRack.get(rack)?.get(service) ?? 0
   }
 
-  #count (task: Task | undefined, step: number, rackOf: (vm: VmId) => RackId | undefined): void {
+  #count (task: Task | undefined, step: number): void {
     const vm = task?.placement?.vm
     const service = task?.spec.service
     if (vm === undefined || service === undefined) return
-    add(this.#onVm, `${service}/${vm}`, step)
-    const rack = rackOf(vm)
-    if (rack !== undefined) add(this.#onRack, `${service}/${rack}`, step)
+    add(this.#onVm, vm, service, step)
+    const rack = this.#rackOf.get(vm)
+    if (rack !== undefined) add(this.#onRack, rack, service, step)
   }
 }
 
-const add = (counts: Map<string, number>, key: string, step: number): void => {
-  const count = (counts.get(key) ?? 0) + step
-  if (count <= 0) counts.delete(key)
-  else counts.set(key, count)
+const add = <Place>(counts: Map<Place, Map<ServiceName, number>>, place: Place, service: ServiceName, step: number): void => {
+  const ofPlace = counts.get(place) ?? new Map<ServiceName, number>()
+  const count = (ofPlace.get(service) ?? 0) + step
+  if (count === 0) ofPlace.delete(service)
+  else ofPlace.set(service, count)
+  if (ofPlace.size === 0) counts.delete(place)
+  else counts.set(place, ofPlace)
 }
--- a/packages/core/src/policy/ColocationPolicy.ts
+++ b/packages/core/src/policy/ColocationPolicy.ts
@@ -22,8 +22,6 @@
 /** How a cell is run; the limits of the configuration go before `tailLimit` and `evictionsPerMinute`. */
 export type ColocationSettings = ReliefSettings & Readonly<{
   rule: PlacementRule
-  /** Ratio of answer time to objective up to which batch work is put beside a service. */
-  tailLimit: number
   /** Evictions for services' sake, over the whole cell. */
   evictionsPerMinute: number
   /** Share of each team's quota that belongs to this cell, 0 to 1. */
@@ -84,7 +82,9 @@
     for (const [name, { value }] of Object.entries(teams)) quotas.set(brand<TeamName>(name), scaled(value.quota, this.#settings.quotaShare))
     this.#indexes.usage.setQuotas(quotas)
     const { rule, tailLimit, evictionsPerMinute } = this.#settings
-    this.#chooser.configure({ rule, tailLimit: limits[TAIL_LIMIT]?.value.value ?? tailLimit })
+    const limit = limits[TAIL_LIMIT]?.value.value ?? tailLimit
+    this.#chooser.configure({ rule, tailLimit: limit })
+    this.#relief.configure(limit)
     this.#budget.configure(limits[EVICTIONS_PER_MINUTE_LIMIT]?.value.value ?? evictionsPerMinute)
   }
 
--- a/packages/core/src/policy/StateIndexes.ts
+++ b/packages/core/src/policy/StateIndexes.ts
@@ -23,7 +23,6 @@
   readonly rooms = new Rooms(this.health)
   readonly unrunnable = new UnrunnableTasks()
   readonly #loads: ServiceLoads
-  #state: CellState | undefined
   #relief: ReliefControl | undefined
   #hasChanged = false
 
@@ -36,7 +35,6 @@
   }
 
   follow (state: CellState, relief: ReliefControl): void {
-    this.#state = state
     this.#relief = relief
     state.watch(this)
   }
@@ -52,7 +50,7 @@
     this.#hasChanged = true
     this.queue.change(before, after, this.now)
     this.usage.change(before, after)
-    this.spread.change(before, after, vm => this.#state?.vms.get(vm)?.rack)
+    this.spread.change(before, after)
     this.unrunnable.change(before, after)
     this.#touch(before)
     this.#touch(after)
@@ -67,6 +65,7 @@
       this.#loads.delete(id)
       this.#relief?.delete(id)
     }
+    if (vm !== undefined) this.spread.locate(id, vm.rack)
     this.rooms.touch(id)
   }
 
--- a/packages/core/src/relief/ReliefControl.ts
+++ b/packages/core/src/relief/ReliefControl.ts
@@ -5,7 +5,7 @@
 import type { CellState } from '../cell/CellState.ts'
 import { stopAction } from '../cell/reconcileReport.ts'
 import type { CellAction, Placement, Task, Transition, Vm } from '../cell/types.ts'
-import { EVICTION_PAUSE_MS, MAX_EVICTIONS_OF_TASK, MIN_EASE_SHARE, MIN_THROTTLE_SHARE, RELIEF_TARGET_RATIO } from '../constants.ts'
+import { CALM_BELOW_TARGET, EVICTION_PAUSE_MS, MAX_EVICTIONS_OF_TASK, MIN_EASE_SHARE, MIN_THROTTLE_SHARE, TARGET_BELOW_LIMIT } from '../constants.ts'
 import type { Expectation, ServiceLoads } from '../interference/ServiceLoads.ts'
 import { isEvictable, tasksOn } from '../placement/Rooms.ts'
 import type { VmChooser } from '../placement/VmChooser.ts'
@@ -14,27 +14,41 @@
 import { VmWatch } from './VmWatch.ts'
 
 /** What relief may do. */
-export type ReliefSettings = Readonly<{ throttles: boolean, evicts: boolean, waitsOutLag: boolean }>
+export type ReliefSettings = Readonly<{
+  throttles: boolean
+  evicts: boolean
+  waitsOutLag: boolean
+  /** Ratio of answer time to objective up to which batch work is put beside a service. */
+  tailLimit: number
+}>
 
 type Culprit = Readonly<{ task: Task, placement: Placement, harmPerCore: number }>
 
 /** Decides VM by VM, from fresh samples alone. */
 export class ReliefControl {
   readonly #settings: ReliefSettings
+  #targetRatio: number
   readonly #loads: ServiceLoads
   readonly #chooser: VmChooser
   readonly #budget: EvictionBudget
   readonly #watches = new Map<VmId, VmWatch>()
   readonly #fresh = new Set<VmId>()
+  readonly #greeted = new Set<VmId>()
   readonly #throttledFor = new Map<TaskId, ServiceName>()
 
   constructor (settings: ReliefSettings, loads: ServiceLoads, chooser: VmChooser, budget: EvictionBudget) {
     this.#settings = settings
+    this.#targetRatio = settings.tailLimit - TARGET_BELOW_LIMIT
     this.#loads = loads
     this.#chooser = chooser
     this.#budget = budget
   }
 
+  /** Sets the ratio that relief aims a little below. */
+  configure (tailLimit: number): void {
+    this.#targetRatio = tailLimit - TARGET_BELOW_LIMIT
+  }
+
   /** Takes in the ratio of the VM's worst service in one sample. */
   observe (vm: VmId, service: ServiceName, ratio: number, measuredAt: Instant): void {
     const watch = this.#watches.get(vm) ?? new VmWatch(this.#settings.waitsOutLag)
@@ -57,12 +71,13 @@
   delete (vm: VmId): void {
     this.#watches.delete(vm)
     this.#fresh.delete(vm)
+    this.#greeted.delete(vm)
   }
 
   /** Acts on the VMs that have new samples. */
   relieve (state: CellState, now: Instant): Relief {
     const transitions: Transition[] = []
-    const actions: CellAction[] = []
+    const actions: CellAction[] = this.#liftInherited(state)
     for (const id of this.#fresh) {
       const vm = state.vms.get(id)
       const watch = this.#watches.get(id)
@@ -75,8 +90,23 @@
     return { transitions, actions }
   }
 
+  // A former owner's throttles are not in the journal. They are lifted, for they would last for good.
+  #liftInherited (state: CellState): CellAction[] {
+    const actions: CellAction[] = []
+    if (this.#greeted.size === state.vms.size) return actions
+    for (const vm of state.vms.values()) {
+      if (vm.session === undefined || this.#greeted.has(vm.id)) continue
+      this.#greeted.add(vm.id)
+      for (const task of tasksOn(state, vm.id)) {
+        if (isEvictable(task) && task.placement !== undefined) actions.push(this.#setShare(state, vm, task, task.placement, 1))
+      }
+    }
+    return actions
+  }
+
   #relieveVm (state: CellState, vm: Vm, watch: VmWatch, now: Instant): Relief {
-    const { verdict, worst } = watch
+    const verdict = watch.verdictFor(this.#targetRatio - CALM_BELOW_TARGET)
+    const { worst } = watch
     const expected = this.#loads.expectOn(state, vm.id).find(({ service }) => service === worst)
     if (verdict === 'undecided' || expected === undefined) return NO_RELIEF
     if (verdict === 'calm') return this.#ease(state, vm, watch, expected, now)
@@ -98,7 +128,7 @@
   #throttle (state: CellState, vm: Vm, watch: VmWatch, culprits: readonly Culprit[], { service }: Expectation, now: Instant): Relief | undefined {
     if (!this.#settings.throttles) return undefined
     const actions: CellAction[] = []
-    let excess = watch.meanRatio - RELIEF_TARGET_RATIO
+    let excess = watch.meanRatio - this.#targetRatio
     for (const { task, placement, harmPerCore } of sortedByHarm(culprits)) {
       if (excess <= 0) break
       const before = this.#loads.coresOf(task)
@@ -137,7 +167,7 @@
   #ease (state: CellState, vm: Vm, watch: VmWatch, expected: Expectation, now: Instant): Relief {
     const throttled = tasksOn(state, vm.id).filter(task => isEvictable(task) && (task.placement?.throttle ?? 1) < 1)
     const actions: CellAction[] = []
-    let room = RELIEF_TARGET_RATIO - watch.meanRatio
+    let room = this.#targetRatio - watch.meanRatio
     throttled.sort((left, right) => this.#loads.harmPerCore(left, expected) - this.#loads.harmPerCore(right, expected))
     for (const task of throttled) {
       const harmPerCore = this.#loads.harmPerCore(task, expected)
--- a/packages/core/src/relief/VmWatch.ts
+++ b/packages/core/src/relief/VmWatch.ts
@@ -2,7 +2,7 @@
  * What the samples of one VM say about its services since the last act there.
  */
 import type { Instant, ServiceName } from '@auburnpin/common'
-import { CALM_RATIO, RELAPSE_MS, SAMPLES_TO_ACT, SAMPLES_TO_EASE, SETTLE_MS } from '../constants.ts'
+import { RELAPSE_MS, SAMPLES_TO_ACT, SAMPLES_TO_EASE, SETTLE_MS } from '../constants.ts'
 
 /** What the samples call for. */
 export type Verdict = 'suffering' | 'calm' | 'undecided'
@@ -45,12 +45,13 @@
     if (this.#ratios.length > SAMPLES_TO_EASE * this.#easeFactor) this.#ratios.shift()
   }
 
-  get verdict (): Verdict {
+  /** The service counts as calm while its mean ratio is below `calmRatio`. */
+  verdictFor (calmRatio: number): Verdict {
     const latest = this.#ratios.slice(-SAMPLES_TO_ACT)
     const isSuffering = latest.length === SAMPLES_TO_ACT && meanOf(latest) > 1
     if (isSuffering) return 'suffering'
     const isProven = this.#ratios.length >= SAMPLES_TO_EASE * this.#easeFactor
-    return isProven && this.meanRatio < CALM_RATIO ? 'calm' : 'undecided'
+    return isProven && this.meanRatio < calmRatio ? 'calm' : 'undecided'
   }
 
   /** Throttled or evicted. Suffering soon after an easing makes the next one take twice the proof. */
--- a/packages/core/tests/colocationPolicy.test.ts
+++ b/packages/core/tests/colocationPolicy.test.ts
@@ -137,3 +137,16 @@
   t.deepEqual(idsOf(story.tick(), 'stopping'), ['noisy'])
   t.like(story.task('noisy').reason, { kind: 'evicted-for-service', service: 'stockline' })
 })
+
+test('a new owner counts restored replicas by rack and lifts the throttles of the old one', t => {
+  const old = new PolicyStory().withVms(vmOf('vm-1')).withService(100, [replicaOf('s.0', 2)])
+  const journal = [...old.tick().transitions, ...old.submit(specOf('noisy', 4)).tick().transitions]
+  const specs = [replicaOf('s.0', 2), specOf('noisy', 4)]
+  const story = new PolicyStory()
+  story.cell.restore([...specs.map(spec => ({ kind: 'accepted' as const, spec })), ...journal], story.now)
+  story.withVms(vmOf('vm-1'), vmOf('vm-2'), vmOf('vm-3', { rack: brand<RackId>('r2') }))
+  t.deepEqual(actionsOf(story.tick()), ['throttle'])
+  t.deepEqual(actionsOf(story.tick()), [], 'once')
+  story.withService(100, [replicaOf('s.0', 2), replicaOf('s.1', 2)]).tick()
+  t.is(story.task('s.1').placement?.vm, vmOf('vm-3').id)
+})
--- a/packages/replay/src/Replay.ts
+++ b/packages/replay/src/Replay.ts
@@ -146,6 +146,7 @@
     const cell = this.#cells.get(id) as Cell
     try {
       const { transitions, actions } = cell.step(event, this.#now)
+      cell.settle(transitions, this.#now)
       for (const transition of transitions) this.#count(transition)
       for (const action of actions) this.#later(ACTION_DELAY_MS, () => this.#carryOut(action))
     } catch (error) {
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -6,7 +6,7 @@
   type CellId, type Clock, type InvariantCounter, type JournalSequence, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, declaredTasks, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
+  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, LearntInterference, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { TableStore, Workers } from '@auburnpin/platform'
@@ -66,7 +66,9 @@
   static async open (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, onLost: () => void): Promise<Result<CellRunner, AuburnpinError>> {
     const recovered = await recoverCell(ports.table, claimed.cell)
     if (recovered.err) return recovered
-    const cell = new Cell(claimed, new PlainPolicy(new SpreadPolicy()))
+    // Cells of a region are of like size, so each has a like part of every quota.
+    const settings = { ...DEFAULT_COLOCATION, quotaShare: 1 / Math.max(1, allCells.length) }
+    const cell = new Cell(claimed, new ColocationPolicy(new LearntInterference(), ports.random, settings))
     cell.restore(recovered.val.transitions, ports.clock.now())
     const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val.last, onLost)
     runner.#ticker.start()
