--- a/packages/core/src/interference/InterferenceModel.ts
+++ b/packages/core/src/interference/InterferenceModel.ts
@@ -2,6 +2,7 @@
  * How much batch work slows a service down on the VM they share.
  */
 import type { Instant, ServiceName } from '@auburnpin/common'
+import { PRIOR_BASE_RATIO, PRIOR_RATIO_PER_CORE } from '../constants.ts'
 
 /** Cores in use by one kind of task beside a replica. */
 export type Neighbour = Readonly<{ kind: string, cores: number }>
@@ -51,3 +52,16 @@
 
   learn (): void {}
 }
+
+/** Takes each core of every kind for equally harmful, and learns nothing. */
+export class UniformInterference extends InterferenceModel {
+  baseRatio (): number {
+    return PRIOR_BASE_RATIO
+  }
+
+  ratioPerCore (): number {
+    return PRIOR_RATIO_PER_CORE
+  }
+
+  learn (): void {}
+}
--- a/packages/core/src/interference/LearntInterference.ts
+++ b/packages/core/src/interference/LearntInterference.ts
@@ -16,17 +16,24 @@
  * not seen yet takes the mean of what the service's other pairs have shown.
  */
 export class LearntInterference extends InterferenceModel {
+  readonly #bands: readonly number[]
   readonly #bases = new Map<string, Estimate>()
   readonly #pairs = new Map<string, Estimate>()
   readonly #pairsOf = new Map<ServiceName, Set<Estimate>>()
 
+  /** `bands` are the loads at which pairs are told apart; without any, one estimate stands for all loads. */
+  constructor (bands: readonly number[] = LOAD_BANDS) {
+    super()
+    this.#bands = bands
+  }
+
   baseRatio (service: ServiceName, load: number): number {
     const known = this.#bases.get(baseKey(service, load))
     return known?.mean ?? PRIOR_BASE_RATIO
   }
 
   ratioPerCore (service: ServiceName, kind: string, load: number): number {
-    const known = this.#pairs.get(pairKey(service, kind, load))
+    const known = this.#pairs.get(this.#pairKey(service, kind, load))
     return known?.mean ?? this.#priorOf(service)
   }
 
@@ -68,7 +75,7 @@
   }
 
   #pairOf (service: ServiceName, kind: string, load: number, at: Instant): Estimate {
-    const key = pairKey(service, kind, load)
+    const key = this.#pairKey(service, kind, load)
     const known = this.#pairs.get(key)
     if (known !== undefined) return known
     const fresh = { mean: this.#priorOf(service), variance: PRIOR_RATIO_PER_CORE_DEVIATION ** 2, at }
@@ -79,6 +86,10 @@
     return fresh
   }
 
+  #pairKey (service: ServiceName, kind: string, load: number): string {
+    return `${service}/${bandOf(load, this.#bands)}/${kind}`
+  }
+
   // Mean over the service's pairs, each counted by how well it is known, and the fixed prior once.
   #priorOf (service: ServiceName): number {
     const priorWeight = 1 / PRIOR_RATIO_PER_CORE_DEVIATION ** 2
@@ -104,11 +115,9 @@
 const baseKey = (service: ServiceName, load: number): string =>
   `${service}/${Math.min(BASE_LOAD_STEPS, Math.floor(load * BASE_LOAD_STEPS))}`
 
-const pairKey = (service: ServiceName, kind: string, load: number): string => `${service}/${bandOf(load)}/${kind}`
-
-const bandOf = (load: number): number => {
+const bandOf = (load: number, bands: readonly number[]): number => {
   let band = 0
-  for (const upTo of LOAD_BANDS) {
+  for (const upTo of bands) {
     if (load < upTo) break
     band++
   }
--- a/packages/replay/src/policies.ts
+++ b/packages/replay/src/policies.ts
@@ -2,10 +2,13 @@
  * The policy and what it is measured against, by name.
  */
 import type { Random } from '@auburnpin/common'
-import { ColocationPolicy, DEFAULT_COLOCATION, LearntInterference, NoInterference, type ColocationSettings } from '@auburnpin/core'
+import { ColocationPolicy, DEFAULT_COLOCATION, LearntInterference, NoInterference, UniformInterference, type ColocationSettings, type InterferenceModel } from '@auburnpin/core'
 import { OracleInterference } from './OracleInterference.ts'
 import type { PolicyMaker } from './Replay.ts'
 
+const modelled = (newModel: () => InterferenceModel): PolicyMaker => (_table, random, cells) =>
+  new ColocationPolicy(newModel(), random, { ...DEFAULT_COLOCATION, quotaShare: 1 / cells })
+
 const learning = (changes: Partial<ColocationSettings>): PolicyMaker => (_table, random, cells) =>
   new ColocationPolicy(new LearntInterference(), random, { ...DEFAULT_COLOCATION, quotaShare: 1 / cells, ...changes })
 
@@ -23,6 +26,8 @@
   'best-fit': unaware({ rule: 'best-fit' }),
   'no-throttling': learning({ throttles: false }),
   'no-eviction': learning({ evicts: false }),
+  'no-learning': modelled(() => new UniformInterference()),
+  'no-load-bands': modelled(() => new LearntInterference([])),
   'no-lag-wait': learning({ waitsOutLag: false })
 } as const satisfies Record<string, PolicyMaker>
 
