--- a/app/src/commands/commands.ts
+++ b/app/src/commands/commands.ts
@@ -6,7 +6,10 @@
 import { CheckCommand } from './CheckCommand.ts'
 import type { Command } from './Command.ts'
 import { DemoCommand } from './DemoCommand.ts'
+import { DrainCommand } from './DrainCommand.ts'
+import { ExplainCommand } from './ExplainCommand.ts'
 import { JobsCommand } from './JobsCommand.ts'
+import { ReplayCommand } from './ReplayCommand.ts'
 import { ServeCommand } from './ServeCommand.ts'
 import { StandInCommand } from './StandInCommand.ts'
 import { StatusCommand } from './StatusCommand.ts'
@@ -18,7 +21,10 @@
   new ApplyCommand(),
   new StatusCommand(),
   new JobsCommand(),
+  new ExplainCommand(),
+  new DrainCommand(),
   new AuditCommand(),
+  new ReplayCommand(),
   new StandInCommand(),
   new DemoCommand()
 ]
