Configuration from peers while the store is silent, and health that knows

Cause: a member without the store stayed behind, a process started in an outage had nothing, a gateway cut off from all went on, and each version's whole row stayed for ever. Change: ConfigurationFollower polls peers while the store is silent, reads from the sender of a notice, and tells whether it is in touch (the callers' health answers leaving when it is not); RegionFollower compares endpoints with one peer at a time and takes members and cells from peers until the store answers; the hundredth version back is deleted with each acceptance.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -5,7 +5,7 @@
   brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, RegionFollower, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
 import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
@@ -49,6 +49,7 @@
   readonly #endpoints = new EndpointDirectory()
   readonly #replacedListeners: Array<() => void> = []
   #membership: Membership | undefined
+  #region: RegionFollower | undefined
   #scheduler: Scheduler | undefined
   #gauges: GaugeReporter | undefined
   #callers: CallerServer | undefined
@@ -93,13 +94,16 @@
     this.#peers.onNotice((notice, from) => {
       if (notice.kind === 'cells-released' && from !== membership.identity.member) void scheduler.reconsider()
     })
-    this.#peers.onRequest(request => this.#answer(request, scheduler))
+    const region = new RegionFollower({ membership, directory: this.#directory, endpoints: this.#endpoints }, this.#peers, this.#clock, this.#log.forComponent('region'))
+    this.#region = region
+    this.#peers.onRequest(request => this.#answer(request, scheduler, region))
     const gateway = await this.#openGateway(membership, scheduler)
     this.#gauges = new GaugeReporter({ membership, scheduler, configuration: this.#configuration, invariants: this.#invariants }, this.#clock, this.#metrics, this.#log)
     membership.start()
     this.#gauges.start()
     this.#directory.start()
     this.#configuration.start()
+    region.start()
     if (this.#settings.roles.includes('scheduler')) scheduler.start()
     this.#log.info('Member started', { member: this.#settings.member, peers, ...gateway })
     return { peers, ...gateway }
@@ -114,6 +118,7 @@
     await this.#callers?.close()
     await this.#operators?.close()
     await this.#configuration.stop()
+    await this.#region?.stop()
     await this.#directory.stop()
     await this.#membership?.stop()
     await this.#peers.close()
@@ -137,6 +142,7 @@
     const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
     const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
     membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
+    membership.onPoll(() => this.#configuration.expectPeers(membership.live.length > 1))
     membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
@@ -202,8 +208,10 @@
     return seats
   }
 
-  async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
-    if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
+  async #answer (request: PeerRequest, scheduler: Scheduler, region: RegionFollower): Promise<PeerReply> {
+    if (request.kind === 'list-endpoints') return region.answerEndpoints(request.known ?? [])
+    if (request.kind === 'read-region') return region.answerRegion()
+    if (request.kind === 'read-configuration') return this.#configuration.answer(request.after)
     if (request.kind === 'read-figures') return { kind: 'figures', figures: this.#recent.read(this.#invariants.total) }
     return await scheduler.answer(request)
   }
--- a/packages/cluster/src/CellDirectory.ts
+++ b/packages/cluster/src/CellDirectory.ts
@@ -1,7 +1,7 @@
 /**
  * Who owns which cell, as the store tells it.
  */
-import { Ticker, type CellId, type Clock, type Log } from '@auburnpin/common'
+import { brand, Ticker, type CellId, type Clock, type Log, type RowVersion } from '@auburnpin/common'
 import type { Row, TableStore } from '@auburnpin/platform'
 import { CELLS_PREFIX } from './storeKeys.ts'
 import { DIRECTORY_POLL_MS } from './constants.ts'
@@ -18,6 +18,8 @@
   readonly #listeners: Array<() => Promise<void> | void> = []
   #cells: ReadonlyMap<CellId, CellSighting> = new Map()
 
+  #hasPolled = false
+
   constructor (table: TableStore, clock: Clock, log: Log) {
     this.#table = table
     this.#log = log
@@ -41,6 +43,16 @@
     await this.#ticker.stop()
   }
 
+  /** Takes over the cells that a peer knows, until this process has read the rows itself. */
+  adopt (rows: readonly CellRow[]): void {
+    if (this.#hasPolled) return
+    const cells = new Map(this.#cells)
+    for (const row of rows) {
+      if (row.epoch > (cells.get(row.cell)?.row.epoch ?? 0)) cells.set(row.cell, { row, version: UNKNOWN_VERSION })
+    }
+    this.#cells = cells
+  }
+
   /** Looks at all cells' rows once. */
   async poll (): Promise<void> {
     const rows = await this.#table.listAll(CELLS_PREFIX)
@@ -48,6 +60,7 @@
       this.#log.warn('The cells could not be read', { reason: rows.val.message })
       return
     }
+    this.#hasPolled = true
     const cells = new Map(this.#cells)
     for (const { value, version } of rows.val) {
       const row = value as CellRow
@@ -59,3 +72,6 @@
     for (const listener of this.#listeners) await listener()
   }
 }
+
+// Lower than every version that the store gives out.
+const UNKNOWN_VERSION = brand<RowVersion>(0)
--- a/packages/cluster/src/EndpointDirectory.ts
+++ b/packages/cluster/src/EndpointDirectory.ts
@@ -3,7 +3,7 @@
  */
 import type { CellId, ServiceName } from '@auburnpin/common'
 import type { Endpoint } from '@auburnpin/core'
-import type { EndpointsNotice } from './types.ts'
+import type { EndpointsNotice, PublicationVersion } from './types.ts'
 
 /** Keeps the newest publication of each cell; older ones are dropped. */
 export class EndpointDirectory {
@@ -18,6 +18,19 @@
     for (const listener of this.#listeners) listener()
   }
 
+  /** Which publication of each cell is known. */
+  get versions (): readonly PublicationVersion[] {
+    return this.published.map(({ cell, epoch, revision }) => ({ cell, epoch, revision }))
+  }
+
+  /** Publications that someone who knows only these lacks. */
+  newerThan (known: readonly PublicationVersion[]): readonly EndpointsNotice[] {
+    return this.published.filter(notice => {
+      const before = known.find(version => version.cell === notice.cell)
+      return before === undefined || isNewer(notice, before)
+    })
+  }
+
   get published (): readonly EndpointsNotice[] {
     return [...this.#published.values()]
   }
@@ -39,5 +52,5 @@
   }
 }
 
-const isNewer = (notice: EndpointsNotice, before: EndpointsNotice): boolean =>
+const isNewer = (notice: PublicationVersion, before: PublicationVersion): boolean =>
   notice.epoch > before.epoch || (notice.epoch === before.epoch && notice.revision > before.revision)
--- a/packages/cluster/src/MemberSightings.ts
+++ b/packages/cluster/src/MemberSightings.ts
@@ -22,6 +22,11 @@
     this.#clock = clock
   }
 
+  /** Whether this process has ever read the rows itself. */
+  get hasLooked (): boolean {
+    return this.#lookedAt !== undefined
+  }
+
   /** Rows whose lease stood at the last look. */
   get live (): readonly MemberRow[] {
     const rows: MemberRow[] = []
--- a/packages/cluster/src/Membership.ts
+++ b/packages/cluster/src/Membership.ts
@@ -64,6 +64,11 @@
     return this.#renewedAt === undefined ? undefined : this.#clock.now() - this.#renewedAt
   }
 
+  /** Whether this process has read the members' rows from the store since its start. */
+  get hasLooked (): boolean {
+    return this.#sightings.hasLooked
+  }
+
   /** Rows of all members whose lease has not lapsed as seen from here. */
   get live (): readonly MemberRow[] {
     return this.#sightings.live
@@ -76,6 +81,7 @@
 
   /** Takes over the members that a peer knows, until this process has read the rows itself. */
   adopt (rows: readonly MemberRow[]): void {
+    if (this.#sightings.hasLooked) return
     this.#sightings.adopt(rows)
     for (const listener of this.#listeners) listener()
   }
--- a/packages/cluster/src/Peers.ts
+++ b/packages/cluster/src/Peers.ts
@@ -21,4 +21,6 @@
   abstract setMembers (members: ReadonlyMap<MemberId, string>): void
   /** Members with an open link, this one included. */
   abstract get reachable (): readonly MemberId[]
+  /** Members with an open link, without this one. */
+  abstract get others (): readonly MemberId[]
 }
--- a/packages/cluster/src/WebSocketPeers.ts
+++ b/packages/cluster/src/WebSocketPeers.ts
@@ -103,6 +103,10 @@
     return [this.#options.member, ...this.#links.keys()]
   }
 
+  get others (): readonly MemberId[] {
+    return [...this.#links.keys()]
+  }
+
   /** Closes all links and the listener. */
   async close (): Promise<void> {
     this.#isClosed = true
--- a/packages/cluster/src/acceptNote.ts
+++ b/packages/cluster/src/acceptNote.ts
@@ -4,7 +4,7 @@
 import { AuburnpinError, brand, Err, Ok, type Clock, type ConfigVersion, type NoteId, type Random, type Result, type RowVersion } from '@auburnpin/common'
 import { EMPTY_CONFIGURATION, mergeNote, type AuditEntry, type Configuration, type ConfigurationChange, type Note } from '@auburnpin/core'
 import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/platform'
-import { MAX_REBASES } from './constants.ts'
+import { KEPT_CONFIGURATIONS, MAX_REBASES } from './constants.ts'
 import { auditKey, configurationKey, CURRENT_CONFIGURATION_KEY, noteKey } from './storeKeys.ts'
 
 /** The current version as its row tells it. */
@@ -54,7 +54,7 @@
         { key: auditKey(configuration.version), value: entry },
         { key: noteKey(note.id), value: { version: configuration.version } }
       ],
-      deletes: []
+      deletes: listOutdated(configuration.version)
     })
     if (outcome.err) return outcome
     if (outcome.val.kind === 'committed') return Ok({ version: configuration.version, changes, isRepeat: false })
@@ -62,6 +62,9 @@
   return Err(new AuburnpinError('overloaded', `Note "${note.id}" was overtaken ${MAX_REBASES} times`, 'Apply it again when fewer notes come at once.'))
 }
 
+const listOutdated = (version: ConfigVersion): string[] =>
+  version > KEPT_CONFIGURATIONS ? [configurationKey(brand<ConfigVersion>(version - KEPT_CONFIGURATIONS))] : []
+
 /** What became of the note when it was accepted, `null` if it never was. */
 export const readAcceptance = async (table: TableStore, note: Note): Promise<Result<Acceptance | null, AuburnpinError>> => {
   const row = await table.read(noteKey(note.id))
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -34,3 +34,13 @@
 export const SIGHTING_GAP_MS = 7_000
 /** How long a member's row stands still before it is removed, in milliseconds. */
 export const MEMBER_FORGET_MS = 60_000
+/** Time between two looks at the peers' configurations while the store is silent, in milliseconds. */
+export const PEER_POLL_MS = 1_000
+/** Time without an answer of the store after which the peers are asked, in milliseconds. */
+export const STORE_SILENCE_MS = 3_000
+/** Time without an answer of store or peers after which a configuration may be out of date, in milliseconds. */
+export const CONFIGURATION_TOUCH_MS = 5_000
+/** Versions of the configuration that are kept whole; the audit trail keeps what each one changed. */
+export const KEPT_CONFIGURATIONS = 100
+/** Time between two comparisons of the endpoints with another member, in milliseconds. */
+export const COMPARE_MS = 2_000
--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -2,7 +2,7 @@
  * What members tell each other, and the rows they share.
  */
 import type { CellId, ConfigVersion, DataCentre, Epoch, ErrorReport, MemberId, TaskId } from '@auburnpin/common'
-import type { CellSummary, Endpoint, Task, TaskSpec } from '@auburnpin/core'
+import type { Configuration, CellSummary, Endpoint, Task, TaskSpec } from '@auburnpin/core'
 
 /** What a member does. */
 export type MemberRole = 'gateway' | 'scheduler'
@@ -62,7 +62,12 @@
   | Readonly<{ kind: 'find-task', cell: CellId, task: TaskId }>
   | Readonly<{ kind: 'list-tasks', cell: CellId }>
   | Readonly<{ kind: 'summarise-cell', cell: CellId }>
-  | Readonly<{ kind: 'list-endpoints' }>
+  /** Publications newer than those known. */
+  | Readonly<{ kind: 'list-endpoints', known?: readonly PublicationVersion[] }>
+  /** The configuration, if it is newer than `after`. */
+  | Readonly<{ kind: 'read-configuration', after: ConfigVersion }>
+  /** The members and cells, for a process that can't read them itself. */
+  | Readonly<{ kind: 'read-region' }>
   | Readonly<{ kind: 'read-figures' }>
 
 /** The answer to a question. */
@@ -73,8 +78,13 @@
   | Readonly<{ kind: 'cell-summary', summary: CellSummary }>
   | Readonly<{ kind: 'endpoints', published: readonly EndpointsNotice[] }>
   | Readonly<{ kind: 'figures', figures: MemberFigures }>
+  | Readonly<{ kind: 'configuration', configuration: Configuration | null }>
+  | Readonly<{ kind: 'region', members: readonly MemberRow[], cells: readonly CellRow[] }>
   | Readonly<{ kind: 'failed', error: ErrorReport }>
 
+/** Which publication of a cell's endpoints a member knows. */
+export type PublicationVersion = Readonly<{ cell: CellId, epoch: Epoch, revision: number }>
+
 /** A cell's endpoints as its owner published them last. */
 export type EndpointsNotice = Extract<PeerNotice, { kind: 'endpoints' }>
 
--- /dev/null
+++ b/packages/cluster/tests/configuration.test.ts
@@ -0,0 +1,205 @@
+import fc, { type Scheduler } from 'fast-check'
+import test from 'ava'
+import { brand, SeededRandom, SilentLog, VirtualClock, type AuburnpinError, type MemberId, type Result } from '@auburnpin/common'
+import { noteSchema, type AuditEntry, type Note } from '@auburnpin/core'
+import { FakeLink, FakePeers, FakeTableStore, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
+import { ReliableTable, TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome } from '@auburnpin/platform'
+import { MemoryTable } from '@auburnpin/stand-in'
+import { acceptNote, AUDIT_PREFIX, ConfigurationFollower, KEPT_CONFIGURATIONS, STORE_DEADLINE_MS } from '../src/index.ts'
+
+const IN_FORCE_MS = 5_000
+const LOST: Fate = { ...PROMPT, loss: 'there' }
+
+const limitNote = (id: string, name: string, action: 'added' | 'changed' = 'added', value = 1): Note =>
+  noteSchema.parse({ id, [action]: { limits: { [name]: { value } } } })
+
+/** Every call waits for its turn, which `fast-check` chooses. */
+class ScheduledTable extends TableStore {
+  readonly #inner: TableStore
+  readonly #scheduler: Scheduler
+
+  constructor (inner: TableStore, scheduler: Scheduler) {
+    super()
+    this.#inner = inner
+    this.#scheduler = scheduler
+  }
+
+  async read (key: string): Promise<Result<Row | null, AuburnpinError>> {
+    await this.#scheduler.schedule(Promise.resolve())
+    return await this.#inner.read(key)
+  }
+
+  list (prefix: string, after: string, limit: number): Promise<Result<RowPage, AuburnpinError>> {
+    return this.#inner.list(prefix, after, limit)
+  }
+
+  async transact (transaction: Transaction): Promise<Result<TransactionOutcome, AuburnpinError>> {
+    await this.#scheduler.schedule(Promise.resolve())
+    return await this.#inner.transact(transaction)
+  }
+}
+
+const auditOf = (memory: MemoryTable): AuditEntry[] =>
+  memory.list(AUDIT_PREFIX, '', 1_000).rows.map(row => (row.value as { value: AuditEntry }).value)
+
+test('20 notes at once over overlapping names: what is accepted is in the history once, what is refused names the other note', async t => {
+  await fc.assert(fc.asyncProperty(fc.scheduler(), fc.array(fc.integer({ min: 0, max: 6 }), { minLength: 20, maxLength: 20 }), async (scheduler, names) => {
+    const clock = new VirtualClock()
+    const memory = new MemoryTable()
+    const random = new SeededRandom(1)
+    const inner = new FakeTableStore(memory, new FakeLink(clock), 'a')
+    const results = await scheduler.waitFor(Promise.all(names.map(async (name, index) => {
+      const table = new ReliableTable(new ScheduledTable(inner, scheduler), clock, random, STORE_DEADLINE_MS)
+      const id = `note-${index}`
+      return { id, name, result: await acceptNote({ table, clock, random }, limitNote(id, `limit-${name}`), 'tester') }
+    })))
+    const history = auditOf(memory).map(entry => entry.note as string)
+    const accepted = results.filter(({ result }) => result.ok)
+    t.deepEqual([...history].sort(), accepted.map(({ id }) => id).sort())
+    t.is(accepted.length, new Set(names).size)
+    for (const { name, result } of results) {
+      if (result.ok) continue
+      const winner = accepted.find(other => other.name === name)?.id ?? 'none'
+      t.true(result.val.message.includes(`"${winner}"`), result.val.message)
+    }
+  }), { seed: 20, numRuns: 40 })
+})
+
+test('the same note sent again, through another member and after a lost answer, is accepted once', async t => {
+  const clock = new VirtualClock()
+  const memory = new MemoryTable()
+  const link = new FakeLink(clock)
+  const ports = (member: string) => {
+    const random = new SeededRandom(member.length)
+    return { clock, random, table: new ReliableTable(new FakeTableStore(memory, link, member), clock, random, 1_000) }
+  }
+  const note = limitNote('one', 'limit')
+  link.setFates((_from, _to, operation) => operation.startsWith('transact') ? { ...PROMPT, loss: 'back' } : PROMPT)
+  const first = acceptNote(ports('a'), note, 'tester')
+  await clock.advance(20_000)
+  t.is((await first).err && (await first).val instanceof Error, true)
+  link.setFates(() => PROMPT)
+  const second = (await acceptNote(ports('bb'), note, 'tester')).unwrap()
+  t.true(second.isRepeat)
+  t.is(auditOf(memory).length, 1)
+})
+
+test('the rows of old configurations go, the audit trail stays', async t => {
+  const clock = new VirtualClock()
+  const memory = new MemoryTable()
+  const random = new SeededRandom(1)
+  const table = new ReliableTable(new FakeTableStore(memory, new FakeLink(clock), 'a'), clock, random, 1_000)
+  const notes = KEPT_CONFIGURATIONS + 20
+  for (let index = 0; index < notes; index++) {
+    const note = limitNote(`note-${index}`, 'limit', index === 0 ? 'added' : 'changed', index + 1)
+    t.true((await acceptNote({ table, clock, random }, note, 'tester')).ok)
+  }
+  t.is(memory.list('config/', '', 1_000).rows.length, KEPT_CONFIGURATIONS + 1)
+  t.is(auditOf(memory).length, notes)
+})
+
+/** Several followers with their peers, on one virtual clock. */
+class Followers {
+  readonly clock = new VirtualClock()
+  readonly memory = new MemoryTable()
+  readonly #link = new FakeLink(this.clock)
+  readonly #network: FakePeerNetwork = new Map()
+  readonly #random = new SeededRandom(3)
+  readonly running = new Map<string, ConfigurationFollower>()
+  readonly #peers = new Map<string, FakePeers>()
+  fates: (from: string, to: string) => Fate = () => PROMPT
+
+  constructor (count: number) {
+    this.#link.setFates((from, to) => this.fates(from, to))
+    for (let index = 1; index <= count; index++) this.start(`m${index}`)
+  }
+
+  start (name: string): ConfigurationFollower {
+    this.#peers.get(name)?.disconnect()
+    const peers = new FakePeers(brand<MemberId>(name), this.#network, this.#link)
+    const follower = new ConfigurationFollower(this.#tableOf(name), peers, this.clock, new SilentLog())
+    peers.onRequest(async request => request.kind === 'read-configuration' ? follower.answer(request.after) : { kind: 'endpoints', published: [] })
+    follower.start()
+    this.running.set(name, follower)
+    this.#peers.set(name, peers)
+    return follower
+  }
+
+  async accept (through: string, note: Note): Promise<number> {
+    const accepted = (await acceptNote({ table: this.#tableOf(through), clock: this.clock, random: this.#random }, note, 'tester')).unwrap()
+    this.#peers.get(through)?.broadcast({ kind: 'configuration-accepted', version: accepted.version })
+    return accepted.version
+  }
+
+  get versions (): number[] {
+    return [...this.running.values()].map(follower => follower.current.version)
+  }
+
+  #tableOf (name: string): TableStore {
+    return new ReliableTable(new FakeTableStore(this.memory, this.#link, name), this.clock, this.#random, 1_000)
+  }
+}
+
+const SPLITS: ReadonlyArray<Readonly<{ what: string, fates: (from: string, to: string) => Fate }>> = [
+  { what: 'all links well', fates: (_from, to) => to === 'store' ? PROMPT : { ...PROMPT, thereMs: 3, backMs: 3 } },
+  { what: 'every notice lost', fates: (_from, to) => to === 'store' ? PROMPT : LOST },
+  { what: 'one member without the store', fates: (from, to) => from === 'm9' && to === 'store' ? LOST : PROMPT },
+  { what: 'half of the members without the store', fates: (from, to) => 'm2m4m6m8'.includes(from) && to === 'store' ? LOST : PROMPT },
+  { what: 'one member without peers', fates: (from, to) => (from === 'm9' || to === 'm9') && to !== 'store' ? LOST : PROMPT }
+]
+
+for (const { what, fates } of SPLITS) {
+  test(`a note is in force at every member within 5 s of acceptance: ${what}`, async t => {
+    const followers = new Followers(9)
+    await followers.accept('m1', limitNote('first', 'limit'))
+    await followers.clock.advance(10_000)
+    followers.fates = fates
+    await followers.clock.advance(10_000)
+    const version = await followers.accept('m1', limitNote('second', 'limit', 'changed', 2))
+    await followers.clock.advance(IN_FORCE_MS)
+    t.deepEqual(followers.versions, Array.from({ length: 9 }, () => version))
+    t.true([...followers.running.values()].every(follower => follower.isInTouch))
+  })
+}
+
+test('a process started in an outage of the store takes the newest configuration that its peers have', async t => {
+  const followers = new Followers(5)
+  await followers.accept('m1', limitNote('first', 'limit'))
+  await followers.clock.advance(5_000)
+  followers.fates = (_from, to) => to === 'store' ? { ...PROMPT, loss: 'refused' } : PROMPT
+  const fresh = followers.start('m3')
+  await followers.clock.advance(IN_FORCE_MS)
+  t.is(fresh.current.version as number, 1)
+  t.true(fresh.isInTouch)
+})
+
+test('a process cut off from store and peers says so within seconds, keeps what it has, and catches up', async t => {
+  const followers = new Followers(5)
+  await followers.accept('m1', limitNote('first', 'limit'))
+  await followers.clock.advance(5_000)
+  followers.fates = (from, to) => from === 'm5' || to === 'm5' ? LOST : PROMPT
+  const cut = followers.running.get('m5') as ConfigurationFollower
+  await followers.accept('m1', limitNote('second', 'limit', 'changed', 2))
+  await followers.clock.advance(8_000)
+  t.false(cut.isInTouch)
+  t.is(cut.current.version as number, 1)
+  const seen: number[] = []
+  cut.onChange(configuration => seen.push(configuration.version))
+  followers.fates = () => PROMPT
+  await followers.clock.advance(5_000)
+  t.true(cut.isInTouch)
+  t.deepEqual(seen, [2])
+})
+
+test('the only member goes on through an outage of the store, but not if it has never heard of anything', async t => {
+  const followers = new Followers(1)
+  await followers.clock.advance(3_000)
+  const alone = followers.running.get('m1') as ConfigurationFollower
+  alone.expectPeers(false)
+  followers.fates = () => ({ ...PROMPT, loss: 'refused' })
+  await followers.clock.advance(60_000)
+  t.true(alone.isInTouch)
+  const fresh = followers.start('m2')
+  await followers.clock.advance(10_000)
+  t.false(fresh.isInTouch)
+})
--- a/packages/fakes/src/FakePeers.ts
+++ b/packages/fakes/src/FakePeers.ts
@@ -58,6 +58,10 @@
     return [...this.#network.keys()]
   }
 
+  get others (): readonly MemberId[] {
+    return this.reachable.filter(member => member !== this.#member)
+  }
+
   /** The process dies: nobody reaches it any more. */
   disconnect (): void {
     if (this.#network.get(this.#member) === this) this.#network.delete(this.#member)
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -23,7 +23,7 @@
   log: Log
   metrics: Metrics
   limits: GatewayLimits
-  configuration: Pick<ConfigurationFollower, 'current'>
+  configuration: Pick<ConfigurationFollower, 'current' | 'isInTouch'>
   endpoints: EndpointDirectory
   sessionKeys: () => readonly SessionKey[]
   /** Live gateways as this one sees them, itself included. */
@@ -124,8 +124,10 @@
   }
 
   #answerHealth (outgoing: ServerResponse): void {
-    const state = this.#isLeaving ? 'leaving' : 'ready'
-    outgoing.writeHead(this.#isLeaving ? 503 : 200, { 'content-type': 'application/json' })
+    // Cut off from store and peers, this gateway may be on an old configuration.
+    const isLeaving = this.#isLeaving || !this.#ports.configuration.isInTouch
+    const state = isLeaving ? 'leaving' : 'ready'
+    outgoing.writeHead(isLeaving ? 503 : 200, { 'content-type': 'application/json' })
     outgoing.end(`${JSON.stringify({ state })}\n`)
   }
 
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -72,7 +72,7 @@
       log: new SilentLog(),
       metrics: new SilentMetrics(),
       limits: { ...DEFAULT_LIMITS, ...this.#options.limits },
-      configuration: { current: this.#configuration() },
+      configuration: { current: this.#configuration(), isInTouch: true },
       endpoints: directory,
       sessionKeys: () => this.sessionKeys,
       gateways: () => this.#seats(peers),
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -70,7 +70,7 @@
 
   /** Answers a question about a cell that this member owns. */
   async answer (request: PeerRequest): Promise<PeerReply> {
-    if (request.kind === 'list-endpoints' || request.kind === 'read-figures') return { kind: 'failed', error: notAboutCell().toReport() }
+    if (!('cell' in request)) return { kind: 'failed', error: notAboutCell().toReport() }
     const runner = this.#ownership.runners.get(request.cell)
     if (runner === undefined) return { kind: 'failed', error: notOwner(request.cell).toReport() }
     switch (request.kind) {
