--- a/packages/scheduler/tests/support/Owners.ts
+++ b/packages/scheduler/tests/support/Owners.ts
@@ -5,7 +5,7 @@
   brand, InvariantCounter, SeededRandom, SilentLog, SilentMetrics, VirtualClock, type CellId, type DataCentre, type MemberId
 } from '@auburnpin/common'
 import { CellDirectory, cellKey, ConfigurationFollower, LEASE_DEADLINE_MS, Membership, type CellRow } from '@auburnpin/cluster'
-import { FakeLink, FakePeers, FakeTableStore, FakeVmList, FakeWorkers, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
+import { FakeLink, FakeObjectStore, FakePeers, FakeTableStore, FakeVmList, FakeWorkers, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
 import { ReliableTable } from '@auburnpin/platform'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { Scheduler } from '../../src/index.ts'
@@ -61,6 +61,7 @@
       random: this.#random,
       metrics: new SilentMetrics(),
       invariants: new InvariantCounter(),
+      objects: new FakeObjectStore(new Map(), this.#link, from),
       workers: new FakeWorkers(new Map(), this.#link, from),
       vmList: new FakeVmList(this.#link),
       publish: () => {},
