--- a/soak/mutants.ts
+++ b/soak/mutants.ts
@@ -45,7 +45,9 @@
   return { ...vm, resources: { processors: processors * 2, memoryMb: memoryMb * 2, accelerators } }
 }
 
-/** A journal that any former owner may go on writing, with workers that know no epochs; either check alone stops it. */
+/** A journal that any former owner may go on writing. */
+export const UNFENCED_JOURNAL: Mutant = { wrapTable: table => new UncheckedTable(table, 'journal/') }
+/** The same, with workers that know no epochs; either check alone stops it. */
 export const UNFENCED_OWNERS: Mutant = { wrapTable: table => new UncheckedTable(table, 'journal/'), spoilWorker: forgetEpochs }
 /** Notes accepted without looking whether another came first. */
 export const UNCHECKED_NOTES: Mutant = { wrapTable: table => new UncheckedTable(table, 'config/') }
