--- a/packages/core/src/explain/explainTask.ts
+++ b/packages/core/src/explain/explainTask.ts
@@ -1,21 +1,26 @@
 /**
  * Says in one sentence why a task is where it is, and what would change that.
  */
-import { assertNever } from '@auburnpin/common'
-import type { Task, Vm } from '../cell/types.ts'
+import { assertNever, newWith } from '@auburnpin/common'
+import type { Task, TaskReason, Vm } from '../cell/types.ts'
 import { describeReason, describeResources, type Wording } from './describeReason.ts'
 
+/** The VM of the task's placement, and why the cell's policy has it there. */
+export type Standing = Readonly<{ vm?: Vm, reason?: TaskReason }>
+
 const FULL_SHARE = 1
 const PERCENT = 100
 
 /**
- * One sentence for one task; `vm` is the VM of its placement as its cell sees it.
+ * One sentence for one task, with what its cell knows beside it.
  *
  * @example
  * explainTask(task) // 'order-17 is queued because VM vm-007 is leaving; it resumes by itself on another VM once there is room.'
  */
-export const explainTask = (task: Task, vm?: Vm): string => {
-  const { cause, change } = vm === undefined || task.placement === undefined ? wordingOf(task) : unreachable(task, vm) ?? wordingOf(task)
+export const explainTask = (task: Task, { vm, reason }: Standing = {}): string => {
+  const known = newWith(task, { reason: task.reason ?? reason })
+  const isDoubtful = vm !== undefined && task.placement !== undefined
+  const { cause, change } = (isDoubtful ? unreachable(task, vm) : undefined) ?? wordingOf(known)
   return `${task.spec.id} ${cause}; ${change}.`
 }
 
@@ -66,6 +71,7 @@
 const running = (task: Task): Wording => {
   const where = `runs on VM ${vmOf(task)} as attempt ${task.attempt}${historyOf(task)}`
   if (task.isWithdrawn) return { cause: `${where} and is being withdrawn`, change: 'it ends once the worker confirms the stop' }
+  if (task.reason?.kind === 'placed' || task.reason?.kind === 'throttled-for') return becauseOr(task, where, { cause: where, change: '' })
   const share = task.placement?.throttle ?? FULL_SHARE
   if (share < FULL_SHARE) {
     return { cause: `${where}, held to ${Math.round(share * PERCENT)} % of its cores to protect a service beside it`, change: 'it is let go once the service meets its objective again' }
