--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -248,7 +248,7 @@
       if (transition.end === 'finished') metrics.count('tasks.finished', 1, { cell })
       const task = this.#cell.state.tasks.get(transition.task)
       // A stopped attempt of a withdrawn task does not run again, so it is no eviction.
-      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'unknown' })
+      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'by-worker' })
     }
   }
 
