--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -24,7 +24,7 @@
   maxBodyBytes: boundSchema.default(DEFAULT_LIMITS.maxBodyBytes).describe('Largest body of one request, in bytes.'),
   maxQueued: boundSchema.default(DEFAULT_LIMITS.maxQueued).describe('Most requests that wait for a slot of one service.'),
   headersMs: boundSchema.default(DEFAULT_LIMITS.headersMs).describe('Longest time for a caller to send its headers, in milliseconds.'),
-  callerIdleMs: boundSchema.default(DEFAULT_LIMITS.callerIdleMs).describe('Longest silence of a caller within a request, in milliseconds.'),
+  callerIdleMs: boundSchema.default(DEFAULT_LIMITS.callerIdleMs).describe('Longest silence of a caller, within a request or between two, in milliseconds.'),
   endpointIdleMs: boundSchema.default(DEFAULT_LIMITS.endpointIdleMs).describe('Longest silence of an endpoint that works on a request, in milliseconds.'),
   connectMs: boundSchema.default(DEFAULT_LIMITS.connectMs).describe('Longest time to connect to an endpoint, in milliseconds.')
 })
--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -61,6 +61,11 @@
     return Math.max(this.#inProgress, this.#runner.inProgress)
   }
 
+  /** Connections of callers, idle ones included. */
+  get connections (): number {
+    return this.#sockets.size
+  }
+
   /** Requests answered by an endpoint. */
   get answered (): number {
     return this.#answered
@@ -107,6 +112,7 @@
     // Excess headers are refused by the check; Node would drop them without a word.
     server.maxHeadersCount = 0
     server.timeout = limits.callerIdleMs
+    server.keepAliveTimeout = limits.callerIdleMs
     server.on('connection', (socket: Socket) => {
       this.#sockets.add(socket)
       socket.on('close', () => this.#sockets.delete(socket))
--- a/packages/gateway/src/PeerExchange.ts
+++ b/packages/gateway/src/PeerExchange.ts
@@ -14,16 +14,16 @@
   readonly head: RequestHead
   readonly body: ReplayBody
   readonly #stream: PeerStream
-  readonly #freeSlots: () => number
+  readonly #spareShare: () => number
   #isBegun = false
   #endpoint: EndpointId | undefined
 
-  constructor (head: RequestHead, stream: PeerStream, maxBodyBytes: number, freeSlots: () => number) {
+  constructor (head: RequestHead, stream: PeerStream, maxBodyBytes: number, spareShare: () => number) {
     super()
     this.head = head
     this.body = new ReplayBody(stream, maxBodyBytes)
     this.#stream = stream
-    this.#freeSlots = freeSlots
+    this.#spareShare = spareShare
   }
 
   get isBegun (): boolean {
@@ -48,7 +48,7 @@
 
   begin (answer: AnswerHead): Writable {
     this.#isBegun = true
-    this.#reply({ kind: 'answer', answer, freeSlots: this.#freeSlots() })
+    this.#reply({ kind: 'answer', answer, spareShare: this.#spareShare() })
     return this.#stream
   }
 
@@ -62,7 +62,7 @@
       return
     }
     const sent = { ...fault, error: fault.error.toReport() }
-    this.#reply({ kind: 'fault', fault: sent, freeSlots: this.#freeSlots(), ...(this.#endpoint === undefined ? {} : { endpoint: this.#endpoint }) })
+    this.#reply({ kind: 'fault', fault: sent, spareShare: this.#spareShare(), ...(this.#endpoint === undefined ? {} : { endpoint: this.#endpoint }) })
     this.body.discard()
     this.#stream.end()
   }
--- a/packages/gateway/src/RequestRunner.ts
+++ b/packages/gateway/src/RequestRunner.ts
@@ -104,11 +104,8 @@
     if (holder !== undefined && holder !== this.#ports.self) return await this.#askPeer(journey, holder, this.#timeLeft(journey))
     const slot = router.tryAcquire(routeOf(journey))
     if (slot !== undefined) return await this.#useSlot(journey, slot)
-    if (holder === undefined) {
-      const answered = await this.#askPeers(journey)
-      if (answered !== undefined) return answered
-    }
-    return await this.#waitForSlot(journey)
+    if (holder !== undefined) return await this.#waitHere(journey)
+    return await this.#askPeers(journey) ?? await this.#waitForSlot(journey)
   }
 
   // Undefined when no peer that was asked had a free slot.
@@ -124,15 +121,19 @@
     return undefined
   }
 
+  // Waits where the wait seems shorter, so that no queue stands while others have slots free.
   async #waitForSlot (journey: CallerJourney): Promise<Result<void, PeerFault>> {
     const { head } = journey.exchange
     const router = this.#routerOf(head.service)
-    const waitMs = this.#timeLeft(journey)
-    if (router.endpoints.length === 0) {
-      const peer = this.#ports.owners.choosePeer(head.service, new Set())
-      return peer === undefined ? Err(noEndpoint()) : await this.#askPeer(journey, peer, waitMs)
-    }
-    const slot = await router.acquire(head.caller, routeOf(journey), waitMs)
+    const peer = this.#ports.owners.choosePeer(head.service, new Set())
+    const isShorterThere = peer !== undefined && this.#ports.owners.spareOf(peer) > router.spareShare
+    if (isShorterThere && journey.exchange.body.isReplayable) return await this.#askPeer(journey, peer, this.#timeLeft(journey))
+    return router.endpoints.length === 0 ? Err(noEndpoint()) : await this.#waitHere(journey)
+  }
+
+  async #waitHere (journey: CallerJourney): Promise<Result<void, PeerFault>> {
+    const { head } = journey.exchange
+    const slot = await this.#routerOf(head.service).acquire(head.caller, routeOf(journey), this.#timeLeft(journey))
     return slot.err ? slot : await this.#useSlot(journey, slot.val)
   }
 
@@ -141,7 +142,7 @@
     const { streams, owners } = this.#ports
     if (streams === undefined) return Err(noEndpoint())
     const opening: ForwardOpening = { kind: 'request', head: exchange.head, tried: [...tried], waitMs }
-    const result = await forwardToPeer({ exchange, peers: streams, owner, opening, onFreeSlots: free => owners.noteFreeSlots(owner, free) })
+    const result = await forwardToPeer({ exchange, peers: streams, owner, opening, onSpareShare: share => owners.noteSpareShare(owner, share) })
     if (result.err && result.val.endpoint !== undefined) tried.add(result.val.endpoint)
     return result
   }
@@ -163,7 +164,7 @@
   async #serveStream (opening: ForwardOpening, stream: PeerStream, confirmed: Promise<void>): Promise<void> {
     const { head, tried, waitMs } = opening
     const router = this.#routerOf(head.service)
-    const exchange = new PeerExchange(head, stream, this.#ports.limits.maxBodyBytes, () => router.freeSlots)
+    const exchange = new PeerExchange(head, stream, this.#ports.limits.maxBodyBytes, () => router.spareShare)
     const journey: Journey = { exchange, tried: new Set(tried) }
     this.#inProgress++
     try {
--- a/packages/gateway/src/ServiceRouter.ts
+++ b/packages/gateway/src/ServiceRouter.ts
@@ -35,9 +35,12 @@
     return this.#pool.endpoints
   }
 
-  /** Slots that could be taken now; none while others wait. */
-  get freeSlots (): number {
-    return this.#queue.length > 0 ? 0 : this.#pool.freeSlots(this.#clock.now())
+  /** Free slots less waiting requests, as a share of the slots; minus infinity without slots. */
+  get spareShare (): number {
+    const { slots } = this.#pool
+    if (slots === 0) return -Infinity
+    const spare = this.#queue.length > 0 ? -this.#queue.length : this.#pool.freeSlots(this.#clock.now())
+    return spare / slots
   }
 
   get queued (): number {
--- a/packages/gateway/src/SlotOwners.ts
+++ b/packages/gateway/src/SlotOwners.ts
@@ -14,12 +14,12 @@
   random: Random
 }>
 
-const UNKNOWN_FREE_SLOTS = 1
+const UNKNOWN_SPARE_SHARE = 1
 
 /** Looks owners up and remembers what they said of their free slots. */
 export class SlotOwners {
   readonly #ports: OwnerPorts
-  readonly #freeSlots = new Map<MemberId, number>()
+  readonly #spareShares = new Map<MemberId, number>()
 
   constructor (ports: OwnerPorts) {
     this.#ports = ports
@@ -38,31 +38,31 @@
     return ownerOfEndpoint(endpoint, this.#ports.gateways())
   }
 
-  /** Of two random owners other than this one, the one with more free slots. */
+  /** Of two other owners, drawn by their endpoints, the one with more to spare. */
   choosePeer (service: ServiceName, asked: ReadonlySet<MemberId>): MemberId | undefined {
     const seats = this.#ports.gateways()
-    const owners = new Set<MemberId>()
+    const candidates: MemberId[] = []
     for (const endpoint of this.#ports.endpoints.endpointsOf(service)) {
       const owner = endpoint.isLeaving ? undefined : ownerOfEndpoint(endpoint, seats)
-      if (owner !== undefined && owner !== this.#ports.self && !asked.has(owner)) owners.add(owner)
+      if (owner !== undefined && owner !== this.#ports.self && !asked.has(owner)) candidates.push(owner)
     }
-    const candidates = [...owners]
     const first = this.#draw(candidates)
     const second = this.#draw(candidates)
     if (first === undefined || second === undefined) return first
-    return this.#freeOf(second) > this.#freeOf(first) ? second : first
+    return this.spareOf(second) > this.spareOf(first) ? second : first
   }
 
-  /** Takes in what an owner said of its free slots. */
-  noteFreeSlots (owner: MemberId, freeSlots: number): void {
-    this.#freeSlots.set(owner, freeSlots)
+  /** Takes in what an owner said of its free slots and waiting requests. */
+  noteSpareShare (owner: MemberId, spareShare: number): void {
+    this.#spareShares.set(owner, spareShare)
   }
 
-  #freeOf (owner: MemberId): number {
-    return this.#freeSlots.get(owner) ?? UNKNOWN_FREE_SLOTS
+  /** Free slots of an owner less waiting requests, as a share of its slots, as it last said. */
+  spareOf (owner: MemberId): number {
+    return this.#spareShares.get(owner) ?? UNKNOWN_SPARE_SHARE
   }
 
   #draw (candidates: MemberId[]): MemberId | undefined {
-    return candidates.splice(this.#ports.random.below(candidates.length), 1)[0]
+    return candidates[this.#ports.random.below(candidates.length)]
   }
 }
--- a/packages/gateway/src/forwardToPeer.ts
+++ b/packages/gateway/src/forwardToPeer.ts
@@ -13,8 +13,8 @@
   peers: StreamPeers
   owner: MemberId
   opening: ForwardOpening
-  /** Called with the owner's free slots, as it last said. */
-  onFreeSlots: (freeSlots: number) => void
+  /** Called with the owner's spare share, as it last said. */
+  onSpareShare: (spareShare: number) => void
 }>
 
 /** A fault, with the endpoint that the owner tried if it tried one. */
@@ -60,12 +60,12 @@
 
   #takeReply (reply: ForwardReply): void {
     if (this.#isSettled) return
-    const { exchange, onFreeSlots } = this.#call
+    const { exchange, onSpareShare } = this.#call
     if (reply.kind === 'ready') {
       if (!this.#isHandedOver) this.#handOver()
       return
     }
-    onFreeSlots(reply.freeSlots)
+    onSpareShare(reply.spareShare)
     if (reply.kind === 'fault') {
       this.#takeFault(reply.fault, reply.endpoint)
       return
--- a/packages/gateway/src/limits.ts
+++ b/packages/gateway/src/limits.ts
@@ -11,7 +11,7 @@
   maxQueued: number
   /** Longest time for a caller to send its headers. */
   headersMs: number
-  /** Longest silence of a caller within a request. */
+  /** Longest silence of a caller, within a request or between two. */
   callerIdleMs: number
   /** Longest silence of an endpoint that works on a request. */
   endpointIdleMs: number
--- a/packages/gateway/src/peerMessages.ts
+++ b/packages/gateway/src/peerMessages.ts
@@ -16,9 +16,9 @@
 /** A fault in the form in which it is sent. */
 export type SentFault = Omit<RequestFault, 'error'> & Readonly<{ error: ErrorReport }>
 
-/** What the owner of the slots says of a forwarded request. */
+/** What the owner of the slots says of a forwarded request; `spareShare` is its free slots less waiting requests, by its slots. */
 export type ForwardReply =
   /** A slot is held; the body may be sent. */
   | Readonly<{ kind: 'ready' }>
-  | Readonly<{ kind: 'answer', answer: AnswerHead, freeSlots: number }>
-  | Readonly<{ kind: 'fault', fault: SentFault, endpoint?: EndpointId, freeSlots: number }>
+  | Readonly<{ kind: 'answer', answer: AnswerHead, spareShare: number }>
+  | Readonly<{ kind: 'fault', fault: SentFault, endpoint?: EndpointId, spareShare: number }>
--- a/packages/gateway/tests/requests.test.ts
+++ b/packages/gateway/tests/requests.test.ts
@@ -120,7 +120,7 @@
   for (const each of waiting) t.true((await each).err)
   t.is(router.queued, 0)
   router.release(held.unwrap(), 'answered')
-  t.is(router.freeSlots, 1)
+  t.is(router.spareShare, 1)
 })
 
 test('the flood of one caller is refused at once; others are served in turn', async t => {
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -58,6 +58,12 @@
     return this
   }
 
+  /** Adds an endpoint that runs elsewhere. */
+  addEndpoint (address: string): void {
+    this.#addresses.push(address)
+    this.publish()
+  }
+
   /** Starts one more gateway and links it with the others. */
   async addGateway (): Promise<RigGateway> {
     const member = brand<MemberId>(`entry-${this.#nextMember++}`)
