--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -5,12 +5,12 @@
   brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, RegionFollower, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
 import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
 import {
-  BudgetedTable, HttpClient, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
+  BudgetedTable, HttpClient, HttpObjectStore, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
 } from '@auburnpin/platform'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
@@ -49,6 +49,7 @@
   readonly #endpoints = new EndpointDirectory()
   readonly #replacedListeners: Array<() => void> = []
   #membership: Membership | undefined
+  #region: RegionFollower | undefined
   #scheduler: Scheduler | undefined
   #gauges: GaugeReporter | undefined
   #callers: CallerServer | undefined
@@ -90,13 +91,19 @@
     })
     const membership = this.#join(peers)
     const scheduler = this.#createScheduler(membership)
-    this.#peers.onRequest(request => this.#answer(request, scheduler))
+    this.#peers.onNotice((notice, from) => {
+      if (notice.kind === 'cells-released' && from !== membership.identity.member) void scheduler.reconsider()
+    })
+    const region = new RegionFollower({ membership, directory: this.#directory, endpoints: this.#endpoints }, this.#peers, this.#clock, this.#log.forComponent('region'))
+    this.#region = region
+    this.#peers.onRequest(request => this.#answer(request, scheduler, region))
     const gateway = await this.#openGateway(membership, scheduler)
     this.#gauges = new GaugeReporter({ membership, scheduler, configuration: this.#configuration, invariants: this.#invariants }, this.#clock, this.#metrics, this.#log)
     membership.start()
     this.#gauges.start()
     this.#directory.start()
     this.#configuration.start()
+    region.start()
     if (this.#settings.roles.includes('scheduler')) scheduler.start()
     this.#log.info('Member started', { member: this.#settings.member, peers, ...gateway })
     return { peers, ...gateway }
@@ -111,6 +118,7 @@
     await this.#callers?.close()
     await this.#operators?.close()
     await this.#configuration.stop()
+    await this.#region?.stop()
     await this.#directory.stop()
     await this.#membership?.stop()
     await this.#peers.close()
@@ -134,6 +142,7 @@
     const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
     const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
     membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
+    membership.onPoll(() => this.#configuration.expectPeers(membership.live.length > 1))
     membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
     this.#configuration.onChange(configuration => membership.setConfigVersion(configuration.version))
@@ -146,6 +155,7 @@
     const layout = { dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre }
     this.#scheduler = new Scheduler(layout, {
       table: this.#table,
+      objects: new HttpObjectStore(this.#storeClient, platform.objects),
       workers: new HttpWorkers(this.#workerClient),
       clock: this.#clock,
       random: this.#random,
@@ -153,10 +163,12 @@
       metrics: this.#metrics,
       invariants: this.#invariants,
       publish: notice => this.#peers.broadcast(notice),
+      announce: notice => this.#peers.broadcast(notice),
       vmList: new HttpVmList(this.#storeClient, platform.vmList),
       membership,
       directory: this.#directory,
-      configuration: this.#configuration
+      configuration: this.#configuration,
+      reachable: () => this.#peers.reachable
     })
     return this.#scheduler
   }
@@ -198,8 +210,10 @@
     return seats
   }
 
-  async #answer (request: PeerRequest, scheduler: Scheduler): Promise<PeerReply> {
-    if (request.kind === 'list-endpoints') return { kind: 'endpoints', published: this.#endpoints.published }
+  async #answer (request: PeerRequest, scheduler: Scheduler, region: RegionFollower): Promise<PeerReply> {
+    if (request.kind === 'list-endpoints') return region.answerEndpoints(request.known ?? [])
+    if (request.kind === 'read-region') return region.answerRegion()
+    if (request.kind === 'read-configuration') return this.#configuration.answer(request.after)
     if (request.kind === 'read-figures') return { kind: 'figures', figures: this.#recent.read(this.#invariants.total) }
     return await scheduler.answer(request)
   }
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -4,6 +4,12 @@
 export const LEASE_MARGIN_MS = 3_000
 /** Time that a VM list must stay empty before it is believed, in milliseconds. */
 export const EMPTY_LIST_MS = 60_000
+/** How long a finished, failed or cancelled task can be asked for, in milliseconds. */
+export const FINAL_RETENTION_MS = 24 * 60 * 60 * 1_000
+/** Finished, failed and cancelled tasks that a cell keeps at most, whatever their age. */
+export const MAX_FINAL_TASKS = 20_000
+/** Most tasks forgotten in one step. */
+export const MAX_FORGOTTEN_PER_PASS = 256
 /** Failed attempts after which a batch task counts as hopeless. */
 export const MAX_ATTEMPTS_FAILED = 5
 /** Most starts decided in one pass of placement. */
@@ -60,18 +66,22 @@
 export const MAX_CLEARINGS_PER_PASS = 64
 /** Span whose evictions may be made at once, in milliseconds. */
 export const EVICTION_BURST_MS = 60_000
-/** Samples past the objective, less those within it, before relief acts. */
-export const BAD_SAMPLES_TO_ACT = 3
-/** Samples in a row well within the objective before a throttle is eased. */
-export const GOOD_SAMPLES_TO_EASE = 5
-/** Ratio of answer time to objective below which a sample counts as well within it. */
-export const CALM_RATIO = 0.8
+/** Samples whose mean past the objective makes relief act. */
+export const SAMPLES_TO_ACT = 3
+/** Samples whose mean well within the objective lets a throttle be eased. */
+export const SAMPLES_TO_EASE = 4
+/** Ratio by which a service's mean must stay below the target before a throttle is eased. */
+export const CALM_BELOW_TARGET = 0.05
+/** Time after an easing in which suffering is put down to it, in milliseconds. */
+export const RELAPSE_MS = 60_000
+/** Smallest gain in share for which a throttle is eased. */
+export const MIN_EASE_SHARE = 0.1
 /** Time from an act until samples show its effect, in milliseconds. */
 export const SETTLE_MS = 2_000
-/** Ratio of answer time to objective that throttling aims at. */
-export const RELIEF_TARGET_RATIO = 0.85
+/** Ratio by which throttling aims below the limit up to which batch work is put beside a service. */
+export const TARGET_BELOW_LIMIT = 0.05
 /** Smallest share of its processors that a throttled task keeps. */
-export const MIN_THROTTLE_SHARE = 0.25
+export const MIN_THROTTLE_SHARE = 0.1
 /** Time between two evictions on one VM for a service's sake, in milliseconds. */
 export const EVICTION_PAUSE_MS = 20_000
 /** Evictions after which a task is only throttled for a service's sake. */
@@ -82,3 +92,7 @@
 export const MAX_REEXAMINED_PER_PASS = 256
 /** Share of its throttle from which on a task counts as held back by it. */
 export const THROTTLE_BOUND_SHARE = 0.9
+/** Longest time that a replica waits for its successor to find room, in milliseconds. */
+export const REPLACE_WAIT_MS = 120_000
+/** Time between telling gateways that a replica leaves and stopping it, in milliseconds. */
+export const REPLICA_DRAIN_MS = 30_000
--- a/packages/platform/src/HttpClient.ts
+++ b/packages/platform/src/HttpClient.ts
@@ -15,8 +15,8 @@
   timeoutMs: number
 }>
 
-/** Status and whole body of an answer. */
-export type HttpAnswer = Readonly<{ status: number, body: Buffer }>
+/** Status and whole body of an answer, with the entity tag if the service gives one. */
+export type HttpAnswer = Readonly<{ status: number, body: Buffer, etag?: string }>
 
 const IDLE_SOCKET_MS = 4_000
 
@@ -29,7 +29,7 @@
   }
 
   /**
-   * Sends one call. `unreachable`: no byte left, surely without effect; `unknown-outcome`: it may have taken effect.
+   * Sends one call. `unreachable`: surely without effect, as no byte left or as it was a reading; `unknown-outcome`: it may have taken effect.
    *
    * @example
    * const answer = await client.send({ address: '127.0.0.1:9000', method: 'GET', path: '/vms', timeoutMs: 1_000 })
@@ -55,7 +55,7 @@
         incoming.on('error', fail)
         incoming.on('end', () => {
           clearTimeout(timer)
-          resolve(Ok({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks) }))
+          resolve(Ok({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks), etag: incoming.headers.etag }))
         })
       })
       const timer = setTimeout(() => outgoing.destroy(new Error(`No answer within ${call.timeoutMs} ms`)), call.timeoutMs)
@@ -81,6 +81,7 @@
 
 const describeFailure = (call: HttpCall, error: Error, isConnected: boolean): AuburnpinError => {
   const what = `${call.method} ${call.path} at ${call.address}: ${error.message}`
+  if (call.method === 'GET') return new AuburnpinError('unreachable', what, 'Nothing was changed; check that the service runs, then ask again.', { cause: error })
   if (isConnected) return new AuburnpinError('unknown-outcome', what, 'Read back before you repeat it.', { cause: error })
   return new AuburnpinError('unreachable', what, 'Check that the address is right and that the service runs.', { cause: error })
 }
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -14,6 +14,14 @@
 export const JOURNAL_RETRY_MS = 500
 /** Time between two looks at which cells this member should own, in milliseconds. */
 export const OWNERSHIP_MS = 1_000
+/** By how many cells two members of a data centre differ before one is moved. */
+export const REBALANCE_THRESHOLD = 2
+/** How long an assignment stands unchanged before a cell is handed over for it, in milliseconds. */
+export const REBALANCE_SETTLE_MS = 10_000
+/** Shortest wait before a cell that could not be recovered is tried again, in milliseconds. */
+export const FIRST_REOPEN_MS = 1_000
+/** Longest wait before a cell that could not be recovered is tried again, in milliseconds. */
+export const LONGEST_REOPEN_MS = 30_000
 /** Steps that may wait for the journal before nothing more is decided or accepted. */
 export const MAX_WAITING_STEPS = 1_024
 /** Time that one journal record may take before nothing more is decided or accepted, in milliseconds. */
@@ -22,3 +30,15 @@
 export const VM_ACTIONS_AT_ONCE = 4
 /** Calls to one worker that may wait; further ones are asked for again after its next report. */
 export const MAX_VM_ACTIONS = 256
+/** Transitions in the journal after which a snapshot is written, unless the cell has more tasks than that. */
+export const SNAPSHOT_TRANSITIONS = 2_000
+/** Snapshots kept; the journal is trimmed up to the oldest of them. */
+export const SNAPSHOTS_KEPT = 2
+/** Wait after a snapshot that could not be written, in milliseconds. */
+export const SNAPSHOT_RETRY_MS = 10_000
+/** Most journal records deleted in one transaction. */
+export const TRIM_ROWS = 100
+/** How long a member has held its lease before it claims cells, in milliseconds. */
+export const JOIN_SETTLE_MS = 2_000
+/** Time between two renewals of orphaned workers' leases while the store is down, in milliseconds. */
+export const KEEPER_MS = 2_000
