--- a/packages/core/src/explain/describeReason.ts
+++ b/packages/core/src/explain/describeReason.ts
@@ -4,6 +4,8 @@
 import { assertNever, type Resources, type ServiceName, type VmId } from '@auburnpin/common'
 import type { TaskReason } from '../cell/types.ts'
 
+const PERCENT = 100
+
 /** Two clauses without full stops: what is the case, and what would change it. */
 export type Wording = Readonly<{ cause: string, change: string }>
 
@@ -30,7 +32,7 @@
     case 'placed':
       return { cause: describePlaced(reason.vm, reason.servicesOnVm), change: 'draining the VM or withdrawing the task moves it' }
     case 'throttled-for':
-      return { cause: `it is held to ${Math.round(reason.share * 100)} % of its processors for ${reason.service}`, change: 'it speeds up by itself once that service meets its objective' }
+      return { cause: `it is held to ${Math.round(reason.share * PERCENT)} % of its processors for ${reason.service}`, change: 'it speeds up by itself once that service meets its objective' }
     case 'evicted-for-service':
       return { cause: `it slowed ${reason.service} on VM ${reason.vm}`, change: 'it resumes by itself from its checkpoint on another VM' }
     case 'evicted-for':
