One sample is proof enough where the model expects no less

Cause: after a load shift relief waited for three samples past the objective. Change: it acts on the first when the model, too, expects the service past it with what is placed there now.

--- a/packages/core/src/relief/ReliefControl.ts
+++ b/packages/core/src/relief/ReliefControl.ts
@@ -105,10 +105,11 @@
   }
 
   #relieveVm (state: CellState, vm: Vm, watch: VmWatch, now: Instant): Relief {
-    const verdict = watch.verdictFor(this.#targetRatio - CALM_BELOW_TARGET)
     const { worst } = watch
     const expected = this.#loads.expectOn(state, vm.id).find(({ service }) => service === worst)
-    if (verdict === 'undecided' || expected === undefined) return NO_RELIEF
+    if (expected === undefined) return NO_RELIEF
+    const verdict = watch.verdictFor(this.#targetRatio - CALM_BELOW_TARGET, expected.ratio)
+    if (verdict === 'undecided') return NO_RELIEF
     if (verdict === 'calm') return this.#ease(state, vm, watch, expected, now)
     const culprits = this.#culpritsOn(state, vm.id, expected)
     return this.#throttle(state, vm, watch, culprits, expected, now) ?? this.#evict(state, vm, watch, culprits, expected, now) ?? NO_RELIEF
--- a/packages/core/src/relief/VmWatch.ts
+++ b/packages/core/src/relief/VmWatch.ts
@@ -45,8 +45,12 @@
     if (this.#ratios.length > SAMPLES_TO_EASE * this.#easeFactor) this.#ratios.shift()
   }
 
-  /** The service counts as calm while its mean ratio is below `calmRatio`. */
-  verdictFor (calmRatio: number): Verdict {
+  /**
+   * The service counts as calm while its mean ratio is below `calmRatio`. One sample past the objective is
+   * proof enough where the model expects no less.
+   */
+  verdictFor (calmRatio: number, expectedRatio: number): Verdict {
+    if (expectedRatio > 1 && this.meanRatio > 1) return 'suffering'
     const latest = this.#ratios.slice(-SAMPLES_TO_ACT)
     const isSuffering = latest.length === SAMPLES_TO_ACT && meanOf(latest) > 1
     if (isSuffering) return 'suffering'
