--- a/packages/cluster/src/WebSocketPeers.ts
+++ b/packages/cluster/src/WebSocketPeers.ts
@@ -103,6 +103,10 @@
     return [this.#options.member, ...this.#links.keys()]
   }
 
+  get others (): readonly MemberId[] {
+    return [...this.#links.keys()]
+  }
+
   /** Closes all links and the listener. */
   async close (): Promise<void> {
     this.#isClosed = true
@@ -170,7 +174,7 @@
       onNotice: (frame, from) => {
         for (const handler of this.#noticeHandlers) handler(frame.notice, from)
       },
-      onStream: (head, stream, from) => this.#handleStream(head, stream, from),
+      onStream: (...opened) => this.#handleStream(...opened),
       onClose
     }
   }
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -3,22 +3,25 @@
  */
 import {
   AuburnpinError, Err, InvariantError, Mailbox, Ok, Ticker, toAuburnpinError,
-  type CellId, type Clock, type InvariantCounter, type JournalSequence, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
+  type CellId, type Clock, type Instant, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, LearntInterference, type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
+  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LearntInterference,
+  type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
-import type { TableStore, Workers } from '@auburnpin/platform'
+import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
 import { ActionRunner } from './ActionRunner.ts'
-import { TICK_MS } from './constants.ts'
+import { MAX_WAITING_STEPS, TICK_MS } from './constants.ts'
 import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
-import { recoverCell } from './recoverCell.ts'
+import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
+import { SnapshotWriter } from './SnapshotWriter.ts'
 import { WorkerLink } from './WorkerLink.ts'
 
 /** What a cell's runner needs from outside. */
 export type CellPorts = Readonly<{
   table: TableStore
+  objects: ObjectStore
   workers: Workers
   clock: Clock
   random: Random
@@ -38,22 +41,32 @@
   readonly #ports: CellPorts
   readonly #cell: Cell
   readonly #journal: JournalWriter
+  readonly #snapshots: SnapshotWriter
   readonly #actions: ActionRunner
   readonly #mailbox: Mailbox<Message>
   readonly #ticker: Ticker
   readonly #links = new Map<VmId, WorkerLink>()
   readonly #onLost: () => void
+  /** Submissions and cancellations without an answer yet. */
+  #open = 0
   #isClosed = false
   #isLost = false
   #revision = 0
 
-  private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, last: JournalSequence, onLost: () => void) {
+  private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, recovered: RecoveredJournal, onLost: () => void) {
     this.#claimed = claimed
     this.#allCells = allCells
     this.#ports = ports
     this.#cell = cell
     this.#onLost = onLost
-    this.#journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, { claimed, last, onFenced: () => this.#lose(), onRecord: () => {} })
+    this.#snapshots = new SnapshotWriter(ports, claimed, recovered.seen, recovered.transitions.length)
+    this.#journal = new JournalWriter(ports.table, ports.clock, ports.random, ports.log, {
+      claimed,
+      last: recovered.last,
+      onFenced: () => this.#lose(),
+      configured: () => this.#cell.configured,
+      onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks, this.#cell.configured)
+    })
     this.#actions = new ActionRunner(claimed, ports.workers, ports.log)
     this.#mailbox = new Mailbox(message => this.#handle(message), error => this.#fail(error))
     this.#ticker = new Ticker(ports.clock, TICK_MS, () => this.#mailbox.post({ event: { kind: 'tick' } }), error => this.#fail(error))
@@ -64,13 +77,14 @@
    * over, or when a step broke off and the cell must be rebuilt.
    */
   static async open (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, onLost: () => void): Promise<Result<CellRunner, AuburnpinError>> {
-    const recovered = await recoverCell(ports.table, claimed.cell)
+    const recovered = await recoverCell(ports.table, ports.objects, ports.log, claimed.cell)
     if (recovered.err) return recovered
     // Cells of a region are of like size, so each has a like part of every quota.
     const settings = { ...DEFAULT_COLOCATION, quotaShare: 1 / Math.max(1, allCells.length) }
     const cell = new Cell(claimed, new ColocationPolicy(new LearntInterference(), ports.random, settings))
-    cell.restore(recovered.val.transitions, ports.clock.now())
-    const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val.last, onLost)
+    const restored = restoreCell(cell, claimed, recovered.val, ports.clock.now())
+    if (restored.err) return restored
+    const runner = new CellRunner(claimed, allCells, ports, cell, recovered.val, onLost)
     runner.#ticker.start()
     ports.log.info('Cell taken', { cell: claimed.cell, epoch: claimed.epoch, tasks: cell.state.tasks.size })
     return Ok(runner)
@@ -124,12 +138,20 @@
     await Promise.all([...this.#links.values()].map(link => link.stop()))
     await this.#mailbox.close()
     await this.#journal.close(isFenced)
+    if (!isFenced) await this.#snapshots.close()
   }
 
   #postDurably (event: CellEvent): Promise<JournalOutcome> {
     if (this.#isClosed) return Promise.resolve(Err(this.#closed()))
-    if (this.#journal.isStalled) return Promise.resolve(Err(this.#overloaded()))
-    return new Promise(resolve => this.#mailbox.post({ event, settle: resolve }))
+    if (this.#journal.isStalled || this.#open >= MAX_WAITING_STEPS) return Promise.resolve(Err(this.#overloaded()))
+    this.#open++
+    return new Promise(resolve => {
+      const settle = (outcome: JournalOutcome): void => {
+        this.#open--
+        resolve(outcome)
+      }
+      this.#mailbox.post({ event, settle })
+    })
   }
 
   #find (id: TaskId): Result<Task, AuburnpinError> {
@@ -235,3 +257,15 @@
 }
 
 const REPEATED_EVENTS: ReadonlySet<CellEvent['kind']> = new Set(['tick', 'reported', 'usage'])
+
+// A journal that contradicts itself must stop this cell alone, not the process with its other cells.
+const restoreCell = (cell: Cell, { cell: id }: ClaimedCell, recovered: RecoveredJournal, now: Instant): Result<void, AuburnpinError> => {
+  const { snapshot, transitions, configured } = recovered
+  try {
+    cell.restore(transitions, now, snapshot === undefined ? [] : fromSnapshot(snapshot, now), configured)
+    return Ok(undefined)
+  } catch (thrown) {
+    if (!(thrown instanceof InvariantError)) throw thrown
+    return Err(new AuburnpinError('corrupt', `The journal of cell ${id} contradicts itself: ${thrown.message}`, 'Restore the journal from the platform\'s backup; other cells go on.', { cause: thrown }))
+  }
+}
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -3,24 +3,23 @@
  */
 import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result } from '@auburnpin/common'
 import { summariseTasks, type CellSummary, type Configuration, type Task } from '@auburnpin/core'
-import {
-  claimCell, releaseCell, type CellDirectory, type ClaimedCell, type ConfigurationFollower, type Membership, type PeerReply, type PeerRequest
-} from '@auburnpin/cluster'
+import type { ConfigurationFollower, PeerReply, PeerRequest } from '@auburnpin/cluster'
 import type { VmEntry, VmList } from '@auburnpin/platform'
 import { cellOfVm, cellsOfRegion } from './cellOfVm.ts'
-import { CellRunner, type CellPorts } from './CellRunner.ts'
-import { chooseOwner } from './chooseOwner.ts'
-import { OWNERSHIP_MS, VM_LIST_POLL_MS } from './constants.ts'
+import { CellOwnership, type OwnershipPorts } from './CellOwnership.ts'
+import type { CellRunner } from './CellRunner.ts'
+import { LeaseKeeper } from './LeaseKeeper.ts'
+import { VM_LIST_POLL_MS } from './constants.ts'
 
 /** The region's cells. */
 export type RegionLayout = Readonly<{ dataCentres: readonly DataCentre[], cellsPerDataCentre: number }>
 
 /** What the scheduler needs from outside. */
-export type SchedulerPorts = CellPorts & Readonly<{
+export type SchedulerPorts = OwnershipPorts & Readonly<{
   vmList: VmList
-  membership: Membership
-  directory: CellDirectory
   configuration: ConfigurationFollower
+  /** Members that this one can talk to just now. */
+  reachable: () => readonly MemberId[]
 }>
 
 /** Owns cells; any number of schedulers share a region. */
@@ -28,18 +27,19 @@
   readonly #ports: SchedulerPorts
   readonly #layout: RegionLayout
   readonly #cells: readonly CellId[]
-  readonly #runners = new Map<CellId, CellRunner>()
-  readonly #ownership: Ticker
+  readonly #ownership: CellOwnership
+  readonly #keeper: LeaseKeeper
   readonly #vmPoll: Ticker
-  #isStopping = false
 
   constructor (layout: RegionLayout, ports: SchedulerPorts) {
     this.#ports = ports
     this.#layout = layout
     this.#cells = cellsOfRegion(layout.dataCentres, layout.cellsPerDataCentre)
-    const logError = (error: unknown): void => ports.log.error(String(error))
-    this.#ownership = new Ticker(ports.clock, OWNERSHIP_MS, () => this.#takeCells(), logError)
-    this.#vmPoll = new Ticker(ports.clock, VM_LIST_POLL_MS, () => this.#pollVms(), logError)
+    const places = layout.dataCentres.flatMap(dataCentre =>
+      cellsOfRegion([dataCentre], layout.cellsPerDataCentre).map(cell => ({ cell, dataCentre })))
+    this.#ownership = new CellOwnership(places, ports, runner => this.#prepare(runner))
+    this.#keeper = new LeaseKeeper(ports, vm => cellOfVm(vm.dataCentre, vm.rack, layout.cellsPerDataCentre))
+    this.#vmPoll = new Ticker(ports.clock, VM_LIST_POLL_MS, () => this.#pollVms(), error => ports.log.error(String(error)))
     ports.configuration.onChange(configuration => this.#configure(configuration))
   }
 
@@ -49,35 +49,36 @@
 
   /** Cells that this member owns now. */
   get owned (): readonly CellId[] {
-    return [...this.#runners.keys()]
+    return [...this.#ownership.runners.keys()]
   }
 
   /** Tasks of the cells that this member owns, in figures. */
   get summaries (): ReadonlyMap<CellId, CellSummary> {
-    return new Map([...this.#runners].map(([cell, runner]) => [cell, summariseTasks(runner.tasks.values())]))
+    return new Map([...this.#ownership.runners].map(([cell, runner]) => [cell, summariseTasks(runner.tasks.values())]))
   }
 
   start (): void {
     this.#ownership.start()
     this.#vmPoll.start()
+    this.#keeper.start()
   }
 
   /** Hands all cells over. */
   async stop (): Promise<void> {
-    this.#isStopping = true
-    await this.#ownership.stop()
+    await this.#keeper.stop()
     await this.#vmPoll.stop()
-    for (const runner of this.#runners.values()) {
-      await runner.close(false)
-      await releaseCell(this.#ports.table, this.#ports.random, runner.claimed)
-    }
-    this.#runners.clear()
+    await this.#ownership.stop()
+  }
+
+  /** Looks at once whether this member should claim cells that were given up. */
+  async reconsider (): Promise<void> {
+    await this.#ownership.reconsider()
   }
 
   /** Answers a question about a cell that this member owns. */
   async answer (request: PeerRequest): Promise<PeerReply> {
-    if (request.kind === 'list-endpoints' || request.kind === 'read-figures') return { kind: 'failed', error: notAboutCell().toReport() }
-    const runner = this.#runners.get(request.cell)
+    if (!('cell' in request)) return { kind: 'failed', error: notAboutCell().toReport() }
+    const runner = this.#ownership.runners.get(request.cell)
     if (runner === undefined) return { kind: 'failed', error: notOwner(request.cell).toReport() }
     switch (request.kind) {
       case 'submit':
@@ -94,55 +95,12 @@
   }
 
   #configure (configuration: Configuration): void {
-    for (const runner of this.#runners.values()) runner.configure(configuration)
-  }
-
-  async #takeCells (): Promise<void> {
-    this.#dropTaken()
-    if (this.#isStopping || !this.#ports.membership.isLeaseHeld) return
-    for (const cell of this.#cells) {
-      if (!this.#shouldTake(cell)) continue
-      const claimed = await claimCell(this.#ports.table, this.#ports.random, this.#ports.membership.identity, cell, this.#ports.directory.cells.get(cell))
-      if (claimed.err) this.#ports.log.warn('A cell could not be claimed', { cell, reason: claimed.val.message })
-      else if (claimed.val !== null) await this.#open(claimed.val)
-    }
-  }
-
-  // A paused owner with nothing to append would never learn from its journal that it was replaced.
-  #dropTaken (): void {
-    for (const [cell, runner] of this.#runners) {
-      const seen = this.#ports.directory.cells.get(cell)?.row
-      if (seen !== undefined && seen.epoch > runner.claimed.epoch) this.#drop(cell)
-    }
-  }
-
-  #shouldTake (cell: CellId): boolean {
-    if (this.#runners.has(cell)) return false
-    const { directory, membership } = this.#ports
-    // A claim whose answer was lost has made this process the owner; nobody else will take the cell.
-    if (directory.cells.get(cell)?.row.incarnation === membership.identity.incarnation) return true
-    const dataCentre = this.#layout.dataCentres.find(candidate => cell.startsWith(`${candidate}-`)) as DataCentre
-    if (chooseOwner(cell, dataCentre, membership.live) !== membership.identity.member) return false
-    const seen = directory.cells.get(cell)?.row
-    if (seen === undefined || seen.owner === null || seen.incarnation === null) return true
-    const isOwn: boolean = seen.owner === (membership.identity.member as MemberId)
-    return isOwn || membership.isLapsed(seen.owner, seen.incarnation)
-  }
-
-  async #open (claimed: ClaimedCell): Promise<void> {
-    const opened = await CellRunner.open(claimed, this.#cells, this.#ports, () => this.#drop(claimed.cell))
-    if (opened.err) {
-      this.#ports.log.error('A cell could not be recovered', { cell: claimed.cell, reason: opened.val.message })
-      return
-    }
-    this.#runners.set(claimed.cell, opened.val)
-    opened.val.configure(this.#ports.configuration.current)
+    for (const runner of this.#ownership.runners.values()) runner.configure(configuration)
   }
 
-  #drop (cell: CellId): void {
-    const runner = this.#runners.get(cell)
-    this.#runners.delete(cell)
-    void runner?.close(true)
+  #prepare (runner: CellRunner): void {
+    runner.configure(this.#ports.configuration.current)
+    void this.#pollVms()
   }
 
   async #pollVms (): Promise<void> {
@@ -151,7 +109,8 @@
       this.#ports.log.warn('The VM list could not be read', { reason: vms.val.message })
       return
     }
-    for (const [cell, runner] of this.#runners) {
+    this.#keeper.listVms(vms.val)
+    for (const [cell, runner] of this.#ownership.runners) {
       runner.listVms(vms.val.filter(vm => this.#belongsTo(vm, cell)).map(vm => ({ ...vm, isLeaving: this.#isLeaving(vm) })))
     }
   }
--- a/soak/SoakMember.ts
+++ b/soak/SoakMember.ts
@@ -3,7 +3,7 @@
  */
 import { brand, InvariantCounter, SilentLog, SilentMetrics, type CellId, type Clock, type DataCentre, type MemberId, type Random } from '@auburnpin/common'
 import { CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS } from '@auburnpin/cluster'
-import { FakePeers, FakeTableStore, FakeWorkers, PausableClock, type FakeLink, type FakePeerNetwork, type FakeVmList, type FakeVmWorker } from '@auburnpin/fakes'
+import { FakeObjectStore, FakePeers, FakeTableStore, FakeWorkers, PausableClock, type FakeLink, type FakePeerNetwork, type FakeVmList, type FakeVmWorker } from '@auburnpin/fakes'
 import type { ActionPorts } from '@auburnpin/gateway'
 import { ReliableTable, type TableStore } from '@auburnpin/platform'
 import { Scheduler, type RegionLayout } from '@auburnpin/scheduler'
@@ -50,6 +50,7 @@
     this.#membership = new Membership(identity, table, this.#clock, random, log)
     this.#scheduler = new Scheduler(layout, {
       table,
+      objects: new FakeObjectStore(surroundings.objects, link, id),
       workers: new FakeWorkers(surroundings.workers, link, id),
       clock: this.#clock,
       random,
@@ -57,13 +58,16 @@
       metrics: new SilentMetrics(),
       invariants: this.#invariants,
       publish: notice => this.#peers.broadcast(notice),
+      announce: notice => this.#peers.broadcast(notice),
       vmList: surroundings.vmList,
       membership: this.#membership,
       directory: this.#directory,
-      configuration: this.#configuration
+      configuration: this.#configuration,
+      reachable: () => this.#peers.reachable
     })
-    this.#peers.onNotice(notice => {
+    this.#peers.onNotice((notice, from) => {
       if (notice.kind === 'endpoints') endpoints.publish(notice)
+      if (notice.kind === 'cells-released' && from !== id && !this.#isGone) void this.#scheduler.reconsider()
     })
     this.#peers.onRequest(request => this.#scheduler.answer(request))
     this.#configuration.onChange(configuration => this.#membership.setConfigVersion(configuration.version))
