Links that prove both ends, and a start without the store

Cause: a caller took any listener for a member, protocols had to be equal, keys could not change without a restart, a stuck link buffered without bound, and a process started in an outage knew nobody. Change: PeerHandshake (mutual proof, range of protocols, keys read anew), bounded sending, contacts in the settings, SIGHUP for keys. Tests: pairings of keys and protocols, an impostor listener, a link silenced by something in between, a member started while the store is down.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -65,7 +65,7 @@
     this.#table = new ReliableTable(this.#store, this.#clock, this.#random, STORE_DEADLINE_MS)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
-    this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys }, this.#clock, this.#random, log.forComponent('peers'))
+    this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys, contacts: settings.contacts }, this.#clock, this.#random, log.forComponent('peers'))
     this.#directory = new CellDirectory(this.#table, this.#clock, log.forComponent('cells'))
     this.#configuration = new ConfigurationFollower(this.#table, this.#peers, this.#clock, log.forComponent('configuration'))
   }
@@ -83,6 +83,11 @@
     this.#replacedListeners.push(listener)
   }
 
+  /** Changes the keys that members prove to each other; open links stay open. */
+  setPeerKeys (keys: Settings['peerKeys']): void {
+    this.#peers.setKeys(keys)
+  }
+
   /** Opens all listeners, then joins. */
   async start (): Promise<MemberAddresses> {
     const peers = await this.#peers.listen()
--- a/app/src/commands/ServeCommand.ts
+++ b/app/src/commands/ServeCommand.ts
@@ -35,6 +35,12 @@
         resolve()
       })
     })
+    // Keys change without a restart: first add the new one everywhere, then use it, then take the old one out.
+    process.on('SIGHUP', () => {
+      const changed = readYamlFile(String(options.settings), settingsSchema)
+      if (changed.err) log.error('The settings are invalid; nothing was changed', { faults: changed.val.length })
+      else member.setPeerKeys(changed.val.peerKeys)
+    })
     await member.start()
     await stopAsked
     await member.stop()
--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -52,6 +52,7 @@
     id: z.string().min(1).describe('Name of the key.'),
     secret: secretSchema.describe('The key; the same in every process.')
   })).min(1).optional().describe('Keys that sign session tokens, the same in every process; the first signs, all are accepted. Without them the peer keys are used.'),
+  contacts: z.array(addressSchema).default([]).describe('Peer listeners of other entry VMs, asked when the process starts while the store is down.'),
   operators: z.array(z.strictObject({
     operator: z.string().min(1).describe('Name for the audit trail.'),
     token: secretSchema.describe('Sent as a bearer token.')
--- a/packages/cluster/src/PeerConnection.ts
+++ b/packages/cluster/src/PeerConnection.ts
@@ -3,12 +3,12 @@
  */
 import type { WebSocket } from 'ws'
 import { AuburnpinError, Err, Ok, type Clock, type Instant, type MemberId, type Result, type Timer } from '@auburnpin/common'
-import { PEER_HEARTBEAT_MS, PEER_SILENCE_MS, PEER_TIMEOUT_MS } from './constants.ts'
+import { PEER_BUFFER_BYTES, PEER_HEARTBEAT_MS, PEER_SILENCE_MS, PEER_TIMEOUT_MS } from './constants.ts'
 import { packFrame, unpackFrame, type PeerFrame } from './PeerFrame.ts'
 import type { PeerStream } from './PeerStream.ts'
 import { PeerStreams } from './PeerStreams.ts'
 import type { StreamHandler } from './StreamPeers.ts'
-import type { PeerReply, PeerRequest } from './types.ts'
+import type { PeerNotice, PeerReply, PeerRequest } from './types.ts'
 
 type Pending = Readonly<{ resolve: (result: Result<PeerReply, AuburnpinError>) => void, timer: Timer }>
 
@@ -51,6 +51,7 @@
 
   /** Asks and waits for the answer. */
   request (request: PeerRequest): Promise<Result<PeerReply, AuburnpinError>> {
+    if (this.#isFull) return Promise.resolve(Err(fullLink(this.#member)))
     const id = this.#nextId++
     return new Promise(resolve => {
       const timer = this.#clock.after(PEER_TIMEOUT_MS, () => this.#settle(id, Err(lostAnswer(this.#member))))
@@ -59,6 +60,11 @@
     })
   }
 
+  /** Tells without an answer; dropped on a link that takes nothing more, for the next comparison makes it good. */
+  notify (notice: PeerNotice): void {
+    if (!this.#isFull) this.send({ kind: 'notice', notice })
+  }
+
   /** Opens a stream; only on a link that this side has dialled. */
   openStream (head: unknown): PeerStream {
     return this.#streams.open(head)
@@ -72,6 +78,10 @@
     this.#socket.terminate()
   }
 
+  get #isFull (): boolean {
+    return this.#socket.bufferedAmount > PEER_BUFFER_BYTES
+  }
+
   #beat (): void {
     if (this.#clock.now() - this.#lastHeard > PEER_SILENCE_MS) {
       this.#socket.terminate()
@@ -118,3 +128,6 @@
 
 const lostAnswer = (member: MemberId): AuburnpinError =>
   new AuburnpinError('unknown-outcome', `Member ${member} gave no answer`, 'Ask again; what was asked may have taken effect.')
+
+const fullLink = (member: MemberId): AuburnpinError =>
+  new AuburnpinError('unreachable', `The link to member ${member} takes nothing more`, 'Ask again in a moment; a link that stays stuck is cut and opened anew.')
--- a/packages/cluster/src/PeerFrame.ts
+++ b/packages/cluster/src/PeerFrame.ts
@@ -8,9 +8,12 @@
 
 /** One message on the wire. */
 export type PeerFrame =
-  | Readonly<{ kind: 'challenge', protocol: number, nonce: string }>
-  | Readonly<{ kind: 'hello', protocol: number, member: MemberId, key: string, proof: string }>
-  | Readonly<{ kind: 'welcome', member: MemberId }>
+  /** The listener's first frame; `oldest` is the lowest protocol that it still speaks. */
+  | Readonly<{ kind: 'challenge', protocol: number, oldest: number, nonce: string }>
+  /** The caller's answer, with a challenge of its own and the protocol for this link. */
+  | Readonly<{ kind: 'hello', protocol: number, member: MemberId, key: string, proof: string, nonce: string }>
+  /** The listener's proof with the caller's key. */
+  | Readonly<{ kind: 'welcome', member: MemberId, proof: string }>
   | Readonly<{ kind: 'heartbeat' }>
   | Readonly<{ kind: 'request', id: number, request: PeerRequest }>
   | Readonly<{ kind: 'reply', id: number, reply: PeerReply }>
--- a/packages/cluster/src/WebSocketPeers.ts
+++ b/packages/cluster/src/WebSocketPeers.ts
@@ -6,16 +6,16 @@
 import {
   AuburnpinError, Err, Ok, toAuburnpinError, type Clock, type Log, type MemberId, type Random, type Result
 } from '@auburnpin/common'
-import { PEER_MESSAGE_BYTES, PEER_PROTOCOL, PEER_RETRY_MS, PEER_TIMEOUT_MS } from './constants.ts'
+import { OLDEST_PEER_PROTOCOL, PEER_MESSAGE_BYTES, PEER_PROTOCOL, PEER_RETRY_MS, PEER_TIMEOUT_MS } from './constants.ts'
 import { PeerConnection, type ConnectionHandlers } from './PeerConnection.ts'
-import { packFrame, unpackFrame } from './PeerFrame.ts'
-import { isProven, makeProof } from './peerProof.ts'
+import { PeerHandshake } from './PeerHandshake.ts'
 import { Peers, type NoticeHandler, type RequestHandler } from './Peers.ts'
 import type { PeerStream } from './PeerStream.ts'
 import type { StreamHandler, StreamPeers } from './StreamPeers.ts'
 import type { PeerKey, PeerNotice, PeerReply, PeerRequest } from './types.ts'
 
-const NONCE_LENGTH = 26
+// Frames that come together are handled in separate turns, so that none is missed between handshake and link.
+const SOCKET_OPTIONS = { maxPayload: PEER_MESSAGE_BYTES, perMessageDeflate: false, allowSynchronousEvents: false }
 
 /** What the links need to know of their own process. */
 export type PeerOptions = Readonly<{
@@ -24,6 +24,10 @@
   port: number
   /** The first key proves this member; all are accepted from others. */
   keys: readonly PeerKey[]
+  /** Addresses of peer listeners to ask while no member is known, as in an outage of the store. */
+  contacts?: readonly string[]
+  /** The protocols that this member speaks. */
+  protocols?: Readonly<{ newest: number, oldest: number }>
 }>
 
 /** Links to all members over `ws`. */
@@ -35,7 +39,10 @@
   readonly #links = new Map<MemberId, PeerConnection>()
   readonly #incoming = new Set<PeerConnection>()
   readonly #noticeHandlers: NoticeHandler[] = []
-  readonly #dialling = new Set<MemberId>()
+  readonly #dialling = new Set<string>()
+  readonly #handshake: PeerHandshake
+  #keys: readonly PeerKey[]
+  #address = ''
   #members: ReadonlyMap<MemberId, string> = new Map()
   #handleRequest: RequestHandler = async () => ({ kind: 'failed', error: NOT_READY.toReport() })
   #handleStream: StreamHandler = (_head, stream) => { stream.destroy(NOT_READY) }
@@ -48,17 +55,29 @@
     this.#clock = clock
     this.#random = random
     this.#log = log
+    this.#keys = options.keys
+    const protocols = options.protocols ?? { newest: PEER_PROTOCOL, oldest: OLDEST_PEER_PROTOCOL }
+    this.#handshake = new PeerHandshake({ member: options.member, keys: () => this.#keys, ...protocols }, clock, random)
+  }
+
+  /** Changes the keys; links that are open stay open. */
+  setKeys (keys: readonly PeerKey[]): void {
+    this.#keys = keys
   }
 
   /** Opens the listener and resolves to its address. */
   listen (): Promise<string> {
     const { host, port } = this.#options
     return new Promise((resolve, reject) => {
-      const server = new WebSocketServer({ host, port, maxPayload: PEER_MESSAGE_BYTES, perMessageDeflate: false })
+      const server = new WebSocketServer({ host, port, ...SOCKET_OPTIONS })
       this.#server = server
       server.once('error', reject)
-      server.once('listening', () => resolve(`${host}:${(server.address() as AddressInfo).port}`))
-      server.on('connection', socket => this.#challenge(socket))
+      server.once('listening', () => {
+        this.#address = `${host}:${(server.address() as AddressInfo).port}`
+        this.#dialContacts()
+        resolve(this.#address)
+      })
+      server.on('connection', socket => { void this.#accept(socket) })
     })
   }
 
@@ -71,7 +90,7 @@
 
   broadcast (notice: PeerNotice): void {
     for (const handler of this.#noticeHandlers) handler(notice, this.#options.member)
-    for (const link of this.#links.values()) link.send({ kind: 'notice', notice })
+    for (const link of this.#links.values()) link.notify(notice)
   }
 
   openStream (to: MemberId, head: unknown): Result<PeerStream, AuburnpinError> {
@@ -121,51 +140,56 @@
   #dial (member: MemberId): void {
     const address = this.#members.get(member)
     const isNeeded = address !== undefined && member !== this.#options.member && !this.#links.has(member)
-    if (!isNeeded || this.#dialling.has(member) || this.#isClosed) return
-    this.#dialling.add(member)
-    const socket = new WebSocket(`ws://${address}`, { maxPayload: PEER_MESSAGE_BYTES, perMessageDeflate: false, handshakeTimeout: PEER_TIMEOUT_MS })
-    socket.on('message', (data: Buffer) => this.#greet(socket, member, data))
+    if (isNeeded) this.#open(address, member, () => this.#dial(member))
+  }
+
+  // Only until a member answers: from then on the members tell where the others are.
+  #dialContacts (): void {
+    if (this.#isClosed || this.#members.size > 0 || this.#links.size > 0) return
+    for (const address of this.#options.contacts ?? []) {
+      if (address !== this.#address) this.#open(address, undefined, () => this.#dialContacts())
+    }
+  }
+
+  /** Opens a link to an address, and asks again whether it is needed some time after it has closed. */
+  #open (address: string, member: MemberId | undefined, onClose: () => void): void {
+    const target = member ?? address
+    if (this.#dialling.has(target) || this.#isClosed) return
+    this.#dialling.add(target)
+    const socket = new WebSocket(`ws://${address}`, { ...SOCKET_OPTIONS, handshakeTimeout: PEER_TIMEOUT_MS })
     socket.on('error', () => socket.terminate())
     socket.on('close', () => {
-      this.#dialling.delete(member)
-      this.#clock.after(PEER_RETRY_MS * (1 + this.#random.fraction()), () => this.#dial(member))
+      this.#dialling.delete(target)
+      this.#clock.after(PEER_RETRY_MS * (1 + this.#random.fraction()), onClose)
     })
+    void this.#call(socket, member, address)
   }
 
-  #greet (socket: WebSocket, member: MemberId, data: Buffer): void {
-    const frame = unpackFrame(data)
-    const key = this.#options.keys[0]
-    if (frame?.kind === 'challenge' && key !== undefined) {
-      const proof = makeProof(key, frame.nonce, this.#options.member)
-      socket.send(packFrame({ kind: 'hello', protocol: PEER_PROTOCOL, member: this.#options.member, key: key.id, proof }))
+  async #call (socket: WebSocket, member: MemberId | undefined, address: string): Promise<void> {
+    const outcome = await this.#handshake.call(socket, member)
+    if (outcome.kind === 'refused') {
+      this.#log.debug('A link could not be opened', { address, reason: outcome.reason })
       return
     }
-    if (frame?.kind !== 'welcome' || frame.member !== member) {
+    // A contact may be a member that has a link already, or this very process.
+    if (this.#links.has(outcome.member) || outcome.member === this.#options.member || this.#isClosed) {
       socket.terminate()
       return
     }
-    socket.removeAllListeners('message')
-    this.#links.set(member, new PeerConnection(socket, member, this.#clock, this.#handlers(() => this.#links.delete(member))))
+    const link = new PeerConnection(socket, outcome.member, this.#clock, this.#handlers(closed => {
+      if (this.#links.get(closed.member) === closed) this.#links.delete(closed.member)
+    }))
+    this.#links.set(outcome.member, link)
   }
 
-  #challenge (socket: WebSocket): void {
-    const nonce = this.#random.id(NONCE_LENGTH)
-    const timer = this.#clock.after(PEER_TIMEOUT_MS, () => socket.terminate())
+  async #accept (socket: WebSocket): Promise<void> {
     socket.on('error', () => socket.terminate())
-    socket.send(packFrame({ kind: 'challenge', protocol: PEER_PROTOCOL, nonce }))
-    socket.once('message', (data: Buffer) => {
-      timer.cancel()
-      const frame = unpackFrame(data)
-      const isKnown = frame?.kind === 'hello' && frame.protocol === PEER_PROTOCOL &&
-        isProven(this.#options.keys, frame.key, nonce, frame.member, frame.proof)
-      if (!isKnown) {
-        this.#log.warn('Refused a peer that did not prove a known key')
-        socket.terminate()
-        return
-      }
-      socket.send(packFrame({ kind: 'welcome', member: this.#options.member }))
-      this.#incoming.add(new PeerConnection(socket, frame.member, this.#clock, this.#handlers(connection => this.#incoming.delete(connection))))
-    })
+    const outcome = await this.#handshake.listen(socket)
+    if (outcome.kind === 'refused') {
+      this.#log.warn('Refused a link', { reason: outcome.reason })
+      return
+    }
+    this.#incoming.add(new PeerConnection(socket, outcome.member, this.#clock, this.#handlers(connection => this.#incoming.delete(connection))))
   }
 
   #handlers (onClose: (connection: PeerConnection) => void): ConnectionHandlers {
--- a/packages/cluster/src/constants.ts
+++ b/packages/cluster/src/constants.ts
@@ -22,6 +22,10 @@
 export const PEER_STREAM_WINDOW_BYTES = 256 * 1024
 /** Version of the messages between members. */
 export const PEER_PROTOCOL = 1
+/** Oldest version that a member still speaks, so that two neighbouring releases work side by side. */
+export const OLDEST_PEER_PROTOCOL = 1
+/** Bytes that may wait to be sent on one peer link before notices are dropped and questions refused. */
+export const PEER_BUFFER_BYTES = 8 * 1024 * 1024
 /** Longest time in which a release note or a claim is tried again, in milliseconds. */
 export const STORE_DEADLINE_MS = 10_000
 /** Tries to merge a note while others are accepted at the same time. */
--- /dev/null
+++ b/packages/cluster/tests/peerLinks.test.ts
@@ -0,0 +1,153 @@
+import { createServer, connect, type AddressInfo, type Server, type Socket } from 'node:net'
+import { once } from 'node:events'
+import test from 'ava'
+import { pack } from 'msgpackr'
+import { WebSocketServer } from 'ws'
+import { brand, SeededRandom, SilentLog, SystemClock, VirtualClock, type Clock, type ConfigVersion, type MemberId } from '@auburnpin/common'
+import { PEER_SILENCE_MS, PEER_RETRY_MS, WebSocketPeers, type PeerOptions } from '../src/index.ts'
+
+const OLD_KEY = { id: 'old', secret: 'old-secret-old-secret' }
+const NEW_KEY = { id: 'new', secret: 'new-secret-new-secret' }
+
+const create = (name: string, options: Partial<PeerOptions> = {}, clock: Clock = new SystemClock()): WebSocketPeers => {
+  const peers = new WebSocketPeers({ member: brand<MemberId>(name), host: '127.0.0.1', port: 0, keys: [OLD_KEY], ...options }, clock, new SeededRandom(name.charCodeAt(0)), new SilentLog())
+  peers.onRequest(async () => ({ kind: 'configuration', configuration: null }))
+  return peers
+}
+
+const until = async (holds: () => boolean, tries = 500): Promise<boolean> => {
+  for (let attempt = 0; attempt < tries; attempt++) {
+    if (holds()) return true
+    await new Promise(resolve => setTimeout(resolve, 10))
+  }
+  return holds()
+}
+
+const isAnswered = async (from: WebSocketPeers, to: string): Promise<boolean> =>
+  (await from.request(brand<MemberId>(to), { kind: 'read-configuration', after: brand<ConfigVersion>(0) })).ok
+
+const introduce = (peers: WebSocketPeers, member: string, address: string): void =>
+  peers.setMembers(new Map([[brand<MemberId>(member), address]]))
+
+const PAIRINGS: ReadonlyArray<Readonly<{ what: string, one: Partial<PeerOptions>, other: Partial<PeerOptions>, isLinked: boolean }>> = [
+  { what: 'the same key', one: {}, other: {}, isLinked: true },
+  { what: 'a key in rotation: the new one is used where both are known', one: { keys: [NEW_KEY, OLD_KEY] }, other: { keys: [OLD_KEY, NEW_KEY] }, isLinked: true },
+  { what: 'a key that the other does not know', one: { keys: [NEW_KEY] }, other: { keys: [OLD_KEY] }, isLinked: false },
+  { what: 'the name of a known key with another secret', one: { keys: [{ ...OLD_KEY, secret: NEW_KEY.secret }] }, other: {}, isLinked: false },
+  { what: 'neighbouring protocols', one: { protocols: { newest: 3, oldest: 2 } }, other: { protocols: { newest: 2, oldest: 1 } }, isLinked: true },
+  { what: 'protocols too far apart', one: { protocols: { newest: 4, oldest: 3 } }, other: { protocols: { newest: 2, oldest: 1 } }, isLinked: false }
+]
+
+for (const { what, one, other, isLinked } of PAIRINGS) {
+  test(`two members with ${what} ${isLinked ? 'link up, either way' : 'refuse each other'}`, async t => {
+    const [a, b] = [create('a', one), create('b', other)]
+    t.teardown(async () => { await Promise.all([a.close(), b.close()]) })
+    const addresses = [await a.listen(), await b.listen()]
+    introduce(a, 'b', addresses[1] ?? '')
+    introduce(b, 'a', addresses[0] ?? '')
+    t.is(await until(() => a.others.length === 1 && b.others.length === 1, isLinked ? 500 : 30), isLinked)
+    t.is(await isAnswered(a, 'b'), isLinked)
+    t.is(await isAnswered(b, 'a'), isLinked)
+  })
+}
+
+test('a listener that lets anyone in without knowing the key gets no link', async t => {
+  const caller = create('a')
+  const impostor = new WebSocketServer({ host: '127.0.0.1', port: 0 })
+  await once(impostor, 'listening')
+  let greetings = 0
+  impostor.on('connection', socket => {
+    socket.send(pack({ kind: 'challenge', protocol: 1, oldest: 1, nonce: 'nonce' }))
+    socket.on('message', () => {
+      greetings++
+      socket.send(pack({ kind: 'welcome', member: 'b', proof: 'guessed' }))
+    })
+  })
+  t.teardown(async () => {
+    await caller.close()
+    impostor.close()
+  })
+  introduce(caller, 'b', `127.0.0.1:${(impostor.address() as AddressInfo).port}`)
+  t.true(await until(() => greetings > 0))
+  t.false(await until(() => caller.others.length > 0, 20))
+})
+
+test('keys change without a restart, and links that are open stay open', async t => {
+  const [a, b] = [create('a'), create('b')]
+  t.teardown(async () => { await Promise.all([a.close(), b.close()]) })
+  const address = await b.listen()
+  introduce(a, 'b', address)
+  t.true(await until(() => a.others.length === 1))
+  b.setKeys([NEW_KEY, OLD_KEY])
+  a.setKeys([NEW_KEY, OLD_KEY])
+  b.setKeys([NEW_KEY])
+  t.true(await isAnswered(a, 'b'))
+  const fresh = create('c', { keys: [NEW_KEY] })
+  t.teardown(() => fresh.close())
+  introduce(fresh, 'b', address)
+  t.true(await until(() => fresh.others.length === 1))
+})
+
+test('a process that knows only contacts finds the members behind them, and not itself', async t => {
+  const a = create('a')
+  const address = await a.listen()
+  const fresh = create('b', { contacts: ['127.0.0.1:1', address] })
+  t.teardown(async () => { await Promise.all([a.close(), fresh.close()]) })
+  await fresh.listen()
+  t.true(await until(() => fresh.others.length === 1))
+  t.deepEqual([...fresh.others], [brand<MemberId>('a')])
+  t.true(await isAnswered(fresh, 'a'))
+})
+
+/** Carries a connection until it is told to swallow everything without closing it. */
+class Relay {
+  readonly #server: Server
+  readonly #sockets = new Set<Socket>()
+  #isSilent = false
+
+  constructor (target: string) {
+    this.#server = createServer(incoming => {
+      const outgoing = connect(Number(target.split(':')[1]), '127.0.0.1')
+      // What was opened before the silence stays silent; new connections work.
+      const isOld = (): boolean => this.#isSilent && this.#sockets.has(incoming)
+      for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]] as const) {
+        from.on('error', () => {})
+        from.on('close', () => to.destroy())
+        from.on('data', chunk => { if (!isOld()) to.write(chunk) })
+      }
+      if (!this.#isSilent) this.#sockets.add(incoming)
+    })
+  }
+
+  listen (): Promise<string> {
+    return new Promise(resolve => this.#server.listen(0, '127.0.0.1', () => resolve(`127.0.0.1:${(this.#server.address() as AddressInfo).port}`)))
+  }
+
+  silence (): void {
+    this.#isSilent = true
+  }
+
+  close (): void {
+    this.#server.close()
+  }
+}
+
+test('a link that has gone silent for good is cut, its open questions end, and a new link takes its place', async t => {
+  const clock = new VirtualClock()
+  const [a, b] = [create('a', {}, clock), create('b', {}, clock)]
+  const relay = new Relay(await b.listen())
+  t.teardown(async () => {
+    await Promise.all([a.close(), b.close()])
+    relay.close()
+  })
+  introduce(a, 'b', await relay.listen())
+  t.true(await until(() => a.others.length === 1))
+  relay.silence()
+  const asked = isAnswered(a, 'b')
+  for (let waitedMs = 0; waitedMs <= PEER_SILENCE_MS + 2_000; waitedMs += 1_000) await clock.advance(1_000)
+  t.true(await until(() => a.others.length === 0))
+  t.false(await asked)
+  await clock.advance(PEER_RETRY_MS * 2)
+  t.true(await until(() => a.others.length === 1))
+  t.true(await isAnswered(a, 'b'))
+})
