--- a/packages/cluster/src/types.ts
+++ b/packages/cluster/src/types.ts
@@ -73,8 +73,8 @@
 /** The answer to a question. */
 export type PeerReply =
   | Readonly<{ kind: 'accepted', task: Task }>
-  /** With the VM that the task is placed on, and why it is where it is, as its cell sees it. */
-  | Readonly<{ kind: 'task', task: Task | null, vm?: Vm, reason?: TaskReason }>
+  /** With the VM that the task is placed on, `null` if that is on no list, and why it is where it is, as its cell sees it. */
+  | Readonly<{ kind: 'task', task: Task | null, vm?: Vm | null, reason?: TaskReason }>
   | Readonly<{ kind: 'tasks', tasks: readonly Task[] }>
   | Readonly<{ kind: 'cell-summary', summary: CellSummary }>
   | Readonly<{ kind: 'endpoints', published: readonly EndpointsNotice[] }>
--- a/packages/core/src/explain/explainTask.ts
+++ b/packages/core/src/explain/explainTask.ts
@@ -5,8 +5,8 @@
 import type { Task, TaskReason, Vm } from '../cell/types.ts'
 import { describeReason, describeResources, type Wording } from './describeReason.ts'
 
-/** The VM of the task's placement, and why the cell's policy has it there. */
-export type Standing = Readonly<{ vm?: Vm, reason?: TaskReason }>
+/** The VM of the task's placement, `null` if that is on no list, and why the cell's policy has it there. */
+export type Standing = Readonly<{ vm?: Vm | null, reason?: TaskReason }>
 
 const FULL_SHARE = 1
 const PERCENT = 100
@@ -19,15 +19,15 @@
  */
 export const explainTask = (task: Task, { vm, reason }: Standing = {}): string => {
   const known = newWith(task, { reason: task.reason ?? reason })
-  const isDoubtful = vm !== undefined && task.placement !== undefined
-  const { cause, change } = (isDoubtful ? unreachable(task, vm) : undefined) ?? wordingOf(known)
+  const { cause, change } = unreachable(task, vm) ?? wordingOf(known)
   return `${task.spec.id} ${cause}; ${change}.`
 }
 
 // An attempt on a VM that nobody can ask may still run, so no other may be started yet.
-const unreachable = (task: Task, vm: Vm): Wording | undefined => {
-  const standing = `sits on VM ${vm.id} as attempt ${task.attempt}`
-  if (vm.missingSince !== undefined) {
+const unreachable = (task: Task, vm: Vm | null | undefined): Wording | undefined => {
+  if (task.placement === undefined || vm === undefined) return undefined
+  const standing = `sits on VM ${vmOf(task)} as attempt ${task.attempt}`
+  if (vm === null || vm.missingSince !== undefined) {
     return { cause: `${standing}, which has left the VM list`, change: 'it is moved by itself once a lease has surely run out there' }
   }
   if (vm.session !== undefined) return undefined
--- a/packages/core/tests/explainTask.test.ts
+++ b/packages/core/tests/explainTask.test.ts
@@ -62,6 +62,7 @@
   const task: Task = { ...TASK, state: 'running', attempt: brand<Attempt>(1), placement: PLACEMENT }
   t.is(explainTask(task, { vm: { ...vm, session: PLACEMENT.session } }), explainTask(task))
   t.regex(explainTask(task, { vm }), /^order-17 sits on VM vm-007 as attempt 1, whose worker holds no lease/)
+  t.regex(explainTask(task, { vm: null }), /^order-17 sits on VM vm-007 as attempt 1, which has left the VM list/)
   t.regex(explainTask(task, { vm: { ...vm, missingSince: brand<Instant>(1) } }), /which has left the VM list; it is moved by itself once a lease has surely run out there\.$/)
 })
 
--- a/packages/gateway/src/actions/findTask.ts
+++ b/packages/gateway/src/actions/findTask.ts
@@ -7,7 +7,7 @@
 import { askOwner, cellOfJob } from './askOwner.ts'
 
 /** A task and the cell that keeps it. */
-export type FoundTask = Readonly<{ cell: CellId, task: Task, vm?: Vm, reason?: TaskReason }>
+export type FoundTask = Readonly<{ cell: CellId, task: Task, vm?: Vm | null, reason?: TaskReason }>
 
 /**
  * Asks the cell that a submitted job would be in, then all others at once: declared tasks and tasks that were
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -99,9 +99,9 @@
     return this.#cell.state.durable
   }
 
-  /** The VM that the task is placed on, if any. */
-  vmOf (task: Task): Vm | undefined {
-    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm)
+  /** The VM that the task is placed on, if any; `null` if it is on no list since this owner took over. */
+  vmOf (task: Task): Vm | null | undefined {
+    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm) ?? null
   }
 
   /** Why the task is where it is. */
