--- a/app/src/commands/ServeCommand.ts
+++ b/app/src/commands/ServeCommand.ts
@@ -8,7 +8,7 @@
 import { readYamlFile } from '../settings/readYamlFile.ts'
 import { settingsSchema } from '../settings/settingsSchema.ts'
 import { Command, type CommandOptions } from './Command.ts'
-import { printFaults } from './output.ts'
+import { failToListen, printFaults } from './output.ts'
 
 /** Runs until SIGTERM or SIGINT, then leaves gracefully. */
 export class ServeCommand extends Command {
@@ -41,7 +41,11 @@
       if (changed.err) log.error('The settings are invalid; nothing was changed', { faults: changed.val.length })
       else member.setPeerKeys(changed.val.peerKeys)
     })
-    await member.start()
+    try {
+      await member.start()
+    } catch (thrown) {
+      return failToListen(thrown)
+    }
     await stopAsked
     await member.stop()
     return exitCode
--- a/app/src/commands/StandInCommand.ts
+++ b/app/src/commands/StandInCommand.ts
@@ -5,7 +5,7 @@
 import { StandInControl, StandInRegion } from '@auburnpin/stand-in'
 import { EXIT_DONE } from '../exitCodes.ts'
 import { Command, type CommandOptions } from './Command.ts'
-import { printLine } from './output.ts'
+import { failToListen, printLine } from './output.ts'
 
 const MEGABYTES_PER_CORE = 4_000
 
@@ -36,9 +36,8 @@
       workersPerRack: Number(options.workersPerRack),
       room: { processors, memoryMb: processors * MEGABYTES_PER_CORE, accelerators: 0 }
     })
-    const address = await region.start(Number(options.port))
     const control = new StandInControl(region)
-    const controlAddress = await control.listen(Number(options.controlPort))
+    const [address, controlAddress] = await open(region, control, options).catch(failToListen)
     if (options.json === true) printLine(JSON.stringify({ platform: address, control: controlAddress, workers: region.workers.size }))
     else printLine(`Stand-in platform at ${address} with ${region.workers.size} workers, faults at ${controlAddress}; end it with Ctrl-C.`)
     await new Promise<void>(resolve => {
@@ -50,3 +49,6 @@
     return EXIT_DONE
   }
 }
+
+const open = async (region: StandInRegion, control: StandInControl, options: CommandOptions): Promise<readonly [platform: string, control: string]> =>
+  [await region.start(Number(options.port)), await control.listen(Number(options.controlPort))]
--- a/app/src/commands/output.ts
+++ b/app/src/commands/output.ts
@@ -1,7 +1,7 @@
 /**
  * What commands print: results on standard output, faults and progress on standard error.
  */
-import { type AuburnpinError } from '@auburnpin/common'
+import { toAuburnpinError, type AuburnpinError } from '@auburnpin/common'
 import { EXIT_INVALID, exitCodeOf } from '../exitCodes.ts'
 import { formatFault, type FileFault } from '../settings/FileFault.ts'
 
@@ -31,3 +31,9 @@
 
 /** Takes the progress line away. */
 export const endProgress = (): void => showProgress('')
+
+/** Ends the program when an address can't be listened at; listeners that are open already would keep it running. */
+export const failToListen = (thrown: unknown): never => {
+  const error = toAuburnpinError(thrown, 'invalid-request', 'Give a free port at an address of this VM, or end the process that holds it.')
+  return process.exit(printError(error))
+}
--- a/app/tests/output.test.ts
+++ b/app/tests/output.test.ts
@@ -35,3 +35,12 @@
   t.is(await program.exit(), 0)
   t.is(program.errors, '')
 })
+
+test('a port that is taken ends the start with exit code 2 and a remedy', async t => {
+  const first = new Program('stand-in', '--port', '0', '--control-port', '0', '--workers', '1')
+  t.teardown(() => first.signal('SIGKILL'))
+  const taken = (await first.find(/platform at \S+:(\d+)/))
+  const second = new Program('stand-in', '--port', taken, '--control-port', '0', '--workers', '1')
+  t.is(await second.exit(), 2)
+  t.regex(second.errors, /^invalid-request: listen EADDRINUSE.*\. Give a free port at an address of this VM/)
+})
