--- a/app/src/commands/StandInCommand.ts
+++ b/app/src/commands/StandInCommand.ts
@@ -17,7 +17,7 @@
   describe (argv: Argv): Argv {
     return argv
       .option('port', { type: 'number', default: 9000, describe: 'Port of the platform' })
-      .option('control-port', { type: 'number', default: 9001, describe: 'Port on which faults are switched on' })
+      .option('control-port', { type: 'number', default: 0, describe: 'Port on which faults are switched on; 0 takes any free one' })
       .option('data-centres', { type: 'string', default: 'colombo,negombo,kalutara', describe: 'Names, separated by commas' })
       .option('workers', { type: 'number', default: 33, describe: 'Workers in all' })
       .option('workers-per-rack', { type: 'number', default: 8, describe: 'Workers in each rack' })
