--- a/packages/core/tests/colocationPolicy.test.ts
+++ b/packages/core/tests/colocationPolicy.test.ts
@@ -150,3 +150,43 @@
   story.withService(100, [replicaOf('s.0', 2), replicaOf('s.1', 2)]).tick()
   t.is(story.task('s.1').placement?.vm, vmOf('vm-3').id)
 })
+
+test('a wave of submissions and its cancellation starve neither urgent work nor other teams', t => {
+  const desk = brand<TeamName>('desk')
+  const story = new PolicyStory().withVms(vmOf('vm-1'))
+  for (let index = 0; index < 5_000; index++) story.submit(specOf(`b${index}`, 1 + (index % 3), { acceptedAt: index }))
+  story.submit(specOf('d', 1, { team: desk, acceptedAt: 9_000 }), specOf('u', 1, { isUrgent: true, acceptedAt: 9_001 }))
+  const first = idsOf(story.tick(), 'assigned')
+  t.deepEqual(first.slice(0, 2), ['u', 'd'], 'desk has used nothing, so it goes before the wave')
+  for (let index = 0; index < 5_000; index++) story.tell({ kind: 'cancelled', task: story.task(`b${index}`).spec.id })
+  story.submit(specOf('late', 1, { acceptedAt: 10_000 }))
+  for (const id of first.slice(2)) story.report(id, 'stopped')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['late'])
+  t.is([...story.cell.state.tasks.values()].filter(({ state }) => state === 'cancelled').length, 5_000)
+})
+
+test('waiting lowers the rank of a team until it goes before one with a smaller share', t => {
+  const desk = brand<TeamName>('desk')
+  const story = new PolicyStory().withVms(vmOf('vm-1')).withQuotas({ buyers: sized(16, 8_000), desk: sized(16, 8_000) })
+  story.submit(specOf('b0', 4), specOf('d0', 1, { team: desk }), specOf('filler', 3, { team: brand<TeamName>('other') })).tick()
+  story.submit(specOf('b1', 3, { acceptedAt: 1 })).tick()
+  t.is(story.task('b1').state, 'queued')
+  for (let minute = 0; minute < 5; minute++) story.tick(60_000)
+  story.submit(specOf('d1', 3, { team: desk, acceptedAt: 2 }))
+  story.report('filler', 'finished')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['b1'], 'buyers have the larger share, but have waited for five minutes')
+})
+
+test('the budget bounds the evictions for services of a whole cell', t => {
+  const story = new PolicyStory({ throttles: false, evictionsPerMinute: 2 })
+    .withVms(...[1, 2, 3, 4].map(index => vmOf(`vm-${index}`))).withService(100, [1, 2, 3, 4].map(index => replicaOf(`s.${index}`, 2)))
+  story.tick()
+  for (let index = 1; index <= 4; index++) story.submit(specOf(`noisy${index}`, 4, { command: 'noisy' }))
+  story.tick()
+  story.withVms(vmOf('vm-9'), vmOf('vm-10'))
+  story.tick(10_000)
+  for (let index = 1; index <= 8; index++) {
+    for (let vm = 1; vm <= 4; vm++) story.sample(`vm-${vm}`, story.now - 100 + index, 300)
+  }
+  t.is(idsOf(story.tick(), 'stopping').length, 2)
+})
