--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -7,7 +7,7 @@
 } from '@auburnpin/common'
 import {
   Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LearntInterference,
-  type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
+  type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskReason, type TaskSpec, type Vm
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
@@ -99,6 +99,16 @@
     return this.#cell.state.durable
   }
 
+  /** The VM that the task is placed on, if any. */
+  vmOf (task: Task): Vm | undefined {
+    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm)
+  }
+
+  /** Why the task is where it is. */
+  explain (id: TaskId): TaskReason | undefined {
+    return this.#cell.explain(id, this.#ports.clock.now())
+  }
+
   /** Steps and calls to workers that wait. */
   get backlog (): number {
     return this.#journal.waiting + this.#mailbox.length + this.#actions.pending
