--- a/packages/scheduler/src/JournalWriter.ts
+++ b/packages/scheduler/src/JournalWriter.ts
@@ -5,7 +5,7 @@
 import { CELL_FORMAT, type JournalRecord, type Transition } from '@auburnpin/core'
 import { journalKey, type ClaimedCell } from '@auburnpin/cluster'
 import { newTransactionId, type TableStore, type Transaction } from '@auburnpin/platform'
-import { JOURNAL_RETRY_MS, MAX_RECORD_TRANSITIONS, MAX_WAITING_STEPS, STALL_MS } from './constants.ts'
+import { GATHER_LOOK_MS, JOURNAL_RETRY_MS, MAX_RECORD_TRANSITIONS, MAX_WAITING_STEPS, RECORD_INTERVAL_MS, STALL_MS } from './constants.ts'
 
 /** What became of a step: durable, surely not (`fenced`), or `unknown-outcome`. */
 export type JournalOutcome = Result<void, AuburnpinError>
@@ -18,6 +18,10 @@
   /** Sequence of the last record written so far. */
   last: JournalSequence
   onFenced: () => void
+  /** Least time between two records, in milliseconds, unless a full one waits. */
+  intervalMs?: number
+  /** Most transitions in one record. */
+  recordTransitions?: number
   /** Version of the configuration that the transitions follow. */
   configured?: () => ConfigVersion
   /** Called after each record's steps are settled, with the record's sequence and size. */
@@ -35,6 +39,7 @@
   #entries: Entry[] = []
   #writing: Promise<void> | undefined
   #sentAt: Instant | undefined
+  #lastSentAt: Instant | undefined
   #isFailing = false
   #isClosed = false
 
@@ -86,6 +91,7 @@
 
   async #writeAll (): Promise<void> {
     while (this.#entries.length > 0) {
+      await this.#gather()
       const batch = this.#takeBatch()
       const outcome = await this.#writeBatch(batch)
       for (const entry of batch) entry.settle(outcome.map(() => undefined))
@@ -96,6 +102,24 @@
     this.#writing = undefined
   }
 
+  // A store that answers at once would otherwise be asked for a record per step.
+  async #gather (): Promise<void> {
+    const due = (this.#lastSentAt ?? -Infinity) + (this.#options.intervalMs ?? RECORD_INTERVAL_MS)
+    while (!this.#isClosed && this.#clock.now() < due && this.#countWaiting() < this.#limit) {
+      await this.#clock.sleep(Math.min(GATHER_LOOK_MS, due - this.#clock.now()))
+    }
+  }
+
+  #countWaiting (): number {
+    let size = 0
+    for (const entry of this.#entries) size += entry.transitions.length
+    return size
+  }
+
+  get #limit (): number {
+    return this.#options.recordTransitions ?? MAX_RECORD_TRANSITIONS
+  }
+
   #refuseWaiting (): void {
     const refused = this.#entries
     this.#entries = []
@@ -106,7 +130,7 @@
     const batch: Entry[] = []
     let size = 0
     for (const entry of this.#entries) {
-      if (batch.length > 0 && size + entry.transitions.length > MAX_RECORD_TRANSITIONS) break
+      if (batch.length > 0 && size + entry.transitions.length > this.#limit) break
       batch.push(entry)
       size += entry.transitions.length
     }
@@ -120,6 +144,7 @@
     if (transitions.length === 0) return Ok(0)
     const sequence = brand<JournalSequence>(this.#last + 1)
     this.#sentAt = this.#clock.now()
+    this.#lastSentAt = this.#sentAt
     const outcome = await this.#commit(this.#toTransaction(sequence, transitions))
     this.#sentAt = undefined
     this.#isFailing = false
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -42,3 +42,7 @@
 export const JOIN_SETTLE_MS = 2_000
 /** Time between two renewals of orphaned workers' leases while the store is down, in milliseconds. */
 export const KEEPER_MS = 2_000
+/** Least time between two journal records of a cell, unless a full one waits, in milliseconds. */
+export const RECORD_INTERVAL_MS = 50
+/** Time between two looks at whether a record is full, in milliseconds. */
+export const GATHER_LOOK_MS = 10
