--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -96,3 +96,5 @@
 export const REPLACE_WAIT_MS = 120_000
 /** Time between telling gateways that a replica leaves and stopping it, in milliseconds. */
 export const REPLICA_DRAIN_MS = 30_000
+/** Kinds of task remembered as having finished in the cell, before all are forgotten. */
+export const MAX_PROVEN_KINDS = 10_000
--- a/packages/core/src/health/WorkerHealth.ts
+++ b/packages/core/src/health/WorkerHealth.ts
@@ -4,7 +4,7 @@
 import type { Instant, TaskId, VmId } from '@auburnpin/common'
 import type { Task } from '../cell/types.ts'
 import {
-  FAILED_TASKS_TO_QUARANTINE, FAILED_VMS_TO_BLAME_KIND, MAX_QUARANTINE_MS, MAX_QUARANTINED_SHARE, QUARANTINE_MS
+  FAILED_TASKS_TO_QUARANTINE, FAILED_VMS_TO_BLAME_KIND, MAX_PROVEN_KINDS, MAX_QUARANTINE_MS, MAX_QUARANTINED_SHARE, QUARANTINE_MS
 } from '../constants.ts'
 import { kindOf } from '../interference/kindOf.ts'
 
@@ -15,7 +15,8 @@
  * with one task at a time. Failures of a kind of task that fails on many VMs are the kind's own.
  */
 export class WorkerHealth {
-  readonly #failedTasks = new Map<VmId, Set<TaskId>>()
+  readonly #failures = new Map<VmId, Set<TaskId | string>>()
+  readonly #provenKinds = new Set<string>()
   readonly #failedVms = new Map<string, Set<VmId>>()
   readonly #quarantines = new Map<VmId, Quarantine>()
 
@@ -55,14 +56,16 @@
 
   /** Forgets a VM that has gone. */
   delete (vm: VmId): void {
-    this.#failedTasks.delete(vm)
+    this.#failures.delete(vm)
     this.#quarantines.delete(vm)
   }
 
   #succeed (vm: VmId, kind: string): void {
-    this.#failedTasks.delete(vm)
+    this.#failures.delete(vm)
     this.#quarantines.delete(vm)
     this.#failedVms.delete(kind)
+    if (this.#provenKinds.size >= MAX_PROVEN_KINDS) this.#provenKinds.clear()
+    this.#provenKinds.add(kind)
   }
 
   #fail (vm: VmId, task: Task, vmCount: number, now: Instant): void {
@@ -77,8 +80,9 @@
     const vms = this.#failedVms.get(kind) ?? new Set<VmId>()
     this.#failedVms.set(kind, vms.add(vm))
     if (vms.size >= FAILED_VMS_TO_BLAME_KIND) return
-    const failed = this.#failedTasks.get(vm) ?? new Set<TaskId>()
-    this.#failedTasks.set(vm, failed.add(task.spec.id))
+    const failed = this.#failures.get(vm) ?? new Set<TaskId | string>()
+    // Tasks of a kind that has never finished may all fail by their own fault, so they count once.
+    this.#failures.set(vm, failed.add(this.#provenKinds.has(kind) ? task.spec.id : kind))
     const isWithinShare = this.#quarantines.size + 1 <= Math.max(1, vmCount * MAX_QUARANTINED_SHARE)
     if (failed.size < FAILED_TASKS_TO_QUARANTINE || !isWithinShare) return
     this.#quarantines.set(vm, { until: (now + QUARANTINE_MS) as Instant, lengthMs: QUARANTINE_MS, isProbing: false })
--- a/packages/core/src/placement/Rooms.ts
+++ b/packages/core/src/placement/Rooms.ts
@@ -20,6 +20,7 @@
   readonly #reservations = new Map<TaskId, Reservation>()
   readonly #reservedOn = new Map<VmId, Set<Reservation>>()
   #wholeSize: Resources = NO_RESOURCES
+  #hasChanged = false
 
   constructor (health: WorkerHealth) {
     this.#health = health
@@ -30,8 +31,11 @@
     return this.#wholeSize
   }
 
-  get hasChanged (): boolean {
-    return this.#dirty.size > 0
+  /** Whether a refresh has found other room than before since the last call. */
+  takeChanged (): boolean {
+    const hasChanged = this.#hasChanged
+    this.#hasChanged = false
+    return hasChanged
   }
 
   /** The VM's indexes are set anew at the next `refresh`. */
@@ -79,6 +83,12 @@
   #index (state: CellState, id: VmId, now: Instant): void {
     const vm = state.vms.get(id)
     this.#indexWhole(id, vm)
+    const before = this.free.roomOn(id)
+    this.#indexFree(state, id, vm, now)
+    if (!isSameSize(before, this.free.roomOn(id))) this.#hasChanged = true
+  }
+
+  #indexFree (state: CellState, id: VmId, vm: Vm | undefined, now: Instant): void {
     const isUsable = vm?.session !== undefined && !vm.isLeaving && vm.missingSince === undefined
     if (!isUsable || !this.#health.isOpen(id, now)) {
       this.free.delete(id)
@@ -99,11 +109,15 @@
     const isListed = vm !== undefined && vm.missingSince === undefined && !vm.isLeaving
     const after = isListed ? vm.resources : NO_RESOURCES
     this.#wholeSize = addResources(subtractResources(this.#wholeSize, before), after)
+    if (!isSameSize(before, after)) this.#hasChanged = true
     if (isListed) this.whole.set(id, after)
     else this.whole.delete(id)
   }
 }
 
+const isSameSize = (left: Resources, right: Resources): boolean =>
+  left.processors === right.processors && left.memoryMb === right.memoryMb && left.accelerators === right.accelerators
+
 /** The tasks whose present attempt is on a VM. */
 export const tasksOn = (state: CellState, vm: VmId): Task[] => {
   const tasks: Task[] = []
--- a/packages/core/src/policy/ColocationPolicy.ts
+++ b/packages/core/src/policy/ColocationPolicy.ts
@@ -99,10 +99,10 @@
     const { health, rooms, unrunnable } = this.#indexes
     this.#indexes.now = now
     for (const vm of health.dueProbes(now)) rooms.touch(vm)
+    rooms.refresh(state, now)
     const isIdle = !this.#indexes.takeChanged() && now - this.#lastPassAt < MAX_IDLE_PASS_MS
     if (isIdle) return NO_TRANSITIONS
     this.#lastPassAt = now
-    rooms.refresh(state, now)
     const transitions = unrunnable.reexamine(state, rooms.whole)
     for (const transition of transitions) state.apply(transition, now)
     if (rooms.whole.size > 0) this.#serveLanes(state, transitions, now)
@@ -117,6 +117,7 @@
   relieve (state: CellState, now: Instant): Relief {
     const { queue, rooms, usage } = this.#indexes
     this.#indexes.now = now
+    rooms.refresh(state, now)
     const relief = this.#relief.relieve(state, now)
     const waiting: Task[] = []
     for (const id of queue.firstPriority(MAX_CLEARINGS_PER_PASS)) {
--- a/packages/core/src/policy/StateIndexes.ts
+++ b/packages/core/src/policy/StateIndexes.ts
@@ -41,7 +41,7 @@
 
   /** Whether anything has changed since the last call. */
   takeChanged (): boolean {
-    const hasChanged = this.#hasChanged || this.rooms.hasChanged
+    const hasChanged = this.rooms.takeChanged() || this.#hasChanged
     this.#hasChanged = false
     return hasChanged
   }
--- a/packages/core/tests/colocationPolicy.test.ts
+++ b/packages/core/tests/colocationPolicy.test.ts
@@ -116,8 +116,12 @@
   const first = story.tick(10_000)
   t.deepEqual(actionsOf(first), ['throttle'])
   t.like(story.cell.explain(story.task('noisy').spec.id, story.now), { kind: 'throttled-for', service: 'stockline' })
+  story.report('filler', 'finished')
   for (let index = 0; index < 8; index++) story.sample(vm, 4_000 + index, 300)
   t.deepEqual(actionsOf(story.tick()), [], 'measured before the throttle')
+  story.tick(10_000)
+  for (let index = 0; index < 8; index++) story.sample(vm, story.now - 100 + index, 300)
+  t.deepEqual(idsOf(story.tick(), 'stopping'), ['noisy'], 'measured after it')
 })
 
 test('with nowhere better to go, a throttled task is not evicted; with room elsewhere it is', t => {
@@ -190,3 +194,46 @@
   }
   t.is(idsOf(story.tick(), 'stopping').length, 2)
 })
+
+test('room that is being cleared for urgent work goes to nobody else', t => {
+  const story = new PolicyStory().withVms(vmOf('vm-1')).submit(specOf('a', 4), specOf('b', 4))
+  story.tick()
+  story.submit(specOf('small', 4), specOf('check', 8, { isUrgent: true, acceptedAt: 9 }))
+  t.deepEqual(idsOf(story.tick(), 'stopping').sort(), ['a', 'b'])
+  story.report('a', 'stopped')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), [], 'half of the room is there')
+  story.report('b', 'stopped')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['check'])
+})
+
+test('many jobs of a kind that fails everywhere quarantine no worker', t => {
+  const vms = [1, 2, 3, 4].map(index => vmOf(`vm-${index}`))
+  const story = new PolicyStory().withVms(...vms)
+  for (let wave = 0; wave < 3; wave++) {
+    const ids = [0, 1, 2, 3].map(index => `bad${wave}-${index}`)
+    story.submit(...ids.map(id => specOf(id, 8, { command: 'bad' }))).tick()
+    for (const id of ids) story.report(id, 'failed')
+    for (const id of ids) story.tell({ kind: 'cancelled', task: story.task(id).spec.id })
+  }
+  story.submit(...vms.map(({ id }) => specOf(`good-${id}`, 8, { command: 'good' })))
+  t.is(idsOf(story.tick(), 'assigned').length, 4)
+})
+
+test('small jobs of an untried kind that fail together on one worker do not quarantine it', t => {
+  const story = new PolicyStory().withVms(vmOf('vm-1'), vmOf('vm-2'))
+  const ids = ['a', 'b', 'c', 'd']
+  story.submit(...ids.map(id => specOf(id, 1, { command: 'bad' }))).tick()
+  t.is(new Set(ids.map(id => story.task(id).placement?.vm)).size, 1)
+  for (const id of ids) story.report(id, 'failed')
+  for (const id of ids) story.tell({ kind: 'cancelled', task: story.task(id).spec.id })
+  story.submit(specOf('x', 8, { command: 'good' }), specOf('y', 8, { command: 'good' }))
+  t.is(idsOf(story.tick(), 'assigned').length, 2)
+})
+
+test('a VM whose worker answers again is used in the next pass', t => {
+  const story = new PolicyStory().withVms(vmOf('vm-1')).submit(specOf('a', 8), specOf('b', 8))
+  story.tick()
+  story.tick()
+  story.withVms(vmOf('vm-2'))
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['b'])
+})
