--- a/packages/core/tests/cell.test.ts
+++ b/packages/core/tests/cell.test.ts
@@ -2,7 +2,7 @@
 import {
   brand, type Attempt, type CellId, type DataCentre, type Epoch, type Instant, type LeaseSession, type RackId, type TaskId, type TeamName, type VmId
 } from '@auburnpin/common'
-import { Cell, PlainPolicy, SpreadPolicy, type CellEvent, type CellStep, type ListedVm, type ReportedTask, type TaskSpec } from '../src/index.ts'
+import { Cell, EMPTY_LIST_MS, LEASE_MARGIN_MS, PlainPolicy, SpreadPolicy, WORKER_LEASE_MS, type CellEvent, type CellStep, type ListedVm, type ReportedTask, type TaskSpec } from '../src/index.ts'
 
 const VM = brand<VmId>('vm-1')
 const SESSION = brand<LeaseSession>('session-1')
@@ -106,3 +106,23 @@
   story.tell({ kind: 'tick' })
   t.is(story.stateOf(second), 'starting')
 })
+
+test('a new owner ends what ran on a VM that no list names, but not by an empty list that lasts less than a minute', t => {
+  const story = new Story().withVm()
+  story.tell({ kind: 'submitted', spec: spec(JOB, 2) })
+  story.tell({ kind: 'tick' })
+  const taken = [...story.cell.state.tasks.values()]
+  const lostAfter = (vms: readonly ListedVm[]): number => {
+    const next = new Story()
+    next.cell.restore([], next.now, taken)
+    for (let seconds = 1; seconds < 120; seconds++) {
+      next.tell({ kind: 'vms-listed', vms }, 1_000)
+      if (next.tell({ kind: 'tick' }, 0).transitions.some(transition => transition.kind === 'ended')) return seconds * 1_000
+    }
+    return Infinity
+  }
+  const leaseMs = WORKER_LEASE_MS + LEASE_MARGIN_MS
+  t.is(lostAfter([{ ...vm, id: brand<VmId>('vm-2') }]), 1_000 + leaseMs)
+  t.is(lostAfter([]), 1_000 + EMPTY_LIST_MS + leaseMs)
+  t.is(lostAfter([vm]), Infinity)
+})
