--- a/app/src/commands/ServeCommand.ts
+++ b/app/src/commands/ServeCommand.ts
@@ -8,7 +8,7 @@
 import { readYamlFile } from '../settings/readYamlFile.ts'
 import { settingsSchema } from '../settings/settingsSchema.ts'
 import { Command, type CommandOptions } from './Command.ts'
-import { printFaults } from './output.ts'
+import { failToListen, printFaults } from './output.ts'
 
 /** Runs until SIGTERM or SIGINT, then leaves gracefully. */
 export class ServeCommand extends Command {
@@ -35,7 +35,17 @@
         resolve()
       })
     })
-    await member.start()
+    // Keys change without a restart: first add the new one everywhere, then use it, then take the old one out.
+    process.on('SIGHUP', () => {
+      const changed = readYamlFile(String(options.settings), settingsSchema)
+      if (changed.err) log.error('The settings are invalid; nothing was changed', { faults: changed.val.length })
+      else member.setPeerKeys(changed.val.peerKeys)
+    })
+    try {
+      await member.start()
+    } catch (thrown) {
+      return failToListen(thrown)
+    }
     await stopAsked
     await member.stop()
     return exitCode
--- a/packages/core/src/explain/explainTask.ts
+++ b/packages/core/src/explain/explainTask.ts
@@ -1,24 +1,39 @@
 /**
  * Says in one sentence why a task is where it is, and what would change that.
  */
-import { assertNever } from '@auburnpin/common'
-import type { Task } from '../cell/types.ts'
+import { assertNever, newWith } from '@auburnpin/common'
+import type { Task, TaskReason, Vm } from '../cell/types.ts'
 import { describeReason, describeResources, type Wording } from './describeReason.ts'
 
+/** The VM of the task's placement, `null` if that is on no list, and why the cell's policy has it there. */
+export type Standing = Readonly<{ vm?: Vm | null, reason?: TaskReason }>
+
 const FULL_SHARE = 1
 const PERCENT = 100
 
 /**
- * One sentence for one task.
+ * One sentence for one task, with what its cell knows beside it.
  *
  * @example
  * explainTask(task) // 'order-17 is queued because VM vm-007 is leaving; it resumes by itself on another VM once there is room.'
  */
-export const explainTask = (task: Task): string => {
-  const { cause, change } = wordingOf(task)
+export const explainTask = (task: Task, { vm, reason }: Standing = {}): string => {
+  const known = newWith(task, { reason: task.reason ?? reason })
+  const { cause, change } = unreachable(task, vm) ?? wordingOf(known)
   return `${task.spec.id} ${cause}; ${change}.`
 }
 
+// An attempt on a VM that nobody can ask may still run, so no other may be started yet.
+const unreachable = (task: Task, vm: Vm | null | undefined): Wording | undefined => {
+  if (task.placement === undefined || vm === undefined) return undefined
+  const standing = `sits on VM ${vmOf(task)} as attempt ${task.attempt}`
+  if (vm === null || vm.missingSince !== undefined) {
+    return { cause: `${standing}, which has left the VM list`, change: 'it is moved by itself once a lease has surely run out there' }
+  }
+  if (vm.session !== undefined) return undefined
+  return { cause: `${standing}, whose worker holds no lease as it does not answer`, change: 'it goes on by itself once the worker answers, or is moved once the VM leaves the VM list' }
+}
+
 const wordingOf = (task: Task): Wording => {
   switch (task.state) {
     case 'queued':
@@ -56,6 +71,7 @@
 const running = (task: Task): Wording => {
   const where = `runs on VM ${vmOf(task)} as attempt ${task.attempt}${historyOf(task)}`
   if (task.isWithdrawn) return { cause: `${where} and is being withdrawn`, change: 'it ends once the worker confirms the stop' }
+  if (task.reason?.kind === 'placed' || task.reason?.kind === 'throttled-for') return becauseOr(task, where, { cause: where, change: '' })
   const share = task.placement?.throttle ?? FULL_SHARE
   if (share < FULL_SHARE) {
     return { cause: `${where}, held to ${Math.round(share * PERCENT)} % of its cores to protect a service beside it`, change: 'it is let go once the service meets its objective again' }
--- a/packages/core/tests/colocationPolicy.test.ts
+++ b/packages/core/tests/colocationPolicy.test.ts
@@ -116,8 +116,12 @@
   const first = story.tick(10_000)
   t.deepEqual(actionsOf(first), ['throttle'])
   t.like(story.cell.explain(story.task('noisy').spec.id, story.now), { kind: 'throttled-for', service: 'stockline' })
+  story.report('filler', 'finished')
   for (let index = 0; index < 8; index++) story.sample(vm, 4_000 + index, 300)
   t.deepEqual(actionsOf(story.tick()), [], 'measured before the throttle')
+  story.tick(10_000)
+  for (let index = 0; index < 8; index++) story.sample(vm, story.now - 100 + index, 300)
+  t.deepEqual(idsOf(story.tick(), 'stopping'), ['noisy'], 'measured after it')
 })
 
 test('with nowhere better to go, a throttled task is not evicted; with room elsewhere it is', t => {
@@ -150,3 +154,86 @@
   story.withService(100, [replicaOf('s.0', 2), replicaOf('s.1', 2)]).tick()
   t.is(story.task('s.1').placement?.vm, vmOf('vm-3').id)
 })
+
+test('a wave of submissions and its cancellation starve neither urgent work nor other teams', t => {
+  const desk = brand<TeamName>('desk')
+  const story = new PolicyStory().withVms(vmOf('vm-1'))
+  for (let index = 0; index < 5_000; index++) story.submit(specOf(`b${index}`, 1 + (index % 3), { acceptedAt: index }))
+  story.submit(specOf('d', 1, { team: desk, acceptedAt: 9_000 }), specOf('u', 1, { isUrgent: true, acceptedAt: 9_001 }))
+  const first = idsOf(story.tick(), 'assigned')
+  t.deepEqual(first.slice(0, 2), ['u', 'd'], 'desk has used nothing, so it goes before the wave')
+  for (let index = 0; index < 5_000; index++) story.tell({ kind: 'cancelled', task: story.task(`b${index}`).spec.id })
+  story.submit(specOf('late', 1, { acceptedAt: 10_000 }))
+  for (const id of first.slice(2)) story.report(id, 'stopped')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['late'])
+  t.is([...story.cell.state.tasks.values()].filter(({ state }) => state === 'cancelled').length, 5_000)
+})
+
+test('waiting lowers the rank of a team until it goes before one with a smaller share', t => {
+  const desk = brand<TeamName>('desk')
+  const story = new PolicyStory().withVms(vmOf('vm-1')).withQuotas({ buyers: sized(16, 8_000), desk: sized(16, 8_000) })
+  story.submit(specOf('b0', 4), specOf('d0', 1, { team: desk }), specOf('filler', 3, { team: brand<TeamName>('other') })).tick()
+  story.submit(specOf('b1', 3, { acceptedAt: 1 })).tick()
+  t.is(story.task('b1').state, 'queued')
+  for (let minute = 0; minute < 5; minute++) story.tick(60_000)
+  story.submit(specOf('d1', 3, { team: desk, acceptedAt: 2 }))
+  story.report('filler', 'finished')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['b1'], 'buyers have the larger share, but have waited for five minutes')
+})
+
+test('the budget bounds the evictions for services of a whole cell', t => {
+  const story = new PolicyStory({ throttles: false, evictionsPerMinute: 2 })
+    .withVms(...[1, 2, 3, 4].map(index => vmOf(`vm-${index}`))).withService(100, [1, 2, 3, 4].map(index => replicaOf(`s.${index}`, 2)))
+  story.tick()
+  for (let index = 1; index <= 4; index++) story.submit(specOf(`noisy${index}`, 4, { command: 'noisy' }))
+  story.tick()
+  story.withVms(vmOf('vm-9'), vmOf('vm-10'))
+  story.tick(10_000)
+  for (let index = 1; index <= 8; index++) {
+    for (let vm = 1; vm <= 4; vm++) story.sample(`vm-${vm}`, story.now - 100 + index, 300)
+  }
+  t.is(idsOf(story.tick(), 'stopping').length, 2)
+})
+
+test('room that is being cleared for urgent work goes to nobody else', t => {
+  const story = new PolicyStory().withVms(vmOf('vm-1')).submit(specOf('a', 4), specOf('b', 4))
+  story.tick()
+  story.submit(specOf('small', 4), specOf('check', 8, { isUrgent: true, acceptedAt: 9 }))
+  t.deepEqual(idsOf(story.tick(), 'stopping').sort(), ['a', 'b'])
+  story.report('a', 'stopped')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), [], 'half of the room is there')
+  story.report('b', 'stopped')
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['check'])
+})
+
+test('many jobs of a kind that fails everywhere quarantine no worker', t => {
+  const vms = [1, 2, 3, 4].map(index => vmOf(`vm-${index}`))
+  const story = new PolicyStory().withVms(...vms)
+  for (let wave = 0; wave < 3; wave++) {
+    const ids = [0, 1, 2, 3].map(index => `bad${wave}-${index}`)
+    story.submit(...ids.map(id => specOf(id, 8, { command: 'bad' }))).tick()
+    for (const id of ids) story.report(id, 'failed')
+    for (const id of ids) story.tell({ kind: 'cancelled', task: story.task(id).spec.id })
+  }
+  story.submit(...vms.map(({ id }) => specOf(`good-${id}`, 8, { command: 'good' })))
+  t.is(idsOf(story.tick(), 'assigned').length, 4)
+})
+
+test('small jobs of an untried kind that fail together on one worker do not quarantine it', t => {
+  const story = new PolicyStory().withVms(vmOf('vm-1'), vmOf('vm-2'))
+  const ids = ['a', 'b', 'c', 'd']
+  story.submit(...ids.map(id => specOf(id, 1, { command: 'bad' }))).tick()
+  t.is(new Set(ids.map(id => story.task(id).placement?.vm)).size, 1)
+  for (const id of ids) story.report(id, 'failed')
+  for (const id of ids) story.tell({ kind: 'cancelled', task: story.task(id).spec.id })
+  story.submit(specOf('x', 8, { command: 'good' }), specOf('y', 8, { command: 'good' }))
+  t.is(idsOf(story.tick(), 'assigned').length, 2)
+})
+
+test('a VM whose worker answers again is used in the next pass', t => {
+  const story = new PolicyStory().withVms(vmOf('vm-1')).submit(specOf('a', 8), specOf('b', 8))
+  story.tick()
+  story.tick()
+  story.withVms(vmOf('vm-2'))
+  t.deepEqual(idsOf(story.tick(), 'assigned'), ['b'])
+})
--- a/packages/core/tests/explainTask.test.ts
+++ b/packages/core/tests/explainTask.test.ts
@@ -1,10 +1,12 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { brand, type Attempt, type Instant, type LeaseSession, type TaskId, type TeamName, type VmId } from '@auburnpin/common'
+import { brand, type Attempt, type DataCentre, type Instant, type LeaseSession, type RackId, type ServiceName, type TaskId, type TeamName, type VmId } from '@auburnpin/common'
 import { explainTask, summariseTasks, type Task, type TaskReason } from '../src/index.ts'
 
 const VM = brand<VmId>('vm-007')
 
+const STOCKLINE = brand<ServiceName>('stockline')
+
 const TASK: Task = {
   spec: {
     id: brand<TaskId>('order-17'),
@@ -28,6 +30,14 @@
   { kind: 'waiting-for-room' },
   { kind: 'waiting-for-workers' },
   { kind: 'too-large', largest: { processors: 32, memoryMb: 125_000, accelerators: 0 } },
+  { kind: 'over-quota', team: brand<TeamName>('buyers'), quota: { processors: 1, memoryMb: 1, accelerators: 1 } },
+  { kind: 'would-slow', service: STOCKLINE },
+  { kind: 'waiting-for-eviction', vm: VM },
+  { kind: 'placed', vm: VM, servicesOnVm: [STOCKLINE] },
+  { kind: 'throttled-for', service: STOCKLINE, share: 0.5 },
+  { kind: 'evicted-for-service', service: STOCKLINE, vm: VM },
+  { kind: 'redeclared' },
+  { kind: 'replaced' },
   { kind: 'evicted-for', task: brand<TaskId>('stockline.0') },
   { kind: 'vm-leaving', vm: VM },
   { kind: 'vm-lost', vm: VM },
@@ -47,6 +57,22 @@
   t.regex(explainTask(task), /^order-17 runs on VM vm-007 as attempt 2 after 1 eviction, held to 40 % of its cores/)
 })
 
+test('a task on a VM that nobody can ask says why it is not moved yet', t => {
+  const vm = { id: VM, dataCentre: brand<DataCentre>('derby'), rack: brand<RackId>('r1'), address: '', resources: TASK.spec.resources, isLeaving: false }
+  const task: Task = { ...TASK, state: 'running', attempt: brand<Attempt>(1), placement: PLACEMENT }
+  t.is(explainTask(task, { vm: { ...vm, session: PLACEMENT.session } }), explainTask(task))
+  t.regex(explainTask(task, { vm }), /^order-17 sits on VM vm-007 as attempt 1, whose worker holds no lease/)
+  t.regex(explainTask(task, { vm: null }), /^order-17 sits on VM vm-007 as attempt 1, which has left the VM list/)
+  t.regex(explainTask(task, { vm: { ...vm, missingSince: brand<Instant>(1) } }), /which has left the VM list; it is moved by itself once a lease has surely run out there\.$/)
+})
+
+test('what the policy knows is said where the task keeps no reason of its own', t => {
+  const running: Task = { ...TASK, state: 'running', attempt: brand<Attempt>(1), placement: PLACEMENT }
+  t.is(explainTask(running, { reason: { kind: 'placed', vm: VM, servicesOnVm: [STOCKLINE] } }), 'order-17 runs on VM vm-007 as attempt 1 because VM vm-007 has room for it beside stockline; draining the VM or withdrawing the task moves it.')
+  t.regex(explainTask(TASK, { reason: { kind: 'would-slow', service: STOCKLINE } }), /^order-17 is queued because on every VM with room it would slow stockline past its objective; /)
+  t.regex(explainTask({ ...TASK, reason: { kind: 'vm-lost', vm: VM } }, { reason: { kind: 'waiting-for-room' } }), /VM vm-007 has left the VM list/)
+})
+
 test('every state and reason gives one sentence that names the task and a way on', t => {
   const states = fc.constantFrom<Task['state']>('queued', 'starting', 'running', 'evicting', 'finished', 'failed', 'cancelled', 'unrunnable')
   const reasons = fc.constantFrom<TaskReason | undefined>(undefined, ...REASONS)
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -7,7 +7,7 @@
 } from '@auburnpin/common'
 import {
   Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LearntInterference,
-  type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskSpec
+  type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskReason, type TaskSpec, type Vm
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
@@ -99,6 +99,16 @@
     return this.#cell.state.durable
   }
 
+  /** The VM that the task is placed on, if any; `null` if it is on no list since this owner took over. */
+  vmOf (task: Task): Vm | null | undefined {
+    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm) ?? null
+  }
+
+  /** Why the task is where it is. */
+  explain (id: TaskId): TaskReason | undefined {
+    return this.#cell.explain(id, this.#ports.clock.now())
+  }
+
   /** Steps and calls to workers that wait. */
   get backlog (): number {
     return this.#journal.waiting + this.#mailbox.length + this.#actions.pending
@@ -238,7 +248,7 @@
       if (transition.end === 'finished') metrics.count('tasks.finished', 1, { cell })
       const task = this.#cell.state.tasks.get(transition.task)
       // A stopped attempt of a withdrawn task does not run again, so it is no eviction.
-      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'unknown' })
+      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'by-worker' })
     }
   }
 
