--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -99,9 +99,9 @@
     return this.#cell.state.durable
   }
 
-  /** The VM that the task is placed on, if any. */
-  vmOf (task: Task): Vm | undefined {
-    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm)
+  /** The VM that the task is placed on, if any; `null` if it is on no list since this owner took over. */
+  vmOf (task: Task): Vm | null | undefined {
+    return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm) ?? null
   }
 
   /** Why the task is where it is. */
@@ -248,7 +248,7 @@
       if (transition.end === 'finished') metrics.count('tasks.finished', 1, { cell })
       const task = this.#cell.state.tasks.get(transition.task)
       // A stopped attempt of a withdrawn task does not run again, so it is no eviction.
-      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'unknown' })
+      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'by-worker' })
     }
   }
 
