--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -50,6 +50,8 @@
     if (task?.placement === undefined) continue
     const { transitions } = cell.step({ kind: 'reported', vm: task.placement.vm, askedAt: now, session: null, tasks: [] }, now)
     cell.settle(transitions, now)
+    // A report without a session closes the one that was held.
+    cell.step({ kind: 'lease-granted', vm: task.placement.vm, session: SESSION, sentAt: now }, now)
   }
 }
 
