--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak -- --seed N --minutes M`: random histories until M virtual minutes have been run.
+ * `npm run soak -- --seed N --minutes M [--shrink]`: random histories of about M virtual minutes together.
  */
 import fc from 'fast-check'
 import yargs from 'yargs'
@@ -9,11 +9,11 @@
 
 const LONGEST_HISTORY = 40
 const MINUTES_PER_HISTORY = 4
-const SHRINKING_MS = 120_000
 
 const options = yargs(hideBin(process.argv))
   .option('seed', { type: 'number', default: 1 })
   .option('minutes', { type: 'number', default: 60, describe: 'Virtual minutes' })
+  .option('shrink', { type: 'boolean', default: false, describe: 'After a failure look for the shortest history that fails too' })
   .strict()
   .parseSync()
 
@@ -28,7 +28,7 @@
 
 const startedAt = performance.now()
 const numRuns = Math.max(1, Math.ceil(options.minutes / MINUTES_PER_HISTORY))
-const outcome = await fc.check(property, { seed: options.seed, numRuns, interruptAfterTimeLimit: numRuns * 10_000 + SHRINKING_MS, markInterruptAsFailure: false })
+const outcome = await fc.check(property, { seed: options.seed, numRuns, endOnFailure: !options.shrink })
 
 const faults: Record<string, number> = {}
 for (const report of reports) {
