A take-over takes no endpoint from the gateways

Cause: a new owner published endpoints before its workers had reported; status fell from 22 to 11 endpoints while a cell moved at a planned stop, and a cell alone fell to none. Ruled out: the former owner's last publication (it was whole; the higher epoch replaced it). Change: EndpointPublisher waits until every VM with a replica has reported to this owner, 4 s at most.

--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -12,6 +12,7 @@
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
 import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
 import { ActionRunner } from './ActionRunner.ts'
+import { EndpointPublisher } from './EndpointPublisher.ts'
 import { MAX_WAITING_STEPS, TICK_MS } from './constants.ts'
 import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
 import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
@@ -42,6 +43,7 @@
   readonly #cell: Cell
   readonly #journal: JournalWriter
   readonly #snapshots: SnapshotWriter
+  readonly #endpoints: EndpointPublisher
   readonly #actions: ActionRunner
   readonly #mailbox: Mailbox<Message>
   readonly #ticker: Ticker
@@ -51,7 +53,6 @@
   #open = 0
   #isClosed = false
   #isLost = false
-  #revision = 0
 
   private constructor (claimed: ClaimedCell, allCells: readonly CellId[], ports: CellPorts, cell: Cell, recovered: RecoveredJournal, onLost: () => void) {
     this.#claimed = claimed
@@ -67,6 +68,7 @@
       configured: () => this.#cell.configured,
       onRecord: (sequence, transitions) => this.#snapshots.note(sequence, transitions, this.tasks, this.#cell.configured)
     })
+    this.#endpoints = new EndpointPublisher(cell, ports.publish, ports.clock.now())
     this.#actions = new ActionRunner(claimed, ports.workers, ports.log)
     this.#mailbox = new Mailbox(message => this.#handle(message), error => this.#fail(error))
     this.#ticker = new Ticker(ports.clock, TICK_MS, () => this.#mailbox.post({ event: { kind: 'tick' } }), error => this.#fail(error))
@@ -183,6 +185,7 @@
       return
     }
     if (event.kind === 'vms-listed') this.#followVms()
+    if (event.kind === 'reported') this.#endpoints.hear(event.vm)
     this.#count(step.val)
     this.#publishIfAsked(step.val)
     if (step.val.transitions.length === 0 && step.val.actions.length === 0 && settle === undefined) return
@@ -219,9 +222,8 @@
 
   // Gateways need not wait for the journal: an endpoint is running or leaving whatever the store does.
   #publishIfAsked (step: CellStep): void {
-    if (!step.actions.some(action => action.kind === 'publish-endpoints')) return
-    const { cell, epoch } = this.#claimed
-    this.#ports.publish({ kind: 'endpoints', cell, epoch, revision: ++this.#revision, endpoints: this.#cell.endpoints })
+    if (step.actions.some(action => action.kind === 'publish-endpoints')) this.#endpoints.ask()
+    this.#endpoints.publishIfDue(this.#ports.clock.now())
   }
 
   #followVms (): void {
--- a/packages/scheduler/src/constants.ts
+++ b/packages/scheduler/src/constants.ts
@@ -6,6 +6,8 @@
 export const USAGE_MS = 2_000
 /** Time between two renewals of a worker's lease, in milliseconds. */
 export const LEASE_RENEW_MS = 3_000
+/** Longest time that a new owner waits for its workers before it publishes endpoints, in milliseconds. */
+export const ENDPOINTS_SETTLE_MS = 4_000
 /** Time between two readings of the VM list, in milliseconds. */
 export const VM_LIST_POLL_MS = 1_000
 /** Most transitions in one journal record. */
