One layout of cells for all members, recorded in the store

Cause: with another region.cellsPerDataCentre a declared batch task belongs to two cells and runs twice; nothing but the operators' care kept settings alike. Weighed: a claim row per task; one row with the layout (docs/design/034). Conclusion: kept; changing the layout of a running region stays impossible rather than unsafe.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -2,10 +2,11 @@
  * One process of auburnpin: the roles its settings name, wired together.
  */
 import {
-  brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
+  AuburnpinError, brand, InvariantCounter, SilentMetrics, SystemClock, SystemRandom, type DataCentre, type Log, type MemberId, type Metrics
 } from '@auburnpin/common'
 import {
-  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LEASE_DEADLINE_MS, Membership, RegionFollower, STORE_DEADLINE_MS, WebSocketPeers, type PeerReply, type PeerRequest
+  callClassOf, CellDirectory, ConfigurationFollower, EndpointDirectory, LayoutGuard, LEASE_DEADLINE_MS, Membership, RegionFollower, STORE_DEADLINE_MS, WebSocketPeers,
+  type LayoutRow, type PeerReply, type PeerRequest
 } from '@auburnpin/cluster'
 import type { GatewaySeat } from '@auburnpin/core'
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
@@ -47,7 +48,8 @@
   readonly #directory: CellDirectory
   readonly #configuration: ConfigurationFollower
   readonly #endpoints = new EndpointDirectory()
-  readonly #replacedListeners: Array<() => void> = []
+  readonly #unfitListeners: Array<(error: AuburnpinError) => void> = []
+  readonly #layoutGuard: LayoutGuard
   #membership: Membership | undefined
   #region: RegionFollower | undefined
   #scheduler: Scheduler | undefined
@@ -68,6 +70,10 @@
     this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys, contacts: settings.contacts }, this.#clock, this.#random, log.forComponent('peers'))
     this.#directory = new CellDirectory(this.#table, this.#clock, log.forComponent('cells'))
     this.#configuration = new ConfigurationFollower(this.#table, this.#peers, this.#clock, log.forComponent('configuration'))
+    this.#layoutGuard = new LayoutGuard(layoutOf(settings), this.#table, this.#clock, this.#random, log.forComponent('layout'), {
+      onConfirmed: () => this.#startClaiming(),
+      onMismatch: error => this.#beUnfit(error)
+    })
   }
 
   get invariants (): InvariantCounter {
@@ -78,9 +84,12 @@
     return this.#configuration
   }
 
-  /** Calls `listener` when a later process has taken this member's id; this one must be stopped. */
-  onReplaced (listener: () => void): void {
-    this.#replacedListeners.push(listener)
+  /**
+   * Calls `listener` when this process must be stopped: a later one has taken its id, or its settings divide the
+   * region differently from the other members'.
+   */
+  onUnfit (listener: (error: AuburnpinError) => void): void {
+    this.#unfitListeners.push(listener)
   }
 
   /** Changes the keys that members prove to each other; open links stay open. */
@@ -109,7 +118,8 @@
     this.#directory.start()
     this.#configuration.start()
     region.start()
-    if (this.#settings.roles.includes('scheduler')) scheduler.start()
+    this.#layoutGuard.start()
+    if (this.#settings.roles.includes('scheduler')) scheduler.startWatching()
     this.#log.info('Member started', { member: this.#settings.member, peers, ...gateway })
     return { peers, ...gateway }
   }
@@ -118,6 +128,7 @@
   async stop (): Promise<void> {
     this.#callers?.leave()
     await this.#membership?.leave()
+    await this.#layoutGuard.stop()
     await this.#scheduler?.stop()
     await this.#clock.sleep(BALANCER_NOTICE_MS)
     await this.#callers?.close()
@@ -134,6 +145,15 @@
     this.#log.info('Member stopped', { member: this.#settings.member })
   }
 
+  #startClaiming (): void {
+    if (this.#settings.roles.includes('scheduler')) this.#scheduler?.startClaiming()
+  }
+
+  #beUnfit (error: AuburnpinError): void {
+    this.#log.error(error.message, { kind: error.kind, remedy: error.remedy })
+    for (const listener of this.#unfitListeners) listener(error)
+  }
+
   #join (peerAddress: string): Membership {
     const { member, dataCentre, roles } = this.#settings
     const identity = {
@@ -146,7 +166,7 @@
     // A renewal that comes late is worth nothing, so it is given up sooner than other writes.
     const leaseTable = new ReliableTable(this.#store, this.#clock, this.#random, LEASE_DEADLINE_MS)
     const membership = new Membership(identity, leaseTable, this.#clock, this.#random, this.#log.forComponent('membership'))
-    membership.onReplaced(() => this.#replacedListeners.forEach(listener => listener()))
+    membership.onReplaced(() => this.#beUnfit(replacedBy(member)))
     membership.onPoll(() => this.#configuration.expectPeers(membership.live.length > 1))
     membership.onPoll(() => this.#gate.share(membership.live.length))
     membership.onPoll(() => this.#peers.setMembers(new Map(membership.live.map(row => [row.member, row.peerAddress]))))
@@ -156,9 +176,8 @@
   }
 
   #createScheduler (membership: Membership): Scheduler {
-    const { region, platform } = this.#settings
-    const layout = { dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre }
-    this.#scheduler = new Scheduler(layout, {
+    const { platform } = this.#settings
+    this.#scheduler = new Scheduler(layoutOf(this.#settings), {
       table: this.#table,
       objects: new HttpObjectStore(this.#storeClient, platform.objects),
       workers: new HttpWorkers(this.#workerClient),
@@ -223,3 +242,10 @@
     return await scheduler.answer(request)
   }
 }
+
+const layoutOf = ({ region }: Settings): LayoutRow => ({
+  dataCentres: region.dataCentres.map(name => brand<DataCentre>(name)), cellsPerDataCentre: region.cellsPerDataCentre
+})
+
+const replacedBy = (member: string): AuburnpinError =>
+  new AuburnpinError('fenced', `Another process has become member ${member}`, 'Give each process a member id of its own.')
--- a/app/src/commands/ServeCommand.ts
+++ b/app/src/commands/ServeCommand.ts
@@ -3,7 +3,7 @@
  */
 import type { Argv } from 'yargs'
 import { ConsolaLog } from '../ConsolaLog.ts'
-import { EXIT_DONE, EXIT_FAILED } from '../exitCodes.ts'
+import { EXIT_DONE, exitCodeOf } from '../exitCodes.ts'
 import { Member } from '../Member.ts'
 import { readYamlFile } from '../settings/readYamlFile.ts'
 import { settingsSchema } from '../settings/settingsSchema.ts'
@@ -30,8 +30,8 @@
     const stopAsked = new Promise<void>(resolve => {
       process.once('SIGTERM', () => resolve())
       process.once('SIGINT', () => resolve())
-      member.onReplaced(() => {
-        exitCode = EXIT_FAILED
+      member.onUnfit(error => {
+        exitCode = exitCodeOf(error.kind)
         resolve()
       })
     })
--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -34,8 +34,8 @@
   member: nameSchema.describe('Id of this process, unique in the region.'),
   region: z.strictObject({
     name: nameSchema.describe('Name of the region.'),
-    dataCentres: z.array(nameSchema).min(1).describe('All data centres of the region; the same in every process.'),
-    cellsPerDataCentre: z.number().int().min(1).max(64).default(1).describe('Scheduling partitions of each data centre; the same in every process.')
+    dataCentres: z.array(nameSchema).min(1).describe('All data centres of the region; the same in every process, and for the life of the installation.'),
+    cellsPerDataCentre: z.number().int().min(1).max(64).default(1).describe('Scheduling partitions of each data centre; the same in every process, and for the life of the installation.')
   }),
   dataCentre: nameSchema.describe('The data centre of this process.'),
   roles: z.array(z.enum(['gateway', 'scheduler'])).min(1).describe('What this process does; one process may do both.'),
--- a/packages/cluster/src/storeKeys.ts
+++ b/packages/cluster/src/storeKeys.ts
@@ -11,6 +11,7 @@
 export const CURRENT_CONFIGURATION_KEY = 'config/current'
 export const MEMBERS_PREFIX = 'members/'
 export const CELLS_PREFIX = 'cells/'
+export const REGION_LAYOUT_KEY = 'region/layout'
 export const AUDIT_PREFIX = 'audit/'
 export const JOURNAL_PREFIX = 'journal/'
 
--- /dev/null
+++ b/packages/cluster/tests/layoutGuard.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava'
+import { brand, SeededRandom, SilentLog, VirtualClock, type AuburnpinError, type DataCentre } from '@auburnpin/common'
+import { FakeLink, FakeTableStore, PROMPT } from '@auburnpin/fakes'
+import { ReliableTable } from '@auburnpin/platform'
+import { MemoryTable } from '@auburnpin/stand-in'
+import { LayoutGuard, STORE_DEADLINE_MS } from '../src/index.ts'
+
+const OUTAGE_MS = 60_000
+
+const rig = () => {
+  const clock = new VirtualClock()
+  const link = new FakeLink(clock)
+  const memory = new MemoryTable()
+  const found: string[] = []
+  let guards = 0
+  const guard = (member: string, cellsPerDataCentre: number, names = ['colombo', 'negombo']): LayoutGuard => {
+    const table = new ReliableTable(new FakeTableStore(memory, link, member), clock, new SeededRandom(1), STORE_DEADLINE_MS)
+    const layout = { dataCentres: names.map(name => brand<DataCentre>(name)), cellsPerDataCentre }
+    return new LayoutGuard(layout, table, clock, new SeededRandom(100 + guards++), new SilentLog(), {
+      onConfirmed: () => found.push(`${member} confirmed`),
+      onMismatch: (error: AuburnpinError) => found.push(`${member} ${error.kind}`)
+    })
+  }
+  return { clock, link, found, guard }
+}
+
+test('the first layout stands; the same in another order is confirmed, any other is a conflict', async t => {
+  const { clock, found, guard } = rig()
+  guard('first', 2).start()
+  await clock.advance(1)
+  guard('reordered', 2, ['negombo', 'colombo']).start()
+  guard('other-count', 4).start()
+  guard('other-places', 2, ['colombo']).start()
+  await clock.advance(1)
+  t.deepEqual(found, ['first confirmed', 'reordered confirmed', 'other-count conflict', 'other-places conflict'])
+})
+
+test('two members that set up a region at once with different layouts never both go on', async t => {
+  const { clock, link, found, guard } = rig()
+  link.setFates(() => ({ ...PROMPT, thereMs: 5 }))
+  guard('one', 1).start()
+  guard('two', 2).start()
+  await clock.advance(1_000)
+  t.deepEqual(found, ['one confirmed', 'two conflict'])
+})
+
+test('while the store is down nothing is claimed; once it is back, the layout is', async t => {
+  const { clock, link, found, guard } = rig()
+  link.setFates(() => ({ ...PROMPT, loss: 'refused' }))
+  guard('late', 1).start()
+  await clock.advance(OUTAGE_MS)
+  t.deepEqual(found, [])
+  link.setFates(() => PROMPT)
+  await clock.advance(OUTAGE_MS)
+  t.deepEqual(found, ['late confirmed'])
+})
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -58,11 +58,21 @@
   }
 
   start (): void {
-    this.#ownership.start()
+    this.startWatching()
+    this.startClaiming()
+  }
+
+  /** Follows the VM list and keeps orphaned workers' leases, without owning anything. */
+  startWatching (): void {
     this.#vmPoll.start()
     this.#keeper.start()
   }
 
+  /** Claims cells; only once it is sure that all members mean the same cells. */
+  startClaiming (): void {
+    this.#ownership.start()
+  }
+
   /** Hands all cells over. */
   async stop (): Promise<void> {
     await this.#keeper.stop()
