--- a/app/src/settings/settingsSchema.ts
+++ b/app/src/settings/settingsSchema.ts
@@ -2,6 +2,7 @@
  * The shape of a settings file, checked with `zod`.
  */
 import { z } from 'zod'
+import { nameSchema } from '@auburnpin/core'
 import { DEFAULT_LIMITS } from '@auburnpin/gateway'
 
 const ADDRESS_PATTERN = /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/
@@ -9,8 +10,6 @@
 /** IP number and port; port 0 takes any free one. */
 export const addressSchema = z.string().regex(ADDRESS_PATTERN, 'must be an IP number and a port, such as 10.0.0.1:8080')
 
-const nameSchema = z.string().regex(/^[a-z][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and dashes, starting with a letter')
-
 const SHORTEST_SECRET = 16
 
 const secretSchema = z.string().min(SHORTEST_SECRET, `must have at least ${SHORTEST_SECRET} characters`)
