Logs name cell, epoch, task and attempt; the end of an attempt says why

Change: tellTransitions tells every transition of an attempt, in log and figures; workers' refusals name the attempt; requests without an answer are told at level debug with their id.

--- a/packages/gateway/src/CallerServer.ts
+++ b/packages/gateway/src/CallerServer.ts
@@ -149,7 +149,7 @@
   }
 
   async #serve (incoming: IncomingMessage, outgoing: ServerResponse, requestId: RequestId): Promise<void> {
-    const { clock, configuration, limits, metrics } = this.#ports
+    const { clock, configuration, limits, log, metrics } = this.#ports
     const checked = checkRequest(incoming, requestId, { configuration: configuration.current, limits, tokens: this.#tokens })
     if (checked.err) {
       // What is left of the body is not waited for.
@@ -164,7 +164,11 @@
     const isAnswered = await this.#runner.run(exchange, service)
     const tags = { service: head.service }
     metrics.count(isAnswered ? 'requests.answered' : 'requests.refused', 1, tags)
-    if (!isAnswered) return
+    if (!isAnswered) {
+      // In an overload there are as many of these as requests, so they are for looking closer only.
+      log.debug('A request was not answered by an endpoint', { requestId, service: head.service, caller: head.caller, method: head.method })
+      return
+    }
     metrics.timing('requests.duration', clock.now() - startedAt, tags)
     this.#answered++
   }
--- a/packages/scheduler/src/ActionRunner.ts
+++ b/packages/scheduler/src/ActionRunner.ts
@@ -53,8 +53,11 @@
 
   async #carryOut (action: WorkerAction): Promise<void> {
     const answer = await this.#send(action)
-    if (answer.err) this.#log.debug('A worker gave no answer', { vm: action.vm, action: action.kind, reason: answer.val.message })
-    else if (answer.val.kind === 'refused') this.#log.warn('A worker refused', { vm: action.vm, action: action.kind, reason: answer.val.reason })
+    const { cell, epoch } = this.#term
+    const named = action.kind === 'start' ? { task: action.task.spec.id, attempt: action.task.attempt } : { task: action.task, attempt: action.attempt }
+    const fields = { cell, epoch, vm: action.vm, action: action.kind, ...named }
+    if (answer.err) this.#log.debug('A worker gave no answer', { ...fields, reason: answer.val.message })
+    else if (answer.val.kind === 'refused') this.#log.warn('A worker refused', { ...fields, reason: answer.val.reason })
   }
 
   #send (action: WorkerAction): Promise<Result<WorkerAnswer<unknown>, AuburnpinError>> {
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -17,6 +17,7 @@
 import { JournalWriter, type JournalOutcome } from './JournalWriter.ts'
 import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
 import { SnapshotWriter } from './SnapshotWriter.ts'
+import { tellTransitions } from './tellTransitions.ts'
 import { WorkerLink } from './WorkerLink.ts'
 
 /** What a cell's runner needs from outside. */
@@ -186,7 +187,7 @@
     }
     if (event.kind === 'vms-listed') this.#followVms()
     if (event.kind === 'reported') this.#endpoints.hear(event.vm)
-    this.#count(step.val)
+    tellTransitions(step.val.transitions, this.#claimed, this.#cell.state, this.#ports.log, this.#ports.metrics)
     this.#publishIfAsked(step.val)
     if (step.val.transitions.length === 0 && step.val.actions.length === 0 && settle === undefined) return
     this.#journal.append(step.val.transitions, outcome => {
@@ -241,22 +242,9 @@
     }
   }
 
-  #count (step: CellStep): void {
-    const { metrics } = this.#ports
-    const { cell } = this.#claimed
-    for (const transition of step.transitions) {
-      if (transition.kind === 'assigned') metrics.count('tasks.started', 1, { cell })
-      if (transition.kind !== 'ended') continue
-      if (transition.end === 'finished') metrics.count('tasks.finished', 1, { cell })
-      const task = this.#cell.state.tasks.get(transition.task)
-      // A stopped attempt of a withdrawn task does not run again, so it is no eviction.
-      if (transition.end === 'stopped' && task?.state === 'queued') metrics.count('tasks.evicted', 1, { cell, reason: task.reason?.kind ?? 'by-worker' })
-    }
-  }
-
   #fail (error: unknown): void {
     if (error instanceof InvariantError) this.#ports.invariants.record(error)
-    this.#ports.log.error(error instanceof Error ? error.message : String(error), { cell: this.#claimed.cell })
+    this.#ports.log.error(error instanceof Error ? error.message : String(error), { cell: this.#claimed.cell, epoch: this.#claimed.epoch })
   }
 
   #closed (): AuburnpinError {
