Gateway tests that depended on a busy machine's pace

Cause: outcomes cut a healthy endpoint that took more than 200 ms (the bound meant for silent ones), and an order had to arrive within the 300 ms that a request held the only slot. Ruled out: the gateway; each failure went with a missed bound of the test's own. Change: the bound on silence stands only where an endpoint is silent, at 2 s; slots are held for 2 or 3 s. What is asserted is the same.

--- a/packages/gateway/tests/manyGateways.test.ts
+++ b/packages/gateway/tests/manyGateways.test.ts
@@ -114,7 +114,7 @@
 })
 
 test('the owner of the slots dies while an endpoint works: the order is told as unknown and runs once', async t => {
-  const rig = await startRig(t, 3, { endpoints: 1, serviceMs: 300 })
+  const rig = await startRig(t, 3, { endpoints: 1, serviceMs: 2_000 })
   const [owner, other] = rig.ownerAndOther(0)
   const sending = call(other.address, '/stockline/order', { method: 'POST', body: 'order' })
   await until(() => rig.runs.length === 1)
@@ -126,7 +126,7 @@
 })
 
 test('the owner dies while an endpoint works: a check is answered through the next owner', async t => {
-  const rig = await startRig(t, 3, { endpoints: 1, serviceMs: 300 })
+  const rig = await startRig(t, 3, { endpoints: 1, serviceMs: 2_000 })
   const [owner, other] = rig.ownerAndOther(0)
   const sending = call(other.address, '/stockline/check')
   await until(() => rig.endpoints[0]?.busy === 1)
@@ -136,7 +136,8 @@
 })
 
 test('the owner dies while an order waits for a slot: it surely was not run, so it goes to the next owner', async t => {
-  const rig = await startRig(t, 2, { endpoints: 1, slots: 1, serviceMs: 300 })
+  // So long that the order surely comes while the slot is taken.
+  const rig = await startRig(t, 2, { endpoints: 1, slots: 1, serviceMs: 3_000 })
   const [owner, other] = rig.ownerAndOther(0)
   const holder = call(owner.address, '/stockline/holder')
   await until(() => rig.endpoints[0]?.busy === 1)
--- a/packages/gateway/tests/outcomes.test.ts
+++ b/packages/gateway/tests/outcomes.test.ts
@@ -19,9 +19,12 @@
 
 const get = (rig: GatewayRig): Promise<Answer> => call(rig.gateways[0]?.address ?? '', '/stockline/butter')
 
+// Only silence must be waited out; a short bound would cut healthy endpoints on a busy machine.
+const SILENCE = { limits: { endpointIdleMs: 2_000 } }
+
 for (const fault of ['cut-before', 'cut-after', 'silent'] as const) {
   test(`endpoint ${fault}: an order is sent once and its outcome told as unknown`, async t => {
-    const rig = await startRig(t, { limits: { endpointIdleMs: 200 } })
+    const rig = await startRig(t, fault === 'silent' ? SILENCE : {})
     setAll(rig, fault)
     const answer = await post(rig)
     t.is(answer.status, 502)
@@ -30,7 +33,7 @@
   })
 
   test(`endpoint ${fault}: a check is answered by another endpoint`, async t => {
-    const rig = await startRig(t, { limits: { endpointIdleMs: 200 } })
+    const rig = await startRig(t, fault === 'silent' ? SILENCE : {})
     rig.endpoints[0]?.setFault(fault)
     for (let count = 0; count < 4; count++) t.is((await get(rig)).status, 200)
   })
@@ -93,7 +96,7 @@
 })
 
 test('an endpoint whose connections went silent is used again once new ones work', async t => {
-  const rig = await startRig(t, { endpoints: 1, limits: { endpointIdleMs: 200 } })
+  const rig = await startRig(t, { endpoints: 1, ...SILENCE })
   setAll(rig, 'silent')
   t.is((await post(rig)).status, 502)
   setAll(rig, 'none')
