One place for a worker's reported entry and for test settings

Change: reportEntry serves both, entrySettings both tests; isLogLevel is gone. Behaviour and assertions as before.

--- a/app/src/ConsolaLog.ts
+++ b/app/src/ConsolaLog.ts
@@ -2,7 +2,7 @@
  * Logs as JSON lines through `consola`.
  */
 import { createConsola, type ConsolaInstance } from 'consola/core'
-import { Log, LOG_LEVELS, type LogFields, type LogLevel } from '@auburnpin/common'
+import { Log, type LogFields, type LogLevel } from '@auburnpin/common'
 
 type Context = Readonly<{ level: LogLevel, component: string, fields: LogFields }>
 
@@ -46,6 +46,3 @@
     return new ConsolaLog(this.#consola, component)
   }
 }
-
-/** Whether a text names a level. */
-export const isLogLevel = (text: string): text is LogLevel => LOG_LEVELS.includes(text as LogLevel)
--- a/app/tests/gatewayStop.test.ts
+++ b/app/tests/gatewayStop.test.ts
@@ -6,6 +6,7 @@
 import { stringify } from 'yaml'
 import { splitAddress } from '@auburnpin/platform'
 import { OperatorClient } from '../src/OperatorClient.ts'
+import { entrySettings } from './support/entrySettings.ts'
 import { Program, until } from './support/Program.ts'
 
 const TOKEN = 'gateway-stop-operator-token'
@@ -18,16 +19,7 @@
   }
 }
 
-const settingsOf = (platform: string): object => ({
-  member: 'entry-1',
-  region: { name: 'lk-west', dataCentres: ['colombo'] },
-  dataCentre: 'colombo',
-  roles: ['gateway', 'scheduler'],
-  listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0' },
-  peerKeys: [{ id: 'test', secret: 'gateway-stop-peer-secret' }],
-  operators: [{ operator: 'tester', token: TOKEN }],
-  platform: { table: platform, objects: platform, vmList: platform }
-})
+const settingsOf = (platform: string): object => entrySettings({ platform, token: TOKEN, peerSecret: 'gateway-stop-peer-secret' })
 
 const open = (address: string, path: string): Promise<IncomingMessage> => new Promise((resolve, reject) => {
   const [host, port] = splitAddress(address)
--- a/app/tests/wholePath.test.ts
+++ b/app/tests/wholePath.test.ts
@@ -4,6 +4,7 @@
 import test from 'ava'
 import { stringify } from 'yaml'
 import { OperatorClient } from '../src/OperatorClient.ts'
+import { entrySettings } from './support/entrySettings.ts'
 import { Program, until } from './support/Program.ts'
 
 const TOKEN = 'whole-path-operator-token'
@@ -16,23 +17,14 @@
   }
 }
 
-const settingsOf = (member: string, platform: string): object => ({
-  member,
-  region: { name: 'lk-west', dataCentres: ['colombo'] },
-  dataCentre: 'colombo',
-  roles: ['gateway', 'scheduler'],
-  listen: { callers: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '127.0.0.1:0' },
-  peerKeys: [{ id: 'test', secret: 'whole-path-peer-secret' }],
-  operators: [{ operator: 'tester', token: TOKEN }],
-  platform: { table: platform, objects: platform, vmList: platform }
-})
+const settingsOf = (platform: string): object => entrySettings({ platform, token: TOKEN, peerSecret: 'whole-path-peer-secret' })
 
 test('as separate processes: a note is applied, a caller answered, a task finished, and SIGTERM exits 0', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'auburnpin-'))
   const standIn = new Program('stand-in', '--port', '0', '--control-port', '0', '--workers', '2', '--data-centres', 'colombo')
   const platform = await standIn.find(/platform at (\S+)/)
   const file = join(folder, 'settings.yaml')
-  writeFileSync(file, stringify(settingsOf('entry-1', platform)))
+  writeFileSync(file, stringify(settingsOf(platform)))
   const member = new Program('serve', '--settings', file)
   t.teardown(() => {
     member.signal('SIGKILL')
@@ -60,7 +52,7 @@
 test('invalid settings stop the start with exit code 2 and one line per fault', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'auburnpin-'))
   const file = join(folder, 'settings.yaml')
-  writeFileSync(file, stringify({ ...settingsOf('entry-1', 'platform.example:1'), colour: 'red' }))
+  writeFileSync(file, stringify({ ...settingsOf('platform.example:1'), colour: 'red' }))
   const member = new Program('serve', '--settings', file)
   t.teardown(() => rmSync(folder, { recursive: true }))
   t.is(await member.exit(), 2)
--- a/packages/fakes/src/FakeWorkers.ts
+++ b/packages/fakes/src/FakeWorkers.ts
@@ -5,7 +5,7 @@
 import {
   Worker, Workers, type AttemptAddress, type TaskStart, type UsageSample, type WorkerAnswer, type WorkerLease, type WorkerReport, type WorkerTask
 } from '@auburnpin/platform'
-import { WorkerState, type WorkerEntry, type WorkerRefusal, type WorkerRoom } from '@auburnpin/stand-in'
+import { reportEntry, WorkerState, type WorkerEntry, type WorkerRefusal, type WorkerRoom } from '@auburnpin/stand-in'
 import type { FakeLink } from './FakeLink.ts'
 
 /** What a fake task does: run for a time and end, or run until stopped. */
@@ -134,15 +134,7 @@
   }
 }
 
-const toTask = (entry: WorkerEntry): WorkerTask => ({
-  id: entry.start.id,
-  attempt: entry.start.attempt,
-  state: entry.state,
-  result: entry.result,
-  checkpoint: entry.checkpoint,
-  address: entry.address,
-  throttle: entry.throttle
-} as unknown as WorkerTask)
+const toTask = (entry: WorkerEntry): WorkerTask => reportEntry(entry) as unknown as WorkerTask
 
 const toAnswer = <Value>(vm: FakeVmWorker, value: Value | WorkerRefusal): WorkerAnswer<Value> => {
   if (typeof value !== 'string') return { kind: 'done', value }
--- a/packages/standIn/src/StandInWorker.ts
+++ b/packages/standIn/src/StandInWorker.ts
@@ -3,6 +3,7 @@
  */
 import { JsonServer, type StandInAnswer, type StandInRequest } from './JsonServer.ts'
 import { parseCommand } from './parseCommand.ts'
+import { reportEntry } from './reportEntry.ts'
 import { StandInEndpoint } from './StandInEndpoint.ts'
 import {
   WorkerState, type WorkerAttempt, type WorkerEntry, type WorkerLeaseCall, type WorkerRefusal, type WorkerRoom, type WorkerStart
@@ -80,7 +81,7 @@
     const entry = this.#state.start(start)
     if (typeof entry === 'string') return this.#refuse(entry)
     await this.#openEndpoint(entry)
-    return { status: 200, body: toReported(entry) }
+    return { status: 200, body: reportEntry(entry) }
   }
 
   #change (verb: string, call: WorkerAttempt & { share?: number }): StandInAnswer {
@@ -89,7 +90,7 @@
       return refusal === undefined ? { status: 200, body: Buffer.from('null') } : this.#refuse(refusal)
     }
     const entry = this.#apply(verb, call)
-    return typeof entry === 'string' ? this.#refuse(entry) : { status: 200, body: toReported(entry) }
+    return typeof entry === 'string' ? this.#refuse(entry) : { status: 200, body: reportEntry(entry) }
   }
 
   #apply (verb: string, call: WorkerAttempt & { share?: number }): WorkerEntry | WorkerRefusal {
@@ -99,7 +100,7 @@
   }
 
   #report (): StandInAnswer {
-    return { status: 200, body: { session: this.#state.session, epoch: this.#state.epoch, tasks: this.#state.entries.map(toReported) } }
+    return { status: 200, body: { session: this.#state.session, epoch: this.#state.epoch, tasks: this.#state.entries.map(reportEntry) } }
   }
 
   #usage (request: StandInRequest): StandInAnswer {
@@ -145,13 +146,3 @@
     return running === undefined ? 0 : running.doneMs + Date.now() - running.startedAt
   }
 }
-
-const toReported = (entry: WorkerEntry): object => ({
-  id: entry.start.id,
-  attempt: entry.start.attempt,
-  state: entry.state,
-  result: entry.result,
-  checkpoint: entry.checkpoint,
-  address: entry.address,
-  throttle: entry.throttle
-})
--- a/packages/standIn/src/index.ts
+++ b/packages/standIn/src/index.ts
@@ -7,6 +7,7 @@
 export { StandInPlatform, type StandInVm } from './StandInPlatform.ts'
 export { StandInEndpoint, type EndpointFault, type EndpointRun } from './StandInEndpoint.ts'
 export { StandInControl, type VmFault } from './StandInControl.ts'
+export { reportEntry, type ReportedEntry } from './reportEntry.ts'
 export { StandInWorker } from './StandInWorker.ts'
 export { StandInRegion, type StandInLayout } from './StandInRegion.ts'
 export {
