--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -12,7 +12,7 @@
 import { CallerServer, OperatorServer } from '@auburnpin/gateway'
 import {
   BudgetedTable, HttpClient, HttpObjectStore, HttpTableStore, HttpVmList, HttpWorkers, ReliableTable, splitAddress, StoreGate, type TableStore
-} from '@auburnpin/platform'
+} from '@auburnpin/ports'
 import { Scheduler } from '@auburnpin/scheduler'
 import type { Settings } from './settings/settingsSchema.ts'
 import { GaugeReporter } from './metrics/GaugeReporter.ts'
--- a/app/src/OperatorClient.ts
+++ b/app/src/OperatorClient.ts
@@ -2,7 +2,7 @@
  * The command line's way to the operators' listener.
  */
 import { AuburnpinError, Err, Ok, type ErrorReport, type Result } from '@auburnpin/common'
-import { HttpClient, type HttpCall } from '@auburnpin/platform'
+import { HttpClient, type HttpCall } from '@auburnpin/ports'
 
 const OPERATOR_TIMEOUT_MS = 30_000
 const OPERATOR_SOCKETS = 4
--- a/app/src/metrics/StatsdMetrics.ts
+++ b/app/src/metrics/StatsdMetrics.ts
@@ -3,7 +3,7 @@
  */
 import { StatsD } from 'hot-shots'
 import { Metrics, type MetricName, type MetricTags } from '@auburnpin/common'
-import { splitAddress } from '@auburnpin/platform'
+import { splitAddress } from '@auburnpin/ports'
 
 const METRIC_PREFIX = 'auburnpin.'
 const MAX_PACKET_BYTES = 1_400
--- a/bench/CountingLink.ts
+++ b/bench/CountingLink.ts
@@ -2,7 +2,7 @@
  * A loopback relay that counts the bytes of one connection pool, both ways.
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { splitAddress } from '@auburnpin/platform'
+import { splitAddress } from '@auburnpin/ports'
 
 /** Passes everything on and counts it. */
 export class CountingLink {
--- a/bench/gatewayCost.ts
+++ b/bench/gatewayCost.ts
@@ -9,7 +9,7 @@
 import type { AddressInfo } from 'node:net'
 import { fileURLToPath } from 'node:url'
 import { build } from 'hdr-histogram-js'
-import { splitAddress } from '@auburnpin/platform'
+import { splitAddress } from '@auburnpin/ports'
 import { StandInEndpoint } from '@auburnpin/stand-in'
 import { GatewayRig } from '../packages/gateway/tests/support/GatewayRig.ts'
 
--- a/bench/workerControl.ts
+++ b/bench/workerControl.ts
@@ -3,7 +3,7 @@
  * Prints one JSON line per size.
  */
 import { brand, SilentLog, SystemClock, SystemRandom, type CellId, type DataCentre, type Epoch, type RackId, type VmId } from '@auburnpin/common'
-import { HttpClient, HttpWorkers } from '@auburnpin/platform'
+import { HttpClient, HttpWorkers } from '@auburnpin/ports'
 import { WorkerLink } from '@auburnpin/scheduler'
 import { StandInWorker } from '@auburnpin/stand-in'
 import { CountingLink } from './CountingLink.ts'
--- a/packages/cluster/src/CellDirectory.ts
+++ b/packages/cluster/src/CellDirectory.ts
@@ -2,7 +2,7 @@
  * Who owns which cell, as the store tells it.
  */
 import { brand, Ticker, type CellId, type Clock, type Log, type RowVersion } from '@auburnpin/common'
-import type { Row, TableStore } from '@auburnpin/platform'
+import type { Row, TableStore } from '@auburnpin/ports'
 import { CELLS_PREFIX } from './storeKeys.ts'
 import { DIRECTORY_POLL_MS } from './constants.ts'
 import type { CellRow } from './types.ts'
--- a/packages/cluster/src/ConfigurationFollower.ts
+++ b/packages/cluster/src/ConfigurationFollower.ts
@@ -3,7 +3,7 @@
  */
 import { Ok, Ticker, type AuburnpinError, type Clock, type ConfigVersion, type Instant, type Log, type MemberId, type Result } from '@auburnpin/common'
 import { EMPTY_CONFIGURATION, type Configuration } from '@auburnpin/core'
-import type { TableStore } from '@auburnpin/platform'
+import type { TableStore } from '@auburnpin/ports'
 import { readConfiguration, type CurrentRow } from './acceptNote.ts'
 import { CONFIGURATION_POLL_MS, CONFIGURATION_TOUCH_MS, PEER_POLL_MS, STORE_SILENCE_MS } from './constants.ts'
 import type { Peers } from './Peers.ts'
--- a/packages/cluster/src/LayoutGuard.ts
+++ b/packages/cluster/src/LayoutGuard.ts
@@ -2,7 +2,7 @@
  * Makes sure that all members divide the region into the same cells.
  */
 import { AuburnpinError, Err, Ok, Ticker, type Clock, type DataCentre, type Log, type Random, type Result } from '@auburnpin/common'
-import { newTransactionId, type TableStore } from '@auburnpin/platform'
+import { newTransactionId, type TableStore } from '@auburnpin/ports'
 import { DIRECTORY_POLL_MS } from './constants.ts'
 import { REGION_LAYOUT_KEY } from './storeKeys.ts'
 
--- a/packages/cluster/src/MemberSightings.ts
+++ b/packages/cluster/src/MemberSightings.ts
@@ -2,7 +2,7 @@
  * What this process has seen of the members' rows, and which leases have lapsed by it.
  */
 import { brand, type Clock, type Instant, type MemberId, type RowVersion } from '@auburnpin/common'
-import type { Row } from '@auburnpin/platform'
+import type { Row } from '@auburnpin/ports'
 import { MEMBER_FORGET_MS, MEMBER_LEASE_MS, MEMBER_MARGIN_MS, SIGHTING_GAP_MS } from './constants.ts'
 import type { MemberRow } from './types.ts'
 
--- a/packages/cluster/src/Membership.ts
+++ b/packages/cluster/src/Membership.ts
@@ -4,7 +4,7 @@
 import {
   AuburnpinError, brand, Err, Ok, rendezvousRank, Ticker, type Clock, type ConfigVersion, type Instant, type Log, type MemberId, type Random, type Result
 } from '@auburnpin/common'
-import { newTransactionId, type Row, type RowCheck, type TableStore } from '@auburnpin/platform'
+import { newTransactionId, type Row, type RowCheck, type TableStore } from '@auburnpin/ports'
 import { DIRECTORY_POLL_MS, MEMBER_LEASE_MS, MEMBER_RENEW_MS, MEMBER_TICK_MS } from './constants.ts'
 import { MemberSightings } from './MemberSightings.ts'
 import { memberKey, MEMBERS_PREFIX } from './storeKeys.ts'
--- a/packages/cluster/src/acceptNote.ts
+++ b/packages/cluster/src/acceptNote.ts
@@ -3,7 +3,7 @@
  */
 import { AuburnpinError, brand, Err, Ok, type Clock, type ConfigVersion, type NoteId, type Random, type Result, type RowVersion } from '@auburnpin/common'
 import { EMPTY_CONFIGURATION, mergeNote, type AuditEntry, type Configuration, type ConfigurationChange, type Note } from '@auburnpin/core'
-import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/platform'
+import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/ports'
 import { KEPT_CONFIGURATIONS, MAX_REBASES } from './constants.ts'
 import { auditKey, configurationKey, CURRENT_CONFIGURATION_KEY, noteKey } from './storeKeys.ts'
 
--- a/packages/cluster/src/callClassOf.ts
+++ b/packages/cluster/src/callClassOf.ts
@@ -1,7 +1,7 @@
 /**
  * How urgent a call to the store is, told from its keys.
  */
-import type { CallClass } from '@auburnpin/platform'
+import type { CallClass } from '@auburnpin/ports'
 import { CELLS_PREFIX, JOURNAL_PREFIX, MEMBERS_PREFIX } from './storeKeys.ts'
 
 const OWNERSHIP_PREFIXES: readonly string[] = [MEMBERS_PREFIX, CELLS_PREFIX]
--- a/packages/cluster/src/claimCell.ts
+++ b/packages/cluster/src/claimCell.ts
@@ -2,7 +2,7 @@
  * Takes or gives back the ownership of a cell, in one transaction on its row.
  */
 import { brand, Ok, type AuburnpinError, type CellId, type Epoch, type Random, type Result } from '@auburnpin/common'
-import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/platform'
+import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/ports'
 import type { CellSighting } from './CellDirectory.ts'
 import type { MemberIdentity } from './Membership.ts'
 import { cellKey } from './storeKeys.ts'
--- a/packages/cluster/tests/Membership.test.ts
+++ b/packages/cluster/tests/Membership.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, SeededRandom, SilentLog, VirtualClock, type DataCentre, type MemberId } from '@auburnpin/common'
 import { FakeLink, FakeTableStore, PROMPT, type Fate } from '@auburnpin/fakes'
-import { ReliableTable } from '@auburnpin/platform'
+import { ReliableTable } from '@auburnpin/ports'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { LEASE_DEADLINE_MS, MEMBER_FORGET_MS, MEMBER_LEASE_MS, MEMBER_MARGIN_MS, memberKey, Membership } from '../src/index.ts'
 
--- a/packages/cluster/tests/configuration.test.ts
+++ b/packages/cluster/tests/configuration.test.ts
@@ -3,7 +3,7 @@
 import { brand, SeededRandom, SilentLog, VirtualClock, type AuburnpinError, type MemberId, type Result } from '@auburnpin/common'
 import { noteSchema, type AuditEntry, type Note } from '@auburnpin/core'
 import { FakeLink, FakePeers, FakeTableStore, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
-import { ReliableTable, TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome } from '@auburnpin/platform'
+import { ReliableTable, TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome } from '@auburnpin/ports'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { acceptNote, AUDIT_PREFIX, ConfigurationFollower, KEPT_CONFIGURATIONS, STORE_DEADLINE_MS } from '../src/index.ts'
 
--- a/packages/cluster/tests/layoutGuard.test.ts
+++ b/packages/cluster/tests/layoutGuard.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, SeededRandom, SilentLog, VirtualClock, type AuburnpinError, type DataCentre } from '@auburnpin/common'
 import { FakeLink, FakeTableStore, PROMPT } from '@auburnpin/fakes'
-import { ReliableTable } from '@auburnpin/platform'
+import { ReliableTable } from '@auburnpin/ports'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { LayoutGuard, STORE_DEADLINE_MS } from '../src/index.ts'
 
--- a/packages/common/src/ids.ts
+++ b/packages/common/src/ids.ts
@@ -34,6 +34,15 @@
 /** One transaction on the platform's table service. */
 export type TransactionId = Branded<string, 'TransactionId'>
 
+/** A job: steps of tasks that a client submits as one. */
+export type JobId = Branded<string, 'JobId'>
+/** A worker: one VM's agent, as its entry names it. */
+export type WorkerId = Branded<string, 'WorkerId'>
+/** A queue of jobs, by the name that the configuration gives it. */
+export type QueueName = Branded<string, 'QueueName'>
+
+/** One life of a worker: the Unix millisecond of its start. A new life knows nothing of the one before. */
+export type Incarnation = Branded<number, 'Incarnation'>
 /** Ownership term of a cell; it rises with every new owner. */
 export type Epoch = Branded<number, 'Epoch'>
 /** The how-manieth run of a task this is, from 1. */
--- /dev/null
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -0,0 +1,113 @@
+/**
+ * A job with all that is known of its tasks.
+ */
+import { StepRecord } from './StepRecord.ts'
+import type { TaskRecord } from './TaskRecord.ts'
+import type { Job, JobPhase, JobProgress } from './types.ts'
+
+/** Milliseconds a task is taken to last if the client gave no estimate. */
+const UNKNOWN_ESTIMATE_MS = 1_000
+
+/** State of one job. Occurrences come to life when they are due. */
+export class JobRecord {
+  readonly job: Job
+  readonly occurrences = new Map<number, readonly StepRecord[]>()
+  #phase: JobPhase = 'queued'
+  #doneOccurrences = new Set<number>()
+  /** Milliseconds since 1970 at which the objective is missed, by the client's estimates. */
+  readonly objectiveAt: number
+
+  constructor (job: Job) {
+    this.job = job
+    this.objectiveAt = job.acceptedAt + job.policy.objectiveMs + job.policy.objectiveFactor * longestChainMs(job)
+  }
+
+  get phase (): JobPhase {
+    return this.#phase
+  }
+
+  get isFinal (): boolean {
+    return this.#phase === 'completed' || this.#phase === 'failed' || this.#phase === 'cancelled'
+  }
+
+  /** Moves on; a final phase never changes. `true` if it changed. */
+  setPhase (phase: JobPhase): boolean {
+    if (this.isFinal || this.#phase === phase || phase === 'queued') return false
+    this.#phase = phase
+    return true
+  }
+
+  /** Brings an occurrence to life with the tasks that the progress calls done. */
+  begin (occurrence: number, progress?: JobProgress): readonly StepRecord[] {
+    const known = this.occurrences.get(occurrence)
+    if (known !== undefined) return known
+    const steps = this.job.steps.map((shape, number) => new StepRecord(this, occurrence, number, shape))
+    this.occurrences.set(occurrence, steps)
+    if (progress !== undefined) for (const step of steps) restoreStep(step, progress)
+    return steps
+  }
+
+  /** The task of that place, if its occurrence has begun. */
+  find (occurrence: number, step: number, index: number): TaskRecord | undefined {
+    return this.occurrences.get(occurrence)?.[step]?.tasks[index]
+  }
+
+  /** Opens each step whose earlier steps are done. */
+  openSteps (occurrence: number): void {
+    const steps = this.occurrences.get(occurrence) ?? []
+    for (const step of steps) {
+      if (!step.isOpen && step.shape.after.every(before => steps[before]?.isDone === true)) step.open()
+    }
+    if (steps.every(step => step.isDone)) this.#doneOccurrences.add(occurrence)
+  }
+
+  /** Whether every task of every occurrence is done. */
+  get isDone (): boolean {
+    return this.#doneOccurrences.size >= Math.max(1, this.job.occurrences)
+  }
+
+  /** Every task that has come to life. */
+  * tasks (): Generator<TaskRecord> {
+    for (const steps of this.occurrences.values()) {
+      for (const step of steps) yield * step.tasks
+    }
+  }
+
+  /** What must outlast this owner. */
+  get progress (): JobProgress {
+    const done: Record<string, readonly number[] | 'all'> = {}
+    const failed: Record<string, readonly number[]> = {}
+    const checkpoints: Record<string, string> = {}
+    if (this.isFinal) return { phase: this.#phase, done, failed, checkpoints }
+    for (const steps of this.occurrences.values()) {
+      for (const step of steps) {
+        if (step.isDone) done[step.key] = 'all'
+        else if (step.doneCount > 0) done[step.key] = step.tasks.filter(task => task.isDone).map(task => task.index)
+        for (const task of step.tasks) {
+          if (task.isDone) continue
+          if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
+          if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
+        }
+      }
+    }
+    return { phase: this.#phase, done, failed, checkpoints }
+  }
+}
+
+const restoreStep = (step: StepRecord, progress: JobProgress): void => {
+  const done = progress.done[step.key]
+  for (const task of step.tasks) {
+    if (done === 'all' || done?.includes(task.index)) step.finish(task)
+    for (const attempt of progress.failed[task.progressKey] ?? []) task.failedAttempts.push(attempt)
+    task.checkpoint = progress.checkpoints[task.progressKey] ?? ''
+  }
+}
+
+const longestChainMs = (job: Job): number => {
+  const ends: number[] = []
+  for (const step of job.steps) {
+    const start = Math.max(0, ...step.after.map(before => ends[before] ?? 0))
+    ends.push(start + (step.estimateMs > 0 ? step.estimateMs : UNKNOWN_ESTIMATE_MS))
+  }
+  return Math.max(0, ...ends)
+}
--- /dev/null
+++ b/packages/core/src/jobs/StepRecord.ts
@@ -0,0 +1,65 @@
+/**
+ * One step of one occurrence of a job.
+ */
+import type { JobRecord } from './JobRecord.ts'
+import { nameTask } from './taskName.ts'
+import { TaskRecord } from './TaskRecord.ts'
+import type { JobStep } from './types.ts'
+
+/** The tasks of a step and how many of them are done. */
+export class StepRecord {
+  readonly job: JobRecord
+  readonly occurrence: number
+  readonly number: number
+  readonly shape: JobStep
+  readonly tasks: readonly TaskRecord[]
+  /** Tasks that wait for a worker. */
+  readonly waiting = new Set<TaskRecord>()
+  #doneCount = 0
+  #isOpen = false
+
+  constructor (job: JobRecord, occurrence: number, number: number, shape: JobStep) {
+    this.job = job
+    this.occurrence = occurrence
+    this.number = number
+    this.shape = shape
+    this.tasks = Array.from({ length: shape.taskCount }, (_, index) =>
+      new TaskRecord(this, index, nameTask({ job: job.job.id, occurrence, step: number, index })))
+  }
+
+  /** Key of the step within its job's progress. */
+  get key (): string {
+    return `${this.occurrence}.${this.number}`
+  }
+
+  get isDone (): boolean {
+    return this.#doneCount === this.tasks.length
+  }
+
+  get doneCount (): number {
+    return this.#doneCount
+  }
+
+  /** Whether the steps before it are done, so that its tasks may run. */
+  get isOpen (): boolean {
+    return this.#isOpen
+  }
+
+  /** Lets the tasks run that aren't done. */
+  open (): void {
+    if (this.#isOpen) return
+    this.#isOpen = true
+    for (const task of this.tasks) {
+      if (!task.isDone && task.runs.length === 0) this.waiting.add(task)
+    }
+  }
+
+  /** Marks a task as done; `false` if it was already. */
+  finish (task: TaskRecord): boolean {
+    if (task.isDone) return false
+    task.isDone = true
+    this.#doneCount++
+    this.waiting.delete(task)
+    return true
+  }
+}
--- /dev/null
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -0,0 +1,57 @@
+/**
+ * One task of a job and its runs.
+ */
+import { brand, type Attempt, type Instant } from '@auburnpin/common'
+import type { StepRecord } from './StepRecord.ts'
+import type { TaskName } from './types.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+/** One run of a task on one worker, from its order to its sure end. */
+export type RunRecord = {
+  readonly task: TaskRecord
+  readonly attempt: Attempt
+  readonly worker: WorkerRecord
+  readonly orderedAt: Instant
+  /** `ordered`: no answer yet; `unsure`: the order got no answer; `running`: the worker said so. */
+  state: 'ordered' | 'unsure' | 'running'
+  /** When the state was last set; a report asked for earlier says nothing about it. */
+  since: Instant
+  isStopWanted: boolean
+  stopSentAt?: Instant
+  stopAnsweredAt?: Instant
+}
+
+/** A task: done or not, its failures and its live runs. */
+export class TaskRecord {
+  readonly step: StepRecord
+  readonly index: number
+  readonly name: TaskName
+  readonly runs: RunRecord[] = []
+  /** Numbers of the runs that failed. */
+  readonly failedAttempts: number[] = []
+  isDone = false
+  checkpoint = ''
+  #lastAttempt = 0
+
+  constructor (step: StepRecord, index: number, name: TaskName) {
+    this.step = step
+    this.index = index
+    this.name = name
+  }
+
+  /** Key of the task within its job's progress. */
+  get progressKey (): string {
+    return `${this.step.key}.${this.index}`
+  }
+
+  /** The next run's number: above every run known, and above all that an earlier term can have ordered. */
+  nextAttempt (firstOfTerm: number): Attempt {
+    this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
+    return brand<Attempt>(this.#lastAttempt)
+  }
+
+  /** Notes a run number that a worker told. */
+  noteAttempt (attempt: Attempt): void {
+    this.#lastAttempt = Math.max(this.#lastAttempt, attempt)
+  }
+}
--- /dev/null
+++ b/packages/core/src/jobs/index.ts
@@ -0,0 +1,10 @@
+/** Jobs of steps: their state, their workers, and what is decided about them. */
+export type * from './types.ts'
+export { BoardObserver, JobBoard } from './JobBoard.ts'
+export { JobRecord } from './JobRecord.ts'
+export type { RunRecord, TaskRecord } from './TaskRecord.ts'
+export type { StepRecord } from './StepRecord.ts'
+export { WorkerRecord } from './WorkerRecord.ts'
+export { nameTask, parseTaskName, type TaskPlace } from './taskName.ts'
+export { placeTasks, type PlacedTask } from './placeTasks.ts'
+export { chooseWorker } from './chooseWorker.ts'
--- /dev/null
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -0,0 +1,58 @@
+/**
+ * Which waiting tasks start now, and where.
+ */
+import type { Instant } from '@auburnpin/common'
+import { chooseWorker } from './chooseWorker.ts'
+import type { StepRecord } from './StepRecord.ts'
+import type { TaskRecord } from './TaskRecord.ts'
+import type { JobStep } from './types.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+/** A task and the worker it shall start on. */
+export type PlacedTask = Readonly<{ task: TaskRecord, worker: WorkerRecord }>
+
+/**
+ * Places waiting tasks, the most urgent job first; a task that finds no room doesn't hold back others that
+ * need less. Made for bursts in which more waits than fits. The caller must add each run to its worker
+ * before it takes the next one, since room is counted there.
+ *
+ * @example
+ * for (const { task, worker } of placeTasks(openSteps, workers, now, wallTime)) start(task, worker)
+ */
+export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, now: Instant, wallTime: number): Generator<PlacedTask> {
+  const candidates = [...workers].filter(worker => worker.canTake(now))
+  if (candidates.length === 0) return
+  const refused: JobStep[] = []
+  for (const step of orderSteps(steps, wallTime)) {
+    if (refused.some(shape => needsAtLeast(step.shape, shape))) continue
+    for (const task of [...step.waiting]) {
+      const worker = chooseWorker(task, candidates, now)
+      if (worker === undefined) {
+        if (isPlain(step.shape)) refused.push(step.shape)
+        break
+      }
+      yield { task, worker }
+    }
+  }
+}
+
+const orderSteps = (steps: Iterable<StepRecord>, wallTime: number): StepRecord[] => {
+  const waiting: StepRecord[] = []
+  for (const step of steps) if (step.waiting.size > 0) waiting.push(step)
+  return waiting.sort((one, other) => compareSteps(one, other, wallTime))
+}
+
+// Jobs that have missed their objective come after those that can still meet it.
+const compareSteps = (one: StepRecord, other: StepRecord, wallTime: number): number => {
+  const lateness = Number(one.job.objectiveAt < wallTime) - Number(other.job.objectiveAt < wallTime)
+  if (lateness !== 0) return lateness
+  const priority = one.job.job.policy.priority - other.job.job.policy.priority
+  return priority !== 0 ? priority : one.job.objectiveAt - other.job.objectiveAt
+}
+
+// What keeps a plain task out keeps out every task that needs as much.
+const needsAtLeast = (shape: JobStep, refused: JobStep): boolean =>
+  shape.isFiller === refused.isFiller && shape.processors >= refused.processors && shape.memoryMb >= refused.memoryMb && shape.accelerators >= refused.accelerators
+
+const isPlain = (shape: JobStep): boolean =>
+  shape.requiredLabel === '' && shape.maxPerWorker === 0
--- a/packages/fakes/src/FakeObjectStore.ts
+++ b/packages/fakes/src/FakeObjectStore.ts
@@ -2,7 +2,7 @@
  * The object store in memory, as one member reaches it.
  */
 import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
-import { ObjectStore } from '@auburnpin/platform'
+import { ObjectStore } from '@auburnpin/ports'
 import type { FakeLink } from './FakeLink.ts'
 
 /** One member's way to a shared map of objects. */
--- a/packages/fakes/src/FakeTableStore.ts
+++ b/packages/fakes/src/FakeTableStore.ts
@@ -2,7 +2,7 @@
  * The table service in memory, as one member reaches it.
  */
 import { brand, Ok, type AuburnpinError, type Result, type RowVersion, type TransactionId } from '@auburnpin/common'
-import { TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome } from '@auburnpin/platform'
+import { TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome } from '@auburnpin/ports'
 import { MemoryTable, type MemoryRow } from '@auburnpin/stand-in'
 import type { FakeLink } from './FakeLink.ts'
 
--- a/packages/fakes/src/FakeVmList.ts
+++ b/packages/fakes/src/FakeVmList.ts
@@ -2,7 +2,7 @@
  * A VM list that says what it is told to.
  */
 import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
-import { VmList, type VmEntry } from '@auburnpin/platform'
+import { VmList, type VmEntry } from '@auburnpin/ports'
 import type { FakeLink } from './FakeLink.ts'
 
 /** Shared by all members. */
--- a/packages/fakes/src/FakeWorkers.ts
+++ b/packages/fakes/src/FakeWorkers.ts
@@ -4,7 +4,7 @@
 import { AuburnpinError, Err, Ok, type Clock, type Result, type Timer } from '@auburnpin/common'
 import {
   Worker, Workers, type AttemptAddress, type TaskStart, type UsageSample, type WorkerAnswer, type WorkerLease, type WorkerReport, type WorkerTask
-} from '@auburnpin/platform'
+} from '@auburnpin/ports'
 import { reportEntry, WorkerState, type WorkerEntry, type WorkerRefusal, type WorkerRoom } from '@auburnpin/stand-in'
 import type { FakeLink } from './FakeLink.ts'
 
--- a/packages/gateway/src/actions/Action.ts
+++ b/packages/gateway/src/actions/Action.ts
@@ -3,7 +3,7 @@
  */
 import type { AuburnpinError, CellId, Clock, MemberId, Random, Result } from '@auburnpin/common'
 import type { CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, Peers } from '@auburnpin/cluster'
-import type { TableStore } from '@auburnpin/platform'
+import type { TableStore } from '@auburnpin/ports'
 
 /** What operations work with. */
 export type ActionPorts = Readonly<{
--- a/packages/gateway/tests/support/call.ts
+++ b/packages/gateway/tests/support/call.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, request, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import { connect } from 'node:net'
-import { splitAddress } from '@auburnpin/platform'
+import { splitAddress } from '@auburnpin/ports'
 
 /** What came back. */
 export type Answer = Readonly<{ status: number, headers: IncomingHttpHeaders, body: string, isWhole: boolean }>
--- /dev/null
+++ b/packages/jobs/src/JobIntake.ts
@@ -0,0 +1,86 @@
+/**
+ * Takes jobs and cancellations in, and answers what has become of a job.
+ */
+import { AuburnpinError, Err, Ok, type Clock, type JobId, type Log, type Result } from '@auburnpin/common'
+import type { Job, JobPhase } from '@auburnpin/core'
+import { CELL } from './constants.ts'
+import type { RowChange, RowStore, StoredRow } from './RowStore.ts'
+import { cancelKey, encodeRow, JOBS_TABLE, keysOfJob, NO_ROW, partOfJob, PROGRESS_TABLE, readProgress } from './rows.ts'
+
+/** Time between two tries of a call whose outcome is unknown, in milliseconds. */
+const RETRY_MS = 60
+
+/** Works at any process; the store alone decides. */
+export class JobIntake {
+  readonly #store: RowStore
+  readonly #clock: Clock
+  readonly #log: Log
+
+  constructor (store: RowStore, clock: Clock, log: Log) {
+    this.#store = store
+    this.#clock = clock
+    this.#log = log
+  }
+
+  /**
+   * Stores a job unless one with its id is stored already; both count as accepted. Errors: `overloaded` and
+   * `unreachable` mean that it is surely not stored, `unknown-outcome` that it may be.
+   */
+  async submit (job: Job, withinMs: number): Promise<Result<void, AuburnpinError>> {
+    const key = { table: JOBS_TABLE, key: job.id }
+    const outcome = await this.#putOnce({ part: partOfJob(job.id), checks: [{ ...key, version: NO_ROW }], puts: [{ ...key, value: encodeRow(job) }], deletes: [] }, withinMs)
+    this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: job.steps.length, outcome: outcome.ok ? outcome.val : outcome.val.kind })
+    return outcome.err ? outcome : Ok(undefined)
+  }
+
+  /**
+   * Makes a job's cancellation durable, also that of a job that isn't stored: a submission without an answer
+   * may still be stored later, and must not run then. `false`: no such job so far. Errors as for `submit`.
+   */
+  async cancel (id: JobId, withinMs: number): Promise<Result<boolean, AuburnpinError>> {
+    const startedAt = this.#clock.now()
+    const part = partOfJob(id)
+    const known = await this.#store.range({ table: JOBS_TABLE, part, ...keysOfJob(id) })
+    if (known.err) return known
+    const key = { table: JOBS_TABLE, key: cancelKey(id) }
+    const isKnown = known.val.rows.some(row => row.key === id)
+    const leftMs = withinMs - (this.#clock.now() - startedAt)
+    const outcome = await this.#putOnce({ part, checks: [{ ...key, version: NO_ROW }], puts: [{ ...key, value: encodeRow({ cancelledAt: this.#clock.wallTime() }) }], deletes: [] }, leftMs)
+    this.#log.info('Job cancelled', { job: id, outcome: outcome.ok ? outcome.val : outcome.val.kind })
+    return outcome.err ? outcome : Ok(isKnown)
+  }
+
+  /** What has become of a job; `undefined` if none was stored. */
+  async phaseOf (id: JobId): Promise<Result<JobPhase | undefined, AuburnpinError>> {
+    const progress = await this.#readOne(PROGRESS_TABLE, CELL, id)
+    if (progress.err) return progress
+    const phase = progress.val === undefined ? 'queued' : readProgress(progress.val.value).phase
+    if (phase !== 'queued') return Ok(phase)
+    const rows = await this.#store.range({ table: JOBS_TABLE, part: partOfJob(id), ...keysOfJob(id) })
+    if (rows.err) return rows
+    if (!rows.val.rows.some(row => row.key === id)) return Ok(undefined)
+    return Ok(rows.val.rows.some(row => row.key === cancelKey(id)) ? 'cancelled' : 'queued')
+  }
+
+  async #readOne (table: string, part: string, key: string): Promise<Result<StoredRow | undefined, AuburnpinError>> {
+    const page = await this.#store.range({ table, part, from: key, to: `${key}~` })
+    return page.err ? page : Ok(page.val.rows.find(row => row.key === key))
+  }
+
+  // A repeat meets the row of the first try, which is a conflict and means the same.
+  async #putOnce (change: RowChange, withinMs: number): Promise<Result<'stored' | 'stored before', AuburnpinError>> {
+    const startedAt = this.#clock.now()
+    let isUnknown = false
+    for (;;) {
+      const outcome = await this.#store.transact(change)
+      if (outcome.ok) return Ok(outcome.val.kind === 'committed' ? 'stored' : 'stored before')
+      if (outcome.val.kind === 'unknown-outcome') isUnknown = true
+      if (!isUnknown) return outcome
+      if (this.#clock.now() - startedAt + RETRY_MS >= withinMs) return Err(stillUnknown(outcome.val))
+      await this.#clock.sleep(RETRY_MS)
+    }
+  }
+}
+
+const stillUnknown = (cause: AuburnpinError): AuburnpinError =>
+  new AuburnpinError('unknown-outcome', `The store may or may not have taken it: ${cause.message}`, 'Send the same again; it counts once.', { cause })
--- /dev/null
+++ b/packages/jobs/src/constants.ts
@@ -0,0 +1,58 @@
+/** Constants of job scheduling's shell; each with its unit and where it comes from. */
+
+/** Cells of jobs; one owner carries a deployment of some hundred workers. */
+export const CELL = 'cell-0'
+
+/** Parts of the table of jobs, so that bursts of submissions don't queue behind one another in the store. */
+export const JOB_PARTS = 4
+
+/** A term is renewed at least this often, in milliseconds: three tries within its length. */
+export const TERM_RENEWAL_MS = 500
+
+/** How long a term lasts after a renewal was sent, in milliseconds. */
+export const TERM_MS = 1_600
+
+/** A term counts as over for others after so many milliseconds without a renewal: its length, and two late timers. */
+export const TERM_OVER_MS = 2_100
+
+/** How often others look at the term, in milliseconds. */
+export const TERM_WATCH_MS = 500
+
+/** A worker's lease, in milliseconds: outlasts a take-over, and ends before the longest late order. */
+export const WORKER_LEASE_MS = 4_500
+
+/** How long a report may wait for a run to end, in milliseconds; several fit into a lease. */
+export const REPORT_WAIT_MS = 1_500
+
+/** Least time between two reports of one worker, in milliseconds; lets several ends share one call. */
+export const REPORT_GAP_MS = 25
+
+/** Time between reports while ends can't be made durable, in milliseconds. */
+export const UNSETTLED_REPORT_MS = 200
+
+/** Time after a failed report before the next try, in milliseconds. */
+export const REPORT_RETRY_MS = 250
+
+/** How long a table's feed may wait for a change, in milliseconds. */
+export const FEED_WAIT_MS = 1_000
+
+/** Time after a failed feed before the next try, in milliseconds. */
+export const FEED_RETRY_MS = 150
+
+/** Time between two passes of the scheduler when nothing happens, in milliseconds. */
+export const TICK_MS = 100
+
+/** Most rows that one transaction changes; the store takes 100, and some are the term's own. */
+export const MAX_ROWS_PER_COMMIT = 90
+
+/** Time after a failed commit before the next try, in milliseconds. */
+export const COMMIT_RETRY_MS = 100
+
+/** Shortest time between two commits, in milliseconds, so that changes share one. */
+export const COMMIT_GAP_MS = 15
+
+/** Steady and wall clock may drift apart so far, in milliseconds, before the process counts as suspended. */
+export const SUSPENSION_MS = 250
+
+/** A final job's rows are kept so long beyond what clients are promised, in milliseconds. */
+export const RETENTION_MARGIN_MS = 30_000
--- a/packages/scheduler/src/ActionRunner.ts
+++ b/packages/scheduler/src/ActionRunner.ts
@@ -4,7 +4,7 @@
 import PQueue from 'p-queue'
 import { assertNever, type AuburnpinError, type Log, type Result, type VmId } from '@auburnpin/common'
 import type { CellAction, CellTerm } from '@auburnpin/core'
-import type { AttemptAddress, TaskStart, WorkerAnswer, Workers } from '@auburnpin/platform'
+import type { AttemptAddress, TaskStart, WorkerAnswer, Workers } from '@auburnpin/ports'
 import { MAX_VM_ACTIONS, VM_ACTIONS_AT_ONCE } from './constants.ts'
 
 type WorkerAction = Exclude<CellAction, { kind: 'publish-endpoints' }>
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -10,7 +10,7 @@
   type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskReason, type TaskSpec, type Vm
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
-import type { ObjectStore, TableStore, Workers } from '@auburnpin/platform'
+import type { ObjectStore, TableStore, Workers } from '@auburnpin/ports'
 import { ActionRunner } from './ActionRunner.ts'
 import { EndpointPublisher } from './EndpointPublisher.ts'
 import { MAX_WAITING_STEPS, TICK_MS } from './constants.ts'
--- a/packages/scheduler/src/JournalWriter.ts
+++ b/packages/scheduler/src/JournalWriter.ts
@@ -4,7 +4,7 @@
 import { AuburnpinError, brand, Err, Ok, type Clock, type ConfigVersion, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
 import { CELL_FORMAT, type JournalRecord, type Transition } from '@auburnpin/core'
 import { journalKey, type ClaimedCell } from '@auburnpin/cluster'
-import { newTransactionId, type TableStore, type Transaction } from '@auburnpin/platform'
+import { newTransactionId, type TableStore, type Transaction } from '@auburnpin/ports'
 import { GATHER_LOOK_MS, JOURNAL_RETRY_MS, MAX_RECORD_TRANSITIONS, MAX_WAITING_STEPS, RECORD_INTERVAL_MS, STALL_MS } from './constants.ts'
 
 /** What became of a step: durable, surely not (`fenced`), or `unknown-outcome`. */
--- a/packages/scheduler/src/LeaseKeeper.ts
+++ b/packages/scheduler/src/LeaseKeeper.ts
@@ -4,7 +4,7 @@
 import { rendezvousRank, Ticker, type CellId, type Clock, type DataCentre, type Log, type MemberId, type RackId, type VmId } from '@auburnpin/common'
 import { WORKER_LEASE_MS } from '@auburnpin/core'
 import type { CellDirectory, Membership } from '@auburnpin/cluster'
-import type { Workers } from '@auburnpin/platform'
+import type { Workers } from '@auburnpin/ports'
 import { KEEPER_MS } from './constants.ts'
 
 /** What a lease keeper needs from outside. */
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -4,7 +4,7 @@
 import { AuburnpinError, Ticker, type CellId, type DataCentre, type MemberId, type Result, type TaskId } from '@auburnpin/common'
 import { summariseTasks, type CellSummary, type Configuration, type Task } from '@auburnpin/core'
 import type { ConfigurationFollower, PeerReply, PeerRequest } from '@auburnpin/cluster'
-import type { VmEntry, VmList } from '@auburnpin/platform'
+import type { VmEntry, VmList } from '@auburnpin/ports'
 import { cellOfVm, cellsOfRegion } from './cellOfVm.ts'
 import { CellOwnership, type OwnershipPorts } from './CellOwnership.ts'
 import type { CellRunner } from './CellRunner.ts'
--- a/packages/scheduler/src/SnapshotWriter.ts
+++ b/packages/scheduler/src/SnapshotWriter.ts
@@ -4,7 +4,7 @@
 import { brand, Err, newWith, Ok, type AuburnpinError, type Clock, type ConfigVersion, type Instant, type JournalSequence, type Log, type Random, type Result } from '@auburnpin/common'
 import { CELL_FORMAT, toSnapshot, type DurableTasks } from '@auburnpin/core'
 import { journalKey, snapshotKey, snapshotPointerKey, type ClaimedCell } from '@auburnpin/cluster'
-import { newTransactionId, type ObjectStore, type RowCheck, type TableStore } from '@auburnpin/platform'
+import { newTransactionId, type ObjectStore, type RowCheck, type TableStore } from '@auburnpin/ports'
 import { SNAPSHOT_RETRY_MS, SNAPSHOT_TRANSITIONS, SNAPSHOTS_KEPT, TRIM_ROWS } from './constants.ts'
 import { digestOf } from './recoverCell.ts'
 import type { SeenPointer, SnapshotPointer, SnapshotReference } from './snapshotPointer.ts'
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -3,7 +3,7 @@
  */
 import { brand, Ticker, type Clock, type Instant, type LeaseSession, type Log, type Random } from '@auburnpin/common'
 import { WORKER_LEASE_MS, type CellEvent, type CellTerm, type UsageReading, type Vm } from '@auburnpin/core'
-import type { UsageSample, Worker, WorkerReport } from '@auburnpin/platform'
+import type { UsageSample, Worker, WorkerReport } from '@auburnpin/ports'
 import { LEASE_RENEW_MS, REPORT_MS, USAGE_MS } from './constants.ts'
 
 const SESSION_ID_LENGTH = 12
--- a/packages/scheduler/src/recoverCell.ts
+++ b/packages/scheduler/src/recoverCell.ts
@@ -5,7 +5,7 @@
 import { AuburnpinError, brand, Err, Ok, type CellId, type ConfigVersion, type JournalSequence, type Log, type Result } from '@auburnpin/common'
 import { readRecord, readSnapshot, type CellSnapshot, type Transition } from '@auburnpin/core'
 import { journalKey, journalPrefix } from '@auburnpin/cluster'
-import type { ObjectStore, TableStore } from '@auburnpin/platform'
+import type { ObjectStore, TableStore } from '@auburnpin/ports'
 import { readSnapshotPointer, type SeenPointer, type SnapshotReference } from './snapshotPointer.ts'
 
 /** What a cell's journal and snapshots hold. */
--- a/packages/scheduler/src/snapshotPointer.ts
+++ b/packages/scheduler/src/snapshotPointer.ts
@@ -5,7 +5,7 @@
 import { AuburnpinError, Err, Ok, type CellId, type JournalSequence, type Result, type RowVersion } from '@auburnpin/common'
 import { CELL_FORMAT, checkFormat } from '@auburnpin/core'
 import { snapshotPointerKey } from '@auburnpin/cluster'
-import type { TableStore } from '@auburnpin/platform'
+import type { TableStore } from '@auburnpin/ports'
 
 /** One snapshot in the object store. */
 export type SnapshotReference = Readonly<{
--- a/packages/scheduler/tests/leaseKeeper.test.ts
+++ b/packages/scheduler/tests/leaseKeeper.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type DataCentre, type RackId, type VmId } from '@auburnpin/common'
 import { FakeVmWorker, PROMPT } from '@auburnpin/fakes'
-import type { VmEntry } from '@auburnpin/platform'
+import type { VmEntry } from '@auburnpin/ports'
 import { Owners } from './support/Owners.ts'
 import { ROOM, specOf } from './support/World.ts'
 
--- a/packages/scheduler/tests/recovery.test.ts
+++ b/packages/scheduler/tests/recovery.test.ts
@@ -3,7 +3,7 @@
 import { Cell, PlainPolicy, SpreadPolicy, toSnapshot, type CellSnapshot, type Task, type Transition } from '@auburnpin/core'
 import { claimCell, journalKey, snapshotPointerKey, type ClaimedCell } from '@auburnpin/cluster'
 import { FakeObjectStore, FakeTableStore } from '@auburnpin/fakes'
-import { ReliableTable } from '@auburnpin/platform'
+import { ReliableTable } from '@auburnpin/ports'
 import {
   digestOf, JournalWriter, readSnapshotPointer, recoverCell, SnapshotWriter, SNAPSHOT_TRANSITIONS, type RecoveredJournal, type SnapshotPointer
 } from '../src/index.ts'
--- a/packages/scheduler/tests/support/Owners.ts
+++ b/packages/scheduler/tests/support/Owners.ts
@@ -6,7 +6,7 @@
 } from '@auburnpin/common'
 import { CellDirectory, cellKey, ConfigurationFollower, LEASE_DEADLINE_MS, Membership, type CellRow } from '@auburnpin/cluster'
 import { FakeLink, FakeObjectStore, FakePeers, FakeTableStore, FakeVmList, FakeVmWorker, FakeWorkers, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
-import { ReliableTable } from '@auburnpin/platform'
+import { ReliableTable } from '@auburnpin/ports'
 import type { TaskSpec } from '@auburnpin/core'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { Scheduler } from '../../src/index.ts'
--- a/packages/scheduler/tests/support/World.ts
+++ b/packages/scheduler/tests/support/World.ts
@@ -8,7 +8,7 @@
 import type { ListedVm, TaskSpec } from '@auburnpin/core'
 import { cellKey, claimCell, type CellRow, type EndpointsNotice } from '@auburnpin/cluster'
 import { FakeLink, FakeObjectStore, FakeTableStore, FakeVmWorker, FakeWorkers, type FakeCourse } from '@auburnpin/fakes'
-import { ReliableTable, type TableStore } from '@auburnpin/platform'
+import { ReliableTable, type TableStore } from '@auburnpin/ports'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { CellRunner } from '../../src/index.ts'
 
--- a/soak/SoakMember.ts
+++ b/soak/SoakMember.ts
@@ -5,7 +5,7 @@
 import { CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, STORE_DEADLINE_MS } from '@auburnpin/cluster'
 import { FakeObjectStore, FakePeers, FakeTableStore, FakeWorkers, PausableClock, type FakeLink, type FakePeerNetwork, type FakeVmList, type FakeVmWorker } from '@auburnpin/fakes'
 import type { ActionPorts } from '@auburnpin/gateway'
-import { ReliableTable, type TableStore } from '@auburnpin/platform'
+import { ReliableTable, type TableStore } from '@auburnpin/ports'
 import { Scheduler, type RegionLayout } from '@auburnpin/scheduler'
 import type { MemoryTable } from '@auburnpin/stand-in'
 
--- a/soak/SoakRegion.ts
+++ b/soak/SoakRegion.ts
@@ -3,7 +3,7 @@
  */
 import { brand, SeededRandom, VirtualClock, type DataCentre, type MemberId, type RackId, type Random, type VmId } from '@auburnpin/common'
 import { FakeLink, FakeVmList, FakeVmWorker, PROMPT, type Fate, type FakePeerNetwork } from '@auburnpin/fakes'
-import type { TableStore, VmEntry } from '@auburnpin/platform'
+import type { TableStore, VmEntry } from '@auburnpin/ports'
 import { MemoryTable } from '@auburnpin/stand-in'
 import { Observer } from './Observer.ts'
 import { memberId, SoakMember, type SoakSurroundings } from './SoakMember.ts'
--- a/soak/mutants.ts
+++ b/soak/mutants.ts
@@ -3,7 +3,7 @@
  */
 import type { AuburnpinError, Result } from '@auburnpin/common'
 import type { FakeVmWorker } from '@auburnpin/fakes'
-import { TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome, type VmEntry } from '@auburnpin/platform'
+import { TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome, type VmEntry } from '@auburnpin/ports'
 import type { Mutant } from './SoakRegion.ts'
 
 /** Drops the checks of all transactions whose first row starts with a prefix. */
