--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', '**/node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', '**/node_modules/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -4,6 +4,7 @@
 import { assertNever, brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, SLOWEST_CLOCK, STOP_RETRY_MS } from './constants.ts'
 import { JobRecord } from './JobRecord.ts'
+import { paceFillers } from './paceFillers.ts'
 import { placeTasks } from './placeTasks.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
@@ -163,8 +164,11 @@
       present.add(`${reported.task}#${reported.attempt}`)
       const task = this.#findTask(reported.task)
       const run = worker.runs.get(`${reported.task}#${reported.attempt}`)
-      if (run !== undefined) this.#confirm(run, now)
-      else if (task !== undefined) this.#adopt(worker, task, reported.attempt, now)
+      if (run !== undefined) {
+        this.#confirm(run, now)
+        run.reading = reported.reading
+        run.pacePercent = reported.pacePercent
+      } else if (task !== undefined) this.#adopt(worker, task, reported.attempt, now)
       else worker.strangers.set(`${reported.task}#${reported.attempt}`, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
     }
@@ -172,6 +176,7 @@
     for (const run of [...worker.runs.values()]) {
       if (!present.has(runKey(run))) this.#missRun(run, askedAt, now)
     }
+    worker.pacing.observe(worker.runs.values(), now)
   }
 
   // A report asked for before the order's answer came says nothing about the run.
@@ -285,6 +290,7 @@
       case 'fenced':
         return true
       case 'unknown':
+        worker.missAnswer()
         if (run.state === 'ordered') {
           run.state = 'unsure'
           run.since = now
@@ -371,6 +377,7 @@
     this.#expireLeases(now)
     this.#beginDue(wallTime)
     const orders = this.#stops(now)
+    for (const worker of this.workers.values()) orders.push(...paceFillers(worker, now))
     if (!this.#mayOpen(now)) return orders
     for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), now, wallTime)) {
       const run: RunRecord = { task, attempt: task.nextAttempt(this.#firstAttempt), worker, orderedAt: now, state: 'ordered', since: now, isStopWanted: false }
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -17,6 +17,12 @@
   /** When the state was last set; a report asked for earlier says nothing about it. */
   since: Instant
   isStopWanted: boolean
+  /** As last reported: of a serving task its tail in milliseconds, and the share of its pace, in percent. */
+  reading?: number
+  pacePercent?: number
+  /** Share last ordered, and when. */
+  paceOrdered?: number
+  paceSentAt?: Instant
   stopSentAt?: Instant
   stopAnsweredAt?: Instant
 }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -2,7 +2,8 @@
  * What an owner knows of one life of a worker.
  */
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, QUARANTINE_MS, REFUSAL_PAUSE_MS, SILENCE_MS, SLOWEST_CLOCK } from './constants.ts'
+import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, QUARANTINE_MS, REFUSAL_PAUSE_MS, SLOWEST_CLOCK } from './constants.ts'
+import { FillerPacing } from './FillerPacing.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { ClockSample, TaskName, WorkerEntry } from './types.ts'
 
@@ -26,13 +27,16 @@
   isSwept = false
   /** When the newest report that was compared with the runs was asked for. */
   reportedAt = brand<Instant>(-Infinity)
+  /** How fast fillers may work here. */
+  readonly pacing = new FillerPacing()
   processorsUsed = 0
+  servingProcessors = 0
   fillerProcessors = 0
   memoryUsedMb = 0
   acceleratorsUsed = 0
   servingRuns = 0
   fillerRuns = 0
-  #heardAt: Instant
+  #isSilent = false
   #sample: ClockSample | undefined
   #leasedUntilMs = 0
   #leaseOverAt: Instant
@@ -41,7 +45,6 @@
 
   constructor (entry: WorkerEntry, now: Instant, leaseMs: number) {
     this.#entry = entry
-    this.#heardAt = now
     this.#pausedUntil = now
     // An earlier owner may have extended the lease just before this one began.
     this.#leaseOverAt = brand<Instant>(now + leaseMs / SLOWEST_CLOCK + LEASE_MARGIN_MS)
@@ -51,6 +54,11 @@
     return this.#entry
   }
 
+  /** Whether the last call got no answer. */
+  get isSilent (): boolean {
+    return this.#isSilent
+  }
+
   /** Takes in a newer entry of the same life. */
   update (entry: WorkerEntry): void {
     this.#entry = entry
@@ -64,7 +72,7 @@
 
   /** Notes the worker's clock as read at `at`. */
   hear (clockMs: number, at: Instant): void {
-    this.#heardAt = at
+    this.#isSilent = false
     this.#sample = { clockMs, at }
     this.#countLease()
   }
@@ -89,12 +97,12 @@
 
   /** Whether new work may be sent to it. */
   canTake (now: Instant): boolean {
-    return this.isSwept && this.isListed && !this.#entry.isDraining && now >= this.#pausedUntil && now - this.#heardAt < SILENCE_MS
+    return this.isSwept && this.isListed && !this.#entry.isDraining && now >= this.#pausedUntil && !this.#isSilent
   }
 
-  /** Whether it has answered lately. */
-  isHeard (now: Instant): boolean {
-    return now - this.#heardAt < SILENCE_MS
+  /** Notes that a call got no answer; it gets no new work until it answers one. */
+  missAnswer (): void {
+    this.#isSilent = true
   }
 
   /** Leaves the worker alone for a while, after a refusal. */
@@ -131,7 +139,10 @@
       this.fillerProcessors += sign * shape.processors
       this.fillerRuns += sign
     } else this.processorsUsed += sign * shape.processors
-    if (shape.latencyTargetMs > 0) this.servingRuns += sign
+    if (shape.latencyTargetMs > 0) {
+      this.servingRuns += sign
+      this.servingProcessors += sign * shape.processors
+    }
   }
 }
 
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,6 +2,8 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
+import { SERVING_SHARE, SERVING_USE } from './constants.ts'
+import { FULL_PACE } from './FillerPacing.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -9,9 +11,10 @@
 /**
  * The best of the workers that may run the task now, or `undefined`.
  *
- * Made for loads in which fillers and serving tasks share the workers: fillers disturb serving tasks, so
- * each kind keeps off the workers that have the other while there is a choice. Other tasks go where most
- * processors are free, so that the loss of one worker or a slow one costs few tasks.
+ * Made for loads in which serving tasks reserve most processors and use half of them, and fillers take the
+ * rest: serving tasks leave room on each worker for short urgent ones, fillers go where most processors are
+ * likely to be left and the serving tasks' tails are lowest. Other tasks go where most is free, so that the
+ * loss of one worker costs few tasks.
  *
  * @example
  * const worker = chooseWorker(task, workers, now)
@@ -37,14 +40,22 @@
   if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return false
   if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return false
   if (shape.isFiller ? !hasFillerRoom(step, worker) : worker.processorsUsed + shape.processors > entry.processors) return false
+  if (shape.latencyTargetMs > 0 && !hasServingRoom(step, worker)) return false
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return false
   if (runs.some(run => run.worker === worker)) return false
   return shape.maxPerWorker === 0 || countOfStep(step, worker) < shape.maxPerWorker
 }
 
-// A filler that gets no processors makes no progress, so fillers share only what is really left.
-const hasFillerRoom = ({ shape }: StepRecord, { entry, processorsUsed, fillerProcessors, servingRuns }: WorkerRecord): boolean =>
-  servingRuns === 0 && processorsUsed + fillerProcessors + shape.processors <= entry.processors
+// A filler that gets no processors makes no progress, so fillers share only what is likely to be left.
+const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
+  worker.pacing.percent === FULL_PACE && leftProcessors(worker) >= shape.processors
+
+const hasServingRoom = ({ shape }: StepRecord, { entry, servingProcessors }: WorkerRecord): boolean =>
+  servingProcessors === 0 || servingProcessors + shape.processors <= entry.processors * SERVING_SHARE
+
+// Serving tasks reserve more than they use on the whole.
+const leftProcessors = ({ entry, processorsUsed, servingProcessors, fillerProcessors }: WorkerRecord): number =>
+  entry.processors - (processorsUsed - servingProcessors) - servingProcessors * SERVING_USE - fillerProcessors
 
 const countOfStep = (step: StepRecord, worker: WorkerRecord): number => {
   let count = 0
@@ -52,20 +63,12 @@
   return count
 }
 
-/** Weights of the score, in shares of a worker's processors. */
+/** Weight of a task's data being in the worker's rack, in shares of a worker's processors. */
 const DATA_RACK_BONUS = 4
-const SEPARATION_BONUS = 8
-/** What another serving task on the worker costs a serving task. */
-const SERVING_COMPANY_COST = 0.1
 
 const scoreWorker = ({ shape }: StepRecord, worker: WorkerRecord): number => {
-  const { entry, processorsUsed, fillerProcessors } = worker
-  const freeShare = 1 - (processorsUsed + fillerProcessors + shape.processors) / Math.max(1, entry.processors)
-  let score = freeShare
+  const { entry } = worker
+  let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) - worker.pacing.tailShare : 1 - worker.processorsUsed / Math.max(1, entry.processors)
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
-  if (shape.latencyTargetMs > 0) {
-    if (worker.fillerRuns === 0) score += SEPARATION_BONUS
-    if (worker.servingRuns > 0) score += 1 - SERVING_COMPANY_COST * worker.servingRuns
-  }
   return score
 }
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -15,11 +15,33 @@
 /** A worker that had no room or refused is left alone for so many milliseconds; one or two tasks' length. */
 export const REFUSAL_PAUSE_MS = 700
 
-/** A worker without an answer for so many milliseconds gets no new work; two long polls. */
-export const SILENCE_MS = 2_500
-
 /** So many failed runs on end, of any tasks, and the worker counts as bad; by chance at 3 % failures about 1 in 30,000. */
 export const FAILURES_TO_QUARANTINE = 3
 
 /** A bad worker gets no work for so many milliseconds before it is tried again; about one of its faults' length. */
 export const QUARANTINE_MS = 6_000
+
+/** Fillers slow down when a serving task's tail is beyond this share of its target. */
+export const TAIL_HIGH = 0.95
+
+/** Fillers may speed up again when all tails are below this share of their targets. */
+export const TAIL_LOW = 0.8
+
+/** Percent by which fillers slow down at once, and by which they speed up again. */
+export const PACE_DOWN_PERCENT = 50
+export const PACE_UP_PERCENT = 25
+
+/** Milliseconds before a slow-down shows in the readings: it takes 100 ms, and a reading covers 500 ms. */
+export const PACE_SETTLE_MS = 600
+
+/** Milliseconds between two steps up; two fresh readings. */
+export const PACE_UP_GAP_MS = 1_000
+
+/** An order to change the pace is repeated after so many milliseconds if reports don't show it. */
+export const PACE_RETRY_MS = 700
+
+/** Share of its reserved processors that a serving task uses on the whole; the rest is left to fillers. */
+export const SERVING_USE = 0.5
+
+/** Share of a worker that serving tasks may reserve, so that short urgent tasks find room beside them. */
+export const SERVING_SHARE = 0.86
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -153,6 +153,7 @@
 /** What the board wants of a worker. */
 export type RunOrder =
   | Readonly<{ kind: 'start', worker: WorkerId, address: string, task: TaskName, attempt: Attempt, spec: string, checkpoint: string }>
+  | Readonly<{ kind: 'pace', worker: WorkerId, address: string, task: TaskName, attempt: Attempt, percent: number }>
   | Readonly<{ kind: 'stop', worker: WorkerId, address: string, task: TaskName, attempt: Attempt }>
 
 /** The bounds that the board counts with, in milliseconds. */
--- a/packages/jobs/src/JobIntake.ts
+++ b/packages/jobs/src/JobIntake.ts
@@ -29,7 +29,7 @@
   async submit (job: Job, withinMs: number): Promise<Result<void, AuburnpinError>> {
     const key = { table: JOBS_TABLE, key: job.id }
     const outcome = await this.#putOnce({ part: partOfJob(job.id), checks: [{ ...key, version: NO_ROW }], puts: [{ ...key, value: encodeRow(job) }], deletes: [] }, withinMs)
-    this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: job.steps.length, outcome: outcome.ok ? outcome.val : outcome.val.kind })
+    this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: describeSteps(job), outcome: outcome.ok ? outcome.val : outcome.val.kind })
     return outcome.err ? outcome : Ok(undefined)
   }
 
@@ -82,5 +82,11 @@
   }
 }
 
+/** The steps in short: tasks, milli-processors, memory and what is special of each. */
+const describeSteps = ({ steps }: Job): string => steps.map(step => {
+  const marks = [step.isFiller ? 'filler' : '', step.isLasting ? 'lasting' : '', step.isSpeculative ? 'speculative' : '', step.maxPerWorker > 0 ? `perWorker${step.maxPerWorker}` : '']
+  return `${step.taskCount}x${step.processors}m/${step.memoryMb}MB/${step.estimateMs}ms${marks.map(mark => mark === '' ? '' : `,${mark}`).join('')}`
+}).join(' ')
+
 const stillUnknown = (cause: AuburnpinError): AuburnpinError =>
   new AuburnpinError('unknown-outcome', `The store may or may not have taken it: ${cause.message}`, 'Send the same again; it counts once.', { cause })
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the board of one cell for one term of ownership.
  */
-import { brand, type AuburnpinError, type Clock, type Instant, type Log, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { BoardObserver, JobBoard, type JobProgress, type JobRecord, type RunOrder, type RunRecord, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CELL, FEED_RETRY_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
 import { readAll } from './readAll.ts'
@@ -216,8 +216,19 @@
   async #carryOut (order: RunOrder): Promise<void> {
     const worker = this.#board.workers.get(order.worker)
     if (worker === undefined) return
-    if (order.kind === 'start') await this.#start(order, worker)
-    else await this.#stop(order, worker)
+    switch (order.kind) {
+      case 'start':
+        await this.#start(order, worker)
+        break
+      case 'stop':
+        await this.#stop(order, worker)
+        break
+      case 'pace':
+        await this.#pace(order, worker)
+        return
+      default:
+        assertNever(order, 'order')
+    }
     this.learnt()
   }
 
@@ -240,6 +251,13 @@
     else line?.wake()
   }
 
+  async #pace (order: RunOrder & { kind: 'pace' }, worker: WorkerRecord): Promise<void> {
+    const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#won.term.epoch)
+    if (this.#isClosed) return
+    this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, tailShare: worker.pacing.tailShare, answer })
+    if (answer === 'fenced') this.lose(`worker ${order.worker} follows a later owner`)
+  }
+
   async #stop (order: RunOrder & { kind: 'stop' }, worker: WorkerRecord): Promise<void> {
     const { clock, calls, log } = this.#ports
     const answer = await calls.stop(worker.entry, order, this.#won.term.epoch)
--- a/packages/jobs/src/TableFollower.ts
+++ b/packages/jobs/src/TableFollower.ts
@@ -1,7 +1,7 @@
 /**
  * Follows a table: reads it whole, then takes in its changes.
  */
-import { Ok, type AuburnpinError, type Clock, type Instant, type Log, type Result, type RowVersion } from '@auburnpin/common'
+import { brand, Ok, type AuburnpinError, type Clock, type Instant, type Log, type Result, type RowVersion } from '@auburnpin/common'
 import { FEED_RETRY_MS, FEED_WAIT_MS } from './constants.ts'
 import { readAll } from './readAll.ts'
 import type { RowKey, RowStore, StoredRow } from './RowStore.ts'
@@ -95,7 +95,9 @@
     }
     const { changed, deleted, version } = outcome.val
     this.#version = version
-    this.#currentAt = askedAt
+    // An answer without changes came only after the whole wait.
+    const isQuiet = changed.length === 0 && deleted.length === 0
+    this.#currentAt = isQuiet ? brand<Instant>(Math.min(askedAt + FEED_WAIT_MS, this.#clock.now())) : askedAt
     if (changed.length > 0 || deleted.length > 0) this.#reader.change(changed, deleted)
     return Ok(undefined)
   }
--- a/packages/jobs/src/WorkerCalls.ts
+++ b/packages/jobs/src/WorkerCalls.ts
@@ -31,6 +31,8 @@
   abstract start (worker: WorkerAddress, call: StartCall): Promise<StartAnswer>
   /** `taken` means that the run has ended or will, and never starts again there. */
   abstract stop (worker: WorkerAddress, run: RunName, epoch: Epoch): Promise<'taken' | 'fenced' | 'failed'>
+  /** Sets the share of its pace that a run may work at, 0 to 100. */
+  abstract pace (worker: WorkerAddress, run: RunName, percent: number, epoch: Epoch): Promise<'taken' | 'fenced' | 'failed'>
   /** Errors: `fenced` if a later owner has ordered there. */
   abstract report (worker: WorkerAddress, call: ReportCall): Promise<Result<WorkerReport, AuburnpinError>>
 }
--- a/packages/jobs/src/WorkerLine.ts
+++ b/packages/jobs/src/WorkerLine.ts
@@ -3,7 +3,7 @@
  */
 import type { AuburnpinError, Clock, Epoch, Log, Result, WorkerId } from '@auburnpin/common'
 import type { JobBoard, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { REPORT_GAP_MS, REPORT_RETRY_MS, REPORT_WAIT_MS, TICK_MS, UNSETTLED_REPORT_MS, WORKER_LEASE_MS } from './constants.ts'
+import { REPORT_GAP_MS, REPORT_RETRY_MS, REPORT_WAIT_MS, TAIL_REPORT_WAIT_MS, TICK_MS, UNSETTLED_REPORT_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a line needs from its owner. */
@@ -74,7 +74,7 @@
         continue
       }
       const isSettled = worker.appliedEnd <= worker.durableEnd
-      const outcome = await this.#report(worker, isSettled && worker.runs.size > 0 ? REPORT_WAIT_MS : 0)
+      const outcome = await this.#report(worker, isSettled && worker.runs.size > 0 ? waitFor(worker) : 0)
       if (outcome.err) await this.#clock.sleep(REPORT_RETRY_MS)
       else await this.#pace(worker)
     }
@@ -99,6 +99,7 @@
     if (this.#isStopped) return outcome
     this.#tellSilence(outcome)
     if (outcome.err) {
+      worker.missAnswer()
       if (outcome.val.kind === 'fenced') this.#owner.fenced(this.#worker)
       return outcome
     }
@@ -127,6 +128,10 @@
   }
 }
 
+// Tails beside fillers are watched more closely.
+const waitFor = (worker: WorkerRecord): number =>
+  worker.servingRuns > 0 && worker.fillerRuns > 0 ? TAIL_REPORT_WAIT_MS : REPORT_WAIT_MS
+
 // An idle worker needs no lease, and each report costs both sides.
 const needsReport = (worker: WorkerRecord): boolean =>
-  !worker.isSwept || worker.runs.size > 0 || worker.strangers.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd
+  !worker.isSwept || worker.runs.size > 0 || worker.isSilent || worker.strangers.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd
