--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -3,17 +3,21 @@
  */
 import { assertNever, brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, SLOWEST_CLOCK, STOP_RETRY_MS } from './constants.ts'
+import { Disturbance } from './Disturbance.ts'
 import { JobRecord } from './JobRecord.ts'
 import { paceFillers } from './paceFillers.ts'
 import { placeTasks } from './placeTasks.ts'
 import type { StepRecord } from './StepRecord.ts'
-import type { RunRecord, TaskRecord } from './TaskRecord.ts'
+import { FULL_PACE, type RunRecord, type TaskRecord } from './TaskRecord.ts'
 import { parseTaskName } from './taskName.ts'
 import type {
   Job, JobProgress, LeaseBounds, ReportedEnd, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
 import { runKey, WorkerRecord } from './WorkerRecord.ts'
 
+/** A run of an earlier owner may work at any pace, so the first order always differs. */
+const UNKNOWN_PACE = -1
+
 /** Tells why the board changed what it believes; the shell logs it. */
 export abstract class BoardObserver {
   abstract runEnded (run: RunRecord, how: string, worker: WorkerId): void
@@ -43,6 +47,7 @@
   readonly #repeating = new Set<JobRecord>()
   /** Jobs that were cancelled before they became known, as a lost submission may still be stored. */
   readonly #cancelledEarly = new Set<JobId>()
+  readonly #disturbance = new Disturbance()
   readonly #oldLeasesOverAt: Instant
   #isOpen = false
 
@@ -167,7 +172,6 @@
       if (run !== undefined) {
         this.#confirm(run, now)
         run.reading = reported.reading
-        run.pacePercent = reported.pacePercent
       } else if (task !== undefined) this.#adopt(worker, task, reported.attempt, now)
       else worker.strangers.set(`${reported.task}#${reported.attempt}`, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
@@ -176,7 +180,7 @@
     for (const run of [...worker.runs.values()]) {
       if (!present.has(runKey(run))) this.#missRun(run, askedAt, now)
     }
-    worker.pacing.observe(worker.runs.values(), now)
+    worker.pacing.observe(worker.runs.values(), this.#disturbance, now)
   }
 
   // A report asked for before the order's answer came says nothing about the run.
@@ -208,7 +212,7 @@
   // A run that an earlier owner started.
   #adopt (worker: WorkerRecord, task: TaskRecord, attempt: RunRecord['attempt'], now: Instant): void {
     task.noteAttempt(attempt)
-    const run: RunRecord = { task, attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: this.#isSuperfluous(task) }
+    const run: RunRecord = { task, attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: this.#isSuperfluous(task), pacePercent: FULL_PACE, paceOrdered: UNKNOWN_PACE }
     this.#addRun(run)
     this.#noteBegun(task)
   }
@@ -247,7 +251,7 @@
       if (!job.isFinal) this.#dirty.add(job)
     }
     if (run !== undefined) this.#endRun(run, end.ending, now)
-    else this.#observer.runEnded({ task, attempt: end.attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: false }, end.ending, worker.entry.id)
+    else this.#observer.runEnded({ task, attempt: end.attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }, end.ending, worker.entry.id)
     if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#finish(job, 'failed')
   }
 
@@ -323,6 +327,12 @@
     if (run !== undefined) run.stopAnsweredAt = now
   }
 
+  /** Notes that an order of a pace got no answer, so that it is sent again. */
+  paceFailed (id: WorkerId, name: TaskName, attempt: number): void {
+    const run = this.workers.get(id)?.runs.get(`${name}#${attempt}`)
+    if (run !== undefined) run.paceOrdered = UNKNOWN_PACE
+  }
+
   /** Jobs whose progress must be written; the caller writes them and calls `noteDurable`, or `markDirty` if that failed. */
   takeDirty (limit: number): readonly JobRecord[] {
     const taken: JobRecord[] = []
@@ -379,8 +389,8 @@
     const orders = this.#stops(now)
     for (const worker of this.workers.values()) orders.push(...paceFillers(worker, now))
     if (!this.#mayOpen(now)) return orders
-    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), now, wallTime)) {
-      const run: RunRecord = { task, attempt: task.nextAttempt(this.#firstAttempt), worker, orderedAt: now, state: 'ordered', since: now, isStopWanted: false }
+    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.#disturbance, now, wallTime)) {
+      const run: RunRecord = { task, attempt: task.nextAttempt(this.#firstAttempt), worker, orderedAt: now, state: 'ordered', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }
       this.#addRun(run)
       orders.push({
         kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -6,6 +6,9 @@
 import type { TaskName } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
+/** Percent of a run's pace without any limit. */
+export const FULL_PACE = 100
+
 /** One run of a task on one worker, from its order to its sure end. */
 export type RunRecord = {
   readonly task: TaskRecord
@@ -17,11 +20,13 @@
   /** When the state was last set; a report asked for earlier says nothing about it. */
   since: Instant
   isStopWanted: boolean
-  /** As last reported: of a serving task its tail in milliseconds, and the share of its pace, in percent. */
+  /** As last reported: of a serving task its tail in milliseconds, of any other the thousandths of a core in use. */
   reading?: number
-  pacePercent?: number
-  /** Share last ordered, and when. */
-  paceOrdered?: number
+  /** Of a serving task: its tail as a share of its target, smoothed over some readings. */
+  tailShare?: number
+  /** Share of its pace that a filler may work at, in percent, and the share last ordered. */
+  pacePercent: number
+  paceOrdered: number
   paceSentAt?: Instant
   stopSentAt?: Instant
   stopAnsweredAt?: Instant
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,8 +2,8 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { SERVING_SHARE, SERVING_USE } from './constants.ts'
-import { FULL_PACE } from './FillerPacing.ts'
+import { SERVING_SHARE, SERVING_USE, TAIL_PLACING } from './constants.ts'
+import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -17,14 +17,16 @@
  * loss of one worker costs few tasks.
  *
  * @example
- * const worker = chooseWorker(task, workers, now)
+ * const worker = chooseWorker(task, workers, disturbance, now)
  */
-export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, now: Instant): WorkerRecord | undefined => {
+export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, disturbance: Disturbance, now: Instant): WorkerRecord | undefined => {
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
   for (const worker of workers) {
     if (!mayRun(task, worker, now)) continue
-    const score = scoreWorker(task.step, worker)
+    const tailShare = task.step.shape.isFiller ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
+    if (tailShare > TAIL_PLACING) continue
+    const score = scoreWorker(task.step, worker) - tailShare
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -48,7 +50,7 @@
 
 // A filler that gets no processors makes no progress, so fillers share only what is likely to be left.
 const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
-  worker.pacing.percent === FULL_PACE && leftProcessors(worker) >= shape.processors
+  !worker.pacing.isLimited && leftProcessors(worker) >= shape.processors
 
 const hasServingRoom = ({ shape }: StepRecord, { entry, servingProcessors }: WorkerRecord): boolean =>
   servingProcessors === 0 || servingProcessors + shape.processors <= entry.processors * SERVING_SHARE
@@ -68,7 +70,7 @@
 
 const scoreWorker = ({ shape }: StepRecord, worker: WorkerRecord): number => {
   const { entry } = worker
-  let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) - worker.pacing.tailShare : 1 - worker.processorsUsed / Math.max(1, entry.processors)
+  let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) : 1 - worker.processorsUsed / Math.max(1, entry.processors)
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
   return score
 }
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -24,12 +24,23 @@
 /** Fillers slow down when a serving task's tail is beyond this share of its target. */
 export const TAIL_HIGH = 0.95
 
+/** Fillers that must slow down do so until the tail is expected at this share of its target. */
+export const TAIL_GOAL = 0.7
+
 /** Fillers may speed up again when all tails are below this share of their targets. */
-export const TAIL_LOW = 0.8
+export const TAIL_LOW = 0.75
+
+/** A filler goes only where no tail is expected beyond this share of its target. */
+export const TAIL_PLACING = 0.85
+
+/** Weight of the newest reading in a smoothed tail; readings are rough, and two in a row must count. */
+export const TAIL_SMOOTHING = 0.5
 
-/** Percent by which fillers slow down at once, and by which they speed up again. */
-export const PACE_DOWN_PERCENT = 50
-export const PACE_UP_PERCENT = 25
+/** A reading beyond so many times the target says no more than this. */
+export const TAIL_SHARE_BOUND = 4
+
+/** Percent by which one filler speeds up at a time. */
+export const PACE_UP_PERCENT = 50
 
 /** Milliseconds before a slow-down shows in the readings: it takes 100 ms, and a reading covers 500 ms. */
 export const PACE_SETTLE_MS = 600
@@ -37,11 +48,11 @@
 /** Milliseconds between two steps up; two fresh readings. */
 export const PACE_UP_GAP_MS = 1_000
 
-/** An order to change the pace is repeated after so many milliseconds if reports don't show it. */
-export const PACE_RETRY_MS = 700
-
 /** Share of its reserved processors that a serving task uses on the whole; the rest is left to fillers. */
 export const SERVING_USE = 0.5
 
 /** Share of a worker that serving tasks may reserve, so that short urgent tasks find room beside them. */
 export const SERVING_SHARE = 0.86
+
+/** An order of a pace without an answer is sent again after so many milliseconds. */
+export const PACE_RETRY_MS = 300
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -3,6 +3,7 @@
  */
 import type { Instant } from '@auburnpin/common'
 import { chooseWorker } from './chooseWorker.ts'
+import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
@@ -17,16 +18,16 @@
  * before it takes the next one, since room is counted there.
  *
  * @example
- * for (const { task, worker } of placeTasks(openSteps, workers, now, wallTime)) start(task, worker)
+ * for (const { task, worker } of placeTasks(openSteps, workers, disturbance, now, wallTime)) start(task, worker)
  */
-export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, now: Instant, wallTime: number): Generator<PlacedTask> {
+export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, disturbance: Disturbance, now: Instant, wallTime: number): Generator<PlacedTask> {
   const candidates = [...workers].filter(worker => worker.canTake(now))
   if (candidates.length === 0) return
   const refused: JobStep[] = []
   for (const step of orderSteps(steps, wallTime)) {
     if (refused.some(shape => needsAtLeast(step.shape, shape))) continue
     for (const task of [...step.waiting]) {
-      const worker = chooseWorker(task, candidates, now)
+      const worker = chooseWorker(task, candidates, disturbance, now)
       if (worker === undefined) {
         if (isPlain(step.shape)) refused.push(step.shape)
         break
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -105,8 +105,8 @@
   task: TaskName
   attempt: Attempt
   checkpoint: string
-  /** Share of its pace that it may work at, 0 to 100. */
-  pacePercent: number
+  /** How far it has got, 0 to 100; of a lasting task 100 once it is at work. */
+  progressPercent: number
   /** Of a serving task its tail latency in milliseconds, of any other the thousandths of a core in use. */
   reading: number
 }>
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -254,8 +254,9 @@
   async #pace (order: RunOrder & { kind: 'pace' }, worker: WorkerRecord): Promise<void> {
     const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#won.term.epoch)
     if (this.#isClosed) return
-    this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, tailShare: worker.pacing.tailShare, answer })
+    this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, answer })
     if (answer === 'fenced') this.lose(`worker ${order.worker} follows a later owner`)
+    if (answer === 'failed') this.#board.paceFailed(order.worker, order.task, order.attempt)
   }
 
   async #stop (order: RunOrder & { kind: 'stop' }, worker: WorkerRecord): Promise<void> {
