--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -18,7 +18,7 @@
  *
  * @example
  * disturbance.learn(worker.runs.values(), now)
- * const tailShare = disturbance.expectBeside(filler, worker.runs.values())
+ * const added = disturbance.harmOf(filler, filler.processors, worker.runs.values())
  */
 export class Disturbance {
   readonly #model = new LearntInterference(NO_BANDS)
@@ -41,19 +41,25 @@
     }
   }
 
-  /** What each core that a filler uses adds to a serving task's tail. */
-  perCore (serving: JobStep, filler: JobStep): number {
-    return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD)
+  /** What a filler that uses so many thousandths of a core adds to the tail of the serving task that it disturbs most. */
+  harmOf (filler: JobStep, milliCores: number, serving: Iterable<RunRecord>): number {
+    let perCore = 0
+    for (const { task: { step: { shape } } } of serving) {
+      if (shape.latencyTargetMs > 0) perCore = Math.max(perCore, this.#perCore(shape, filler))
+    }
+    return perCore * milliCores / MILLI
   }
 
-  /** The worst tail expected among the serving tasks once a filler runs beside them as well. */
-  expectBeside (filler: JobStep, runs: Iterable<RunRecord>): number {
+  /** The worst tail among the serving tasks, smoothed or else as learnt of their image. */
+  worstTail (runs: Iterable<RunRecord>): number {
     let worst = 0
     for (const { task: { step: { shape } }, tailShare } of runs) {
-      if (shape.latencyTargetMs === 0) continue
-      const known = Math.max(tailShare ?? 0, this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD))
-      worst = Math.max(worst, known + this.perCore(shape, filler) * filler.processors / MILLI)
+      if (shape.latencyTargetMs > 0) worst = Math.max(worst, tailShare ?? this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD))
     }
     return worst
   }
+
+  #perCore (serving: JobStep, filler: JobStep): number {
+    return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD)
+  }
 }
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,7 +2,7 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { SERVING_SHARE, SERVING_USE, TAIL_PLACING } from './constants.ts'
+import { HARMLESS_SHARE, SERVING_SHARE, SERVING_USE, TAIL_PLACING } from './constants.ts'
 import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -12,8 +12,8 @@
  * The best of the workers that may run the task now, or `undefined`.
  *
  * Made for loads in which serving tasks reserve most processors and use half of them, and fillers take the
- * rest: serving tasks leave room on each worker for short urgent ones, fillers go where most processors are
- * likely to be left and the serving tasks' tails are lowest. Other tasks go where most is free, so that the
+ * rest: serving tasks leave room on each worker for short urgent ones and go beside others of their image, so that
+ * each kind of filler finds workers where it disturbs nobody. Other tasks go where most is free, so that the
  * loss of one worker costs few tasks.
  *
  * @example
@@ -24,9 +24,9 @@
   let bestScore = -Infinity
   for (const worker of workers) {
     if (!mayRun(task, worker, now)) continue
-    const tailShare = task.step.shape.isFiller ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
-    if (tailShare > TAIL_PLACING) continue
-    const score = scoreWorker(task.step, worker) - tailShare
+    const harm = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.harmOf(task.step.shape, task.step.shape.processors, worker.runs.values()) : 0
+    if (harm > HARMLESS_SHARE && harm + disturbance.worstTail(worker.runs.values()) > TAIL_PLACING) continue
+    const score = scoreWorker(task.step, worker) - harm * HARM_WEIGHT
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -50,7 +50,7 @@
 
 // A filler that gets no processors makes no progress, so fillers share only what is likely to be left.
 const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
-  !worker.pacing.isLimited && leftProcessors(worker) >= shape.processors
+  leftProcessors(worker) >= shape.processors
 
 const hasServingRoom = ({ shape }: StepRecord, { entry, servingProcessors }: WorkerRecord): boolean =>
   servingProcessors === 0 || servingProcessors + shape.processors <= entry.processors * SERVING_SHARE
@@ -67,10 +67,23 @@
 
 /** Weight of a task's data being in the worker's rack, in shares of a worker's processors. */
 const DATA_RACK_BONUS = 4
+/** Weight of what a filler is expected to add to a tail, against the free share of the worker. */
+const HARM_WEIGHT = 3
+/** Weights of a worker whose serving tasks are all of the task's image, and of one with others. */
+const SAME_IMAGE_BONUS = 2
+const OTHER_IMAGE_COST = 2
 
 const scoreWorker = ({ shape }: StepRecord, worker: WorkerRecord): number => {
   const { entry } = worker
   let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) : 1 - worker.processorsUsed / Math.max(1, entry.processors)
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
+  if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += servesOnly(worker, shape.image) ? SAME_IMAGE_BONUS : -OTHER_IMAGE_COST
   return score
 }
+
+const servesOnly = (worker: WorkerRecord, image: string): boolean => {
+  for (const { task: { step: { shape } } } of worker.runs.values()) {
+    if (shape.latencyTargetMs > 0 && shape.image !== image) return false
+  }
+  return true
+}
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -39,14 +39,14 @@
 /** A reading beyond so many times the target says no more than this. */
 export const TAIL_SHARE_BOUND = 4
 
-/** Percent by which one filler speeds up at a time. */
-export const PACE_UP_PERCENT = 50
+/** A filler that adds less than this to a tail, as a share of its target, counts as harmless; readings differ by more. */
+export const HARMLESS_SHARE = 0.05
 
 /** Milliseconds before a slow-down shows in the readings: it takes 100 ms, and a reading covers 500 ms. */
 export const PACE_SETTLE_MS = 600
 
-/** Milliseconds between two steps up; two fresh readings. */
-export const PACE_UP_GAP_MS = 1_000
+/** Milliseconds between two steps up; one fresh reading. */
+export const PACE_UP_GAP_MS = 700
 
 /** Share of its reserved processors that a serving task uses on the whole; the rest is left to fillers. */
 export const SERVING_USE = 0.5
