Held fillers move away; one alarming reading is enough to hold them

Cause: readings are smooth, a disturbing pair shows at once at up to ten times the target, and the smoothed tail lagged by 1.5 s; held fillers stood still for the rest of their worker's load peak.

--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -59,6 +59,15 @@
     return worst
   }
 
+  /** The worst of the newest readings, as a share of its target. */
+  worstReading (runs: Iterable<RunRecord>): number {
+    let worst = 0
+    for (const { task: { step: { shape } }, reading } of runs) {
+      if (shape.latencyTargetMs > 0) worst = Math.max(worst, (reading ?? 0) / shape.latencyTargetMs)
+    }
+    return worst
+  }
+
   #perCore (serving: JobStep, filler: JobStep): number {
     return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD)
   }
--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -2,16 +2,20 @@
  * How fast the fillers of one worker may work beside its serving tasks.
  */
 import { brand, type Instant } from '@auburnpin/common'
-import { HARMLESS_SHARE, PACE_SETTLE_MS, PACE_UP_GAP_MS, TAIL_GOAL, TAIL_HIGH, TAIL_LOW } from './constants.ts'
+import { HARMLESS_SHARE, PACE_SETTLE_MS, PACE_UP_GAP_MS, TAIL_ALARM, TAIL_GOAL, TAIL_HIGH, TAIL_LOW } from './constants.ts'
 import type { Disturbance } from './Disturbance.ts'
 import { FULL_PACE, type RunRecord } from './TaskRecord.ts'
 
+/** A run that has got less far than this, in percent, may start anew elsewhere. */
+const SMALL_PROGRESS_PERCENT = 35
+
 /** Cuts in turn after which fillers that count as harmless are held as well. */
 const CUTS_BEFORE_ALL = 3
 
 /**
  * Holds the fillers that disturb most when a tail nears its target, all of them if that doesn't help, and
- * lets them up again as the tails allow. Made for disturbances that change within seconds, with rough
+ * lets them up again as the tails allow. A held filler that loses little work by it is stopped as well, to
+ * start again where it disturbs less. Made for disturbances that change within seconds, with rough
  * readings that cover the last half second.
  */
 export class FillerPacing {
@@ -25,7 +29,7 @@
     const fillers = all.filter(run => run.task.step.shape.isFiller)
     if (fillers.length === 0) return
     const tailShare = disturbance.worstTail(all)
-    if (tailShare > TAIL_HIGH) {
+    if (tailShare > TAIL_HIGH || disturbance.worstReading(all) > TAIL_ALARM) {
       if (now - this.#changedAt >= PACE_SETTLE_MS) this.#cut(tailShare, byHarm(fillers, all, disturbance), now)
       return
     }
@@ -40,6 +44,7 @@
       if (excess <= 0) break
       if (run.pacePercent === 0 || (harm < HARMLESS_SHARE && this.#cutsInTurn < CUTS_BEFORE_ALL)) continue
       run.pacePercent = 0
+      if (harm >= HARMLESS_SHARE && losesLittle(run)) run.isStopWanted = true
       excess -= harm
     }
     this.#changedAt = now
@@ -59,6 +64,10 @@
   }
 }
 
+// A stop keeps the checkpoint; without one the work so far is lost.
+const losesLittle = ({ task: { step: { shape } }, progressPercent }: RunRecord): boolean =>
+  shape.isCheckpointing || (progressPercent ?? 0) < SMALL_PROGRESS_PERCENT
+
 type HarmfulRun = Readonly<{ run: RunRecord, harm: number }>
 
 /** The fillers with what each adds to a tail at its full pace, most first. */
--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -172,6 +172,7 @@
       if (run !== undefined) {
         this.#confirm(run, now)
         run.reading = reported.reading
+        run.progressPercent = reported.progressPercent
       } else if (task !== undefined) this.#adopt(worker, task, reported.attempt, now)
       else worker.strangers.set(`${reported.task}#${reported.attempt}`, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -22,6 +22,8 @@
   isStopWanted: boolean
   /** As last reported: of a serving task its tail in milliseconds, of any other the thousandths of a core in use. */
   reading?: number
+  /** How far it has got, in percent; of a lasting task 100 once it is at work. */
+  progressPercent?: number
   /** Of a serving task: its tail as a share of its target, smoothed over some readings. */
   tailShare?: number
   /** Share of its pace that a filler may work at, in percent, and the share last ordered. */
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -24,6 +24,9 @@
 /** Fillers slow down when a serving task's tail is beyond this share of its target. */
 export const TAIL_HIGH = 0.95
 
+/** One reading beyond this share of a target is enough for them to slow down. */
+export const TAIL_ALARM = 1.3
+
 /** Fillers that must slow down do so until the tail is expected at this share of its target. */
 export const TAIL_GOAL = 0.7
 
