--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -100,6 +100,7 @@
     if (done === 'all' || done?.includes(task.index)) step.finish(task)
     for (const attempt of progress.failed[task.progressKey] ?? []) task.failedAttempts.push(attempt)
     task.checkpoint = progress.checkpoints[task.progressKey] ?? ''
+    if (progress.phase === 'active') task.hasRun = true
   }
 }
 
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -43,6 +43,8 @@
   /** Numbers of the runs that failed. */
   readonly failedAttempts: number[] = []
   isDone = false
+  /** Whether a run of it has been ordered, as far as is known; a lasting task that ran must run again soon. */
+  hasRun = false
   checkpoint = ''
   #lastAttempt = 0
 
@@ -60,11 +62,13 @@
   /** The next run's number: above every run known, and above all that an earlier term can have ordered. */
   nextAttempt (firstOfTerm: number): Attempt {
     this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
+    this.hasRun = true
     return brand<Attempt>(this.#lastAttempt)
   }
 
   /** Notes a run number that a worker told. */
   noteAttempt (attempt: Attempt): void {
     this.#lastAttempt = Math.max(this.#lastAttempt, attempt)
+    this.hasRun = true
   }
 }
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,7 +2,7 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { HARMLESS_SHARE, SERVING_SHARE, SERVING_USE, TAIL_PLACING } from './constants.ts'
+import { HARMLESS_SHARE, SERVING_USE, TAIL_PLACING } from './constants.ts'
 import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -12,8 +12,8 @@
  * The best of the workers that may run the task now, or `undefined`.
  *
  * Made for loads in which serving tasks reserve most processors and use half of them, and fillers take the
- * rest: serving tasks leave room on each worker for short urgent ones and go beside others of their image, so that
- * each kind of filler finds workers where it disturbs nobody. Other tasks go where most is free, so that the
+ * rest: serving tasks fill worker after worker beside others of their image, so that each kind of filler finds
+ * workers where it disturbs nobody. Other tasks go where most is free, so that the
  * loss of one worker costs few tasks.
  *
  * @example
@@ -42,7 +42,6 @@
   if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return false
   if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return false
   if (shape.isFiller ? !hasFillerRoom(step, worker) : worker.processorsUsed + shape.processors > entry.processors) return false
-  if (shape.latencyTargetMs > 0 && !hasServingRoom(step, worker)) return false
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return false
   if (runs.some(run => run.worker === worker)) return false
   return shape.maxPerWorker === 0 || countOfStep(step, worker) < shape.maxPerWorker
@@ -52,9 +51,6 @@
 const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
   leftProcessors(worker) >= shape.processors
 
-const hasServingRoom = ({ shape }: StepRecord, { entry, servingProcessors }: WorkerRecord): boolean =>
-  servingProcessors === 0 || servingProcessors + shape.processors <= entry.processors * SERVING_SHARE
-
 // Serving tasks reserve more than they use on the whole.
 const leftProcessors = ({ entry, processorsUsed, servingProcessors, fillerProcessors }: WorkerRecord): number =>
   entry.processors - (processorsUsed - servingProcessors) - servingProcessors * SERVING_USE - fillerProcessors
@@ -75,7 +71,8 @@
 
 const scoreWorker = ({ shape }: StepRecord, worker: WorkerRecord): number => {
   const { entry } = worker
-  let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) : 1 - worker.processorsUsed / Math.max(1, entry.processors)
+  const usedShare = worker.processorsUsed / Math.max(1, entry.processors)
+  let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) : shape.latencyTargetMs > 0 ? usedShare : 1 - usedShare
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
   if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += servesOnly(worker, shape.image) ? SAME_IMAGE_BONUS : -OTHER_IMAGE_COST
   return score
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -54,8 +54,8 @@
 /** Share of its reserved processors that a serving task uses on the whole; the rest is left to fillers. */
 export const SERVING_USE = 0.5
 
-/** Share of a worker that serving tasks may reserve, so that short urgent tasks find room beside them. */
-export const SERVING_SHARE = 0.86
-
 /** An order of a pace without an answer is sent again after so many milliseconds. */
 export const PACE_RETRY_MS = 300
+
+/** Share of the workers that new serving tasks keep off, so that short urgent tasks and restarts find room. */
+export const SPARED_SHARE = 0.1
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -3,6 +3,7 @@
  */
 import type { Instant } from '@auburnpin/common'
 import { chooseWorker } from './chooseWorker.ts'
+import { SPARED_SHARE } from './constants.ts'
 import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -23,13 +24,16 @@
 export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, disturbance: Disturbance, now: Instant, wallTime: number): Generator<PlacedTask> {
   const candidates = [...workers].filter(worker => worker.canTake(now))
   if (candidates.length === 0) return
+  const spared = spareWorkers(candidates)
+  const unspared = candidates.filter(worker => !spared.has(worker))
   const refused: JobStep[] = []
   for (const step of orderSteps(steps, wallTime)) {
     if (refused.some(shape => needsAtLeast(step.shape, shape))) continue
     for (const task of [...step.waiting]) {
-      const worker = chooseWorker(task, candidates, disturbance, now)
+      const isNewServing = step.shape.latencyTargetMs > 0 && !task.hasRun
+      const worker = chooseWorker(task, isNewServing ? unspared : candidates, disturbance, now)
       if (worker === undefined) {
-        if (isPlain(step.shape)) refused.push(step.shape)
+        if (isPlain(step.shape) && !isNewServing) refused.push(step.shape)
         break
       }
       yield { task, worker }
@@ -37,6 +41,22 @@
   }
 }
 
+// The workers last by name, of each service its share.
+const spareWorkers = (workers: readonly WorkerRecord[]): ReadonlySet<WorkerRecord> => {
+  const byService = new Map<string, WorkerRecord[]>()
+  for (const worker of workers) {
+    const others = byService.get(worker.entry.service)
+    if (others === undefined) byService.set(worker.entry.service, [worker])
+    else others.push(worker)
+  }
+  const spared = new Set<WorkerRecord>()
+  for (const ofService of byService.values()) {
+    ofService.sort((one, other) => one.entry.id < other.entry.id ? 1 : -1)
+    for (const worker of ofService.slice(0, Math.ceil(ofService.length * SPARED_SHARE))) spared.add(worker)
+  }
+  return spared
+}
+
 const orderSteps = (steps: Iterable<StepRecord>, wallTime: number): StepRecord[] => {
   const waiting: StepRecord[] = []
   for (const step of steps) if (step.waiting.size > 0) waiting.push(step)
