--- a/packages/jobs/src/WorkerLine.ts
+++ b/packages/jobs/src/WorkerLine.ts
@@ -92,7 +92,8 @@
 
   async #report (worker: WorkerRecord, waitMs: number): Promise<Result<WorkerReport, AuburnpinError>> {
     const askedAt = this.#clock.now()
-    const leaseEndMs = worker.runs.size > 0 ? worker.leaseEnd(WORKER_LEASE_MS, askedAt) : undefined
+    // A worker that doesn't answer may be gone, and then its lease must run out; it may also carry this call out late.
+    const leaseEndMs = worker.runs.size > 0 && !worker.isSilent ? worker.leaseEnd(WORKER_LEASE_MS, askedAt) : undefined
     if (leaseEndMs !== undefined) worker.extend(leaseEndMs)
     const seenEnd = worker.durableEnd
     const outcome = await this.#calls.report(worker.entry, { epoch: this.#epoch, seenEnd, leaseEndMs, waitMs })
