--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -29,7 +29,7 @@
   const refused: JobStep[] = []
   for (const step of orderSteps(steps, wallTime)) {
     if (refused.some(shape => needsAtLeast(step.shape, shape))) continue
-    for (const task of [...step.waiting]) {
+    for (const task of inTurn(step.waiting)) {
       const isNewServing = step.shape.latencyTargetMs > 0 && !task.hasRun
       const worker = chooseWorker(task, isNewServing ? unspared : candidates, disturbance, now)
       if (worker === undefined) {
@@ -41,6 +41,10 @@
   }
 }
 
+// Tasks that ran before find room where new ones may not, so they must not wait behind those.
+const inTurn = (waiting: ReadonlySet<TaskRecord>): readonly TaskRecord[] =>
+  [...waiting].sort((one, other) => Number(other.hasRun) - Number(one.hasRun))
+
 // The workers last by name, of each service its share.
 const spareWorkers = (workers: readonly WorkerRecord[]): ReadonlySet<WorkerRecord> => {
   const byService = new Map<string, WorkerRecord[]>()
--- a/packages/jobs/tests/support/JobsWorld.ts
+++ b/packages/jobs/tests/support/JobsWorld.ts
@@ -155,8 +155,11 @@
       value = result
       isSettled = true
     })
-    for (let waited = 0; waited < ms && !isSettled; waited += LOOK_MS) await this.advance(LOOK_MS)
-    if (!isSettled) throw new Error('The promise did not settle in time')
+    for (let waited = 0; waited < ms; waited += LOOK_MS) {
+      if (isSettled) break
+      await this.advance(LOOK_MS)
+    }
+    if (value === undefined && !isSettled) throw new Error('The promise did not settle in time')
     return value as Value
   }
 
