--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -4,7 +4,7 @@
 import { brand, type Instant, type ServiceName } from '@auburnpin/common'
 import { LearntInterference } from '../interference/LearntInterference.ts'
 import type { Neighbour } from '../interference/InterferenceModel.ts'
-import { TAIL_SHARE_BOUND, TAIL_SMOOTHING } from './constants.ts'
+import { EMPTY_TAIL_SHARE, FIRST_EMPTY_TAIL_SHARE, TAIL_SMOOTHING } from './constants.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
 
@@ -14,7 +14,9 @@
 const MILLI = 1_000
 
 /**
- * Learns from each report; tails count as shares of their targets.
+ * Learns from each report. A tail grows without bound as a server nears its capacity, so what is learnt and
+ * compared is the server's *pressure*: how busy it must be to show such a tail, as a share of how busy it
+ * may be at its target. 1 is just on target; what several fillers add to it adds up.
  *
  * @example
  * disturbance.learn(worker.runs.values(), now)
@@ -22,6 +24,8 @@
  */
 export class Disturbance {
   readonly #model = new LearntInterference(NO_BANDS)
+  /** For each serving image the shortest tail seen, as a share of its target. */
+  readonly #shortest = new Map<string, number>()
 
   /** Takes in the readings of one worker's runs. */
   learn (runs: Iterable<RunRecord>, now: Instant): void {
@@ -31,17 +35,26 @@
       const { shape } = run.task.step
       if (run.reading === undefined) continue
       if (shape.isFiller) neighbours.push({ kind: shape.image, cores: run.reading / MILLI })
-      else if (shape.latencyTargetMs > 0) serving.push(run)
+      else if (shape.latencyTargetMs > 0 && run.reading > 0 && run.progressPercent === AT_WORK) serving.push(run)
     }
     for (const run of serving) {
       const { shape } = run.task.step
-      const ratio = Math.min(TAIL_SHARE_BOUND, (run.reading ?? 0) / shape.latencyTargetMs)
-      run.tailShare = run.tailShare === undefined ? ratio : run.tailShare + TAIL_SMOOTHING * (ratio - run.tailShare)
-      this.#model.learn({ service: brand<ServiceName>(shape.image), load: ANY_LOAD, ratio, neighbours, measuredAt: now })
+      const pressure = this.#pressureOf(shape, (run.reading ?? 0) / shape.latencyTargetMs)
+      run.newestPressure = pressure
+      run.pressure = run.pressure === undefined ? pressure : run.pressure + TAIL_SMOOTHING * (pressure - run.pressure)
+      this.#model.learn({ service: brand<ServiceName>(shape.image), load: ANY_LOAD, ratio: pressure, neighbours, measuredAt: now })
     }
   }
 
-  /** What a filler that uses so many thousandths of a core adds to the tail of the serving task that it disturbs most. */
+  // A server that is busy for the share b of its time has a tail of 1 / (1 - b) times its tail when it is idle.
+  #pressureOf ({ image }: JobStep, tailShare: number): number {
+    const shortest = Math.min(tailShare, this.#shortest.get(image) ?? FIRST_EMPTY_TAIL_SHARE)
+    this.#shortest.set(image, shortest)
+    const idle = shortest * EMPTY_TAIL_SHARE
+    return Math.max(0, 1 - idle / tailShare) / (1 - idle)
+  }
+
+  /** What a filler that uses so many thousandths of a core adds to the pressure on the serving task that it disturbs most. */
   harmOf (filler: JobStep, milliCores: number, serving: Iterable<RunRecord>): number {
     let perCore = 0
     for (const { task: { step: { shape } } } of serving) {
@@ -50,20 +63,19 @@
     return perCore * milliCores / MILLI
   }
 
-  /** The worst tail among the serving tasks, smoothed or else as learnt of their image. */
-  worstTail (runs: Iterable<RunRecord>): number {
-    let worst = 0
-    for (const { task: { step: { shape } }, tailShare } of runs) {
-      if (shape.latencyTargetMs > 0) worst = Math.max(worst, tailShare ?? this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD))
-    }
-    return worst
-  }
-
-  /** The worst of the newest readings, as a share of its target. */
-  worstReading (runs: Iterable<RunRecord>): number {
+  /** The pressure on the serving task that fares worst, as learnt, with one more filler beside all that run. */
+  expectBeside (filler: JobStep, runs: Iterable<RunRecord>): number {
+    const all = [...runs]
     let worst = 0
-    for (const { task: { step: { shape } }, reading } of runs) {
-      if (shape.latencyTargetMs > 0) worst = Math.max(worst, (reading ?? 0) / shape.latencyTargetMs)
+    const seen = new Set<string>()
+    for (const { task: { step: { shape } } } of all) {
+      if (shape.latencyTargetMs === 0 || seen.has(shape.image)) continue
+      seen.add(shape.image)
+      let pressure = this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD) + this.#perCore(shape, filler) * filler.processors / MILLI
+      for (const { task: { step }, pacePercent } of all) {
+        if (step.shape.isFiller && pacePercent > 0) pressure += this.#perCore(shape, step.shape) * step.shape.processors / MILLI
+      }
+      worst = Math.max(worst, pressure)
     }
     return worst
   }
@@ -72,3 +84,20 @@
     return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD)
   }
 }
+
+/** Progress of a lasting task that is at work, in percent. */
+const AT_WORK = 100
+
+/** The worst smoothed pressure among the serving tasks. */
+export const worstPressure = (runs: Iterable<RunRecord>): number => {
+  let worst = 0
+  for (const { pressure } of runs) worst = Math.max(worst, pressure ?? 0)
+  return worst
+}
+
+/** The worst of the newest pressures. */
+export const worstNewPressure = (runs: Iterable<RunRecord>): number => {
+  let worst = 0
+  for (const { newestPressure } of runs) worst = Math.max(worst, newestPressure ?? 0)
+  return worst
+}
--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -2,8 +2,8 @@
  * How fast the fillers of one worker may work beside its serving tasks.
  */
 import { brand, type Instant } from '@auburnpin/common'
-import { HARMLESS_SHARE, PACE_SETTLE_MS, PACE_UP_GAP_MS, TAIL_ALARM, TAIL_GOAL, TAIL_HIGH, TAIL_LOW } from './constants.ts'
-import type { Disturbance } from './Disturbance.ts'
+import { HARMLESS_SHARE, PACE_SETTLE_MS, PACE_UP_GAP_MS, PRESSURE_ALARM, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW } from './constants.ts'
+import { worstNewPressure, worstPressure, type Disturbance } from './Disturbance.ts'
 import { FULL_PACE, type RunRecord } from './TaskRecord.ts'
 
 /** A run that has got less far than this, in percent, may start anew elsewhere. */
@@ -28,18 +28,18 @@
     disturbance.learn(all, now)
     const fillers = all.filter(run => run.task.step.shape.isFiller)
     if (fillers.length === 0) return
-    const tailShare = disturbance.worstTail(all)
-    if (tailShare > TAIL_HIGH || disturbance.worstReading(all) > TAIL_ALARM) {
-      if (now - this.#changedAt >= PACE_SETTLE_MS) this.#cut(tailShare, byHarm(fillers, all, disturbance), now)
+    const pressure = worstPressure(all)
+    if (pressure > PRESSURE_HIGH || worstNewPressure(all) > PRESSURE_ALARM) {
+      if (now - this.#changedAt >= PACE_SETTLE_MS) this.#cut(pressure, byHarm(fillers, all, disturbance), now)
       return
     }
     this.#cutsInTurn = 0
-    if (tailShare < TAIL_LOW && now - this.#changedAt >= PACE_UP_GAP_MS) this.#raise(tailShare, byHarm(fillers, all, disturbance), now)
+    if (pressure < PRESSURE_LOW && now - this.#changedAt >= PACE_UP_GAP_MS) this.#raise(pressure, byHarm(fillers, all, disturbance), now)
   }
 
-  #cut (tailShare: number, fillers: readonly HarmfulRun[], now: Instant): void {
+  #cut (pressure: number, fillers: readonly HarmfulRun[], now: Instant): void {
     this.#cutsInTurn++
-    let excess = this.#cutsInTurn === 1 ? tailShare - TAIL_GOAL : Infinity
+    let excess = this.#cutsInTurn === 1 ? Math.max(pressure, PRESSURE_HIGH) - PRESSURE_GOAL : Infinity
     for (const { run, harm } of fillers) {
       if (excess <= 0) break
       if (run.pacePercent === 0 || (harm < HARMLESS_SHARE && this.#cutsInTurn < CUTS_BEFORE_ALL)) continue
@@ -50,13 +50,13 @@
     this.#changedAt = now
   }
 
-  #raise (tailShare: number, fillers: readonly HarmfulRun[], now: Instant): void {
-    let expected = tailShare
+  #raise (pressure: number, fillers: readonly HarmfulRun[], now: Instant): void {
+    let expected = pressure
     let raised = 0
     for (const { run, harm } of [...fillers].reverse()) {
       if (run.pacePercent === FULL_PACE) continue
       expected += harm
-      if (raised > 0 && expected > TAIL_GOAL) break
+      if (raised > 0 && expected > PRESSURE_GOAL) break
       run.pacePercent = FULL_PACE
       raised++
     }
@@ -70,7 +70,7 @@
 
 type HarmfulRun = Readonly<{ run: RunRecord, harm: number }>
 
-/** The fillers with what each adds to a tail at its full pace, most first. */
+/** The fillers with what each adds to a pressure at its full pace, most first. */
 const byHarm = (fillers: readonly RunRecord[], runs: readonly RunRecord[], disturbance: Disturbance): HarmfulRun[] => {
   const harms = fillers.map(run => {
     const { shape } = run.task.step
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -24,8 +24,9 @@
   reading?: number
   /** How far it has got, in percent; of a lasting task 100 once it is at work. */
   progressPercent?: number
-  /** Of a serving task: its tail as a share of its target, smoothed over some readings. */
-  tailShare?: number
+  /** Of a serving task: how near its target it is, 1 just on it; smoothed over some readings, and the newest. */
+  pressure?: number
+  newestPressure?: number
   /** Share of its pace that a filler may work at, in percent, and the share last ordered. */
   pacePercent: number
   paceOrdered: number
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,7 +2,7 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { HARMLESS_SHARE, SERVING_USE, TAIL_PLACING } from './constants.ts'
+import { PRESSURE_PLACING, SERVING_USE } from './constants.ts'
 import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -24,9 +24,9 @@
   let bestScore = -Infinity
   for (const worker of workers) {
     if (!mayRun(task, worker, now)) continue
-    const harm = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.harmOf(task.step.shape, task.step.shape.processors, worker.runs.values()) : 0
-    if (harm > HARMLESS_SHARE && harm + disturbance.worstTail(worker.runs.values()) > TAIL_PLACING) continue
-    const score = scoreWorker(task.step, worker) - harm * HARM_WEIGHT
+    const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
+    if (pressure > PRESSURE_PLACING) continue
+    const score = scoreWorker(task.step, worker) - pressure * PRESSURE_WEIGHT
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -63,8 +63,8 @@
 
 /** Weight of a task's data being in the worker's rack, in shares of a worker's processors. */
 const DATA_RACK_BONUS = 4
-/** Weight of what a filler is expected to add to a tail, against the free share of the worker. */
-const HARM_WEIGHT = 3
+/** Weight of the pressure expected on serving tasks, against the free share of the worker. */
+const PRESSURE_WEIGHT = 2
 /** Weights of a worker whose serving tasks are all of the task's image, and of one with others. */
 const SAME_IMAGE_BONUS = 2
 const OTHER_IMAGE_COST = 2
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -21,28 +21,31 @@
 /** A bad worker gets no work for so many milliseconds before it is tried again; about one of its faults' length. */
 export const QUARANTINE_MS = 6_000
 
-/** Fillers slow down when a serving task's tail is beyond this share of its target. */
-export const TAIL_HIGH = 0.95
+/** Fillers slow down when the smoothed pressure on a serving task is beyond this; 1 is just on its target. */
+export const PRESSURE_HIGH = 0.97
 
-/** One reading beyond this share of a target is enough for them to slow down. */
-export const TAIL_ALARM = 1.3
+/** One reading beyond this pressure is enough for them to slow down. */
+export const PRESSURE_ALARM = 1.03
 
-/** Fillers that must slow down do so until the tail is expected at this share of its target. */
-export const TAIL_GOAL = 0.7
+/** Fillers that must slow down do so until the pressure is expected at this. */
+export const PRESSURE_GOAL = 0.8
 
-/** Fillers may speed up again when all tails are below this share of their targets. */
-export const TAIL_LOW = 0.75
+/** Fillers may speed up again when all pressures are below this. */
+export const PRESSURE_LOW = 0.9
 
-/** A filler goes only where no tail is expected beyond this share of its target. */
-export const TAIL_PLACING = 0.85
+/** A filler goes only where the mean pressure is expected below this, which leaves room for the swing of the load. */
+export const PRESSURE_PLACING = 0.85
+
+/** Tail of an idle server, as a share of the shortest tail seen; servers are seldom idle. */
+export const EMPTY_TAIL_SHARE = 0.8
+
+/** Shortest tail as a share of the target before any is seen. */
+export const FIRST_EMPTY_TAIL_SHARE = 0.25
 
 /** Weight of the newest reading in a smoothed tail; readings are rough, and two in a row must count. */
 export const TAIL_SMOOTHING = 0.5
 
-/** A reading beyond so many times the target says no more than this. */
-export const TAIL_SHARE_BOUND = 4
-
-/** A filler that adds less than this to a tail, as a share of its target, counts as harmless; readings differ by more. */
+/** A filler that adds less than this to a pressure counts as harmless; readings differ by more. */
 export const HARMLESS_SHARE = 0.05
 
 /** Milliseconds before a slow-down shows in the readings: it takes 100 ms, and a reading covers 500 ms. */
