--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -4,7 +4,7 @@
 import { brand, type Instant, type ServiceName } from '@auburnpin/common'
 import { LearntInterference } from '../interference/LearntInterference.ts'
 import type { Neighbour } from '../interference/InterferenceModel.ts'
-import { EMPTY_TAIL_SHARE, FIRST_EMPTY_TAIL_SHARE, TAIL_SMOOTHING } from './constants.ts'
+import { EMPTY_TAIL_SHARE, FIRST_EMPTY_TAIL_SHARE, TAIL_SMOOTHING, TREND_SHARE } from './constants.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
 
@@ -40,7 +40,9 @@
     for (const run of serving) {
       const { shape } = run.task.step
       const pressure = this.#pressureOf(shape, (run.reading ?? 0) / shape.latencyTargetMs)
-      run.newestPressure = pressure
+      // The load of serving tasks swings within seconds, so a rise is taken to go on.
+      run.newestPressure = pressure + Math.max(0, pressure - (run.lastPressure ?? pressure)) * TREND_SHARE
+      run.lastPressure = pressure
       run.pressure = run.pressure === undefined ? pressure : run.pressure + TAIL_SMOOTHING * (pressure - run.pressure)
       this.#model.learn({ service: brand<ServiceName>(shape.image), load: ANY_LOAD, ratio: pressure, neighbours, measuredAt: now })
     }
@@ -95,7 +97,7 @@
   return worst
 }
 
-/** The worst of the newest pressures. */
+/** The worst of the newest pressures, each with its trend. */
 export const worstNewPressure = (runs: Iterable<RunRecord>): number => {
   let worst = 0
   for (const { newestPressure } of runs) worst = Math.max(worst, newestPressure ?? 0)
--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -10,7 +10,7 @@
 const SMALL_PROGRESS_PERCENT = 35
 
 /** Cuts in turn after which fillers that count as harmless are held as well. */
-const CUTS_BEFORE_ALL = 3
+const CUTS_BEFORE_ALL = 2
 
 /**
  * Holds the fillers that disturb most when a tail nears its target, all of them if that doesn't help, and
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -24,9 +24,10 @@
   reading?: number
   /** How far it has got, in percent; of a lasting task 100 once it is at work. */
   progressPercent?: number
-  /** Of a serving task: how near its target it is, 1 just on it; smoothed over some readings, and the newest. */
+  /** Of a serving task: how near its target it is, 1 just on it; smoothed, the newest with its trend, and the newest. */
   pressure?: number
   newestPressure?: number
+  lastPressure?: number
   /** Share of its pace that a filler may work at, in percent, and the share last ordered. */
   pacePercent: number
   paceOrdered: number
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,8 +2,8 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { PRESSURE_PLACING, SERVING_USE } from './constants.ts'
-import type { Disturbance } from './Disturbance.ts'
+import { PRESSURE_CALM, PRESSURE_PLACING, SERVING_USE } from './constants.ts'
+import { worstNewPressure, type Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -25,7 +25,7 @@
   for (const worker of workers) {
     if (!mayRun(task, worker, now)) continue
     const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
-    if (pressure > PRESSURE_PLACING) continue
+    if (pressure > PRESSURE_PLACING || (pressure > 0 && worstNewPressure(worker.runs.values()) > PRESSURE_CALM)) continue
     const score = scoreWorker(task.step, worker) - pressure * PRESSURE_WEIGHT
     if (score > bestScore) {
       best = worker
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -36,6 +36,12 @@
 /** A filler goes only where the mean pressure is expected below this, which leaves room for the swing of the load. */
 export const PRESSURE_PLACING = 0.85
 
+/** A filler that may disturb goes only where no pressure is beyond this now. */
+export const PRESSURE_CALM = 0.88
+
+/** Share of a pressure's last rise that it is expected to rise again before the next reading. */
+export const TREND_SHARE = 0.5
+
 /** Tail of an idle server, as a share of the shortest tail seen; servers are seldom idle. */
 export const EMPTY_TAIL_SHARE = 0.8
 
--- a/packages/jobs/src/WorkerLine.ts
+++ b/packages/jobs/src/WorkerLine.ts
@@ -129,9 +129,8 @@
   }
 }
 
-// Tails beside fillers are watched more closely.
-const waitFor = (worker: WorkerRecord): number =>
-  worker.servingRuns > 0 && worker.fillerRuns > 0 ? TAIL_REPORT_WAIT_MS : REPORT_WAIT_MS
+// Tails are watched more closely, also before a filler comes.
+const waitFor = (worker: WorkerRecord): number => worker.servingRuns > 0 ? TAIL_REPORT_WAIT_MS : REPORT_WAIT_MS
 
 // An idle worker needs no lease, and each report costs both sides.
 const needsReport = (worker: WorkerRecord): boolean =>
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -24,7 +24,7 @@
 /** How long a report may wait for a run to end, in milliseconds; several fit into a lease. */
 export const REPORT_WAIT_MS = 1_500
 
-/** The same where fillers work beside serving tasks, in milliseconds; a reading covers 500 ms. */
+/** The same where serving tasks run, in milliseconds; a reading covers 500 ms. */
 export const TAIL_REPORT_WAIT_MS = 600
 
 /** Least time between two reports of one worker, in milliseconds; lets several ends share one call. */
