--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -51,9 +51,15 @@
 const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
   leftProcessors(worker) >= shape.processors
 
-// Serving tasks reserve more than they use on the whole.
-const leftProcessors = ({ entry, processorsUsed, servingProcessors, fillerProcessors }: WorkerRecord): number =>
-  entry.processors - (processorsUsed - servingProcessors) - servingProcessors * SERVING_USE - fillerProcessors
+// Serving tasks reserve more than they use on the whole, and fillers ask for more than some of them use.
+const leftProcessors = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord): number => {
+  let left = entry.processors - (processorsUsed - servingProcessors) - servingProcessors * SERVING_USE
+  for (const run of runs.values()) {
+    const { shape } = run.task.step
+    if (shape.isFiller) left -= run.reading !== undefined && run.reading > 0 ? Math.min(run.reading, shape.processors) : shape.processors
+  }
+  return left
+}
 
 const countOfStep = (step: StepRecord, worker: WorkerRecord): number => {
   let count = 0
@@ -65,22 +71,29 @@
 const DATA_RACK_BONUS = 4
 /** Weight of the pressure expected on serving tasks, against the free share of the worker. */
 const PRESSURE_WEIGHT = 2
-/** Weights of a worker whose serving tasks are all of the task's image, and of one with others. */
+/** Weights of a worker whose serving tasks are all of the task's job, all of its image, and of one with others. */
+const SAME_JOB_BONUS = 4
 const SAME_IMAGE_BONUS = 2
 const OTHER_IMAGE_COST = 2
 
-const scoreWorker = ({ shape }: StepRecord, worker: WorkerRecord): number => {
+const scoreWorker = (step: StepRecord, worker: WorkerRecord): number => {
+  const { shape } = step
   const { entry } = worker
   const usedShare = worker.processorsUsed / Math.max(1, entry.processors)
   let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) : shape.latencyTargetMs > 0 ? usedShare : 1 - usedShare
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
-  if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += servesOnly(worker, shape.image) ? SAME_IMAGE_BONUS : -OTHER_IMAGE_COST
+  if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += weighCompany(step, worker)
   return score
 }
 
-const servesOnly = (worker: WorkerRecord, image: string): boolean => {
-  for (const { task: { step: { shape } } } of worker.runs.values()) {
-    if (shape.latencyTargetMs > 0 && shape.image !== image) return false
+// Tasks of one job have their load at the same time, so that their worker is calm for the rest of it.
+const weighCompany = (step: StepRecord, worker: WorkerRecord): number => {
+  let bonus = SAME_JOB_BONUS
+  for (const { task } of worker.runs.values()) {
+    const { shape } = task.step
+    if (shape.latencyTargetMs === 0) continue
+    if (shape.image !== step.shape.image) return -OTHER_IMAGE_COST
+    if (task.step.job !== step.job) bonus = SAME_IMAGE_BONUS
   }
-  return true
+  return bonus
 }
