--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,7 +2,7 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { PRESSURE_CALM, PRESSURE_PLACING, SERVING_USE } from './constants.ts'
+import { BENIGN_SHARE, PRESSURE_CALM, PRESSURE_HIGH, PRESSURE_PLACING, SERVING_USE } from './constants.ts'
 import { worstNewPressure, type Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -25,7 +25,7 @@
   for (const worker of workers) {
     if (!mayRun(task, worker, now)) continue
     const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
-    if (pressure > PRESSURE_PLACING || (pressure > 0 && worstNewPressure(worker.runs.values()) > PRESSURE_CALM)) continue
+    if (pressure > 0 && !isCalmEnough(task.step, worker, pressure, disturbance)) continue
     const score = scoreWorker(task.step, worker) - pressure * PRESSURE_WEIGHT
     if (score > bestScore) {
       best = worker
@@ -47,6 +47,13 @@
   return shape.maxPerWorker === 0 || countOfStep(step, worker) < shape.maxPerWorker
 }
 
+// A filler that is known to disturb nobody there need not wait for a calm moment.
+const isCalmEnough = ({ shape }: StepRecord, worker: WorkerRecord, expected: number, disturbance: Disturbance): boolean => {
+  if (expected > PRESSURE_PLACING) return false
+  const now = worstNewPressure(worker.runs.values())
+  return now < PRESSURE_CALM || (now < PRESSURE_HIGH && disturbance.harmOf(shape, shape.processors, worker.runs.values()) < BENIGN_SHARE)
+}
+
 // A filler that gets no processors makes no progress, so fillers share only what is likely to be left.
 const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
   leftProcessors(worker) >= shape.processors
