--- a/packages/jobs/src/JobIntake.ts
+++ b/packages/jobs/src/JobIntake.ts
@@ -1,7 +1,7 @@
 /**
  * Takes jobs and cancellations in, and answers what has become of a job.
  */
-import { AuburnpinError, Err, Ok, type Clock, type JobId, type Log, type Result } from '@auburnpin/common'
+import { AuburnpinError, Err, Ok, type Clock, type Instant, type JobId, type Log, type Result } from '@auburnpin/common'
 import type { Job, JobPhase } from '@auburnpin/core'
 import { CELL } from './constants.ts'
 import type { RowChange, RowStore, StoredRow } from './RowStore.ts'
@@ -10,11 +10,20 @@
 /** Time between two tries of a call whose outcome is unknown, in milliseconds. */
 const RETRY_MS = 60
 
+/** Time between two rounds of cancellations that could not be stored, in milliseconds. */
+const CANCEL_RETRY_MS = 300
+/** How long they are tried, in milliseconds; outlasts the outages that clients wait for. */
+const CANCEL_RETRIES_MS = 60_000
+/** Most cancellations that wait to be stored; a wave of some hundreds is usual. */
+const MAX_UNSTORED_CANCELLATIONS = 2_000
+
 /** Works at any process; the store alone decides. */
 export class JobIntake {
   readonly #store: RowStore
   readonly #clock: Clock
   readonly #log: Log
+  /** Cancellations that could not be stored yet, with the time they came. */
+  readonly #unstored = new Map<JobId, Instant>()
 
   constructor (store: RowStore, clock: Clock, log: Log) {
     this.#store = store
@@ -35,21 +44,47 @@
 
   /**
    * Makes a job's cancellation durable, also that of a job that isn't stored: a submission without an answer
-   * may still be stored later, and must not run then. `false`: no such job so far. Errors as for `submit`.
+   * may still be stored later, and must not run then. `false`: no such job so far. Errors as for `submit`; a
+   * cancellation that failed is tried on for a while, since the client asked for it and may not ask again.
    */
   async cancel (id: JobId, withinMs: number): Promise<Result<boolean, AuburnpinError>> {
+    const outcome = await this.#cancelOnce(id, withinMs)
+    this.#log.info('Job cancelled', { job: id, outcome: outcome.ok ? 'stored' : outcome.val.kind, known: outcome.ok ? outcome.val : undefined })
+    if (outcome.err) this.#cancelLater(id)
+    return outcome
+  }
+
+  async #cancelOnce (id: JobId, withinMs: number): Promise<Result<boolean, AuburnpinError>> {
     const startedAt = this.#clock.now()
     const part = partOfJob(id)
     const known = await this.#store.range({ table: JOBS_TABLE, part, ...keysOfJob(id) })
     if (known.err) return known
-    const key = { table: JOBS_TABLE, key: cancelKey(id) }
     const isKnown = known.val.rows.some(row => row.key === id)
+    const key = { table: JOBS_TABLE, key: cancelKey(id) }
     const leftMs = withinMs - (this.#clock.now() - startedAt)
     const outcome = await this.#putOnce({ part, checks: [{ ...key, version: NO_ROW }], puts: [{ ...key, value: encodeRow({ cancelledAt: this.#clock.wallTime() }) }], deletes: [] }, leftMs)
-    this.#log.info('Job cancelled', { job: id, outcome: outcome.ok ? outcome.val : outcome.val.kind })
     return outcome.err ? outcome : Ok(isKnown)
   }
 
+  #cancelLater (id: JobId): void {
+    if (this.#unstored.size < MAX_UNSTORED_CANCELLATIONS) this.#unstored.set(id, this.#clock.now())
+    if (this.#unstored.size === 1) void this.#retryCancellations()
+  }
+
+  async #retryCancellations (): Promise<void> {
+    while (this.#unstored.size > 0) {
+      await this.#clock.sleep(CANCEL_RETRY_MS)
+      for (const [id, since] of [...this.#unstored]) {
+        const outcome = await this.#cancelOnce(id, CANCEL_RETRY_MS)
+        const isOver = this.#clock.now() - since > CANCEL_RETRIES_MS
+        if (outcome.ok || isOver) {
+          this.#unstored.delete(id)
+          this.#log.info('Cancellation tried again', { job: id, outcome: outcome.ok ? 'stored' : 'given up' })
+        } else if (outcome.val.kind !== 'invalid-request') break
+      }
+    }
+  }
+
   /** What has become of a job; `undefined` if none was stored. */
   async phaseOf (id: JobId): Promise<Result<JobPhase | undefined, AuburnpinError>> {
     const progress = await this.#readOne(PROGRESS_TABLE, CELL, id)
--- /dev/null
+++ b/packages/jobs/tests/cancelling.test.ts
@@ -0,0 +1,33 @@
+import test from 'ava'
+import { brand, type JobId } from '@auburnpin/common'
+import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+
+const ID = '00000000000000a1'
+
+test('a cancellation that could not be stored during an outage is carried out after it', async t => {
+  const world = new JobsWorld(1, () => ({ runMs: 1_000_000, ending: 'done' }))
+  const node = world.addNode('n1')
+  await world.advance(500)
+  await world.settle(node.intake.submit(jobOf(ID, [stepOf({ isLasting: true })]), 2_000))
+  await world.advance(500)
+  t.is(world.worker('w1').running.length, 1)
+  world.rows.moods.set('all', 'silent')
+  const cancelled = await world.settle(node.intake.cancel(brand<JobId>(ID), 1_000))
+  t.true(cancelled.err)
+  world.rows.moods.clear()
+  await world.advance(4_000)
+  t.is(world.worker('w1').running.length, 0)
+})
+
+test('a job whose submission is stored only after its cancellation never runs', async t => {
+  const world = new JobsWorld(1, () => ({ runMs: 1_000, ending: 'done' }))
+  const node = world.addNode('n1')
+  await world.advance(500)
+  world.rows.moods.set('n1', 'late')
+  t.true((await world.settle(node.intake.submit(jobOf(ID, [stepOf()]), 500))).err)
+  world.rows.moods.clear()
+  const cancelled = await world.settle(node.intake.cancel(brand<JobId>(ID), 1_000))
+  t.true(cancelled.ok && !cancelled.val)
+  await world.advance(6_000)
+  t.is(world.startsOf(`${ID}.0.0.0`), 0)
+})
