--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -87,6 +87,8 @@
   }
 
   #open (record: JobRecord, occurrence: number): void {
+    // A task of a job that is over may still end as done.
+    if (record.isFinal) return
     record.openSteps(occurrence)
     for (const step of record.occurrences.get(occurrence) ?? []) {
       if (step.isOpen && !step.isDone) this.#openSteps.add(step)
--- a/packages/jobs/tests/cancelling.test.ts
+++ b/packages/jobs/tests/cancelling.test.ts
@@ -31,3 +31,19 @@
   await world.advance(6_000)
   t.is(world.startsOf(`${ID}.0.0.0`), 0)
 })
+
+test('the next step of a cancelled job does not start when the last task of a step ends after all', async t => {
+  const world = new JobsWorld(1, () => ({ runMs: 1_000, ending: 'done' }))
+  const node = world.addNode('n1')
+  await world.advance(500)
+  await world.settle(node.intake.submit(jobOf(ID, [stepOf(), stepOf({ after: [0] })]), 2_000))
+  await world.advance(300)
+  // The order to stop gets through only after the task has ended.
+  world.links.set('w1', 'mute')
+  await world.settle(node.intake.cancel(brand<JobId>(ID), 1_000))
+  await world.advance(1_000)
+  world.links.clear()
+  await world.advance(3_000)
+  t.is(world.startsOf(`${ID}.0.0.0`), 1)
+  t.is(world.startsOf(`${ID}.0.1.0`), 0)
+})
