--- a/packages/jobs/src/JobIntake.ts
+++ b/packages/jobs/src/JobIntake.ts
@@ -4,7 +4,8 @@
 import { AuburnpinError, Err, Ok, type Clock, type Instant, type JobId, type Log, type Result } from '@auburnpin/common'
 import type { Job, JobPhase } from '@auburnpin/core'
 import { CELL } from './constants.ts'
-import type { RowChange, RowStore, StoredRow } from './RowStore.ts'
+import type { RowChange, StoredRow } from './RowStore.ts'
+import { storeAway, type WatchedStore } from './WatchedStore.ts'
 import { cancelKey, encodeRow, JOBS_TABLE, keysOfJob, NO_ROW, partOfJob, PROGRESS_TABLE, readProgress } from './rows.ts'
 
 /** Time between two tries of a call whose outcome is unknown, in milliseconds. */
@@ -19,13 +20,13 @@
 
 /** Works at any process; the store alone decides. */
 export class JobIntake {
-  readonly #store: RowStore
+  readonly #store: WatchedStore
   readonly #clock: Clock
   readonly #log: Log
   /** Cancellations that could not be stored yet, with the time they came. */
   readonly #unstored = new Map<JobId, Instant>()
 
-  constructor (store: RowStore, clock: Clock, log: Log) {
+  constructor (store: WatchedStore, clock: Clock, log: Log) {
     this.#store = store
     this.#clock = clock
     this.#log = log
@@ -37,7 +38,8 @@
    */
   async submit (job: Job, withinMs: number): Promise<Result<void, AuburnpinError>> {
     const key = { table: JOBS_TABLE, key: job.id }
-    const outcome = await this.#putOnce({ part: partOfJob(job.id), checks: [{ ...key, version: NO_ROW }], puts: [{ ...key, value: encodeRow(job) }], deletes: [] }, withinMs)
+    // What the store can't take now is refused at once; the client may find a process that it serves.
+    const outcome = this.#store.isAway ? storeAway() : await this.#putOnce({ part: partOfJob(job.id), checks: [{ ...key, version: NO_ROW }], puts: [{ ...key, value: encodeRow(job) }], deletes: [] }, withinMs)
     this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: describeSteps(job), outcome: outcome.ok ? outcome.val : outcome.val.kind })
     return outcome.err ? outcome : Ok(undefined)
   }
@@ -87,6 +89,7 @@
 
   /** What has become of a job; `undefined` if none was stored. */
   async phaseOf (id: JobId): Promise<Result<JobPhase | undefined, AuburnpinError>> {
+    if (this.#store.isAway) return storeAway()
     const progress = await this.#readOne(PROGRESS_TABLE, CELL, id)
     if (progress.err) return progress
     const phase = progress.val === undefined ? 'queued' : readProgress(progress.val.value).phase
@@ -111,7 +114,7 @@
       if (outcome.ok) return Ok(outcome.val.kind === 'committed' ? 'stored' : 'stored before')
       if (outcome.val.kind === 'unknown-outcome') isUnknown = true
       if (!isUnknown) return outcome
-      if (this.#clock.now() - startedAt + RETRY_MS >= withinMs) return Err(stillUnknown(outcome.val))
+      if (this.#store.isAway || this.#clock.now() - startedAt + RETRY_MS >= withinMs) return Err(stillUnknown(outcome.val))
       await this.#clock.sleep(RETRY_MS)
     }
   }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -7,3 +7,4 @@
 export { TableFollower, TableReader } from './TableFollower.ts'
 export { WorkerCalls, type ReportCall, type RunName, type StartAnswer, type StartCall, type WorkerAddress } from './WorkerCalls.ts'
 export { WorkerList, WorkerListener } from './WorkerList.ts'
+export { WatchedStore } from './WatchedStore.ts'
--- a/packages/jobs/tests/support/JobsWorld.ts
+++ b/packages/jobs/tests/support/JobsWorld.ts
@@ -6,7 +6,7 @@
   type Instant, type JobId, type QueueName, type Result, type ServiceName, type Timer, type WorkerId
 } from '@auburnpin/common'
 import type { Job, JobStep, StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
-import { CellSeat, JobIntake, WorkerCalls, WorkerList, type ReportCall, type RunName, type StartAnswer, type StartCall, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
+import { CellSeat, JobIntake, WatchedStore, WorkerCalls, WorkerList, type ReportCall, type RunName, type StartAnswer, type StartCall, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeRows } from './FakeRows.ts'
 import { FakeWorker, type FakeCourse, type WorkerEvent } from './FakeWorker.ts'
 
@@ -30,7 +30,7 @@
     this.#world = world
     this.name = name
     this.clock = new NodeClock(world.clock)
-    const store = world.rows.seenBy(name)
+    const store = new WatchedStore(world.rows.seenBy(name), this.clock, new SilentLog())
     const ports = { store, workerList: new FakeList(world), calls: new FakeCalls(world, this), clock: this.clock, log: new SilentLog() }
     this.seat = new CellSeat(ports, { name, life, claimDelayMs: 20 }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.intake = new JobIntake(store, this.clock, new SilentLog())
