--- a/app/src/commands/commands.ts
+++ b/app/src/commands/commands.ts
@@ -13,6 +13,7 @@
 import { ServeCommand } from './ServeCommand.ts'
 import { StandInCommand } from './StandInCommand.ts'
 import { StatusCommand } from './StatusCommand.ts'
+import { TraceCommand } from './TraceCommand.ts'
 
 /** The one list in which a command is registered. */
 export const COMMANDS: readonly Command[] = [
@@ -25,6 +26,7 @@
   new DrainCommand(),
   new AuditCommand(),
   new ReplayCommand(),
+  new TraceCommand(),
   new StandInCommand(),
   new DemoCommand()
 ]
--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -29,5 +29,18 @@
   'lease.age': { type: 'gauge', unit: 'milliseconds', tags: [], meaning: 'Time since this member last renewed its own lease.', worry: 'Above 6000: the lease lapses at 9000.' },
   'config.version': { type: 'gauge', unit: 'version', tags: [], meaning: 'Version of the configuration in force here.', worry: 'Members differ for more than 5 seconds.' },
   'config.lag': { type: 'timing', unit: 'milliseconds', tags: [], meaning: 'From the acceptance of a version to its being in force here, by wall clocks.', worry: 'Above 5000.' },
+  'clients.answered': { type: 'count', unit: 'requests', tags: ['method', 'status'], meaning: 'Requests of clients that submit jobs or ask for them, by the answer\'s status.', worry: '503 or 504 above 1 % for a minute.' },
+  'clients.duration': { type: 'timing', unit: 'milliseconds', tags: ['method'], meaning: 'From a request of such a client to its answer.', worry: '99th percentile above 100 ms on a calm day.' },
+  'jobs.ended': { type: 'count', unit: 'jobs', tags: ['phase'], meaning: 'Jobs that completed, failed or were cancelled.', worry: 'Failed rises without bad jobs.' },
+  'jobs.firstStart': { type: 'timing', unit: 'milliseconds', tags: [], meaning: 'From a job\'s acceptance to the first start of a task of it, by wall clocks.', worry: '99th percentile above 1 s while workers have room.' },
+  'jobs.duration': { type: 'timing', unit: 'milliseconds', tags: ['phase'], meaning: 'From a job\'s acceptance to its end, by wall clocks.', worry: 'Beyond the queue\'s objective.' },
+  'runs.ordered': { type: 'count', unit: 'orders', tags: ['outcome'], meaning: 'Orders to start, by the worker\'s answer.', worry: 'Outcomes other than started above 2 %.' },
+  'runs.ended': { type: 'count', unit: 'runs', tags: ['how'], meaning: 'Runs that ended, by how.', worry: 'Failed or lease over rises.' },
+  'runs.paced': { type: 'count', unit: 'orders', tags: [], meaning: 'Orders that hold a filler or let it go on.', worry: 'Steadily as many as starts: fillers and serving tasks don\'t fit together.' },
+  'store.calls': { type: 'count', unit: 'calls', tags: ['call', 'outcome'], meaning: 'Calls to the store, by outcome.', worry: 'Outcomes other than ok above 1 %.' },
+  'store.duration': { type: 'timing', unit: 'milliseconds', tags: ['call'], meaning: 'Time of a call to the store; a feed waits for changes.', worry: 'Transactions above 100 ms.' },
+  'term.epoch': { type: 'gauge', unit: 'epoch', tags: [], meaning: 'Epoch of the term that this process holds, 0 without one.', worry: 'Several processes above 0 for more than 3 s, or none.' },
+  'log.leftOut': { type: 'gauge', unit: 'records', tags: [], meaning: 'Log records left out since the start because there were too many of their kind.', worry: 'Rises on a calm day.' },
+  'process.memory': { type: 'gauge', unit: 'bytes', tags: [], meaning: 'Resident memory of the process.', worry: 'Near the VM\'s limit.' },
   'invariants.broken': { type: 'gauge', unit: 'breaches', tags: [], meaning: 'Promises that would have been broken since the start; each action was refused.', worry: 'Any. Report it with the log.' }
 })
--- a/packages/jobs/src/CellSeat.ts
+++ b/packages/jobs/src/CellSeat.ts
@@ -125,8 +125,12 @@
   }
 
   #take (won: WonTerm): void {
-    const owner = new JobOwner(this.#ports, won, () => { if (this.#owner === owner) this.#owner = undefined })
+    const owner = new JobOwner(this.#ports, won, () => {
+      this.#ports.metrics.gauge('term.epoch', 0)
+      if (this.#owner === owner) this.#owner = undefined
+    })
     this.#owner = owner
+    this.#ports.metrics.gauge('term.epoch', won.term.epoch)
     void owner.open()
   }
 }
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the board of one cell for one term of ownership.
  */
-import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { BoardObserver, JobBoard, type JobProgress, type JobRecord, type RunOrder, type RunRecord, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CELL, FEED_RETRY_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
 import { readAll } from './readAll.ts'
@@ -20,6 +20,7 @@
   calls: WorkerCalls
   clock: Clock
   log: Log
+  metrics: Metrics
 }>
 
 /** A term just won: its row's version, and when its claim was sent. */
@@ -49,7 +50,7 @@
     this.#won = won
     this.#onLost = onLost
     const { store, clock, log } = ports
-    this.#board = new JobBoard(won.term.epoch, { leaseMs: WORKER_LEASE_MS }, clock.now(), new LoggingObserver(log))
+    this.#board = new JobBoard(won.term.epoch, { leaseMs: WORKER_LEASE_MS }, clock.now(), new TellingObserver(ports))
     this.#writer = new TermWriter(store, clock, log, this.#board, new OwnerListener(this), won.term, won.version, won.claimedAt, won.claimedAtWall)
     this.#jobs = new TableFollower(store, clock, log, JOBS_TABLE, jobParts(), new JobsReader(this))
     this.#lineOwner = new OwnerOfLines(this)
@@ -209,10 +210,27 @@
       this.#wasOpen = this.#board.isOpen
       this.#ports.log.info('All earlier runs are known or over; tasks may start', { epoch: this.#won.term.epoch, workers: this.#board.workers.size })
     }
+    this.#tellPlacings(orders)
     for (const order of orders) void this.#carryOut(order)
     if (this.#board.dirtyCount > 0) this.#writer.ask()
   }
 
+  // One line a step and pass: under load a pass starts many tasks of a step.
+  #tellPlacings (orders: readonly RunOrder[]): void {
+    const workersOfStep = new Map<string, string[]>()
+    for (const order of orders) {
+      if (order.kind !== 'start') continue
+      const step = order.task.slice(0, order.task.lastIndexOf('.'))
+      const placing = `${order.task.slice(step.length + 1)}#${order.attempt}@${order.worker}`
+      const placings = workersOfStep.get(step)
+      if (placings === undefined) workersOfStep.set(step, [placing])
+      else placings.push(placing)
+    }
+    for (const [step, placings] of workersOfStep) {
+      this.#ports.log.info('Tasks placed', { step, epoch: this.#won.term.epoch, count: placings.length, runs: placings.join(' ') })
+    }
+  }
+
   async #carryOut (order: RunOrder): Promise<void> {
     const worker = this.#board.workers.get(order.worker)
     if (worker === undefined) return
@@ -244,6 +262,7 @@
     if (this.#isClosed) return
     const now = clock.now()
     if (clockMs !== undefined && worker === this.#board.workers.get(order.worker)) worker.hear(clockMs, now)
+    this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start not taken', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#won.term.epoch, outcome })
     if (this.#board.startAnswered(order.worker, order.task, order.attempt, outcome, now)) this.lose(`worker ${order.worker} follows a later owner`)
     const line = this.#lines.get(order.worker)
@@ -252,6 +271,7 @@
   }
 
   async #pace (order: RunOrder & { kind: 'pace' }, worker: WorkerRecord): Promise<void> {
+    this.#ports.metrics.count('runs.paced')
     const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#won.term.epoch)
     if (this.#isClosed) return
     this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, answer })
@@ -349,25 +369,32 @@
   }
 }
 
-class LoggingObserver extends BoardObserver {
-  readonly #log: Log
+class TellingObserver extends BoardObserver {
+  readonly #ports: OwnerPorts
 
-  constructor (log: Log) {
+  constructor (ports: OwnerPorts) {
     super()
-    this.#log = log
+    this.#ports = ports
   }
 
   runEnded (run: RunRecord, how: string, worker: WorkerId): void {
-    const fields = { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length }
-    if (how === 'done') this.#log.debug('Run ended', fields)
-    else this.#log.info('Run ended', fields)
+    const { log, metrics } = this.#ports
+    metrics.count('runs.ended', 1, { how })
+    log.info('Run ended', { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
   }
 
   phaseChanged ({ job, phase }: JobRecord): void {
-    this.#log.info('Job changed', { job: job.id, queue: job.queue, phase })
+    const { log, metrics, clock } = this.#ports
+    const ageMs = clock.wallTime() - job.acceptedAt
+    if (phase === 'active') metrics.timing('jobs.firstStart', ageMs)
+    else {
+      metrics.count('jobs.ended', 1, { phase })
+      metrics.timing('jobs.duration', ageMs, { phase })
+    }
+    log.info('Job changed', { job: job.id, queue: job.queue, phase, ageMs })
   }
 
   workerJudged (worker: WorkerId, why: string): void {
-    this.#log.warn('Worker gets no work for a while', { worker, why })
+    this.#ports.log.warn('Worker gets no work for a while', { worker, why })
   }
 }
--- a/packages/jobs/src/WatchedStore.ts
+++ b/packages/jobs/src/WatchedStore.ts
@@ -1,7 +1,7 @@
 /**
  * A store that knows whether it answers.
  */
-import { AuburnpinError, Err, type Clock, type Instant, type Log, type Result, type RowVersion } from '@auburnpin/common'
+import { AuburnpinError, Err, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion } from '@auburnpin/common'
 import { RowStore, type RowChange, type RowChanges, type RowOutcome, type RowPage, type RowRange } from './RowStore.ts'
 
 /** So many failures on end, whatever the calls, and the store counts as away. */
@@ -14,21 +14,23 @@
  * Passes every call on. Feeds and polls go on while the store is away, so its return shows within a second.
  *
  * @example
- * const store = new WatchedStore(client, clock, log)
+ * const store = new WatchedStore(client, clock, log, metrics)
  * if (store.isAway) refuse()
  */
 export class WatchedStore extends RowStore {
   readonly #inner: RowStore
   readonly #clock: Clock
   readonly #log: Log
+  readonly #metrics: Metrics
   #failures = 0
   #awaySince: Instant | undefined
 
-  constructor (inner: RowStore, clock: Clock, log: Log) {
+  constructor (inner: RowStore, clock: Clock, log: Log, metrics: Metrics) {
     super()
     this.#inner = inner
     this.#clock = clock
     this.#log = log
+    this.#metrics = metrics
   }
 
   /** Whether the last calls all failed. */
@@ -37,19 +39,22 @@
   }
 
   transact (change: RowChange): Promise<Result<RowOutcome, AuburnpinError>> {
-    return this.#watch(this.#inner.transact(change))
+    return this.#watch('transact', this.#inner.transact(change))
   }
 
   range (range: RowRange): Promise<Result<RowPage, AuburnpinError>> {
-    return this.#watch(this.#inner.range(range))
+    return this.#watch('range', this.#inner.range(range))
   }
 
   changes (table: string, after: RowVersion, waitMs: number): Promise<Result<RowChanges, AuburnpinError>> {
-    return this.#watch(this.#inner.changes(table, after, waitMs))
+    return this.#watch('changes', this.#inner.changes(table, after, waitMs))
   }
 
-  async #watch<Value> (call: Promise<Result<Value, AuburnpinError>>): Promise<Result<Value, AuburnpinError>> {
+  async #watch<Value> (name: string, call: Promise<Result<Value, AuburnpinError>>): Promise<Result<Value, AuburnpinError>> {
+    const startedAt = this.#clock.now()
     const outcome = await call
+    this.#metrics.count('store.calls', 1, { call: name, outcome: outcome.ok ? 'ok' : outcome.val.kind })
+    this.#metrics.timing('store.duration', this.#clock.now() - startedAt, { call: name })
     if (outcome.ok || ANSWERED_KINDS.has(outcome.val.kind)) this.#noteAnswer()
     else this.#noteFailure(outcome.val)
     return outcome
--- a/packages/jobs/tests/support/JobsWorld.ts
+++ b/packages/jobs/tests/support/JobsWorld.ts
@@ -2,7 +2,7 @@
  * Processes, workers and the store on a virtual clock, with an observer that checks what workers really do.
  */
 import {
-  AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, VirtualClock,
+  AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
   type Instant, type JobId, type QueueName, type Result, type ServiceName, type Timer, type WorkerId
 } from '@auburnpin/common'
 import type { Job, JobStep, StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
@@ -30,8 +30,8 @@
     this.#world = world
     this.name = name
     this.clock = new NodeClock(world.clock)
-    const store = new WatchedStore(world.rows.seenBy(name), this.clock, new SilentLog())
-    const ports = { store, workerList: new FakeList(world), calls: new FakeCalls(world, this), clock: this.clock, log: new SilentLog() }
+    const store = new WatchedStore(world.rows.seenBy(name), this.clock, new SilentLog(), new SilentMetrics())
+    const ports = { store, workerList: new FakeList(world), calls: new FakeCalls(world, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics() }
     this.seat = new CellSeat(ports, { name, life, claimDelayMs: 20 }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.intake = new JobIntake(store, this.clock, new SilentLog())
     this.seat.start()
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,3 +1,7 @@
 /** What a process tells about itself. */
 export { JsonLog } from './JsonLog.ts'
 export { LineOutput, LineQueue, StandardOutput } from './LineQueue.ts'
+export { LogBudget } from './LogBudget.ts'
+export { MetricsServer } from './MetricsServer.ts'
+export { PrometheusMetrics } from './PrometheusMetrics.ts'
+export { traceJob, type TracedRecord } from './traceJob.ts'
--- /dev/null
+++ b/packages/observe/tests/logs.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava'
+import { VirtualClock } from '@auburnpin/common'
+import { JsonLog, LineOutput, LineQueue, traceJob } from '../src/index.ts'
+
+class SlowOutput extends LineOutput {
+  readonly texts: string[] = []
+  isTaking = true
+  #drained: (() => void) | undefined
+
+  write (text: string): boolean {
+    this.texts.push(text)
+    return this.isTaking
+  }
+
+  onDrain (action: () => void): void {
+    this.#drained = action
+  }
+
+  drain (): void {
+    this.isTaking = true
+    this.#drained?.()
+  }
+
+  get lines (): string[] {
+    return this.texts.join('').split('\n').filter(line => line !== '')
+  }
+}
+
+const turn = (): Promise<void> => new Promise(resolve => { setImmediate(resolve) })
+
+test('a reader that stops reading costs lines, which are counted, and never a wait', async t => {
+  const output = new SlowOutput()
+  output.isTaking = false
+  const queue = new LineQueue(output)
+  queue.add('first')
+  await turn()
+  let dropped = 0
+  for (let index = 0; index < 600; index++) if (!queue.add(`line ${index}`)) dropped++
+  t.is(dropped, 100)
+  t.is(queue.takeDropped(), 100)
+  t.deepEqual(output.lines, ['first'])
+  output.drain()
+  t.is(output.lines.length, 501)
+})
+
+test('records of one message are bounded in each second, and the next one says how many were left out', async t => {
+  const output = new SlowOutput()
+  const clock = new VirtualClock()
+  const log = new JsonLog(new LineQueue(output), clock, 'info', 'jobs')
+  for (let index = 0; index < 250; index++) log.info('Run ended', { index })
+  log.info('Term claimed')
+  await clock.advance(1_000)
+  log.info('Run ended', { index: 250 })
+  await turn()
+  const records = output.lines.map(line => JSON.parse(line) as { message: string, leftOutBefore?: number })
+  t.is(records.filter(({ message }) => message === 'Run ended').length, 201)
+  t.is(records.at(-1)?.leftOutBefore, 50)
+  t.is(log.leftOut, 50)
+  t.true(records.some(({ message }) => message === 'Term claimed'))
+})
+
+test('one job\'s story is merged from several logs in the order of time, with what happened to the owner', t => {
+  const id = '5c0e7a21d94b36f8'
+  const first = [
+    JSON.stringify({ at: '2026-01-01T00:00:01.000Z', level: 'info', component: 'jobs', message: 'Job submitted', job: id, outcome: 'stored' }),
+    'not a record', JSON.stringify({ at: '2026-01-01T00:00:09.000Z', message: 'Job submitted', job: 'other' })
+  ].join('\n')
+  const second = [
+    `  3.5 edge-2 ${JSON.stringify({ at: '2026-01-01T00:00:03.000Z', level: 'info', component: 'jobs', message: 'Term claimed', epoch: 2 })}`,
+    `  3.4 edge-2 ${JSON.stringify({ at: '2026-01-01T00:00:02.000Z', level: 'info', component: 'jobs', message: 'Run ended', task: `${id}.0.0.1`, how: 'done' })}`
+  ].join('\n')
+  const records = traceJob([{ name: 'a.log', text: first }, { name: 'b.log', text: second }], id)
+  t.deepEqual(records.map(({ source, message }) => [source, message]), [['a.log', 'Job submitted'], ['edge-2', 'Run ended'], ['edge-2', 'Term claimed']])
+  t.is(records[1]?.details, `task=${id}.0.0.1 how=done`)
+})
