--- a/packages/jobs/tests/support/FakeWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -4,10 +4,10 @@
  */
 import { brand, type Attempt, type Clock, type Epoch, type Incarnation, type ServiceName, type Timer, type WorkerId } from '@auburnpin/common'
 import type { ReportedEnd, ReportedRun, RunEnding, StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
-import type { ReportCall, RunName, StartCall } from '../../src/index.ts'
+import type { ReportCall, RunName, StartCall } from '@auburnpin/jobs'
 
 /** How long a task runs and how it ends there. */
-export type FakeCourse = Readonly<{ runMs: number, ending: 'done' | 'failed' }>
+export type FakeRunCourse = Readonly<{ runMs: number, ending: 'done' | 'failed' }>
 
 type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number }
 
@@ -17,10 +17,10 @@
 const HOLD_MAX_MS = 10_000
 
 /** One life after another of one worker. */
-export class FakeWorker {
+export class FakeJobWorker {
   readonly id: WorkerId
   readonly #clock: Clock
-  readonly #courses: (task: TaskName) => FakeCourse
+  readonly #courses: (task: TaskName) => FakeRunCourse
   readonly #watch: (event: WorkerEvent) => void
   #bornAt: number
   #runs = new Map<TaskName, Run>()
@@ -33,12 +33,12 @@
   isDead = false
   isDraining = false
 
-  constructor (id: string, clock: Clock, courses: (task: TaskName) => FakeCourse, watch: (event: WorkerEvent) => void) {
+  constructor (id: string, clock: Clock, courses: (task: TaskName) => FakeRunCourse, watch: (event: WorkerEvent) => void) {
     this.id = brand<WorkerId>(id)
     this.#clock = clock
     this.#courses = courses
     this.#watch = watch
-    this.#bornAt = clock.now()
+    this.#bornAt = Math.floor(clock.now())
   }
 
   get entry (): WorkerEntry {
@@ -74,7 +74,7 @@
   /** Comes back at the same id and address, and knows nothing of before. */
   revive (): void {
     this.isDead = false
-    this.#bornAt = this.#clock.now()
+    this.#bornAt = Math.floor(this.#clock.now())
     this.#lastSequence = 0
     this.#highest = new Map()
     this.#token = 0
--- a/packages/jobs/tests/support/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -2,7 +2,7 @@
  * The store in memory, with the faults that it may have towards one process or all.
  */
 import { AuburnpinError, brand, Err, Ok, type Clock, type Result, type RowVersion } from '@auburnpin/common'
-import { RowStore, type RowChange, type RowChanges, type RowKey, type RowOutcome, type RowPage, type RowRange, type StoredRow } from '../../src/index.ts'
+import { RowStore, type RowChange, type RowChanges, type RowKey, type RowOutcome, type RowPage, type RowRange, type StoredRow } from '@auburnpin/jobs'
 
 /** How the store treats a process. `lost`: changes are made and not answered; `late`: made 3 s later. */
 export type StoreMood = 'well' | 'refusing' | 'silent' | 'lost' | 'late'
