--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -9,6 +9,9 @@
 /** A run that has got less far than this, in percent, may start anew elsewhere. */
 const SMALL_PROGRESS_PERCENT = 35
 
+/** A filler that was moved so often is only held, or it would get nowhere. */
+const MAX_MOVES = 3
+
 /** Cuts in turn after which fillers that count as harmless are held as well. */
 const CUTS_BEFORE_ALL = 2
 
@@ -44,7 +47,10 @@
       if (excess <= 0) break
       if (run.pacePercent === 0 || (harm < HARMLESS_SHARE && this.#cutsInTurn < CUTS_BEFORE_ALL)) continue
       run.pacePercent = 0
-      if (harm >= HARMLESS_SHARE && losesLittle(run)) run.isStopWanted = true
+      if (harm >= HARMLESS_SHARE && run.task.moves < MAX_MOVES && losesLittle(run)) {
+        run.isStopWanted = true
+        run.task.moves++
+      }
       excess -= harm
     }
     this.#changedAt = now
--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -11,7 +11,7 @@
 import { FULL_PACE, type RunRecord, type TaskRecord } from './TaskRecord.ts'
 import { parseTaskName } from './taskName.ts'
 import type {
-  Job, JobProgress, LeaseBounds, ReportedEnd, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
+  Job, JobProgress, LeaseBounds, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
 import { runKey, WorkerRecord } from './WorkerRecord.ts'
 
@@ -175,7 +175,7 @@
         this.#confirm(run, now)
         run.reading = reported.reading
         run.progressPercent = reported.progressPercent
-      } else if (task !== undefined) this.#adopt(worker, task, reported.attempt, now)
+      } else if (task !== undefined) this.#adopt(worker, task, reported, now)
       else worker.strangers.set(`${reported.task}#${reported.attempt}`, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
     }
@@ -213,9 +213,10 @@
   }
 
   // A run that an earlier owner started.
-  #adopt (worker: WorkerRecord, task: TaskRecord, attempt: RunRecord['attempt'], now: Instant): void {
+  #adopt (worker: WorkerRecord, task: TaskRecord, reported: ReportedRun, now: Instant): void {
+    const { attempt } = reported
     task.noteAttempt(attempt)
-    const run: RunRecord = { task, attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: this.#isSuperfluous(task), pacePercent: FULL_PACE, paceOrdered: UNKNOWN_PACE }
+    const run: RunRecord = { task, attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: this.#isSuperfluous(task), pacePercent: FULL_PACE, paceOrdered: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#noteBegun(task)
   }
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -8,18 +8,43 @@
 /** Milliseconds a task is taken to last if the client gave no estimate. */
 const UNKNOWN_ESTIMATE_MS = 1_000
 
+/** A job that takes more than so many times its objective is of no use; the clients' own rule. */
+const USEFUL_OBJECTIVES = 3
+
 /** State of one job. Occurrences come to life when they are due. */
 export class JobRecord {
   readonly job: Job
   readonly occurrences = new Map<number, readonly StepRecord[]>()
   #phase: JobPhase = 'queued'
   #doneOccurrences = new Set<number>()
-  /** Milliseconds since 1970 at which the objective is missed, by the client's estimates. */
-  readonly objectiveAt: number
+  /** By the client's estimates, how long each step and the longest chain of steps after it take, in milliseconds. */
+  readonly #remainingMs: readonly number[]
+  readonly #objectiveMs: number
 
   constructor (job: Job) {
     this.job = job
-    this.objectiveAt = job.acceptedAt + job.policy.objectiveMs + job.policy.objectiveFactor * longestChainMs(job)
+    this.#remainingMs = remainingChains(job)
+    this.#objectiveMs = job.policy.objectiveMs + job.policy.objectiveFactor * Math.max(0, ...this.#remainingMs)
+  }
+
+  /** Milliseconds since 1970 at which an occurrence misses its objective, by the client's estimates. */
+  objectiveAt (occurrence: number): number {
+    return this.#beginsAt(occurrence) + this.#objectiveMs
+  }
+
+  /** Milliseconds since 1970 after which an occurrence is of no use to its client. */
+  uselessAt (occurrence: number): number {
+    return this.#beginsAt(occurrence) + this.#objectiveMs * USEFUL_OBJECTIVES
+  }
+
+  /** How long an occurrence still takes from the start of a step on, in milliseconds. */
+  remainingMs (step: number): number {
+    return this.#remainingMs[step] ?? 0
+  }
+
+  #beginsAt (occurrence: number): number {
+    const { occurrences, firstRunAt, intervalMs, acceptedAt } = this.job
+    return occurrences > 0 ? firstRunAt + occurrence * intervalMs : acceptedAt
   }
 
   get phase (): JobPhase {
@@ -104,11 +129,14 @@
   }
 }
 
-const longestChainMs = (job: Job): number => {
-  const ends: number[] = []
-  for (const step of job.steps) {
-    const start = Math.max(0, ...step.after.map(before => ends[before] ?? 0))
-    ends.push(start + (step.estimateMs > 0 ? step.estimateMs : UNKNOWN_ESTIMATE_MS))
+// Steps only follow earlier ones, so the chains are known from the last step backwards.
+const remainingChains = ({ steps }: Job): number[] => {
+  const remaining = steps.map(step => step.estimateMs > 0 ? step.estimateMs : UNKNOWN_ESTIMATE_MS)
+  for (let number = steps.length - 1; number >= 0; number--) {
+    for (const before of steps[number]?.after ?? []) {
+      const own = steps[before]?.estimateMs ?? 0
+      remaining[before] = Math.max(remaining[before] ?? 0, (own > 0 ? own : UNKNOWN_ESTIMATE_MS) + (remaining[number] ?? 0))
+    }
   }
-  return Math.max(0, ...ends)
+  return remaining
 }
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -48,6 +48,8 @@
   /** Whether a run of it has been ordered, as far as is known; a lasting task that ran must run again soon. */
   hasRun = false
   checkpoint = ''
+  /** How often a run of it was stopped to go on elsewhere. */
+  moves = 0
   #lastAttempt = 0
 
   constructor (step: StepRecord, index: number, name: TaskName) {
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -61,18 +61,33 @@
   return spared
 }
 
+type RankedStep = Readonly<{ step: StepRecord, prospect: number, objectiveAt: number }>
+
 const orderSteps = (steps: Iterable<StepRecord>, wallTime: number): StepRecord[] => {
-  const waiting: StepRecord[] = []
-  for (const step of steps) if (step.waiting.size > 0) waiting.push(step)
-  return waiting.sort((one, other) => compareSteps(one, other, wallTime))
+  const waiting: RankedStep[] = []
+  for (const step of steps) {
+    if (step.waiting.size > 0) waiting.push({ step, prospect: prospectOf(step, wallTime), objectiveAt: step.job.objectiveAt(step.occurrence) })
+  }
+  return waiting.sort(compareSteps).map(({ step }) => step)
+}
+
+/** What may still come of a job: in time, late, or of no use any more. */
+const IN_TIME = 0
+const LATE = 1
+const OF_NO_USE = 2
+
+const prospectOf = ({ job, occurrence, number, shape }: StepRecord, wallTime: number): number => {
+  if (shape.isLasting) return IN_TIME
+  const endsAt = wallTime + job.remainingMs(number)
+  if (endsAt <= job.objectiveAt(occurrence)) return IN_TIME
+  return endsAt <= job.uselessAt(occurrence) ? LATE : OF_NO_USE
 }
 
-// Jobs that have missed their objective come after those that can still meet it.
-const compareSteps = (one: StepRecord, other: StepRecord, wallTime: number): number => {
-  const lateness = Number(one.job.objectiveAt < wallTime) - Number(other.job.objectiveAt < wallTime)
-  if (lateness !== 0) return lateness
-  const priority = one.job.job.policy.priority - other.job.job.policy.priority
-  return priority !== 0 ? priority : one.job.objectiveAt - other.job.objectiveAt
+// When more waits than fits, those that can't be in time any more must not make the others late as well.
+const compareSteps = (one: RankedStep, other: RankedStep): number => {
+  if (one.prospect !== other.prospect) return one.prospect - other.prospect
+  const priority = one.step.job.job.policy.priority - other.step.job.job.policy.priority
+  return priority !== 0 ? priority : one.objectiveAt - other.objectiveAt
 }
 
 // What keeps a plain task out keeps out every task that needs as much.
--- /dev/null
+++ b/packages/jobs/tests/overload.test.ts
@@ -0,0 +1,28 @@
+import test from 'ava'
+import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+
+const SECOND_MS = 1_000
+
+test('when a burst can not all be in time, its late jobs do not make those that come after it late as well', async t => {
+  const world = new JobsWorld(1, () => ({ runMs: SECOND_MS, ending: 'done' }))
+  const node = world.addNode('n1')
+  await world.advance(500)
+  const submitWave = async (wave: number, count: number): Promise<string[]> => {
+    const ids = Array.from({ length: count }, (_, index) => `${wave}${String(index).padStart(15, '0')}`)
+    const step = stepOf({ processors: 1_000, estimateMs: SECOND_MS })
+    await world.settle(Promise.all(ids.map(id => node.intake.submit(jobOf(id, [step], { acceptedAt: world.clock.wallTime() }), 2_000))))
+    return ids
+  }
+  // The worker runs 8 tasks at once and the objective is 3 s, so that at most 24 of the 48 can be in time.
+  const burstAt = world.clock.now()
+  const burst = await submitWave(1, 48)
+  await world.advance(1_850)
+  const laterAt = world.clock.now()
+  const later = await submitWave(2, 16)
+  await world.advance(10 * SECOND_MS)
+  const inTime = (ids: readonly string[], since: number): number =>
+    ids.filter(id => world.events.some(event => event.task === `${id}.0.0.0` && event.how === 'done' && event.at - since <= 3 * SECOND_MS)).length
+  t.true(inTime(burst, burstAt) >= 16)
+  t.is(inTime(later, laterAt), 16)
+  t.is(world.events.filter(({ how }) => how === 'done').length, 64)
+})
