--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -55,7 +55,7 @@
 export const HARMLESS_SHARE = 0.05
 
 /** A filler that adds less than this to a pressure, as learnt, disturbs nobody; before anything is learnt it counts for more. */
-export const BENIGN_SHARE = 0.01
+export const BENIGN_SHARE = 0.02
 
 /** Milliseconds before a slow-down shows in the readings: it takes 100 ms, and a reading covers 500 ms. */
 export const PACE_SETTLE_MS = 600
