--- a/packages/core/src/interference/LearntInterference.ts
+++ b/packages/core/src/interference/LearntInterference.ts
@@ -10,6 +10,11 @@
 type Estimate = { mean: number, variance: number, at: Instant }
 type Term = Readonly<{ estimate: Estimate, amount: number, priorVariance: number }>
 
+/** What was learnt, for another process to go on from: each estimate by its key, as mean and variance. */
+export type LearntEstimates = Readonly<{ bases: LearntTable, pairs: LearntTable }>
+
+type LearntTable = readonly (readonly [key: string, mean: number, variance: number])[]
+
 /**
  * A Kalman filter with one variance per estimate: each sample's surprise is shared out over what ran
  * then, most to what is least known. Doubt grows back with time, so old learning gives way. A pair
@@ -55,6 +60,24 @@
     }
   }
 
+  /** What has been learnt so far. */
+  get estimates (): LearntEstimates {
+    return { bases: toTable(this.#bases), pairs: toTable(this.#pairs) }
+  }
+
+  /** Goes on from what another process has learnt. */
+  restore ({ bases, pairs }: LearntEstimates, at: Instant): void {
+    for (const [key, mean, variance] of bases) this.#bases.set(key, { mean, variance, at })
+    for (const [key, mean, variance] of pairs) {
+      const estimate = { mean, variance, at }
+      this.#pairs.set(key, estimate)
+      const service = key.slice(0, key.indexOf('/')) as ServiceName
+      const siblings = this.#pairsOf.get(service) ?? new Set<Estimate>()
+      siblings.add(estimate)
+      this.#pairsOf.set(service, siblings)
+    }
+  }
+
   #termsOf ({ service, load, neighbours, measuredAt }: Observation): Term[] {
     const base = this.#baseOf(service, load, measuredAt)
     const terms: Term[] = [{ estimate: base, amount: 1, priorVariance: PRIOR_BASE_DEVIATION ** 2 }]
@@ -106,6 +129,10 @@
   }
 }
 
+// Four digits are more than any estimate is worth.
+const toTable = (estimates: ReadonlyMap<string, Estimate>): LearntTable =>
+  [...estimates].map(([key, { mean, variance }]) => [key, Number(mean.toPrecision(4)), Number(variance.toPrecision(4))] as const)
+
 const forget = ({ estimate, priorVariance }: Term, at: Instant): void => {
   const passedMs = Math.max(0, at - estimate.at)
   estimate.variance = Math.min(priorVariance, estimate.variance + priorVariance * passedMs / FORGET_MS)
--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -2,12 +2,15 @@
  * How much fillers disturb serving tasks, by what both run.
  */
 import { brand, type Instant, type ServiceName } from '@auburnpin/common'
-import { LearntInterference } from '../interference/LearntInterference.ts'
+import { LearntInterference, type LearntEstimates } from '../interference/LearntInterference.ts'
 import type { Neighbour } from '../interference/InterferenceModel.ts'
 import { EMPTY_TAIL_SHARE, FIRST_EMPTY_TAIL_SHARE, TAIL_SMOOTHING, TREND_SHARE } from './constants.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
 
+/** What an owner has learnt, for the next one. */
+export type LearntDisturbance = Readonly<{ estimates: LearntEstimates, shortest: Readonly<Record<string, number>> }>
+
 /** A worker doesn't tell how much of its processors a serving task uses, so one estimate stands for all loads. */
 const ANY_LOAD = 0
 const NO_BANDS: readonly number[] = []
@@ -27,6 +30,17 @@
   /** For each serving image the shortest tail seen, as a share of its target. */
   readonly #shortest = new Map<string, number>()
 
+  /** What has been learnt so far. */
+  get learnt (): LearntDisturbance {
+    return { estimates: this.#model.estimates, shortest: Object.fromEntries(this.#shortest) }
+  }
+
+  /** Goes on from what an earlier owner has learnt. */
+  restore ({ estimates, shortest }: LearntDisturbance, now: Instant): void {
+    this.#model.restore(estimates, now)
+    for (const [image, share] of Object.entries(shortest)) this.#shortest.set(image, share)
+  }
+
   /** Takes in the readings of one worker's runs. */
   learn (runs: Iterable<RunRecord>, now: Instant): void {
     const serving: RunRecord[] = []
--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -47,7 +47,8 @@
   readonly #repeating = new Set<JobRecord>()
   /** Jobs that were cancelled before they became known, as a lost submission may still be stored. */
   readonly #cancelledEarly = new Set<JobId>()
-  readonly #disturbance = new Disturbance()
+  /** How fillers disturb serving tasks, as far as it has been learnt. */
+  readonly disturbance = new Disturbance()
   readonly #oldLeasesOverAt: Instant
   #isOpen = false
 
@@ -183,7 +184,7 @@
     for (const run of [...worker.runs.values()]) {
       if (!present.has(runKey(run))) this.#missRun(run, askedAt, now)
     }
-    worker.pacing.observe(worker.runs.values(), this.#disturbance, now)
+    worker.pacing.observe(worker.runs.values(), this.disturbance, now)
   }
 
   // A report asked for before the order's answer came says nothing about the run.
@@ -393,7 +394,7 @@
     const orders = this.#stops(now)
     for (const worker of this.workers.values()) orders.push(...paceFillers(worker, now))
     if (!this.#mayOpen(now)) return orders
-    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.#disturbance, now, wallTime)) {
+    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.disturbance, now, wallTime)) {
       const run: RunRecord = { task, attempt: task.nextAttempt(this.#firstAttempt), worker, orderedAt: now, state: 'ordered', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }
       this.#addRun(run)
       orders.push({
--- /dev/null
+++ b/packages/core/tests/disturbance.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava'
+import { brand, type Attempt, type Instant } from '@auburnpin/common'
+import { Disturbance, JobRecord, WorkerRecord, type Job, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
+
+const STEP: JobStep = {
+  taskCount: 1, processors: 4_000, memoryMb: 100, accelerators: 0, estimateMs: 500, after: [], isCheckpointing: true, isGang: false, isOneRack: false,
+  requiredLabel: '', dataRack: '', maxPerWorker: 0, isSpeculative: false, isLasting: false, image: '', latencyTargetMs: 0, isFiller: false, mayMiss: 0
+}
+const SERVING: JobStep = { ...STEP, image: 'watch', isLasting: true, latencyTargetMs: 100 }
+const filler = (image: string): JobStep => ({ ...STEP, image, isFiller: true })
+
+const worker = new WorkerRecord({ id: brand('w'), incarnation: brand(1), address: '', service: brand('desk'), zone: '', isDraining: false, labels: [], processors: 32_000, memoryMb: 1_000, accelerators: 0 } satisfies WorkerEntry, brand(0), 1_000)
+
+const runOf = (shape: JobStep, reading: number): RunRecord => {
+  const job: Job = { id: brand('j'), queue: brand('q'), policy: { service: brand('desk'), priority: 0, maxAttempts: 1, objectiveFactor: 1, objectiveMs: 0 }, spec: '', steps: [shape], acceptedAt: 0, occurrences: 0, firstRunAt: 0, intervalMs: 0 }
+  const task = new JobRecord(job).begin(0)[0]?.tasks[0]
+  if (task === undefined) throw new Error('The job has no task')
+  return { task, attempt: brand<Attempt>(1), worker, orderedAt: brand(0), state: 'running', since: brand(0), isStopWanted: false, pacePercent: 100, paceOrdered: 100, reading, progressPercent: 100 }
+}
+
+const learnPairs = (): Disturbance => {
+  const disturbance = new Disturbance()
+  for (let round = 0; round < 40; round++) {
+    const now = brand<Instant>(round * 600)
+    disturbance.learn([runOf(SERVING, 30)], now)
+    disturbance.learn([runOf(SERVING, 32), runOf(filler('gentle'), 4_000)], now)
+    disturbance.learn([runOf(SERVING, 400), runOf(filler('rough'), 4_000)], now)
+  }
+  return disturbance
+}
+
+test('which filler disturbs is learnt from the tails, and the gentle one is told from the rough one', t => {
+  const disturbance = learnPairs()
+  const serving = [runOf(SERVING, 30)]
+  const gentle = disturbance.harmOf(filler('gentle'), 4_000, serving)
+  const rough = disturbance.harmOf(filler('rough'), 4_000, serving)
+  t.true(rough > 0.15, `rough ${rough}`)
+  t.true(gentle < rough / 3, `gentle ${gentle}`)
+})
+
+test('the next owner goes on from what was learnt', t => {
+  const before = learnPairs()
+  const after = new Disturbance()
+  after.restore(JSON.parse(JSON.stringify(before.learnt)) as typeof before.learnt, brand<Instant>(0))
+  const serving = [runOf(SERVING, 30)]
+  for (const image of ['gentle', 'rough']) {
+    t.true(Math.abs(after.harmOf(filler(image), 4_000, serving) - before.harmOf(filler(image), 4_000, serving)) < 0.001)
+  }
+})
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -6,7 +6,7 @@
 import { CELL, FEED_RETRY_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
 import { readAll } from './readAll.ts'
 import type { RowStore, StoredRow } from './RowStore.ts'
-import { cancelledBy, JOBS_TABLE, jobParts, PROGRESS_TABLE, readJob, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
+import { cancelledBy, JOBS_TABLE, jobParts, LEARNT_KEY, PROGRESS_TABLE, readJob, readLearnt, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower, TableReader } from './TableFollower.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
@@ -104,7 +104,7 @@
     const { store, clock } = this.#ports
     const [progress, used] = await Promise.all([
       readAll(store, PROGRESS_TABLE, CELL),
-      store.range({ table: TERMS_TABLE, part: CELL, from: USED_WORKERS_KEY, to: '' })
+      store.range({ table: TERMS_TABLE, part: CELL, from: '', to: '' })
     ])
     if (progress.err) return progress
     if (used.err) return used
@@ -114,6 +114,7 @@
     this.#progress.clear()
     const now = clock.now()
     for (const row of used.val.rows) {
+      if (row.key === LEARNT_KEY) this.#board.disturbance.restore(readLearnt(row.value), now)
       if (row.key !== USED_WORKERS_KEY) continue
       const workers = readUsedWorkers(row.value)
       for (const worker of workers) {
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -3,9 +3,9 @@
  */
 import { type Clock, type Instant, type Log, type RowVersion } from '@auburnpin/common'
 import type { JobBoard, JobRecord, WorkerRecord } from '@auburnpin/core'
-import { CELL, COMMIT_GAP_MS, COMMIT_RETRY_MS, MAX_ROWS_PER_COMMIT, SUSPENSION_MS, TERM_MS, TERM_RENEWAL_MS } from './constants.ts'
+import { CELL, COMMIT_GAP_MS, COMMIT_RETRY_MS, LEARNT_MS, MAX_ROWS_PER_COMMIT, SUSPENSION_MS, TERM_MS, TERM_RENEWAL_MS } from './constants.ts'
 import type { RowChange, RowStore } from './RowStore.ts'
-import { encodeRow, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
+import { encodeRow, LEARNT_KEY, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
 
 /** What one commit carries besides the term. */
 type Batch = Readonly<{
@@ -40,6 +40,7 @@
   #usedDurable = new Set<string>()
   #isUsedDirty = false
   #isStopped = false
+  #learntAt: Instant
   #isCommitting = false
   #lastCommitAt: Instant
   #wake: (() => void) | undefined
@@ -55,6 +56,7 @@
     this.#heldSince = claimedAt
     this.#heldSinceWall = claimedAtWall
     this.#lastCommitAt = claimedAt
+    this.#learntAt = claimedAt
   }
 
   /** Whether this process surely owns the cell now. The steady clock stands still while a process is suspended, the wall clock doesn't. */
@@ -177,6 +179,10 @@
   #change ({ jobs, used }: Batch, term: Term): RowChange {
     const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }]
     if (used !== undefined) puts.push({ table: TERMS_TABLE, key: USED_WORKERS_KEY, value: encodeRow(used) })
+    if (this.#clock.now() - this.#learntAt >= LEARNT_MS) {
+      this.#learntAt = this.#clock.now()
+      puts.push({ table: TERMS_TABLE, key: LEARNT_KEY, value: encodeRow(this.#board.disturbance.learnt) })
+    }
     for (const job of jobs) puts.push({ table: PROGRESS_TABLE, key: job.job.id, value: encodeRow(job.progress) })
     return { part: CELL, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes: [] }
   }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -59,3 +59,6 @@
 
 /** A final job's rows are kept so long beyond what clients are promised, in milliseconds. */
 export const RETENTION_MARGIN_MS = 30_000
+
+/** What is learnt of disturbances is written for the next owner every so many milliseconds; it takes seconds to learn. */
+export const LEARNT_MS = 3_000
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -2,7 +2,7 @@
  * The rows of job scheduling: their tables, keys and encodings.
  */
 import { brand, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
-import type { Job, JobProgress } from '@auburnpin/core'
+import type { Job, JobProgress, LearntDisturbance } from '@auburnpin/core'
 import { JOB_PARTS } from './constants.ts'
 
 /** Jobs as accepted, and their cancellations. */
@@ -14,6 +14,7 @@
 
 export const TERM_KEY = 'term'
 export const USED_WORKERS_KEY = 'workers'
+export const LEARNT_KEY = 'learnt'
 
 export const NO_ROW = brand<RowVersion>(0)
 
@@ -56,10 +57,11 @@
 export type UsedWorker = Readonly<{ id: WorkerId, incarnation: Incarnation, address: string, service: ServiceName }>
 
 /** Writes a row's value. */
-export const encodeRow = (value: Job | JobProgress | Term | readonly UsedWorker[] | Readonly<{ cancelledAt: number }>): string => JSON.stringify(value)
+export const encodeRow = (value: Job | JobProgress | Term | LearntDisturbance | readonly UsedWorker[] | Readonly<{ cancelledAt: number }>): string => JSON.stringify(value)
 
 // Only this program writes these rows.
 export const readJob = (value: string): Job => JSON.parse(value) as Job
 export const readProgress = (value: string): JobProgress => JSON.parse(value) as JobProgress
+export const readLearnt = (value: string): LearntDisturbance => JSON.parse(value) as LearntDisturbance
 export const readTerm = (value: string): Term => JSON.parse(value) as Term
 export const readUsedWorkers = (value: string): readonly UsedWorker[] => JSON.parse(value) as readonly UsedWorker[]
