Rows of ended jobs are dropped once nobody may ask for them; a job's story ends with the job

Cause: nothing removed rows of ended jobs, so that the store and each take-over's reading would have grown without end.

--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -65,20 +65,23 @@
   }
 
   /** Takes a job in, with what is durable of its progress; a job that is known already stays as it is. */
-  accept (job: Job, progress?: JobProgress): void {
+  accept (job: Job, now: Instant, progress?: JobProgress): void {
     if (this.jobs.has(job.id)) return
     const record = new JobRecord(job)
     this.jobs.set(job.id, record)
     if (progress !== undefined) record.setPhase(progress.phase)
-    if (this.#cancelledEarly.delete(job.id)) this.#finish(record, 'cancelled')
-    if (record.isFinal) return
+    if (this.#cancelledEarly.delete(job.id)) this.#finish(record, 'cancelled', now)
+    if (record.isFinal) {
+      record.finalAt = now
+      return
+    }
     const count = Math.max(1, job.occurrences)
     if (job.occurrences > 0) this.#repeating.add(record)
     else this.#begin(record, 0, progress)
     for (let occurrence = 0; job.occurrences > 0 && occurrence < count; occurrence++) {
       if (progress?.done[`${occurrence}.0`] !== undefined) this.#begin(record, occurrence, progress)
     }
-    this.#settleJob(record)
+    this.#settleJob(record, now)
   }
 
   #begin (record: JobRecord, occurrence: number, progress?: JobProgress): void {
@@ -98,14 +101,15 @@
   }
 
   /** Cancels a job; its runs are stopped. */
-  cancel (id: JobId): void {
+  cancel (id: JobId, now: Instant): void {
     const record = this.jobs.get(id)
     if (record === undefined) this.#cancelledEarly.add(id)
-    else this.#finish(record, 'cancelled')
+    else this.#finish(record, 'cancelled', now)
   }
 
-  #finish (record: JobRecord, phase: 'completed' | 'failed' | 'cancelled'): void {
+  #finish (record: JobRecord, phase: 'completed' | 'failed' | 'cancelled', now: Instant): void {
     if (!record.setPhase(phase)) return
+    record.finalAt = now
     this.#dirty.add(record)
     this.#repeating.delete(record)
     for (const steps of record.occurrences.values()) {
@@ -118,11 +122,19 @@
     this.#observer.phaseChanged(record)
   }
 
-  /** Drops a job whose record is no longer owed to anyone. */
+  /** Jobs that ended before a moment and run nowhere any more. */
+  finishedBefore (moment: Instant, limit: number): readonly JobRecord[] {
+    const finished: JobRecord[] = []
+    for (const record of this.jobs.values()) {
+      if (finished.length >= limit) break
+      if (record.finalAt === undefined || record.finalAt >= moment || this.#dirty.has(record)) continue
+      if (![...record.tasks()].some(task => task.runs.length > 0)) finished.push(record)
+    }
+    return finished
+  }
+
+  /** Drops a job whose rows are gone. */
   forget (id: JobId): void {
-    const record = this.jobs.get(id)
-    if (record === undefined || !record.isFinal) return
-    for (const task of record.tasks()) if (task.runs.length > 0) return
     this.jobs.delete(id)
   }
 
@@ -250,27 +262,27 @@
     const hasFailed = end.ending === 'failed'
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     if ((hasFailed || end.ending === 'done') && worker.judge(hasFailed, now)) this.#observer.workerJudged(worker.entry.id, 'several runs failed one after the other')
-    if (end.ending === 'done') this.#finishTask(task)
+    if (end.ending === 'done') this.#finishTask(task, now)
     else if (hasFailed && !task.step.shape.isLasting && !task.isDone && !task.failedAttempts.includes(end.attempt)) {
       task.failedAttempts.push(end.attempt)
       if (!job.isFinal) this.#dirty.add(job)
     }
     if (run !== undefined) this.#endRun(run, end.ending, now)
     else this.#observer.runEnded({ task, attempt: end.attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }, end.ending, worker.entry.id)
-    if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#finish(job, 'failed')
+    if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#finish(job, 'failed', now)
   }
 
-  #finishTask (task: TaskRecord): void {
+  #finishTask (task: TaskRecord, now: Instant): void {
     const { step } = task
     if (step.shape.isLasting || !step.finish(task)) return
     for (const run of task.runs) run.isStopWanted = true
     if (!step.job.isFinal) this.#dirty.add(step.job)
     if (step.isDone) this.#open(step.job, step.occurrence)
-    this.#settleJob(step.job)
+    this.#settleJob(step.job, now)
   }
 
-  #settleJob (record: JobRecord): void {
-    if (!record.isFinal && record.isDone) this.#finish(record, 'completed')
+  #settleJob (record: JobRecord, now: Instant): void {
+    if (!record.isFinal && record.isDone) this.#finish(record, 'completed', now)
   }
 
   // The run is surely over: its room is free and its task may run again.
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -1,6 +1,7 @@
 /**
  * A job with all that is known of its tasks.
  */
+import type { Instant } from '@auburnpin/common'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { Job, JobPhase, JobProgress } from './types.ts'
@@ -16,6 +17,8 @@
   readonly job: Job
   readonly occurrences = new Map<number, readonly StepRecord[]>()
   #phase: JobPhase = 'queued'
+  /** When this process saw the job end; `undefined` while it goes on. */
+  finalAt?: Instant
   #doneOccurrences = new Set<number>()
   /** By the client's estimates, how long each step and the longest chain of steps after it take, in milliseconds. */
   readonly #remainingMs: readonly number[]
--- a/packages/core/tests/disturbance.test.ts
+++ b/packages/core/tests/disturbance.test.ts
@@ -3,8 +3,24 @@
 import { Disturbance, JobRecord, WorkerRecord, type Job, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
 
 const STEP: JobStep = {
-  taskCount: 1, processors: 4_000, memoryMb: 100, accelerators: 0, estimateMs: 500, after: [], isCheckpointing: true, isGang: false, isOneRack: false,
-  requiredLabel: '', dataRack: '', maxPerWorker: 0, isSpeculative: false, isLasting: false, image: '', latencyTargetMs: 0, isFiller: false, mayMiss: 0
+  taskCount: 1,
+  processors: 4_000,
+  memoryMb: 100,
+  accelerators: 0,
+  estimateMs: 500,
+  after: [],
+  isCheckpointing: true,
+  isGang: false,
+  isOneRack: false,
+  requiredLabel: '',
+  dataRack: '',
+  maxPerWorker: 0,
+  isSpeculative: false,
+  isLasting: false,
+  image: '',
+  latencyTargetMs: 0,
+  isFiller: false,
+  mayMiss: 0
 }
 const SERVING: JobStep = { ...STEP, image: 'watch', isLasting: true, latencyTargetMs: 100 }
 const filler = (image: string): JobStep => ({ ...STEP, image, isFiller: true })
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -3,10 +3,10 @@
  */
 import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { BoardObserver, JobBoard, type JobProgress, type JobRecord, type RunOrder, type RunRecord, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
-import { CELL, FEED_RETRY_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
+import { CELL, FEED_RETRY_MS, MAX_SWEPT_JOBS, RETENTION_MARGIN_MS, SWEEP_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
 import { readAll } from './readAll.ts'
 import type { RowStore, StoredRow } from './RowStore.ts'
-import { cancelledBy, JOBS_TABLE, jobParts, LEARNT_KEY, PROGRESS_TABLE, readJob, readLearnt, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
+import { cancelKey, cancelledBy, JOBS_TABLE, jobParts, LEARNT_KEY, partOfJob, PROGRESS_TABLE, readJob, readLearnt, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower, TableReader } from './TableFollower.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
@@ -21,6 +21,8 @@
   clock: Clock
   log: Log
   metrics: Metrics
+  /** How long clients are promised a final job's phase, in milliseconds. */
+  stateKeptMs: number
 }>
 
 /** A term just won: its row's version, and when its claim was sent. */
@@ -79,6 +81,7 @@
     this.#jobs.start()
     this.#ports.workerList.listen(new OwnerWorkers(this))
     void this.#tick()
+    void this.#sweep()
   }
 
   /** Stops deciding; with `isReleased` the term is given up for the next owner to take at once. */
@@ -128,20 +131,20 @@
 
   /** Takes in all rows of jobs. */
   replaceJobs (rows: readonly StoredRow[]): void {
-    const missing = new Set(this.#board.jobs.keys())
     this.changeJobs(rows)
-    for (const row of rows) missing.delete(brand(row.key))
-    for (const id of missing) this.#board.forget(id)
+    const present = new Set(rows.map(row => row.key))
+    for (const id of this.#progress.keys()) if (!present.has(id)) this.#writer.dropProgress(brand(id))
   }
 
   /** Takes in rows of jobs that changed. */
   changeJobs (rows: readonly StoredRow[]): void {
+    const now = this.#ports.clock.now()
     for (const row of rows) {
-      if (cancelledBy(row.key) === undefined) this.#board.accept(readJob(row.value), this.#progress.get(row.key))
+      if (cancelledBy(row.key) === undefined) this.#board.accept(readJob(row.value), now, this.#progress.get(row.key))
     }
     for (const row of rows) {
       const cancelled = cancelledBy(row.key)
-      if (cancelled !== undefined) this.#board.cancel(cancelled)
+      if (cancelled !== undefined) this.#board.cancel(cancelled, now)
     }
     this.learnt()
   }
@@ -203,6 +206,26 @@
     }
   }
 
+  // Rows of jobs that nobody may ask for any more are dropped: first the job's own, then its progress.
+  async #sweep (): Promise<void> {
+    const { clock, store, log, stateKeptMs } = this.#ports
+    while (!this.#isClosed) {
+      await clock.sleep(SWEEP_MS)
+      if (!this.isHeld) continue
+      const over = this.#board.finishedBefore(brand<Instant>(clock.now() - stateKeptMs - RETENTION_MARGIN_MS), MAX_SWEPT_JOBS)
+      let dropped = 0
+      for (const { job: { id } } of over) {
+        const deletes = [id, cancelKey(id)].map(key => ({ table: JOBS_TABLE, key }))
+        const outcome = await store.transact({ part: partOfJob(id), checks: [], puts: [], deletes })
+        if (outcome.err || this.#isClosed) break
+        this.#board.forget(id)
+        this.#writer.dropProgress(id)
+        dropped++
+      }
+      if (dropped > 0) log.info('Rows of ended jobs dropped', { dropped })
+    }
+  }
+
   #pass (): void {
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,7 +1,7 @@
 /**
  * Writes what an owner decides, under its term.
  */
-import { type Clock, type Instant, type Log, type RowVersion } from '@auburnpin/common'
+import { type Clock, type Instant, type JobId, type Log, type RowVersion } from '@auburnpin/common'
 import type { JobBoard, JobRecord, WorkerRecord } from '@auburnpin/core'
 import { CELL, COMMIT_GAP_MS, COMMIT_RETRY_MS, LEARNT_MS, MAX_ROWS_PER_COMMIT, SUSPENSION_MS, TERM_MS, TERM_RENEWAL_MS } from './constants.ts'
 import type { RowChange, RowStore } from './RowStore.ts'
@@ -12,6 +12,7 @@
   jobs: readonly JobRecord[]
   ends: ReadonlyMap<WorkerRecord, number>
   used: readonly UsedWorker[] | undefined
+  unneeded: readonly JobId[]
 }>
 
 /** What a term's writer tells. */
@@ -38,6 +39,7 @@
   #heldSinceWall: number
   #usedWanted: readonly UsedWorker[] = []
   #usedDurable = new Set<string>()
+  #unneeded: JobId[] = []
   #isUsedDirty = false
   #isStopped = false
   #learntAt: Instant
@@ -89,6 +91,11 @@
     this.ask()
   }
 
+  /** Has a job's progress dropped with a later commit; its own rows are gone. */
+  dropProgress (id: JobId): void {
+    this.#unneeded.push(id)
+  }
+
   /** Whether the next owner would know of the worker. */
   isUsable ({ id, incarnation }: Pick<UsedWorker, 'id' | 'incarnation'>): boolean {
     return this.#usedDurable.has(`${id}#${incarnation}`)
@@ -97,7 +104,7 @@
   /** Gives the term up, so that another process may take it at once. */
   async release (): Promise<void> {
     while (this.#isCommitting) await this.#clock.sleep(COMMIT_GAP_MS)
-    const change = this.#change({ jobs: [], ends: new Map(), used: undefined }, { ...this.#term, holder: '', commit: this.#term.commit + 1 })
+    const change = this.#change({ jobs: [], ends: new Map(), used: undefined, unneeded: [] }, { ...this.#term, holder: '', commit: this.#term.commit + 1 })
     const outcome = await this.#store.transact(change)
     this.#log.info('Term given up', { epoch: this.#term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
   }
@@ -154,6 +161,7 @@
       return
     }
     this.#board.markDirty(batch.jobs)
+    this.#unneeded.push(...batch.unneeded)
     if (batch.used !== undefined) this.#isUsedDirty = true
     if (outcome.ok && outcome.val.kind === 'conflict') {
       this.#takeConflict(outcome.val.rows.find(row => row.table === TERMS_TABLE && row.key === TERM_KEY))
@@ -173,10 +181,10 @@
     const ends = this.#board.dirtyCount === 0 ? this.#board.appliedEnds() : new Map<WorkerRecord, number>()
     const used = this.#isUsedDirty ? this.#usedWanted : undefined
     this.#isUsedDirty = false
-    return { jobs, ends, used }
+    return { jobs, ends, used, unneeded: this.#unneeded.splice(0, MAX_ROWS_PER_COMMIT - jobs.length) }
   }
 
-  #change ({ jobs, used }: Batch, term: Term): RowChange {
+  #change ({ jobs, used, unneeded }: Batch, term: Term): RowChange {
     const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }]
     if (used !== undefined) puts.push({ table: TERMS_TABLE, key: USED_WORKERS_KEY, value: encodeRow(used) })
     if (this.#clock.now() - this.#learntAt >= LEARNT_MS) {
@@ -184,7 +192,7 @@
       puts.push({ table: TERMS_TABLE, key: LEARNT_KEY, value: encodeRow(this.#board.disturbance.learnt) })
     }
     for (const job of jobs) puts.push({ table: PROGRESS_TABLE, key: job.job.id, value: encodeRow(job.progress) })
-    return { part: CELL, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes: [] }
+    return { part: CELL, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes: unneeded.map(key => ({ table: PROGRESS_TABLE, key })) }
   }
 
   // Either an earlier commit of this very term was made after all, or another process owns the cell.
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -62,3 +62,7 @@
 
 /** What is learnt of disturbances is written for the next owner every so many milliseconds; it takes seconds to learn. */
 export const LEARNT_MS = 3_000
+
+/** Time between two rounds that drop the rows of ended jobs, in milliseconds, and most jobs of a round. */
+export const SWEEP_MS = 5_000
+export const MAX_SWEPT_JOBS = 50
--- a/packages/jobs/tests/support/JobsWorld.ts
+++ b/packages/jobs/tests/support/JobsWorld.ts
@@ -30,7 +30,7 @@
     this.name = name
     this.clock = new NodeClock(world.clock)
     const store = new WatchedStore(world.rows.seenBy(name), this.clock, new SilentLog(), new SilentMetrics())
-    const ports = { store, workerList: new FakeList(world), calls: new FakeCalls(world, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics() }
+    const ports = { store, workerList: new FakeList(world), calls: new FakeCalls(world, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), stateKeptMs: 120_000 }
     this.seat = new CellSeat(ports, { name, life, claimDelayMs: 20 }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.intake = new JobIntake(store, this.clock, new SilentLog())
     this.seat.start()
--- a/packages/observe/tests/logs.test.ts
+++ b/packages/observe/tests/logs.test.ts
@@ -67,9 +67,11 @@
   ].join('\n')
   const second = [
     `  3.5 edge-2 ${JSON.stringify({ at: '2026-01-01T00:00:03.000Z', level: 'info', component: 'jobs', message: 'Term claimed', epoch: 2 })}`,
+    `  9.9 edge-2 ${JSON.stringify({ at: '2026-01-01T00:00:09.900Z', level: 'info', component: 'jobs', message: 'Term given up', epoch: 2 })}`,
+    `  3.6 edge-2 ${JSON.stringify({ at: '2026-01-01T00:00:04.000Z', level: 'info', component: 'jobs', message: 'Job changed', job: id, phase: 'completed' })}`,
     `  3.4 edge-2 ${JSON.stringify({ at: '2026-01-01T00:00:02.000Z', level: 'info', component: 'jobs', message: 'Run ended', task: `${id}.0.0.1`, how: 'done' })}`
   ].join('\n')
   const records = traceJob([{ name: 'a.log', text: first }, { name: 'b.log', text: second }], id)
-  t.deepEqual(records.map(({ source, message }) => [source, message]), [['a.log', 'Job submitted'], ['edge-2', 'Run ended'], ['edge-2', 'Term claimed']])
+  t.deepEqual(records.map(({ source, message }) => [source, message]), [['a.log', 'Job submitted'], ['edge-2', 'Run ended'], ['edge-2', 'Term claimed'], ['edge-2', 'Job changed']])
   t.is(records[1]?.details, `task=${id}.0.0.1 how=done`)
 })
