--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -2,16 +2,13 @@
  * How fast the fillers of one worker may work beside its serving tasks.
  */
 import { brand, type Instant } from '@auburnpin/common'
-import { HARMLESS_SHARE, PACE_SETTLE_MS, PACE_UP_GAP_MS, PRESSURE_ALARM, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW } from './constants.ts'
+import { HARMLESS_SHARE, MAX_MOVES, PACE_SETTLE_MS, PACE_UP_GAP_MS, PRESSURE_ALARM, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW } from './constants.ts'
 import { worstNewPressure, worstPressure, type Disturbance } from './Disturbance.ts'
 import { FULL_PACE, type RunRecord } from './TaskRecord.ts'
 
 /** A run that has got less far than this, in percent, may start anew elsewhere. */
 const SMALL_PROGRESS_PERCENT = 35
 
-/** A filler that was moved so often is only held, or it would get nowhere. */
-const MAX_MOVES = 3
-
 /** Cuts in turn after which fillers that count as harmless are held as well. */
 const CUTS_BEFORE_ALL = 2
 
--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -5,6 +5,7 @@
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, SLOWEST_CLOCK, STOP_RETRY_MS } from './constants.ts'
 import { Disturbance } from './Disturbance.ts'
 import { JobRecord } from './JobRecord.ts'
+import { isStalled } from './isStalled.ts'
 import { paceFillers } from './paceFillers.ts'
 import { placeTasks } from './placeTasks.ts'
 import type { StepRecord } from './StepRecord.ts'
@@ -21,6 +22,7 @@
 /** Tells why the board changed what it believes; the shell logs it. */
 export abstract class BoardObserver {
   abstract runEnded (run: RunRecord, how: string, worker: WorkerId): void
+  abstract runStalled (run: RunRecord, worker: WorkerId): void
   abstract phaseChanged (job: JobRecord): void
   abstract workerJudged (worker: WorkerId, why: string): void
 }
@@ -187,6 +189,7 @@
       if (run !== undefined) {
         this.#confirm(run, now)
         run.reading = reported.reading
+        if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
         run.progressPercent = reported.progressPercent
       } else if (task !== undefined) this.#adopt(worker, task, reported, now)
       else worker.strangers.set(`${reported.task}#${reported.attempt}`, { task: reported.task, attempt: reported.attempt })
@@ -196,9 +199,20 @@
     for (const run of [...worker.runs.values()]) {
       if (!present.has(runKey(run))) this.#missRun(run, askedAt, now)
     }
+    this.#moveStalled(worker, now)
     worker.pacing.observe(worker.runs.values(), this.disturbance, now)
   }
 
+  #moveStalled (worker: WorkerRecord, now: Instant): void {
+    for (const run of worker.runs.values()) {
+      if (!isStalled(run, now)) continue
+      run.isStopWanted = true
+      run.task.moves++
+      run.task.failedOn.add(worker)
+      this.#observer.runStalled(run, worker.entry.id)
+    }
+  }
+
   // A report asked for before the order's answer came says nothing about the run.
   #missRun (run: RunRecord, askedAt: Instant, now: Instant): void {
     if (run.stopAnsweredAt !== undefined && askedAt > run.stopAnsweredAt) {
@@ -260,6 +274,7 @@
     task.noteAttempt(end.attempt)
     const job = task.step.job
     const hasFailed = end.ending === 'failed'
+    if (hasFailed) task.failedOn.add(worker)
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     if ((hasFailed || end.ending === 'done') && worker.judge(hasFailed, now)) this.#observer.workerJudged(worker.entry.id, 'several runs failed one after the other')
     if (end.ending === 'done') this.#finishTask(task, now)
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -24,6 +24,8 @@
   reading?: number
   /** How far it has got, in percent; of a lasting task 100 once it is at work. */
   progressPercent?: number
+  /** When a report last showed progress. */
+  progressedAt?: Instant
   /** Of a serving task: how near its target it is, 1 just on it; smoothed, the newest with its trend, and the newest. */
   pressure?: number
   newestPressure?: number
@@ -44,6 +46,8 @@
   readonly runs: RunRecord[] = []
   /** Numbers of the runs that failed. */
   readonly failedAttempts: number[] = []
+  /** Workers that it failed on, as far as this owner saw. */
+  readonly failedOn = new Set<WorkerRecord>()
   isDone = false
   /** Whether a run of it has been ordered, as far as is known; a lasting task that ran must run again soon. */
   hasRun = false
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -26,7 +26,7 @@
     if (!mayRun(task, worker, now)) continue
     const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
     if (pressure > 0 && !isCalmEnough(task.step, worker, pressure, disturbance)) continue
-    const score = scoreWorker(task.step, worker) - pressure * PRESSURE_WEIGHT
+    const score = scoreWorker(task.step, worker) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_COST : 0)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -76,6 +76,8 @@
 
 /** Weight of a task's data being in the worker's rack, in shares of a worker's processors. */
 const DATA_RACK_BONUS = 4
+/** Weight of an earlier failure on the worker, above all others: attempts are few, and the worker may be bad. */
+const FAILED_HERE_COST = 100
 /** Weight of the pressure expected on serving tasks, against the free share of the worker. */
 const PRESSURE_WEIGHT = 2
 /** Weights of a worker whose serving tasks are all of the task's job, all of its image, and of one with others. */
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -71,3 +71,9 @@
 
 /** Share of the workers that new serving tasks keep off, so that short urgent tasks and restarts find room. */
 export const SPARED_SHARE = 0.1
+
+/** A run whose progress has not changed for so many milliseconds stands still; the longest tasks of 7 s gain a fifth in it. */
+export const STALL_MS = 1_500
+
+/** A task that was moved so often stays where it is, or it would get nowhere. */
+export const MAX_MOVES = 3
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -9,11 +9,15 @@
 /** How long a task runs and how it ends there. */
 export type FakeRunCourse = Readonly<{ runMs: number, ending: 'done' | 'failed' }>
 
-type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number }
+type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number, readonly runMs: number }
 
 /** One start or end, for those who watch. `voided`: the lease ran out before anyone took note of the end. */
 export type WorkerEvent = Readonly<{ kind: 'started' | 'ended' | 'voided', worker: WorkerId, task: TaskName, attempt: Attempt, how: string, at: number }>
 
+const FAILING: FakeRunCourse = { runMs: 50, ending: 'failed' }
+
+const STALLING: FakeRunCourse = { runMs: 1e9, ending: 'done' }
+
 const HOLD_MAX_MS = 10_000
 
 /** One life after another of one worker. */
@@ -30,6 +34,8 @@
   #token = 0
   #leaseEndMs = 0
   #lapse: Timer | undefined
+  #isFailing = false
+  #isStalling = false
   isDead = false
   isDraining = false
 
@@ -64,6 +70,16 @@
     return this.#clock.now() - this.#bornAt
   }
 
+  /** Whatever starts from now on gets nowhere and never ends. */
+  stallAll (): void {
+    this.#isStalling = true
+  }
+
+  /** Whatever starts from now on fails. */
+  failAll (): void {
+    this.#isFailing = true
+  }
+
   /** Everything on it ends and nothing is listed. */
   crash (): void {
     this.isDead = true
@@ -88,8 +104,8 @@
     if (this.#runs.get(task)?.attempt === attempt) return 'started'
     if (attempt <= (this.#highest.get(task) ?? 0)) return 'superseded'
     if (leaseEndMs <= this.clockMs) return 'too-late'
-    const { runMs, ending } = this.#courses(task)
-    const run: Run = { task, attempt, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#end(run, ending)) }
+    const { runMs, ending } = this.#isFailing ? FAILING : this.#isStalling ? STALLING : this.#courses(task)
+    const run: Run = { task, attempt, runMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#end(run, ending)) }
     this.#highest.set(task, attempt)
     this.#runs.set(task, run)
     this.#watch({ kind: 'started', worker: this.id, task, attempt, how: '', at: this.#clock.now() })
@@ -110,7 +126,8 @@
     this.#token = epoch
     if (leaseEndMs !== undefined) this.#extend(leaseEndMs)
     this.#ended = this.#ended.filter(end => end.sequence > seenEnd)
-    const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt }) => ({ task, attempt, checkpoint: '', progressPercent: 100, reading: 0 }))
+    const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, runMs }) =>
+      ({ task, attempt, checkpoint: '', progressPercent: Math.floor(100 * (this.#clock.now() - startedAt) / runMs), reading: 0 }))
     return { incarnation: this.entry.incarnation, clockMs: this.clockMs, running, ended: [...this.#ended] }
   }
 
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -407,6 +407,10 @@
     log.info('Run ended', { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
   }
 
+  runStalled (run: RunRecord, worker: WorkerId): void {
+    this.#ports.log.warn('Run stands still and is moved', { task: run.task.name, attempt: run.attempt, worker, progressPercent: run.progressPercent, moves: run.task.moves })
+  }
+
   phaseChanged ({ job, phase }: JobRecord): void {
     const { log, metrics, clock } = this.#ports
     const ageMs = clock.wallTime() - job.acceptedAt
