--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -21,3 +21,4 @@
 export { Metrics, SilentMetrics, METRIC_NAMES, type MetricName, type MetricTags } from './Metrics.ts'
 export { Ticker } from './Ticker.ts'
 export { Mailbox } from './Mailbox.ts'
+export { Pause } from './Pause.ts'
--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -2,13 +2,14 @@
  * The state of all jobs and workers of one owner, and what it orders.
  */
 import { assertNever, brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
-import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, SLOWEST_CLOCK, STOP_RETRY_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, SLOWEST_CLOCK } from './constants.ts'
 import { Disturbance } from './Disturbance.ts'
 import { JobRecord } from './JobRecord.ts'
 import { isStalled } from './isStalled.ts'
 import { paceFillers } from './paceFillers.ts'
 import { placeTasks } from './placeTasks.ts'
 import type { StepRecord } from './StepRecord.ts'
+import { stopOrders } from './stopOrders.ts'
 import { FULL_PACE, type RunRecord, type TaskRecord } from './TaskRecord.ts'
 import { parseTaskName } from './taskName.ts'
 import type {
@@ -36,7 +37,7 @@
  * const board = new JobBoard(epoch, { leaseMs: 4_000 }, now, observer)
  * board.restore(job, progress)
  * board.listWorkers(entries, now)
- * const orders = board.decide(now, Date.now())
+ * const orders = board.decide(now, wallTime)
  */
 export class JobBoard {
   readonly jobs = new Map<JobId, JobRecord>()
@@ -418,8 +419,8 @@
   decide (now: Instant, wallTime: number): RunOrder[] {
     this.#expireLeases(now)
     this.#beginDue(wallTime)
-    const orders = this.#stops(now)
-    for (const worker of this.workers.values()) orders.push(...paceFillers(worker, now))
+    const orders: RunOrder[] = []
+    for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceFillers(worker, now))
     if (!this.#mayOpen(now)) return orders
     for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.disturbance, now, wallTime)) {
       const run: RunRecord = { task, attempt: task.nextAttempt(this.#firstAttempt), worker, orderedAt: now, state: 'ordered', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }
@@ -455,23 +456,4 @@
     this.#isOpen = true
     return true
   }
-
-  #stops (now: Instant): RunOrder[] {
-    const orders: RunOrder[] = []
-    for (const worker of this.workers.values()) {
-      const { id, address } = worker.entry
-      for (const run of worker.runs.values()) {
-        if (!run.isStopWanted || run.state === 'ordered') continue
-        if (run.stopSentAt !== undefined && now - run.stopSentAt < STOP_RETRY_MS) continue
-        run.stopSentAt = now
-        orders.push({ kind: 'stop', worker: id, address, task: run.task.name, attempt: run.attempt })
-      }
-      for (const stranger of worker.strangers.values()) {
-        if (stranger.stopSentAt !== undefined && now - stranger.stopSentAt < STOP_RETRY_MS) continue
-        stranger.stopSentAt = now
-        orders.push({ kind: 'stop', worker: id, address, task: stranger.task, attempt: stranger.attempt })
-      }
-    }
-    return orders
-  }
 }
--- a/packages/core/tests/disturbance.test.ts
+++ b/packages/core/tests/disturbance.test.ts
@@ -1,35 +1,15 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { Disturbance, JobRecord, WorkerRecord, type Job, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
 
-const STEP: JobStep = {
-  taskCount: 1,
-  processors: 4_000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isCheckpointing: true,
-  isGang: false,
-  isOneRack: false,
-  requiredLabel: '',
-  dataRack: '',
-  maxPerWorker: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  latencyTargetMs: 0,
-  isFiller: false,
-  mayMiss: 0
-}
-const SERVING: JobStep = { ...STEP, image: 'watch', isLasting: true, latencyTargetMs: 100 }
-const filler = (image: string): JobStep => ({ ...STEP, image, isFiller: true })
+const SERVING = stepOf({ image: 'watch', isLasting: true, latencyTargetMs: 100 })
+const filler = (image: string): JobStep => stepOf({ image, isFiller: true, processors: 4_000 })
 
 const worker = new WorkerRecord({ id: brand('w'), incarnation: brand(1), address: '', service: brand('desk'), zone: '', isDraining: false, labels: [], processors: 32_000, memoryMb: 1_000, accelerators: 0 } satisfies WorkerEntry, brand(0), 1_000)
 
 const runOf = (shape: JobStep, reading: number): RunRecord => {
-  const job: Job = { id: brand('j'), queue: brand('q'), policy: { service: brand('desk'), priority: 0, maxAttempts: 1, objectiveFactor: 1, objectiveMs: 0 }, spec: '', steps: [shape], acceptedAt: 0, occurrences: 0, firstRunAt: 0, intervalMs: 0 }
-  const task = new JobRecord(job).begin(0)[0]?.tasks[0]
+  const task = new JobRecord(jobOf('j', [shape])).begin(0)[0]?.tasks[0]
   if (task === undefined) throw new Error('The job has no task')
   return { task, attempt: brand<Attempt>(1), worker, orderedAt: brand(0), state: 'running', since: brand(0), isStopWanted: false, pacePercent: 100, paceOrdered: 100, reading, progressPercent: 100 }
 }
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -10,3 +10,4 @@
 export { FakePeers, type FakePeerNetwork } from './FakePeers.ts'
 export { FakeJobWorker, type FakeRunCourse, type WorkerEvent } from './FakeJobWorker.ts'
 export { FakeRows, type StoreMood } from './FakeRows.ts'
+export { jobOf, stepOf } from './jobBuilders.ts'
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -2,12 +2,14 @@
  * Runs the board of one cell for one term of ownership.
  */
 import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
-import { BoardObserver, JobBoard, type JobProgress, type JobRecord, type RunOrder, type RunRecord, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
-import { CELL, FEED_RETRY_MS, MAX_SWEPT_JOBS, RETENTION_MARGIN_MS, SWEEP_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
+import { JobBoard, type JobProgress, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { CELL, FEED_RETRY_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
+import { JobSweeper } from './JobSweeper.ts'
 import { readAll } from './readAll.ts'
 import type { RowStore, StoredRow } from './RowStore.ts'
-import { cancelKey, cancelledBy, JOBS_TABLE, jobParts, LEARNT_KEY, partOfJob, PROGRESS_TABLE, readJob, readLearnt, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
+import { cancelledBy, JOBS_TABLE, jobParts, LEARNT_KEY, PROGRESS_TABLE, readJob, readLearnt, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower, TableReader } from './TableFollower.ts'
+import { TellingObserver } from './TellingObserver.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 import { LineOwner, WorkerLine } from './WorkerLine.ts'
@@ -39,6 +41,7 @@
   readonly #board: JobBoard
   readonly #writer: TermWriter
   readonly #jobs: TableFollower
+  readonly #sweeper: JobSweeper
   readonly #lines = new Map<WorkerId, WorkerLine>()
   readonly #lineOwner: LineOwner
   #progress = new Map<string, JobProgress>()
@@ -56,6 +59,7 @@
     this.#writer = new TermWriter(store, clock, log, this.#board, new OwnerListener(this), won.term, won.version, won.claimedAt, won.claimedAtWall)
     this.#jobs = new TableFollower(store, clock, log, JOBS_TABLE, jobParts(), new JobsReader(this))
     this.#lineOwner = new OwnerOfLines(this)
+    this.#sweeper = new JobSweeper(ports, this.#board, this.#writer)
   }
 
   get isHeld (): boolean {
@@ -81,7 +85,7 @@
     this.#jobs.start()
     this.#ports.workerList.listen(new OwnerWorkers(this))
     void this.#tick()
-    void this.#sweep()
+    this.#sweeper.start()
   }
 
   /** Stops deciding; with `isReleased` the term is given up for the next owner to take at once. */
@@ -90,6 +94,7 @@
     this.#isClosed = true
     this.#jobs.stop()
     this.#writer.stop()
+    this.#sweeper.stop()
     this.#ports.workerList.silence()
     for (const line of this.#lines.values()) line.stop()
     if (isReleased) await this.#writer.release()
@@ -206,26 +211,6 @@
     }
   }
 
-  // Rows of jobs that nobody may ask for any more are dropped: first the job's own, then its progress.
-  async #sweep (): Promise<void> {
-    const { clock, store, log, stateKeptMs } = this.#ports
-    while (!this.#isClosed) {
-      await clock.sleep(SWEEP_MS)
-      if (!this.isHeld) continue
-      const over = this.#board.finishedBefore(brand<Instant>(clock.now() - stateKeptMs - RETENTION_MARGIN_MS), MAX_SWEPT_JOBS)
-      let dropped = 0
-      for (const { job: { id } } of over) {
-        const deletes = [id, cancelKey(id)].map(key => ({ table: JOBS_TABLE, key }))
-        const outcome = await store.transact({ part: partOfJob(id), checks: [], puts: [], deletes })
-        if (outcome.err || this.#isClosed) break
-        this.#board.forget(id)
-        this.#writer.dropProgress(id)
-        dropped++
-      }
-      if (dropped > 0) log.info('Rows of ended jobs dropped', { dropped })
-    }
-  }
-
   #pass (): void {
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
@@ -392,37 +377,3 @@
     this.#owner.lose(`worker ${worker} follows a later owner`)
   }
 }
-
-class TellingObserver extends BoardObserver {
-  readonly #ports: OwnerPorts
-
-  constructor (ports: OwnerPorts) {
-    super()
-    this.#ports = ports
-  }
-
-  runEnded (run: RunRecord, how: string, worker: WorkerId): void {
-    const { log, metrics } = this.#ports
-    metrics.count('runs.ended', 1, { how })
-    log.info('Run ended', { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
-  }
-
-  runStalled (run: RunRecord, worker: WorkerId): void {
-    this.#ports.log.warn('Run stands still and is moved', { task: run.task.name, attempt: run.attempt, worker, progressPercent: run.progressPercent, moves: run.task.moves })
-  }
-
-  phaseChanged ({ job, phase }: JobRecord): void {
-    const { log, metrics, clock } = this.#ports
-    const ageMs = clock.wallTime() - job.acceptedAt
-    if (phase === 'active') metrics.timing('jobs.firstStart', ageMs)
-    else {
-      metrics.count('jobs.ended', 1, { phase })
-      metrics.timing('jobs.duration', ageMs, { phase })
-    }
-    log.info('Job changed', { job: job.id, queue: job.queue, phase, ageMs })
-  }
-
-  workerJudged (worker: WorkerId, why: string): void {
-    this.#ports.log.warn('Worker gets no work for a while', { worker, why })
-  }
-}
--- /dev/null
+++ b/packages/jobs/src/TellingObserver.ts
@@ -0,0 +1,41 @@
+/**
+ * Logs and counts what the board comes to believe.
+ */
+import type { WorkerId } from '@auburnpin/common'
+import { BoardObserver, type JobRecord, type RunRecord } from '@auburnpin/core'
+import type { OwnerPorts } from './JobOwner.ts'
+
+/** One record for each change of a run, a job or a worker's standing. */
+export class TellingObserver extends BoardObserver {
+  readonly #ports: OwnerPorts
+
+  constructor (ports: OwnerPorts) {
+    super()
+    this.#ports = ports
+  }
+
+  runEnded (run: RunRecord, how: string, worker: WorkerId): void {
+    const { log, metrics } = this.#ports
+    metrics.count('runs.ended', 1, { how })
+    log.info('Run ended', { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
+  }
+
+  runStalled (run: RunRecord, worker: WorkerId): void {
+    this.#ports.log.warn('Run stands still and is moved', { task: run.task.name, attempt: run.attempt, worker, progressPercent: run.progressPercent, moves: run.task.moves })
+  }
+
+  phaseChanged ({ job, phase }: JobRecord): void {
+    const { log, metrics, clock } = this.#ports
+    const ageMs = clock.wallTime() - job.acceptedAt
+    if (phase === 'active') metrics.timing('jobs.firstStart', ageMs)
+    else {
+      metrics.count('jobs.ended', 1, { phase })
+      metrics.timing('jobs.duration', ageMs, { phase })
+    }
+    log.info('Job changed', { job: job.id, queue: job.queue, phase, ageMs })
+  }
+
+  workerJudged (worker: WorkerId, why: string): void {
+    this.#ports.log.warn('Worker gets no work for a while', { worker, why })
+  }
+}
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,7 +1,7 @@
 /**
  * Writes what an owner decides, under its term.
  */
-import { type Clock, type Instant, type JobId, type Log, type RowVersion } from '@auburnpin/common'
+import { Pause, type Clock, type Instant, type JobId, type Log, type RowVersion } from '@auburnpin/common'
 import type { JobBoard, JobRecord, WorkerRecord } from '@auburnpin/core'
 import { CELL, COMMIT_GAP_MS, COMMIT_RETRY_MS, LEARNT_MS, MAX_ROWS_PER_COMMIT, SUSPENSION_MS, TERM_MS, TERM_RENEWAL_MS } from './constants.ts'
 import type { RowChange, RowStore } from './RowStore.ts'
@@ -31,6 +31,7 @@
   readonly #store: RowStore
   readonly #clock: Clock
   readonly #log: Log
+  readonly #pause: Pause
   readonly #board: JobBoard
   readonly #listener: TermListener
   #term: Term
@@ -45,12 +46,12 @@
   #learntAt: Instant
   #isCommitting = false
   #lastCommitAt: Instant
-  #wake: (() => void) | undefined
 
   constructor (store: RowStore, clock: Clock, log: Log, board: JobBoard, listener: TermListener, term: Term, version: RowVersion, claimedAt: Instant, claimedAtWall: number) {
     this.#store = store
     this.#clock = clock
     this.#log = log
+    this.#pause = new Pause(clock)
     this.#board = board
     this.#listener = listener
     this.#term = term
@@ -76,12 +77,12 @@
 
   stop (): void {
     this.#isStopped = true
-    this.#wake?.()
+    this.#pause.wake()
   }
 
   /** Asks for a commit soon. */
   ask (): void {
-    this.#wake?.()
+    this.#pause.wake()
   }
 
   /** Names the workers to be used; each may be used once `isUsable` says so. */
@@ -114,7 +115,7 @@
       // With nothing to write, what was taken in is as durable as it needs to be.
       if (this.#board.dirtyCount === 0 && this.#board.hasUnsettledEnds) this.#settleEnds()
       if (this.#isDue) await this.#commit()
-      else await this.#rest(Math.max(1, TERM_RENEWAL_MS - (this.#clock.now() - this.#lastCommitAt)))
+      else await this.#pause.rest(Math.max(1, TERM_RENEWAL_MS - (this.#clock.now() - this.#lastCommitAt)))
     }
   }
 
@@ -127,17 +128,6 @@
     this.#listener.committed()
   }
 
-  #rest (delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const timer = this.#clock.after(delayMs, resolve)
-      this.#wake = () => {
-        timer.cancel()
-        this.#wake = undefined
-        resolve()
-      }
-    })
-  }
-
   async #commit (): Promise<void> {
     this.#isCommitting = true
     const batch = this.#takeBatch()
--- a/packages/jobs/src/WorkerLine.ts
+++ b/packages/jobs/src/WorkerLine.ts
@@ -1,7 +1,7 @@
 /**
  * The conversation with one worker: reports and leases as long as anything runs there.
  */
-import type { AuburnpinError, Clock, Epoch, Log, Result, WorkerId } from '@auburnpin/common'
+import { Pause, type AuburnpinError, type Clock, type Epoch, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobBoard, WorkerRecord, WorkerReport } from '@auburnpin/core'
 import { REPORT_GAP_MS, REPORT_RETRY_MS, REPORT_WAIT_MS, TAIL_REPORT_WAIT_MS, TICK_MS, UNSETTLED_REPORT_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
@@ -26,10 +26,10 @@
   readonly #calls: WorkerCalls
   readonly #clock: Clock
   readonly #log: Log
+  readonly #pause: Pause
   readonly #owner: LineOwner
   #isStopped = false
   #isSilent = false
-  #wake: (() => void) | undefined
 
   constructor (worker: WorkerId, epoch: Epoch, board: JobBoard, calls: WorkerCalls, clock: Clock, log: Log, owner: LineOwner) {
     this.#worker = worker
@@ -38,6 +38,7 @@
     this.#calls = calls
     this.#clock = clock
     this.#log = log
+    this.#pause = new Pause(clock)
     this.#owner = owner
   }
 
@@ -47,12 +48,12 @@
 
   stop (): void {
     this.#isStopped = true
-    this.#wake?.()
+    this.#pause.wake()
   }
 
   /** Something changed that the next report may wait for. */
   wake (): void {
-    this.#wake?.()
+    this.#pause.wake()
   }
 
   /** Asks for a report now, beside one that may be waiting. */
@@ -66,11 +67,11 @@
       const worker = this.#board.workers.get(this.#worker)
       if (worker === undefined) return
       if (!this.#mayAsk(worker)) {
-        await this.#rest(TICK_MS)
+        await this.#pause.rest(TICK_MS)
         continue
       }
       if (!needsReport(worker)) {
-        await this.#rest(REPORT_WAIT_MS)
+        await this.#pause.rest(REPORT_WAIT_MS)
         continue
       }
       const isSettled = worker.appliedEnd <= worker.durableEnd
@@ -87,7 +88,7 @@
   // Ends that aren't durable would be told again at once, so the next report waits until they are.
   async #pace (worker: WorkerRecord): Promise<void> {
     await this.#clock.sleep(REPORT_GAP_MS)
-    if (worker.appliedEnd > worker.durableEnd) await this.#rest(UNSETTLED_REPORT_MS)
+    if (worker.appliedEnd > worker.durableEnd) await this.#pause.rest(UNSETTLED_REPORT_MS)
   }
 
   async #report (worker: WorkerRecord, waitMs: number): Promise<Result<WorkerReport, AuburnpinError>> {
@@ -116,17 +117,6 @@
     if (outcome.err) this.#log.warn('Worker does not report', { worker: this.#worker, error: outcome.val.message })
     else this.#log.info('Worker reports', { worker: this.#worker, incarnation: outcome.val.incarnation, running: outcome.val.running.length })
   }
-
-  #rest (delayMs: number): Promise<void> {
-    return new Promise(resolve => {
-      const timer = this.#clock.after(delayMs, resolve)
-      this.#wake = () => {
-        timer.cancel()
-        this.#wake = undefined
-        resolve()
-      }
-    })
-  }
 }
 
 // Tails are watched more closely, also before a filler comes.
--- a/packages/jobs/tests/badWorkers.test.ts
+++ b/packages/jobs/tests/badWorkers.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { JobsWorld } from './support/JobsWorld.ts'
 
 test('a task that failed on a VM is tried on others, so that one bad VM fails no job', async t => {
   // The bad worker has the most room, so that it would be chosen again.
--- a/packages/jobs/tests/cancelling.test.ts
+++ b/packages/jobs/tests/cancelling.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { brand, type JobId } from '@auburnpin/common'
-import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { JobsWorld } from './support/JobsWorld.ts'
 
 const ID = '00000000000000a1'
 
--- a/packages/jobs/tests/crowdedRoom.test.ts
+++ b/packages/jobs/tests/crowdedRoom.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { JobsWorld } from './support/JobsWorld.ts'
 
 test('a serving task that failed runs again although tasks of its step that never ran still wait', async t => {
   const world = new JobsWorld(3, task => task.endsWith('.3') ? { runMs: 3_000, ending: 'failed' } : { runMs: 1_000_000, ending: 'done' })
--- a/packages/jobs/tests/storeAway.test.ts
+++ b/packages/jobs/tests/storeAway.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { JobsWorld } from './support/JobsWorld.ts'
 
 test('while the store is silent a submission is refused at once, as surely not stored', async t => {
   const world = new JobsWorld(1, () => ({ runMs: 100, ending: 'done' }))
--- a/packages/jobs/tests/support/JobsWorld.ts
+++ b/packages/jobs/tests/support/JobsWorld.ts
@@ -3,9 +3,9 @@
  */
 import {
   AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
-  type Instant, type JobId, type QueueName, type Result, type ServiceName, type Timer, type WorkerId
+  type Instant, type Result, type Timer, type WorkerId
 } from '@auburnpin/common'
-import type { Job, JobStep, StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
+import type { StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
 import { CellSeat, JobIntake, WatchedStore, WorkerCalls, WorkerList, type ReportCall, type RunName, type StartAnswer, type StartCall, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, type FakeRunCourse, type WorkerEvent } from '@auburnpin/fakes'
 
@@ -182,44 +182,6 @@
   }
 }
 
-const PLAIN_STEP: JobStep = {
-  taskCount: 1,
-  processors: 1_000,
-  memoryMb: 100,
-  accelerators: 0,
-  estimateMs: 500,
-  after: [],
-  isCheckpointing: false,
-  isGang: false,
-  isOneRack: false,
-  requiredLabel: '',
-  dataRack: '',
-  maxPerWorker: 0,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  latencyTargetMs: 0,
-  isFiller: false,
-  mayMiss: 0
-}
-
-/** A step, plain unless told otherwise. */
-export const stepOf = (more: Partial<JobStep> = {}): JobStep => ({ ...PLAIN_STEP, ...more })
-
-/** A job with these steps. */
-export const jobOf = (id: string, steps: readonly JobStep[], more: Partial<Job> = {}): Job => ({
-  id: brand<JobId>(id),
-  queue: brand<QueueName>('drafts'),
-  policy: { service: brand<ServiceName>('desk'), priority: 0, maxAttempts: 3, objectiveFactor: 2, objectiveMs: 1_000 },
-  spec: 'work',
-  steps,
-  acceptedAt: 0,
-  occurrences: 0,
-  firstRunAt: 0,
-  intervalMs: 0,
-  ...more
-})
-
 class FakeList extends WorkerList {
   readonly #world: JobsWorld
   #listener: WorkerListener | undefined
--- a/packages/jobs/tests/workersLost.test.ts
+++ b/packages/jobs/tests/workersLost.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { JobsWorld, jobOf, stepOf } from './support/JobsWorld.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { JobsWorld } from './support/JobsWorld.ts'
 
 const ID = '00000000000000a1'
 
