--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -84,6 +84,7 @@
   crash (): void {
     this.isDead = true
     for (const run of [...this.#runs.values()]) this.#end(run, 'crashed')
+    this.#voidEnds()
     this.#ended = []
   }
 
@@ -140,10 +141,15 @@
     this.#lapse?.cancel()
     this.#lapse = this.#clock.after(this.#leaseEndMs - this.clockMs, () => {
       for (const run of [...this.#runs.values()]) this.#end(run, 'lapsed')
-      for (const { task, attempt, ending } of this.#ended) this.#watch({ kind: 'voided', worker: this.id, task, attempt, how: ending, at: this.#clock.now() })
+      this.#voidEnds()
     })
   }
 
+  // Nobody can take note of these ends any more.
+  #voidEnds (): void {
+    for (const { task, attempt, ending } of this.#ended) this.#watch({ kind: 'voided', worker: this.id, task, attempt, how: ending, at: this.#clock.now() })
+  }
+
   #end (run: Run, how: RunEnding | 'crashed'): void {
     if (this.#runs.get(run.task) !== run) return
     run.timer.cancel()
