--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -35,7 +35,7 @@
  *
  * @example
  * const board = new JobBoard(epoch, { leaseMs: 4_000 }, now, observer)
- * board.restore(job, progress)
+ * board.accept(job, now, progress)
  * board.listWorkers(entries, now)
  * const orders = board.decide(now, wallTime)
  */
--- a/packages/jobs/src/JobSweeper.ts
+++ b/packages/jobs/src/JobSweeper.ts
@@ -1,7 +1,7 @@
 /**
  * Drops the rows of jobs that nobody may ask for any more.
  */
-import { brand, type JobId } from '@auburnpin/common'
+import { brand, type Instant, type JobId } from '@auburnpin/common'
 import type { JobBoard } from '@auburnpin/core'
 import { MAX_SWEPT_JOBS, RETENTION_MARGIN_MS, SWEEP_MS } from './constants.ts'
 import type { OwnerPorts } from './JobOwner.ts'
@@ -38,7 +38,7 @@
 
   async #sweep (): Promise<void> {
     const { clock, log, stateKeptMs } = this.#ports
-    const endedBefore = brand<ReturnType<typeof clock.now>>(clock.now() - stateKeptMs - RETENTION_MARGIN_MS)
+    const endedBefore = brand<Instant>(clock.now() - stateKeptMs - RETENTION_MARGIN_MS)
     let dropped = 0
     for (const { job: { id } } of this.#board.finishedBefore(endedBefore, MAX_SWEPT_JOBS)) {
       if (!await this.#drop(id)) break
