--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -9,6 +9,7 @@
 
 const CALL_TIMEOUT_MS = 800
 const LATE_MS = 3_000
+const SLOW_MS = 2_000
 const ANSWER_MS = 8
 const FEED_LOOK_MS = 10
 
@@ -22,6 +23,8 @@
   #trimmedTo = 0
   #version = 0
   readonly moods = new Map<string, StoreMood>()
+  /** Readings of jobs take long. */
+  slowRanges = false
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -112,6 +115,7 @@
   }
 
   async range (range: RowRange): Promise<Result<RowPage, AuburnpinError>> {
+    if (this.#rows.slowRanges && range.table === 'jobs') await this.#clock.sleep(SLOW_MS)
     const failure = await this.#failure()
     return failure ?? Ok(this.#rows.list(range))
   }
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -81,6 +81,7 @@
     }
     if (this.#isClosed) return
     this.#isRestored = true
+    this.#writer.noteBoardWhole()
     this.#ports.log.info('Term begun', { epoch: this.#won.term.epoch, jobs: this.#board.jobs.size, workers: this.#board.workers.size })
     this.#jobs.start()
     this.#ports.workerList.listen(new OwnerWorkers(this))
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -43,6 +43,7 @@
   #unneeded: JobId[] = []
   #isUsedDirty = false
   #isStopped = false
+  #isBoardWhole = false
   #learntAt: Instant
   #isCommitting = false
   #lastCommitAt: Instant
@@ -80,6 +81,11 @@
     this.#pause.wake()
   }
 
+  /** The board holds all jobs from now on; before, the lengths of queues stay as the last owner told them. */
+  noteBoardWhole (): void {
+    this.#isBoardWhole = true
+  }
+
   /** Asks for a commit soon. */
   ask (): void {
     this.#pause.wake()
@@ -131,7 +137,7 @@
   async #commit (): Promise<void> {
     this.#isCommitting = true
     const batch = this.#takeBatch()
-    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#board.countPending() }
+    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#isBoardWhole ? this.#board.countPending() : this.#term.pending }
     const sentAt = this.#clock.now()
     const sentAtWall = this.#clock.wallTime()
     this.#lastCommitAt = sentAt
--- a/packages/jobs/tests/takeOver.test.ts
+++ b/packages/jobs/tests/takeOver.test.ts
@@ -94,3 +94,25 @@
   t.deepEqual(world.breaches, [])
   t.is(finished(world), 16)
 })
+
+test('a new owner tells no queue as empty before it has read the jobs', async t => {
+  const world = new JobsWorld(0, () => LONG)
+  world.addNode('n1')
+  await world.advance(400)
+  const second = world.addNode('n2')
+  await world.advance(400)
+  await world.settle(second.intake.submit(jobOf('00000000000000a1', [stepOf()]), 2_000))
+  await world.advance(1_500)
+  const owner = world.owner
+  const other = [...world.nodes.values()].find(node => node !== owner)
+  const told: (number | undefined)[] = []
+  owner?.kill()
+  // The new owner's reading of the jobs takes long.
+  world.rows.slowRanges = true
+  for (let step = 0; step < 60; step++) {
+    await world.advance(100)
+    told.push(other?.seat.pending.drafts)
+  }
+  t.true(other?.seat.isOwner)
+  t.deepEqual([...new Set(told)], [1])
+})
