--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -151,7 +151,7 @@
   noteWorker (entry: WorkerEntry, now: Instant): void {
     const known = this.workers.get(entry.id)
     if (known === undefined || known.entry.incarnation < entry.incarnation) {
-      if (known !== undefined) this.#loseRuns(known, 'reborn', now)
+      if (known !== undefined) this.#loseRuns(known, 'reborn')
       this.workers.set(entry.id, new WorkerRecord(entry, now, this.#bounds.leaseMs))
       return
     }
@@ -184,21 +184,22 @@
     worker.reportedAt = askedAt
     const present = new Set<string>()
     for (const reported of running) {
-      present.add(`${reported.task}#${reported.attempt}`)
+      const key = runKey(reported.task, reported.attempt)
+      present.add(key)
       const task = this.#findTask(reported.task)
-      const run = worker.runs.get(`${reported.task}#${reported.attempt}`)
+      const run = worker.runs.get(key)
       if (run !== undefined) {
         this.#confirm(run, now)
         run.reading = reported.reading
         if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
         run.progressPercent = reported.progressPercent
       } else if (task !== undefined) this.#adopt(worker, task, reported, now)
-      else worker.strangers.set(`${reported.task}#${reported.attempt}`, { task: reported.task, attempt: reported.attempt })
+      else worker.strangers.set(key, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
     }
     for (const key of worker.strangers.keys()) if (!present.has(key)) worker.strangers.delete(key)
     for (const run of [...worker.runs.values()]) {
-      if (!present.has(runKey(run))) this.#missRun(run, askedAt, now)
+      if (!present.has(runKey(run.task.name, run.attempt))) this.#missRun(run, askedAt, now)
     }
     this.#moveStalled(worker, now)
     worker.pacing.observe(worker.runs.values(), this.disturbance, now)
@@ -217,12 +218,12 @@
   // A report asked for before the order's answer came says nothing about the run.
   #missRun (run: RunRecord, askedAt: Instant, now: Instant): void {
     if (run.stopAnsweredAt !== undefined && askedAt > run.stopAnsweredAt) {
-      this.#endRun(run, 'not there', now)
+      this.#endRun(run, 'not there')
       return
     }
     if (askedAt <= run.since) return
     if (run.state === 'unsure') run.isStopWanted = true
-    if (run.state === 'running') this.#endRun(run, 'vanished', now)
+    if (run.state === 'running') this.#endRun(run, 'vanished')
   }
 
   #confirm (run: RunRecord, now: Instant): void {
@@ -270,7 +271,7 @@
 
   #applyEnd (worker: WorkerRecord, end: ReportedEnd, now: Instant): void {
     const task = this.#findTask(end.task)
-    const run = worker.runs.get(`${end.task}#${end.attempt}`)
+    const run = worker.runs.get(runKey(end.task, end.attempt))
     if (task === undefined) return
     task.noteAttempt(end.attempt)
     const job = task.step.job
@@ -283,7 +284,7 @@
       task.failedAttempts.push(end.attempt)
       if (!job.isFinal) this.#dirty.add(job)
     }
-    if (run !== undefined) this.#endRun(run, end.ending, now)
+    if (run !== undefined) this.#endRun(run, end.ending)
     else this.#observer.runEnded({ task, attempt: end.attempt, worker, orderedAt: now, state: 'running', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }, end.ending, worker.entry.id)
     if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#finish(job, 'failed', now)
   }
@@ -302,7 +303,7 @@
   }
 
   // The run is surely over: its room is free and its task may run again.
-  #endRun (run: RunRecord, how: string, _now: Instant): void {
+  #endRun (run: RunRecord, how: string): void {
     const { task } = run
     run.worker.remove(run)
     const index = task.runs.indexOf(run)
@@ -311,14 +312,14 @@
     if (task.runs.length === 0 && !task.isDone && !task.step.job.isFinal && task.step.isOpen) task.step.waiting.add(task)
   }
 
-  #loseRuns (worker: WorkerRecord, how: string, now: Instant): void {
-    for (const run of [...worker.runs.values()]) this.#endRun(run, how, now)
+  #loseRuns (worker: WorkerRecord, how: string): void {
+    for (const run of [...worker.runs.values()]) this.#endRun(run, how)
   }
 
   /** Takes in the answer to an order to start. `true` if this owner's fencing token is no longer the highest. */
   startAnswered (id: WorkerId, name: TaskName, attempt: number, outcome: StartOutcome, now: Instant): boolean {
     const worker = this.workers.get(id)
-    const run = worker?.runs.get(`${name}#${attempt}`)
+    const run = worker?.runs.get(runKey(name, attempt))
     if (worker === undefined || run === undefined) return outcome === 'fenced'
     switch (outcome) {
       case 'started':
@@ -327,14 +328,9 @@
       case 'fenced':
         return true
       case 'unknown':
-        worker.missAnswer()
-        if (run.state === 'ordered') {
-          run.state = 'unsure'
-          run.since = now
-        }
-        return false
       case 'superseded':
-        // The report tells whether this very run is there.
+        // The next report tells whether this very run is there.
+        if (outcome === 'unknown') worker.missAnswer()
         if (run.state === 'ordered') {
           run.state = 'unsure'
           run.since = now
@@ -347,7 +343,7 @@
       case 'invalid':
         if (run.state !== 'ordered') return false
         worker.pause(now)
-        this.#endRun(run, outcome, now)
+        this.#endRun(run, outcome)
         return false
       default:
         return assertNever(outcome, 'outcome of a start')
@@ -356,13 +352,13 @@
 
   /** Notes that the worker has taken an order to stop. */
   stopAnswered (id: WorkerId, name: TaskName, attempt: number, now: Instant): void {
-    const run = this.workers.get(id)?.runs.get(`${name}#${attempt}`)
+    const run = this.workers.get(id)?.runs.get(runKey(name, attempt))
     if (run !== undefined) run.stopAnsweredAt = now
   }
 
   /** Notes that an order of a pace got no answer, so that it is sent again. */
   paceFailed (id: WorkerId, name: TaskName, attempt: number): void {
-    const run = this.workers.get(id)?.runs.get(`${name}#${attempt}`)
+    const run = this.workers.get(id)?.runs.get(runKey(name, attempt))
     if (run !== undefined) run.paceOrdered = UNKNOWN_PACE
   }
 
@@ -434,7 +430,7 @@
 
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
-      if (worker.runs.size > 0 && now >= worker.leaseOverAt) this.#loseRuns(worker, 'lease over', now)
+      if (worker.runs.size > 0 && now >= worker.leaseOverAt) this.#loseRuns(worker, 'lease over')
       if (!worker.isListed && worker.runs.size === 0 && now >= worker.leaseOverAt) this.workers.delete(id)
     }
   }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -123,12 +123,12 @@
   }
 
   add (run: RunRecord): void {
-    this.runs.set(runKey(run), run)
+    this.runs.set(runKey(run.task.name, run.attempt), run)
     this.#count(run, 1)
   }
 
   remove (run: RunRecord): void {
-    if (this.runs.delete(runKey(run))) this.#count(run, -1)
+    if (this.runs.delete(runKey(run.task.name, run.attempt))) this.#count(run, -1)
   }
 
   #count (run: RunRecord, sign: 1 | -1): void {
@@ -147,4 +147,4 @@
 }
 
 /** Key of a run among those of its worker. */
-export const runKey = ({ task, attempt }: { task: { name: string }, attempt: number }): string => `${task.name}#${attempt}`
+export const runKey = (task: TaskName, attempt: number): string => `${task}#${attempt}`
