What a job's load explains is not put on the fillers beside it, and what it leaves is theirs

Load: serving tasks reserve nearly all processors and use a quarter to three quarters of them in swings of 20 s; fillers take the rest.

(2) The swing of a job's load went into the estimates of pairs of images, so that pairs of no effect (two thirds of them) looked harmful. (3) Serving tasks were taken to use half of what they reserve at all times, so that fillers crowded workers at the peak of their load and left room at its low.

Change: the tasks of a step share one load, known from its undisturbed tasks (ServingLoad); what a worker's tasks show beyond it is the disturbance, told by the middle one of an image; pairs are learnt from that alone; fillers of no effect go anywhere; what a worker has left is counted with the load of each job. Among jobs that can be in time those that need least come first.

Ruled out: a processor shortage (fillers run as fast at 1.3 times a worker's cores as at 0.5).

--- a/bench/run.ts
+++ b/bench/run.ts
@@ -10,6 +10,7 @@
 const BENCHES: readonly Bench[] = [
   { script: 'workerControl.ts', sizes: [''] },
   { script: 'cellOwner.ts', sizes: ['25', '50', '100', '200', '400'] },
+  { script: 'jobOwner.ts', sizes: ['33', '100', '245'] },
   { script: 'clusterControl.ts', sizes: ['3', '9', '18', '30'] },
   { script: 'schedulerJournal.ts', sizes: [''] },
   { script: 'decisions.ts', sizes: [''] },
--- a/packages/core/src/interference/LearntInterference.ts
+++ b/packages/core/src/interference/LearntInterference.ts
@@ -43,21 +43,14 @@
   }
 
   learn (observation: Observation): void {
-    const terms = this.#termsOf(observation)
-    const noise = SAMPLE_NOISE * Math.max(observation.ratio, PRIOR_BASE_RATIO)
-    let predicted = 0
-    let spread = noise * noise
-    for (const term of terms) {
-      forget(term, observation.measuredAt)
-      predicted += term.estimate.mean * term.amount
-      spread += term.estimate.variance * term.amount * term.amount
-    }
-    const surprise = observation.ratio - predicted
-    for (const { estimate, amount } of terms) {
-      const gain = estimate.variance * amount / spread
-      estimate.mean = Math.max(0, estimate.mean + gain * surprise)
-      estimate.variance *= 1 - gain * amount
-    }
+    const { service, load, measuredAt } = observation
+    const base = { estimate: this.#baseOf(service, load, measuredAt), amount: 1, priorVariance: PRIOR_BASE_DEVIATION ** 2 }
+    shareOut([base, ...this.#pairsWith(observation)], observation.ratio, SAMPLE_NOISE * Math.max(observation.ratio, PRIOR_BASE_RATIO), measuredAt)
+  }
+
+  /** Learns from what the neighbours alone add to the ratio, where the load's own part is known. */
+  learnAdded (observation: Observation, added: number): void {
+    shareOut(this.#pairsWith(observation), added, SAMPLE_NOISE * Math.max(observation.ratio, PRIOR_BASE_RATIO), observation.measuredAt)
   }
 
   /** What has been learnt so far. */
@@ -78,9 +71,8 @@
     }
   }
 
-  #termsOf ({ service, load, neighbours, measuredAt }: Observation): Term[] {
-    const base = this.#baseOf(service, load, measuredAt)
-    const terms: Term[] = [{ estimate: base, amount: 1, priorVariance: PRIOR_BASE_DEVIATION ** 2 }]
+  #pairsWith ({ service, load, neighbours, measuredAt }: Observation): Term[] {
+    const terms: Term[] = []
     const coresOf = new Map<string, number>()
     for (const { kind, cores } of neighbours) coresOf.set(kind, (coresOf.get(kind) ?? 0) + cores)
     for (const [kind, amount] of coresOf) {
@@ -129,6 +121,23 @@
   }
 }
 
+// Each term takes its share of what was not expected, most the least known.
+const shareOut = (terms: readonly Term[], seen: number, noise: number, at: Instant): void => {
+  let predicted = 0
+  let spread = noise * noise
+  for (const term of terms) {
+    forget(term, at)
+    predicted += term.estimate.mean * term.amount
+    spread += term.estimate.variance * term.amount * term.amount
+  }
+  const surprise = seen - predicted
+  for (const { estimate, amount } of terms) {
+    const gain = estimate.variance * amount / spread
+    estimate.mean = Math.max(0, estimate.mean + gain * surprise)
+    estimate.variance *= 1 - gain * amount
+  }
+}
+
 // Four digits are more than any estimate is worth.
 const toTable = (estimates: ReadonlyMap<string, Estimate>): LearntTable =>
   [...estimates].map(([key, { mean, variance }]) => [key, Number(mean.toPrecision(4)), Number(variance.toPrecision(4))] as const)
--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -4,22 +4,27 @@
 import { brand, type Instant, type ServiceName } from '@auburnpin/common'
 import { LearntInterference, type LearntEstimates } from '../interference/LearntInterference.ts'
 import type { Neighbour } from '../interference/InterferenceModel.ts'
-import { EMPTY_TAIL_SHARE, FIRST_EMPTY_TAIL_SHARE, TAIL_SMOOTHING, TREND_SHARE } from './constants.ts'
+import { BENIGN_SHARE, EMPTY_TAIL_SHARE, FIRST_EMPTY_TAIL_SHARE, PACE_SETTLE_MS, PLACING_AHEAD_MS } from './constants.ts'
+import type { StepRecord } from './StepRecord.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
 
 /** What an owner has learnt, for the next one. */
 export type LearntDisturbance = Readonly<{ estimates: LearntEstimates, shortest: Readonly<Record<string, number>> }>
 
-/** A worker doesn't tell how much of its processors a serving task uses, so one estimate stands for all loads. */
+/** What fillers add doesn't depend on the load, so one estimate stands for all loads. */
 const ANY_LOAD = 0
 const NO_BANDS: readonly number[] = []
 const MILLI = 1_000
 
+/** Progress of a lasting task that is at work, in percent. */
+const AT_WORK = 100
+
 /**
  * Learns from each report. A tail grows without bound as a server nears its capacity, so what is learnt and
  * compared is the server's *pressure*: how busy it must be to show such a tail, as a share of how busy it
- * may be at its target. 1 is just on target; what several fillers add to it adds up.
+ * may be at its target. 1 is just on target. The load's part of it is known from the same step's tasks elsewhere;
+ * what several fillers add to it adds up.
  *
  * @example
  * disturbance.learn(worker.runs.values(), now)
@@ -51,15 +56,20 @@
       if (shape.isFiller) neighbours.push({ kind: shape.image, cores: run.reading / MILLI })
       else if (shape.latencyTargetMs > 0 && run.reading > 0 && run.progressPercent === AT_WORK) serving.push(run)
     }
-    for (const run of serving) {
-      const { shape } = run.task.step
-      const pressure = this.#pressureOf(shape, (run.reading ?? 0) / shape.latencyTargetMs)
-      // The load of serving tasks swings within seconds, so a rise is taken to go on.
-      run.newestPressure = pressure + Math.max(0, pressure - (run.lastPressure ?? pressure)) * TREND_SHARE
-      run.lastPressure = pressure
-      run.pressure = run.pressure === undefined ? pressure : run.pressure + TAIL_SMOOTHING * (pressure - run.pressure)
-      this.#model.learn({ service: brand<ServiceName>(shape.image), load: ANY_LOAD, ratio: pressure, neighbours, measuredAt: now })
+    const isAlone = neighbours.every(({ cores }) => cores === 0)
+    for (const { task, tail, reading = 0 } of serving) {
+      tail.read(this.#pressureOf(task.step.shape, reading / task.step.shape.latencyTargetMs), now)
+      task.step.load.note(task, tail.own, isAlone, now)
     }
+    for (const [image, ofImage] of groupByImage(serving)) this.#learnOf(image, ofImage, neighbours, isAlone, now)
+  }
+
+  #learnOf (image: string, runs: readonly RunRecord[], neighbours: readonly Neighbour[], isAlone: boolean, now: Instant): void {
+    const disturbance = isAlone ? 0 : shownBy(runs, now)
+    for (const { task, tail } of runs) tail.judge(task.step.load.pressureAt(now), disturbance, now)
+    const observation = { service: brand<ServiceName>(image), load: ANY_LOAD, ratio: runs[0]?.tail.own ?? 0, neighbours, measuredAt: now }
+    if (isAlone || disturbance === undefined) this.#model.learn(observation)
+    else this.#model.learnAdded(observation, disturbance)
   }
 
   // A server that is busy for the share b of its time has a tail of 1 / (1 - b) times its tail when it is idle.
@@ -70,6 +80,14 @@
     return Math.max(0, 1 - idle / tailShare) / (1 - idle)
   }
 
+  /** The share of its processors that a serving step's load is about to keep busy; `undefined` while it isn't known. */
+  busyShare ({ shape, load }: StepRecord, now: Instant): number | undefined {
+    const pressure = load.expectAt(now, PACE_SETTLE_MS)
+    if (pressure === undefined) return undefined
+    const idle = (this.#shortest.get(shape.image) ?? FIRST_EMPTY_TAIL_SHARE) * EMPTY_TAIL_SHARE
+    return Math.min(1, pressure * (1 - idle))
+  }
+
   /** What a filler that uses so many thousandths of a core adds to the pressure on the serving task that it disturbs most. */
   harmOf (filler: JobStep, milliCores: number, serving: Iterable<RunRecord>): number {
     let perCore = 0
@@ -79,41 +97,54 @@
     return perCore * milliCores / MILLI
   }
 
-  /** The pressure on the serving task that fares worst, as learnt, with one more filler beside all that run. */
-  expectBeside (filler: JobStep, runs: Iterable<RunRecord>): number {
+  /** The pressure to be expected soon on the serving task that fares worst of those that one more filler disturbs. */
+  expectBeside (filler: JobStep, runs: Iterable<RunRecord>, now: Instant): number {
     const all = [...runs]
     let worst = 0
-    const seen = new Set<string>()
-    for (const { task: { step: { shape } } } of all) {
-      if (shape.latencyTargetMs === 0 || seen.has(shape.image)) continue
-      seen.add(shape.image)
-      let pressure = this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD) + this.#perCore(shape, filler) * filler.processors / MILLI
-      for (const { task: { step }, pacePercent } of all) {
-        if (step.shape.isFiller && pacePercent > 0) pressure += this.#perCore(shape, step.shape) * step.shape.processors / MILLI
-      }
-      worst = Math.max(worst, pressure)
+    const seen = new Set<StepRecord>()
+    for (const run of all) {
+      const { step } = run.task
+      if (step.shape.latencyTargetMs === 0 || seen.has(step)) continue
+      seen.add(step)
+      const added = this.#perCore(step.shape, filler) * filler.processors / MILLI
+      if (added >= BENIGN_SHARE) worst = Math.max(worst, added + this.#expectOf(run, all, now))
     }
     return worst
   }
 
+  // Fillers whose effect the readings don't show yet count as learnt.
+  #expectOf ({ task: { step: { shape, load } }, tail: { disturbance } }: RunRecord, all: readonly RunRecord[], now: Instant): number {
+    let pressure = (load.expectAt(now, PLACING_AHEAD_MS) ?? this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD)) + (disturbance ?? 0)
+    for (const { task: { step: { shape: other } }, pacePercent, reading = 0 } of all) {
+      const isShown = disturbance !== undefined && reading > 0
+      if (other.isFiller && pacePercent > 0 && !isShown) pressure += this.#perCore(shape, other) * other.processors / MILLI
+    }
+    return pressure
+  }
+
   #perCore (serving: JobStep, filler: JobStep): number {
     return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD)
   }
 }
 
-/** Progress of a lasting task that is at work, in percent. */
-const AT_WORK = 100
-
-/** The worst smoothed pressure among the serving tasks. */
-export const worstPressure = (runs: Iterable<RunRecord>): number => {
-  let worst = 0
-  for (const { pressure } of runs) worst = Math.max(worst, pressure ?? 0)
-  return worst
+const groupByImage = (serving: readonly RunRecord[]): ReadonlyMap<string, RunRecord[]> => {
+  const groups = new Map<string, RunRecord[]>()
+  for (const run of serving) {
+    const { image } = run.task.step.shape
+    const group = groups.get(image)
+    if (group === undefined) groups.set(image, [run])
+    else group.push(run)
+  }
+  return groups
 }
 
-/** The worst of the newest pressures, each with its trend. */
-export const worstNewPressure = (runs: Iterable<RunRecord>): number => {
-  let worst = 0
-  for (const { newestPressure } of runs) worst = Math.max(worst, newestPressure ?? 0)
-  return worst
+// Fillers disturb all tasks of an image on a worker alike, so the middle one tells by how much.
+const shownBy = (runs: readonly RunRecord[], now: Instant): number | undefined => {
+  const excesses: number[] = []
+  for (const { task, tail } of runs) {
+    const load = task.step.load.pressureAt(now)
+    if (load !== undefined) excesses.push(Math.max(0, tail.own - load))
+  }
+  excesses.sort((one, other) => one - other)
+  return excesses[Math.floor(excesses.length / 2)]
 }
--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -2,8 +2,9 @@
  * How fast the fillers of one worker may work beside its serving tasks.
  */
 import { brand, type Instant } from '@auburnpin/common'
-import { HARMLESS_SHARE, MAX_MOVES, PACE_SETTLE_MS, PACE_UP_GAP_MS, PRESSURE_ALARM, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW } from './constants.ts'
-import { worstNewPressure, worstPressure, type Disturbance } from './Disturbance.ts'
+import { HARMLESS_SHARE, MAX_MOVES, PACE_SETTLE_MS, PACE_UP_GAP_MS, PRESSURE_ALARM, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW, SHOWN_DISTURBANCE } from './constants.ts'
+import type { Disturbance } from './Disturbance.ts'
+import type { ServingTail } from './ServingTail.ts'
 import { FULL_PACE, type RunRecord } from './TaskRecord.ts'
 
 /** A run that has got less far than this, in percent, may start anew elsewhere. */
@@ -28,8 +29,9 @@
     disturbance.learn(all, now)
     const fillers = all.filter(run => run.task.step.shape.isFiller)
     if (fillers.length === 0) return
-    const pressure = worstPressure(all)
-    if (pressure > PRESSURE_HIGH || worstNewPressure(all) > PRESSURE_ALARM) {
+    const tails = all.filter(isServing).map(({ tail }) => tail)
+    const pressure = Math.max(0, ...tails.map(({ smoothed }) => smoothed))
+    if (tails.some(isTooHigh)) {
       if (now - this.#changedAt >= PACE_SETTLE_MS) this.#cut(pressure, byHarm(fillers, all, disturbance), now)
       return
     }
@@ -67,6 +69,12 @@
   }
 }
 
+const isServing = ({ task: { step: { shape } } }: RunRecord): boolean => shape.latencyTargetMs > 0
+
+// What the load alone raises, slower fillers don't lower.
+const isTooHigh = ({ smoothed, foreseen, disturbance }: ServingTail): boolean =>
+  (disturbance === undefined || disturbance >= SHOWN_DISTURBANCE) && (smoothed > PRESSURE_HIGH || foreseen > PRESSURE_ALARM)
+
 // A stop keeps the checkpoint; without one the work so far is lost.
 const losesLittle = ({ task: { step: { shape } }, progressPercent }: RunRecord): boolean =>
   shape.isCheckpointing || (progressPercent ?? 0) < SMALL_PROGRESS_PERCENT
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -9,6 +9,9 @@
 /** Milliseconds a task is taken to last if the client gave no estimate. */
 const UNKNOWN_ESTIMATE_MS = 1_000
 
+/** Milliseconds for which a lasting task counts as work; it has no end, and must not go before what ends soon. */
+const LASTING_WORK_MS = 10_000
+
 /** A job that takes more than so many times its objective is of no use; the clients' own rule. */
 const USEFUL_OBJECTIVES = 3
 
@@ -45,6 +48,16 @@
     return this.#remainingMs[step] ?? 0
   }
 
+  /** Processor time that an occurrence still needs, in processor-milliseconds, by the client's estimates. */
+  remainingWork (occurrence: number): number {
+    let work = 0
+    for (const { shape, doneCount } of this.occurrences.get(occurrence) ?? []) {
+      const taskMs = shape.isLasting ? LASTING_WORK_MS : shape.estimateMs > 0 ? shape.estimateMs : UNKNOWN_ESTIMATE_MS
+      work += (shape.taskCount - doneCount) * shape.processors * taskMs
+    }
+    return work
+  }
+
   #beginsAt (occurrence: number): number {
     const { occurrences, firstRunAt, intervalMs, acceptedAt } = this.job
     return occurrences > 0 ? firstRunAt + occurrence * intervalMs : acceptedAt
--- a/packages/core/src/jobs/StepRecord.ts
+++ b/packages/core/src/jobs/StepRecord.ts
@@ -2,6 +2,7 @@
  * One step of one occurrence of a job.
  */
 import type { JobRecord } from './JobRecord.ts'
+import { ServingLoad } from './ServingLoad.ts'
 import { nameTask } from './taskName.ts'
 import { TaskRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
@@ -15,6 +16,8 @@
   readonly tasks: readonly TaskRecord[]
   /** Tasks that wait for a worker. */
   readonly waiting = new Set<TaskRecord>()
+  /** Of a serving step, the load that its tasks share. */
+  readonly load = new ServingLoad()
   #doneCount = 0
   #isOpen = false
 
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -2,6 +2,7 @@
  * One task of a job and its runs.
  */
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
+import type { ServingTail } from './ServingTail.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskName } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -26,10 +27,8 @@
   progressPercent?: number
   /** When a report last showed progress. */
   progressedAt?: Instant
-  /** Of a serving task: how near its target it is, 1 just on it; smoothed, the newest with its trend, and the newest. */
-  pressure?: number
-  newestPressure?: number
-  lastPressure?: number
+  /** Of a serving task, what its readings tell. */
+  readonly tail: ServingTail
   /** Share of its pace that a filler may work at, in percent, and the share last ordered. */
   pacePercent: number
   paceOrdered: number
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,8 +2,8 @@
  * Which worker a task goes to.
  */
 import type { Instant } from '@auburnpin/common'
-import { BENIGN_SHARE, PRESSURE_CALM, PRESSURE_HIGH, PRESSURE_PLACING, SERVING_USE } from './constants.ts'
-import { worstNewPressure, type Disturbance } from './Disturbance.ts'
+import { PRESSURE_PLACING, SERVING_USE } from './constants.ts'
+import type { Disturbance } from './Disturbance.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -23,10 +23,10 @@
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
   for (const worker of workers) {
-    if (!mayRun(task, worker, now)) continue
-    const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values()) : 0
-    if (pressure > 0 && !isCalmEnough(task.step, worker, pressure, disturbance)) continue
-    const score = scoreWorker(task.step, worker) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_COST : 0)
+    if (!mayRun(task, worker, disturbance, now)) continue
+    const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values(), now) : 0
+    if (pressure > PRESSURE_PLACING) continue
+    const score = scoreWorker(task.step, worker, disturbance, now) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_COST : 0)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -35,35 +35,29 @@
   return best
 }
 
-const mayRun = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): boolean => {
+const mayRun = ({ step, runs }: TaskRecord, worker: WorkerRecord, disturbance: Disturbance, now: Instant): boolean => {
   const { shape } = step
   const { entry } = worker
   if (entry.service !== step.job.job.policy.service || !worker.canTake(now)) return false
   if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return false
   if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return false
-  if (shape.isFiller ? !hasFillerRoom(step, worker) : worker.processorsUsed + shape.processors > entry.processors) return false
+  if (shape.isFiller ? !hasFillerRoom(step, worker, disturbance, now) : worker.processorsUsed + shape.processors > entry.processors) return false
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return false
   if (runs.some(run => run.worker === worker)) return false
   return shape.maxPerWorker === 0 || countOfStep(step, worker) < shape.maxPerWorker
 }
 
-// A filler that is known to disturb nobody there need not wait for a calm moment.
-const isCalmEnough = ({ shape }: StepRecord, worker: WorkerRecord, expected: number, disturbance: Disturbance): boolean => {
-  if (expected > PRESSURE_PLACING) return false
-  const now = worstNewPressure(worker.runs.values())
-  return now < PRESSURE_CALM || (now < PRESSURE_HIGH && disturbance.harmOf(shape, shape.processors, worker.runs.values()) < BENIGN_SHARE)
-}
-
 // A filler that gets no processors makes no progress, so fillers share only what is likely to be left.
-const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord): boolean =>
-  leftProcessors(worker) >= shape.processors
+const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord, disturbance: Disturbance, now: Instant): boolean =>
+  leftProcessors(worker, disturbance, now) >= shape.processors
 
-// Serving tasks reserve more than they use on the whole, and fillers ask for more than some of them use.
-const leftProcessors = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord): number => {
-  let left = entry.processors - (processorsUsed - servingProcessors) - servingProcessors * SERVING_USE
-  for (const run of runs.values()) {
-    const { shape } = run.task.step
-    if (shape.isFiller) left -= run.reading !== undefined && run.reading > 0 ? Math.min(run.reading, shape.processors) : shape.processors
+// Serving tasks reserve more than they use, as far as is known of their load, and fillers ask for more than some use.
+const leftProcessors = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, disturbance: Disturbance, now: Instant): number => {
+  let left = entry.processors - (processorsUsed - servingProcessors)
+  for (const { task: { step }, reading = 0 } of runs.values()) {
+    const { shape } = step
+    if (shape.latencyTargetMs > 0) left -= shape.processors * (disturbance.busyShare(step, now) ?? SERVING_USE)
+    else if (shape.isFiller) left -= reading > 0 ? Math.min(reading, shape.processors) : shape.processors
   }
   return left
 }
@@ -85,11 +79,11 @@
 const SAME_IMAGE_BONUS = 2
 const OTHER_IMAGE_COST = 2
 
-const scoreWorker = (step: StepRecord, worker: WorkerRecord): number => {
+const scoreWorker = (step: StepRecord, worker: WorkerRecord, disturbance: Disturbance, now: Instant): number => {
   const { shape } = step
   const { entry } = worker
   const usedShare = worker.processorsUsed / Math.max(1, entry.processors)
-  let score = shape.isFiller ? leftProcessors(worker) / Math.max(1, entry.processors) : shape.latencyTargetMs > 0 ? usedShare : 1 - usedShare
+  let score = shape.isFiller ? leftProcessors(worker, disturbance, now) / Math.max(1, entry.processors) : shape.latencyTargetMs > 0 ? usedShare : 1 - usedShare
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
   if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += weighCompany(step, worker)
   return score
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -33,11 +33,8 @@
 /** Fillers may speed up again when all pressures are below this. */
 export const PRESSURE_LOW = 0.9
 
-/** A filler goes only where the mean pressure is expected below this, which leaves room for the swing of the load. */
-export const PRESSURE_PLACING = 0.85
-
-/** A filler that may disturb goes only where no pressure is beyond this now. */
-export const PRESSURE_CALM = 0.88
+/** A filler that may disturb goes only where the pressure is expected below this, which leaves room for errors. */
+export const PRESSURE_PLACING = 0.9
 
 /** Share of a pressure's last rise that it is expected to rise again before the next reading. */
 export const TREND_SHARE = 0.5
@@ -63,7 +60,7 @@
 /** Milliseconds between two steps up; one fresh reading. */
 export const PACE_UP_GAP_MS = 700
 
-/** Share of its reserved processors that a serving task uses on the whole; the rest is left to fillers. */
+/** Share of its reserved processors that a serving task is taken to use before its load is known. */
 export const SERVING_USE = 0.5
 
 /** An order of a pace without an answer is sent again after so many milliseconds. */
@@ -77,3 +74,18 @@
 
 /** A task that was moved so often stays where it is, or it would get nowhere. */
 export const MAX_MOVES = 3
+
+/** A serving task's reading tells its step's load for so many milliseconds; two reports of its worker. */
+export const LOAD_FRESH_MS = 1_500
+
+/** A step's load is taken to go on as in the last so many milliseconds; a tenth of its swing. */
+export const LOAD_TREND_MS = 1_500
+
+/** How far ahead a filler's place must stay under its targets, in milliseconds; most of a short filler's run. */
+export const PLACING_AHEAD_MS = 1_500
+
+/** A serving task that shows more than its target for so many milliseconds counts by itself, whatever its neighbours show. */
+export const LONE_EXCESS_MS = 1_200
+
+/** Fillers that add less than this to a pressure, as readings show, are not what raises it; readings differ by as much. */
+export const SHOWN_DISTURBANCE = 0.04
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -61,12 +61,12 @@
   return spared
 }
 
-type RankedStep = Readonly<{ step: StepRecord, prospect: number, objectiveAt: number }>
+type RankedStep = Readonly<{ step: StepRecord, prospect: number, objectiveAt: number, work: number }>
 
 const orderSteps = (steps: Iterable<StepRecord>, wallTime: number): StepRecord[] => {
   const waiting: RankedStep[] = []
   for (const step of steps) {
-    if (step.waiting.size > 0) waiting.push({ step, prospect: prospectOf(step, wallTime), objectiveAt: step.job.objectiveAt(step.occurrence) })
+    if (step.waiting.size > 0) waiting.push({ step, prospect: prospectOf(step, wallTime), objectiveAt: step.job.objectiveAt(step.occurrence), work: step.job.remainingWork(step.occurrence) })
   }
   return waiting.sort(compareSteps).map(({ step }) => step)
 }
@@ -83,11 +83,13 @@
   return endsAt <= job.uselessAt(occurrence) ? LATE : OF_NO_USE
 }
 
-// When more waits than fits, those that can't be in time any more must not make the others late as well.
+// When more waits than fits, those that can't be in time any more must not make the others late as well, and of
+// those that can the ones that need least come first, so that most jobs are in time.
 const compareSteps = (one: RankedStep, other: RankedStep): number => {
   if (one.prospect !== other.prospect) return one.prospect - other.prospect
   const priority = one.step.job.job.policy.priority - other.step.job.job.policy.priority
-  return priority !== 0 ? priority : one.objectiveAt - other.objectiveAt
+  if (priority !== 0) return priority
+  return one.work !== other.work ? one.work - other.work : one.objectiveAt - other.objectiveAt
 }
 
 // What keeps a plain task out keeps out every task that needs as much.
--- a/packages/jobs/tests/overload.test.ts
+++ b/packages/jobs/tests/overload.test.ts
@@ -27,3 +27,23 @@
   t.is(inTime(later, laterAt), 16)
   t.is(world.events.filter(({ how }) => how === 'done').length, 64)
 })
+
+test('when a big job and small ones can not all be in time, most of the small ones are', async t => {
+  const world = new JobsWorld(1, () => ({ runMs: SECOND_MS, ending: 'done' }))
+  const node = world.addNode('n1')
+  await world.advance(500)
+  const policy = { ...jobOf('', []).policy, objectiveMs: 2 * SECOND_MS }
+  const submit = async (id: string, taskCount: number): Promise<void> => {
+    const step = stepOf({ taskCount, processors: 1_000, estimateMs: SECOND_MS })
+    await world.settle(node.intake.submit(jobOf(id, [step], { acceptedAt: world.clock.wallTime(), policy }), 2_000))
+  }
+  // The worker runs 8 tasks at once and the objective is 4 s: the big job alone would need 8 s.
+  await submit('b000000000000000', 64)
+  const submittedAt = world.clock.now()
+  const small = Array.from({ length: 6 }, (_, index) => `5${String(index).padStart(15, '0')}`)
+  for (const id of small) await submit(id, 4)
+  await world.advance(16 * SECOND_MS)
+  const inTime = small.filter(id => world.events.filter(event => event.task.startsWith(id) && event.how === 'done' && event.at - submittedAt <= 4 * SECOND_MS).length === 4)
+  t.true(inTime.length >= 4, `${inTime.length} of 6`)
+  t.is(world.events.filter(({ how }) => how === 'done').length, 64 + 6 * 4)
+})
