--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -8,6 +8,7 @@
 import { EMPTY_CONFIGURATION, ownerOfEndpoint, serviceSchema, type Configuration, type Endpoint, type GatewaySeat, type Service } from '@auburnpin/core'
 import { EndpointDirectory, WebSocketPeers } from '@auburnpin/cluster'
 import { StandInEndpoint } from '@auburnpin/stand-in'
+import { ownLoopback } from './ownLoopback.ts'
 import { CallerServer, DEFAULT_LIMITS, type GatewayLimits, type SessionKey } from '../../src/index.ts'
 
 /** What a rig may differ in. */
@@ -52,7 +53,7 @@
     for (let index = 0; index < endpoints; index++) {
       const endpoint = new StandInEndpoint(serviceMs, slots)
       this.endpoints.push(endpoint)
-      this.#addresses.push(await endpoint.listen())
+      this.#addresses.push(await endpoint.listen(0, ownLoopback()))
     }
     for (let index = 0; index < gateways; index++) await this.addGateway()
     return this
--- a/packages/standIn/src/StandInEndpoint.ts
+++ b/packages/standIn/src/StandInEndpoint.ts
@@ -95,10 +95,10 @@
   }
 
   /** Listens and resolves to the address. */
-  listen (port = 0): Promise<string> {
+  listen (port = 0, host = '127.0.0.1'): Promise<string> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(port, '127.0.0.1', () => resolve(`127.0.0.1:${(this.#server.address() as AddressInfo).port}`))
+      this.#server.listen(port, host, () => resolve(`${host}:${(this.#server.address() as AddressInfo).port}`))
     })
   }
 
