A stop of an unknown run is repeated after its pause, not with each report

Cause: each report wrote the entry of a run of no known job anew, without the time of the stop that had been sent, so that the next pass sent it again. Seen when reading the code; strangerRuns.test.ts shows [1, 1, 1, 1] stops before and [1, 0, 0, 1] after.

--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -195,7 +195,7 @@
         if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
         run.progressPercent = reported.progressPercent
       } else if (task !== undefined) this.#adopt(worker, task, reported, now)
-      else worker.strangers.set(key, { task: reported.task, attempt: reported.attempt })
+      else if (!worker.strangers.has(key)) worker.strangers.set(key, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
     }
     for (const key of worker.strangers.keys()) if (!present.has(key)) worker.strangers.delete(key)
