--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -106,7 +106,7 @@
     if (attempt <= (this.#highest.get(task) ?? 0)) return 'superseded'
     if (leaseEndMs <= this.clockMs) return 'too-late'
     const { runMs, ending } = this.#isFailing ? FAILING : this.#isStalling ? STALLING : this.#courses(task)
-    const run: Run = { task, attempt, runMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#end(run, ending)) }
+    const run: Run = { task, attempt, runMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#finish(run, ending)) }
     this.#highest.set(task, attempt)
     this.#runs.set(task, run)
     this.#watch({ kind: 'started', worker: this.id, task, attempt, how: '', at: this.#clock.now() })
@@ -125,6 +125,7 @@
   report ({ epoch, seenEnd, leaseEndMs }: ReportCall): WorkerReport | 'fenced' {
     if (epoch < this.#token) return 'fenced'
     this.#token = epoch
+    this.#lapseIfOver()
     if (leaseEndMs !== undefined) this.#extend(leaseEndMs)
     this.#ended = this.#ended.filter(end => end.sequence > seenEnd)
     const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, runMs }) =>
@@ -136,13 +137,23 @@
     return this.#lastSequence > seenEnd
   }
 
+  // A busy machine runs timers late, and a lease that is over must not be extended or let a run end well.
+  #lapseIfOver (): void {
+    if (this.#leaseEndMs > 0 && this.clockMs > this.#leaseEndMs) this.#lapseNow()
+  }
+
+  #lapseNow (): void {
+    this.#lapse?.cancel()
+    this.#leaseEndMs = 0
+    for (const run of [...this.#runs.values()]) this.#end(run, 'lapsed')
+    this.#voidEnds()
+  }
+
   #extend (leaseEndMs: number): void {
+    this.#lapseIfOver()
     this.#leaseEndMs = Math.max(this.#leaseEndMs, Math.min(leaseEndMs, this.clockMs + HOLD_MAX_MS))
     this.#lapse?.cancel()
-    this.#lapse = this.#clock.after(this.#leaseEndMs - this.clockMs, () => {
-      for (const run of [...this.#runs.values()]) this.#end(run, 'lapsed')
-      this.#voidEnds()
-    })
+    this.#lapse = this.#clock.after(this.#leaseEndMs - this.clockMs, () => this.#lapseNow())
   }
 
   // Nobody can take note of these ends any more.
@@ -150,6 +161,11 @@
     for (const { task, attempt, ending } of this.#ended) this.#watch({ kind: 'voided', worker: this.id, task, attempt, how: ending, at: this.#clock.now() })
   }
 
+  #finish (run: Run, ending: 'done' | 'failed'): void {
+    this.#lapseIfOver()
+    this.#end(run, ending)
+  }
+
   #end (run: Run, how: RunEnding | 'crashed'): void {
     if (this.#runs.get(run.task) !== run) return
     run.timer.cancel()
