A VM too small for its cell claims it later, also after its own restart

Change: the term tells how many workers the cell has; a VM with less than 0.0025 core for each of them claims up to 2 s later and doesn't use that short cut; an owner that has not read its jobs within 4 s gives the cell up as one that can't keep up.

Tests: takeOver.test.ts 'a VM that is too small ...' (n1 took it before) and 'with no other process'.

--- a/packages/jobs/src/CellSeat.ts
+++ b/packages/jobs/src/CellSeat.ts
@@ -2,7 +2,7 @@
  * One process's part in who owns the cell: watches the term, and takes it when it is over.
  */
 import { brand, type Clock, type Epoch, type Instant, type Log, type Random, type RowVersion } from '@auburnpin/common'
-import { CELL, HAND_OVER_GAP_MS, HAND_OVER_HOLD_MS, TERM_OVER_MS, TERM_WATCH_MS } from './constants.ts'
+import { CELL, CORE_PER_WORKER, HAND_OVER_GAP_MS, HAND_OVER_HOLD_MS, TERM_OVER_MS, TERM_WATCH_MS, TOO_SMALL_DELAY_MS } from './constants.ts'
 import { JobOwner, type OwnerPorts, type WonTerm } from './JobOwner.ts'
 import { encodeRow, NO_ROW, readTerm, TERM_KEY, TERMS_TABLE, type Term } from './rows.ts'
 
@@ -14,6 +14,8 @@
   life: string
   /** Milliseconds before it takes a free term; longer on VMs with little processor. */
   claimDelayMs: number
+  /** Share of a core that its VM has. */
+  processorShare: number
 }>
 
 type SeenTerm = Readonly<{ term: Term, version: RowVersion }>
@@ -92,21 +94,28 @@
     if (this.#owner !== undefined || now - this.#handedOverAt < HAND_OVER_HOLD_MS) return false
     if (this.#seen === undefined) return true
     const { holder, life } = this.#seen.term
-    // A former life of this process is surely over.
-    if (holder === '' || (holder === this.#identity.name && life !== this.#identity.life)) return true
+    // A former life of this process is surely over, but the others that wait for its end may be better owners.
+    if (holder === '' || (holder === this.#identity.name && life !== this.#identity.life && this.#lackOfProcessor === 0)) return true
     return now - (this.#changedAt ?? now) >= TERM_OVER_MS
   }
 
+  // The share of the processor time that the cell needs and this VM doesn't have.
+  get #lackOfProcessor (): number {
+    const needed = (this.#seen?.term.workers ?? 0) * CORE_PER_WORKER
+    return needed === 0 ? 0 : Math.max(0, 1 - this.#identity.processorShare / needed)
+  }
+
   async #claim (): Promise<void> {
     const before = this.#seen
-    await this.#clock.sleep(this.#identity.claimDelayMs + CLAIM_JITTER_MS * this.#random.fraction())
+    await this.#clock.sleep(this.#identity.claimDelayMs + CLAIM_JITTER_MS * this.#random.fraction() + TOO_SMALL_DELAY_MS * this.#lackOfProcessor)
     if (this.#isStopped) return
     const term: Term = {
       holder: this.#identity.name,
       life: this.#identity.life,
       epoch: brand<Epoch>((before?.term.epoch ?? 0) + 1),
       commit: 0,
-      pending: before?.term.pending ?? {}
+      pending: before?.term.pending ?? {},
+      workers: before?.term.workers ?? 0
     }
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
--- a/packages/jobs/src/JobOwner.ts
+++ b/packages/jobs/src/JobOwner.ts
@@ -3,7 +3,7 @@
  */
 import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { JobBoard, type JobProgress, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
-import { CELL, FEED_RETRY_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
+import { CELL, FEED_RETRY_MS, RESTORE_LIMIT_MS, TICK_MS, WORKER_LEASE_MS } from './constants.ts'
 import { JobSweeper } from './JobSweeper.ts'
 import { LatenessWatch } from './LatenessWatch.ts'
 import { readAll } from './readAll.ts'
@@ -78,6 +78,7 @@
   /** Reads what earlier owners left and begins to schedule. */
   async open (): Promise<void> {
     this.#writer.start()
+    void this.#tick()
     while (!this.#isClosed) {
       const restored = await this.#restore()
       if (restored.ok) break
@@ -90,7 +91,6 @@
     this.#ports.log.info('Term begun', { epoch: this.#won.term.epoch, jobs: this.#board.jobs.size, workers: this.#board.workers.size })
     this.#jobs.start()
     this.#ports.workerList.listen(new OwnerWorkers(this))
-    void this.#tick()
     this.#sweeper.start()
   }
 
@@ -214,7 +214,9 @@
     while (!this.#isClosed) {
       const dueAt = this.#ports.clock.now() + TICK_MS
       await this.#ports.clock.sleep(TICK_MS)
-      if (this.#lateness.note(this.#ports.clock.now() - dueAt)) this.#onLate()
+      const now = this.#ports.clock.now()
+      const isLate = this.#lateness.note(now - dueAt) || (!this.#isRestored && now - this.#won.claimedAt > RESTORE_LIMIT_MS)
+      if (isLate && !this.#isClosed) this.#onLate()
       this.learnt()
     }
   }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -137,7 +137,7 @@
   async #commit (): Promise<void> {
     this.#isCommitting = true
     const batch = this.#takeBatch()
-    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#isBoardWhole ? this.#board.countPending() : this.#term.pending }
+    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#isBoardWhole ? this.#board.countPending() : this.#term.pending, workers: this.#isBoardWhole ? this.#board.workers.size : this.#term.workers }
     const sentAt = this.#clock.now()
     const sentAtWall = this.#clock.wallTime()
     this.#lastCommitAt = sentAt
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -78,3 +78,12 @@
 
 /** A process gives a cell up for that reason at most once in so many milliseconds, as all may be as slow. */
 export const HAND_OVER_GAP_MS = 30_000
+
+/** Share of a core that an owner needs for each worker; docs/CAPACITY.md, calm day of 245 workers. */
+export const CORE_PER_WORKER = 0.0025
+
+/** How much later a VM claims a term that has none of the processor that the cell needs, in milliseconds; others have claimed by then. */
+export const TOO_SMALL_DELAY_MS = 2_000
+
+/** An owner that has not read its jobs in this time, in milliseconds, gives the cell up; its workers' leases last not much longer. */
+export const RESTORE_LIMIT_MS = 4_000
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -51,6 +51,8 @@
   commit: number
   /** Jobs of each queue of which no task has started. */
   pending: Readonly<Record<string, number>>
+  /** Workers that the owner uses, which tell how much processor the cell needs. */
+  workers: number
 }>
 
 /** A worker that an owner may have sent orders to. */
--- a/packages/jobs/tests/support/JobsWorld.ts
+++ b/packages/jobs/tests/support/JobsWorld.ts
@@ -25,13 +25,13 @@
   readonly intake: JobIntake
   readonly #world: JobsWorld
 
-  constructor (world: JobsWorld, name: string, life: string) {
+  constructor (world: JobsWorld, name: string, life: string, processorShare: number) {
     this.#world = world
     this.name = name
     this.clock = new NodeClock(world.clock)
     const store = new WatchedStore(world.rows.seenBy(name), this.clock, new SilentLog(), new SilentMetrics())
     const ports = { store, workerList: new FakeList(world), calls: new FakeCalls(world, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), stateKeptMs: 120_000 }
-    this.seat = new CellSeat(ports, { name, life, claimDelayMs: 20 }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
+    this.seat = new CellSeat(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.intake = new JobIntake(store, this.clock, new SilentLog())
     this.seat.start()
   }
@@ -115,8 +115,8 @@
     }
   }
 
-  addNode (name: string, life = `${name}-1`): Node {
-    const node = new Node(this, name, life)
+  addNode (name: string, life = `${name}-1`, processorShare = 1): Node {
+    const node = new Node(this, name, life, processorShare)
     this.nodes.set(name, node)
     return node
   }
--- a/packages/jobs/tests/takeOver.test.ts
+++ b/packages/jobs/tests/takeOver.test.ts
@@ -129,3 +129,24 @@
   t.deepEqual(world.breaches, [])
   t.is(finished(world), 16)
 })
+
+test('after all processes died, a VM that is too small for the cell leaves it to a bigger one', async t => {
+  const world = await startWork()
+  t.is(world.owner?.name, 'n1')
+  for (const node of [...world.nodes.values()]) node.kill()
+  world.addNode('n1', 'n1-2', 0.001)
+  world.addNode('n2', 'n2-2')
+  await world.advance(4_000)
+  t.is(world.owner?.name, 'n2')
+  await world.advance(14_000)
+  t.deepEqual(world.breaches, [])
+  t.is(finished(world), 16)
+})
+
+test('with no other process a VM that is too small for the cell owns it after all', async t => {
+  const world = await startWork()
+  for (const node of [...world.nodes.values()]) node.kill()
+  world.addNode('n1', 'n1-2', 0.001)
+  await world.advance(6_000)
+  t.is(world.owner?.name, 'n1')
+})
