--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -3,15 +3,15 @@
  */
 import { assertNever, brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, SLOWEST_CLOCK } from './constants.ts'
+import { createRun } from './createRun.ts'
 import { Disturbance } from './Disturbance.ts'
 import { JobRecord } from './JobRecord.ts'
 import { isStalled } from './isStalled.ts'
 import { paceFillers } from './paceFillers.ts'
 import { placeTasks } from './placeTasks.ts'
-import { ServingTail } from './ServingTail.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { stopOrders } from './stopOrders.ts'
-import { FULL_PACE, type RunRecord, type TaskRecord } from './TaskRecord.ts'
+import type { RunRecord, TaskRecord } from './TaskRecord.ts'
 import { parseTaskName } from './taskName.ts'
 import type {
   Job, JobProgress, LeaseBounds, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
@@ -246,7 +246,7 @@
   #adopt (worker: WorkerRecord, task: TaskRecord, reported: ReportedRun, now: Instant): void {
     const { attempt } = reported
     task.noteAttempt(attempt)
-    const run: RunRecord = { task, attempt, worker, orderedAt: now, tail: new ServingTail(), state: 'running', since: now, isStopWanted: this.#isSuperfluous(task), pacePercent: FULL_PACE, paceOrdered: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
+    const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isStopWanted: this.#isSuperfluous(task), paceOrdered: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#noteBegun(task)
   }
@@ -286,7 +286,7 @@
       if (!job.isFinal) this.#dirty.add(job)
     }
     if (run !== undefined) this.#endRun(run, end.ending)
-    else this.#observer.runEnded({ task, attempt: end.attempt, worker, orderedAt: now, tail: new ServingTail(), state: 'running', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }, end.ending, worker.entry.id)
+    else this.#observer.runEnded(createRun(task, end.attempt, worker, 'running', now), end.ending, worker.entry.id)
     if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#finish(job, 'failed', now)
   }
 
@@ -420,7 +420,7 @@
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceFillers(worker, now))
     if (!this.#mayOpen(now)) return orders
     for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.disturbance, now, wallTime)) {
-      const run: RunRecord = { task, attempt: task.nextAttempt(this.#firstAttempt), worker, orderedAt: now, tail: new ServingTail(), state: 'ordered', since: now, isStopWanted: false, pacePercent: FULL_PACE, paceOrdered: FULL_PACE }
+      const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       orders.push({
         kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -84,7 +84,7 @@
 /** How far ahead a filler's place must stay under its targets, in milliseconds; most of a short filler's run. */
 export const PLACING_AHEAD_MS = 1_500
 
-/** A serving task that shows more than its target for so many milliseconds counts by itself, whatever its neighbours show. */
+/** A serving task that shows more than its target for so many milliseconds counts by itself; two cuts more, and it is under it before 4 s. */
 export const LONE_EXCESS_MS = 1_200
 
 /** Fillers that add less than this to a pressure, as readings show, are not what raises it; readings differ by as much. */
--- a/packages/core/tests/disturbance.test.ts
+++ b/packages/core/tests/disturbance.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
-import { Disturbance, JobRecord, ServingTail, WorkerRecord, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
+import { createRun, Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
 
 const SERVING = stepOf({ image: 'watch', isLasting: true, latencyTargetMs: 100 })
 const filler = (image: string): JobStep => stepOf({ image, isFiller: true, processors: 4_000 })
@@ -11,7 +11,7 @@
 const runOf = (shape: JobStep, reading: number): RunRecord => {
   const task = new JobRecord(jobOf('j', [shape])).begin(0)[0]?.tasks[0]
   if (task === undefined) throw new Error('The job has no task')
-  return { task, attempt: brand<Attempt>(1), worker, orderedAt: brand(0), tail: new ServingTail(), state: 'running', since: brand(0), isStopWanted: false, pacePercent: 100, paceOrdered: 100, reading, progressPercent: 100 }
+  return { ...createRun(task, brand<Attempt>(1), worker, 'running', brand<Instant>(0)), reading, progressPercent: 100 }
 }
 
 const learnPairs = (): Disturbance => {
--- a/packages/core/tests/servingLoad.test.ts
+++ b/packages/core/tests/servingLoad.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
-import { chooseWorker, Disturbance, JobRecord, ServingTail, WorkerRecord, type JobStep, type RunRecord, type StepRecord, type WorkerEntry } from '../src/index.ts'
+import { chooseWorker, createRun, Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord, type StepRecord, type WorkerEntry } from '../src/index.ts'
 
 const TARGET_MS = 150
 const IDLE_TAIL_MS = 25
@@ -25,7 +25,7 @@
 const runOn = (worker: WorkerRecord, step: StepRecord, index: number): RunRecord => {
   const task = step.tasks[index]
   if (task === undefined) throw new Error('The step has no such task')
-  const run: RunRecord = { task, attempt: brand<Attempt>(1), worker, orderedAt: brand(0), tail: new ServingTail(), state: 'running', since: brand(0), isStopWanted: false, pacePercent: 100, paceOrdered: 100, progressPercent: 100 }
+  const run: RunRecord = { ...createRun(task, brand<Attempt>(1), worker, 'running', brand<Instant>(0)), progressPercent: 100 }
   worker.add(run)
   return run
 }
