--- a/bench/jobOwner.ts
+++ b/bench/jobOwner.ts
@@ -19,7 +19,7 @@
 const TICKS_PER_SECOND = 100
 const HTTP_OK = 200
 const PROGRAM = fileURLToPath(new URL('../target/auburnpin.cjs', import.meta.url))
-const PORTS = { clients: 21_180, readiness: 21_181, metrics: 21_182 }
+const PORTS = { host: '127.0.0.1', clients: 21_180, readiness: 21_181, metrics: 21_182 }
 
 const submit = (id: string): Promise<number> => new Promise(resolve => {
   const steps = [{ count: TASKS_PER_JOB, cpu: 500, mem_mb: 10, estimate_ms: RUN_MS }]
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -12,3 +12,4 @@
 export { FakeRows, type StoreMood } from './FakeRows.ts'
 export { jobOf, stepOf } from './jobBuilders.ts'
 export { RunWatch } from './RunWatch.ts'
+export { ownLoopback } from './ownLoopback.ts'
--- a/packages/gateway/tests/support/GatewayRig.ts
+++ b/packages/gateway/tests/support/GatewayRig.ts
@@ -8,7 +8,7 @@
 import { EMPTY_CONFIGURATION, ownerOfEndpoint, serviceSchema, type Configuration, type Endpoint, type GatewaySeat, type Service } from '@auburnpin/core'
 import { EndpointDirectory, WebSocketPeers } from '@auburnpin/cluster'
 import { StandInEndpoint } from '@auburnpin/stand-in'
-import { ownLoopback } from './ownLoopback.ts'
+import { ownLoopback } from '@auburnpin/fakes'
 import { CallerServer, DEFAULT_LIMITS, type GatewayLimits, type SessionKey } from '../../src/index.ts'
 
 /** What a rig may differ in. */
