A start that was lost on a quiet VM no longer holds its task for good

Cause: a run counts as not there when a report that was asked for after the stop's answer doesn't list it; each repeat of the stop moved that time on, and a report of a quiet worker waits 1.5 s. The first answer counts now.

--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -351,10 +351,13 @@
     }
   }
 
-  /** Notes that the worker has taken an order to stop. */
+  /**
+   * Notes that the worker has taken an order to stop. The first answer counts: from then on the worker never starts
+   * that run, and a report that was asked for later tells whether it is there, however often the order is repeated.
+   */
   stopAnswered (id: WorkerId, name: TaskName, attempt: number, now: Instant): void {
     const run = this.workers.get(id)?.runs.get(runKey(name, attempt))
-    if (run !== undefined) run.stopAnsweredAt = now
+    if (run !== undefined) run.stopAnsweredAt ??= now
   }
 
   /** Notes that an order of a pace got no answer, so that it is sent again. */
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -125,7 +125,7 @@
   report ({ epoch, seenEnd, leaseEndMs }: ReportCall): WorkerReport | 'fenced' {
     if (epoch < this.#token) return 'fenced'
     this.#token = epoch
-    this.#lapseIfOver()
+    this.settleLease()
     if (leaseEndMs !== undefined) this.#extend(leaseEndMs)
     this.#ended = this.#ended.filter(end => end.sequence > seenEnd)
     const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, runMs }) =>
@@ -137,8 +137,8 @@
     return this.#lastSequence > seenEnd
   }
 
-  // A busy machine runs timers late, and a lease that is over must not be extended or let a run end well.
-  #lapseIfOver (): void {
+  /** Ends the lease if its time is over; a busy machine runs timers late, and it must not be extended or let a run end well. */
+  settleLease (): void {
     if (this.#leaseEndMs > 0 && this.clockMs > this.#leaseEndMs) this.#lapseNow()
   }
 
@@ -150,7 +150,7 @@
   }
 
   #extend (leaseEndMs: number): void {
-    this.#lapseIfOver()
+    this.settleLease()
     this.#leaseEndMs = Math.max(this.#leaseEndMs, Math.min(leaseEndMs, this.clockMs + HOLD_MAX_MS))
     this.#lapse?.cancel()
     this.#lapse = this.#clock.after(this.#leaseEndMs - this.clockMs, () => this.#lapseNow())
@@ -162,7 +162,7 @@
   }
 
   #finish (run: Run, ending: 'done' | 'failed'): void {
-    this.#lapseIfOver()
+    this.settleLease()
     this.#end(run, ending)
   }
 
