An owner that reads a report late doesn't start its task again

Change: a lease that is over ends the runs only of a worker whose last call went unanswered; calls time out well within a lease, so a lost worker is noticed as before.

--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -434,7 +434,8 @@
 
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
-      if (worker.runs.size > 0 && now >= worker.leaseOverAt) this.#loseRuns(worker, 'lease over')
+      // A worker that may still answer tells how its runs ended; calls that go unanswered show within the lease.
+      if (worker.runs.size > 0 && now >= worker.leaseOverAt && worker.isSilent) this.#loseRuns(worker, 'lease over')
       if (!worker.isListed && worker.runs.size === 0 && now >= worker.leaseOverAt) this.workers.delete(id)
     }
   }
