An order under way passes to the new life of a worker reborn at its address

Change: only runs that the old life was known to run end with it; an order without an answer passes to the new life's record and is settled by its reports, as any start of unknown outcome. Test: lostStarts.test.ts, second story ('runs twice' before).

--- a/packages/core/src/jobs/JobBoard.ts
+++ b/packages/core/src/jobs/JobBoard.ts
@@ -152,8 +152,9 @@
   noteWorker (entry: WorkerEntry, now: Instant): void {
     const known = this.workers.get(entry.id)
     if (known === undefined || known.entry.incarnation < entry.incarnation) {
-      if (known !== undefined) this.#loseRuns(known, 'reborn')
-      this.workers.set(entry.id, new WorkerRecord(entry, now, this.#bounds.leaseMs))
+      const worker = new WorkerRecord(entry, now, this.#bounds.leaseMs)
+      this.workers.set(entry.id, worker)
+      if (known !== undefined) this.#passOn(known, worker)
       return
     }
     if (known.entry.incarnation === entry.incarnation) known.update(entry)
@@ -313,6 +314,20 @@
     if (task.runs.length === 0 && !task.isDone && !task.step.job.isFinal && task.step.isOpen) task.step.waiting.add(task)
   }
 
+  // What ran in the old life is over, but an order without an answer may still reach the new one.
+  #passOn (old: WorkerRecord, reborn: WorkerRecord): void {
+    for (const run of [...old.runs.values()]) {
+      if (run.state === 'running') {
+        this.#endRun(run, 'reborn')
+        continue
+      }
+      old.remove(run)
+      const passed: RunRecord = { ...run, worker: reborn, stopSentAt: undefined, stopAnsweredAt: undefined }
+      run.task.runs.splice(run.task.runs.indexOf(run), 1, passed)
+      reborn.add(passed)
+    }
+  }
+
   #loseRuns (worker: WorkerRecord, how: string): void {
     for (const run of [...worker.runs.values()]) this.#endRun(run, how)
   }
