Read once more: room for a filler is worked out once, builders of tests shared

What the change had written twice or kept for nothing: - chooseWorker worked out a worker's left processors for the room and again for the score, on the hot path; - the expected length of a step stood three times in JobRecord; - harmOf took the processors of the filler that it already had, and three places multiplied them in; - a worker's count of filler processors was never read; - CellSeat left its owner in three places; a process that stops now also shows epoch 0 as others do; - four tests and the fake worker each wrote a worker's entry, two tests a silent observer; they share one.

--- a/packages/core/src/jobs/Disturbance.ts
+++ b/packages/core/src/jobs/Disturbance.ts
@@ -28,7 +28,7 @@
  *
  * @example
  * disturbance.learn(worker.runs.values(), now)
- * const added = disturbance.harmOf(filler, filler.processors, worker.runs.values())
+ * const added = disturbance.harmOf(filler, worker.runs.values())
  */
 export class Disturbance {
   readonly #model = new LearntInterference(NO_BANDS)
@@ -88,13 +88,13 @@
     return Math.min(1, pressure * (1 - idle))
   }
 
-  /** What a filler that uses so many thousandths of a core adds to the pressure on the serving task that it disturbs most. */
-  harmOf (filler: JobStep, milliCores: number, serving: Iterable<RunRecord>): number {
-    let perCore = 0
+  /** What a filler adds, with all processors that it asks for, to the pressure on the serving task that it disturbs most. */
+  harmOf (filler: JobStep, serving: Iterable<RunRecord>): number {
+    let worst = 0
     for (const { task: { step: { shape } } } of serving) {
-      if (shape.latencyTargetMs > 0) perCore = Math.max(perCore, this.#perCore(shape, filler))
+      if (shape.latencyTargetMs > 0) worst = Math.max(worst, this.#added(shape, filler))
     }
-    return perCore * milliCores / MILLI
+    return worst
   }
 
   /** The pressure to be expected soon on the serving task that fares worst of those that one more filler disturbs. */
@@ -106,7 +106,7 @@
       const { step } = run.task
       if (step.shape.latencyTargetMs === 0 || seen.has(step)) continue
       seen.add(step)
-      const added = this.#perCore(step.shape, filler) * filler.processors / MILLI
+      const added = this.#added(step.shape, filler)
       if (added >= BENIGN_SHARE) worst = Math.max(worst, added + this.#expectOf(run, all, now))
     }
     return worst
@@ -117,13 +117,13 @@
     let pressure = (load.expectAt(now, PLACING_AHEAD_MS) ?? this.#model.baseRatio(brand<ServiceName>(shape.image), ANY_LOAD)) + (disturbance ?? 0)
     for (const { task: { step: { shape: other } }, pacePercent, reading = 0 } of all) {
       const isShown = disturbance !== undefined && reading > 0
-      if (other.isFiller && pacePercent > 0 && !isShown) pressure += this.#perCore(shape, other) * other.processors / MILLI
+      if (other.isFiller && pacePercent > 0 && !isShown) pressure += this.#added(shape, other)
     }
     return pressure
   }
 
-  #perCore (serving: JobStep, filler: JobStep): number {
-    return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD)
+  #added (serving: JobStep, filler: JobStep): number {
+    return this.#model.ratioPerCore(brand<ServiceName>(serving.image), filler.image, ANY_LOAD) * filler.processors / MILLI
   }
 }
 
--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -83,9 +83,6 @@
 
 /** The fillers with what each adds to a pressure at its full pace, most first. */
 const byHarm = (fillers: readonly RunRecord[], runs: readonly RunRecord[], disturbance: Disturbance): HarmfulRun[] => {
-  const harms = fillers.map(run => {
-    const { shape } = run.task.step
-    return { run, harm: disturbance.harmOf(shape, shape.processors, runs) }
-  })
+  const harms = fillers.map(run => ({ run, harm: disturbance.harmOf(run.task.step.shape, runs) }))
   return harms.sort((one, other) => other.harm - one.harm)
 }
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -4,7 +4,7 @@
 import type { Instant } from '@auburnpin/common'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import type { Job, JobPhase, JobProgress } from './types.ts'
+import type { Job, JobPhase, JobProgress, JobStep } from './types.ts'
 
 /** Milliseconds a task is taken to last if the client gave no estimate. */
 const UNKNOWN_ESTIMATE_MS = 1_000
@@ -52,7 +52,7 @@
   remainingWork (occurrence: number): number {
     let work = 0
     for (const { shape, doneCount } of this.occurrences.get(occurrence) ?? []) {
-      const taskMs = shape.isLasting ? LASTING_WORK_MS : shape.estimateMs > 0 ? shape.estimateMs : UNKNOWN_ESTIMATE_MS
+      const taskMs = shape.isLasting ? LASTING_WORK_MS : expectedMs(shape)
       work += (shape.taskCount - doneCount) * shape.processors * taskMs
     }
     return work
@@ -145,13 +145,15 @@
   }
 }
 
+const expectedMs = ({ estimateMs }: JobStep): number => estimateMs > 0 ? estimateMs : UNKNOWN_ESTIMATE_MS
+
 // Steps only follow earlier ones, so the chains are known from the last step backwards.
 const remainingChains = ({ steps }: Job): number[] => {
-  const remaining = steps.map(step => step.estimateMs > 0 ? step.estimateMs : UNKNOWN_ESTIMATE_MS)
-  for (let number = steps.length - 1; number >= 0; number--) {
-    for (const before of steps[number]?.after ?? []) {
-      const own = steps[before]?.estimateMs ?? 0
-      remaining[before] = Math.max(remaining[before] ?? 0, (own > 0 ? own : UNKNOWN_ESTIMATE_MS) + (remaining[number] ?? 0))
+  const remaining = steps.map(expectedMs)
+  for (const [number, { after }] of [...steps.entries()].reverse()) {
+    for (const before of after) {
+      const step = steps[before]
+      if (step !== undefined) remaining[before] = Math.max(remaining[before] ?? 0, expectedMs(step) + (remaining[number] ?? 0))
     }
   }
   return remaining
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -31,7 +31,6 @@
   readonly pacing = new FillerPacing()
   processorsUsed = 0
   servingProcessors = 0
-  fillerProcessors = 0
   memoryUsedMb = 0
   acceleratorsUsed = 0
   servingRuns = 0
@@ -135,10 +134,8 @@
     const { shape } = run.task.step
     this.memoryUsedMb += sign * shape.memoryMb
     this.acceleratorsUsed += sign * shape.accelerators
-    if (shape.isFiller) {
-      this.fillerProcessors += sign * shape.processors
-      this.fillerRuns += sign
-    } else this.processorsUsed += sign * shape.processors
+    if (shape.isFiller) this.fillerRuns += sign
+    else this.processorsUsed += sign * shape.processors
     if (shape.latencyTargetMs > 0) {
       this.servingRuns += sign
       this.servingProcessors += sign * shape.processors
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -20,13 +20,16 @@
  * const worker = chooseWorker(task, workers, disturbance, now)
  */
 export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, disturbance: Disturbance, now: Instant): WorkerRecord | undefined => {
+  const { shape } = task.step
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
   for (const worker of workers) {
-    if (!mayRun(task, worker, disturbance, now)) continue
-    const pressure = task.step.shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(task.step.shape, worker.runs.values(), now) : 0
+    if (!mayRun(task, worker, now)) continue
+    const left = shape.isFiller ? leftProcessors(worker, disturbance, now) : worker.entry.processors - worker.processorsUsed
+    if (left < shape.processors) continue
+    const pressure = shape.isFiller && worker.servingRuns > 0 ? disturbance.expectBeside(shape, worker.runs.values(), now) : 0
     if (pressure > PRESSURE_PLACING) continue
-    const score = scoreWorker(task.step, worker, disturbance, now) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_COST : 0)
+    const score = scoreWorker(task.step, worker, left) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_COST : 0)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -35,23 +38,19 @@
   return best
 }
 
-const mayRun = ({ step, runs }: TaskRecord, worker: WorkerRecord, disturbance: Disturbance, now: Instant): boolean => {
+const mayRun = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): boolean => {
   const { shape } = step
   const { entry } = worker
   if (entry.service !== step.job.job.policy.service || !worker.canTake(now)) return false
   if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return false
   if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return false
-  if (shape.isFiller ? !hasFillerRoom(step, worker, disturbance, now) : worker.processorsUsed + shape.processors > entry.processors) return false
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return false
   if (runs.some(run => run.worker === worker)) return false
   return shape.maxPerWorker === 0 || countOfStep(step, worker) < shape.maxPerWorker
 }
 
-// A filler that gets no processors makes no progress, so fillers share only what is likely to be left.
-const hasFillerRoom = ({ shape }: StepRecord, worker: WorkerRecord, disturbance: Disturbance, now: Instant): boolean =>
-  leftProcessors(worker, disturbance, now) >= shape.processors
-
-// Serving tasks reserve more than they use, as far as is known of their load, and fillers ask for more than some use.
+// What is left to fillers; one that gets no processors makes no progress. Serving tasks reserve more than they use, as
+// far as is known of their load, and fillers ask for more than some use.
 const leftProcessors = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, disturbance: Disturbance, now: Instant): number => {
   let left = entry.processors - (processorsUsed - servingProcessors)
   for (const { task: { step }, reading = 0 } of runs.values()) {
@@ -79,11 +78,11 @@
 const SAME_IMAGE_BONUS = 2
 const OTHER_IMAGE_COST = 2
 
-const scoreWorker = (step: StepRecord, worker: WorkerRecord, disturbance: Disturbance, now: Instant): number => {
+const scoreWorker = (step: StepRecord, worker: WorkerRecord, left: number): number => {
   const { shape } = step
   const { entry } = worker
-  const usedShare = worker.processorsUsed / Math.max(1, entry.processors)
-  let score = shape.isFiller ? leftProcessors(worker, disturbance, now) / Math.max(1, entry.processors) : shape.latencyTargetMs > 0 ? usedShare : 1 - usedShare
+  const leftShare = left / Math.max(1, entry.processors)
+  let score = shape.latencyTargetMs > 0 && !shape.isFiller ? 1 - leftShare : leftShare
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
   if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += weighCompany(step, worker)
   return score
--- a/packages/core/tests/disturbance.test.ts
+++ b/packages/core/tests/disturbance.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { jobOf, stepOf } from '@auburnpin/fakes'
-import { createRun, Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord, type WorkerEntry } from '../src/index.ts'
+import { jobOf, stepOf, workerEntryOf } from '@auburnpin/fakes'
+import { createRun, Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord } from '../src/index.ts'
 
 const SERVING = stepOf({ image: 'watch', isLasting: true, latencyTargetMs: 100 })
 const filler = (image: string): JobStep => stepOf({ image, isFiller: true, processors: 4_000 })
 
-const worker = new WorkerRecord({ id: brand('w'), incarnation: brand(1), address: '', service: brand('desk'), zone: '', isDraining: false, labels: [], processors: 32_000, memoryMb: 1_000, accelerators: 0 } satisfies WorkerEntry, brand(0), 1_000)
+const worker = new WorkerRecord(workerEntryOf('w', { processors: 32_000 }), brand(0), 1_000)
 
 const runOf = (shape: JobStep, reading: number): RunRecord => {
   const task = new JobRecord(jobOf('j', [shape])).begin(0)[0]?.tasks[0]
@@ -28,8 +28,8 @@
 test('which filler disturbs is learnt from the tails, and the gentle one is told from the rough one', t => {
   const disturbance = learnPairs()
   const serving = [runOf(SERVING, 30)]
-  const gentle = disturbance.harmOf(filler('gentle'), 4_000, serving)
-  const rough = disturbance.harmOf(filler('rough'), 4_000, serving)
+  const gentle = disturbance.harmOf(filler('gentle'), serving)
+  const rough = disturbance.harmOf(filler('rough'), serving)
   t.true(rough > 0.15, `rough ${rough}`)
   t.true(gentle < rough / 3, `gentle ${gentle}`)
 })
@@ -40,6 +40,6 @@
   after.restore(JSON.parse(JSON.stringify(before.learnt)) as typeof before.learnt, brand<Instant>(0))
   const serving = [runOf(SERVING, 30)]
   for (const image of ['gentle', 'rough']) {
-    t.true(Math.abs(after.harmOf(filler(image), 4_000, serving) - before.harmOf(filler(image), 4_000, serving)) < 0.001)
+    t.true(Math.abs(after.harmOf(filler(image), serving) - before.harmOf(filler(image), serving)) < 0.001)
   }
 })
--- a/packages/core/tests/lateReports.test.ts
+++ b/packages/core/tests/lateReports.test.ts
@@ -1,26 +1,17 @@
 import test from 'ava'
 import { brand, type Epoch, type Instant } from '@auburnpin/common'
-import { jobOf, stepOf } from '@auburnpin/fakes'
-import { BoardObserver, JobBoard, type RunOrder, type WorkerEntry } from '../src/index.ts'
-
-class SilentObserver extends BoardObserver {
-  runEnded (): void {}
-  runStalled (): void {}
-  phaseChanged (): void {}
-  workerJudged (): void {}
-}
+import { jobOf, SilentBoardObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
+import { JobBoard, type RunOrder } from '../src/index.ts'
 
 const LEASE_MS = 4_000
 const LATE_MS = 9_000
-const entryOf = (id: string): WorkerEntry =>
-  ({ id: brand(id), incarnation: brand(1), address: '', service: brand('desk'), zone: '', isDraining: false, labels: [], processors: 8_000, memoryMb: 1_000, accelerators: 0 })
 const at = (ms: number): Instant => brand<Instant>(ms)
 const isStart = (order: RunOrder): order is RunOrder & { kind: 'start' } => order.kind === 'start'
 
 /** A board whose one task runs on one of two workers, with a lease that is long over at `LATE_MS`. */
 const startTask = (): Readonly<{ board: JobBoard, order: RunOrder & { kind: 'start' } }> => {
-  const board = new JobBoard(brand<Epoch>(1), { leaseMs: LEASE_MS }, at(0), new SilentObserver())
-  const entries = ['w1', 'w2'].map(entryOf)
+  const board = new JobBoard(brand<Epoch>(1), { leaseMs: LEASE_MS }, at(0), new SilentBoardObserver())
+  const entries = ['w1', 'w2'].map(id => workerEntryOf(id))
   board.listWorkers(entries, at(0))
   for (const { id, incarnation } of entries) board.hear(id, { incarnation, clockMs: 0, running: [], ended: [] }, at(0), at(0))
   board.accept(jobOf('00000000000000d1', [stepOf()]), at(0))
--- a/packages/core/tests/servingLoad.test.ts
+++ b/packages/core/tests/servingLoad.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { jobOf, stepOf } from '@auburnpin/fakes'
-import { chooseWorker, createRun, Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord, type StepRecord, type WorkerEntry } from '../src/index.ts'
+import { jobOf, stepOf, workerEntryOf } from '@auburnpin/fakes'
+import { chooseWorker, createRun, Disturbance, JobRecord, WorkerRecord, type JobStep, type RunRecord, type StepRecord } from '../src/index.ts'
 
 const TARGET_MS = 150
 const IDLE_TAIL_MS = 25
@@ -10,8 +10,7 @@
 const FILLER = stepOf({ image: 'batch', isFiller: true, processors: 14_000 })
 
 const workerOf = (id: string): WorkerRecord => {
-  const entry = { id: brand(id), incarnation: brand(1), address: '', service: brand('desk'), zone: '', isDraining: false, labels: [], processors: 32_000, memoryMb: 100_000, accelerators: 0 } satisfies WorkerEntry
-  const worker = new WorkerRecord(entry, brand(0), 1_000)
+  const worker = new WorkerRecord(workerEntryOf(id, { processors: 32_000 }), brand(0), 1_000)
   worker.isSwept = true
   return worker
 }
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -2,9 +2,10 @@
  * A worker in memory under the rules that workers keep: leases on their own clock, fencing tokens, run
  * numbers that only rise, ends listed until they are acknowledged.
  */
-import { brand, type Attempt, type Clock, type Epoch, type Incarnation, type ServiceName, type Timer, type WorkerId } from '@auburnpin/common'
+import { brand, type Attempt, type Clock, type Epoch, type Incarnation, type Timer, type WorkerId } from '@auburnpin/common'
 import type { ReportedEnd, ReportedRun, RunEnding, StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
 import type { ReportCall, RunName, StartCall } from '@auburnpin/jobs'
+import { workerEntryOf } from './jobBuilders.ts'
 
 /** How long a task runs and how it ends there. */
 export type FakeRunCourse = Readonly<{ runMs: number, ending: 'done' | 'failed' }>
@@ -48,18 +49,7 @@
   }
 
   get entry (): WorkerEntry {
-    return {
-      id: this.id,
-      incarnation: brand<Incarnation>(this.#bornAt + 1),
-      address: this.id,
-      service: brand<ServiceName>('desk'),
-      zone: 'derby',
-      isDraining: this.isDraining,
-      labels: [],
-      processors: 8_000,
-      memoryMb: 32_000,
-      accelerators: 0
-    }
+    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#bornAt + 1), address: this.id, zone: 'derby', isDraining: this.isDraining, memoryMb: 32_000 })
   }
 
   get running (): readonly TaskName[] {
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -10,6 +10,7 @@
 export { FakePeers, type FakePeerNetwork } from './FakePeers.ts'
 export { FakeJobWorker, type FakeRunCourse, type WorkerEvent } from './FakeJobWorker.ts'
 export { FakeRows, type StoreMood } from './FakeRows.ts'
-export { jobOf, stepOf } from './jobBuilders.ts'
+export { jobOf, stepOf, workerEntryOf } from './jobBuilders.ts'
+export { SilentBoardObserver } from './SilentBoardObserver.ts'
 export { RunWatch } from './RunWatch.ts'
 export { ownLoopback } from './ownLoopback.ts'
--- a/packages/fakes/src/jobBuilders.ts
+++ b/packages/fakes/src/jobBuilders.ts
@@ -1,8 +1,8 @@
 /**
  * Jobs and steps for tests, plain unless told otherwise.
  */
-import { brand, type JobId, type QueueName, type ServiceName } from '@auburnpin/common'
-import type { Job, JobStep } from '@auburnpin/core'
+import { brand, type Incarnation, type JobId, type QueueName, type ServiceName, type WorkerId } from '@auburnpin/common'
+import type { Job, JobStep, WorkerEntry } from '@auburnpin/core'
 
 const PLAIN_STEP: JobStep = {
   taskCount: 1,
@@ -41,3 +41,18 @@
   intervalMs: 0,
   ...more
 })
+
+/** The entry of a worker's first life, of 8 cores and much memory unless told otherwise. */
+export const workerEntryOf = (id: string, more: Partial<WorkerEntry> = {}): WorkerEntry => ({
+  id: brand<WorkerId>(id),
+  incarnation: brand<Incarnation>(1),
+  address: '',
+  service: brand<ServiceName>('desk'),
+  zone: '',
+  isDraining: false,
+  labels: [],
+  processors: 8_000,
+  memoryMb: 100_000,
+  accelerators: 0,
+  ...more
+})
--- a/packages/jobs/src/CellSeat.ts
+++ b/packages/jobs/src/CellSeat.ts
@@ -65,7 +65,7 @@
   async stop (): Promise<void> {
     this.#isStopped = true
     await this.#owner?.close(true)
-    this.#owner = undefined
+    this.#leave()
   }
 
   async #run (): Promise<void> {
@@ -136,8 +136,7 @@
 
   #take (won: WonTerm): void {
     const owner = new JobOwner(this.#ports, won, () => {
-      this.#ports.metrics.gauge('term.epoch', 0)
-      if (this.#owner === owner) this.#owner = undefined
+      if (this.#owner === owner) this.#leave()
     }, () => { void this.#handOver() })
     this.#owner = owner
     this.#ports.metrics.gauge('term.epoch', won.term.epoch)
@@ -152,6 +151,10 @@
     this.#handedOverAt = now
     this.#log.warn('This process can not keep up with its cell and gives it up', { epoch: this.#seen?.term.epoch })
     await owner.close(true)
+    this.#leave()
+  }
+
+  #leave (): void {
     this.#owner = undefined
     this.#ports.metrics.gauge('term.epoch', 0)
   }
