Log and count the tasks that wait for a worker, with what keeps them from each

Nothing told 'no worker could ever hold the task' from 'room came free and others took it' from 'the order passed it over'. The owner now writes every 2 s, for the longest waits of each kind of task, how many workers each obstacle closes, how much is free, and what was placed since the step began to wait; two gauges count waiting tasks and the longest wait. chooseWorker and the record use the same checks (findObstacle.ts).

--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -37,6 +37,8 @@
   'runs.ordered': { type: 'count', unit: 'orders', tags: ['outcome'], meaning: 'Orders to start, by the worker\'s answer.', worry: 'Outcomes other than started above 2 %.' },
   'runs.ended': { type: 'count', unit: 'runs', tags: ['how'], meaning: 'Runs that ended, by how.', worry: 'Failed or lease over rises.' },
   'runs.paced': { type: 'count', unit: 'orders', tags: [], meaning: 'Orders that hold a filler or let it go on.', worry: 'Steadily as many as starts: fillers and serving tasks don\'t fit together.' },
+  'tasks.waiting': { type: 'gauge', unit: 'tasks', tags: ['kind'], meaning: 'Tasks of jobs that wait for a worker, by kind: long-running, batch or filler.', worry: 'Long-running or batch above 0 for a minute.' },
+  'tasks.longestWait': { type: 'gauge', unit: 'seconds', tags: ['kind'], meaning: 'For how long the step that waits longest has had tasks that wait.', worry: 'Above 10 for long-running tasks; the log record `Tasks wait for a worker` says why.' },
   'store.calls': { type: 'count', unit: 'calls', tags: ['call', 'outcome'], meaning: 'Calls to the store, by outcome.', worry: 'Outcomes other than ok above 1 %.' },
   'store.duration': { type: 'timing', unit: 'milliseconds', tags: ['call'], meaning: 'Time of a call to the store; a feed waits for changes.', worry: 'Transactions above 100 ms.' },
   'term.epoch': { type: 'gauge', unit: 'epoch', tags: [], meaning: 'Epoch of the term that this process holds, 0 without one.', worry: 'Several processes above 0 for more than 3 s, or none.' },
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -16,6 +16,7 @@
 import type {
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
+import { WaitingSteps } from './WaitingSteps.ts'
 import { runKey, WorkerRecord } from './WorkerRecord.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
@@ -58,6 +59,8 @@
   readonly #cancelledBeforeAccepted = new Set<JobId>()
   /** Estimates of how much fillers interfere with serving tasks. */
   readonly interference = new FillerInterference()
+  /** Waits of the open steps. */
+  readonly waits = new WaitingSteps()
   readonly #earlierLeasesExpireAt: Instant
   #isReconciled = false
 
@@ -447,10 +450,12 @@
     for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.interference, now, wallTime)) {
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
+      this.waits.recordPlacement(task)
       orders.push({
         kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
       })
     }
+    this.waits.observe(this.#openSteps, now)
     return orders
   }
 
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -66,6 +66,11 @@
     return `${this.step.key}.${this.index}`
   }
 
+  /** Whether this is a serving task that has not run yet, which may not use the reserved workers. */
+  get isNewServing (): boolean {
+    return this.step.shape.latencyTargetMs > 0 && !this.hasRun
+  }
+
   /** Attempt number for the next run: above all known ones, and above all that an earlier term can have used. */
   nextAttempt (firstOfTerm: number): Attempt {
     this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -2,8 +2,9 @@
  * Choice of the worker for a task.
  */
 import type { Instant } from '@auburnpin/common'
-import { DEFAULT_SERVING_UTILISATION, MAX_PLACING_PRESSURE } from './constants.ts'
+import { MAX_PLACING_PRESSURE } from './constants.ts'
 import type { FillerInterference } from './FillerInterference.ts'
+import { addedPressure, findConstraint, freeProcessors } from './findObstacle.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -24,10 +25,10 @@
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
   for (const worker of workers) {
-    if (!mayRun(task, worker, now)) continue
-    const free = shape.isFiller ? freeForFillers(worker, interference, now) : worker.entry.processors - worker.processorsUsed
+    if (findConstraint(task, worker, now) !== undefined) continue
+    const free = freeProcessors(task.step, worker, interference, now)
     if (free < shape.processors) continue
-    const pressure = shape.isFiller && worker.servingRuns > 0 ? interference.maxExpectedPressure(shape, worker.runs.values(), now) : 0
+    const pressure = addedPressure(task.step, worker, interference, now)
     if (pressure > MAX_PLACING_PRESSURE) continue
     const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_PENALTY : 0)
     if (score > bestScore) {
@@ -38,35 +39,6 @@
   return best
 }
 
-const mayRun = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): boolean => {
-  const { shape } = step
-  const { entry } = worker
-  if (entry.service !== step.job.job.policy.service || !worker.acceptsWork(now)) return false
-  if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return false
-  if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return false
-  if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return false
-  if (runs.some(run => run.worker === worker)) return false
-  return shape.maxPerWorker === 0 || countRunsOfStep(step, worker) < shape.maxPerWorker
-}
-
-// Processors available to a new filler, which makes no progress without them. Serving tasks count with their expected
-// use, since they reserve more, and fillers with their measured use, since some request more.
-const freeForFillers = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, interference: FillerInterference, now: Instant): number => {
-  let free = entry.processors - (processorsUsed - servingProcessors)
-  for (const { task: { step }, reading = 0 } of runs.values()) {
-    const { shape } = step
-    if (shape.latencyTargetMs > 0) free -= shape.processors * (interference.expectedUtilisation(step, now) ?? DEFAULT_SERVING_UTILISATION)
-    else if (shape.isFiller) free -= reading > 0 ? Math.min(reading, shape.processors) : shape.processors
-  }
-  return free
-}
-
-const countRunsOfStep = (step: StepRecord, worker: WorkerRecord): number => {
-  let count = 0
-  for (const run of worker.runs.values()) if (run.task.step === step) count++
-  return count
-}
-
 /** Score for a worker in the rack that holds the task's data; 1 stands for all processors of a worker. */
 const DATA_RACK_BONUS = 4
 /** Penalty for an earlier failure of the task on the worker; outweighs all else, since attempts are few and the worker may be faulty. */
--- /dev/null
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -0,0 +1,98 @@
+/**
+ * Reasons why a task can't start on a worker now.
+ */
+import type { Instant } from '@auburnpin/common'
+import { DEFAULT_SERVING_UTILISATION, MAX_PLACING_PRESSURE } from './constants.ts'
+import type { FillerInterference } from './FillerInterference.ts'
+import type { StepRecord } from './StepRecord.ts'
+import type { TaskRecord } from './TaskRecord.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+/** The first of these that applies keeps a task from a worker. */
+export type Obstacle =
+  | 'other-service'
+  /** The worker drains, is paused, isn't listed or doesn't respond. */
+  | 'unavailable'
+  | 'label'
+  /** The worker already runs as many tasks of the step as the step allows. */
+  | 'tasks-per-worker'
+  /** The worker could not hold the task even if it were empty. */
+  | 'too-small'
+  | 'memory'
+  | 'accelerators'
+  | 'processors'
+  /** The task is a filler that would slow down serving tasks too much. */
+  | 'pressure'
+  /** The worker is reserved for short tasks and restarts. */
+  | 'reserved'
+
+/**
+ * Returns what keeps a task from a worker, apart from processors in use and pressure on serving tasks.
+ *
+ * @example
+ * if (findConstraint(task, worker, now) !== undefined) continue
+ */
+export const findConstraint = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): Obstacle | undefined => {
+  const { shape } = step
+  const { entry } = worker
+  if (entry.service !== step.job.job.policy.service) return 'other-service'
+  if (!worker.acceptsWork(now)) return 'unavailable'
+  if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
+  if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
+  if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return 'memory'
+  if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return 'accelerators'
+  if (runs.some(run => run.worker === worker)) return 'tasks-per-worker'
+  if (shape.maxPerWorker > 0 && countRunsOfStep(step, worker) >= shape.maxPerWorker) return 'tasks-per-worker'
+  return undefined
+}
+
+/**
+ * Returns what keeps a task from a worker; `undefined` if it can start there.
+ *
+ * @example
+ * findObstacle(task, worker, interference, now) // 'processors'
+ */
+export const findObstacle = (task: TaskRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): Obstacle | undefined => {
+  const { shape } = task.step
+  const constraint = findConstraint(task, worker, now)
+  if (constraint !== undefined) return constraint
+  if (freeProcessors(task.step, worker, interference, now) < shape.processors) return 'processors'
+  return addedPressure(task.step, worker, interference, now) > MAX_PLACING_PRESSURE ? 'pressure' : undefined
+}
+
+/**
+ * Returns the processors that a worker has for tasks of a step, in thousandths of a core.
+ *
+ * @example
+ * freeProcessors(step, worker, interference, now) // 12_400
+ */
+export const freeProcessors = ({ shape }: StepRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): number =>
+  shape.isFiller ? freeForFillers(worker, interference, now) : worker.entry.processors - worker.processorsUsed
+
+/**
+ * Returns the highest pressure expected on a serving task of a worker if a task of a step starts there; 0 if the task
+ * is no filler. 1 is exactly on the latency target.
+ *
+ * @example
+ * addedPressure(step, worker, interference, now) // 0.84
+ */
+export const addedPressure = ({ shape }: StepRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): number =>
+  shape.isFiller && worker.servingRuns > 0 ? interference.maxExpectedPressure(shape, worker.runs.values(), now) : 0
+
+// Processors available to a new filler, which makes no progress without them. Serving tasks count with their expected
+// use, since they reserve more, and fillers with their measured use, since some request more.
+const freeForFillers = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, interference: FillerInterference, now: Instant): number => {
+  let free = entry.processors - (processorsUsed - servingProcessors)
+  for (const { task: { step }, reading = 0 } of runs.values()) {
+    const { shape } = step
+    if (shape.latencyTargetMs > 0) free -= shape.processors * (interference.expectedUtilisation(step, now) ?? DEFAULT_SERVING_UTILISATION)
+    else if (shape.isFiller) free -= reading > 0 ? Math.min(reading, shape.processors) : shape.processors
+  }
+  return free
+}
+
+const countRunsOfStep = (step: StepRecord, worker: WorkerRecord): number => {
+  let count = 0
+  for (const run of worker.runs.values()) if (run.task.step === step) count++
+  return count
+}
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -3,8 +3,8 @@
  */
 import type { Instant } from '@auburnpin/common'
 import { chooseWorker } from './chooseWorker.ts'
-import { RESERVED_WORKER_SHARE } from './constants.ts'
 import type { FillerInterference } from './FillerInterference.ts'
+import { reserveWorkers } from './reserveWorkers.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
@@ -30,10 +30,9 @@
   for (const step of orderSteps(steps, wallTime)) {
     if (refused.some(shape => needsAtLeast(step.shape, shape))) continue
     for (const task of restartsFirst(step.waiting)) {
-      const isNewServing = step.shape.latencyTargetMs > 0 && !task.hasRun
-      const worker = chooseWorker(task, isNewServing ? unreserved : candidates, interference, now)
+      const worker = chooseWorker(task, task.isNewServing ? unreserved : candidates, interference, now)
       if (worker === undefined) {
-        if (isUnconstrained(step.shape) && !isNewServing) refused.push(step.shape)
+        if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step.shape)
         break
       }
       yield { task, worker }
@@ -45,22 +44,6 @@
 const restartsFirst = (waiting: ReadonlySet<TaskRecord>): readonly TaskRecord[] =>
   [...waiting].sort((one, other) => Number(other.hasRun) - Number(one.hasRun))
 
-// Reserves, for each service, a share of its workers: those with the highest identifiers.
-const reserveWorkers = (workers: readonly WorkerRecord[]): ReadonlySet<WorkerRecord> => {
-  const byService = new Map<string, WorkerRecord[]>()
-  for (const worker of workers) {
-    const others = byService.get(worker.entry.service)
-    if (others === undefined) byService.set(worker.entry.service, [worker])
-    else others.push(worker)
-  }
-  const reserved = new Set<WorkerRecord>()
-  for (const ofService of byService.values()) {
-    ofService.sort((one, other) => one.entry.id < other.entry.id ? 1 : -1)
-    for (const worker of ofService.slice(0, Math.ceil(ofService.length * RESERVED_WORKER_SHARE))) reserved.add(worker)
-  }
-  return reserved
-}
-
 type RankedStep = Readonly<{ step: StepRecord, timeliness: number, objectiveAt: number, work: number }>
 
 const orderSteps = (steps: Iterable<StepRecord>, wallTime: number): StepRecord[] => {
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -12,6 +12,7 @@
 import { TableFollower, TableListener } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
+import { WaitReporter } from './WaitReporter.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 import { PollerHost, WorkerPoller } from './WorkerPoller.ts'
 import { WorkerListener, type WorkerList } from './WorkerList.ts'
@@ -45,6 +46,7 @@
   readonly #writer: TermWriter
   readonly #jobsFollower: TableFollower
   readonly #cleaner: FinishedJobCleaner
+  readonly #waitReporter: WaitReporter
   readonly #pollers = new Map<WorkerId, WorkerPoller>()
   readonly #pollerHost: PollerHost
   #storedProgress = new Map<string, JobProgress>()
@@ -65,6 +67,7 @@
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), new JobsTableListener(this))
     this.#pollerHost = new OwnerPollerHost(this)
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
+    this.#waitReporter = new WaitReporter(ports, this.#scheduler)
   }
 
   get isHeld (): boolean {
@@ -92,6 +95,7 @@
     this.#jobsFollower.start()
     this.#ports.workerList.subscribe(new OwnerWorkerListener(this))
     this.#cleaner.start()
+    void this.#waitReporter.run()
   }
 
   /** Stops scheduling. With `isReleasing` the term is released, so that the next owner can claim it at once. */
@@ -101,6 +105,7 @@
     this.#jobsFollower.stop()
     this.#writer.stop()
     this.#cleaner.stop()
+    this.#waitReporter.stop()
     this.#ports.workerList.unsubscribe()
     for (const poller of this.#pollers.values()) poller.stop()
     if (isReleasing) await this.#writer.release()
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -87,3 +87,12 @@
 
 /** An owner that has not finished reading the jobs after this many milliseconds releases the cell; its workers' leases expire soon after. */
 export const MAX_RESTORE_MS = 4_000
+
+/** Time between two reports of the tasks that wait, in milliseconds. */
+export const WAIT_REPORT_INTERVAL_MS = 2_000
+
+/** Shortest wait that is reported, in milliseconds. */
+export const MIN_REPORTED_WAIT_MS = 2_000
+
+/** Most steps of each kind of task in one report of waits. */
+export const MAX_REPORTED_WAITS = 4
