Long-running steps are placed in the order of their acceptance

Cause: steps of equal priority are ordered by the least remaining work, which serves the mean of jobs that end. The records of waiting tasks show 24 long-running tasks of 284 cores placed while six of 17 cores waited.

Change: long-running steps after those that end, as before in nearly all cases, and among themselves by acceptance.

--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -67,11 +67,16 @@
 }
 
 // When more tasks wait than fit, jobs that can no longer meet their objective must not delay the others. Among jobs of
-// equal priority, those with the least remaining work come first, so that most jobs meet their objective.
+// equal priority, those with the least remaining work come first, so that most jobs meet their objective. Long-running
+// steps come after tasks that end soon, in the order of their acceptance, as their work has no end to compare.
 const compareSteps = (one: RankedStep, other: RankedStep): number => {
   if (one.timeliness !== other.timeliness) return one.timeliness - other.timeliness
   const priority = one.step.job.job.policy.priority - other.step.job.job.policy.priority
   if (priority !== 0) return priority
+  const { shape, job: { job } } = one.step
+  const { shape: otherShape, job: { job: otherJob } } = other.step
+  if (shape.isLasting !== otherShape.isLasting) return Number(shape.isLasting) - Number(otherShape.isLasting)
+  if (shape.isLasting) return job.acceptedAt - otherJob.acceptedAt
   return one.work !== other.work ? one.work - other.work : one.objectiveAt - other.objectiveAt
 }
 
