A task that fits nowhere holds back only tasks that can't fit either

Callers saw: large fillers started late or never while smaller ones were placed.

Cause: within a pass, a step is skipped if it needs at least as much as one that fitted nowhere. That ignored why the first fitted nowhere. A small filler of an image that interferes with serving tasks closed the pass to all larger fillers, also of images that interfere with none; tasks of one service closed it to those of another.

Change: the comparison holds for the same service and, for fillers, the same image. Test: two services, fails before.

--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -26,13 +26,13 @@
   if (candidates.length === 0) return
   const reserved = reserveWorkers(candidates)
   const unreserved = candidates.filter(worker => !reserved.has(worker))
-  const refused: JobStep[] = []
+  const refused: StepRecord[] = []
   for (const step of orderSteps(steps, wallTime)) {
-    if (refused.some(shape => needsAtLeast(step.shape, shape))) continue
+    if (refused.some(other => needsAtLeast(step, other))) continue
     for (const task of restartsFirst(step.waiting)) {
       const worker = chooseWorker(task, task.isNewServing ? unreserved : candidates, interference, now)
       if (worker === undefined) {
-        if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step.shape)
+        if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step)
         break
       }
       yield { task, worker }
@@ -80,9 +80,14 @@
   return one.work !== other.work ? one.work - other.work : one.objectiveAt - other.objectiveAt
 }
 
-// If an unconstrained task fits nowhere, neither does any task that needs at least as much.
-const needsAtLeast = (shape: JobStep, refused: JobStep): boolean =>
-  shape.isFiller === refused.isFiller && shape.processors >= refused.processors && shape.memoryMb >= refused.memoryMb && shape.accelerators >= refused.accelerators
+// If an unconstrained task fits nowhere, neither does any task of the service that needs at least as much. Fillers of
+// another image may fit, as they may interfere less with serving tasks.
+const needsAtLeast = (step: StepRecord, refused: StepRecord): boolean => {
+  const { shape, job: { job: { policy: { service } } } } = step
+  const { shape: other } = refused
+  if (service !== refused.job.job.policy.service || shape.isFiller !== other.isFiller || (shape.isFiller && shape.image !== other.image)) return false
+  return shape.processors >= other.processors && shape.memoryMb >= other.memoryMb && shape.accelerators >= other.accelerators
+}
 
 const isUnconstrained = (shape: JobStep): boolean =>
   shape.requiredLabel === '' && shape.maxPerWorker === 0
