A task that fits no gap holds a worker until its room has come free

Callers would see: a task that needs more than usually comes free at once never starts while smaller ones keep coming, however long it waits. The same class as the order of long-running steps: room goes to whatever fits first.

Cause: nothing was kept back. placeTasks passes over a task that fits nowhere, and the next pass gives the room that came free meanwhile to smaller tasks ahead in the order.

Change: a batch task with less than half of its slack left, or a long-running task that has waited 2 s, holds one worker if smaller tasks were placed while it waited; on that worker tasks of the same or a lower priority start only beside the held room. At most an eighth of the workers is held, and a worker is held only if its tasks that end leave enough room. Holds are made anew in each pass, so nothing has to be released.

Tests: four in largeTasks.test.ts; all fail before (the large task never starts in 10 s, c3 is started on the worker in the fourth). Ruled out: tasks of any size hold workers (a burst then makes later jobs late: overload.test.ts fails), and late jobs hold workers (the same).

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -43,6 +43,11 @@
     return this.#startsAt(occurrence) + this.#objectiveMs * MAX_USEFUL_OBJECTIVES
   }
 
+  /** Milliseconds that an occurrence may wait in all and still meet its objective. */
+  get slackMs (): number {
+    return this.#objectiveMs - Math.max(0, ...this.#remainingMs)
+  }
+
   /** Duration of an occurrence from the start of a step to the end, in milliseconds. */
   remainingMs (step: number): number {
     return this.#remainingMs[step] ?? 0
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -5,6 +5,7 @@
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE } from './constants.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
+import { HeldWorkers } from './HeldWorkers.ts'
 import { JobRecord } from './JobRecord.ts'
 import { isStalled } from './isStalled.ts'
 import { paceOrders } from './paceOrders.ts'
@@ -59,6 +60,8 @@
   readonly #cancelledBeforeAccepted = new Set<JobId>()
   /** Estimates of how much fillers interfere with serving tasks. */
   readonly interference = new FillerInterference()
+  /** Workers held by the last scheduling pass. */
+  held = new HeldWorkers(0)
   /** Waits of the open steps. */
   readonly waits = new WaitingSteps()
   readonly #earlierLeasesExpireAt: Instant
@@ -447,7 +450,9 @@
     const orders: RunOrder[] = []
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
     if (!this.#checkReconciled(now)) return orders
-    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), this.interference, now, wallTime)) {
+    this.held = new HeldWorkers(this.workers.size)
+    const context = { interference: this.interference, held: this.held, waits: this.waits, now, wallTime }
+    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), context)) {
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       this.waits.recordPlacement(task)
--- /dev/null
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -0,0 +1,17 @@
+/**
+ * State that decides in which order tasks are placed and where.
+ */
+import type { Instant } from '@auburnpin/common'
+import type { FillerInterference } from './FillerInterference.ts'
+import type { HeldWorkers } from './HeldWorkers.ts'
+import type { WaitingSteps } from './WaitingSteps.ts'
+
+/** `wallTime` is in milliseconds since 1970. */
+export type PlacingContext = Readonly<{
+  interference: FillerInterference
+  /** Empty at the start of a scheduling pass; the pass fills it. */
+  held: HeldWorkers
+  waits: WaitingSteps
+  now: Instant
+  wallTime: number
+}>
--- a/packages/core/src/jobs/WaitingSteps.ts
+++ b/packages/core/src/jobs/WaitingSteps.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@auburnpin/common'
 import type { FillerInterference } from './FillerInterference.ts'
 import { findObstacle, freeProcessors, type Obstacle } from './findObstacle.ts'
+import type { HeldWorkers } from './HeldWorkers.ts'
 import { reserveWorkers } from './reserveWorkers.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -52,7 +53,7 @@
  * @example
  * waits.recordPlacement(task)
  * waits.observe(openSteps, now)
- * waits.longest('batch', 4, 2_000, workers, interference, now)[0]?.obstacles // Map { 'processors' => 29, 'label' => 4 }
+ * waits.longest('batch', 4, 2_000, workers, held, interference, now)[0]?.obstacles // Map { 'processors' => 29, 'label' => 4 }
  */
 export class WaitingSteps {
   #placed = NOTHING_PLACED
@@ -77,6 +78,14 @@
     return now - (this.#waits.get(step)?.since ?? now)
   }
 
+  /** Whether tasks that, on average, need fewer processors were placed since a step began to wait. */
+  isPassedBySmaller (step: StepRecord): boolean {
+    const wait = this.#waits.get(step)
+    if (wait === undefined) return false
+    const { 'long-running': longRunning, batch } = difference(this.#placed, wait.placedBefore)
+    return longRunning.processors + batch.processors < step.shape.processors * (longRunning.tasks + batch.tasks)
+  }
+
   /** For each kind of task: how many wait, and the milliseconds of the longest wait. */
   totals (now: Instant): ReadonlyMap<StepKind, Readonly<{ tasks: number, longestMs: number }>> {
     const totals = new Map(STEP_KINDS.map(kind => [kind, { tasks: 0, longestMs: 0 }]))
@@ -90,7 +99,7 @@
   }
 
   /** The steps of a kind that have waited longest, at least `minWaitMs`, each with its reasons. */
-  longest (kind: StepKind, limit: number, minWaitMs: number, workers: readonly WorkerRecord[], interference: FillerInterference, now: Instant): StepWait[] {
+  longest (kind: StepKind, limit: number, minWaitMs: number, workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant): StepWait[] {
     const reserved = reserveWorkers(workers.filter(worker => worker.acceptsWork(now)))
     const waits = [...this.#waits].filter(([step, { since }]) => kindOf(step.shape) === kind && now - since >= minWaitMs)
     waits.sort(([, one], [, other]) => one.since - other.since)
@@ -98,18 +107,18 @@
     for (const [step, { since, placedBefore }] of waits.slice(0, limit)) {
       const [task] = step.waiting
       if (task === undefined) continue
-      described.push({ step, kind, waitedMs: now - since, ...describeWorkers(task, workers, reserved, interference, now), placedSince: difference(this.#placed, placedBefore) })
+      described.push({ step, kind, waitedMs: now - since, ...describeWorkers(task, workers, reserved, held, interference, now), placedSince: difference(this.#placed, placedBefore) })
     }
     return described
   }
 }
 
-const describeWorkers = (task: TaskRecord, workers: readonly WorkerRecord[], reserved: ReadonlySet<WorkerRecord>, interference: FillerInterference, now: Instant): Pick<StepWait, 'obstacles' | 'free' | 'largestFree'> => {
+const describeWorkers = (task: TaskRecord, workers: readonly WorkerRecord[], reserved: ReadonlySet<WorkerRecord>, held: HeldWorkers, interference: FillerInterference, now: Instant): Pick<StepWait, 'obstacles' | 'free' | 'largestFree'> => {
   const obstacles = new Map<Obstacle, number>()
   let free = 0
   let largestFree = 0
   for (const worker of workers) {
-    const obstacle = task.isNewServing && reserved.has(worker) ? 'reserved' : findObstacle(task, worker, interference, now)
+    const obstacle = task.isNewServing && reserved.has(worker) ? 'reserved' : findObstacle(task, worker, held, interference, now)
     if (obstacle !== undefined) obstacles.set(obstacle, (obstacles.get(obstacle) ?? 0) + 1)
     if (obstacle !== undefined && PERMANENT_OBSTACLES.has(obstacle)) continue
     const freeHere = Math.max(0, freeProcessors(task.step, worker, interference, now))
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -5,6 +5,7 @@
 import { MAX_PLACING_PRESSURE } from './constants.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import { addedPressure, findConstraint, freeProcessors } from './findObstacle.ts'
+import type { HeldWorkers } from './HeldWorkers.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -18,14 +19,14 @@
  * most free capacity, so that the loss of one worker affects few tasks.
  *
  * @example
- * const worker = chooseWorker(task, workers, interference, now)
+ * const worker = chooseWorker(task, workers, held, interference, now)
  */
-export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, interference: FillerInterference, now: Instant): WorkerRecord | undefined => {
+export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, held: HeldWorkers, interference: FillerInterference, now: Instant): WorkerRecord | undefined => {
   const { shape } = task.step
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
   for (const worker of workers) {
-    if (findConstraint(task, worker, now) !== undefined) continue
+    if (findConstraint(task, worker, held, now) !== undefined) continue
     const free = freeProcessors(task.step, worker, interference, now)
     if (free < shape.processors) continue
     const pressure = addedPressure(task.step, worker, interference, now)
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -89,3 +89,12 @@
 
 /** Measured interference below this is not treated as the cause of a high pressure; readings vary by as much. */
 export const MIN_MEASURED_INTERFERENCE = 0.04
+
+/** A job whose remaining slack is below this share of the whole may hold workers. */
+export const AFFORDABLE_SLACK_SHARE = 0.5
+
+/** Milliseconds that a long-running task waits before it holds a worker. */
+export const LONG_RUNNING_HOLD_AFTER_MS = 2_000
+
+/** Largest share of the workers that is held at the same time. */
+export const HELD_WORKER_SHARE = 0.125
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@auburnpin/common'
 import { DEFAULT_SERVING_UTILISATION, MAX_PLACING_PRESSURE } from './constants.ts'
 import type { FillerInterference } from './FillerInterference.ts'
+import type { HeldWorkers } from './HeldWorkers.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -25,36 +26,51 @@
   | 'pressure'
   /** The worker is reserved for short tasks and restarts. */
   | 'reserved'
+  /** The task would take room that is held for one that has waited long. */
+  | 'held'
 
 /**
- * Returns what keeps a task from a worker, apart from processors in use and pressure on serving tasks.
+ * Returns what keeps a task from a worker however few other tasks run there, apart from those of its own step.
  *
  * @example
- * if (findConstraint(task, worker, now) !== undefined) continue
+ * if (findFixedObstacle(task, worker, now) !== undefined) continue
  */
-export const findConstraint = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): Obstacle | undefined => {
+export const findFixedObstacle = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): Obstacle | undefined => {
   const { shape } = step
   const { entry } = worker
   if (entry.service !== step.job.job.policy.service) return 'other-service'
   if (!worker.acceptsWork(now)) return 'unavailable'
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
   if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
-  if (worker.memoryUsedMb + shape.memoryMb > entry.memoryMb) return 'memory'
-  if (worker.acceleratorsUsed + shape.accelerators > entry.accelerators) return 'accelerators'
   if (runs.some(run => run.worker === worker)) return 'tasks-per-worker'
   if (shape.maxPerWorker > 0 && countRunsOfStep(step, worker) >= shape.maxPerWorker) return 'tasks-per-worker'
   return undefined
 }
 
+/**
+ * Returns what keeps a task from a worker, apart from processors in use and pressure on serving tasks.
+ *
+ * @example
+ * if (findConstraint(task, worker, held, now) !== undefined) continue
+ */
+export const findConstraint = (task: TaskRecord, worker: WorkerRecord, held: HeldWorkers, now: Instant): Obstacle | undefined => {
+  const fixed = findFixedObstacle(task, worker, now)
+  if (fixed !== undefined) return fixed
+  const { shape } = task.step
+  if (worker.memoryUsedMb + shape.memoryMb > worker.entry.memoryMb) return 'memory'
+  if (worker.acceleratorsUsed + shape.accelerators > worker.entry.accelerators) return 'accelerators'
+  return held.accepts(task.step, worker) ? undefined : 'held'
+}
+
 /**
  * Returns what keeps a task from a worker; `undefined` if it can start there.
  *
  * @example
- * findObstacle(task, worker, interference, now) // 'processors'
+ * findObstacle(task, worker, held, interference, now) // 'processors'
  */
-export const findObstacle = (task: TaskRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): Obstacle | undefined => {
+export const findObstacle = (task: TaskRecord, worker: WorkerRecord, held: HeldWorkers, interference: FillerInterference, now: Instant): Obstacle | undefined => {
   const { shape } = task.step
-  const constraint = findConstraint(task, worker, now)
+  const constraint = findConstraint(task, worker, held, now)
   if (constraint !== undefined) return constraint
   if (freeProcessors(task.step, worker, interference, now) < shape.processors) return 'processors'
   return addedPressure(task.step, worker, interference, now) > MAX_PLACING_PRESSURE ? 'pressure' : undefined
--- /dev/null
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -0,0 +1,34 @@
+/**
+ * Choice of the tasks that hold workers.
+ */
+import { LONG_RUNNING_HOLD_AFTER_MS } from './constants.ts'
+import type { PlacingContext } from './PlacingContext.ts'
+import type { StepRecord } from './StepRecord.ts'
+import type { TaskRecord } from './TaskRecord.ts'
+import { hasUsedSlack, IN_TIME, timelinessOf } from './timeliness.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+/**
+ * Holds workers for tasks that have waited long while smaller ones were placed: the most urgent first, and the largest
+ * first among equal priorities, as smaller ones find room that comes free.
+ *
+ * @example
+ * holdWorkers(steps, () => workers, context)
+ */
+export const holdWorkers = (steps: readonly StepRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], context: PlacingContext): void => {
+  const { held, waits, now } = context
+  const holders = steps.filter(step => isOverdue(step, context) && waits.isPassedBySmaller(step))
+  holders.sort((one, other) => one.job.job.policy.priority - other.job.job.policy.priority ||
+    other.shape.processors - one.shape.processors || waits.waitedMs(other, now) - waits.waitedMs(one, now))
+  for (const step of holders) {
+    for (const task of step.waiting) if (!held.hold(task, workersFor(task), now)) break
+  }
+}
+
+// Fillers use no processors that could be held.
+const isOverdue = (step: StepRecord, { waits, now, wallTime }: PlacingContext): boolean => {
+  const { shape } = step
+  if (shape.isFiller) return false
+  if (shape.isLasting) return waits.waitedMs(step, now) >= LONG_RUNNING_HOLD_AFTER_MS
+  return timelinessOf(step, wallTime) === IN_TIME && hasUsedSlack(step, wallTime)
+}
--- a/packages/core/tests/largeTasks.test.ts
+++ b/packages/core/tests/largeTasks.test.ts
@@ -4,8 +4,29 @@
 import { SchedulerScenario } from './support/SchedulerScenario.ts'
 
 const LARGE = '00000000000000a1'
+const SMALL_RUN_MS = 700
 const SERVING = { isLasting: true, latencyTargetMs: 100, image: 'watch' }
 
+const smallId = (number: number): string => `b${number.toString(16).padStart(15, '0')}`
+
+/** Submits small jobs of one task faster than the workers can run them. */
+class SmallJobs {
+  readonly #scenario: SchedulerScenario
+  readonly #jobsPerPass: number
+  count = 0
+
+  constructor (scenario: SchedulerScenario, jobsPerPass: number) {
+    this.#scenario = scenario
+    this.#jobsPerPass = jobsPerPass
+  }
+
+  submit (): void {
+    for (let number = 0; number < this.#jobsPerPass; number++) {
+      this.#scenario.submit(smallId(this.count++), [stepOf({ processors: 2_000 })], { runMs: SMALL_RUN_MS })
+    }
+  }
+}
+
 test('a long-running task gets the room that comes free before smaller ones submitted after it', t => {
   const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000 })
   for (const id of ['00000000000000c1', '00000000000000c2']) scenario.submit(id, [stepOf({ ...SERVING, processors: 8_000 })])
@@ -19,6 +40,55 @@
   t.is(scenario.startsOf(LARGE), 1)
 })
 
+test('a batch task that fits no gap starts although smaller tasks keep coming', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  const small = new SmallJobs(scenario, 2)
+  scenario.advance(5_000, () => small.submit())
+  scenario.submit(LARGE, [stepOf({ processors: 8_000 })], { runMs: 500 })
+  scenario.advance(10_000, () => small.submit())
+  t.is(scenario.startsOf(LARGE), 1)
+})
+
+test('a long-running task that fits no gap starts although smaller tasks keep coming', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  const small = new SmallJobs(scenario, 2)
+  scenario.advance(5_000, () => small.submit())
+  scenario.submit(LARGE, [stepOf({ ...SERVING, processors: 8_000 })])
+  scenario.advance(10_000, () => small.submit())
+  t.is(scenario.startsOf(LARGE), 1)
+})
+
+test('held workers still run small tasks elsewhere and are free again once the large task has started', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000, w4: 8_000 })
+  const small = new SmallJobs(scenario, 4)
+  scenario.advance(5_000, () => small.submit())
+  const startsBefore = scenario.starts.length
+  scenario.submit(LARGE, [stepOf({ processors: 8_000 })], { runMs: 500 })
+  scenario.advance(10_000, () => small.submit())
+  t.is(scenario.startsOf(LARGE), 1)
+  // 16 small tasks fit at once and 8 passes pass from the start of one to that of the next: 200 starts in 10 s.
+  t.true(scenario.starts.length - startsBefore >= 180)
+})
+
+test('an urgent task may use a worker that is held for a task of lower priority', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000 })
+  const policy = { service: brand<ServiceName>('desk'), priority: 2, maxAttempts: 3, objectiveFactor: 2, objectiveMs: 1_000 }
+  scenario.submit('00000000000000c1', [stepOf({ processors: 4_000 })], { runMs: 20_000 })
+  scenario.advance(100)
+  scenario.submit(LARGE, [stepOf({ processors: 8_000, estimateMs: 5_000 })], { runMs: 500, policy })
+  const submitSmall = (id: string, overrides = {}): void => scenario.submit(id, [stepOf({ processors: 4_000 })], { runMs: 500, ...overrides })
+  scenario.advance(200)
+  submitSmall('00000000000000c2', { policy })
+  scenario.advance(4_800)
+  t.is(scenario.startsOf('00000000000000c2'), 1)
+  submitSmall('00000000000000c3', { policy })
+  scenario.advance(500)
+  t.is(scenario.startsOf('00000000000000c3'), 0)
+  submitSmall('00000000000000c4')
+  scenario.advance(500)
+  t.is(scenario.startsOf('00000000000000c4'), 1)
+})
+
 test('a task that fits nowhere in its service does not hold back one of another service', t => {
   const scenario = new SchedulerScenario({ w1: 4_000 })
   const policy = { service: brand<ServiceName>('archive'), priority: 0, maxAttempts: 3, objectiveFactor: 2, objectiveMs: 1_000 }
--- a/packages/core/tests/servingLoad.test.ts
+++ b/packages/core/tests/servingLoad.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
 import { jobOf, stepOf, workerEntryOf } from '@auburnpin/fakes'
-import { chooseWorker, createRun, FillerInterference, JobRecord, WorkerRecord, type JobStep, type RunRecord, type StepRecord } from '../src/index.ts'
+import { chooseWorker, createRun, FillerInterference, HeldWorkers, JobRecord, WorkerRecord, type JobStep, type RunRecord, type StepRecord } from '../src/index.ts'
 
 const TARGET_MS = 150
 const IDLE_TAIL_MS = 25
@@ -93,7 +93,7 @@
     workers.report(0.05)
     for (let round = 0; round < 4; round++) workers.report(busy)
     const [task] = stepsOf(FILLER).tasks
-    return task === undefined ? undefined : chooseWorker(task, [workers.second], workers.interference, workers.now)?.entry.id
+    return task === undefined ? undefined : chooseWorker(task, [workers.second], new HeldWorkers(1), workers.interference, workers.now)?.entry.id
   })
   t.deepEqual(choices.map(id => id === undefined ? undefined : String(id)), ['second', undefined])
 })
--- a/packages/core/tests/waitingSteps.test.ts
+++ b/packages/core/tests/waitingSteps.test.ts
@@ -8,7 +8,7 @@
 const MIN_WAIT_MS = 1_000
 
 const longestWait = ({ scheduler, now }: SchedulerScenario, kind: StepWait['kind']): StepWait | undefined =>
-  scheduler.waits.longest(kind, 4, MIN_WAIT_MS, [...scheduler.workers.values()], scheduler.interference, now)[0]
+  scheduler.waits.longest(kind, 4, MIN_WAIT_MS, [...scheduler.workers.values()], scheduler.held, scheduler.interference, now)[0]
 
 test('an operator sees what keeps a waiting task from each worker and what was placed meanwhile', t => {
   const scenario = new SchedulerScenario({ w1: 8_000, w2: 16_000, w3: 16_000 })
