Large jobs are promoted while too few of them are started

Cause: among jobs of equal priority the least remaining work goes first. While more work arrives than fits, that finishes most jobs, and no large one. Some were started in a quiet moment and never went on, so their work was lost as well.

Change: the recent jobs of a queue are divided into bands by their work. While the share of work started of a band is below 0.7 of the queue's, a job of it goes first that has less than half of its slack left and can still be in time with all room of the service; it stays first until it ends. The stated bound is half; 0.7 leaves room for jobs that are started and still miss it. Repeated jobs count by occurrence.

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -4,13 +4,8 @@
 import type { Instant } from '@auburnpin/common'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import type { Job, JobPhase, JobProgress, JobStep } from './types.ts'
-
-/** Assumed duration of a task in milliseconds if the client gave no estimate. */
-const DEFAULT_ESTIMATE_MS = 1_000
-
-/** Milliseconds of work counted for a long-running task; it has no end, and must not be placed before tasks that end soon. */
-const LONG_RUNNING_WORK_MS = 10_000
+import { expectedMs, taskWork } from './taskWork.ts'
+import type { Job, JobPhase, JobProgress } from './types.ts'
 
 /** A job that takes more than this many times its objective is useless to its client; a rule of the clients. */
 const MAX_USEFUL_OBJECTIVES = 3
@@ -56,13 +51,15 @@
   /** Processor time that an occurrence still needs, by the client's estimates, in thousandths of a core times milliseconds. */
   remainingWork (occurrence: number): number {
     let work = 0
-    for (const { shape, doneCount } of this.occurrences.get(occurrence) ?? []) {
-      const taskMs = shape.isLasting ? LONG_RUNNING_WORK_MS : expectedMs(shape)
-      work += (shape.taskCount - doneCount) * shape.processors * taskMs
-    }
+    for (const { shape, doneCount } of this.occurrences.get(occurrence) ?? []) work += (shape.taskCount - doneCount) * taskWork(shape)
     return work
   }
 
+  /** Processor time that one occurrence needs in all, in the same unit. */
+  get totalWork (): number {
+    return this.job.steps.reduce((work, shape) => work + shape.taskCount * taskWork(shape), 0)
+  }
+
   #startsAt (occurrence: number): number {
     const { occurrences, firstRunAt, intervalMs, acceptedAt } = this.job
     return occurrences > 0 ? firstRunAt + occurrence * intervalMs : acceptedAt
@@ -150,8 +147,6 @@
   }
 }
 
-const expectedMs = ({ estimateMs }: JobStep): number => estimateMs > 0 ? estimateMs : DEFAULT_ESTIMATE_MS
-
 // A step depends only on earlier steps, so iterating from the last step backwards computes each chain once.
 const longestChains = ({ steps }: Job): number[] => {
   const remaining = steps.map(expectedMs)
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -10,6 +10,7 @@
 import { isStalled } from './isStalled.ts'
 import { paceOrders } from './paceOrders.ts'
 import { placeTasks } from './placeTasks.ts'
+import { SizeFairness } from './SizeFairness.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { stopOrders } from './stopOrders.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
@@ -60,6 +61,7 @@
   readonly #cancelledBeforeAccepted = new Set<JobId>()
   /** Estimates of how much fillers interfere with serving tasks. */
   readonly interference = new FillerInterference()
+  readonly #fairness = new SizeFairness()
   /** Workers held by the last scheduling pass. */
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
@@ -92,16 +94,17 @@
     }
     const count = Math.max(1, job.occurrences)
     if (job.occurrences > 0) this.#repeating.add(record)
-    else this.#createOccurrence(record, 0, progress)
+    else this.#createOccurrence(record, 0, now, progress)
     for (let occurrence = 0; job.occurrences > 0 && occurrence < count; occurrence++) {
-      if (progress?.done[`${occurrence}.0`] !== undefined) this.#createOccurrence(record, occurrence, progress)
+      if (progress?.done[`${occurrence}.0`] !== undefined) this.#createOccurrence(record, occurrence, now, progress)
     }
     this.#completeIfDone(record, now)
   }
 
-  #createOccurrence (record: JobRecord, occurrence: number, progress?: JobProgress): void {
+  #createOccurrence (record: JobRecord, occurrence: number, now: Instant, progress?: JobProgress): void {
     if (record.occurrences.has(occurrence)) return
     record.createOccurrence(occurrence, progress)
+    this.#fairness.accept(record, occurrence, now)
     this.#openReadySteps(record, occurrence)
   }
 
@@ -127,6 +130,7 @@
     record.endedAt = now
     this.#dirty.add(record)
     this.#repeating.delete(record)
+    this.#fairness.remove(record)
     for (const steps of record.occurrences.values()) {
       for (const step of steps) {
         step.waiting.clear()
@@ -199,7 +203,7 @@
     for (const reported of running) {
       const key = runKey(reported.task, reported.attempt)
       present.add(key)
-      const task = this.#findTask(reported.task)
+      const task = this.#findTask(reported.task, now)
       const run = worker.runs.get(key)
       if (run !== undefined) {
         this.#confirmRunning(run, now)
@@ -273,17 +277,17 @@
     run.worker.addRun(run)
   }
 
-  #findTask (name: TaskName): TaskRecord | undefined {
+  #findTask (name: TaskName, now: Instant): TaskRecord | undefined {
     const parts = parseTaskName(name)
     if (parts === undefined) return undefined
     const job = this.jobs.get(parts.job)
     if (job === undefined) return undefined
-    if (job.job.occurrences > parts.occurrence && !job.isFinal) this.#createOccurrence(job, parts.occurrence)
+    if (job.job.occurrences > parts.occurrence && !job.isFinal) this.#createOccurrence(job, parts.occurrence, now)
     return job.findTask(parts.occurrence, parts.step, parts.index)
   }
 
   #applyEnd (worker: WorkerRecord, end: ReportedEnd, now: Instant): void {
-    const task = this.#findTask(end.task)
+    const task = this.#findTask(end.task, now)
     const run = worker.runs.get(runKey(end.task, end.attempt))
     if (task === undefined) return
     task.recordAttempt(end.attempt)
@@ -446,13 +450,14 @@
   /** The orders to send now. `wallTime`, in milliseconds since 1970, determines which occurrences are due. */
   decide (now: Instant, wallTime: number): RunOrder[] {
     this.#expireLeases(now)
-    this.#createDueOccurrences(wallTime)
+    this.#createDueOccurrences(now, wallTime)
     const orders: RunOrder[] = []
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
     if (!this.#checkReconciled(now)) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, waits: this.waits, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), context)) {
+      if (!task.hasRun) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       this.waits.recordPlacement(task)
@@ -472,11 +477,11 @@
     }
   }
 
-  #createDueOccurrences (wallTime: number): void {
+  #createDueOccurrences (now: Instant, wallTime: number): void {
     for (const record of this.#repeating) {
       const { firstRunAt, intervalMs, occurrences } = record.job
       const due = Math.min(occurrences, Math.floor((wallTime - firstRunAt) / Math.max(1, intervalMs)) + 1)
-      for (let occurrence = 0; occurrence < due; occurrence++) this.#createOccurrence(record, occurrence)
+      for (let occurrence = 0; occurrence < due; occurrence++) this.#createOccurrence(record, occurrence, now)
     }
   }
 
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@auburnpin/common'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
+import type { SizeFairness } from './SizeFairness.ts'
 import type { WaitingSteps } from './WaitingSteps.ts'
 
 /** `wallTime` is in milliseconds since 1970. */
@@ -11,6 +12,7 @@
   interference: FillerInterference
   /** Empty at the start of a scheduling pass; the pass fills it. */
   held: HeldWorkers
+  fairness: SizeFairness
   waits: WaitingSteps
   now: Instant
   wallTime: number
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -90,7 +90,19 @@
 /** Measured interference below this is not treated as the cause of a high pressure; readings vary by as much. */
 export const MIN_MEASURED_INTERFERENCE = 0.04
 
-/** A job whose remaining slack is below this share of the whole may hold workers. */
+/** Quantiles of the sizes of a queue's recent jobs that divide its jobs into bands. */
+export const SIZE_BAND_QUANTILES: readonly number[] = [0.5, 0.75, 0.9]
+
+/** Number of recent jobs of a queue whose sizes are compared. */
+export const SIZE_SAMPLE = 64
+
+/** Milliseconds over which the weight of a job in the shares of its band falls to 37 %. */
+export const SIZE_MEMORY_MS = 20_000
+
+/** A band of job sizes is behind below this share of the whole queue's rate of started work. */
+export const FAIR_SIZE_SHARE = 0.7
+
+/** A job whose remaining slack is below this share of the whole may be promoted and may hold workers. */
 export const AFFORDABLE_SLACK_SHARE = 0.5
 
 /** Milliseconds that a long-running task waits before it holds a worker. */
--- a/packages/core/src/jobs/orderSteps.ts
+++ b/packages/core/src/jobs/orderSteps.ts
@@ -2,30 +2,51 @@
  * Order in which waiting steps are placed.
  */
 import type { PlacingContext } from './PlacingContext.ts'
+import { ServiceRooms } from './ServiceRooms.ts'
 import type { StepRecord } from './StepRecord.ts'
-import { timelinessOf } from './timeliness.ts'
+import { hasUsedSlack, IN_TIME, LATE, timelinessOf } from './timeliness.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
 
-type RankedStep = Readonly<{ step: StepRecord, timeliness: number, objectiveAt: number, work: number }>
+type RankedStep = Readonly<{ step: StepRecord, timeliness: number, isPromoted: boolean, objectiveAt: number, work: number }>
 
 /**
  * Returns the steps with waiting tasks, the most urgent first. When more tasks wait than fit, jobs that can no longer
  * meet their objective must not delay the others. Among jobs of equal priority, those with the least remaining work
- * come first, so that most jobs meet their objective. Long-running steps come after tasks that end soon, in the order of
- * their acceptance, as their work has no end to compare.
+ * come first, so that most jobs meet their objective; large jobs are promoted if too few of them are started. Long-running
+ * steps come after tasks that end soon, in the order of their acceptance, as their work has no end to compare.
  *
  * @example
- * for (const step of orderSteps(openSteps, context)) place(step)
+ * for (const step of orderSteps(openSteps, workers, context)) place(step)
  */
-export const orderSteps = (steps: Iterable<StepRecord>, { wallTime }: PlacingContext): StepRecord[] => {
+export const orderSteps = (steps: Iterable<StepRecord>, workers: readonly WorkerRecord[], context: PlacingContext): StepRecord[] => {
+  const rooms = new ServiceRooms(workers)
   const waiting: RankedStep[] = []
   for (const step of steps) {
     if (step.waiting.size === 0) continue
     const { job, occurrence } = step
-    waiting.push({ step, timeliness: timelinessOf(step, wallTime), objectiveAt: job.objectiveAt(occurrence), work: job.remainingWork(occurrence) })
+    const isPromoted = promotes(step, rooms, context)
+    const timeliness = timelinessOf(step, context.wallTime)
+    waiting.push({
+      step,
+      // A promoted job has taken the room of others, so it is completed even if it turns out to be late.
+      timeliness: isPromoted && timeliness === LATE ? IN_TIME : timeliness,
+      isPromoted,
+      objectiveAt: job.objectiveAt(occurrence),
+      work: job.remainingWork(occurrence)
+    })
   }
   return waiting.sort(compareSteps).map(({ step }) => step)
 }
 
+// A job that can afford to wait behind smaller ones, or that would be late even if promoted, is not promoted.
+const promotes = (step: StepRecord, rooms: ServiceRooms, { fairness, now, wallTime }: PlacingContext): boolean => {
+  const { job, occurrence, shape } = step
+  if (shape.isLasting || fairness.isPromoted(step)) return fairness.isPromoted(step)
+  if (timelinessOf(step, wallTime) !== IN_TIME || !hasUsedSlack(step, wallTime)) return false
+  const shortestMs = job.remainingWork(occurrence) / rooms.of(job.job.policy.service)
+  return wallTime + shortestMs <= job.objectiveAt(occurrence) && fairness.promoteIfBehind(step, now)
+}
+
 const compareSteps = (one: RankedStep, other: RankedStep): number => {
   if (one.timeliness !== other.timeliness) return one.timeliness - other.timeliness
   const { shape, job: { job } } = one.step
@@ -33,5 +54,6 @@
   if (job.policy.priority !== otherJob.policy.priority) return job.policy.priority - otherJob.policy.priority
   if (shape.isLasting !== otherShape.isLasting) return Number(shape.isLasting) - Number(otherShape.isLasting)
   if (shape.isLasting) return job.acceptedAt - otherJob.acceptedAt
+  if (one.isPromoted !== other.isPromoted) return Number(other.isPromoted) - Number(one.isPromoted)
   return one.work !== other.work ? one.work - other.work : one.objectiveAt - other.objectiveAt
 }
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -29,7 +29,7 @@
   const reserved = reserveWorkers(candidates)
   const unreserved = candidates.filter(worker => !reserved.has(worker))
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => task.isNewServing ? unreserved : candidates
-  const ordered = orderSteps(steps, context)
+  const ordered = orderSteps(steps, candidates, context)
   holdWorkers(ordered, workersFor, context)
   const refused: StepRecord[] = []
   for (const step of ordered) {
--- a/packages/core/tests/largeTasks.test.ts
+++ b/packages/core/tests/largeTasks.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { brand, type ServiceName } from '@auburnpin/common'
+import { brand, type JobId, type ServiceName } from '@auburnpin/common'
 import { stepOf, workerEntryOf } from '@auburnpin/fakes'
 import { SchedulerScenario } from './support/SchedulerScenario.ts'
 
@@ -89,6 +89,23 @@
   t.is(scenario.startsOf('00000000000000c4'), 1)
 })
 
+test('while more work arrives than fits, large jobs are completed at least half as often as all', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  const small = new SmallJobs(scenario, 1)
+  let largeCount = 0
+  const submitLarge = (): void => scenario.submit(`a${(largeCount++).toString(16).padStart(15, '0')}`, [stepOf({ taskCount: 16, processors: 2_000, estimateMs: SMALL_RUN_MS })], { runMs: SMALL_RUN_MS })
+  scenario.advance(60_000, now => {
+    small.submit()
+    if (now % 1_000 === 0) submitLarge()
+  })
+  const isCompleted = (id: string): boolean => scenario.scheduler.jobs.get(brand<JobId>(id))?.phase === 'completed'
+  const completed = (prefix: string, count: number): number => Array.from({ length: count }, (_, number) => `${prefix}${number.toString(16).padStart(15, '0')}`).filter(isCompleted).length
+  const [large, smallCompleted] = [completed('a', largeCount), completed('b', small.count)]
+  const all = (large + smallCompleted) / (largeCount + small.count)
+  t.true(all > 0.3)
+  t.true(large / largeCount >= all / 2, `large jobs: ${large} of ${largeCount}; all: ${all.toFixed(2)}`)
+})
+
 test('a task that fits nowhere in its service does not hold back one of another service', t => {
   const scenario = new SchedulerScenario({ w1: 4_000 })
   const policy = { service: brand<ServiceName>('archive'), priority: 0, maxAttempts: 3, objectiveFactor: 2, objectiveMs: 1_000 }
