A large batch task holds a worker until it is useless, not only until it is late

Change: a batch task may hold a worker while its result is still useful. Late jobs were left out because a burst of them made later jobs late (overload.test.ts); since only tasks passed by smaller ones hold workers, that no longer happens.

--- a/packages/core/src/jobs/holdWorkers.ts
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -5,7 +5,7 @@
 import type { PlacingContext } from './PlacingContext.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import { hasUsedSlack, IN_TIME, timelinessOf } from './timeliness.ts'
+import { hasUsedSlack, timelinessOf, USELESS } from './timeliness.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
@@ -30,5 +30,5 @@
   const { shape } = step
   if (shape.isFiller) return false
   if (shape.isLasting) return waits.waitedMs(step, now) >= LONG_RUNNING_HOLD_AFTER_MS
-  return timelinessOf(step, wallTime) === IN_TIME && hasUsedSlack(step, wallTime)
+  return timelinessOf(step, wallTime) !== USELESS && hasUsedSlack(step, wallTime)
 }
--- a/packages/core/tests/largeTasks.test.ts
+++ b/packages/core/tests/largeTasks.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import fc from 'fast-check'
 import { brand, type JobId, type ServiceName } from '@auburnpin/common'
 import { stepOf, workerEntryOf } from '@auburnpin/fakes'
 import { SchedulerScenario } from './support/SchedulerScenario.ts'
@@ -13,16 +14,20 @@
 class SmallJobs {
   readonly #scenario: SchedulerScenario
   readonly #jobsPerPass: number
+  readonly #processors: number
+  readonly #runMs: number
   count = 0
 
-  constructor (scenario: SchedulerScenario, jobsPerPass: number) {
+  constructor (scenario: SchedulerScenario, jobsPerPass: number, { processors = 2_000, runMs = SMALL_RUN_MS } = {}) {
     this.#scenario = scenario
     this.#jobsPerPass = jobsPerPass
+    this.#processors = processors
+    this.#runMs = runMs
   }
 
   submit (): void {
     for (let number = 0; number < this.#jobsPerPass; number++) {
-      this.#scenario.submit(smallId(this.count++), [stepOf({ processors: 2_000 })], { runMs: SMALL_RUN_MS })
+      this.#scenario.submit(smallId(this.count++), [stepOf({ processors: this.#processors, estimateMs: this.#runMs })], { runMs: this.#runMs })
     }
   }
 }
@@ -58,6 +63,26 @@
   t.is(scenario.startsOf(LARGE), 1)
 })
 
+test('a task of any size starts while it is useful, whatever the size and duration of the smaller ones that keep coming', t => {
+  const load = fc.record({
+    workerCount: fc.integer({ min: 1, max: 6 }),
+    smallProcessors: fc.integer({ min: 500, max: 3_000 }),
+    smallRunMs: fc.integer({ min: 100, max: 1_500 }),
+    largeProcessors: fc.integer({ min: 3_500, max: 8_000 })
+  })
+  fc.assert(fc.property(load, ({ workerCount, smallProcessors, smallRunMs, largeProcessors }) => {
+    const scenario = new SchedulerScenario(Object.fromEntries(Array.from({ length: workerCount }, (_, index) => [`w${index}`, 8_000])))
+    const tasksAtOnce = workerCount * Math.floor(8_000 / smallProcessors)
+    const small = new SmallJobs(scenario, Math.ceil(1.2 * tasksAtOnce * 100 / smallRunMs), { processors: smallProcessors, runMs: smallRunMs })
+    scenario.advance(2_000, () => small.submit())
+    // Useful for 3 times its objective of 2 s.
+    scenario.submit(LARGE, [stepOf({ processors: largeProcessors })], { runMs: 500 })
+    scenario.advance(6_000, () => small.submit())
+    return scenario.startsOf(LARGE) >= 1
+  }), { seed: 22, numRuns: 40 })
+  t.pass()
+})
+
 test('held workers still run small tasks elsewhere and are free again once the large task has started', t => {
   const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000, w4: 8_000 })
   const small = new SmallJobs(scenario, 4)
