A scheduling pass spends less on held workers

Cause: for each task that may hold a worker, all runs of all workers were added up, and each overdue step allocated the difference of six totals. Change: a worker keeps what its long-running tasks use, cheap conditions are checked first, and the differences are plain numbers.

What remains is mostly the search for a worker for fillers of each image.

--- a/packages/core/src/jobs/HeldWorkers.ts
+++ b/packages/core/src/jobs/HeldWorkers.ts
@@ -35,9 +35,9 @@
     let best: WorkerRecord | undefined
     let mostFree = -Infinity
     for (const worker of workers) {
-      if (this.#holders.has(worker) || findFixedObstacle(task, worker, now) !== undefined || !willFit(task.step.shape, worker)) continue
       const free = worker.entry.processors - worker.processorsUsed
-      if (free <= mostFree) continue
+      if (free <= mostFree || this.#holders.has(worker) || !willFit(task.step.shape, worker)) continue
+      if (findFixedObstacle(task, worker, now) !== undefined) continue
       best = worker
       mostFree = free
     }
@@ -66,15 +66,7 @@
 }
 
 // Whether a task fits once all tasks have ended that end by themselves.
-const willFit = (shape: JobStep, { entry, runs }: WorkerRecord): boolean => {
-  let processors = entry.processors - shape.processors
-  let memoryMb = entry.memoryMb - shape.memoryMb
-  let accelerators = entry.accelerators - shape.accelerators
-  for (const { task: { step: { shape: other } } } of runs.values()) {
-    if (!other.isLasting) continue
-    processors -= other.processors
-    memoryMb -= other.memoryMb
-    accelerators -= other.accelerators
-  }
-  return processors >= 0 && memoryMb >= 0 && accelerators >= 0
-}
+const willFit = (shape: JobStep, { entry, lasting }: WorkerRecord): boolean =>
+  lasting.processors + shape.processors <= entry.processors &&
+  lasting.memoryMb + shape.memoryMb <= entry.memoryMb &&
+  lasting.accelerators + shape.accelerators <= entry.accelerators
--- a/packages/core/src/jobs/WaitingSteps.ts
+++ b/packages/core/src/jobs/WaitingSteps.ts
@@ -82,8 +82,11 @@
   isPassedBySmaller (step: StepRecord): boolean {
     const wait = this.#waits.get(step)
     if (wait === undefined) return false
-    const { 'long-running': longRunning, batch } = difference(this.#placed, wait.placedBefore)
-    return longRunning.processors + batch.processors < step.shape.processors * (longRunning.tasks + batch.tasks)
+    const { 'long-running': longRunning, batch } = this.#placed
+    const { 'long-running': longRunningBefore, batch: batchBefore } = wait.placedBefore
+    const tasks = longRunning.tasks - longRunningBefore.tasks + batch.tasks - batchBefore.tasks
+    const processors = longRunning.processors - longRunningBefore.processors + batch.processors - batchBefore.processors
+    return processors < step.shape.processors * tasks
   }
 
   /** For each kind of task: how many wait, and the milliseconds of the longest wait. */
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -31,6 +31,8 @@
   readonly pacing = new FillerPacing()
   processorsUsed = 0
   servingProcessors = 0
+  /** Used by long-running tasks, which do not end by themselves. */
+  readonly lasting = { processors: 0, memoryMb: 0, accelerators: 0 }
   memoryUsedMb = 0
   acceleratorsUsed = 0
   servingRuns = 0
@@ -136,6 +138,11 @@
     this.acceleratorsUsed += sign * shape.accelerators
     if (shape.isFiller) this.fillerRuns += sign
     else this.processorsUsed += sign * shape.processors
+    if (shape.isLasting) {
+      this.lasting.processors += sign * shape.processors
+      this.lasting.memoryMb += sign * shape.memoryMb
+      this.lasting.accelerators += sign * shape.accelerators
+    }
     if (shape.latencyTargetMs > 0) {
       this.servingRuns += sign
       this.servingProcessors += sign * shape.processors
