A worker whose serving tasks suffer from fillers gets no new ones until they recover

Change: while a worker's fillers are being slowed down, it gets no new filler. A worker without fillers counts as recovered, so it is never closed for good. Test in servingLoad.test.ts, fails before ('first' in place of none).

--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -23,15 +23,19 @@
   #changedAt = brand<Instant>(-Infinity)
   #consecutiveSlowDowns = 0
 
+  /** Whether fillers were slowed down and the pressure has not fallen below its limit since. */
+  get isSlowingDown (): boolean {
+    return this.#consecutiveSlowDowns > 0
+  }
+
   /** Learns from the readings of a report and sets the pace of each filler. */
   update (runs: Iterable<RunRecord>, interference: FillerInterference, now: Instant): void {
     const all = [...runs]
     interference.learn(all, now)
     const fillers = all.filter(run => run.task.step.shape.isFiller)
-    if (fillers.length === 0) return
     const pressures = all.filter(isServing).map(({ pressure }) => pressure)
     const highest = Math.max(0, ...pressures.map(({ smoothed }) => smoothed))
-    if (pressures.some(exceedsLimit)) {
+    if (fillers.length > 0 && pressures.some(exceedsLimit)) {
       if (now - this.#changedAt >= PACE_SETTLE_MS) this.#slowDown(highest, rankFillers(fillers, all, interference), now)
       return
     }
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -48,7 +48,7 @@
 }
 
 /**
- * Returns what keeps a task from a worker, apart from processors in use and pressure on serving tasks.
+ * Returns what keeps a task from a worker, apart from processors in use and the pressure that it would add.
  *
  * @example
  * if (findConstraint(task, worker, held, now) !== undefined) continue
@@ -57,6 +57,8 @@
   const fixed = findFixedObstacle(task, worker, now)
   if (fixed !== undefined) return fixed
   const { shape } = task.step
+  // A filler that interferes little by itself would still delay the recovery of the serving tasks.
+  if (shape.isFiller && worker.pacing.isSlowingDown) return 'pressure'
   if (worker.memoryUsedMb + shape.memoryMb > worker.entry.memoryMb) return 'memory'
   if (worker.acceleratorsUsed + shape.accelerators > worker.entry.accelerators) return 'accelerators'
   return held.accepts(task.step, worker) ? undefined : 'held'
--- a/packages/core/tests/servingLoad.test.ts
+++ b/packages/core/tests/servingLoad.test.ts
@@ -97,3 +97,16 @@
   })
   t.deepEqual(choices.map(id => id === undefined ? undefined : String(id)), ['second', undefined])
 })
+
+test('a worker gets no new filler, of whatever image, until its serving tasks have recovered from the present ones', t => {
+  const workers = new TwoWorkers()
+  const [task] = stepsOf(stepOf({ image: 'other', isFiller: true, processors: 1_000 })).tasks
+  const choose = (): string | undefined => task === undefined ? undefined : chooseWorker(task, [workers.first], new HeldWorkers(1), workers.interference, workers.now)?.entry.id
+  // Nothing has been learnt that speaks against the other image.
+  for (const busy of [0.1, 0.2, 0.3, 0.2, 0.1]) workers.report(busy)
+  t.is(choose(), workers.first.entry.id)
+  for (let round = 0; round < 3; round++) workers.report(0.1, { added: 0.8 })
+  t.is(choose(), undefined)
+  for (let round = 0; round < 4; round++) workers.report(0.1)
+  t.is(choose(), workers.first.entry.id)
+})
