--- a/packages/core/src/jobs/HeldWorkers.ts
+++ b/packages/core/src/jobs/HeldWorkers.ts
@@ -1,5 +1,5 @@
 /**
- * Room on workers that is held for tasks that have waited long.
+ * Workers that are held for tasks that have waited long.
  */
 import type { Instant } from '@auburnpin/common'
 import { HELD_WORKER_SHARE } from './constants.ts'
@@ -10,8 +10,8 @@
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
- * A task that needs more than usually comes free at once never starts while smaller tasks take the room first. So it
- * holds a worker on which there is room once the tasks that end by themselves have ended. Until then the worker
+ * A task that needs more than usually comes free at once never starts while smaller tasks take the free capacity
+ * first. So it holds a worker on which it fits once the tasks that end by themselves have ended. Until then the worker
  * accepts other tasks of the same or a lower priority only if they fit beside the held one. Holds last for one
  * scheduling pass, and the next pass renews them.
  *
@@ -52,7 +52,7 @@
     return this.#holdingSteps.has(step)
   }
 
-  /** Whether a task of a step may start on a worker without taking room that is held for another step. */
+  /** Whether a task of a step may start on a worker without taking capacity that is held for another step. */
   accepts (step: StepRecord, worker: WorkerRecord): boolean {
     const holder = this.#holders.get(worker)
     if (holder === undefined || holder === step || step.job.job.policy.priority < holder.job.job.policy.priority) return true
--- a/packages/core/src/jobs/ServiceRooms.ts
+++ b/packages/core/src/jobs/ServiceCapacity.ts
@@ -8,19 +8,19 @@
  * Sums, for each service, the processors that are not reserved by serving tasks, in thousandths of a core.
  *
  * @example
- * const shortestMs = job.remainingWork(0) / new ServiceRooms(workers).of(service)
+ * const shortestMs = job.remainingWork(0) / new ServiceCapacity(workers).of(service)
  */
-export class ServiceRooms {
-  readonly #rooms = new Map<ServiceName, number>()
+export class ServiceCapacity {
+  readonly #processors = new Map<ServiceName, number>()
 
   constructor (workers: Iterable<WorkerRecord>) {
     for (const { entry: { service, processors }, servingProcessors } of workers) {
-      this.#rooms.set(service, (this.#rooms.get(service) ?? 0) + processors - servingProcessors)
+      this.#processors.set(service, (this.#processors.get(service) ?? 0) + processors - servingProcessors)
     }
   }
 
   /** 0 if the service has no workers. */
   of (service: ServiceName): number {
-    return this.#rooms.get(service) ?? 0
+    return this.#processors.get(service) ?? 0
   }
 }
--- a/packages/core/src/jobs/holdWorkers.ts
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -10,7 +10,7 @@
 
 /**
  * Holds workers for tasks that have waited long while smaller ones were placed: the most urgent first, and the largest
- * first among equal priorities, as smaller ones find room that comes free.
+ * first among equal priorities, as smaller ones fit into less free capacity.
  *
  * @example
  * holdWorkers(steps, () => workers, context)
--- a/packages/core/src/jobs/orderSteps.ts
+++ b/packages/core/src/jobs/orderSteps.ts
@@ -2,7 +2,7 @@
  * Order in which waiting steps are placed.
  */
 import type { PlacingContext } from './PlacingContext.ts'
-import { ServiceRooms } from './ServiceRooms.ts'
+import { ServiceCapacity } from './ServiceCapacity.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { hasUsedSlack, IN_TIME, LATE, timelinessOf } from './timeliness.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -19,16 +19,16 @@
  * for (const step of orderSteps(openSteps, workers, context)) place(step)
  */
 export const orderSteps = (steps: Iterable<StepRecord>, workers: readonly WorkerRecord[], context: PlacingContext): StepRecord[] => {
-  const rooms = new ServiceRooms(workers)
+  const capacity = new ServiceCapacity(workers)
   const waiting: RankedStep[] = []
   for (const step of steps) {
     if (step.waiting.size === 0) continue
     const { job, occurrence } = step
-    const isPromoted = promotes(step, rooms, context)
+    const isPromoted = promotes(step, capacity, context)
     const timeliness = timelinessOf(step, context.wallTime)
     waiting.push({
       step,
-      // A promoted job has taken the room of others, so it is completed even if it turns out to be late.
+      // A promoted job has taken capacity from others, so it is completed even if it turns out to be late.
       timeliness: isPromoted && timeliness === LATE ? IN_TIME : timeliness,
       isPromoted,
       objectiveAt: job.objectiveAt(occurrence),
@@ -39,11 +39,11 @@
 }
 
 // A job that can afford to wait behind smaller ones, or that would be late even if promoted, is not promoted.
-const promotes = (step: StepRecord, rooms: ServiceRooms, { fairness, now, wallTime }: PlacingContext): boolean => {
+const promotes = (step: StepRecord, capacity: ServiceCapacity, { fairness, now, wallTime }: PlacingContext): boolean => {
   const { job, occurrence, shape } = step
   if (shape.isLasting || fairness.isPromoted(step)) return fairness.isPromoted(step)
   if (timelinessOf(step, wallTime) !== IN_TIME || !hasUsedSlack(step, wallTime)) return false
-  const shortestMs = job.remainingWork(occurrence) / rooms.of(job.job.policy.service)
+  const shortestMs = job.remainingWork(occurrence) / capacity.of(job.job.policy.service)
   return wallTime + shortestMs <= job.objectiveAt(occurrence) && fairness.promoteIfBehind(step, now)
 }
 
--- a/packages/core/tests/largeTasks.test.ts
+++ b/packages/core/tests/largeTasks.test.ts
@@ -32,7 +32,7 @@
   }
 }
 
-test('a long-running task gets the room that comes free before smaller ones submitted after it', t => {
+test('a long-running task gets the capacity that comes free before smaller ones submitted after it', t => {
   const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000 })
   for (const id of ['00000000000000c1', '00000000000000c2']) scenario.submit(id, [stepOf({ ...SERVING, processors: 8_000 })])
   scenario.advance(1_000)
