After a slow-down of fillers a worker gets no new ones for as long as readings lag

The last filler beside it was stopped at 12.79 s, and the next was placed at 12.92 s, before any reading could show that the tail had fallen; 'below the limit' in the report of 12.9 s came from the noise of the readings.

Change: a worker counts as recovering for PACE_SETTLE_MS after a slow-down as well. Test: a report 100 ms after the slow-down; fails before.

--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -21,11 +21,12 @@
  */
 export class FillerPacing {
   #changedAt = brand<Instant>(-Infinity)
+  #slowedDownAt = brand<Instant>(-Infinity)
   #consecutiveSlowDowns = 0
 
-  /** Whether fillers were slowed down and the pressure has not fallen below its limit since. */
-  get isSlowingDown (): boolean {
-    return this.#consecutiveSlowDowns > 0
+  /** Whether fillers were slowed down and readings taken since do not show yet that the serving tasks have recovered. */
+  isRecovering (now: Instant): boolean {
+    return this.#consecutiveSlowDowns > 0 || now - this.#slowedDownAt < PACE_SETTLE_MS
   }
 
   /** Learns from the readings of a report and sets the pace of each filler. */
@@ -57,6 +58,7 @@
       excess -= addedPressure
     }
     this.#changedAt = now
+    this.#slowedDownAt = now
   }
 
   #speedUp (pressure: number, fillers: readonly RankedFiller[], now: Instant): void {
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -58,7 +58,7 @@
   if (fixed !== undefined) return fixed
   const { shape } = task.step
   // A filler that interferes little by itself would still delay the recovery of the serving tasks.
-  if (shape.isFiller && worker.pacing.isSlowingDown) return 'pressure'
+  if (shape.isFiller && worker.pacing.isRecovering(now)) return 'pressure'
   if (worker.memoryUsedMb + shape.memoryMb > worker.entry.memoryMb) return 'memory'
   if (worker.acceleratorsUsed + shape.accelerators > worker.entry.accelerators) return 'accelerators'
   return held.accepts(task.step, worker) ? undefined : 'held'
--- a/packages/core/tests/servingLoad.test.ts
+++ b/packages/core/tests/servingLoad.test.ts
@@ -49,9 +49,9 @@
     return brand<Instant>(this.#now)
   }
 
-  /** Both workers report at utilisation `busy`; `added` is the filler's interference, `oddTail` an outlier of the first task in ms. */
-  report (busy: number, { oddTail, added = 0 }: { oddTail?: number, added?: number } = {}): void {
-    this.#now += REPORT_GAP_MS
+  /** Both workers report at utilisation `busy`; `added` is the filler's interference, `oddTail` an outlier of the first task in ms; `afterMs` since the last report. */
+  report (busy: number, { oddTail, added = 0, afterMs = REPORT_GAP_MS }: { oddTail?: number, added?: number, afterMs?: number } = {}): void {
+    this.#now += afterMs
     this.filler.reading = 4_000
     for (const [index, run] of this.serving.entries()) run.reading = IDLE_TAIL_MS / (1 - busy - (index < 3 ? added : 0))
     if (oddTail !== undefined && this.serving[0] !== undefined) this.serving[0].reading = oddTail
@@ -110,3 +110,13 @@
   for (let round = 0; round < 4; round++) workers.report(0.1)
   t.is(choose(), workers.first.entry.id)
 })
+
+test('a report that comes before a slow-down can show in it does not reopen the worker to fillers', t => {
+  const workers = new TwoWorkers()
+  const [task] = stepsOf(stepOf({ image: 'other', isFiller: true, processors: 1_000 })).tasks
+  for (const busy of [0.1, 0.2, 0.3, 0.2, 0.1]) workers.report(busy)
+  for (let round = 0; round < 2; round++) workers.report(0.1, { added: 0.8 })
+  t.is(workers.filler.pacePercent, 0)
+  workers.report(0.1, { afterMs: 100 })
+  t.is(task === undefined ? undefined : chooseWorker(task, [workers.first], new HeldWorkers(1), workers.interference, workers.now), undefined)
+})
