A response that arrived in time counts even if the process was too busy to read it

Cause: Node runs timers before it reads sockets. After a pause of the event loop the timeout of a call fired first, so a worker that had answered in time counted as unresponsive: no new work, and its lease was not renewed. Change: a timeout takes effect after the next read of the sockets. Ruled out: longer timeouts, which would find dead workers later.

--- a/packages/ports/src/HttpClient.ts
+++ b/packages/ports/src/HttpClient.ts
@@ -59,7 +59,9 @@
           resolve(Ok({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks), etag: incoming.headers.etag }))
         })
       })
-      const timer = setTimeout(() => outgoing.destroy(new Error(`No response within ${request.timeoutMs} ms`)), request.timeoutMs)
+      // While this process was busy a response may have arrived that has not been read yet. Timers run before sockets are
+      // read, and immediates after, so the response gets one turn of the event loop.
+      const timer = setTimeout(() => setImmediate(() => outgoing.destroy(new Error(`No response within ${request.timeoutMs} ms`))), request.timeoutMs)
       outgoing.on('socket', socket => {
         if (!socket.connecting) isConnected = true
         else socket.once('connect', () => { isConnected = true })
