The workers that an owner uses are recorded in rows of at most 100

Cause: the list was one row, which grew with the deployment. Change: rows 'workers-0', 'workers-1' and so on; the row of earlier versions is still read, and deleted. A commit that the store rejects as invalid is an error in the log. The store's fake has the limits of the protocol (100 entries, 64 KB a row).

--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -94,6 +94,14 @@
   }
 }
 
+/** Limits of the store for one transaction. */
+const MAX_ENTRIES = 100
+const MAX_ROW_BYTES = 65_536
+const BASE64_GROWTH = 4 / 3
+
+const isTooLarge = ({ checks, puts, deletes }: RowTransaction): boolean =>
+  checks.length + puts.length + deletes.length > MAX_ENTRIES || puts.some(({ value }) => Buffer.byteLength(value) * BASE64_GROWTH > MAX_ROW_BYTES)
+
 const rowPath = (table: string, part: string, key: string): string => `${table}/${part}/${key}`
 
 class FakeRowStore extends RowStore {
@@ -109,6 +117,7 @@
   }
 
   async transact (change: RowTransaction): Promise<Result<RowTransactionOutcome, AuburnpinError>> {
+    if (isTooLarge(change)) return Err(new AuburnpinError('invalid-request', 'The transaction has too many entries, or a row is too long', 'Divide it.'))
     const faultMode = this.#rows.faultModeOf(this.#process)
     if (faultMode === 'refusing') return Err(new AuburnpinError('unreachable', 'The store refused the call', 'Wait.'))
     await this.#clock.sleep(RESPONSE_MS)
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -8,7 +8,7 @@
 import { OverloadDetector } from './OverloadDetector.ts'
 import { readPart } from './readPart.ts'
 import type { RowStore, StoredRow } from './RowStore.ts'
-import { allJobParts, cancelledJob, ESTIMATES_KEY, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readProgress, readUsedWorkers, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
+import { allJobParts, cancelledJob, ESTIMATES_KEY, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower, TableListener } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
@@ -132,16 +132,19 @@
     if (read.err) return read
     this.#storedProgress.clear()
     const now = clock.now()
+    const usedWorkers: UsedWorker[] = []
+    const usedWorkersKeys: string[] = []
     for (const row of termRows.val.rows) {
       if (row.key === ESTIMATES_KEY) this.#scheduler.interference.restore(readEstimates(row.value), now)
-      if (row.key !== USED_WORKERS_KEY) continue
-      const workers = readUsedWorkers(row.value)
-      for (const worker of workers) {
-        this.#scheduler.upsertWorker(unlistedEntry(worker), now)
-        this.#scheduler.unlistWorker(worker.id)
-      }
-      this.#writer.setUsedWorkers(workers)
+      if (!isUsedWorkersKey(row.key)) continue
+      usedWorkersKeys.push(row.key)
+      usedWorkers.push(...readUsedWorkers(row.value))
     }
+    for (const worker of usedWorkers) {
+      this.#scheduler.upsertWorker(unlistedEntry(worker), now)
+      this.#scheduler.unlistWorker(worker.id)
+    }
+    this.#writer.restoreUsedWorkers(usedWorkers, usedWorkersKeys)
     return read
   }
 
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,11 +1,11 @@
 /**
  * Renews an owner's term, and makes its progress durable under that term.
  */
-import { InterruptibleSleep, type Clock, type Instant, type JobId, type Log, type RowVersion } from '@auburnpin/common'
+import { InterruptibleSleep, type AuburnpinError, type Clock, type Instant, type JobId, type Log, type RowVersion } from '@auburnpin/common'
 import type { JobScheduler, JobRecord, WorkerRecord } from '@auburnpin/core'
 import { CELL, COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
 import type { RowTransaction, RowStore } from './RowStore.ts'
-import { encodeRow, ESTIMATES_KEY, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, USED_WORKERS_KEY, type Term, type UsedWorker } from './rows.ts'
+import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
 
 /** Content of one commit besides the term itself. */
 type Batch = Readonly<{
@@ -39,6 +39,8 @@
   #heldSince: Instant
   #heldSinceWall: number
   #usedWorkers: readonly UsedWorker[] = []
+  /** Keys of the rows of used workers that the store has, or may have. */
+  #usedWorkersKeys = new Set<string>()
   #durableWorkers = new Set<string>()
   #progressToDelete: JobId[] = []
   #areUsedWorkersDirty = false
@@ -98,6 +100,12 @@
     this.requestCommit()
   }
 
+  /** Sets the workers that the owner before used, and the keys of the rows that record them. */
+  restoreUsedWorkers (workers: readonly UsedWorker[], keys: readonly string[]): void {
+    for (const key of keys) this.#usedWorkersKeys.add(key)
+    this.setUsedWorkers(workers)
+  }
+
   /** Deletes a job's progress with a later commit. The job's rows in the jobs table must be deleted already. */
   deleteProgress (id: JobId): void {
     this.#progressToDelete.push(id)
@@ -163,32 +171,49 @@
       this.#handleConflict(outcome.val.rows.find(row => row.table === TERMS_TABLE && row.key === TERM_KEY))
       return
     }
-    this.#log.warn('Commit failed', { epoch: this.#term.epoch, error: outcome.err ? outcome.val.message : '', dirty: this.#scheduler.dirtyCount })
+    this.#logFailure(outcome.err ? outcome.val : undefined)
     await this.#clock.sleep(COMMIT_RETRY_DELAY_MS)
   }
 
+  // A commit that the store rejects as invalid is rejected each time, so that this owner makes no progress.
+  #logFailure (error: AuburnpinError | undefined): void {
+    const fields = { epoch: this.#term.epoch, error: error?.message ?? '', dirty: this.#scheduler.dirtyCount }
+    if (error?.kind === 'invalid-request') this.#log.error('The store rejects the commits of this term as invalid', fields)
+    else this.#log.warn('Commit failed', fields)
+  }
+
   #extendHold (sentAt: Instant, sentAtWall: number): void {
     this.#heldSince = sentAt
     this.#heldSinceWall = sentAtWall
   }
 
   #takeBatch (): Batch {
-    const jobs = this.#scheduler.takeDirty(MAX_ROWS_PER_COMMIT)
-    const ends = this.#scheduler.dirtyCount === 0 ? this.#scheduler.appliedEnds() : new Map<WorkerRecord, number>()
     const usedWorkers = this.#areUsedWorkersDirty ? this.#usedWorkers : undefined
     this.#areUsedWorkersDirty = false
-    return { jobs, ends, usedWorkers, progressToDelete: this.#progressToDelete.splice(0, MAX_ROWS_PER_COMMIT - jobs.length) }
+    const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers).size)
+    const limit = Math.max(0, MAX_ROWS_PER_COMMIT - usedWorkersRows)
+    const jobs = this.#scheduler.takeDirty(limit)
+    const ends = this.#scheduler.dirtyCount === 0 ? this.#scheduler.appliedEnds() : new Map<WorkerRecord, number>()
+    return { jobs, ends, usedWorkers, progressToDelete: this.#progressToDelete.splice(0, limit - jobs.length) }
   }
 
   #buildTransaction ({ jobs, usedWorkers, progressToDelete }: Batch, term: Term): RowTransaction {
     const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }]
-    if (usedWorkers !== undefined) puts.push({ table: TERMS_TABLE, key: USED_WORKERS_KEY, value: encodeRow(usedWorkers) })
+    const deletes = progressToDelete.map(key => ({ table: PROGRESS_TABLE, key: String(key) }))
+    if (usedWorkers !== undefined) {
+      const rows = divideUsedWorkers(usedWorkers)
+      for (const key of this.#usedWorkersKeys) if (!rows.has(key)) deletes.push({ table: TERMS_TABLE, key })
+      for (const [key, workers] of rows) {
+        this.#usedWorkersKeys.add(key)
+        puts.push({ table: TERMS_TABLE, key, value: encodeRow(workers) })
+      }
+    }
     if (this.#clock.now() - this.#estimatesWrittenAt >= ESTIMATES_INTERVAL_MS) {
       this.#estimatesWrittenAt = this.#clock.now()
       puts.push({ table: TERMS_TABLE, key: ESTIMATES_KEY, value: encodeRow(this.#scheduler.interference.learnt) })
     }
     for (const job of jobs) puts.push({ table: PROGRESS_TABLE, key: job.job.id, value: encodeRow(job.progress) })
-    return { part: CELL, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes: progressToDelete.map(key => ({ table: PROGRESS_TABLE, key })) }
+    return { part: CELL, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes }
   }
 
   // Either an earlier commit of this term was applied although its response was lost, or another process owns the cell.
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -13,7 +13,7 @@
 export const TERMS_TABLE = 'terms'
 
 export const TERM_KEY = 'term'
-export const USED_WORKERS_KEY = 'workers'
+const USED_WORKERS_KEY = 'workers'
 export const ESTIMATES_KEY = 'learnt'
 
 /** Version of a row that does not exist. */
@@ -59,6 +59,21 @@
 /** A worker that an owner may have sent orders to; the next owner must receive its report or wait until its lease has expired. */
 export type UsedWorker = Readonly<{ id: WorkerId, incarnation: Incarnation, address: string, service: ServiceName }>
 
+/** Workers in one row, so that a row stays within the store's limit however many workers there are: an id has up to 200 bytes. */
+const USED_WORKERS_PER_ROW = 100
+
+/** Key and content of each row that records used workers. */
+export const divideUsedWorkers = (workers: readonly UsedWorker[]): ReadonlyMap<string, readonly UsedWorker[]> => {
+  const rows = new Map<string, readonly UsedWorker[]>()
+  for (let from = 0; from < workers.length; from += USED_WORKERS_PER_ROW) {
+    rows.set(`${USED_WORKERS_KEY}-${from / USED_WORKERS_PER_ROW}`, workers.slice(from, from + USED_WORKERS_PER_ROW))
+  }
+  return rows
+}
+
+/** Whether a row records used workers; earlier versions stored all in one row, whose key has no number. */
+export const isUsedWorkersKey = (key: string): boolean => key === USED_WORKERS_KEY || key.startsWith(`${USED_WORKERS_KEY}-`)
+
 /** Encodes the value of a row. */
 export const encodeRow = (value: Job | JobProgress | Term | FillerInterferenceState | readonly UsedWorker[] | Readonly<{ cancelledAt: number }>): string => JSON.stringify(value)
 
