An owner has at most 64 orders to start without a response, so that a burst delays no report

Cause: a scheduling pass sent a start for every task that fitted, hundreds at once. Change: a pass starts no more tasks than there are free places among 64 orders in flight. A worker responds within milliseconds, so a process that keeps up never reaches the limit. Ruled out: a rate of starts set by late ticks. It reacts after the damage and has to be tuned for each VM.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -447,13 +447,17 @@
     for (const [worker, sequence] of ends) worker.durableEnd = Math.max(worker.durableEnd, sequence)
   }
 
-  /** The orders to send now. `wallTime`, in milliseconds since 1970, determines which occurrences are due. */
-  decide (now: Instant, wallTime: number): RunOrder[] {
+  /**
+   * The orders to send now, with at most `maxStarts` starts; tasks beyond that wait for a later pass. `wallTime`, in
+   * milliseconds since 1970, determines which occurrences are due.
+   */
+  decide (now: Instant, wallTime: number, maxStarts = Infinity): RunOrder[] {
     this.#expireLeases(now)
     this.#createDueOccurrences(now, wallTime)
     const orders: RunOrder[] = []
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
-    if (!this.#checkReconciled(now)) return orders
+    if (!this.#checkReconciled(now) || maxStarts <= 0) return orders
+    let starts = 0
     this.held = new HeldWorkers(this.workers.size)
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), context)) {
@@ -464,6 +468,7 @@
       orders.push({
         kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
       })
+      if (++starts >= maxStarts) break
     }
     this.waits.observe(this.#openSteps, now)
     return orders
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -3,7 +3,7 @@
  */
 import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { JobScheduler, type JobProgress, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
-import { CELL, FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { CELL, FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, MAX_STARTS_IN_FLIGHT, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
 import { readPart } from './readPart.ts'
@@ -53,6 +53,7 @@
   #isClosed = false
   #isRestored = false
   #isPassScheduled = false
+  #startsInFlight = 0
   #wasReconciled = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
@@ -232,7 +233,8 @@
   #runPass (): void {
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
-    const orders = this.#scheduler.decide(clock.now(), clock.wallTime())
+    // A worker is asked for its report over the same processor that sends the starts, so a burst of starts must not delay the reports.
+    const orders = this.#scheduler.decide(clock.now(), clock.wallTime(), MAX_STARTS_IN_FLIGHT - this.#startsInFlight)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
       this.#wasReconciled = this.#scheduler.isReconciled
       this.#ports.log.info('All earlier runs are reported or have ended; tasks may start', { epoch: this.#claimed.term.epoch, workers: this.#scheduler.workers.size })
@@ -285,7 +287,9 @@
       return
     }
     worker.extendLease(leaseEndMs)
+    this.#startsInFlight++
     const { outcome, clockMs } = await calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#claimed.term.epoch })
+    this.#startsInFlight--
     if (this.#isClosed) return
     const now = clock.now()
     if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, now)
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -23,12 +23,14 @@
   readonly clock: NodeClock
   readonly election: OwnerElection
   readonly jobs: JobRepository
+  readonly processor: SlowProcessor
   readonly #simulation: JobsSimulation
 
   constructor (simulation: JobsSimulation, name: string, life: string, processorShare: number) {
     this.#simulation = simulation
     this.name = name
     this.clock = new NodeClock(simulation.clock)
+    this.processor = new SlowProcessor(this.clock)
     const store = new MonitoredStore(simulation.rows.clientFor(name), this.clock, new SilentLog(), new SilentMetrics())
     const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000 }
     this.election = new OwnerElection(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
@@ -52,6 +54,25 @@
   }
 }
 
+/** Processor of one process. Messages to and from workers are handled one after another, in the order of their arrival. */
+export class SlowProcessor {
+  readonly #clock: Clock
+  #busyUntil = -Infinity
+  /** Processor time of one message in milliseconds. */
+  messageMs = 0
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** Resolves once a message that arrives now has been handled. */
+  async handleMessage (): Promise<void> {
+    if (this.messageMs === 0) return
+    this.#busyUntil = Math.max(this.#busyUntil, this.#clock.now()) + this.messageMs
+    await this.#clock.sleep(this.#busyUntil - this.#clock.now())
+  }
+}
+
 /** Clock of one process: the steady clock and the timers stop while the process is suspended, the wall clock doesn't. */
 export class NodeClock extends Clock {
   readonly #base: VirtualClock
@@ -236,9 +257,11 @@
     const state = this.#simulation.link(this.#node.name, id)
     if (state === 'refused') return 'refused'
     if (state === 'well' && !worker.hasCrashed) {
+      await this.#node.processor.handleMessage()
       await this.#node.clock.sleep(CALL_MS)
       const value = action(worker)
       await this.#node.clock.sleep(CALL_MS)
+      await this.#node.processor.handleMessage()
       return value
     }
     if (state === 'late') this.#simulation.clock.after(DELAYED_CALL_MS, () => { if (!worker.hasCrashed) action(worker) })
