Scheduling passes take at most a fifth of an owner's time

Cause: a pass looks at all waiting tasks and followed each event within 3 ms. With thousands of waiting tasks it takes 2 to 6 ms of a core (CAPACITY.md), so that an owner on a small or busy VM spent most of its processor on passes, and reports and renewals of leases waited. Change: the delay before a pass is four times the expected duration of a pass, 3 to 100 ms. Test first: passSpacing.test.ts (the class is new). Ruled out: passes at a fixed lower rate, which would delay starts where passes are short.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -6,6 +6,7 @@
 import { CELL, FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, MAX_STARTS_IN_FLIGHT, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
+import { PassSpacing } from './PassSpacing.ts'
 import { readPart } from './readPart.ts'
 import type { RowStore, StoredRow } from './RowStore.ts'
 import { allJobParts, cancelledJob, ESTIMATES_KEY, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
@@ -32,9 +33,6 @@
 /** A claimed term, the version of its row, and when the claim was sent, on the steady and on the wall clock. */
 export type ClaimedTerm = Readonly<{ term: Term, version: RowVersion, claimedAt: Instant, claimedAtWall: number }>
 
-/** Delay of a scheduling pass after an event, in milliseconds, so that events in quick succession share one pass. */
-const PASS_BATCHING_DELAY_MS = 3
-
 /** Owns a cell from `open` until `close` or until the term is lost. */
 export class CellOwner {
   readonly #ports: OwnerPorts
@@ -54,6 +52,7 @@
   #isRestored = false
   #isPassScheduled = false
   #startsInFlight = 0
+  readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
@@ -213,7 +212,7 @@
     if (this.#scheduler.dirtyCount > 0 || this.#scheduler.hasNonDurableEnds) this.#writer.requestCommit()
     if (this.#isPassScheduled || this.#isClosed) return
     this.#isPassScheduled = true
-    this.#ports.clock.after(PASS_BATCHING_DELAY_MS, () => {
+    this.#ports.clock.after(this.#passSpacing.delayMs, () => {
       this.#isPassScheduled = false
       this.#runPass()
     })
@@ -233,8 +232,10 @@
   #runPass (): void {
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
+    const startedAt = clock.now()
     // A worker is asked for its report over the same processor that sends the starts, so a burst of starts must not delay the reports.
-    const orders = this.#scheduler.decide(clock.now(), clock.wallTime(), MAX_STARTS_IN_FLIGHT - this.#startsInFlight)
+    const orders = this.#scheduler.decide(startedAt, clock.wallTime(), MAX_STARTS_IN_FLIGHT - this.#startsInFlight)
+    this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
       this.#wasReconciled = this.#scheduler.isReconciled
       this.#ports.log.info('All earlier runs are reported or have ended; tasks may start', { epoch: this.#claimed.term.epoch, workers: this.#scheduler.workers.size })
