--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -152,6 +152,24 @@
     return finished
   }
 
+  /** Forgets a cancellation that came before its job, as the job belongs to another cell. */
+  forgetCancellation (id: JobId): void {
+    this.#cancelledBeforeAccepted.delete(id)
+  }
+
+  /** Processors that running and waiting tasks need, as a percentage of those of all listed workers. */
+  get loadPercent (): number {
+    let needed = 0
+    let available = 0
+    for (const worker of this.workers.values()) {
+      needed += worker.processorsUsed
+      for (const { task: { step: { shape } } } of worker.runs.values()) if (shape.isFiller) needed += shape.processors
+      if (worker.isListed) available += worker.entry.processors
+    }
+    for (const { waiting, shape } of this.#openSteps) needed += waiting.size * shape.processors
+    return available === 0 ? 0 : Math.round(100 * needed / available)
+  }
+
   /** Removes a job whose rows have been deleted. */
   removeJob (id: JobId): void {
     this.jobs.delete(id)
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -96,6 +96,8 @@
   address: string
   service: ServiceName
   zone: string
+  /** The worker's rack, which is unique within its zone; empty if unknown. */
+  rack: string
   isDraining: boolean
   labels: readonly string[]
   /** Thousandths of a core. */
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -39,6 +39,7 @@
   #isStalling = false
   hasCrashed = false
   isDraining = false
+  rack = ''
 
   constructor (id: string, clock: Clock, behaviourOf: (task: TaskName) => FakeRunBehaviour, onEvent: (event: WorkerEvent) => void) {
     this.id = brand<WorkerId>(id)
@@ -49,7 +50,7 @@
   }
 
   get entry (): WorkerEntry {
-    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#startedAt + 1), address: this.id, zone: 'derby', isDraining: this.isDraining, memoryMb: 32_000 })
+    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#startedAt + 1), address: this.id, zone: 'derby', rack: this.rack, isDraining: this.isDraining, memoryMb: 32_000 })
   }
 
   get running (): readonly TaskName[] {
--- a/packages/fakes/src/jobBuilders.ts
+++ b/packages/fakes/src/jobBuilders.ts
@@ -49,6 +49,7 @@
   address: '',
   service: brand<ServiceName>('desk'),
   zone: '',
+  rack: '',
   isDraining: false,
   labels: [],
   processors: 8_000,
--- /dev/null
+++ b/packages/jobs/src/CellChooser.ts
@@ -0,0 +1,64 @@
+/**
+ * Choice of the cell of a new job, from what the owner of the first cell publishes.
+ */
+import { type CellId, type Clock, type Log, type Random } from '@auburnpin/common'
+import { chooseCell, type Job, type Layout } from '@auburnpin/core'
+import { FIRST_CELL, TERM_POLL_INTERVAL_MS } from './constants.ts'
+import type { RowStore } from './RowStore.ts'
+import { cellAt, LAYOUT_KEY_RANGE, readLayout, TERMS_TABLE, type PublishedCells } from './rows.ts'
+
+/**
+ * Keeps a copy of the layout and reads it again when the published version changes. Until it knows the layout, all jobs
+ * go to the first cell.
+ *
+ * @example
+ * const chooser = new CellChooser(store, clock, log, random, () => elections.publishedCells)
+ * chooser.start()
+ * const cell = chooser.choose(job)
+ */
+export class CellChooser {
+  readonly #store: RowStore
+  readonly #clock: Clock
+  readonly #log: Log
+  readonly #random: Random
+  readonly #published: () => PublishedCells | undefined
+  #layout: Layout | undefined
+  #isStopped = false
+
+  constructor (store: RowStore, clock: Clock, log: Log, random: Random, published: () => PublishedCells | undefined) {
+    this.#store = store
+    this.#clock = clock
+    this.#log = log
+    this.#random = random
+    this.#published = published
+  }
+
+  start (): void {
+    void this.#run()
+  }
+
+  stop (): void {
+    this.#isStopped = true
+  }
+
+  choose (job: Job): CellId {
+    const loads = this.#published()?.loads
+    if (loads === undefined || this.#layout === undefined) return FIRST_CELL
+    return cellAt(chooseCell(job, this.#layout.cells, loads, this.#random.fraction()))
+  }
+
+  async #run (): Promise<void> {
+    while (!this.#isStopped) {
+      const published = this.#published()
+      if (published !== undefined && (this.#layout?.version !== published.layoutVersion || this.#layout.cells.length < published.loads.length)) await this.#readLayout()
+      await this.#clock.sleep(TERM_POLL_INTERVAL_MS)
+    }
+  }
+
+  async #readLayout (): Promise<void> {
+    const page = await this.#store.range({ table: TERMS_TABLE, part: FIRST_CELL, ...LAYOUT_KEY_RANGE })
+    if (page.err) return
+    this.#layout = readLayout(page.val.rows)
+    this.#log.info('Layout in use', { version: this.#layout?.version, cells: this.#layout?.cells.length })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/CellElections.ts
@@ -0,0 +1,110 @@
+/**
+ * Participation of one process in the elections of the owners of all cells.
+ */
+import { rendezvousRank, type CellId, type Random } from '@auburnpin/common'
+import { CORES_PER_WORKER, FIRST_CELL, STANDBY_CELLS, TERM_POLL_INTERVAL_MS } from './constants.ts'
+import { OwnerElection, type CandidateIdentity } from './OwnerElection.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
+import { cellAt, type PublishedCells } from './rows.ts'
+
+/** A process on a VM with less than this share of the processor time that a full cell needs is nobody's standby. */
+const MIN_STANDBY_SHARE = 0.5
+
+/**
+ * Every process takes part in the election of the first cell, whose term also tells it of the others. It polls the terms
+ * of a few further cells as their standby, and those of cells that are published as having no owner.
+ *
+ * @example
+ * const elections = new CellElections(ports, identity, random)
+ * elections.start()
+ */
+export class CellElections {
+  readonly #ports: OwnerPorts
+  readonly #identity: CandidateIdentity
+  readonly #random: Random
+  readonly #first: OwnerElection
+  readonly #others = new Map<CellId, OwnerElection>()
+  #standbyFor: ReadonlySet<CellId> = new Set()
+  #cellCount = 1
+  #isStopped = false
+
+  constructor (ports: OwnerPorts, identity: CandidateIdentity, random: Random) {
+    this.#ports = ports
+    this.#identity = identity
+    this.#random = random
+    this.#first = this.#createElection(FIRST_CELL)
+  }
+
+  /** Number of jobs of each queue in all cells that have no started task, as last published. */
+  get pending (): Readonly<Record<string, number>> {
+    const pending: Record<string, number> = { ...this.#first.pending }
+    for (const [queue, count] of Object.entries(this.publishedCells?.pending ?? {})) pending[queue] = (pending[queue] ?? 0) + count
+    return pending
+  }
+
+  /** State of all cells as last published; `undefined` in a deployment with one cell. */
+  get publishedCells (): PublishedCells | undefined {
+    return this.#first.publishedCells
+  }
+
+  /** Cells that this process owns. */
+  get ownedCells (): readonly CellId[] {
+    const owned = this.#first.isOwner ? [FIRST_CELL] : []
+    for (const [cell, election] of this.#others) if (election.isOwner) owned.push(cell)
+    return owned
+  }
+
+  /** Whether this process owns a cell. */
+  get isOwner (): boolean {
+    return this.ownedCells.length > 0
+  }
+
+  start (): void {
+    this.#first.start()
+    void this.#run()
+  }
+
+  /** Stops all elections and releases the cells that this process owns. */
+  async stop (): Promise<void> {
+    this.#isStopped = true
+    await Promise.all([this.#first, ...this.#others.values()].map(election => election.stop()))
+  }
+
+  async #run (): Promise<void> {
+    while (!this.#isStopped) {
+      await this.#ports.clock.sleep(TERM_POLL_INTERVAL_MS)
+      if (!this.#isStopped) this.#update(this.publishedCells?.loads ?? [])
+    }
+  }
+
+  #update (loads: PublishedCells['loads']): void {
+    if (loads.length !== this.#cellCount) this.#chooseStandbyCells(loads.length)
+    for (let index = 1; index < loads.length; index++) {
+      const cell = cellAt(index)
+      const election = this.#others.get(cell)
+      const isWanted = this.#standbyFor.has(cell) || loads[index]?.isOwned !== true
+      if (isWanted && election === undefined) this.#startElection(cell)
+      else if (!isWanted && election?.isBusy === false) {
+        void election.stop()
+        this.#others.delete(cell)
+      }
+    }
+  }
+
+  #chooseStandbyCells (cellCount: number): void {
+    this.#cellCount = cellCount
+    const isLargeEnough = this.#identity.processorShare >= MIN_STANDBY_SHARE * CORES_PER_WORKER * this.#ports.workersPerCell
+    const cells = Array.from({ length: Math.max(0, cellCount - 1) }, (_, position) => cellAt(position + 1))
+    this.#standbyFor = new Set(isLargeEnough ? rendezvousRank(this.#identity.name, cells).slice(0, STANDBY_CELLS) : [])
+  }
+
+  #startElection (cell: CellId): void {
+    const election = this.#createElection(cell)
+    this.#others.set(cell, election)
+    election.start()
+  }
+
+  #createElection (cell: CellId): OwnerElection {
+    return new OwnerElection(this.#ports, this.#identity, this.#random, cell, () => this.ownedCells.length)
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/CellMonitor.ts
@@ -0,0 +1,76 @@
+/**
+ * Observes the other cells of a deployment for the owner of the first cell.
+ */
+import { type Clock, type Instant, type RowVersion } from '@auburnpin/common'
+import type { CellLoad } from '@auburnpin/core'
+import { TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
+import type { RowStore } from './RowStore.ts'
+import { cellAt, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
+
+type ObservedCell = Readonly<{ term: Term, version: RowVersion, changedAt: Instant }>
+
+/**
+ * Reads the terms of all cells but the first, so that one process reads each of them and all processes read the summary.
+ *
+ * @example
+ * const monitor = new CellMonitor(store, clock)
+ * monitor.setCellCount(3)
+ * monitor.start()
+ */
+export class CellMonitor {
+  readonly #store: RowStore
+  readonly #clock: Clock
+  readonly #observed = new Map<number, ObservedCell>()
+  #cellCount = 1
+  #isStopped = false
+
+  constructor (store: RowStore, clock: Clock) {
+    this.#store = store
+    this.#clock = clock
+  }
+
+  /** Number of cells of the layout that is stored. */
+  setCellCount (count: number): void {
+    this.#cellCount = count
+  }
+
+  start (): void {
+    void this.#run()
+  }
+
+  stop (): void {
+    this.#isStopped = true
+  }
+
+  /** State of all cells, with that of the first as its owner knows it; `undefined` while there is only one. */
+  publish (layoutVersion: number, first: CellLoad): PublishedCells | undefined {
+    if (this.#cellCount <= 1) return undefined
+    const now = this.#clock.now()
+    const pending: Record<string, number> = {}
+    const loads = [first]
+    for (let index = 1; index < this.#cellCount; index++) {
+      const observed = this.#observed.get(index)
+      for (const [queue, count] of Object.entries(observed?.term.pending ?? {})) pending[queue] = (pending[queue] ?? 0) + count
+      loads.push({ workers: observed?.term.workers ?? 0, loadPercent: observed?.term.loadPercent ?? 0, isOwned: observed !== undefined && isOwned(observed, now) })
+    }
+    return { layoutVersion, loads, pending }
+  }
+
+  async #run (): Promise<void> {
+    while (!this.#isStopped) {
+      const indexes = Array.from({ length: this.#cellCount - 1 }, (_, position) => position + 1)
+      await Promise.all(indexes.map(index => this.#read(index)))
+      await this.#clock.sleep(TERM_POLL_INTERVAL_MS)
+    }
+  }
+
+  async #read (index: number): Promise<void> {
+    const page = await this.#store.range({ table: TERMS_TABLE, part: cellAt(index), from: TERM_KEY, to: `${TERM_KEY}~` })
+    if (page.err) return
+    const row = page.val.rows.find(({ key }) => key === TERM_KEY)
+    if (row === undefined || this.#observed.get(index)?.version === row.version) return
+    this.#observed.set(index, { term: readTerm(row.value), version: row.version, changedAt: this.#clock.now() })
+  }
+}
+
+const isOwned = ({ term, changedAt }: ObservedCell, now: Instant): boolean => term.holder !== '' && now - changedAt < TERM_EXPIRY_MS
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -1,37 +1,25 @@
 /**
  * Schedules the jobs of a cell during one term of ownership.
  */
-import { assertNever, brand, type AuburnpinError, type Clock, type Instant, type Log, type Metrics, type Result, type RowVersion, type WorkerId } from '@auburnpin/common'
-import { JobScheduler, type JobProgress, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
-import { CELL, FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, MAX_STARTS_IN_FLIGHT, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { assertNever, brand, type AuburnpinError, type Epoch, type JobId, type Result, type WorkerId } from '@auburnpin/common'
+import { JobScheduler, rackKey, type JobProgress, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
+import { CellMonitor } from './CellMonitor.ts'
+import type { ClaimedTerm } from './ClaimedTerm.ts'
+import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, MAX_STARTS_IN_FLIGHT, FIRST_CELL, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
 import { PassSpacing } from './PassSpacing.ts'
 import { readPart } from './readPart.ts'
-import type { RowStore, StoredRow } from './RowStore.ts'
-import { allJobParts, cancelledJob, ESTIMATES_KEY, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
+import type { RowKey, StoredRow } from './RowStore.ts'
+import { allJobParts, cancelledJob, ESTIMATES_KEY, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower, TableListener } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
 import { WaitReporter } from './WaitReporter.ts'
-import type { WorkerCalls } from './WorkerCalls.ts'
 import { PollerHost, WorkerPoller } from './WorkerPoller.ts'
-import { WorkerListener, type WorkerList } from './WorkerList.ts'
-
-/** Dependencies of an owner. */
-export type OwnerPorts = Readonly<{
-  store: RowStore
-  workerList: WorkerList
-  calls: WorkerCalls
-  clock: Clock
-  log: Log
-  metrics: Metrics
-  /** How long clients can read the phase of a finished job, in milliseconds. */
-  finishedJobRetentionMs: number
-}>
-
-/** A claimed term, the version of its row, and when the claim was sent, on the steady and on the wall clock. */
-export type ClaimedTerm = Readonly<{ term: Term, version: RowVersion, claimedAt: Instant, claimedAtWall: number }>
+import { WorkerListener } from './WorkerList.ts'
 
 /** Owns a cell from `open` until `close` or until the term is lost. */
 export class CellOwner {
@@ -47,6 +35,15 @@
   readonly #waitReporter: WaitReporter
   readonly #pollers = new Map<WorkerId, WorkerPoller>()
   readonly #pollerHost: PollerHost
+  readonly #workerListener: WorkerListener
+  readonly #membership: CellMembership
+  /** Of the first cell only. */
+  readonly #layout: LayoutMembership | undefined
+  readonly #monitor: CellMonitor
+  /** The whole list of workers, also those of other cells. */
+  #entries = new Map<WorkerId, WorkerEntry>()
+  /** Jobs of other cells, whose cancellations don't concern this one. */
+  #jobsElsewhere = new Set<JobId>()
   #storedProgress = new Map<string, JobProgress>()
   #isClosed = false
   #isRestored = false
@@ -63,7 +60,13 @@
     this.#onOverload = onOverload
     const { store, clock, log } = ports
     this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, clock.now(), new LoggingJobSchedulerObserver(ports))
-    this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed.term, claimed.version, claimed.claimedAt, claimed.claimedAtWall)
+    this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
+    this.#workerListener = new OwnerWorkerListener(this)
+    this.#monitor = new CellMonitor(store, clock)
+    if (claimed.cell === FIRST_CELL) {
+      this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, claimed.term.epoch, ports.workersPerCell)
+      this.#membership = this.#layout
+    } else this.#membership = new StoredMembership(store, clock, log, indexOfCell(claimed.cell), () => this.membersChanged())
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), new JobsTableListener(this))
     this.#pollerHost = new OwnerPollerHost(this)
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
@@ -91,9 +94,11 @@
     if (this.#isClosed) return
     this.#isRestored = true
     this.#writer.markRestored()
-    this.#ports.log.info('Term started', { epoch: this.#claimed.term.epoch, jobs: this.#scheduler.jobs.size, workers: this.#scheduler.workers.size })
+    this.#ports.log.info('Term started', { cell: this.#claimed.cell, epoch: this.#claimed.term.epoch, jobs: this.#scheduler.jobs.size, workers: this.#scheduler.workers.size })
     this.#jobsFollower.start()
-    this.#ports.workerList.subscribe(new OwnerWorkerListener(this))
+    this.#ports.workerList.subscribe(this.#workerListener)
+    this.#membership.start()
+    if (this.#layout !== undefined) this.#monitor.start()
     this.#cleaner.start()
     void this.#waitReporter.run()
   }
@@ -106,7 +111,9 @@
     this.#writer.stop()
     this.#cleaner.stop()
     this.#waitReporter.stop()
-    this.#ports.workerList.unsubscribe()
+    this.#ports.workerList.unsubscribe(this.#workerListener)
+    this.#membership.stop()
+    this.#monitor.stop()
     for (const poller of this.#pollers.values()) poller.stop()
     if (isReleasing) await this.#writer.release()
   }
@@ -114,7 +121,7 @@
   /** Stops scheduling because the term is lost. */
   loseTerm (why: string): void {
     if (this.#isClosed) return
-    this.#ports.log.warn('Term lost', { epoch: this.#claimed.term.epoch, why })
+    this.#ports.log.warn('Term lost', { cell: this.#claimed.cell, epoch: this.#claimed.term.epoch, why })
     void this.close(false)
     this.#onTermLost()
   }
@@ -122,8 +129,8 @@
   async #restore (): Promise<Result<void, AuburnpinError>> {
     const { store, clock } = this.#ports
     const [progress, termRows] = await Promise.all([
-      readPart(store, PROGRESS_TABLE, CELL),
-      store.range({ table: TERMS_TABLE, part: CELL, from: '', to: '' })
+      readPart(store, PROGRESS_TABLE, this.#claimed.cell),
+      store.range({ table: TERMS_TABLE, part: this.#claimed.cell, from: '', to: '' })
     ])
     if (progress.err) return progress
     if (termRows.err) return termRows
@@ -145,39 +152,91 @@
       this.#scheduler.unlistWorker(worker.id)
     }
     this.#writer.restoreUsedWorkers(usedWorkers, usedWorkersKeys)
+    const layout = readLayout(termRows.val.rows)
+    if (layout !== undefined) {
+      this.#layout?.restore(layout)
+      this.#writer.restoreLayout(layout)
+    }
     return read
   }
 
   /** Applies the whole jobs table. Progress of jobs without a row there is deleted. */
   replaceJobs (rows: readonly StoredRow[]): void {
-    this.updateJobs(rows)
+    this.#jobsElsewhere.clear()
+    this.updateJobs(rows, [])
     const present = new Set(rows.map(row => row.key))
     for (const id of this.#storedProgress.keys()) if (!present.has(id)) this.#writer.deleteProgress(brand(id))
   }
 
-  /** Applies changed rows of the jobs table. */
-  updateJobs (rows: readonly StoredRow[]): void {
+  /** Applies changed and deleted rows of the jobs table. */
+  updateJobs (rows: readonly StoredRow[], deleted: readonly RowKey[]): void {
     const now = this.#ports.clock.now()
     for (const row of rows) {
-      if (cancelledJob(row.key) === undefined) this.#scheduler.addJob(readJob(row.value), now, this.#storedProgress.get(row.key))
+      if (cancelledJob(row.key) !== undefined) continue
+      const { job, cell } = readJob(row.value)
+      if (cell === this.#claimed.cell) this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key))
+      else {
+        this.#jobsElsewhere.add(job.id)
+        this.#scheduler.forgetCancellation(job.id)
+      }
     }
     for (const row of rows) {
       const cancelled = cancelledJob(row.key)
-      if (cancelled !== undefined) this.#scheduler.cancel(cancelled, now)
+      if (cancelled !== undefined && !this.#jobsElsewhere.has(cancelled)) this.#scheduler.cancel(cancelled, now)
     }
+    for (const { key } of deleted) this.#jobsElsewhere.delete(brand<JobId>(key))
     this.stateChanged()
   }
 
   /** Applies the whole list of workers. */
   replaceWorkers (entries: readonly WorkerEntry[]): void {
-    this.#scheduler.replaceWorkers(entries, this.#ports.clock.now())
+    this.#entries = new Map(entries.map(entry => [entry.id, entry]))
+    this.#membership.update(this.#entries, entries)
+    this.#scheduler.replaceWorkers(entries.filter(entry => this.#membership.has(entry)), this.#ports.clock.now())
     this.#updatePollers()
   }
 
+  /** The racks of the cell have changed. */
+  membersChanged (): void {
+    this.replaceWorkers([...this.#entries.values()])
+  }
+
+  /** Stores a layout together with the workers that this owner uses. */
+  storeLayout (layout: Layout): void {
+    this.#writer.setUsedWorkers(this.#usedWorkers())
+    this.#writer.setLayout(layout)
+  }
+
+  /** The workers that this owner still has, by their racks; `undefined` while the rack of one is unknown. */
+  rackLoads (): readonly RackLoad[] | undefined {
+    const loads = new Map<string, RackLoad>()
+    for (const { entry, runs, isListed } of this.#scheduler.workers.values()) {
+      // After a takeover, only the ids are known of earlier workers that aren't listed.
+      if (!isListed && entry.rack === '' && !this.#entries.has(entry.id)) return undefined
+      const rack = rackKey(this.#entries.get(entry.id) ?? entry)
+      const { workers, runs: runsBefore, longRunningRuns } = loads.get(rack) ?? { workers: 0, runs: 0, longRunningRuns: 0 }
+      const longRunning = [...runs.values()].filter(run => run.task.step.shape.isLasting).length
+      loads.set(rack, { rack, workers: workers + 1, runs: runsBefore + runs.size, longRunningRuns: longRunningRuns + longRunning })
+    }
+    return [...loads.values()]
+  }
+
+  #usedWorkers (): UsedWorker[] {
+    return [...this.#scheduler.workers.values()].map(({ entry: { id, incarnation, address, service } }) => ({ id, incarnation, address, service }))
+  }
+
+  // The epoch in orders for a worker.
+  #epochFor ({ entry }: WorkerRecord): Epoch {
+    return brand<Epoch>(this.#claimed.term.epoch + this.#membership.epochOffset(entry))
+  }
+
   /** Applies changed and removed entries of the list of workers. */
   updateWorkers (entries: readonly WorkerEntry[], removed: readonly WorkerId[]): void {
     const now = this.#ports.clock.now()
-    for (const entry of entries) this.#scheduler.upsertWorker(entry, now)
+    for (const entry of entries) this.#entries.set(entry.id, entry)
+    for (const id of removed) this.#entries.delete(id)
+    this.#membership.update(this.#entries, entries)
+    for (const entry of entries) if (this.#membership.has(entry)) this.#scheduler.upsertWorker(entry, now)
     for (const id of removed) this.#scheduler.unlistWorker(id)
     this.#updatePollers()
   }
@@ -185,23 +244,33 @@
   #updatePollers (): void {
     const workers = [...this.#scheduler.workers.values()]
     if (workers.some(({ entry }) => !this.#writer.isUsable(entry))) {
-      this.#writer.setUsedWorkers(workers.map(({ entry: { id, incarnation, address, service } }) => ({ id, incarnation, address, service })))
+      this.#writer.setUsedWorkers(this.#usedWorkers())
     }
     for (const [id, poller] of this.#pollers) {
       if (this.#scheduler.workers.has(id)) continue
       poller.stop()
       this.#pollers.delete(id)
     }
-    for (const { entry: { id } } of workers) {
+    for (const worker of workers) {
+      const { entry: { id } } = worker
       if (this.#pollers.has(id)) continue
       const { calls, clock, log } = this.#ports
-      const poller = new WorkerPoller(id, this.#claimed.term.epoch, this.#scheduler, calls, clock, log, this.#pollerHost)
+      const poller = new WorkerPoller(id, this.#epochFor(worker), this.#scheduler, calls, clock, log, this.#pollerHost)
       this.#pollers.set(id, poller)
       poller.start()
     }
     this.stateChanged()
   }
 
+  /** The load of this cell and, in the first of several cells, the state of all; empty in a deployment with one cell. */
+  publishedLoad (): Pick<Term, 'loadPercent' | 'cells'> {
+    const { durableLayout } = this.#writer
+    if (this.#layout !== undefined && durableLayout.cells.length <= 1) return {}
+    const { loadPercent, workers } = this.#scheduler
+    this.#monitor.setCellCount(durableLayout.cells.length)
+    return { loadPercent, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, { workers: workers.size, loadPercent, isOwned: true }) }
+  }
+
   /** A commit succeeded, so that pollers may acknowledge ends and use newly recorded workers. */
   committed (): void {
     for (const poller of this.#pollers.values()) poller.wake()
@@ -289,7 +358,7 @@
     }
     worker.extendLease(leaseEndMs)
     this.#startsInFlight++
-    const { outcome, clockMs } = await calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#claimed.term.epoch })
+    const { outcome, clockMs } = await calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#epochFor(worker) })
     this.#startsInFlight--
     if (this.#isClosed) return
     const now = clock.now()
@@ -304,7 +373,7 @@
 
   async #pace (order: RunOrder & { kind: 'pace' }, worker: WorkerRecord): Promise<void> {
     this.#ports.metrics.count('runs.paced')
-    const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#claimed.term.epoch)
+    const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#epochFor(worker))
     if (this.#isClosed) return
     this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, answer })
     if (answer === 'fenced') this.loseTerm(`worker ${order.worker} has accepted a later owner`)
@@ -313,7 +382,7 @@
 
   async #stop (order: RunOrder & { kind: 'stop' }, worker: WorkerRecord): Promise<void> {
     const { clock, calls, log } = this.#ports
-    const answer = await calls.stop(worker.entry, order, this.#claimed.term.epoch)
+    const answer = await calls.stop(worker.entry, order, this.#epochFor(worker))
     if (this.#isClosed) return
     log.info('Stop ordered', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, answer })
     if (answer === 'fenced') this.loseTerm(`worker ${order.worker} has accepted a later owner`)
@@ -323,7 +392,7 @@
 
 /** Placeholder entry of a worker that an earlier owner used; the worker gets no work until the list contains it. */
 const unlistedEntry = (worker: UsedWorker): WorkerEntry =>
-  ({ ...worker, zone: '', isDraining: false, labels: [], processors: 0, memoryMb: 0, accelerators: 0 })
+  ({ ...worker, zone: '', rack: '', isDraining: false, labels: [], processors: 0, memoryMb: 0, accelerators: 0 })
 
 class OwnerTermListener extends TermListener {
   readonly #owner: CellOwner
@@ -340,6 +409,35 @@
   lost (reason: string): void {
     this.#owner.loseTerm(reason)
   }
+
+  publishedLoad (): Pick<Term, 'loadPercent' | 'cells'> {
+    return this.#owner.publishedLoad()
+  }
+}
+
+class OwnerLayoutHost extends LayoutHost {
+  readonly #owner: CellOwner
+
+  constructor (owner: CellOwner) {
+    super()
+    this.#owner = owner
+  }
+
+  get usedWorkers (): ReadonlySet<WorkerId> {
+    return this.#owner.writer.usedWorkerIds
+  }
+
+  rackLoads (): readonly RackLoad[] | undefined {
+    return this.#owner.rackLoads()
+  }
+
+  storeLayout (layout: Layout): void {
+    this.#owner.storeLayout(layout)
+  }
+
+  membersChanged (): void {
+    this.#owner.membersChanged()
+  }
 }
 
 class JobsTableListener extends TableListener {
@@ -354,8 +452,8 @@
     this.#owner.replaceJobs(rows)
   }
 
-  update (changed: readonly StoredRow[]): void {
-    this.#owner.updateJobs(changed)
+  update (changed: readonly StoredRow[], deleted: readonly RowKey[]): void {
+    this.#owner.updateJobs(changed, deleted)
   }
 }
 
--- /dev/null
+++ b/packages/jobs/src/ClaimedTerm.ts
@@ -0,0 +1,8 @@
+/**
+ * A term that this process has claimed.
+ */
+import type { CellId, Instant, RowVersion } from '@auburnpin/common'
+import type { Term } from './rows.ts'
+
+/** The term, the version of its row, and when the claim was sent, on the steady and on the wall clock. */
+export type ClaimedTerm = Readonly<{ cell: CellId, term: Term, version: RowVersion, claimedAt: Instant, claimedAtWall: number }>
--- a/packages/jobs/src/FinishedJobCleaner.ts
+++ b/packages/jobs/src/FinishedJobCleaner.ts
@@ -4,7 +4,7 @@
 import { brand, type Instant, type JobId } from '@auburnpin/common'
 import type { JobScheduler } from '@auburnpin/core'
 import { CLEANUP_INTERVAL_MS, MAX_JOBS_PER_CLEANUP, RETENTION_MARGIN_MS } from './constants.ts'
-import type { OwnerPorts } from './CellOwner.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
 import { cancelKey, jobPart, JOBS_TABLE } from './rows.ts'
 import type { TermWriter } from './TermWriter.ts'
 
--- a/packages/jobs/src/JobRepository.ts
+++ b/packages/jobs/src/JobRepository.ts
@@ -1,12 +1,13 @@
 /**
  * Stores submitted jobs and cancellations, and reads the phase of a job.
  */
-import { AuburnpinError, Err, Ok, type Clock, type Instant, type JobId, type Log, type Result } from '@auburnpin/common'
+import { AuburnpinError, Err, Ok, type CellId, type Clock, type Instant, type JobId, type Log, type Result } from '@auburnpin/common'
 import type { Job, JobPhase } from '@auburnpin/core'
-import { CELL } from './constants.ts'
+import type { CellChooser } from './CellChooser.ts'
+import { FIRST_CELL } from './constants.ts'
 import type { RowTransaction, StoredRow } from './RowStore.ts'
 import { storeUnavailable, type MonitoredStore } from './MonitoredStore.ts'
-import { ABSENT_ROW_VERSION, cancelKey, encodeRow, jobKeyRange, jobPart, JOBS_TABLE, PROGRESS_TABLE, readProgress } from './rows.ts'
+import { ABSENT_ROW_VERSION, cancelKey, encodeRow, encodeJob, jobKeyRange, jobPart, JOBS_TABLE, PROGRESS_TABLE, readJob, readProgress } from './rows.ts'
 
 /** Delay before a transaction with an unknown outcome is retried, in milliseconds. */
 const RETRY_DELAY_MS = 60
@@ -17,17 +18,23 @@
 const CANCEL_RETRY_PERIOD_MS = 60_000
 /** Most cancellations that wait to be stored; bursts of some hundreds are usual. */
 const MAX_PENDING_CANCELLATIONS = 2_000
+/** Most jobs whose cell is remembered, so that a question for a job takes one read. */
+const MAX_REMEMBERED_CELLS = 5_000
 
 /** Works in every process, whether or not it owns the cell, as the transactions of the store decide. */
 export class JobRepository {
   readonly #store: MonitoredStore
   readonly #clock: Clock
   readonly #log: Log
+  readonly #cells: CellChooser
+  /** Cells of the jobs that this process was last asked for. */
+  readonly #cellOfJob = new Map<JobId, CellId>()
   /** Cancellations that could not be stored yet, with the time of the failed request. */
   readonly #pendingCancellations = new Map<JobId, Instant>()
 
-  constructor (store: MonitoredStore, clock: Clock, log: Log) {
+  constructor (store: MonitoredStore, clock: Clock, log: Log, cells: CellChooser) {
     this.#store = store
+    this.#cells = cells
     this.#clock = clock
     this.#log = log
   }
@@ -38,9 +45,11 @@
    */
   async submit (job: Job, withinMs: number): Promise<Result<void, AuburnpinError>> {
     const key = { table: JOBS_TABLE, key: job.id }
+    const cell = this.#cells.choose(job)
     // While the store is unavailable the job is refused at once, as the client may find a process that can reach the store.
-    const outcome = this.#store.isUnavailable ? storeUnavailable() : await this.#putOnce({ part: jobPart(job.id), checks: [{ ...key, version: ABSENT_ROW_VERSION }], puts: [{ ...key, value: encodeRow(job) }], deletes: [] }, withinMs)
-    this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: describeSteps(job), outcome: outcome.ok ? outcome.val : outcome.val.kind })
+    const outcome = this.#store.isUnavailable ? storeUnavailable() : await this.#putOnce({ part: jobPart(job.id), checks: [{ ...key, version: ABSENT_ROW_VERSION }], puts: [{ ...key, value: encodeJob({ job, cell }) }], deletes: [] }, withinMs)
+    this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: describeSteps(job), cell, outcome: outcome.ok ? outcome.val : outcome.val.kind })
+    if (outcome.ok && outcome.val === 'stored') this.#rememberCell(job.id, cell)
     return outcome.err ? outcome : Ok(undefined)
   }
 
@@ -90,14 +99,33 @@
   /** Phase of a job; `undefined` if the job isn't stored. */
   async phaseOf (id: JobId): Promise<Result<JobPhase | undefined, AuburnpinError>> {
     if (this.#store.isUnavailable) return storeUnavailable()
-    const progress = await this.#readOne(PROGRESS_TABLE, CELL, id)
-    if (progress.err) return progress
-    const phase = progress.val === undefined ? 'queued' : readProgress(progress.val.value).phase
-    if (phase !== 'queued') return Ok(phase)
+    const likelyCell = this.#cellOfJob.get(id) ?? FIRST_CELL
+    const likelyPhase = await this.#recordedPhase(id, likelyCell)
+    if (likelyPhase.err || likelyPhase.val !== undefined) return likelyPhase
     const rows = await this.#store.range({ table: JOBS_TABLE, part: jobPart(id), ...jobKeyRange(id) })
     if (rows.err) return rows
-    if (!rows.val.rows.some(row => row.key === id)) return Ok(undefined)
-    return Ok(rows.val.rows.some(row => row.key === cancelKey(id)) ? 'cancelled' : 'queued')
+    const row = rows.val.rows.find(({ key }) => key === id)
+    if (row === undefined) return Ok(undefined)
+    const { cell } = readJob(row.value)
+    this.#rememberCell(id, cell)
+    const phase = cell === likelyCell ? likelyPhase : await this.#recordedPhase(id, cell)
+    if (phase.err || phase.val !== undefined) return phase
+    return Ok(rows.val.rows.some(({ key }) => key === cancelKey(id)) ? 'cancelled' : 'queued')
+  }
+
+  // The phase that the owner of a cell has recorded for a job, unless it is queued.
+  async #recordedPhase (id: JobId, cell: CellId): Promise<Result<JobPhase | undefined, AuburnpinError>> {
+    const progress = await this.#readOne(PROGRESS_TABLE, cell, id)
+    if (progress.err) return progress
+    const phase = progress.val === undefined ? 'queued' : readProgress(progress.val.value).phase
+    return Ok(phase === 'queued' ? undefined : phase)
+  }
+
+  #rememberCell (id: JobId, cell: CellId): void {
+    this.#cellOfJob.delete(id)
+    this.#cellOfJob.set(id, cell)
+    const [oldest] = this.#cellOfJob.keys()
+    if (this.#cellOfJob.size > MAX_REMEMBERED_CELLS && oldest !== undefined) this.#cellOfJob.delete(oldest)
   }
 
   async #readOne (table: string, part: string, key: string): Promise<Result<StoredRow | undefined, AuburnpinError>> {
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -3,7 +3,7 @@
  */
 import type { WorkerId } from '@auburnpin/common'
 import { JobSchedulerObserver, type JobRecord, type RunRecord } from '@auburnpin/core'
-import type { OwnerPorts } from './CellOwner.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
 
 /** Writes one log record for each change of a run, of a job's phase or of a worker's quarantine. */
 export class LoggingJobSchedulerObserver extends JobSchedulerObserver {
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -1,10 +1,12 @@
 /**
  * Elects the owner of a cell: each process polls the cell's term and claims it when it is released or expired.
  */
-import { brand, type Clock, type Epoch, type Instant, type Log, type Random, type RowVersion } from '@auburnpin/common'
-import { CELL, CORES_PER_WORKER, HANDOVER_CLAIM_PAUSE_MS, MIN_HANDOVER_INTERVAL_MS, SHORTFALL_CLAIM_DELAY_MS, TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
-import { CellOwner, type OwnerPorts, type ClaimedTerm } from './CellOwner.ts'
-import { ABSENT_ROW_VERSION, encodeRow, readTerm, TERM_KEY, TERMS_TABLE, type Term } from './rows.ts'
+import { brand, type CellId, type Clock, type Epoch, type Instant, type Log, type Random, type RowVersion } from '@auburnpin/common'
+import { CORES_PER_WORKER, FIRST_CELL, HANDOVER_CLAIM_PAUSE_MS, MIN_HANDOVER_INTERVAL_MS, OWNED_CELL_CLAIM_DELAY_MS, SHORTFALL_CLAIM_DELAY_MS, TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
+import { CellOwner } from './CellOwner.ts'
+import type { ClaimedTerm } from './ClaimedTerm.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
+import { ABSENT_ROW_VERSION, encodeRow, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
 
 /** Identity of this process, and what decides how soon it claims a free term. */
 export type CandidateIdentity = Readonly<{
@@ -14,7 +16,7 @@
   life: string
   /** Delay before a claim, in milliseconds; longer on VMs with little processor time. */
   claimDelayMs: number
-  /** Share of a core that the VM has. */
+  /** Cores that the VM has; a fraction on a small one. */
   processorShare: number
 }>
 
@@ -26,22 +28,28 @@
 /** After the store was unavailable, the owner has this many milliseconds to renew its term before others treat it as expired. */
 const STORE_RECOVERY_GRACE_MS = 900
 
-/** Participation of one process in the election. The polled term also contains the lengths of the queues. */
+/** Participation of one process in the election of the owner of one cell. The polled term also contains the lengths of the queues. */
 export class OwnerElection {
   readonly #ports: OwnerPorts
   readonly #identity: CandidateIdentity
   readonly #random: Random
+  readonly #cell: CellId
+  readonly #countOwnedCells: () => number
   readonly #clock: Clock
   readonly #log: Log
   #observed: ObservedTerm | undefined
   #renewalObservedAt: Instant | undefined
   #owner: CellOwner | undefined
   #isStopped = false
+  #isClaiming = false
   #hasReadFailed = false
   #handedOverAt = brand<Instant>(-Infinity)
 
-  constructor (ports: OwnerPorts, identity: CandidateIdentity, random: Random) {
+  /** `countOwnedCells` returns how many cells this process owns; the more, the later it claims another one. */
+  constructor (ports: OwnerPorts, identity: CandidateIdentity, random: Random, cell: CellId, countOwnedCells: () => number) {
     this.#ports = ports
+    this.#cell = cell
+    this.#countOwnedCells = countOwnedCells
     this.#identity = identity
     this.#random = random
     this.#clock = ports.clock
@@ -53,6 +61,16 @@
     return this.#observed?.term.pending ?? {}
   }
 
+  /** State of all cells as the owner of the first one last published it; `undefined` in a deployment with one cell. */
+  get publishedCells (): PublishedCells | undefined {
+    return this.#observed?.term.cells
+  }
+
+  /** Whether this process owns the cell or is about to. */
+  get isBusy (): boolean {
+    return this.#isClaiming || this.#owner !== undefined
+  }
+
   get isOwner (): boolean {
     return this.#owner !== undefined
   }
@@ -70,15 +88,20 @@
 
   async #run (): Promise<void> {
     while (!this.#isStopped) {
-      const isClaimable = await this.#isClaimable()
-      if (isClaimable && !this.#isStopped) await this.#claim()
+      // The owner of the first cell also reads what it publishes itself.
+      const isClaimable = (this.#owner === undefined || this.#cell === FIRST_CELL) && await this.#isClaimable()
+      if (isClaimable && !this.#isStopped) {
+        this.#isClaiming = true
+        await this.#claim()
+        this.#isClaiming = false
+      }
       await this.#clock.sleep(TERM_POLL_INTERVAL_MS)
     }
   }
 
   // Reads the term and returns whether this process may claim it.
   async #isClaimable (): Promise<boolean> {
-    const page = await this.#ports.store.range({ table: TERMS_TABLE, part: CELL, from: TERM_KEY, to: `${TERM_KEY}~` })
+    const page = await this.#ports.store.range({ table: TERMS_TABLE, part: this.#cell, from: TERM_KEY, to: `${TERM_KEY}~` })
     const now = this.#clock.now()
     if (page.err) {
       this.#hasReadFailed = true
@@ -101,14 +124,18 @@
 
   // Fraction of the processor time needed by the cell that this VM lacks, 0 to 1.
   get #processorShortfall (): number {
-    const needed = (this.#observed?.term.workers ?? 0) * CORES_PER_WORKER
+    // A cell that has had no owner yet was made for a full number of workers, unless it is the only one.
+    const workers = this.#observed?.term.workers ?? (this.#cell === FIRST_CELL ? 0 : this.#ports.workersPerCell)
+    const needed = workers * CORES_PER_WORKER
     return needed === 0 ? 0 : Math.max(0, 1 - this.#identity.processorShare / needed)
   }
 
   async #claim (): Promise<void> {
     const previous = this.#observed
-    await this.#clock.sleep(this.#identity.claimDelayMs + MAX_CLAIM_JITTER_MS * this.#random.fraction() + SHORTFALL_CLAIM_DELAY_MS * this.#processorShortfall)
-    if (this.#isStopped) return
+    const delayMs = this.#identity.claimDelayMs + MAX_CLAIM_JITTER_MS * this.#random.fraction() + SHORTFALL_CLAIM_DELAY_MS * this.#processorShortfall + OWNED_CELL_CLAIM_DELAY_MS * this.#countOwnedCells()
+    await this.#clock.sleep(delayMs)
+    // After a long delay another process has probably claimed the cell.
+    if (this.#isStopped || (delayMs > TERM_POLL_INTERVAL_MS && !await this.#isClaimable())) return
     const term: Term = {
       holder: this.#identity.name,
       life: this.#identity.life,
@@ -120,18 +147,18 @@
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
     const outcome = await this.#ports.store.transact({
-      part: CELL,
+      part: this.#cell,
       checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: previous?.version ?? ABSENT_ROW_VERSION }],
       puts: [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }],
       deletes: []
     })
     if (outcome.err) {
-      this.#log.warn('Claiming the term failed', { epoch: term.epoch, error: outcome.val.message })
+      this.#log.warn('Claiming the term failed', { cell: this.#cell, epoch: term.epoch, error: outcome.val.message })
       return
     }
     if (outcome.val.kind === 'conflict' || this.#isStopped) return
-    this.#log.info('Term claimed', { epoch: term.epoch, before: previous?.term.holder ?? '' })
-    this.#startOwner({ term, version: outcome.val.version, claimedAt, claimedAtWall })
+    this.#log.info('Term claimed', { cell: this.#cell, epoch: term.epoch, before: previous?.term.holder ?? '' })
+    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall })
   }
 
   #startOwner (claimed: ClaimedTerm): void {
@@ -139,7 +166,7 @@
       if (this.#owner === owner) this.#clearOwner()
     }, () => { void this.#releaseOverloadedCell() })
     this.#owner = owner
-    this.#ports.metrics.gauge('term.epoch', claimed.term.epoch)
+    this.#ports.metrics.gauge('term.epoch', claimed.term.epoch, { cell: this.#cell })
     void owner.open()
   }
 
@@ -149,13 +176,13 @@
     const now = this.#clock.now()
     if (owner === undefined || this.#isStopped || now - this.#handedOverAt < MIN_HANDOVER_INTERVAL_MS) return
     this.#handedOverAt = now
-    this.#log.warn('Owner is overloaded and releases its cell', { epoch: this.#observed?.term.epoch })
+    this.#log.warn('Owner is overloaded and releases its cell', { cell: this.#cell, epoch: this.#observed?.term.epoch })
     await owner.close(true)
     this.#clearOwner()
   }
 
   #clearOwner (): void {
     this.#owner = undefined
-    this.#ports.metrics.gauge('term.epoch', 0)
+    this.#ports.metrics.gauge('term.epoch', 0, { cell: this.#cell })
   }
 }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,17 +1,20 @@
 /**
  * Renews an owner's term, and makes its progress durable under that term.
  */
-import { InterruptibleSleep, type AuburnpinError, type Clock, type Instant, type JobId, type Log, type RowVersion } from '@auburnpin/common'
-import type { JobScheduler, JobRecord, WorkerRecord } from '@auburnpin/core'
-import { CELL, COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import { InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type JobId, type Log, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { EMPTY_LAYOUT, type JobScheduler, type JobRecord, type Layout, type WorkerRecord } from '@auburnpin/core'
+import type { ClaimedTerm } from './ClaimedTerm.ts'
+import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
 import type { RowTransaction, RowStore } from './RowStore.ts'
-import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
+import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
 
 /** Content of one commit besides the term itself. */
 type Batch = Readonly<{
   jobs: readonly JobRecord[]
   ends: ReadonlyMap<WorkerRecord, number>
   usedWorkers: readonly UsedWorker[] | undefined
+  /** The layout as it is after this commit; `undefined` if it doesn't change. */
+  layout: Layout | undefined
   progressToDelete: readonly JobId[]
 }>
 
@@ -21,6 +24,8 @@
   abstract committed (): void
   /** Another process owns the cell. */
   abstract lost (reason: string): void
+  /** What the next commit publishes about the load of the cells; empty in a deployment with one cell. */
+  abstract publishedLoad (): Pick<Term, 'loadPercent' | 'cells'>
 }
 
 /**
@@ -34,6 +39,7 @@
   readonly #sleep: InterruptibleSleep
   readonly #scheduler: JobScheduler
   readonly #listener: TermListener
+  readonly #cell: CellId
   #term: Term
   #version: RowVersion
   #heldSince: Instant
@@ -43,6 +49,8 @@
   #usedWorkersKeys = new Set<string>()
   #durableWorkers = new Set<string>()
   #progressToDelete: JobId[] = []
+  #layout: Layout = EMPTY_LAYOUT
+  #durableLayout: Layout = EMPTY_LAYOUT
   #areUsedWorkersDirty = false
   #isStopped = false
   #isRestored = false
@@ -50,7 +58,8 @@
   #isCommitting = false
   #lastCommitAt: Instant
 
-  constructor (store: RowStore, clock: Clock, log: Log, scheduler: JobScheduler, listener: TermListener, term: Term, version: RowVersion, claimedAt: Instant, claimedAtWall: number) {
+  constructor (store: RowStore, clock: Clock, log: Log, scheduler: JobScheduler, listener: TermListener, { cell, term, version, claimedAt, claimedAtWall }: ClaimedTerm) {
+    this.#cell = cell
     this.#store = store
     this.#clock = clock
     this.#log = log
@@ -106,6 +115,28 @@
     this.setUsedWorkers(workers)
   }
 
+  /** Ids of the workers that this owner or an earlier one may have sent orders to. */
+  get usedWorkerIds (): ReadonlySet<WorkerId> {
+    return new Set(this.#usedWorkers.map(({ id }) => id))
+  }
+
+  /** The layout that the store has. */
+  get durableLayout (): Layout {
+    return this.#durableLayout
+  }
+
+  /** Continues with the layout that the store has. */
+  restoreLayout (layout: Layout): void {
+    this.#layout = layout
+    this.#durableLayout = layout
+  }
+
+  /** Stores a layout. It is stored before any worker that it adds to this cell is recorded as used, or together with it. */
+  setLayout (layout: Layout): void {
+    this.#layout = layout
+    this.requestCommit()
+  }
+
   /** Deletes a job's progress with a later commit. The job's rows in the jobs table must be deleted already. */
   deleteProgress (id: JobId): void {
     this.#progressToDelete.push(id)
@@ -119,7 +150,7 @@
   /** Releases the term, so that another process can claim it at once. */
   async release (): Promise<void> {
     while (this.#isCommitting) await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
-    const transaction = this.#buildTransaction({ jobs: [], ends: new Map(), usedWorkers: undefined, progressToDelete: [] }, { ...this.#term, holder: '', commit: this.#term.commit + 1 })
+    const transaction = this.#buildTransaction({ jobs: [], ends: new Map(), usedWorkers: undefined, layout: undefined, progressToDelete: [] }, { ...this.#term, holder: '', commit: this.#term.commit + 1 })
     const outcome = await this.#store.transact(transaction)
     this.#log.info('Term released', { epoch: this.#term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
   }
@@ -134,7 +165,7 @@
   }
 
   get #isCommitDue (): boolean {
-    return this.#areUsedWorkersDirty || this.#scheduler.dirtyCount > 0 || this.#clock.now() - this.#lastCommitAt >= TERM_RENEWAL_INTERVAL_MS
+    return this.#areUsedWorkersDirty || this.#layout !== this.#durableLayout || this.#scheduler.dirtyCount > 0 || this.#clock.now() - this.#lastCommitAt >= TERM_RENEWAL_INTERVAL_MS
   }
 
   #acknowledgeEnds (): void {
@@ -145,7 +176,7 @@
   async #commit (): Promise<void> {
     this.#isCommitting = true
     const batch = this.#takeBatch()
-    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers }
+    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers, ...this.#listener.publishedLoad() }
     const sentAt = this.#clock.now()
     const sentAtWall = this.#clock.wallTime()
     this.#lastCommitAt = sentAt
@@ -159,6 +190,7 @@
     if (outcome.ok && outcome.val.kind === 'committed') {
       this.#extendHold(sentAt, sentAtWall)
       this.#scheduler.markEndsDurable(batch.ends)
+      if (batch.layout !== undefined) this.#durableLayout = batch.layout
       if (batch.usedWorkers !== undefined) this.#durableWorkers = new Set(batch.usedWorkers.map(({ id, incarnation }) => `${id}#${incarnation}`))
       this.#listener.committed()
       await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
@@ -191,13 +223,28 @@
     const usedWorkers = this.#areUsedWorkersDirty ? this.#usedWorkers : undefined
     this.#areUsedWorkersDirty = false
     const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers).size)
-    const limit = Math.max(0, MAX_ROWS_PER_COMMIT - usedWorkersRows)
+    const layout = this.#nextLayout()
+    const limit = Math.max(0, MAX_ROWS_PER_COMMIT - usedWorkersRows - (layout === undefined ? 0 : MAX_LAYOUT_ROWS_PER_COMMIT + 1))
     const jobs = this.#scheduler.takeDirty(limit)
     const ends = this.#scheduler.dirtyCount === 0 ? this.#scheduler.appliedEnds() : new Map<WorkerRecord, number>()
-    return { jobs, ends, usedWorkers, progressToDelete: this.#progressToDelete.splice(0, limit - jobs.length) }
+    return { jobs, ends, usedWorkers, layout, progressToDelete: this.#progressToDelete.splice(0, limit - jobs.length) }
   }
 
-  #buildTransaction ({ jobs, usedWorkers, progressToDelete }: Batch, term: Term): RowTransaction {
+  // A layout with many changed cells takes several commits. The first cell comes last, so that a rack that leaves it is
+  // never in no cell.
+  #nextLayout (): Layout | undefined {
+    if (this.#layout === this.#durableLayout) return undefined
+    const cells = [...this.#durableLayout.cells]
+    let changed = 0
+    for (const [index, cell] of [...this.#layout.cells.entries()].sort(([one], [other]) => Number(one === 0) - Number(other === 0))) {
+      if (cells[index] === cell) continue
+      if (++changed > MAX_LAYOUT_ROWS_PER_COMMIT) return { version: this.#layout.version, cells }
+      cells[index] = cell
+    }
+    return this.#layout
+  }
+
+  #buildTransaction ({ jobs, usedWorkers, layout, progressToDelete }: Batch, term: Term): RowTransaction {
     const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }]
     const deletes = progressToDelete.map(key => ({ table: PROGRESS_TABLE, key: String(key) }))
     if (usedWorkers !== undefined) {
@@ -212,8 +259,14 @@
       this.#estimatesWrittenAt = this.#clock.now()
       puts.push({ table: TERMS_TABLE, key: ESTIMATES_KEY, value: encodeRow(this.#scheduler.interference.learnt) })
     }
+    if (layout !== undefined) {
+      puts.push({ table: TERMS_TABLE, key: LAYOUT_KEY, value: encodeRow({ version: layout.version, cells: layout.cells.length }) })
+      for (const [index, cell] of layout.cells.entries()) {
+        if (this.#durableLayout.cells[index] !== cell) puts.push({ table: TERMS_TABLE, key: layoutCellKey(index), value: encodeRow(cell) })
+      }
+    }
     for (const job of jobs) puts.push({ table: PROGRESS_TABLE, key: job.job.id, value: encodeRow(job.progress) })
-    return { part: CELL, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes }
+    return { part: this.#cell, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes }
   }
 
   // Either an earlier commit of this term was applied although its response was lost, or another process owns the cell.
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -2,7 +2,7 @@
  * Logs which tasks wait for workers, and why.
  */
 import { STEP_KINDS, type JobScheduler, type StepWait, type StepKind } from '@auburnpin/core'
-import type { OwnerPorts } from './CellOwner.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
 import { MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, WAIT_REPORT_INTERVAL_MS } from './constants.ts'
 
 const MS_PER_SECOND = 1_000
--- a/packages/jobs/src/WorkerList.ts
+++ b/packages/jobs/src/WorkerList.ts
@@ -10,10 +10,10 @@
   abstract update (entries: readonly WorkerEntry[], removed: readonly WorkerId[]): void
 }
 
-/** The list of workers, for one listener at a time. */
+/** The list of workers. */
 export abstract class WorkerList {
-  /** Passes the whole list to the listener, then each change until the listener is removed. */
+  /** Passes the whole list to a listener, then each change until the listener is removed. */
   abstract subscribe (listener: WorkerListener): void
-  /** Removes the listener. */
-  abstract unsubscribe (): void
+  /** Removes a listener; does nothing if it is not subscribed. */
+  abstract unsubscribe (listener: WorkerListener): void
 }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -1,7 +1,23 @@
 /** Timings and limits of job scheduling. */
+import { brand, type CellId } from '@auburnpin/common'
 
-/** Name of the cell of jobs; one owner handles a deployment of some hundred workers. */
-export const CELL = 'cell-0'
+/** The cell that exists in every deployment. Its owner assigns the racks to cells and publishes the state of all cells. */
+export const FIRST_CELL = brand<CellId>('cell-0')
+
+/** Workers of one cell. An owner needs some 0.6 of a core for this many; see docs/CAPACITY.md. */
+export const WORKERS_PER_CELL = 250
+
+/** Cells besides the first whose terms a process polls, so that the reads grow neither with the cells nor with the processes' number of cells. */
+export const STANDBY_CELLS = 3
+
+/** Delay of a claim for each cell that the process owns already, in milliseconds, so that others claim first. */
+export const OWNED_CELL_CLAIM_DELAY_MS = 800
+
+/** Most rows of the layout that one transaction writes. */
+export const MAX_LAYOUT_ROWS_PER_COMMIT = 30
+
+/** Time between two reads of a cell's racks by its owner, in milliseconds. */
+export const RACKS_POLL_INTERVAL_MS = 500
 
 /** Number of parts of the jobs table. The store runs the transactions of one part one after another, which takes long when it is slow. */
 export const JOB_PART_COUNT = 16
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -1,9 +1,9 @@
 /**
  * Tables, keys and encodings of the rows that job scheduling stores.
  */
-import { brand, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
-import type { Job, JobProgress, FillerInterferenceState } from '@auburnpin/core'
-import { JOB_PART_COUNT } from './constants.ts'
+import { brand, type CellId, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
+import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobProgress, type Layout } from '@auburnpin/core'
+import { FIRST_CELL, JOB_PART_COUNT } from './constants.ts'
 
 /** Accepted jobs, and their cancellations. */
 export const JOBS_TABLE = 'jobs'
@@ -13,6 +13,9 @@
 export const TERMS_TABLE = 'terms'
 
 export const TERM_KEY = 'term'
+/** In the part of the first cell: the version of the layout and the number of cells. */
+export const LAYOUT_KEY = 'layout'
+const LAYOUT_CELL_PREFIX = `${LAYOUT_KEY}-`
 const USED_WORKERS_KEY = 'workers'
 export const ESTIMATES_KEY = 'learnt'
 
@@ -41,6 +44,22 @@
 
 const partName = (index: number): string => `jobs-${index}`
 
+const CELL_PREFIX = 'cell-'
+
+/** Name of the cell with an index; its rows are in the part of this name. */
+export const cellAt = (index: number): CellId => brand<CellId>(`${CELL_PREFIX}${index}`)
+
+/** Index of a cell. */
+export const indexOfCell = (cell: CellId): number => Number(cell.slice(CELL_PREFIX.length))
+
+/** State of all cells of a deployment with several, as the owner of the first cell last saw them. */
+export type PublishedCells = Readonly<{
+  layoutVersion: number
+  loads: readonly CellLoad[]
+  /** For all cells but the first: number of jobs of each queue that have no started task. */
+  pending: Readonly<Record<string, number>>
+}>
+
 /** One period in which a process owns a cell. */
 export type Term = Readonly<{
   /** Name of the owner; empty once it has released the term. */
@@ -54,8 +73,15 @@
   pending: Readonly<Record<string, number>>
   /** Number of workers that the owner uses; determines how much processor time the cell needs. */
   workers: number
+  /** In a deployment with several cells: processors that running and waiting tasks need, as a percentage of all. */
+  loadPercent?: number
+  /** In the term of the first of several cells. */
+  cells?: PublishedCells
 }>
 
+/** A job, and the cell that it was assigned to when it was accepted. */
+export type AssignedJob = Readonly<{ job: Job, cell: CellId }>
+
 /** A worker that an owner may have sent orders to; the next owner must receive its report or wait until its lease has expired. */
 export type UsedWorker = Readonly<{ id: WorkerId, incarnation: Incarnation, address: string, service: ServiceName }>
 
@@ -75,10 +101,38 @@
 export const isUsedWorkersKey = (key: string): boolean => key === USED_WORKERS_KEY || key.startsWith(`${USED_WORKERS_KEY}-`)
 
 /** Encodes the value of a row. */
-export const encodeRow = (value: Job | JobProgress | Term | FillerInterferenceState | readonly UsedWorker[] | Readonly<{ cancelledAt: number }>): string => JSON.stringify(value)
+export const encodeRow = (value: JobRow | LayoutRow | CellWorkers | JobProgress | Term | FillerInterferenceState | readonly UsedWorker[] | Readonly<{ cancelledAt: number }>): string => JSON.stringify(value)
+
+type JobRow = Job & Readonly<{ cell?: CellId }>
+
+type LayoutRow = Readonly<{ version: number, cells: number }>
+
+/** Encodes a job; the row of a job of the first cell names no cell. */
+export const encodeJob = ({ job, cell }: AssignedJob): string => encodeRow(cell === FIRST_CELL ? job : { ...job, cell })
+
+/** Key of the row with the workers of one cell, in the part of the first cell. */
+export const layoutCellKey = (index: number): string => `${LAYOUT_CELL_PREFIX}${index}`
+
+/** Key range of all rows of the layout. */
+export const LAYOUT_KEY_RANGE = { from: LAYOUT_KEY, to: `${LAYOUT_KEY}~` } as const
+
+/** Reads the layout from the rows of the first cell; `undefined` if there is none. */
+export const readLayout = (rows: ReadonlyArray<Readonly<{ key: string, value: string }>>): Layout | undefined => {
+  const values = new Map(rows.map(({ key, value }) => [key, value]))
+  const layoutRow = values.get(LAYOUT_KEY)
+  if (layoutRow === undefined) return undefined
+  const { version, cells } = JSON.parse(layoutRow) as LayoutRow
+  return { version, cells: Array.from({ length: cells }, (_, index) => readCellWorkers(values.get(layoutCellKey(index)))) }
+}
+
+/** Reads the workers of one cell; without a row, the cell has none. */
+export const readCellWorkers = (value: string | undefined): CellWorkers => value === undefined ? NO_WORKERS : JSON.parse(value) as CellWorkers
 
 // The values are not validated, as only this program writes these rows.
-export const readJob = (value: string): Job => JSON.parse(value) as Job
+export const readJob = (value: string): AssignedJob => {
+  const { cell = FIRST_CELL, ...job } = JSON.parse(value) as JobRow
+  return { job, cell }
+}
 export const readProgress = (value: string): JobProgress => JSON.parse(value) as JobProgress
 export const readEstimates = (value: string): FillerInterferenceState => JSON.parse(value) as FillerInterferenceState
 export const readTerm = (value: string): Term => JSON.parse(value) as Term
