A damaged row or an unexpected error concerns nothing but itself

Cause: rows were read without checks, as only this program writes them. A job, term, progress or used-workers row that isn't what it should be threw in a follower or in the election, and Node ends a process on an unhandled rejection: every process that met the row went down, one after another (found with a label of a metric that was missing: the owner of each term crashed). Change: rows are read with their shape checked. An unreadable job is left out; a job with unreadable progress isn't scheduled, as done tasks might run again; with unreadable used workers no task starts before all leases are over; an unreadable term is claimed after its expiry with an epoch above all before; a lost layout of several cells keeps the owner from scheduling. Ruled out: zod for these rows; every process holds the program in memory, and each owner reads every job.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -67,6 +67,7 @@
   /** Waits of the open steps. */
   readonly waits = new WaitingSteps()
   readonly #earlierLeasesExpireAt: Instant
+  #areEarlierWorkersKnown = true
   #isReconciled = false
 
   constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver) {
@@ -81,6 +82,11 @@
     return this.#isReconciled
   }
 
+  /** Records that an earlier owner may have used workers that this one doesn't know, so that no task starts before all leases are over. */
+  waitForEarlierLeases (): void {
+    this.#areEarlierWorkersKnown = false
+  }
+
   /** Adds a job with its durable progress; a job that was added before is unchanged. */
   addJob (job: Job, now: Instant, progress?: JobProgress): void {
     if (this.jobs.has(job.id)) return
@@ -512,6 +518,7 @@
   #checkReconciled (now: Instant): boolean {
     if (this.#isReconciled) return true
     if (now < this.#earlierLeasesExpireAt) {
+      if (!this.#areEarlierWorkersKnown) return false
       for (const worker of this.workers.values()) if (!worker.hasReported) return false
     }
     this.#isReconciled = true
--- a/packages/jobs/src/CellChooser.ts
+++ b/packages/jobs/src/CellChooser.ts
@@ -58,7 +58,12 @@
   async #readLayout (): Promise<void> {
     const page = await this.#store.range({ table: TERMS_TABLE, part: FIRST_CELL, ...LAYOUT_KEY_RANGE })
     if (page.err) return
-    this.#layout = readLayout(page.val.rows)
-    this.#log.info('Layout in use', { version: this.#layout?.version, cells: this.#layout?.cells.length })
+    const layout = readLayout(page.val.rows)
+    if (layout === undefined) {
+      this.#log.warn('The layout is missing or cannot be read; the earlier one stays in use', { version: this.#layout?.version })
+      return
+    }
+    this.#layout = layout
+    this.#log.info('Layout in use', { version: layout.version, cells: layout.cells.length })
   }
 }
--- a/packages/jobs/src/CellMembership.ts
+++ b/packages/jobs/src/CellMembership.ts
@@ -236,7 +236,12 @@
     const value = page.val.rows[0]?.value
     if (value === this.#value) return
     this.#value = value
-    this.#workers = readCellWorkers(value)
+    const workers = readCellWorkers(value)
+    if (workers === undefined) {
+      this.#log.error('The racks of the cell cannot be read; the earlier ones stay', { row: this.#key })
+      return
+    }
+    this.#workers = workers
     this.#racks = new Set(this.#workers.racks)
     this.#log.info('Racks of the cell', { row: this.#key, racks: this.#racks.size })
     this.#onChange()
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -69,7 +69,9 @@
     if (page.err) return
     const row = page.val.rows.find(({ key }) => key === TERM_KEY)
     if (row === undefined || this.#observed.get(index)?.version === row.version) return
-    this.#observed.set(index, { term: readTerm(row.value), version: row.version, changedAt: this.#clock.now() })
+    const term = readTerm(row.value)
+    if (term === undefined) return
+    this.#observed.set(index, { term, version: row.version, changedAt: this.#clock.now() })
   }
 }
 
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -1,7 +1,7 @@
 /**
  * Schedules the jobs of a cell during one term of ownership.
  */
-import { assertNever, brand, type AuburnpinError, type Epoch, type JobId, type Result, type WorkerId } from '@auburnpin/common'
+import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
 import { JobScheduler, rackKey, type JobProgress, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
@@ -14,7 +14,7 @@
 import { readPart } from './readPart.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { RowKey, StoredRow } from './RowStore.ts'
-import { allJobParts, cancelledJob, ESTIMATES_KEY, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
+import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower, TableListener } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
@@ -45,7 +45,9 @@
   #entries = new Map<WorkerId, WorkerEntry>()
   /** Jobs of other cells, whose cancellations don't concern this one. */
   #jobsElsewhere = new Set<JobId>()
-  #storedProgress = new Map<string, JobProgress>()
+  readonly #storedProgress = new Map<string, JobProgress>()
+  /** Jobs whose progress cannot be read. Tasks that are done might run again, so these jobs are not scheduled. */
+  readonly #damagedProgress = new Set<string>()
   #isClosed = false
   #isRestored = false
   #isPassScheduled = false
@@ -135,7 +137,13 @@
     ])
     if (progress.err) return progress
     if (termRows.err) return termRows
-    this.#storedProgress = new Map(progress.val.rows.map(row => [row.key, readProgress(row.value)]))
+    if (!this.#restoreLayout(termRows.val.rows)) return Err(new AuburnpinError('corrupt', 'The layout of the cells cannot be read', 'Find what else writes to the table of terms; restore the rows of the layout.'))
+    for (const row of progress.val.rows) {
+      const read = readProgress(row.value)
+      if (read === undefined) this.#damagedProgress.add(row.key)
+      else this.#storedProgress.set(row.key, read)
+    }
+    if (this.#damagedProgress.size > 0) this.#ports.log.error('The progress of jobs cannot be read; they are not scheduled', { jobs: [...this.#damagedProgress].join(' ') })
     const read = await this.#jobsFollower.readTable()
     if (read.err) return read
     this.#storedProgress.clear()
@@ -143,24 +151,40 @@
     const usedWorkers: UsedWorker[] = []
     const usedWorkersKeys: string[] = []
     for (const row of termRows.val.rows) {
-      if (row.key === ESTIMATES_KEY) this.#scheduler.interference.restore(readEstimates(row.value), now)
+      if (row.key === ESTIMATES_KEY) this.#restoreEstimates(row.value, now)
       if (!isUsedWorkersKey(row.key)) continue
       usedWorkersKeys.push(row.key)
-      usedWorkers.push(...readUsedWorkers(row.value))
+      const read = readUsedWorkers(row.value)
+      if (read !== undefined) usedWorkers.push(...read)
+      else {
+        this.#ports.log.error('The workers of earlier owners cannot be read; no task starts before their leases are over', { row: row.key })
+        this.#scheduler.waitForEarlierLeases()
+      }
     }
     for (const worker of usedWorkers) {
       this.#scheduler.upsertWorker(unlistedEntry(worker), now)
       this.#scheduler.unlistWorker(worker.id)
     }
     this.#writer.restoreUsedWorkers(usedWorkers, usedWorkersKeys)
-    const layout = readLayout(termRows.val.rows)
-    if (layout !== undefined) {
-      this.#layout?.restore(layout)
-      this.#writer.restoreLayout(layout)
-    }
     return read
   }
 
+  #restoreEstimates (value: string, now: Instant): void {
+    const estimates = readEstimates(value)
+    if (estimates === undefined) this.#ports.log.warn('The interference estimates of earlier owners cannot be read and are learnt anew', { cell: this.#claimed.cell })
+    else this.#scheduler.interference.restore(estimates, now)
+  }
+
+  // A deployment of several cells needs its layout, as other owners use the racks that it assigns to them.
+  #restoreLayout (rows: readonly StoredRow[]): boolean {
+    if (this.#layout === undefined) return true
+    const layout = readLayout(rows)
+    if (layout === undefined) return !hasSeveralCells(rows)
+    this.#layout.restore(layout)
+    this.#writer.restoreLayout(layout)
+    return true
+  }
+
   /** Applies the whole jobs table. Progress of jobs without a row there is deleted. */
   replaceJobs (rows: readonly StoredRow[]): void {
     this.#jobsElsewhere.clear()
@@ -174,7 +198,13 @@
     const now = this.#ports.clock.now()
     for (const row of rows) {
       if (cancelledJob(row.key) !== undefined) continue
-      const { job, cell } = readJob(row.value)
+      const assigned = readJob(row.value)
+      if (assigned === undefined) {
+        this.#ports.log.error('A job cannot be read and is not scheduled', { row: row.key, version: row.version })
+        continue
+      }
+      const { job, cell } = assigned
+      if (this.#damagedProgress.has(row.key)) continue
       if (cell === this.#claimed.cell) this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key))
       else {
         this.#jobsElsewhere.add(job.id)
@@ -284,7 +314,7 @@
     this.#isPassScheduled = true
     this.#ports.clock.after(this.#passSpacing.delayMs, () => {
       this.#isPassScheduled = false
-      this.#runPass()
+      this.#runPassSafely()
     })
   }
 
@@ -299,6 +329,15 @@
     }
   }
 
+  // An unexpected error must end neither the process nor the renewal of leases; the next pass tries again.
+  #runPassSafely (): void {
+    try {
+      this.#runPass()
+    } catch (thrown) {
+      this.#ports.log.error('A scheduling pass failed unexpectedly', { cell: this.#claimed.cell, error: thrown instanceof Error ? thrown.stack : String(thrown) })
+    }
+  }
+
   #runPass (): void {
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
@@ -310,7 +349,9 @@
       this.#ports.log.info('All earlier runs are reported or have ended; tasks may start', { epoch: this.#claimed.term.epoch, workers: this.#scheduler.workers.size })
     }
     this.#logPlacements(orders)
-    for (const order of orders) void this.#execute(order)
+    for (const order of orders) {
+      this.#execute(order).catch((thrown: unknown) => { this.#ports.log.error('An order failed unexpectedly', { kind: order.kind, task: order.task, worker: order.worker, error: String(thrown) }) })
+    }
     if (this.#scheduler.dirtyCount > 0) this.#writer.requestCommit()
   }
 
--- a/packages/jobs/src/JobRepository.ts
+++ b/packages/jobs/src/JobRepository.ts
@@ -106,7 +106,9 @@
     if (rows.err) return rows
     const row = rows.val.rows.find(({ key }) => key === id)
     if (row === undefined) return Ok(undefined)
-    const { cell } = readJob(row.value)
+    const assigned = readJob(row.value)
+    if (assigned === undefined) return Err(damagedRow(`job ${id}`))
+    const { cell } = assigned
     this.#rememberCell(id, cell)
     const phase = cell === likelyCell ? likelyPhase : await this.#recordedPhase(id, cell)
     if (phase.err || phase.val !== undefined) return phase
@@ -117,7 +119,9 @@
   async #recordedPhase (id: JobId, cell: CellId): Promise<Result<JobPhase | undefined, AuburnpinError>> {
     const progress = await this.#readOne(PROGRESS_TABLE, cell, id)
     if (progress.err) return progress
-    const phase = progress.val === undefined ? 'queued' : readProgress(progress.val.value).phase
+    if (progress.val === undefined) return Ok(undefined)
+    const phase = readProgress(progress.val.value)?.phase
+    if (phase === undefined) return Err(damagedRow(`the progress of job ${id}`))
     return Ok(phase === 'queued' ? undefined : phase)
   }
 
@@ -154,5 +158,8 @@
   return `${step.taskCount}x${step.processors}m/${step.memoryMb}MB/${step.estimateMs}ms${properties.map(property => property === '' ? '' : `,${property}`).join('')}`
 }).join(' ')
 
+const damagedRow = (what: string): AuburnpinError =>
+  new AuburnpinError('corrupt', `The row of ${what} cannot be read`, 'Find what else writes to the tables of auburnpin; delete the row once the job is no longer needed.')
+
 const unknownOutcome = (cause: AuburnpinError): AuburnpinError =>
   new AuburnpinError('unknown-outcome', `The store may or may not have applied the change: ${cause.message}`, 'Send the same request again; it is applied at most once.', { cause })
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -28,6 +28,9 @@
 /** After the store was unavailable, the owner has this many milliseconds to renew its term before others treat it as expired. */
 const STORE_RECOVERY_GRACE_MS = 900
 
+/** Stands for the holder of a term that cannot be read; no process has this name. */
+const UNKNOWN_HOLDER = '?'
+
 /** Participation of one process in the election of the owner of one cell. The polled term also contains the lengths of the queues. */
 export class OwnerElection {
   readonly #ports: OwnerPorts
@@ -113,7 +116,7 @@
     // The owner may have lost the store as well, and may be about to renew.
     else if (this.#hasReadFailed) this.#renewalObservedAt = brand<Instant>(Math.max(this.#renewalObservedAt ?? now, now - TERM_EXPIRY_MS + STORE_RECOVERY_GRACE_MS))
     this.#hasReadFailed = false
-    this.#observed = row === undefined ? undefined : { term: readTerm(row.value), version }
+    this.#observed = row === undefined ? undefined : { term: this.#readTerm(row.value, version), version }
     if (this.#owner !== undefined || now - this.#handedOverAt < HANDOVER_CLAIM_PAUSE_MS) return false
     if (this.#observed === undefined) return true
     const { holder, life } = this.#observed.term
@@ -122,6 +125,14 @@
     return now - (this.#renewalObservedAt ?? now) >= TERM_EXPIRY_MS
   }
 
+  // Each term has written its row at least once, so that the version of the row is above all epochs so far.
+  #readTerm (value: string, version: RowVersion): Term {
+    const term = readTerm(value)
+    if (term !== undefined) return term
+    this.#log.error('The term cannot be read and is treated as one without renewals', { cell: this.#cell, version })
+    return { holder: UNKNOWN_HOLDER, life: '', epoch: brand<Epoch>(version), commit: 0, pending: {}, workers: 0 }
+  }
+
   // Fraction of the processor time needed by the cell that this VM lacks, 0 to 1.
   get #processorShortfall (): number {
     // A cell that has had no owner yet was made for a full number of workers, unless it is the only one.
--- a/packages/jobs/src/TableFollower.ts
+++ b/packages/jobs/src/TableFollower.ts
@@ -70,7 +70,7 @@
     if (this.#isStopped) return Ok(undefined)
     this.#version = version ?? ABSENT_ROW_VERSION
     this.#currentAt = requestedAt
-    this.#listener.replaceAll(rows)
+    this.#notify(() => this.#listener.replaceAll(rows))
     return Ok(undefined)
   }
 
@@ -98,10 +98,19 @@
     // Without changes, the store responds only after the whole wait.
     const isUnchanged = changed.length === 0 && deleted.length === 0
     this.#currentAt = isUnchanged ? brand<Instant>(Math.min(requestedAt + FEED_WAIT_MS, this.#clock.now())) : requestedAt
-    if (changed.length > 0 || deleted.length > 0) this.#listener.update(changed, deleted)
+    if (changed.length > 0 || deleted.length > 0) this.#notify(() => this.#listener.update(changed, deleted))
     return Ok(undefined)
   }
 
+  // An unexpected error in one change must not keep the listener from later ones.
+  #notify (action: () => void): void {
+    try {
+      action()
+    } catch (thrown) {
+      this.#log.error('A change of a table could not be applied', { table: this.#table, version: this.#version, error: String(thrown) })
+    }
+  }
+
   #logStateChange (outcome: Result<void, AuburnpinError>): void {
     if (outcome.err === this.#isFailing) return
     this.#isFailing = outcome.err
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -159,11 +159,22 @@
     while (!this.#isStopped) {
       // With nothing to write, all effects of the reported ends are durable already.
       if (this.#scheduler.dirtyCount === 0 && this.#scheduler.hasNonDurableEnds) this.#acknowledgeEnds()
-      if (this.#isCommitDue) await this.#commit()
+      if (this.#isCommitDue) await this.#commitSafely()
       else await this.#sleep.sleep(Math.max(1, TERM_RENEWAL_INTERVAL_MS - (this.#clock.now() - this.#lastCommitAt)))
     }
   }
 
+  // An unexpected error must not end the renewal of the term.
+  async #commitSafely (): Promise<void> {
+    try {
+      await this.#commit()
+    } catch (thrown) {
+      this.#isCommitting = false
+      this.#log.error('Commit failed unexpectedly', { cell: this.#cell, epoch: this.#term.epoch, error: String(thrown) })
+      await this.#clock.sleep(COMMIT_RETRY_DELAY_MS)
+    }
+  }
+
   get #isCommitDue (): boolean {
     return this.#areUsedWorkersDirty || this.#layout !== this.#durableLayout || this.#scheduler.dirtyCount > 0 || this.#clock.now() - this.#lastCommitAt >= TERM_RENEWAL_INTERVAL_MS
   }
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -66,21 +66,31 @@
     while (!this.#isStopped) {
       const worker = this.#scheduler.workers.get(this.#worker)
       if (worker === undefined) return
-      if (!this.#mayPoll(worker)) {
-        await this.#sleep.sleep(TICK_INTERVAL_MS)
-        continue
+      try {
+        await this.#poll(worker)
+      } catch (thrown) {
+        // Without further reports the lease of the worker would expire.
+        this.#log.error('A report could not be applied', { worker: this.#worker, error: String(thrown) })
+        await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
       }
-      if (!needsReport(worker)) {
-        await this.#sleep.sleep(REPORT_WAIT_MS)
-        continue
-      }
-      const areEndsDurable = worker.appliedEnd <= worker.durableEnd
-      const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 ? reportWaitMs(worker) : 0)
-      if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
-      else await this.#waitBetweenReports(worker)
     }
   }
 
+  async #poll (worker: WorkerRecord): Promise<void> {
+    if (!this.#mayPoll(worker)) {
+      await this.#sleep.sleep(TICK_INTERVAL_MS)
+      return
+    }
+    if (!needsReport(worker)) {
+      await this.#sleep.sleep(REPORT_WAIT_MS)
+      return
+    }
+    const areEndsDurable = worker.appliedEnd <= worker.durableEnd
+    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 ? reportWaitMs(worker) : 0)
+    if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
+    else await this.#waitBetweenReports(worker)
+  }
+
   #mayPoll (worker: WorkerRecord): boolean {
     return this.#host.isHeld && this.#host.isUsable(worker)
   }
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -2,7 +2,7 @@
  * Tables, keys and encodings of the rows that job scheduling stores.
  */
 import { brand, type CellId, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
-import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobProgress, type Layout } from '@auburnpin/core'
+import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, JOB_PART_COUNT } from './constants.ts'
 
 /** Accepted jobs, and their cancellations. */
@@ -116,24 +116,75 @@
 /** Key range of all rows of the layout. */
 export const LAYOUT_KEY_RANGE = { from: LAYOUT_KEY, to: `${LAYOUT_KEY}~` } as const
 
-/** Reads the layout from the rows of the first cell; `undefined` if there is none. */
+/** Whether the store records more than one cell, also if the rows cannot be read. */
+export const hasSeveralCells = (rows: ReadonlyArray<Readonly<{ key: string }>>): boolean => rows.some(({ key }) => key === layoutCellKey(1))
+
+/** Reads the layout from the rows of the first cell; `undefined` if there is none or a row is invalid. */
 export const readLayout = (rows: ReadonlyArray<Readonly<{ key: string, value: string }>>): Layout | undefined => {
   const values = new Map(rows.map(({ key, value }) => [key, value]))
-  const layoutRow = values.get(LAYOUT_KEY)
-  if (layoutRow === undefined) return undefined
-  const { version, cells } = JSON.parse(layoutRow) as LayoutRow
-  return { version, cells: Array.from({ length: cells }, (_, index) => readCellWorkers(values.get(layoutCellKey(index)))) }
+  const row = parseRow<LayoutRow>(values.get(LAYOUT_KEY) ?? '', { version: 0, cells: 0 })
+  if (row === undefined || row.cells > MAX_CELLS) return undefined
+  const cells: CellWorkers[] = []
+  for (let index = 0; index < row.cells; index++) {
+    const cell = readCellWorkers(values.get(layoutCellKey(index)))
+    if (cell === undefined) return undefined
+    cells.push(cell)
+  }
+  return cells.length === 0 ? undefined : { version: row.version, cells }
+}
+
+/** Reads the workers of one cell; without a row, the cell has none. `undefined` if the row is invalid. */
+export const readCellWorkers = (value: string | undefined): CellWorkers | undefined =>
+  value === undefined ? NO_WORKERS : parseRow<CellWorkers>(value, { racks: [''], services: {}, epochOffsets: {} })
+
+/** Most cells of a layout that is read; a larger number is a damaged row. */
+const MAX_CELLS = 10_000
+
+const POLICY_SHAPE = { service: '', priority: 0, maxAttempts: 0, objectiveFactor: 0, objectiveMs: 0 }
+const STEP_SHAPE = { taskCount: 0, processors: 0, memoryMb: 0, accelerators: 0, estimateMs: 0, after: [0], requiredLabel: '', dataRack: '', maxPerWorker: 0, image: '', latencyTargetMs: 0, mayMiss: 0 }
+const JOB_SHAPE = { id: '', queue: '', policy: POLICY_SHAPE, spec: '', steps: [STEP_SHAPE], acceptedAt: 0, occurrences: 0, firstRunAt: 0, intervalMs: 0 }
+
+// The values have to be of the types of the shape; a list has any number of values like its first one.
+const hasShape = (value: unknown, shape: unknown): boolean => {
+  if (Array.isArray(shape)) return Array.isArray(value) && (shape.length === 0 || value.every(item => hasShape(item, shape[0])))
+  if (typeof shape !== 'object' || shape === null) return typeof value === typeof shape
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return false
+  return Object.entries(shape).every(([key, inner]) => hasShape((value as Record<string, unknown>)[key], inner))
 }
 
-/** Reads the workers of one cell; without a row, the cell has none. */
-export const readCellWorkers = (value: string | undefined): CellWorkers => value === undefined ? NO_WORKERS : JSON.parse(value) as CellWorkers
+// `undefined` for a value that this program cannot have written, so that a damaged row concerns nothing else.
+const parseRow = <Value>(value: string, shape: unknown): Value | undefined => {
+  try {
+    const parsed: unknown = JSON.parse(value)
+    return hasShape(parsed, shape) ? parsed as Value : undefined
+  } catch {
+    return undefined
+  }
+}
 
-// The values are not validated, as only this program writes these rows.
-export const readJob = (value: string): AssignedJob => {
-  const { cell = FIRST_CELL, ...job } = JSON.parse(value) as JobRow
+/** Each function reads the value of a row and returns `undefined` if it is invalid. */
+export const readJob = (value: string): AssignedJob | undefined => {
+  const row = parseRow<JobRow>(value, JOB_SHAPE)
+  if (row === undefined) return undefined
+  const { cell = FIRST_CELL, ...job } = row
   return { job, cell }
 }
-export const readProgress = (value: string): JobProgress => JSON.parse(value) as JobProgress
-export const readEstimates = (value: string): FillerInterferenceState => JSON.parse(value) as FillerInterferenceState
-export const readTerm = (value: string): Term => JSON.parse(value) as Term
-export const readUsedWorkers = (value: string): readonly UsedWorker[] => JSON.parse(value) as readonly UsedWorker[]
+export const readProgress = (value: string): JobProgress | undefined => {
+  const progress = parseRow<JobProgress>(value, { phase: '', done: {}, failed: {}, checkpoints: {} })
+  const isValid = progress !== undefined && JOB_PHASES.has(progress.phase) &&
+    Object.values(progress.done).every(done => done === 'all' || hasShape(done, [0])) &&
+    Object.values(progress.failed).every(failed => hasShape(failed, [0])) &&
+    Object.values(progress.checkpoints).every(checkpoint => typeof checkpoint === 'string')
+  return isValid ? progress : undefined
+}
+export const readEstimates = (value: string): FillerInterferenceState | undefined => {
+  const state = parseRow<FillerInterferenceState>(value, { estimates: { bases: [[]], pairs: [[]] }, shortest: {} })
+  if (state === undefined) return undefined
+  const isEntry = ([key, mean, variance]: readonly unknown[]): boolean => typeof key === 'string' && typeof mean === 'number' && typeof variance === 'number'
+  const { estimates: { bases, pairs }, shortest } = state
+  return bases.every(isEntry) && pairs.every(isEntry) && Object.values(shortest).every(share => typeof share === 'number') ? state : undefined
+}
+export const readTerm = (value: string): Term | undefined => parseRow(value, { holder: '', life: '', epoch: 0, commit: 0, pending: {}, workers: 0 })
+export const readUsedWorkers = (value: string): readonly UsedWorker[] | undefined => parseRow(value, [{ id: '', incarnation: 0, address: '', service: '' }])
+
+const JOB_PHASES: ReadonlySet<string> = new Set<JobPhase>(['queued', 'active', 'completed', 'failed', 'cancelled'])
