Jobs that wait are given to less loaded cells; a new owner keeps the fencing of racks that moved

Change: a job of which no task was ever started moves to a clearly less loaded cell in two steps, of which the first is recorded under the term and the second changes the job's row.

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -1,7 +1,7 @@
 /**
  * A job and the state of its tasks.
  */
-import type { Instant } from '@auburnpin/common'
+import type { CellId, Instant } from '@auburnpin/common'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import { expectedMs, taskWork } from './taskWork.ts'
@@ -17,6 +17,8 @@
   #phase: JobPhase = 'queued'
   /** When this process observed the end of the job; `undefined` before. */
   endedAt?: Instant
+  /** The cell that the job moves to; it is not scheduled here any more. */
+  movedTo?: CellId
   #doneOccurrences = new Set<number>()
   /** For each step, the duration of the longest chain of steps that starts with it, by the client's estimates, in milliseconds. */
   readonly #remainingMs: readonly number[]
@@ -122,6 +124,7 @@
     const failed: Record<string, readonly number[]> = {}
     const checkpoints: Record<string, string> = {}
     if (this.isFinal) return { phase: this.#phase, done, failed, checkpoints }
+    if (this.movedTo !== undefined) return { phase: this.#phase, done, failed, checkpoints, movedTo: this.movedTo }
     for (const steps of this.occurrences.values()) {
       for (const step of steps) {
         if (step.isDone) done[step.key] = 'all'
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -1,7 +1,7 @@
 /**
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
-import { assertNever, brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
+import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE } from './constants.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
@@ -93,6 +93,10 @@
     const record = new JobRecord(job)
     this.jobs.set(job.id, record)
     if (progress !== undefined) record.setPhase(progress.phase)
+    if (progress?.movedTo !== undefined) {
+      record.movedTo = progress.movedTo
+      return
+    }
     if (this.#cancelledBeforeAccepted.delete(job.id)) this.#endJob(record, 'cancelled', now)
     if (record.isFinal) {
       record.endedAt = now
@@ -116,7 +120,7 @@
 
   #openReadySteps (record: JobRecord, occurrence: number): void {
     // A task of an ended job may still finish.
-    if (record.isFinal) return
+    if (record.isFinal || record.movedTo !== undefined) return
     record.openReadySteps(occurrence)
     for (const step of record.occurrences.get(occurrence) ?? []) {
       if (step.isOpen && !step.isDone) this.#openSteps.add(step)
@@ -158,26 +162,56 @@
     return finished
   }
 
-  /** Forgets a cancellation that came before its job, as the job belongs to another cell. */
-  forgetCancellation (id: JobId): void {
-    this.#cancelledBeforeAccepted.delete(id)
+  /**
+   * Jobs that have waited since `before` without a task that was ever started, so that another cell may schedule them
+   * instead. Those that wait longest come first.
+   */
+  untouchedJobs (before: Instant): readonly JobRecord[] {
+    const untouched = new Set<JobRecord>()
+    for (const step of this.#openSteps) {
+      const { job } = step
+      if (job.phase !== 'queued' || job.movedTo !== undefined || job.job.occurrences > 0 || !this.waits.hasWaitedSince(step, before)) continue
+      if (![...job.tasks()].some(task => task.hasRun || task.runs.length > 0)) untouched.add(job)
+    }
+    return [...untouched]
+  }
+
+  /** Stops scheduling an untouched job. Once its progress is durable, it may be given to the other cell. */
+  withdraw (record: JobRecord, to: CellId): void {
+    record.movedTo = to
+    for (const steps of record.occurrences.values()) for (const step of steps) this.#openSteps.delete(step)
+    this.#fairness.remove(record)
+    this.#dirty.add(record)
+  }
+
+  /** Forgets a cancellation that came before its job, as the job belongs to another cell. Returns whether there was one. */
+  takeCancellation (id: JobId): boolean {
+    return this.#cancelledBeforeAccepted.delete(id)
+  }
+
+  /** Processors of all listed workers, in thousandths of a core. */
+  get processors (): number {
+    let available = 0
+    for (const { isListed, entry } of this.workers.values()) if (isListed) available += entry.processors
+    return available
   }
 
   /** Processors that running and waiting tasks need, as a percentage of those of all listed workers. */
   get loadPercent (): number {
+    const available = this.processors
     let needed = 0
-    let available = 0
     for (const worker of this.workers.values()) {
       needed += worker.processorsUsed
       for (const { task: { step: { shape } } } of worker.runs.values()) if (shape.isFiller) needed += shape.processors
-      if (worker.isListed) available += worker.entry.processors
     }
     for (const { waiting, shape } of this.#openSteps) needed += waiting.size * shape.processors
     return available === 0 ? 0 : Math.round(100 * needed / available)
   }
 
-  /** Removes a job whose rows have been deleted. */
+  /** Removes a job whose rows have been deleted, or that belongs to another cell. */
   removeJob (id: JobId): void {
+    const record = this.jobs.get(id)
+    if (record !== undefined) this.#dirty.delete(record)
     this.jobs.delete(id)
   }
 
--- a/packages/core/src/jobs/WaitingSteps.ts
+++ b/packages/core/src/jobs/WaitingSteps.ts
@@ -73,6 +73,11 @@
     }
   }
 
+  /** Whether a step has had tasks that wait since a moment. */
+  hasWaitedSince (step: StepRecord, moment: Instant): boolean {
+    return (this.#waits.get(step)?.since ?? Infinity) <= moment
+  }
+
   /** Milliseconds for which a step has had tasks that wait. */
   waitedMs (step: StepRecord, now: Instant): number {
     return now - (this.#waits.get(step)?.since ?? now)
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -5,7 +5,7 @@
  * (`isFiller`) uses only processors that other tasks leave unused. A *long-running task* (`isLasting`) runs
  * until its job is cancelled.
  */
-import type { Attempt, Branded, Incarnation, Instant, JobId, QueueName, ServiceName, WorkerId } from '@auburnpin/common'
+import type { Attempt, Branded, CellId, Incarnation, Instant, JobId, QueueName, ServiceName, WorkerId } from '@auburnpin/common'
 
 /** One step of a job: a number of tasks with the same requirements. */
 export type JobStep = Readonly<{
@@ -87,6 +87,8 @@
   failed: Readonly<Record<string, readonly number[]>>
   /** For each `occurrence.step.index` with a checkpoint: the checkpoint. */
   checkpoints: Readonly<Record<string, string>>
+  /** The cell that the job is to be scheduled in instead; set only while no task of the job has ever been started. */
+  movedTo?: CellId
 }>
 
 /** A worker's entry in the list of workers. */
--- a/packages/core/src/layout/chooseCell.ts
+++ b/packages/core/src/layout/chooseCell.ts
@@ -50,7 +50,8 @@
 const weightOf = (load: CellLoad | undefined): number =>
   load === undefined ? 0 : load.workers / (BASE_LOAD_PERCENT + load.loadPercent)
 
-const canRun = ({ steps, policy: { service } }: Job, cell: CellWorkers | undefined): boolean => {
+/** Whether the workers of a cell can run all steps of a job. */
+export const canRun = ({ steps, policy: { service } }: Job, cell: CellWorkers | undefined): boolean => {
   const offer = cell?.services[service]
   return offer !== undefined && steps.every(step => fits(step, offer))
 }
--- a/packages/jobs/src/CellChooser.ts
+++ b/packages/jobs/src/CellChooser.ts
@@ -2,10 +2,10 @@
  * Choice of the cell of a new job, from what the owner of the first cell publishes.
  */
 import { type CellId, type Clock, type Log, type Random } from '@auburnpin/common'
-import { chooseCell, type Job, type Layout } from '@auburnpin/core'
+import { chooseCell, chooseTransfer, type Job, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
-import { cellAt, LAYOUT_KEY_RANGE, readLayout, TERMS_TABLE, type PublishedCells } from './rows.ts'
+import { cellAt, indexOfCell, LAYOUT_KEY_RANGE, readLayout, TERMS_TABLE, type PublishedCells } from './rows.ts'
 
 /**
  * Keeps a copy of the layout and reads it again when the published version changes. Until it knows the layout, all jobs
@@ -47,6 +47,18 @@
     return cellAt(chooseCell(job, this.#layout.cells, loads, this.#random.fraction()))
   }
 
+  /** The less loaded cell that a job which waits in `from` should go to; `undefined` if there is none. */
+  chooseTransfer (job: Job, from: CellId, loads: PublishedCells['loads']): CellId | undefined {
+    if (this.#layout === undefined) return undefined
+    const index = chooseTransfer(job, indexOfCell(from), this.#layout.cells, loads)
+    return index === undefined ? undefined : cellAt(index)
+  }
+
+  /** Loads of all cells as last published; `undefined` in a deployment with one cell. */
+  get loads (): PublishedCells['loads'] | undefined {
+    return this.#published()?.loads
+  }
+
   async #run (): Promise<void> {
     while (!this.#isStopped) {
       const published = this.#published()
--- a/packages/jobs/src/CellMembership.ts
+++ b/packages/jobs/src/CellMembership.ts
@@ -21,6 +21,8 @@
   abstract has (entry: WorkerEntry): boolean
   /** What is added to the epoch of the term in orders for a worker. */
   abstract epochOffset (entry: WorkerEntry): number
+  /** Reads the racks of the cell at the start of a term; returns `false` if that failed. */
+  abstract read (): Promise<boolean>
   /** Follows changes that others make until `stop`. */
   abstract start (): void
   abstract stop (): void
@@ -120,6 +122,11 @@
     return this.#cellOfRack.get(rack) === 0 && !this.#leaving.has(rack)
   }
 
+  // The layout is restored with the other rows of the term.
+  async read (): Promise<boolean> {
+    return true
+  }
+
   // No rack moves to the first cell.
   epochOffset (): number {
     return 0
@@ -225,25 +232,26 @@
 
   async #run (): Promise<void> {
     while (!this.#isStopped) {
-      await this.#read()
       await this.#clock.sleep(RACKS_POLL_INTERVAL_MS)
+      if (!this.#isStopped) await this.read()
     }
   }
 
-  async #read (): Promise<void> {
+  async read (): Promise<boolean> {
     const page = await this.#store.range({ table: TERMS_TABLE, part: FIRST_CELL, from: this.#key, to: `${this.#key}\u0000` })
-    if (page.err || this.#isStopped) return
+    if (page.err) return false
     const value = page.val.rows[0]?.value
-    if (value === this.#value) return
+    if (this.#isStopped || value === this.#value) return true
     this.#value = value
     const workers = readCellWorkers(value)
     if (workers === undefined) {
       this.#log.error('The racks of the cell cannot be read; the earlier ones stay', { row: this.#key })
-      return
+      return false
     }
     this.#workers = workers
     this.#racks = new Set(this.#workers.racks)
     this.#log.info('Racks of the cell', { row: this.#key, racks: this.#racks.size })
     this.#onChange()
+    return true
   }
 }
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -13,7 +13,7 @@
  * Reads the terms of all cells but the first, so that one process reads each of them and all processes read the summary.
  *
  * @example
- * const monitor = new CellMonitor(store, clock)
+ * const monitor = new CellMonitor(store, clock, term.cells)
  * monitor.setCellCount(3)
  * monitor.start()
  */
@@ -21,12 +21,15 @@
   readonly #store: RowStore
   readonly #clock: Clock
   readonly #observed = new Map<number, ObservedCell>()
+  /** What the owner before published; stands until each cell has been read. */
+  readonly #before: PublishedCells | undefined
   #cellCount = 1
   #isStopped = false
 
-  constructor (store: RowStore, clock: Clock) {
+  constructor (store: RowStore, clock: Clock, before: PublishedCells | undefined) {
     this.#store = store
     this.#clock = clock
+    this.#before = before
   }
 
   /** Number of cells of the layout that is stored. */
@@ -45,6 +48,7 @@
   /** State of all cells, with that of the first as its owner knows it; `undefined` while there is only one. */
   publish (layoutVersion: number, first: CellLoad): PublishedCells | undefined {
     if (this.#cellCount <= 1) return undefined
+    if (this.#before !== undefined && this.#before.loads.some((_, index) => index > 0 && !this.#observed.has(index))) return this.#before
     const now = this.#clock.now()
     const pending: Record<string, number> = {}
     const loads = [first]
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,12 +2,13 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { JobScheduler, rackKey, type JobProgress, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { JobScheduler, rackKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
+import { JobTransfers, TransferHost } from './JobTransfers.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
 import { PassSpacing } from './PassSpacing.ts'
 import { StartWindow } from './StartWindow.ts'
@@ -38,13 +39,18 @@
   readonly #pollerHost: PollerHost
   readonly #workerListener: WorkerListener
   readonly #membership: CellMembership
+  readonly #transfers: JobTransfers
   /** Of the first cell only. */
   readonly #layout: LayoutMembership | undefined
   readonly #monitor: CellMonitor
+  /** Epoch offsets of the workers that earlier owners used; the rack of one that isn't listed is unknown. */
+  readonly #recordedOffsets = new Map<WorkerId, number>()
   /** The whole list of workers, also those of other cells. */
   #entries = new Map<WorkerId, WorkerEntry>()
   /** Jobs of other cells, whose cancellations don't concern this one. */
-  #jobsElsewhere = new Set<JobId>()
+  readonly #jobsElsewhere = new Set<JobId>()
+  /** Those of them that are cancelled, in case they move to this cell. */
+  readonly #cancelledElsewhere = new Set<JobId>()
   readonly #storedProgress = new Map<string, JobProgress>()
   /** Jobs whose progress cannot be read. Tasks that are done might run again, so these jobs are not scheduled. */
   readonly #damagedProgress = new Set<string>()
@@ -65,13 +71,14 @@
     this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, clock.now(), new LoggingJobSchedulerObserver(ports))
     this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
-    this.#monitor = new CellMonitor(store, clock)
+    this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
     if (claimed.cell === FIRST_CELL) {
       this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, claimed.term.epoch, ports.workersPerCell)
       this.#membership = this.#layout
     } else this.#membership = new StoredMembership(store, clock, log, indexOfCell(claimed.cell), () => this.membersChanged())
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), new JobsTableListener(this))
     this.#pollerHost = new OwnerPollerHost(this)
+    this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
     this.#waitReporter = new WaitReporter(ports, this.#scheduler)
   }
@@ -103,6 +110,7 @@
     this.#membership.start()
     if (this.#layout !== undefined) this.#monitor.start()
     this.#cleaner.start()
+    this.#transfers.start()
     void this.#waitReporter.run()
   }
 
@@ -113,6 +121,7 @@
     this.#jobsFollower.stop()
     this.#writer.stop()
     this.#cleaner.stop()
+    this.#transfers.stop()
     this.#waitReporter.stop()
     this.#ports.workerList.unsubscribe(this.#workerListener)
     this.#membership.stop()
@@ -137,6 +146,7 @@
     ])
     if (progress.err) return progress
     if (termRows.err) return termRows
+    if (!await this.#membership.read()) return Err(new AuburnpinError('unreachable', 'The racks of the cell could not be read', 'They are read again automatically.'))
     if (!this.#restoreLayout(termRows.val.rows)) return Err(new AuburnpinError('corrupt', 'The layout of the cells cannot be read', 'Find what else writes to the table of terms; restore the rows of the layout.'))
     for (const row of progress.val.rows) {
       const read = readProgress(row.value)
@@ -162,6 +172,7 @@
       }
     }
     for (const worker of usedWorkers) {
+      this.#recordedOffsets.set(worker.id, worker.epochOffset ?? 0)
       this.#scheduler.upsertWorker(unlistedEntry(worker), now)
       this.#scheduler.unlistWorker(worker.id)
     }
@@ -188,6 +199,7 @@
   /** Applies the whole jobs table. Progress of jobs without a row there is deleted. */
   replaceJobs (rows: readonly StoredRow[]): void {
     this.#jobsElsewhere.clear()
+    this.#cancelledElsewhere.clear()
     this.updateJobs(rows, [])
     const present = new Set(rows.map(row => row.key))
     for (const id of this.#storedProgress.keys()) if (!present.has(id)) this.#writer.deleteProgress(brand(id))
@@ -205,20 +217,32 @@
       }
       const { job, cell } = assigned
       if (this.#damagedProgress.has(row.key)) continue
-      if (cell === this.#claimed.cell) this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key))
-      else {
-        this.#jobsElsewhere.add(job.id)
-        this.#scheduler.forgetCancellation(job.id)
-      }
+      if (cell === this.#claimed.cell) {
+        this.#jobsElsewhere.delete(job.id)
+        this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key))
+        if (this.#cancelledElsewhere.delete(job.id)) this.#scheduler.cancel(job.id, now)
+      } else this.jobMoved(job.id)
     }
     for (const row of rows) {
       const cancelled = cancelledJob(row.key)
-      if (cancelled !== undefined && !this.#jobsElsewhere.has(cancelled)) this.#scheduler.cancel(cancelled, now)
+      if (cancelled === undefined) continue
+      if (this.#jobsElsewhere.has(cancelled)) this.#cancelledElsewhere.add(cancelled)
+      else this.#scheduler.cancel(cancelled, now)
+    }
+    for (const { key } of deleted) {
+      this.#jobsElsewhere.delete(brand<JobId>(key))
+      this.#cancelledElsewhere.delete(brand<JobId>(key))
     }
-    for (const { key } of deleted) this.#jobsElsewhere.delete(brand<JobId>(key))
     this.stateChanged()
   }
 
+  /** A job belongs to another cell. */
+  jobMoved (id: JobId): void {
+    this.#jobsElsewhere.add(id)
+    if (this.#scheduler.takeCancellation(id)) this.#cancelledElsewhere.add(id)
+    if (this.#scheduler.jobs.get(id)?.movedTo !== undefined) this.#scheduler.removeJob(id)
+  }
+
   /** Applies the whole list of workers. */
   replaceWorkers (entries: readonly WorkerEntry[]): void {
     this.#entries = new Map(entries.map(entry => [entry.id, entry]))
@@ -253,12 +277,20 @@
   }
 
   #usedWorkers (): UsedWorker[] {
-    return [...this.#scheduler.workers.values()].map(({ entry: { id, incarnation, address, service } }) => ({ id, incarnation, address, service }))
+    return [...this.#scheduler.workers.values()].map(({ entry }) => {
+      const { id, incarnation, address, service } = entry
+      const epochOffset = this.#epochOffset(entry)
+      return epochOffset === 0 ? { id, incarnation, address, service } : { id, incarnation, address, service, epochOffset }
+    })
+  }
+
+  #epochOffset (entry: WorkerEntry): number {
+    return Math.max(this.#membership.epochOffset(entry), this.#recordedOffsets.get(entry.id) ?? 0)
   }
 
   // The epoch in orders for a worker.
   #epochFor ({ entry }: WorkerRecord): Epoch {
-    return brand<Epoch>(this.#claimed.term.epoch + this.#membership.epochOffset(entry))
+    return brand<Epoch>(this.#claimed.term.epoch + this.#epochOffset(entry))
   }
 
   /** Applies changed and removed entries of the list of workers. */
@@ -303,7 +335,8 @@
   }
 
   /** A commit succeeded, so that pollers may acknowledge ends and use newly recorded workers. */
-  committed (): void {
+  committed (jobs: readonly JobRecord[]): void {
+    this.#transfers.progressStored(jobs)
     for (const poller of this.#pollers.values()) poller.wake()
   }
 
@@ -444,8 +477,8 @@
     this.#owner = owner
   }
 
-  committed (): void {
-    this.#owner.committed()
+  committed (jobs: readonly JobRecord[]): void {
+    this.#owner.committed(jobs)
   }
 
   lost (reason: string): void {
@@ -457,6 +490,23 @@
   }
 }
 
+class OwnerTransferHost extends TransferHost {
+  readonly #owner: CellOwner
+
+  constructor (owner: CellOwner) {
+    super()
+    this.#owner = owner
+  }
+
+  get isHeld (): boolean {
+    return this.#owner.isHeld
+  }
+
+  jobMoved (id: JobId): void {
+    this.#owner.jobMoved(id)
+  }
+}
+
 class OwnerLayoutHost extends LayoutHost {
   readonly #owner: CellOwner
 
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -153,7 +153,9 @@
       epoch: brand<Epoch>((previous?.term.epoch ?? 0) + 1),
       commit: 0,
       pending: previous?.term.pending ?? {},
-      workers: previous?.term.workers ?? 0
+      workers: previous?.term.workers ?? 0,
+      loadPercent: previous?.term.loadPercent,
+      cells: previous?.term.cells
     }
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -2,6 +2,7 @@
  * Dependencies of the owner of a cell.
  */
 import type { Clock, Log, Metrics } from '@auburnpin/common'
+import type { CellChooser } from './CellChooser.ts'
 import type { RowStore } from './RowStore.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 import type { WorkerList } from './WorkerList.ts'
@@ -17,4 +18,6 @@
   finishedJobRetentionMs: number
   /** Workers of one cell; more workers are divided into several cells. */
   workersPerCell: number
+  /** What is published of the other cells. */
+  cells: CellChooser
 }>
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -20,8 +20,8 @@
 
 /** Receives the results of the commits. */
 export abstract class TermListener {
-  /** A commit succeeded: its ends may be acknowledged, and its workers may be used. */
-  abstract committed (): void
+  /** A commit succeeded: its ends may be acknowledged, its workers may be used, and the progress of `jobs` is durable. */
+  abstract committed (jobs: readonly JobRecord[]): void
   /** Another process owns the cell. */
   abstract lost (reason: string): void
   /** What the next commit publishes about the load of the cells; empty in a deployment with one cell. */
@@ -181,7 +181,7 @@
 
   #acknowledgeEnds (): void {
     this.#scheduler.markEndsDurable(this.#scheduler.appliedEnds())
-    this.#listener.committed()
+    this.#listener.committed([])
   }
 
   async #commit (): Promise<void> {
@@ -203,7 +203,7 @@
       this.#scheduler.markEndsDurable(batch.ends)
       if (batch.layout !== undefined) this.#durableLayout = batch.layout
       if (batch.usedWorkers !== undefined) this.#durableWorkers = new Set(batch.usedWorkers.map(({ id, incarnation }) => `${id}#${incarnation}`))
-      this.#listener.committed()
+      this.#listener.committed(batch.jobs)
       await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
       return
     }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -16,6 +16,12 @@
 /** Most rows of the layout that one transaction writes. */
 export const MAX_LAYOUT_ROWS_PER_COMMIT = 30
 
+/** Time between two looks for jobs that another cell should schedule, in milliseconds. */
+export const TRANSFER_INTERVAL_MS = 500
+
+/** Shortest wait of a job that is given to another cell, in milliseconds; most jobs start sooner. */
+export const MIN_TRANSFER_WAIT_MS = 800
+
 /** Time between two reads of a cell's racks by its owner, in milliseconds. */
 export const RACKS_POLL_INTERVAL_MS = 500
 
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -83,7 +83,14 @@
 export type AssignedJob = Readonly<{ job: Job, cell: CellId }>
 
 /** A worker that an owner may have sent orders to; the next owner must receive its report or wait until its lease has expired. */
-export type UsedWorker = Readonly<{ id: WorkerId, incarnation: Incarnation, address: string, service: ServiceName }>
+export type UsedWorker = Readonly<{
+  id: WorkerId
+  incarnation: Incarnation
+  address: string
+  service: ServiceName
+  /** What is added to the epochs of terms in orders for the worker; see `CellWorkers`. */
+  epochOffset?: number
+}>
 
 /** Workers in one row, so that a row stays within the store's limit however many workers there are: an id has up to 200 bytes. */
 const USED_WORKERS_PER_ROW = 100
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -32,9 +32,9 @@
     this.clock = new NodeClock(simulation.clock)
     this.processor = new SlowProcessor(this.clock)
     const store = new MonitoredStore(simulation.rows.clientFor(name), this.clock, new SilentLog(), new SilentMetrics())
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell }
-    this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
+    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, cells }
+    this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
     cells.start()
     this.election.start()
