--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -150,3 +150,25 @@
   await simulation.advance(6_000)
   t.is(simulation.owner?.name, 'n1')
 })
+
+test('a worker that left while no process owned the cell gets no task from the next owner, and one that is back does', async t => {
+  const simulation = await startCluster()
+  for (const node of [...simulation.nodes.values()]) node.kill()
+  // The worker still answers, as its VM is only about to be taken away.
+  simulation.listed.delete('w1')
+  await simulation.advance(2_000)
+  simulation.addNode('n1', 'n1-2')
+  await simulation.advance(6_000)
+  const restartedAt = simulation.clock.now()
+  const node = simulation.nodes.get('n1')
+  await simulation.settle(node!.jobs.submit(jobOf('00000000000000c1', [stepOf({ taskCount: 24, processors: 1_000 })]), 2_000))
+  await simulation.advance(5_000)
+  const startsOnFirst = (): number => simulation.events.filter(({ kind, worker, at }) => kind === 'started' && worker === 'w1' && at >= restartedAt).length
+  t.is(startsOnFirst(), 0)
+  simulation.listed.add('w1')
+  await simulation.advance(1_000)
+  await simulation.settle(node!.jobs.submit(jobOf('00000000000000c2', [stepOf({ taskCount: 32, processors: 1_000 })]), 2_000))
+  await simulation.advance(6_000)
+  t.true(startsOnFirst() > 0)
+  t.deepEqual(simulation.breaches, [])
+})
