--- a/packages/jobs/src/CellElections.ts
+++ b/packages/jobs/src/CellElections.ts
@@ -8,7 +8,7 @@
 import { cellAt, type PublishedCells } from './rows.ts'
 
 /** A process on a VM with less than this share of the processor time that a full cell needs is nobody's standby. */
-const MIN_STANDBY_SHARE = 0.5
+const MIN_STANDBY_SHARE = 0.75
 
 /**
  * Every process takes part in the election of the first cell, whose term also tells it of the others. It polls the terms
