After a takeover, jobs submitted since start at once

Change: a job whose row is newer than the claim of the term can't have been started by any earlier owner, whose term was over by then; its tasks start on the workers that have reported. Older jobs wait as before.

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -17,6 +17,8 @@
   #phase: JobPhase = 'queued'
   /** When this process observed the end of the job; `undefined` before. */
   endedAt?: Instant
+  /** Whether the job was stored after this term was claimed, so that no earlier owner can have started any of its tasks. */
+  readonly isNewInTerm: boolean
   /** The cell that the job moves to; it is not scheduled here any more. */
   movedTo?: CellId
   #doneOccurrences = new Set<number>()
@@ -24,8 +26,9 @@
   readonly #remainingMs: readonly number[]
   readonly #objectiveMs: number
 
-  constructor (job: Job) {
+  constructor (job: Job, isNewInTerm = false) {
     this.job = job
+    this.isNewInTerm = isNewInTerm
     this.#remainingMs = longestChains(job)
     this.#objectiveMs = job.policy.objectiveMs + job.policy.objectiveFactor * Math.max(0, ...this.#remainingMs)
   }
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -39,8 +39,8 @@
 
 /**
  * Schedules jobs for one term of ownership, without access to a clock, the network or the store: the time is an
- * argument of each call, and `decide` returns the orders to send. No task is started before each worker that an
- * earlier owner may have used has reported to this owner or its lease has certainly expired.
+ * argument of each call, and `decide` returns the orders to send. No task that an earlier owner may have started is
+ * started before each worker that it may have used has reported to this owner or its lease has certainly expired.
  *
  * @example
  * const scheduler = new JobScheduler(epoch, { leaseMs: 4_000 }, now, observer)
@@ -87,10 +87,13 @@
     this.#areEarlierWorkersKnown = false
   }
 
-  /** Adds a job with its durable progress; a job that was added before is unchanged. */
-  addJob (job: Job, now: Instant, progress?: JobProgress): void {
+  /**
+   * Adds a job with its durable progress; a job that was added before is unchanged. The tasks of a job that is
+   * `isNewInTerm`, stored after the term was claimed, may start while runs of earlier owners are still unknown.
+   */
+  addJob (job: Job, now: Instant, progress?: JobProgress, isNewInTerm = false): void {
     if (this.jobs.has(job.id)) return
-    const record = new JobRecord(job)
+    const record = new JobRecord(job, isNewInTerm)
     this.jobs.set(job.id, record)
     if (progress !== undefined) record.setPhase(progress.phase)
     if (progress?.movedTo !== undefined) {
@@ -514,11 +517,12 @@
     this.#createDueOccurrences(now, wallTime)
     const orders: RunOrder[] = []
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
-    if (!this.#checkReconciled(now) || maxStarts <= 0) return orders
+    const startableSteps = this.#checkReconciled(now) ? this.#openSteps : [...this.#openSteps].filter(({ job }) => job.isNewInTerm)
+    if (maxStarts <= 0) return orders
     let starts = 0
     this.held = new HeldWorkers(this.workers.size)
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, waits: this.waits, now, wallTime }
-    for (const { task, worker } of placeTasks(this.#openSteps, this.workers.values(), context)) {
+    for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.hasRun) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
@@ -548,7 +552,7 @@
     }
   }
 
-  // Runs of earlier owners must be known or have ended before any task starts.
+  // Runs of earlier owners must be known or have ended before any task starts that they may have started.
   #checkReconciled (now: Instant): boolean {
     if (this.#isReconciled) return true
     if (now < this.#earlierLeasesExpireAt) {
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -219,7 +219,7 @@
       if (this.#damagedProgress.has(row.key)) continue
       if (cell === this.#claimed.cell) {
         this.#jobsElsewhere.delete(job.id)
-        this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key))
+        this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key), row.version > this.#claimed.version)
         if (this.#cancelledElsewhere.delete(job.id)) this.#scheduler.cancel(job.id, now)
       } else this.jobMoved(job.id)
     }
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -172,3 +172,25 @@
   t.true(startsOnFirst() > 0)
   t.deepEqual(simulation.breaches, [])
 })
+
+test('while an unreachable worker may still run earlier tasks, jobs that were submitted since the takeover start at once', async t => {
+  const simulation = await startCluster()
+  const owner = simulation.owner
+  const other = [...simulation.nodes.values()].find(node => node !== owner)
+  // The worker has left for good after the owner used it.
+  simulation.links.set('w1', 'mute')
+  simulation.listed.delete('w1')
+  owner?.kill()
+  await simulation.advance(3_200)
+  t.true(other?.election.isOwner)
+  const submittedAt = simulation.clock.now()
+  const earlier = simulation.events.filter(({ kind }) => kind === 'started').length
+  await simulation.settle(other!.jobs.submit(jobOf('00000000000000c1', [stepOf({ taskCount: 2 }), stepOf({ taskCount: 2, after: [0] })]), 2_000))
+  await simulation.advance(500)
+  const started = simulation.events.filter(({ kind }) => kind === 'started').slice(earlier)
+  t.deepEqual(started.map(({ task, worker }) => [String(task), worker === 'w1']).sort(), [['00000000000000c1.0.0.0', false], ['00000000000000c1.0.0.1', false]])
+  t.true(started.every(({ at }) => at - submittedAt < 300))
+  await simulation.advance(20_000)
+  t.deepEqual(simulation.breaches, [])
+  t.is(new Set(simulation.events.filter(({ how }) => how === 'done').map(({ task }) => task)).size, 20)
+})
