The record of used workers loses those that have left for certain

Cause: the record was rewritten only when a worker joined. Change: the record is rewritten when it names more workers than the owner has. Test first: takeover.test.ts (left for certain before the takeover) failed before.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -358,6 +358,8 @@
       const now = this.#ports.clock.now()
       const isOverloaded = this.#overloadDetector.recordTick(now - dueAt) || (!this.#isRestored && now - this.#claimed.claimedAt > MAX_RESTORE_MS)
       if (isOverloaded && !this.#isClosed) this.#onOverload()
+      // A new owner waits for all recorded workers, so those that have left for certain are removed from the record.
+      if (this.#isRestored && this.#writer.usedWorkerIds.size > this.#scheduler.workers.size) this.#writer.setUsedWorkers(this.#usedWorkers())
       this.stateChanged()
     }
   }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -45,6 +45,7 @@
   #heldSince: Instant
   #heldSinceWall: number
   #usedWorkers: readonly UsedWorker[] = []
+  #usedWorkerIds: ReadonlySet<WorkerId> = new Set()
   /** Keys of the rows of used workers that the store has, or may have. */
   #usedWorkersKeys = new Set<string>()
   #durableWorkers = new Set<string>()
@@ -105,6 +106,7 @@
   /** Sets the workers that this owner uses. A worker may be used as soon as `isUsable` returns `true` for it. */
   setUsedWorkers (workers: readonly UsedWorker[]): void {
     this.#usedWorkers = workers
+    this.#usedWorkerIds = new Set(workers.map(({ id }) => id))
     this.#areUsedWorkersDirty = true
     this.requestCommit()
   }
@@ -117,7 +119,7 @@
 
   /** Ids of the workers that this owner or an earlier one may have sent orders to. */
   get usedWorkerIds (): ReadonlySet<WorkerId> {
-    return new Set(this.#usedWorkers.map(({ id }) => id))
+    return this.#usedWorkerIds
   }
 
   /** The layout that the store has. */
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -194,3 +194,22 @@
   t.deepEqual(simulation.breaches, [])
   t.is(new Set(simulation.events.filter(({ how }) => how === 'done').map(({ task }) => task)).size, 20)
 })
+
+test('a new owner does not wait for workers that had left for certain before the takeover', async t => {
+  const simulation = await startCluster()
+  simulation.links.set('w1', 'mute')
+  simulation.listed.delete('w1')
+  // By then the lease of the worker is over.
+  await simulation.advance(9_000)
+  const owner = simulation.owner
+  const other = [...simulation.nodes.values()].find(node => node !== owner)
+  await simulation.settle(other!.jobs.submit(jobOf('00000000000000c1', [stepOf({ taskCount: 40, processors: 1_000 })]), 2_000))
+  await simulation.advance(200)
+  owner?.kill()
+  const before = simulation.events.length
+  await simulation.advance(4_600)
+  // Of 40 tasks 24 fit at first; the others are started by the new owner as the first end after 4 s.
+  t.true(simulation.events.slice(before).filter(({ kind }) => kind === 'started').length >= 16)
+  await simulation.advance(15_000)
+  t.deepEqual(simulation.breaches, [])
+})
