--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -331,6 +331,8 @@
     if (this.#layout !== undefined && durableLayout.cells.length <= 1) return {}
     const { loadPercent, workers } = this.#scheduler
     this.#monitor.setCellCount(durableLayout.cells.length)
+    this.#ports.metrics.gauge('cell.workers', workers.size, { cell: this.#claimed.cell })
+    this.#ports.metrics.gauge('cell.load', loadPercent, { cell: this.#claimed.cell })
     return { loadPercent, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, { workers: workers.size, loadPercent, isOwned: true }) }
   }
 
