--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -60,6 +60,7 @@
   readonly #startWindow = new StartWindow()
   readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
+  #isGauged = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
   constructor (ports: OwnerPorts, claimed: ClaimedTerm, onTermLost: () => void, onOverload: () => void) {
@@ -127,6 +128,7 @@
     this.#membership.stop()
     this.#monitor.stop()
     for (const poller of this.#pollers.values()) poller.stop()
+    if (this.#isGauged) this.#gaugeCell(0, 0)
     if (isReleasing) await this.#writer.release()
   }
 
@@ -331,11 +333,17 @@
     if (this.#layout !== undefined && durableLayout.cells.length <= 1) return {}
     const { loadPercent, workers } = this.#scheduler
     this.#monitor.setCellCount(durableLayout.cells.length)
-    this.#ports.metrics.gauge('cell.workers', workers.size, { cell: this.#claimed.cell })
-    this.#ports.metrics.gauge('cell.load', loadPercent, { cell: this.#claimed.cell })
+    if (this.#isClosed) return { loadPercent }
+    this.#gaugeCell(workers.size, loadPercent)
     return { loadPercent, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, { workers: workers.size, loadPercent, isOwned: true }) }
   }
 
+  #gaugeCell (workers: number, loadPercent: number): void {
+    this.#isGauged = true
+    this.#ports.metrics.gauge('cell.workers', workers, { cell: this.#claimed.cell })
+    this.#ports.metrics.gauge('cell.load', loadPercent, { cell: this.#claimed.cell })
+  }
+
   /** A commit succeeded, so that pollers may acknowledge ends and use newly recorded workers. */
   committed (jobs: readonly JobRecord[]): void {
     this.#transfers.progressStored(jobs)
