--- a/packages/jobs/src/CellElections.ts
+++ b/packages/jobs/src/CellElections.ts
@@ -7,7 +7,7 @@
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { cellAt, type PublishedCells } from './rows.ts'
 
-/** A process on a VM with less than this share of the processor time that a full cell needs is nobody's standby. */
+/** A VM with less than this share of the processor time that a full cell needs stands by for no cell. */
 const MIN_STANDBY_SHARE = 0.75
 
 /**
--- a/packages/jobs/src/CellMembership.ts
+++ b/packages/jobs/src/CellMembership.ts
@@ -7,7 +7,7 @@
 import type { RowStore } from './RowStore.ts'
 import { cellAt, layoutCellKey, readCellWorkers, TERMS_TABLE } from './rows.ts'
 
-/** While fewer workers than this share of a cell are listed, new racks are assigned at once. */
+/** While fewer workers are listed than this share of a full cell, new racks are assigned at once: the deployment needs one cell. */
 const IMMEDIATE_SHARE = 0.5
 /** Above that, new racks are assigned once no more workers have joined for this many milliseconds, as their sizes decide who gets them. */
 const SETTLE_MS = 1_000
--- a/packages/jobs/src/JobTransfers.ts
+++ b/packages/jobs/src/JobTransfers.ts
@@ -71,7 +71,8 @@
     }
   }
 
-  // Each published state of the loads is used to give away at most half of the difference, as other owners see it as well.
+  // Published loads are seconds old. A job that is given away lowers this cell's load and raises the other's, hence the
+  // factor of 2; without it, jobs would go on moving until the next loads are published.
   #withdrawJobs (): void {
     const { cells, clock } = this.#ports
     const { loads } = cells
--- a/packages/jobs/src/StartWindow.ts
+++ b/packages/jobs/src/StartWindow.ts
@@ -5,7 +5,7 @@
 
 /** Smallest and first limit. Even at 25 ms a response, reports then wait for less than half of a lease. */
 const MIN_SIZE = 64
-/** Largest limit; more starts than this at once are no faster. */
+/** Largest limit, so that a wrong estimate stays harmless. */
 const MAX_SIZE = 1_024
 /** A worker responds within some milliseconds. A response that takes this long has waited for this process, as the reports have. */
 const MAX_RESPONSE_MS = 500
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -7,7 +7,7 @@
 /** Workers of one cell. An owner needs some 0.6 of a core for this many; see docs/CAPACITY.md. */
 export const WORKERS_PER_CELL = 250
 
-/** Cells besides the first whose terms a process polls, so that the reads grow neither with the cells nor with the processes' number of cells. */
+/** Most cells besides the first that a process stands by for, so that it reads no more terms however many cells there are. */
 export const STANDBY_CELLS = 3
 
 /** Delay of a claim for each cell that the process owns already, in milliseconds, so that others claim first. */
