Log and count long-running tasks that are interrupted, and what keeps each from running

Long-running task is interrupted names the last end, the obstacles, the freest worker with the age of its last report, and the workers that a new owner waits for.

No decision changes.

--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -39,6 +39,8 @@
   'runs.paced': { type: 'count', unit: 'orders', tags: [], meaning: 'Orders that hold a filler or let it go on.', worry: 'Steadily as many as starts: fillers and serving tasks don\'t fit together.' },
   'tasks.waiting': { type: 'gauge', unit: 'tasks', tags: ['kind'], meaning: 'Tasks of jobs that wait for a worker, by kind: long-running, batch or filler.', worry: 'Long-running or batch above 0 for a minute.' },
   'tasks.longestWait': { type: 'gauge', unit: 'seconds', tags: ['kind'], meaning: 'For how long the step that waits longest has had tasks that wait.', worry: 'Above 10 for long-running tasks; the log record `Tasks wait for a worker` says why.' },
+  'tasks.interrupted': { type: 'gauge', unit: 'tasks', tags: [], meaning: 'Long-running tasks that ran before and have had no run for over a second.', worry: 'Above 0 for longer than 6 s.' },
+  'tasks.longestInterruption': { type: 'gauge', unit: 'seconds', tags: [], meaning: 'For how long the longest of them has had no run; since the start of the term if it ended before.', worry: 'Above 6; the log record `Long-running task is interrupted` says why.' },
   'store.calls': { type: 'count', unit: 'calls', tags: ['call', 'outcome'], meaning: 'Calls to the store, by outcome.', worry: 'Outcomes other than ok above 1 %.' },
   'store.duration': { type: 'timing', unit: 'milliseconds', tags: ['call'], meaning: 'Time of a call to the store; a feed waits for changes.', worry: 'Transactions above 100 ms.' },
   'term.epoch': { type: 'gauge', unit: 'epoch', tags: ['cell'], meaning: 'Epoch of the term that this process holds of a cell, 0 without one.', worry: 'For one cell, several processes above 0 for more than 3 s, or none.' },
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -24,6 +24,9 @@
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
 const UNKNOWN_PACE = -1
 
+/** A long-running task without a run, and for how long; since the start of the term if its last run was in an earlier one. */
+export type Interruption = Readonly<{ task: TaskRecord, interruptedMs: number }>
+
 /** Receives the changes of state that are logged and counted. */
 export abstract class JobSchedulerObserver {
   /**
@@ -66,6 +69,7 @@
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
   readonly waits = new WaitingSteps()
+  readonly #termStartedAt: Instant
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
   #isReconciled = false
@@ -74,6 +78,7 @@
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
+    this.#termStartedAt = now
     this.#earlierLeasesExpireAt = brand<Instant>(now + lease.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
   }
 
@@ -192,6 +197,23 @@
     return this.#cancelledBeforeAccepted.delete(id)
   }
 
+  /** The long-running tasks that have been interrupted for at least `minMs`, the longest first. */
+  interruptedTasks (minMs: number, now: Instant): Interruption[] {
+    const interruptions: Interruption[] = []
+    for (const { waiting } of this.#openSteps) {
+      for (const task of waiting) {
+        const interruptedMs = now - (task.lastEnd?.at ?? this.#termStartedAt)
+        if (task.isInterrupted && interruptedMs >= minMs) interruptions.push({ task, interruptedMs })
+      }
+    }
+    return interruptions.sort((one, other) => other.interruptedMs - one.interruptedMs)
+  }
+
+  /** Workers without a report to this owner, for which tasks accepted before its term wait. */
+  get awaitedWorkers (): readonly WorkerRecord[] {
+    return this.#isReconciled ? [] : [...this.workers.values()].filter(({ hasReported }) => !hasReported)
+  }
+
   /** Processors of all listed workers, in thousandths of a core. */
   get processors (): number {
     let available = 0
@@ -230,7 +252,7 @@
     if (existing === undefined || existing.entry.incarnation < entry.incarnation) {
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
-      if (existing !== undefined) this.#replaceIncarnation(existing, worker)
+      if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
@@ -296,12 +318,12 @@
   // A report requested before the response to the order arrived does not show whether the run exists.
   #handleMissingRun (run: RunRecord, requestedAt: Instant, now: Instant): void {
     if (run.stopAcceptedAt !== undefined && requestedAt > run.stopAcceptedAt) {
-      this.#endRun(run, 'not there')
+      this.#endRun(run, 'not there', now)
       return
     }
     if (requestedAt <= run.since) return
     if (run.state === 'unconfirmed') run.isStopRequested = true
-    if (run.state === 'running') this.#endRun(run, 'vanished')
+    if (run.state === 'running') this.#endRun(run, 'vanished', now)
   }
 
   #confirmRunning (run: RunRecord, now: Instant): void {
@@ -362,8 +384,8 @@
       task.failedAttempts.push(end.attempt)
       if (!job.isFinal) this.#dirty.add(job)
     }
-    if (run !== undefined) this.#endRun(run, end.ending)
-    else this.#observer.runEnded(createRun(task, end.attempt, worker, 'running', now), end.ending, worker.entry.id)
+    if (run !== undefined) this.#endRun(run, end.ending, now)
+    else this.#recordEnd(createRun(task, end.attempt, worker, 'running', now), end.ending, now)
     if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#endJob(job, 'failed', now)
   }
 
@@ -381,21 +403,27 @@
   }
 
   // The run has certainly ended: its resources are free and its task may run again.
-  #endRun (run: RunRecord, ending: string): void {
+  #endRun (run: RunRecord, ending: string, now: Instant): void {
     const { task } = run
     run.worker.removeRun(run)
     const index = task.runs.indexOf(run)
     if (index >= 0) task.runs.splice(index, 1)
-    this.#observer.runEnded(run, ending, run.worker.entry.id)
+    this.#recordEnd(run, ending, now)
     if (task.runs.length === 0 && !task.isDone && !task.step.job.isFinal && task.step.isOpen) task.step.waiting.add(task)
   }
 
+  #recordEnd (run: RunRecord, ending: string, now: Instant): void {
+    const worker = run.worker.entry.id
+    if (run.attempt >= (run.task.lastEnd?.attempt ?? 0)) run.task.lastEnd = { attempt: run.attempt, ending, worker, at: now }
+    this.#observer.runEnded(run, ending, worker)
+  }
+
   // Runs that the worker confirmed have ended with its old incarnation. Any other run is kept for the new incarnation,
   // which its order may still reach.
-  #replaceIncarnation (old: WorkerRecord, current: WorkerRecord): void {
+  #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     for (const run of [...old.runs.values()]) {
       if (run.state === 'running') {
-        this.#endRun(run, 'reborn')
+        this.#endRun(run, 'reborn', now)
         continue
       }
       old.removeRun(run)
@@ -405,8 +433,8 @@
     }
   }
 
-  #endRuns (worker: WorkerRecord, ending: string): void {
-    for (const run of [...worker.runs.values()]) this.#endRun(run, ending)
+  #endRuns (worker: WorkerRecord, ending: string, now: Instant): void {
+    for (const run of [...worker.runs.values()]) this.#endRun(run, ending, now)
   }
 
   /** Records the outcome of an order to start. Returns `true` if this owner's fencing token is no longer the highest. */
@@ -436,7 +464,7 @@
       case 'invalid':
         if (run.state !== 'ordered') return false
         worker.pause(now)
-        this.#endRun(run, outcome)
+        this.#endRun(run, outcome, now)
         return false
       default:
         return assertNever(outcome, 'outcome of an order to start')
@@ -539,7 +567,7 @@
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
-      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over')
+      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
       if (!worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -1,7 +1,7 @@
 /**
  * One task of a job and its runs.
  */
-import { brand, type Attempt, type Instant } from '@auburnpin/common'
+import { brand, type Attempt, type Instant, type WorkerId } from '@auburnpin/common'
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskName } from './types.ts'
@@ -37,6 +37,9 @@
   stopAcceptedAt?: Instant
 }
 
+/** How a run ended; `ending` is as in `JobSchedulerObserver.runEnded`. */
+export type RunEnd = Readonly<{ attempt: Attempt, ending: string, worker: WorkerId, at: Instant }>
+
 /** State of one task, its failures and its current runs. */
 export class TaskRecord {
   readonly step: StepRecord
@@ -51,6 +54,8 @@
   /** Whether a run is known to have been ordered; a long-running task that ran before must be restarted soon. */
   hasRun = false
   checkpoint = ''
+  /** The end of the last run that ended during this term. */
+  lastEnd?: RunEnd
   /** How often a run was stopped to continue on another worker. */
   moves = 0
   #lastAttempt = 0
@@ -71,6 +76,11 @@
     return this.step.shape.latencyTargetMs > 0 && !this.hasRun
   }
 
+  /** Whether this is a long-running task that has run and has no run now. */
+  get isInterrupted (): boolean {
+    return this.step.shape.isLasting && this.hasRun && this.runs.length === 0
+  }
+
   /** Attempt number for the next run: above all known ones, and above all that an earlier term can have used. */
   nextAttempt (firstOfTerm: number): Attempt {
     this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
--- a/packages/core/src/jobs/WaitingSteps.ts
+++ b/packages/core/src/jobs/WaitingSteps.ts
@@ -3,9 +3,8 @@
  */
 import type { Instant } from '@auburnpin/common'
 import type { FillerInterference } from './FillerInterference.ts'
-import { findObstacle, freeProcessors, type Obstacle } from './findObstacle.ts'
+import { findObstacles, type WorkerObstacles } from './findObstacles.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
-import { reserveWorkers } from './reserveWorkers.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
@@ -25,20 +24,14 @@
   step: StepRecord
   kind: StepKind
   waitedMs: number
-  /** For each obstacle, the number of workers that it keeps the next task from. */
-  obstacles: ReadonlyMap<Obstacle, number>
-  /** Free processors of all workers that the next task may use, and of the one with the most, in thousandths of a core. */
-  free: number
-  largestFree: number
+  /** What keeps the next task from the workers. */
+  obstacles: WorkerObstacles
   /** What was placed since the step began to wait. */
   placedSince: TaskAmounts
 }>
 
 const NOTHING_PLACED: TaskAmounts = { 'long-running': { tasks: 0, processors: 0 }, batch: { tasks: 0, processors: 0 }, filler: { tasks: 0, processors: 0 } }
 
-/** Obstacles that hold whatever else runs on the worker. */
-const PERMANENT_OBSTACLES: ReadonlySet<Obstacle> = new Set<Obstacle>(['other-service', 'unavailable', 'label', 'too-small', 'reserved'])
-
 /**
  * The kind of a step's tasks.
  *
@@ -53,7 +46,7 @@
  * @example
  * waits.recordPlacement(task)
  * waits.observe(openSteps, now)
- * waits.longest('batch', 4, 2_000, workers, held, interference, now)[0]?.obstacles // Map { 'processors' => 29, 'label' => 4 }
+ * waits.longest('batch', 4, 2_000, workers, held, interference, now)[0]?.obstacles.counts // Map { 'processors' => 29, 'label' => 4 }
  */
 export class WaitingSteps {
   #placed = NOTHING_PLACED
@@ -108,34 +101,18 @@
 
   /** The steps of a kind that have waited longest, at least `minWaitMs`, each with its reasons. */
   longest (kind: StepKind, limit: number, minWaitMs: number, workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant): StepWait[] {
-    const reserved = reserveWorkers(workers.filter(worker => worker.acceptsWork(now)))
     const waits = [...this.#waits].filter(([step, { since }]) => kindOf(step.shape) === kind && now - since >= minWaitMs)
     waits.sort(([, one], [, other]) => one.since - other.since)
     const described: StepWait[] = []
     for (const [step, { since, placedBefore }] of waits.slice(0, limit)) {
       const [task] = step.waiting
       if (task === undefined) continue
-      described.push({ step, kind, waitedMs: now - since, ...describeWorkers(task, workers, reserved, held, interference, now), placedSince: difference(this.#placed, placedBefore) })
+      described.push({ step, kind, waitedMs: now - since, obstacles: findObstacles(task, workers, held, interference, now), placedSince: difference(this.#placed, placedBefore) })
     }
     return described
   }
 }
 
-const describeWorkers = (task: TaskRecord, workers: readonly WorkerRecord[], reserved: ReadonlySet<WorkerRecord>, held: HeldWorkers, interference: FillerInterference, now: Instant): Pick<StepWait, 'obstacles' | 'free' | 'largestFree'> => {
-  const obstacles = new Map<Obstacle, number>()
-  let free = 0
-  let largestFree = 0
-  for (const worker of workers) {
-    const obstacle = task.isNewServing && reserved.has(worker) ? 'reserved' : findObstacle(task, worker, held, interference, now)
-    if (obstacle !== undefined) obstacles.set(obstacle, (obstacles.get(obstacle) ?? 0) + 1)
-    if (obstacle !== undefined && PERMANENT_OBSTACLES.has(obstacle)) continue
-    const freeHere = Math.max(0, freeProcessors(task.step, worker, interference, now))
-    free += freeHere
-    largestFree = Math.max(largestFree, freeHere)
-  }
-  return { obstacles, free: Math.round(free), largestFree: Math.round(largestFree) }
-}
-
 const difference = (later: TaskAmounts, earlier: TaskAmounts): TaskAmounts => {
   const subtract = (kind: StepKind): TaskAmount => ({ tasks: later[kind].tasks - earlier[kind].tasks, processors: later[kind].processors - earlier[kind].processors })
   return { 'long-running': subtract('long-running'), batch: subtract('batch'), filler: subtract('filler') }
--- /dev/null
+++ b/packages/core/src/jobs/findObstacles.ts
@@ -0,0 +1,49 @@
+/**
+ * Reasons why a task can't start on any of a number of workers.
+ */
+import type { Instant } from '@auburnpin/common'
+import type { FillerInterference } from './FillerInterference.ts'
+import { findObstacle, freeProcessors, type Obstacle } from './findObstacle.ts'
+import type { HeldWorkers } from './HeldWorkers.ts'
+import { reserveWorkers } from './reserveWorkers.ts'
+import type { TaskRecord } from './TaskRecord.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+/** What keeps a task from the workers. */
+export type WorkerObstacles = Readonly<{
+  /** For each obstacle, the number of workers that it keeps the task from. */
+  counts: ReadonlyMap<Obstacle, number>
+  /** Free processors of all workers that the task may use, in thousandths of a core. */
+  free: number
+  /** The one of them with the most free processors, and how many. */
+  largest?: WorkerRecord
+  largestFree: number
+}>
+
+/** Obstacles that hold whatever else runs on the worker. */
+const PERMANENT_OBSTACLES: ReadonlySet<Obstacle> = new Set<Obstacle>(['other-service', 'unavailable', 'label', 'too-small', 'reserved'])
+
+/**
+ * Returns what keeps a task from each worker.
+ *
+ * @example
+ * findObstacles(task, workers, held, interference, now).counts // Map { 'processors' => 29, 'label' => 4 }
+ */
+export const findObstacles = (task: TaskRecord, workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant): WorkerObstacles => {
+  const reserved = reserveWorkers(workers.filter(worker => worker.acceptsWork(now)))
+  const counts = new Map<Obstacle, number>()
+  let free = 0
+  let largest: WorkerRecord | undefined
+  let largestFree = 0
+  for (const worker of workers) {
+    const obstacle = task.isNewServing && reserved.has(worker) ? 'reserved' : findObstacle(task, worker, held, interference, now)
+    if (obstacle !== undefined) counts.set(obstacle, (counts.get(obstacle) ?? 0) + 1)
+    if (obstacle !== undefined && PERMANENT_OBSTACLES.has(obstacle)) continue
+    const freeHere = Math.max(0, freeProcessors(task.step, worker, interference, now))
+    free += freeHere
+    if (freeHere <= largestFree) continue
+    largest = worker
+    largestFree = freeHere
+  }
+  return { counts, free: Math.round(free), largest, largestFree: Math.round(largestFree) }
+}
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -42,6 +42,13 @@
     this.scheduler.cancel(brand<JobId>(id), this.now)
   }
 
+  /** Ends the runs of a task on all workers as failed. */
+  fail (task: string): void {
+    for (const runs of this.#running.values()) {
+      for (const run of runs.filter(({ order }) => order.task === task)) this.#end(run, 'failed')
+    }
+  }
+
   /** Number of starts of a job's tasks. */
   startsOf (id: string): number {
     return this.starts.filter(({ task }) => task.startsWith(`${id}.`)).length
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -17,7 +17,9 @@
   runEnded (run: RunRecord, how: string, worker: WorkerId): void {
     const { log, metrics } = this.#ports
     metrics.count('runs.ended', 1, { how })
-    log.info('Run ended', { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
+    // Records of one message are limited per second, and those of short tasks would suppress the few of long-running ones.
+    const message = run.task.step.shape.isLasting ? 'Run of a long-running task ended' : 'Run ended'
+    log.info(message, { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
   }
 
   runStalled (run: RunRecord, worker: WorkerId): void {
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -1,15 +1,18 @@
 /**
  * Logs which tasks wait for workers, and why.
  */
-import { STEP_KINDS, type JobScheduler, type StepWait, type StepKind } from '@auburnpin/core'
+import type { Instant } from '@auburnpin/common'
+import { findObstacles, STEP_KINDS, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerObstacles, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
-import { MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, WAIT_REPORT_INTERVAL_MS } from './constants.ts'
+import { MAX_REPORTED_INTERRUPTIONS, MAX_REPORTED_WAITS, MIN_REPORTED_INTERRUPTION_MS, MIN_REPORTED_WAIT_MS, WAIT_REPORT_INTERVAL_MS } from './constants.ts'
 
 const MS_PER_SECOND = 1_000
+/** Most workers named in one record; the count says how many there are. */
+const MAX_NAMED_WORKERS = 5
 
 /**
- * Periodically writes one record for each of the longest waits of each kind of task, and updates the gauges of
- * waiting tasks.
+ * Periodically writes one record for each of the longest waits of each kind of task, and for each long-running task
+ * that has been interrupted for long, and updates the gauges of waiting tasks.
  *
  * @example
  * const reporter = new WaitReporter(ports, scheduler)
@@ -36,6 +39,7 @@
   stop (): void {
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
+    this.#gaugeInterruptions(0, 0)
   }
 
   #report (): void {
@@ -46,6 +50,9 @@
     for (const kind of STEP_KINDS) {
       for (const wait of waits.longest(kind, MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, workers, held, interference, now)) this.#write(wait)
     }
+    const interruptions = this.#scheduler.interruptedTasks(MIN_REPORTED_INTERRUPTION_MS, now)
+    this.#gaugeInterruptions(interruptions.length, interruptions[0]?.interruptedMs ?? 0)
+    for (const interruption of interruptions.slice(0, MAX_REPORTED_INTERRUPTIONS)) this.#writeInterruption(interruption, workers, now)
   }
 
   #gauge (kind: StepKind, tasks: number, longestMs: number): void {
@@ -53,7 +60,33 @@
     this.#ports.metrics.gauge('tasks.longestWait', longestMs / MS_PER_SECOND, { kind })
   }
 
-  #write ({ step, kind, waitedMs, obstacles, free, largestFree, placedSince }: StepWait): void {
+  #gaugeInterruptions (tasks: number, longestMs: number): void {
+    this.#ports.metrics.gauge('tasks.interrupted', tasks)
+    this.#ports.metrics.gauge('tasks.longestInterruption', longestMs / MS_PER_SECOND)
+  }
+
+  #writeInterruption ({ task, interruptedMs }: Interruption, workers: readonly WorkerRecord[], now: Instant): void {
+    const { held, interference, awaitedWorkers } = this.#scheduler
+    const { shape } = task.step
+    const obstacles = findObstacles(task, workers, held, interference, now)
+    const { largest } = obstacles
+    this.#ports.log.warn('Long-running task is interrupted', {
+      task: task.name,
+      interruptedMs: Math.round(interruptedMs),
+      lastAttempt: task.lastEnd?.attempt,
+      lastEnding: task.lastEnd?.ending ?? 'before this term',
+      lastWorker: task.lastEnd?.worker,
+      processors: shape.processors,
+      maxPerWorker: shape.maxPerWorker,
+      ...obstacleFields(obstacles),
+      largestFreeOn: largest?.entry.id,
+      reportAgeMs: largest === undefined ? undefined : Math.round(now - largest.reportRequestedAt),
+      awaitedWorkers: awaitedWorkers.slice(0, MAX_NAMED_WORKERS).map(({ entry }) => entry.id).join(' '),
+      awaited: awaitedWorkers.length
+    })
+  }
+
+  #write ({ step, kind, waitedMs, obstacles, placedSince }: StepWait): void {
     const { job, shape } = step
     this.#ports.log.info('Tasks wait for a worker', {
       step: `${job.job.id}.${step.key}`,
@@ -63,10 +96,11 @@
       waitedMs: Math.round(waitedMs),
       processors: shape.processors,
       maxPerWorker: shape.maxPerWorker,
-      obstacles: [...obstacles].map(([obstacle, count]) => `${obstacle}:${count}`).join(' '),
-      free,
-      largestFree,
+      ...obstacleFields(obstacles),
       placedSince: STEP_KINDS.map(placed => `${placed}:${placedSince[placed].tasks}/${placedSince[placed].processors}m`).join(' ')
     })
   }
 }
+
+const obstacleFields = ({ counts, free, largestFree }: WorkerObstacles): Readonly<{ obstacles: string, free: number, largestFree: number }> =>
+  ({ obstacles: [...counts].map(([obstacle, count]) => `${obstacle}:${count}`).join(' '), free, largestFree })
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -116,5 +116,11 @@
 /** Shortest wait that is reported, in milliseconds. */
 export const MIN_REPORTED_WAIT_MS = 2_000
 
+/** Shortest interruption of a long-running task that is reported, in milliseconds; users allow 6 s. */
+export const MIN_REPORTED_INTERRUPTION_MS = 1_000
+
+/** Most interrupted tasks in one report of waits. */
+export const MAX_REPORTED_INTERRUPTIONS = 8
+
 /** Most steps of each kind of task in one report of waits. */
 export const MAX_REPORTED_WAITS = 4
