--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -71,6 +71,12 @@
     }
   }
 
+  /** Advances the time by one interval and applies the reports of all workers, without a scheduling pass. */
+  report (ms: number): void {
+    this.#now += ms
+    this.#report()
+  }
+
   #execute (order: RunOrder): void {
     if (order.kind === 'start') {
       const jobId = brand<JobId>(order.task.slice(0, order.task.indexOf('.')))
