The progress of a job says which of its long-running tasks have run

Until now a new owner took every task of a started job for one that had run, and so did an owner whose first order for a task was refused.

One more write of a job's progress for each start of a long-running task; rows without the field are read as before.

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -124,6 +124,7 @@
   /** The state to be made durable; a job that has ended keeps only its phase. */
   get progress (): JobProgress {
     const done: Record<string, readonly number[] | 'all'> = {}
+    const started: Record<string, readonly number[] | 'all'> = {}
     const failed: Record<string, readonly number[]> = {}
     const checkpoints: Record<string, string> = {}
     if (this.isFinal) return { phase: this.#phase, done, failed, checkpoints }
@@ -131,7 +132,11 @@
     for (const steps of this.occurrences.values()) {
       for (const step of steps) {
         if (step.isDone) done[step.key] = 'all'
-        else if (step.doneCount > 0) done[step.key] = step.tasks.filter(task => task.isDone).map(task => task.index)
+        else if (step.doneCount > 0) done[step.key] = indexesOf(step.tasks.filter(task => task.isDone))
+        if (step.shape.isLasting) {
+          const startedTasks = step.tasks.filter(task => task.hasRun)
+          started[step.key] = startedTasks.length === step.tasks.length ? 'all' : indexesOf(startedTasks)
+        }
         for (const task of step.tasks) {
           if (task.isDone) continue
           if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
@@ -139,20 +144,26 @@
         }
       }
     }
-    return { phase: this.#phase, done, failed, checkpoints }
+    return { phase: this.#phase, done, started, failed, checkpoints }
   }
 }
 
 const restoreStep = (step: StepRecord, progress: JobProgress): void => {
   const done = progress.done[step.key]
+  const started = progress.started?.[step.key]
   for (const task of step.tasks) {
-    if (done === 'all' || done?.includes(task.index)) step.markDone(task)
+    if (includes(done, task.index)) step.markDone(task)
     for (const attempt of progress.failed[task.progressKey] ?? []) task.failedAttempts.push(attempt)
     task.checkpoint = progress.checkpoints[task.progressKey] ?? ''
-    if (progress.phase === 'active') task.hasRun = true
+    task.wasOrdered = progress.phase === 'active'
+    task.hasRun = started === undefined ? task.wasOrdered : includes(started, task.index)
   }
 }
 
+const includes = (indexes: readonly number[] | 'all' | undefined, index: number): boolean => indexes === 'all' || indexes?.includes(index) === true
+
+const indexesOf = (tasks: readonly TaskRecord[]): readonly number[] => tasks.map(({ index }) => index)
+
 // A step depends only on earlier steps, so iterating from the last step backwards computes each chain once.
 const longestChains = ({ steps }: Job): number[] => {
   const remaining = steps.map(expectedMs)
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -179,7 +179,7 @@
     for (const step of this.#openSteps) {
       const { job } = step
       if (job.phase !== 'queued' || job.movedTo !== undefined || job.job.occurrences > 0 || !this.waits.hasWaitedSince(step, before)) continue
-      if (![...job.tasks()].some(task => task.hasRun || task.runs.length > 0)) untouched.add(job)
+      if (![...job.tasks()].some(task => task.wasOrdered || task.runs.length > 0)) untouched.add(job)
     }
     return [...untouched]
   }
@@ -330,9 +330,18 @@
     if (run.state === 'running') return
     run.state = 'running'
     run.since = now
+    this.#recordStart(run.task)
     this.#markJobActive(run.task)
   }
 
+  // That a long-running task has run must last, as a later owner has to restart it before others.
+  #recordStart (task: TaskRecord): void {
+    const { shape, job } = task.step
+    if (task.hasRun) return
+    task.hasRun = true
+    if (shape.isLasting && !job.isFinal) this.#dirty.add(job)
+  }
+
   #markJobActive (task: TaskRecord): void {
     const { job } = task.step
     if (job.setPhase('active')) {
@@ -345,6 +354,7 @@
   #adoptRun (worker: WorkerRecord, task: TaskRecord, reported: ReportedRun, now: Instant): void {
     const { attempt } = reported
     task.recordAttempt(attempt)
+    this.#recordStart(task)
     const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#markJobActive(task)
@@ -374,6 +384,7 @@
     const run = worker.runs.get(runKey(end.task, end.attempt))
     if (task === undefined) return
     task.recordAttempt(end.attempt)
+    this.#recordStart(task)
     const job = task.step.job
     const hasFailed = end.ending === 'failed'
     if (hasFailed) task.failedOn.add(worker)
@@ -455,6 +466,7 @@
         if (run.state === 'ordered') {
           run.state = 'unconfirmed'
           run.since = now
+          this.#recordStart(run.task)
         }
         return false
       case 'no-room':
@@ -551,7 +563,7 @@
     this.held = new HeldWorkers(this.workers.size)
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
-      if (!task.hasRun) this.#fairness.startTask(task, now)
+      if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       this.waits.recordPlacement(task)
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -51,7 +51,9 @@
   /** Workers on which a run failed or stalled during this term. */
   readonly failedOn = new Set<WorkerRecord>()
   isDone = false
-  /** Whether a run is known to have been ordered; a long-running task that ran before must be restarted soon. */
+  /** Whether a run was ordered. */
+  wasOrdered = false
+  /** Whether a run has started or may have; a long-running task that ran before must be restarted soon. */
   hasRun = false
   checkpoint = ''
   /** The end of the last run that ended during this term. */
@@ -84,13 +86,13 @@
   /** Attempt number for the next run: above all known ones, and above all that an earlier term can have used. */
   nextAttempt (firstOfTerm: number): Attempt {
     this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
-    this.hasRun = true
+    this.wasOrdered = true
     return brand<Attempt>(this.#lastAttempt)
   }
 
   /** Records an attempt number that a worker reported. */
   recordAttempt (attempt: Attempt): void {
     this.#lastAttempt = Math.max(this.#lastAttempt, attempt)
-    this.hasRun = true
+    this.wasOrdered = true
   }
 }
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -78,11 +78,13 @@
 /** A task's name: job, occurrence, step and index, separated by dots. */
 export type TaskName = Branded<string, 'TaskName'>
 
-/** Durable state of a job, from which the next owner continues: tasks done, failed runs and checkpoints. */
+/** Durable state of a job, from which the next owner continues: tasks done, long-running tasks that have run, failed runs and checkpoints. */
 export type JobProgress = Readonly<{
   phase: JobPhase
   /** For each `occurrence.step` with finished tasks: their indexes, or `all`. */
   done: Readonly<Record<string, readonly number[] | 'all'>>
+  /** For each `occurrence.step` of long-running tasks: the indexes of those that have run, or `all`. Absent in rows of earlier versions. */
+  started?: Readonly<Record<string, readonly number[] | 'all'>>
   /** For each `occurrence.step.index`: the attempt numbers of the runs that failed. */
   failed: Readonly<Record<string, readonly number[]>>
   /** For each `occurrence.step.index` with a checkpoint: the checkpoint. */
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -179,11 +179,15 @@
 export const readProgress = (value: string): JobProgress | undefined => {
   const progress = parseRow<JobProgress>(value, { phase: '', done: {}, failed: {}, checkpoints: {} })
   const isValid = progress !== undefined && JOB_PHASES.has(progress.phase) &&
-    Object.values(progress.done).every(done => done === 'all' || hasShape(done, [0])) &&
+    areTaskIndexes(progress.done) && areTaskIndexes(progress.started ?? {}) &&
     Object.values(progress.failed).every(failed => hasShape(failed, [0])) &&
     Object.values(progress.checkpoints).every(checkpoint => typeof checkpoint === 'string')
   return isValid ? progress : undefined
 }
+
+const areTaskIndexes = (indexes: unknown): boolean =>
+  hasShape(indexes, {}) && Object.values(indexes as object).every(ofStep => ofStep === 'all' || hasShape(ofStep, [0]))
+
 export const readEstimates = (value: string): FillerInterferenceState | undefined => {
   const state = parseRow<FillerInterferenceState>(value, { estimates: { bases: [[]], pairs: [[]] }, shortest: {} })
   if (state === undefined) return undefined
