A long-running task that keeps failing at once is restarted after a growing delay

The first restart is immediate; after the second failure within a second of its order the delay grows from 0.2 to 2 s, well within the 6 s that users allow.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -424,9 +424,8 @@
   }
 
   #recordEnd (run: RunRecord, ending: string, now: Instant): void {
-    const worker = run.worker.entry.id
-    if (run.attempt >= (run.task.lastEnd?.attempt ?? 0)) run.task.lastEnd = { attempt: run.attempt, ending, worker, at: now }
-    this.#observer.runEnded(run, ending, worker)
+    run.task.recordEnd(run, ending, now)
+    this.#observer.runEnded(run, ending, run.worker.entry.id)
   }
 
   // Runs that the worker confirmed have ended with its old incarnation. Any other run is kept for the new incarnation,
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -2,6 +2,7 @@
  * One task of a job and its runs.
  */
 import { brand, type Attempt, type Instant, type WorkerId } from '@auburnpin/common'
+import { MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS, SHORT_RUN_MS } from './constants.ts'
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskName } from './types.ts'
@@ -61,6 +62,8 @@
   /** How often a run was stopped to continue on another worker. */
   moves = 0
   #lastAttempt = 0
+  /** Runs in a row that failed soon after their start. */
+  #shortFailures = 0
 
   constructor (step: StepRecord, index: number, name: TaskName) {
     this.step = step
@@ -83,6 +86,18 @@
     return this.step.shape.isLasting && this.hasRun && this.runs.length === 0
   }
 
+  /** Records the end of a run. */
+  recordEnd (run: RunRecord, ending: string, now: Instant): void {
+    if (run.attempt >= (this.lastEnd?.attempt ?? 0)) this.lastEnd = { attempt: run.attempt, ending, worker: run.worker.entry.id, at: now }
+    if (ending === 'failed') this.#shortFailures = now - run.orderedAt < SHORT_RUN_MS ? this.#shortFailures + 1 : 0
+  }
+
+  /** Whether a long-running task may start again. One that keeps failing soon after its start waits longer each time. */
+  mayRestart (now: Instant): boolean {
+    if (this.lastEnd === undefined || this.#shortFailures < 2) return true
+    return now - this.lastEnd.at >= Math.min(MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS * 2 ** (this.#shortFailures - 2))
+  }
+
   /** Attempt number for the next run: above all known ones, and above all that an earlier term can have used. */
   nextAttempt (firstOfTerm: number): Attempt {
     this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -90,6 +90,13 @@
 /** Measured interference below this is not treated as the cause of a high pressure; readings vary by as much. */
 export const MIN_MEASURED_INTERFERENCE = 0.04
 
+/** A run of a long-running task that fails within this many milliseconds after its order counts as one that failed at once. */
+export const SHORT_RUN_MS = 1_000
+
+/** Shortest and longest delay of a restart after several such runs in a row, in milliseconds. Users allow 6 s without a run. */
+export const MIN_RESTART_DELAY_MS = 200
+export const MAX_RESTART_DELAY_MS = 2_000
+
 /** Quantiles of the sizes of a queue's recent jobs that divide its jobs into bands. */
 export const SIZE_BAND_QUANTILES: readonly number[] = [0.5, 0.75, 0.9]
 
--- a/packages/core/src/jobs/placeInterruptedTasks.ts
+++ b/packages/core/src/jobs/placeInterruptedTasks.ts
@@ -21,7 +21,7 @@
   interruptedSteps.sort((one, other) => one.job.job.acceptedAt - other.job.job.acceptedAt)
   for (const step of interruptedSteps) {
     for (const task of step.waiting) {
-      if (!task.isInterrupted) continue
+      if (!task.isInterrupted || !task.mayRestart(now)) continue
       const worker = chooseWorker(task, candidates, held, interference, now)
       if (worker !== undefined) yield { task, worker }
       // Without a worker to hold there is none for the other tasks of the step either.
--- a/packages/core/tests/longRunningRestart.test.ts
+++ b/packages/core/tests/longRunningRestart.test.ts
@@ -99,3 +99,14 @@
   }), { seed: 30, numRuns: 60 })
   t.pass()
 })
+
+test('a long-running task that fails at once again and again is started less and less often, and always within the time that users allow', t => {
+  const scenario = new SchedulerScenario(Object.fromEntries(Array.from({ length: 40 }, (_, index) => [`w${index}`, 8_000])))
+  scenario.submit(WATCH, [stepOf({ ...SERVING, processors: 2_000 })])
+  scenario.advance(20_000, () => scenario.fail(WATCHED_TASK))
+  const starts = scenario.starts.map(({ at }) => at)
+  const pauses = starts.slice(1).map((at, index) => at - (starts[index] ?? 0))
+  t.true(starts.length < 20, `${starts.length} starts`)
+  t.true((pauses[0] ?? Infinity) <= 200)
+  t.true(Math.max(...pauses) <= MAX_INTERRUPTION_MS)
+})
