--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -66,9 +66,9 @@
     this.#isStalling = true
   }
 
-  /** Every task that starts from now on fails. */
-  failNewRuns (): void {
-    this.#isFailing = true
+  /** Every task that starts from now on fails, or none. */
+  failNewRuns (isFailing = true): void {
+    this.#isFailing = isFailing
   }
 
   /** Ends all runs; their ends and those not yet acknowledged are lost. */
