A reborn worker's lease counts to the end that it took from a request meant for its earlier incarnation

Cause: a report requested before the owner knows of a restart carries an end of the lease on the old incarnation's clock. The new one's clock has just begun, so it takes its longest lease, 10 s, which the owner noted for the old record only. If the worker then went out of reach, the owner took the lease for over after 4.8 s and ran its tasks a second time beside it.

Change: `WorkerPoller` notes that end for the new record, cut to the longest lease of 10 s.

Evidence: rebornWorkers, second test: fails without the change ("has two runs at 27894"), passes with it. Not covered: an order to start, which carries such an end too.

--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -3,7 +3,7 @@
  */
 import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_WORKER_LEASE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -117,6 +117,9 @@
     }
     worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, acknowledgedEnd)
     this.#scheduler.applyReport(this.#worker, outcome.val, requestedAt, this.#clock.now())
+    const current = this.#scheduler.workers.get(this.#worker)
+    // A reborn worker has read the end of the lease on its own clock, although it was meant for its earlier incarnation's.
+    if (leaseEndMs !== undefined && current !== undefined && current !== worker) current.extendLease(Math.min(leaseEndMs, outcome.val.clockMs + MAX_WORKER_LEASE_MS))
     this.#host.stateChanged()
     return outcome
   }
