Urgent tasks over their quota keep neither evictions nor reserved capacity from replicas and watches

Cause, found while looking for "what must come back waits behind capacity kept for others" in the other scheduling policy: - Evictions were planned for the first 64 waiting tasks of all priority queues together, counted before those over their quota were left out. 64 urgent tasks over their quota kept a standing watch whose VM had vanished from evicting batch work for good. - Two urgent tasks of a team may both reserve capacity while each alone is within the quota. Once one has started, the other is over the quota, doesn't start, and kept its reservation: its VM stayed empty for all others.

Change: the limit holds for each priority queue; a reservation ends once its task is over its quota.

Not changed: the second urgent task has evicted batch work for nothing, as plans of one pass don't count each other's quota.

--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -62,7 +62,7 @@
 export const EVICTION_CANDIDATES = 12
 /** Time after which a reservation whose capacity has not been freed is moved to another VM, in milliseconds. */
 export const RESERVATION_TIMEOUT_MS = 10_000
-/** Most tasks for which capacity is reserved by evictions in one pass. */
+/** Most tasks of each priority queue for which capacity is reserved by evictions in one pass. */
 export const MAX_RESERVATIONS_PER_PASS = 64
 /** Length of the period whose whole budget of evictions to protect services may be spent at once, in milliseconds. */
 export const EVICTION_BURST_MS = 60_000
--- a/packages/core/src/policy/ColocationPolicy.ts
+++ b/packages/core/src/policy/ColocationPolicy.ts
@@ -116,15 +116,14 @@
   }
 
   reclaim (state: CellState, now: Instant): PolicyDecision {
-    const { queue, capacity, usage } = this.#indexes
+    const { queue, capacity } = this.#indexes
     this.#indexes.now = now
     capacity.refresh(state, now)
     const mitigated = this.#mitigation.mitigate(state, now)
     const waiting: Task[] = []
     for (const id of queue.firstPriorityTasks(MAX_RESERVATIONS_PER_PASS)) {
       const task = state.tasks.get(id) as Task
-      const { kind, team, resources } = task.spec
-      if (kind !== 'batch' || usage.isWithinQuota(team, resources, true)) waiting.push(task)
+      if (this.#mayStart(task)) waiting.push(task)
     }
     this.#releaseReservations(state)
     capacity.refresh(state, now)
@@ -133,15 +132,20 @@
     return { transitions: [...mitigated.transitions, ...evicted.transitions], actions: [...mitigated.actions, ...evicted.actions] }
   }
 
-  // A reservation is obsolete once its task has been placed or withdrawn, or its VM has no lease.
+  // A reservation is obsolete once its task has been placed or withdrawn or has come over its quota, or its VM has no lease.
   #releaseReservations (state: CellState): void {
     const { capacity } = this.#indexes
     for (const { task, vm } of [...capacity.reservations]) {
       const isUsable = state.vms.get(vm)?.session !== undefined
-      if (state.tasks.get(task)?.state !== 'queued' || !isUsable) capacity.release(task)
+      const reserving = state.tasks.get(task)
+      if (reserving?.state !== 'queued' || !isUsable || !this.#mayStart(reserving)) capacity.release(task)
     }
   }
 
+  #mayStart ({ spec: { kind, team, resources, isUrgent } }: Task): boolean {
+    return kind !== 'batch' || this.#indexes.usage.isWithinQuota(team, resources, isUrgent)
+  }
+
   #placeFromQueues (state: CellState, transitions: Transition[], now: Instant): void {
     const { queue, capacity, usage } = this.#indexes
     const tryPlace = (id: TaskId): boolean => {
@@ -161,13 +165,13 @@
   }
 
   #placeTask (state: CellState, task: Task, now: Instant): Transition | undefined {
-    const { health, queue, capacity, usage } = this.#indexes
+    const { health, queue, capacity } = this.#indexes
     const { spec } = task
     if (capacity.total.find(spec.resources, 1, 0).length === 0) {
       return { kind: 'unrunnable', task: spec.id, reason: { kind: 'too-large', largest: capacity.total.largest } }
     }
     const isDeclared = spec.kind !== 'batch'
-    if (!isDeclared && !usage.isWithinQuota(spec.team, spec.resources, spec.isUrgent)) return undefined
+    if (!this.#mayStart(task)) return undefined
     const waitedMs = now - (queue.waitingSince(spec) ?? now)
     const { vm } = this.#selector.select(state, task, isDeclared || spec.isUrgent || waitedMs > MAX_AVOIDANCE_MS)
     if (vm?.session === undefined) return undefined
--- a/packages/core/src/policy/WaitingTasks.ts
+++ b/packages/core/src/policy/WaitingTasks.ts
@@ -46,10 +46,8 @@
     return this.queueOf(spec).waitingSince(spec.id)
   }
 
-  /** Up to `count` tasks of the priority queues, highest priority first. */
+  /** Up to `count` tasks of each priority queue, highest priority first, so that no queue keeps another from its turn. */
   firstPriorityTasks (count: number): TaskId[] {
-    const ids: TaskId[] = []
-    for (const queue of this.#priorityQueues) ids.push(...queue.first(count - ids.length))
-    return ids
+    return this.#priorityQueues.flatMap(queue => queue.first(count))
   }
 }
