--- a/packages/core/tests/interruptedTaskConflicts.test.ts
+++ b/packages/core/tests/interruptedTaskConflicts.test.ts
@@ -58,3 +58,18 @@
   const batchStarts = scenario.starts.length - scenario.startsOf(LARGE)
   t.true(batchStarts >= 0.9 * batchJobs, `${batchStarts} of ${batchJobs} batch tasks started`)
 })
+
+test('an interrupted long-running filler, which uses no processors that count, holds none', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000 })
+  scenario.submit(LARGE, [stepOf({ processors: 6_000, isLasting: true, isFiller: true })])
+  scenario.advance(500)
+  scenario.submit(BATCH, [stepOf({ processors: 4_000 })], { runMs: 60_000 })
+  scenario.advance(500)
+  scenario.fail(`${LARGE}.0.0.0`)
+  scenario.advance(500)
+  scenario.submit(SMALL, [stepOf({ processors: 3_000 })], { runMs: 1_000 })
+  const submittedAt = scenario.now
+  scenario.advance(MAX_INTERRUPTION_MS)
+  // 4 of the 8 cores are free all the time.
+  t.true(startedAfter(scenario, SMALL, submittedAt) <= 1_000, `started after ${startedAfter(scenario, SMALL, submittedAt)} ms`)
+})
