A new owner restores all progress of the occurrences of repeating jobs

Cause: an occurrence was restored only if a task of its first step was done; otherwise it was created later without its progress. The four stories of repeatingJobTakeover failed before.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -113,8 +113,10 @@
     const count = Math.max(1, job.occurrences)
     if (job.occurrences > 0) this.#repeating.add(record)
     else this.#createOccurrence(record, 0, now, progress)
-    for (let occurrence = 0; job.occurrences > 0 && occurrence < count; occurrence++) {
-      if (progress?.done[`${occurrence}.0`] !== undefined) this.#createOccurrence(record, occurrence, now, progress)
+    if (job.occurrences > 0 && progress !== undefined) {
+      for (const occurrence of occurrencesWithProgress(progress)) {
+        if (occurrence < count) this.#createOccurrence(record, occurrence, now, progress)
+      }
     }
     this.#completeIfDone(record, now)
   }
@@ -602,3 +604,11 @@
     return true
   }
 }
+
+const occurrencesWithProgress = ({ done, started = {}, failed, checkpoints }: JobProgress): ReadonlySet<number> => {
+  const occurrences = new Set<number>()
+  for (const state of [done, started, failed, checkpoints]) {
+    for (const key of Object.keys(state)) occurrences.add(Number(key.slice(0, key.indexOf('.'))))
+  }
+  return occurrences
+}
