A long-running task that fails long after its start doesn't count against its worker

Failures in a row quarantine a worker for 6 s, which is all that users allow. Only failures within a second of the order count now; they still tell a worker that fails all it starts. A run of which only the end is known no longer counts as a short one.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -2,7 +2,7 @@
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
-import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE } from './constants.ts'
+import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE, SHORT_RUN_MS } from './constants.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
@@ -391,14 +391,16 @@
     const hasFailed = end.ending === 'failed'
     if (hasFailed) task.failedOn.add(worker)
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
-    if ((hasFailed || end.ending === 'done') && worker.recordRunResult(hasFailed, now)) this.#observer.workerQuarantined(worker.entry.id, 'several consecutive runs failed')
+    // That a long-running task fails some time after its start says nothing about the worker.
+    const isEvidence = end.ending === 'done' || (hasFailed && (!task.step.shape.isLasting || isShortRun(run, now)))
+    if (isEvidence && worker.recordRunResult(hasFailed, now)) this.#observer.workerQuarantined(worker.entry.id, 'several consecutive runs failed')
     if (end.ending === 'done') this.#finishTask(task, now)
     else if (hasFailed && !task.step.shape.isLasting && !task.isDone && !task.failedAttempts.includes(end.attempt)) {
       task.failedAttempts.push(end.attempt)
       if (!job.isFinal) this.#dirty.add(job)
     }
     if (run !== undefined) this.#endRun(run, end.ending, now)
-    else this.#recordEnd(createRun(task, end.attempt, worker, 'running', now), end.ending, now)
+    else this.#recordEnd(createRun(task, end.attempt, worker, 'running', now), end.ending, now, false)
     if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#endJob(job, 'failed', now)
   }
 
@@ -421,13 +423,14 @@
     run.worker.removeRun(run)
     const index = task.runs.indexOf(run)
     if (index >= 0) task.runs.splice(index, 1)
-    this.#recordEnd(run, ending, now)
+    this.#recordEnd(run, ending, now, ending === 'failed' && isShortRun(run, now))
     if (task.runs.length === 0 && !task.isDone && !task.step.job.isFinal && task.step.isOpen) task.step.waiting.add(task)
   }
 
-  #recordEnd (run: RunRecord, ending: string, now: Instant): void {
-    run.task.recordEnd(run, ending, now)
-    this.#observer.runEnded(run, ending, run.worker.entry.id)
+  #recordEnd (run: RunRecord, ending: string, now: Instant, hasFailedAtOnce: boolean): void {
+    const worker = run.worker.entry.id
+    run.task.recordEnd({ attempt: run.attempt, ending, worker, at: now }, hasFailedAtOnce)
+    this.#observer.runEnded(run, ending, worker)
   }
 
   // Runs that the worker confirmed have ended with its old incarnation. Any other run is kept for the new incarnation,
@@ -605,6 +608,9 @@
   }
 }
 
+// How long a run lasted is known only if this owner knew it.
+const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
+
 const occurrencesWithProgress = ({ done, started = {}, failed, checkpoints }: JobProgress): ReadonlySet<number> => {
   const occurrences = new Set<number>()
   for (const state of [done, started, failed, checkpoints]) {
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -2,7 +2,7 @@
  * One task of a job and its runs.
  */
 import { brand, type Attempt, type Instant, type WorkerId } from '@auburnpin/common'
-import { MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS, SHORT_RUN_MS } from './constants.ts'
+import { MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS } from './constants.ts'
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskName } from './types.ts'
@@ -86,10 +86,11 @@
     return this.step.shape.isLasting && this.hasRun && this.runs.length === 0
   }
 
-  /** Records the end of a run. */
-  recordEnd (run: RunRecord, ending: string, now: Instant): void {
-    if (run.attempt >= (this.lastEnd?.attempt ?? 0)) this.lastEnd = { attempt: run.attempt, ending, worker: run.worker.entry.id, at: now }
-    if (ending === 'failed') this.#shortFailures = now - run.orderedAt < SHORT_RUN_MS ? this.#shortFailures + 1 : 0
+  /** Records the end of a run, and whether it failed soon after its start. */
+  recordEnd (end: RunEnd, hasFailedAtOnce: boolean): void {
+    if (end.attempt >= (this.lastEnd?.attempt ?? 0)) this.lastEnd = end
+    if (hasFailedAtOnce) this.#shortFailures++
+    else if (end.ending === 'failed') this.#shortFailures = 0
   }
 
   /** Whether a long-running task may start again. One that keeps failing soon after its start waits longer each time. */
