Terms leave 100,000 run numbers to each task

Ruled out: the highest number in each progress row, a write more for each restart. An order that was refused is no longer taken for the last end of an interrupted task in the records.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -429,7 +429,8 @@
 
   #recordEnd (run: RunRecord, ending: string, now: Instant, hasFailedAtOnce: boolean): void {
     const worker = run.worker.entry.id
-    run.task.recordEnd({ attempt: run.attempt, ending, worker, at: now }, hasFailedAtOnce)
+    // An order that was refused is no run.
+    if (run.state !== 'ordered') run.task.recordEnd({ attempt: run.attempt, ending, worker, at: now }, hasFailedAtOnce)
     this.#observer.runEnded(run, ending, worker)
   }
 
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -6,8 +6,8 @@
 /** Milliseconds after the end of a lease before it counts as expired; covers one late timer on a small VM. */
 export const LEASE_MARGIN_MS = 200
 
-/** Distance between the first attempt numbers of consecutive terms; an owner starts one task fewer times than this. */
-export const ATTEMPTS_PER_TERM = 1_000
+/** Distance between the first attempt numbers of consecutive terms. Even a task that fails at once each time needs over two days for as many starts. */
+export const ATTEMPTS_PER_TERM = 100_000
 
 /** Milliseconds after which an order to stop is repeated if the run has not ended; a stop takes up to 400 ms. */
 export const STOP_RETRY_MS = 600
