An unexpected error of a call to a worker neither holds its task for good nor ends the process

The report requested at once after an unknown outcome had no handler for an error, which ends the process. The story of lostStarts failed before (no task done; with the first half alone the process exits).

Starts of long-running tasks get a record of their own, and Long-running task is interrupted says what keeps the task from the freest worker.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -573,7 +573,7 @@
       this.#addRun(run)
       this.waits.recordPlacement(task)
       orders.push({
-        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
+        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint, isLongRunning: task.step.shape.isLasting
       })
       if (++starts >= maxStarts) break
     }
--- a/packages/core/src/jobs/findObstacles.ts
+++ b/packages/core/src/jobs/findObstacles.ts
@@ -15,9 +15,10 @@
   counts: ReadonlyMap<Obstacle, number>
   /** Free processors of all workers that the task may use, in thousandths of a core. */
   free: number
-  /** The one of them with the most free processors, and how many. */
+  /** The one of them with the most free processors, how many, and what keeps the task from it. */
   largest?: WorkerRecord
   largestFree: number
+  largestObstacle?: Obstacle
 }>
 
 /** Obstacles that hold whatever else runs on the worker. */
@@ -35,6 +36,7 @@
   let free = 0
   let largest: WorkerRecord | undefined
   let largestFree = 0
+  let largestObstacle: Obstacle | undefined
   for (const worker of workers) {
     const obstacle = task.isNewServing && reserved.has(worker) ? 'reserved' : findObstacle(task, worker, held, interference, now)
     if (obstacle !== undefined) counts.set(obstacle, (counts.get(obstacle) ?? 0) + 1)
@@ -44,6 +46,7 @@
     if (freeHere <= largestFree) continue
     largest = worker
     largestFree = freeHere
+    largestObstacle = obstacle
   }
-  return { counts, free: Math.round(free), largest, largestFree: Math.round(largestFree) }
+  return { counts, free: Math.round(free), largest, largestFree: Math.round(largestFree), largestObstacle }
 }
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -162,7 +162,7 @@
 
 /** An order to a worker. */
 export type RunOrder =
-  | Readonly<{ kind: 'start', worker: WorkerId, address: string, task: TaskName, attempt: Attempt, spec: string, checkpoint: string }>
+  | Readonly<{ kind: 'start', worker: WorkerId, address: string, task: TaskName, attempt: Attempt, spec: string, checkpoint: string, isLongRunning: boolean }>
   | Readonly<{ kind: 'pace', worker: WorkerId, address: string, task: TaskName, attempt: Attempt, percent: number }>
   | Readonly<{ kind: 'stop', worker: WorkerId, address: string, task: TaskName, attempt: Attempt }>
 
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -21,6 +21,7 @@
 import { TermListener, TermWriter } from './TermWriter.ts'
 import { WaitReporter } from './WaitReporter.ts'
 import { PollerHost, WorkerPoller } from './WorkerPoller.ts'
+import type { StartResponse } from './WorkerCalls.ts'
 import { WorkerListener } from './WorkerList.ts'
 
 /** Owns a cell from `open` until `close` or until the term is lost. */
@@ -403,16 +404,19 @@
   // Writes one record for each step, as under load a pass starts many tasks of a step.
   #logPlacements (orders: readonly RunOrder[]): void {
     const placementsOfStep = new Map<string, string[]>()
+    const longRunningSteps = new Set<string>()
     for (const order of orders) {
       if (order.kind !== 'start') continue
       const step = order.task.slice(0, order.task.lastIndexOf('.'))
+      if (order.isLongRunning) longRunningSteps.add(step)
       const placement = `${order.task.slice(step.length + 1)}#${order.attempt}@${order.worker}`
       const placements = placementsOfStep.get(step)
       if (placements === undefined) placementsOfStep.set(step, [placement])
       else placements.push(placement)
     }
     for (const [step, placements] of placementsOfStep) {
-      this.#ports.log.info('Tasks placed', { step, epoch: this.#claimed.term.epoch, count: placements.length, runs: placements.join(' ') })
+      // A message of its own, as records of one message are limited per second.
+      this.#ports.log.info(longRunningSteps.has(step) ? 'Long-running tasks placed' : 'Tasks placed', { step, epoch: this.#claimed.term.epoch, count: placements.length, runs: placements.join(' ') })
     }
   }
 
@@ -436,7 +440,7 @@
   }
 
   async #start (order: RunOrder & { kind: 'start' }, worker: WorkerRecord): Promise<void> {
-    const { clock, calls, log } = this.#ports
+    const { clock, log } = this.#ports
     const leaseEndMs = worker.leaseEnd(WORKER_LEASE_MS, clock.now())
     if (leaseEndMs === undefined) {
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
@@ -445,7 +449,7 @@
     worker.extendLease(leaseEndMs)
     const sentAt = clock.now()
     this.#startWindow.open()
-    const { outcome, clockMs } = await calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#epochFor(worker) })
+    const { outcome, clockMs } = await this.#callStart(order, worker, leaseEndMs)
     const now = clock.now()
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#isClosed) return
@@ -458,6 +462,16 @@
     else poller?.wake()
   }
 
+  // An unexpected error may come after the order was sent, and the run must not stay in progress for ever.
+  async #callStart (order: RunOrder & { kind: 'start' }, worker: WorkerRecord, leaseEndMs: number): Promise<StartResponse> {
+    try {
+      return await this.#ports.calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#epochFor(worker) })
+    } catch (thrown) {
+      this.#ports.log.error('A start order failed unexpectedly', { task: order.task, worker: order.worker, error: String(thrown) })
+      return { outcome: 'unknown' }
+    }
+  }
+
   async #pace (order: RunOrder & { kind: 'pace' }, worker: WorkerRecord): Promise<void> {
     this.#ports.metrics.count('runs.paced')
     const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#epochFor(worker))
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -80,6 +80,7 @@
       maxPerWorker: shape.maxPerWorker,
       ...obstacleFields(obstacles),
       largestFreeOn: largest?.entry.id,
+      largestObstacle: obstacles.largestObstacle,
       reportAgeMs: largest === undefined ? undefined : Math.round(now - largest.reportRequestedAt),
       awaitedWorkers: awaitedWorkers.slice(0, MAX_NAMED_WORKERS).map(({ entry }) => entry.id).join(' '),
       awaited: awaitedWorkers.length
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -59,7 +59,11 @@
   /** Requests a report at once, even if another request is still waiting. */
   reportNow (): void {
     const worker = this.#scheduler.workers.get(this.#worker)
-    if (worker !== undefined && this.#mayPoll(worker)) void this.#report(worker, 0)
+    if (worker !== undefined && this.#mayPoll(worker)) this.#report(worker, 0).catch((thrown: unknown) => this.#logUnexpected(thrown))
+  }
+
+  #logUnexpected (thrown: unknown): void {
+    this.#log.error('A report could not be applied', { worker: this.#worker, error: String(thrown) })
   }
 
   async #run (): Promise<void> {
@@ -70,7 +74,7 @@
         await this.#poll(worker)
       } catch (thrown) {
         // Without further reports the lease of the worker would expire.
-        this.#log.error('A report could not be applied', { worker: this.#worker, error: String(thrown) })
+        this.#logUnexpected(thrown)
         await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
       }
     }
--- a/packages/jobs/tests/lostStarts.test.ts
+++ b/packages/jobs/tests/lostStarts.test.ts
@@ -32,3 +32,16 @@
   t.deepEqual(simulation.breaches, [])
   t.is(simulation.events.filter(({ how }) => how === 'done').length, 1)
 })
+
+test('a task whose order to start ended in an unexpected error is neither held for good nor run twice', async t => {
+  const simulation = new JobsSimulation(1, () => ({ runMs: 1_000, ending: 'done' }))
+  const node = simulation.addNode('n1')
+  await simulation.advance(500)
+  simulation.links.set('w1', 'broken')
+  for (const id of ['00000000000000c1', '00000000000000c2']) await simulation.settle(node.jobs.submit(jobOf(id, [stepOf()]), 2_000))
+  await simulation.advance(300)
+  simulation.links.clear()
+  await simulation.advance(12_000)
+  t.deepEqual(simulation.breaches, [])
+  t.is(simulation.events.filter(({ how }) => how === 'done').length, 2)
+})
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -9,8 +9,8 @@
 import { CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
-/** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. */
-export type LinkState = 'well' | 'mute' | 'late' | 'refused'
+/** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. */
+export type LinkState = 'well' | 'mute' | 'late' | 'refused' | 'broken'
 
 const CALL_MS = 1
 const CALL_TIMEOUT_MS = 700
@@ -259,6 +259,7 @@
     const worker = this.#simulation.worker(id)
     const state = this.#simulation.link(this.#node.name, id)
     if (state === 'refused') return 'refused'
+    if (state === 'broken') throw new Error('an unexpected error of the client')
     if (state === 'well' && !worker.hasCrashed) {
       await this.#node.processor.handleMessage()
       await this.#node.clock.sleep(CALL_MS)
