--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -2,7 +2,7 @@
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
-import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE } from './constants.ts'
+import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE, SHORT_RUN_MS } from './constants.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
@@ -113,8 +113,10 @@
     const count = Math.max(1, job.occurrences)
     if (job.occurrences > 0) this.#repeating.add(record)
     else this.#createOccurrence(record, 0, now, progress)
-    for (let occurrence = 0; job.occurrences > 0 && occurrence < count; occurrence++) {
-      if (progress?.done[`${occurrence}.0`] !== undefined) this.#createOccurrence(record, occurrence, now, progress)
+    if (job.occurrences > 0 && progress !== undefined) {
+      for (const occurrence of occurrencesWithProgress(progress)) {
+        if (occurrence < count) this.#createOccurrence(record, occurrence, now, progress)
+      }
     }
     this.#completeIfDone(record, now)
   }
@@ -389,14 +391,16 @@
     const hasFailed = end.ending === 'failed'
     if (hasFailed) task.failedOn.add(worker)
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
-    if ((hasFailed || end.ending === 'done') && worker.recordRunResult(hasFailed, now)) this.#observer.workerQuarantined(worker.entry.id, 'several consecutive runs failed')
+    // That a long-running task fails some time after its start says nothing about the worker.
+    const isEvidence = end.ending === 'done' || (hasFailed && (!task.step.shape.isLasting || isShortRun(run, now)))
+    if (isEvidence && worker.recordRunResult(hasFailed, now)) this.#observer.workerQuarantined(worker.entry.id, 'several consecutive runs failed')
     if (end.ending === 'done') this.#finishTask(task, now)
     else if (hasFailed && !task.step.shape.isLasting && !task.isDone && !task.failedAttempts.includes(end.attempt)) {
       task.failedAttempts.push(end.attempt)
       if (!job.isFinal) this.#dirty.add(job)
     }
     if (run !== undefined) this.#endRun(run, end.ending, now)
-    else this.#recordEnd(createRun(task, end.attempt, worker, 'running', now), end.ending, now)
+    else this.#recordEnd(createRun(task, end.attempt, worker, 'running', now), end.ending, now, false)
     if (hasFailed && !task.step.shape.isLasting && task.failedAttempts.length >= job.job.policy.maxAttempts) this.#endJob(job, 'failed', now)
   }
 
@@ -419,13 +423,15 @@
     run.worker.removeRun(run)
     const index = task.runs.indexOf(run)
     if (index >= 0) task.runs.splice(index, 1)
-    this.#recordEnd(run, ending, now)
+    this.#recordEnd(run, ending, now, ending === 'failed' && isShortRun(run, now))
     if (task.runs.length === 0 && !task.isDone && !task.step.job.isFinal && task.step.isOpen) task.step.waiting.add(task)
   }
 
-  #recordEnd (run: RunRecord, ending: string, now: Instant): void {
-    run.task.recordEnd(run, ending, now)
-    this.#observer.runEnded(run, ending, run.worker.entry.id)
+  #recordEnd (run: RunRecord, ending: string, now: Instant, hasFailedAtOnce: boolean): void {
+    const worker = run.worker.entry.id
+    // An order that was refused is no run.
+    if (run.state !== 'ordered') run.task.recordEnd({ attempt: run.attempt, ending, worker, at: now }, hasFailedAtOnce)
+    this.#observer.runEnded(run, ending, worker)
   }
 
   // Runs that the worker confirmed have ended with its old incarnation. Any other run is kept for the new incarnation,
@@ -567,7 +573,7 @@
       this.#addRun(run)
       this.waits.recordPlacement(task)
       orders.push({
-        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
+        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint, isLongRunning: task.step.shape.isLasting
       })
       if (++starts >= maxStarts) break
     }
@@ -602,3 +608,14 @@
     return true
   }
 }
+
+// How long a run lasted is known only if this owner knew it.
+const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
+
+const occurrencesWithProgress = ({ done, started = {}, failed, checkpoints }: JobProgress): ReadonlySet<number> => {
+  const occurrences = new Set<number>()
+  for (const state of [done, started, failed, checkpoints]) {
+    for (const key of Object.keys(state)) occurrences.add(Number(key.slice(0, key.indexOf('.'))))
+  }
+  return occurrences
+}
