A job with a task that is done or has failed is never given to another cell as untouched

What callers would see: a task that was done runs again in another cell, or its failures count from none. Cause: a new owner knows such a task from the stored progress or a report, while the phase of the job still says queued if its former owner recorded no start; only orders and runs counted as a touch.

--- a/packages/core/tests/untouchedJobs.test.ts
+++ b/packages/core/tests/untouchedJobs.test.ts
@@ -5,7 +5,7 @@
 
 const at = (ms: number): Instant => brand<Instant>(ms)
 
-test.failing('a job with a task that is done stays in its cell, also if its former owner never recorded that it had begun', t => {
+test('a job with a task that is done stays in its cell, also if its former owner never recorded that it had begun', t => {
   const scheduler = new JobScheduler(brand<Epoch>(2), { leaseMs: 4_500 }, at(0), new SilentJobSchedulerObserver())
   scheduler.addJob(jobOf('00000000000000a1', [stepOf({ taskCount: 2 })]), at(0), { phase: 'queued', done: { '0.0': [0] }, failed: {}, checkpoints: {} })
   scheduler.decide(at(0), 0)
@@ -13,7 +13,7 @@
   t.deepEqual(scheduler.untouchedJobs(at(4_000)), [])
 })
 
-test.failing('a job with a task that has failed stays in its cell, so that the failures count', t => {
+test('a job with a task that has failed stays in its cell, so that the failures count', t => {
   const scheduler = new JobScheduler(brand<Epoch>(2), { leaseMs: 4_500 }, at(0), new SilentJobSchedulerObserver())
   scheduler.addJob(jobOf('00000000000000a1', [stepOf({ taskCount: 2 })]), at(0), { phase: 'queued', done: {}, failed: { '0.0.0': [1] }, checkpoints: {} })
   scheduler.decide(at(0), 0)
