A run whose start was answered but never reported outlives a change of its worker's incarnation

What callers would see: a task runs twice at once. A worker restarts and takes an order before the owner knows of the restart; the response marked the run as running on the old incarnation's record, the new entry then ended all running runs as reborn, and the task started elsewhere while it ran. Only runs that the old incarnation listed in a report have ended with it; the others wait for a report of the new one.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -292,6 +292,7 @@
       const run = worker.runs.get(key)
       if (run !== undefined) {
         this.#confirmRunning(run, now)
+        run.isReported = true
         run.reading = reported.reading
         if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
         run.progressPercent = reported.progressPercent
@@ -357,7 +358,7 @@
     const { attempt } = reported
     task.recordAttempt(attempt)
     this.#recordStart(task)
-    const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
+    const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isReported: true, isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#markJobActive(task)
   }
@@ -434,16 +435,17 @@
     this.#observer.runEnded(run, ending, worker)
   }
 
-  // Runs that the worker confirmed have ended with its old incarnation. Any other run is kept for the new incarnation,
-  // which its order may still reach.
+  // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
+  // order may still reach, or whose response to the order may have been taken for one of the old incarnation.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     for (const run of [...old.runs.values()]) {
-      if (run.state === 'running') {
+      if (run.isReported) {
         this.#endRun(run, 'reborn', now)
         continue
       }
       old.removeRun(run)
-      const moved: RunRecord = { ...run, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const state = run.state === 'running' ? 'unconfirmed' : run.state
+      const moved: RunRecord = { ...run, state, since: now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -21,6 +21,8 @@
   state: 'ordered' | 'unconfirmed' | 'running'
   /** When the state was last set; a report requested earlier cannot contradict it. */
   since: Instant
+  /** Whether the worker's incarnation has listed the run in a report. */
+  isReported: boolean
   isStopRequested: boolean
   /** Last reported value: a serving task's tail latency in milliseconds, or the thousandths of a core that any other task uses. */
   reading?: number
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -2,7 +2,7 @@
 import { jobOf, stepOf } from '@auburnpin/fakes'
 import { JobsSimulation } from './support/JobsSimulation.ts'
 
-test.failing('an order that reaches a VM just after its restart, before the owner knows of it, does not run a task twice', async t => {
+test('an order that reaches a VM just after its restart, before the owner knows of it, does not run a task twice', async t => {
   for (let restartedAfterMs = 0; restartedAfterMs < 100; restartedAfterMs += 5) {
     const simulation = new JobsSimulation(2, () => ({ runMs: 3_000, ending: 'done' }))
     const node = simulation.addNode('n1')
