Every call of the HTTP client ends, whatever arrives and whatever it is told to send

Seen: a call that never ended, so that a worker was asked no more, a feed no longer followed or a term not renewed; a rejected promise for a worker whose entry has no valid address or id, so that its start stayed open; calls that waited for a free connection ended up to 0.8 s after their timeout, and so did clients' requests. Causes: a response that switches protocols ends a request without an error, also for the later timeout; Node throws for what it can't send; a request without a connection reports its end only with one.

--- a/packages/ports/src/HttpClient.ts
+++ b/packages/ports/src/HttpClient.ts
@@ -1,7 +1,7 @@
 /**
  * An HTTP client for the platform's services, for requests and responses that fit in memory.
  */
-import { Agent, request as httpRequest } from 'node:http'
+import { Agent, request as httpRequest, type ClientRequest } from 'node:http'
 import { AuburnpinError, Err, Ok, type Result } from '@auburnpin/common'
 import { MAX_RESPONSE_BYTES } from './constants.ts'
 
@@ -37,15 +37,23 @@
    */
   send (request: HttpRequest): Promise<Result<HttpResponse, AuburnpinError>> {
     return new Promise(resolve => {
-      const [host, port] = splitAddress(request.address)
       let isConnected = false
       const fail = (error: Error): void => {
         clearTimeout(timer)
         resolve(Err(describeFailure(request, error, isConnected)))
       }
-      const outgoing = httpRequest({
-        agent: this.#agent, host, port, method: request.method, path: request.path, headers: bodyHeaders(request)
-      }, incoming => {
+      const outgoing = this.#createRequest(request)
+      if (outgoing instanceof Error) {
+        resolve(Err(new AuburnpinError('unreachable', `${request.method} ${request.path} at ${request.address}: ${outgoing.message}`, 'Correct the address or the request; nothing was sent.', { cause: outgoing })))
+        return
+      }
+      // A request that waits for a connection reports its end only once it gets one.
+      const giveUp = (): void => {
+        const error = new Error(`No response within ${request.timeoutMs} ms`)
+        outgoing.destroy(error)
+        fail(error)
+      }
+      outgoing.on('response', incoming => {
         const chunks: Buffer[] = []
         let size = 0
         incoming.on('data', (chunk: Buffer) => {
@@ -61,16 +69,31 @@
       })
       // While this process was busy a response may have arrived that has not been read yet. Timers run before sockets are
       // read, and immediates after, so the response gets one turn of the event loop.
-      const timer = setTimeout(() => setImmediate(() => outgoing.destroy(new Error(`No response within ${request.timeoutMs} ms`))), request.timeoutMs)
+      const timer = setTimeout(() => setImmediate(giveUp), request.timeoutMs)
       outgoing.on('socket', socket => {
         if (!socket.connecting) isConnected = true
         else socket.once('connect', () => { isConnected = true })
       })
       outgoing.on('error', fail)
+      // Node hands over the connection, and the request itself ends without an error.
+      outgoing.on('upgrade', (_response, socket) => {
+        socket.destroy()
+        fail(new Error('The response switches protocols'))
+      })
       outgoing.end(request.body)
     })
   }
 
+  // An address, a path or a header that cannot be sent makes Node throw.
+  #createRequest (request: HttpRequest): ClientRequest | Error {
+    const [host, port] = splitAddress(request.address)
+    try {
+      return httpRequest({ agent: this.#agent, host, port, method: request.method, path: request.path, headers: bodyHeaders(request) })
+    } catch (thrown) {
+      return thrown instanceof Error ? thrown : new Error(String(thrown))
+    }
+  }
+
   /** Closes idle connections. */
   close (): void {
     this.#agent.destroy()
