Cancellations that wait for the store are retried by one loop, which no error ends

Each request to cancel the only job that waited started another loop, so that the store had ten times the calls after ten requests; an unexpected error ended the loop, and what waited was never stored although the client had been told that it is tried on. Now one loop runs, and an error costs one round.

--- a/packages/jobs/src/JobRepository.ts
+++ b/packages/jobs/src/JobRepository.ts
@@ -31,6 +31,7 @@
   readonly #cellOfJob = new Map<JobId, CellId>()
   /** Cancellations that could not be stored yet, with the time of the failed request. */
   readonly #pendingCancellations = new Map<JobId, Instant>()
+  #isRetrying = false
 
   constructor (store: MonitoredStore, clock: Clock, log: Log, cells: CellChooser) {
     this.#store = store
@@ -79,21 +80,31 @@
 
   #scheduleCancellation (id: JobId): void {
     if (this.#pendingCancellations.size < MAX_PENDING_CANCELLATIONS) this.#pendingCancellations.set(id, this.#clock.now())
-    if (this.#pendingCancellations.size === 1) void this.#retryCancellations()
+    if (!this.#isRetrying) void this.#retryCancellations()
   }
 
   async #retryCancellations (): Promise<void> {
+    this.#isRetrying = true
     while (this.#pendingCancellations.size > 0) {
       await this.#clock.sleep(CANCEL_RETRY_INTERVAL_MS)
-      for (const [id, failedAt] of [...this.#pendingCancellations]) {
-        const outcome = await this.#cancelOnce(id, CANCEL_RETRY_INTERVAL_MS)
-        const hasExpired = this.#clock.now() - failedAt > CANCEL_RETRY_PERIOD_MS
-        if (outcome.ok || hasExpired) {
-          this.#pendingCancellations.delete(id)
-          this.#log.info('Cancellation retried', { job: id, outcome: outcome.ok ? 'stored' : 'given up' })
-        } else if (outcome.val.kind !== 'invalid-request') break
+      try {
+        await this.#retryOnce()
+      } catch (thrown) {
+        this.#log.error('Cancellations could not be retried', { error: String(thrown) })
       }
     }
+    this.#isRetrying = false
+  }
+
+  async #retryOnce (): Promise<void> {
+    for (const [id, failedAt] of [...this.#pendingCancellations]) {
+      const outcome = await this.#cancelOnce(id, CANCEL_RETRY_INTERVAL_MS)
+      const hasExpired = this.#clock.now() - failedAt > CANCEL_RETRY_PERIOD_MS
+      if (outcome.ok || hasExpired) {
+        this.#pendingCancellations.delete(id)
+        this.#log.info('Cancellation retried', { job: id, outcome: outcome.ok ? 'stored' : 'given up' })
+      } else if (outcome.val.kind !== 'invalid-request') break
+    }
   }
 
   /** Phase of a job; `undefined` if the job isn't stored. */
