A term that a process can't have written is not believed, whatever field is wrong

Published state of the cells that isn't whole ended the loops that follow the layout, for the life of each process, and a new owner of several cells copied it and failed at each of its commits, as did the next; an epoch below zero, broken or beyond what can be, left every owner fenced by its workers. Terms are now checked field by field where elections and the monitor of cells read them: a queue length or a state that can't be right is left out, an epoch above the version of its row is replaced like that of an unreadable term. The length of a queue with the name of a property that every object has, such as 'constructor', was answered as {}; pendingOf asks for own properties. takeover.test.ts only calls the new name.

--- a/packages/jobs/src/CellElections.ts
+++ b/packages/jobs/src/CellElections.ts
@@ -1,7 +1,7 @@
 /**
  * Participation of one process in the elections of the owners of all cells.
  */
-import { rendezvousRank, type CellId, type Random } from '@auburnpin/common'
+import { rendezvousRank, type CellId, type QueueName, type Random } from '@auburnpin/common'
 import { CORES_PER_WORKER, FIRST_CELL, STANDBY_CELLS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import { OwnerElection, type CandidateIdentity } from './OwnerElection.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
@@ -35,11 +35,9 @@
     this.#first = this.#createElection(FIRST_CELL)
   }
 
-  /** Number of jobs of each queue in all cells that have no started task, as last published. */
-  get pending (): Readonly<Record<string, number>> {
-    const pending: Record<string, number> = { ...this.#first.pending }
-    for (const [queue, count] of Object.entries(this.publishedCells?.pending ?? {})) pending[queue] = (pending[queue] ?? 0) + count
-    return pending
+  /** Number of jobs of a queue in all cells that have no started task, as last published. */
+  pendingOf (queue: QueueName): number {
+    return countOf(this.#first.pending, queue) + countOf(this.publishedCells?.pending ?? {}, queue)
   }
 
   /** State of all cells as last published; `undefined` in a deployment with one cell. */
@@ -108,3 +106,6 @@
     return new OwnerElection(this.#ports, this.#identity, this.#random, cell, () => this.ownedCells.length)
   }
 }
+
+// A queue may have the name of a property that every object has.
+const countOf = (counts: Readonly<Record<string, number>>, queue: QueueName): number => Object.hasOwn(counts, queue) ? counts[queue] ?? 0 : 0
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -6,6 +6,7 @@
 import { TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
+import { soundTerm } from './soundTerm.ts'
 
 type ObservedCell = Readonly<{ term: Term, version: RowVersion, changedAt: Instant }>
 
@@ -73,7 +74,7 @@
     if (page.err) return
     const row = page.val.rows.find(({ key }) => key === TERM_KEY)
     if (row === undefined || this.#observed.get(index)?.version === row.version) return
-    const term = readTerm(row.value)
+    const term = soundTerm(readTerm(row.value), row.version)
     if (term === undefined) return
     this.#observed.set(index, { term, version: row.version, changedAt: this.#clock.now() })
   }
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -7,6 +7,7 @@
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { ABSENT_ROW_VERSION, encodeRow, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
+import { soundTerm } from './soundTerm.ts'
 
 /** Identity of this process, and what decides how soon it claims a free term. */
 export type CandidateIdentity = Readonly<{
@@ -127,7 +128,7 @@
 
   // Each term has written its row at least once, so that the version of the row is above all epochs so far.
   #readTerm (value: string, version: RowVersion): Term {
-    const term = readTerm(value)
+    const term = soundTerm(readTerm(value), version)
     if (term !== undefined) return term
     this.#log.error('The term cannot be read and is treated as one without renewals', { cell: this.#cell, version })
     return { holder: UNKNOWN_HOLDER, life: '', epoch: brand<Epoch>(version), commit: 0, pending: {}, workers: 0 }
--- /dev/null
+++ b/packages/jobs/src/soundTerm.ts
@@ -0,0 +1,39 @@
+/**
+ * Checks what `readTerm` leaves open: the numbers of a term, and what it publishes.
+ */
+import type { RowVersion } from '@auburnpin/common'
+import type { CellLoad } from '@auburnpin/core'
+import type { PublishedCells, Term } from './rows.ts'
+
+/**
+ * The term without what cannot be used; `undefined` if its epoch cannot be right. Each term has written its row at least
+ * once, so that the version of the row is not below its epoch.
+ *
+ * @example
+ * const term = soundTerm(readTerm(row.value), row.version)
+ */
+export const soundTerm = (term: Term | undefined, version: RowVersion): Term | undefined => {
+  if (term === undefined || !isCount(term.epoch) || term.epoch > version) return undefined
+  const { pending, workers, loadPercent, cells } = term
+  return {
+    ...term,
+    commit: isCount(term.commit) ? term.commit : 0,
+    pending: countsOf(pending),
+    workers: isCount(workers) ? workers : 0,
+    loadPercent: typeof loadPercent === 'number' ? loadPercent : undefined,
+    cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending) } : undefined
+  }
+}
+
+const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
+
+const isObject = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value)
+
+const countsOf = (counts: Readonly<Record<string, unknown>>): Readonly<Record<string, number>> =>
+  Object.fromEntries(Object.entries(counts).filter((entry): entry is [string, number] => isCount(entry[1])))
+
+const isCellLoad = (value: unknown): value is CellLoad =>
+  isObject(value) && isCount(value.workers) && typeof value.loadPercent === 'number' && typeof value.isOwned === 'boolean'
+
+const isPublishedCells = (value: unknown): value is PublishedCells =>
+  isObject(value) && isCount(value.layoutVersion) && Array.isArray(value.loads) && value.loads.every(isCellLoad) && isObject(value.pending)
--- a/packages/jobs/tests/malformedRows.test.ts
+++ b/packages/jobs/tests/malformedRows.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
+import { brand, type QueueName } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
 import { jobPart } from '../src/rows.ts'
 import { JobsSimulation } from './support/JobsSimulation.ts'
@@ -59,3 +60,56 @@
     t.is(doneTasks(simulation), 3, value)
   }
 })
+
+test('published state of the cells that cannot be read keeps neither a new owner from scheduling nor a process from choosing cells', async t => {
+  const damaged: readonly unknown[] = [null, 7, 'abc', [], {}, { loads: 5 }, { loads: 'abc', layoutVersion: 1, pending: {} }, { layoutVersion: 1, loads: [null, null], pending: {} }, { layoutVersion: '1', loads: [], pending: {} }, { layoutVersion: 1, loads: [{ workers: 1, loadPercent: 1, isOwned: true }], pending: 7 }, { layoutVersion: 1, loads: [{ workers: 1, loadPercent: 1, isOwned: true }], pending: { drafts: 'many' } }]
+  for (const cells of damaged) {
+    const simulation = new JobsSimulation(2, () => RUN)
+    simulation.workersPerCell = 1
+    const first = simulation.addNode('n1')
+    await simulation.advance(4_000)
+    const row = simulation.rows.read('terms', 'cell-0', 'term')
+    t.truthy(first.election.publishedCells)
+    first.kill()
+    await simulation.advance(1_000)
+    simulation.rows.put('terms', 'cell-0', 'term', JSON.stringify({ ...JSON.parse(row?.value ?? '{}') as object, cells }))
+    const second = simulation.addNode('n2')
+    const early = second.jobs.submit({ ...GOOD, id: jobOf('00000000000000e5', []).id }, 2_000)
+    await simulation.advance(100)
+    t.true((await simulation.settle(early)).ok)
+    await simulation.advance(12_000)
+    t.is(second.election.publishedCells?.loads.length, 2, JSON.stringify(cells))
+    await simulation.settle(second.jobs.submit(GOOD, 2_000))
+    await simulation.advance(3_000)
+    t.is(doneTasks(simulation), 6, JSON.stringify(cells))
+    t.is(second.election.pendingOf(GOOD.queue), 0)
+  }
+})
+
+test('a term whose epoch cannot be right is claimed under one that workers accept', async t => {
+  for (const epoch of [-5, 1.5, 1e300, 1e15]) {
+    const simulation = new JobsSimulation(2, () => RUN)
+    const first = simulation.addNode('n1')
+    await simulation.advance(1_000)
+    await simulation.settle(first.jobs.submit({ ...GOOD, id: jobOf('00000000000000e5', []).id }, 2_000))
+    await simulation.advance(1_000)
+    first.kill()
+    simulation.rows.put('terms', 'cell-0', 'term', JSON.stringify({ holder: 'n9', life: 'x', epoch, commit: 1, pending: {}, workers: 2 }))
+    const second = simulation.addNode('n2')
+    await simulation.advance(12_000)
+    await simulation.settle(second.jobs.submit(GOOD, 2_000))
+    await simulation.advance(1_500)
+    t.is(doneTasks(simulation), 6, String(epoch))
+    t.deepEqual(simulation.breaches, [])
+  }
+})
+
+test('a queue without jobs has none whatever its name, and one with jobs has as many as wait', async t => {
+  const simulation = new JobsSimulation(0, () => RUN)
+  const node = simulation.addNode('n1')
+  await simulation.advance(1_000)
+  await simulation.settle(node.jobs.submit(GOOD, 2_000))
+  await simulation.advance(2_000)
+  t.is(node.election.pendingOf(GOOD.queue), 1)
+  for (const name of ['__proto__', 'constructor', 'toString', '']) t.is(node.election.pendingOf(brand<QueueName>(name)), 0, name)
+})
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { brand, type QueueName } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
 import { JobsSimulation } from './support/JobsSimulation.ts'
 
@@ -111,7 +112,7 @@
   simulation.rows.slowJobReads = true
   for (let step = 0; step < 60; step++) {
     await simulation.advance(100)
-    published.push(other?.election.pending.drafts)
+    published.push(other?.election.pendingOf(brand<QueueName>('drafts')))
   }
   t.true(other?.election.isOwner)
   t.deepEqual([...new Set(published)], [1])
