--- a/packages/core/tests/failingLongRunningTasks.test.ts
+++ b/packages/core/tests/failingLongRunningTasks.test.ts
@@ -5,7 +5,7 @@
 const ID = '00000000000000a1'
 const MAX_AWAY_MS = 9_000
 
-test.failing('long-running tasks that fail by themselves now and then keep neither themselves nor others away from their VM', t => {
+test('long-running tasks that fail by themselves now and then keep neither themselves nor others away from their VM', t => {
   const scenario = new SchedulerScenario({ w1: 8_000 })
   scenario.submit(ID, [stepOf({ isLasting: true, taskCount: 6 })])
   scenario.advance(1_000)
