--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -71,6 +71,11 @@
     this.#isFailing = true
   }
 
+  /** Ends all runs as failed. */
+  failRuns (): void {
+    for (const run of [...this.#runs.values()]) this.#finish(run, 'failed')
+  }
+
   /** Ends all runs; their ends and those not yet acknowledged are lost. */
   crash (): void {
     this.hasCrashed = true
