--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -2,7 +2,7 @@
  * An in-memory row store that simulates faults for one process or for all.
  */
 import { AuburnpinError, brand, Err, Ok, type Clock, type Result, type RowVersion } from '@auburnpin/common'
-import { RowStore, type RowTransaction, type RowChanges, type RowKey, type RowTransactionOutcome, type RowPage, type RowRange, type StoredRow } from '@auburnpin/jobs'
+import { RowStore, type RowTransaction, type RowChanges, type RowKey, type RowTransactionOutcome, type RowPage, type RowRange, type StoredRow, type StoreTime } from '@auburnpin/jobs'
 
 /**
  * How the store responds to a process. `well`: no fault. `refusing`: calls are refused at once. `silent`: calls time out
@@ -17,6 +17,9 @@
 const RESPONSE_MS = 8
 const FEED_POLL_MS = 10
 
+/** Reading of the store's clock at time 0, so that it differs from the clocks of the processes. */
+const FIRST_STORE_TIME_MS = 5_000_000
+
 type Change = Readonly<{ row: StoredRow, isDeleted: boolean }>
 
 /** The rows that all processes share. */
@@ -30,6 +33,8 @@
   readonly faultModes = new Map<string, StoreFaultMode>()
   /** Whether range reads of the jobs table are slow. */
   slowJobReads = false
+  /** Whether responses state the store's clock. */
+  hasClock = true
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -39,6 +44,10 @@
     return brand<RowVersion>(this.#version)
   }
 
+  get storeTime (): StoreTime | undefined {
+    return this.hasClock ? brand<StoreTime>(Math.floor(FIRST_STORE_TIME_MS + this.#clock.now())) : undefined
+  }
+
   faultModeOf (process: string): StoreFaultMode {
     return this.faultModes.get(process) ?? this.faultModes.get('all') ?? 'well'
   }
@@ -69,7 +78,7 @@
     this.#version++
     for (const { table, key, value } of puts) this.#record({ table, part, key, value, version: this.version }, false)
     for (const { table, key } of deletes) this.#record({ table, part, key, value: '', version: this.version }, true)
-    return { kind: 'committed', version: this.version }
+    return { kind: 'committed', version: this.version, storeTime: this.storeTime }
   }
 
   #record (row: StoredRow, isDeleted: boolean): void {
@@ -82,7 +91,7 @@
   list ({ table, part, from, to }: RowRange): RowPage {
     const rows = [...this.#rows.values()].filter(row => row.table === table && row.part === part && row.key >= from && (to === '' || row.key < to))
     rows.sort((one, other) => one.key < other.key ? -1 : 1)
-    return { rows, hasMore: false, version: this.version }
+    return { rows, hasMore: false, version: this.version, storeTime: this.storeTime }
   }
 
   since (table: string, after: RowVersion): RowChanges {
--- a/packages/jobs/src/RowStore.ts
+++ b/packages/jobs/src/RowStore.ts
@@ -1,7 +1,7 @@
 /**
  * Interface of the durable store: rows in tables that are divided into parts. A transaction changes rows of one part.
  */
-import type { AuburnpinError, Result, RowVersion } from '@auburnpin/common'
+import type { AuburnpinError, Branded, Result, RowVersion } from '@auburnpin/common'
 
 /** One row. */
 export type StoredRow = Readonly<{ table: string, part: string, key: string, value: string, version: RowVersion }>
@@ -18,16 +18,22 @@
   deletes: readonly RowKey[]
 }>
 
-/** Result of a transaction. `conflict`: nothing was changed, and `rows` contains those that failed their checks. */
+/** A reading of the store's own steady clock in milliseconds, the same for all processes. */
+export type StoreTime = Branded<number, 'StoreTime'>
+
+/**
+ * Result of a transaction. `conflict`: nothing was changed, and `rows` contains those that failed their checks.
+ * `storeTime` was read between the call and its response; a store may omit it.
+ */
 export type RowTransactionOutcome =
-  | Readonly<{ kind: 'committed', version: RowVersion }>
+  | Readonly<{ kind: 'committed', version: RowVersion, storeTime?: StoreTime }>
   | Readonly<{ kind: 'conflict', rows: readonly StoredRow[] }>
 
 /** A range of keys of one part, from `from` inclusive to `to` exclusive; an empty bound means no bound. */
 export type RowRange = Readonly<{ table: string, part: string, from: string, to: string }>
 
-/** A consistent page of rows of a range, with the store's version at the time of the read. */
-export type RowPage = Readonly<{ rows: readonly StoredRow[], hasMore: boolean, version: RowVersion }>
+/** A consistent page of rows of a range, with the store's version and its clock, if it states it, at the time of the read. */
+export type RowPage = Readonly<{ rows: readonly StoredRow[], hasMore: boolean, version: RowVersion, storeTime?: StoreTime }>
 
 /** Changes of a table after a version, in order. `trimmed`: the store no longer has all of them. */
 export type RowChanges =
