A takeover passes on when the lease of a silent worker is over

Change: an owner records, with a worker that is silent, a time of the store's clock from which on no lease of its own or an earlier owner's runs there (`leaseOverAt`). The next owner waits for that worker until then, and never longer than before. Also the graceful release carries it.

- Lease or start while the record names an end: TermWriter takes a worker out of the leasable ones before such a commit is sent, and puts it back after a commit without the end has succeeded.
- Suspension: an end is computed only from a reading of the store's clock requested after the reading that the lease counts from, so a stop of the own clock in between can't shorten it; later ones only lengthen it.
- Back from the store's clock: counted from the arrival of the response, so the round trip lengthens the wait.
- A call carried out seconds later: its end of the lease is absolute and counted when it was sent.
- Reborn worker: none is recorded for an incarnation that replaced another in this term, as an order for the one before may still reach it (test).
If nobody learns of the rebirth, an owner took the lease for over without a takeover already, and still does.
- Rows of an earlier version have no field: as before.
An earlier version writes the rows back with the field and extends leases all the same; so the term says whether the ends hold, and such an owner's claim drops it (test).
- Damaged field, or a response without the clock: as before (tests).

A report without an extension of the lease isn't held back by the worker any more, or the lease might lapse meanwhile; it also shows sooner that a worker stays silent. Owners check again right before a start that the term is held. Reborn workers that are known by their report alone are recorded at the next tick.

Ruled out: ends for all workers at each release or first commit (another commit before leases are extended, at every takeover); the same after a single lost call (a rewrite of the rows for each); wall clocks; translating the end anew in each term (it would creep by a round trip each time).

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -40,7 +40,8 @@
 /**
  * Schedules jobs for one term of ownership, without access to a clock, the network or the store: the time is an
  * argument of each call, and `decide` returns the orders to send. No task that an earlier owner may have started is
- * started before each worker that it may have used has reported to this owner or its lease has certainly expired.
+ * started before each worker that it may have used has reported to this owner or its lease has certainly expired; all
+ * leases of earlier owners were extended before the time that the constructor gets.
  *
  * @example
  * const scheduler = new JobScheduler(epoch, { leaseMs: 4_000 }, now, observer)
@@ -230,12 +231,23 @@
     if (existing === undefined || existing.entry.incarnation < entry.incarnation) {
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
+      worker.isReborn = existing !== undefined
       if (existing !== undefined) this.#replaceIncarnation(existing, worker)
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
   }
 
+  /**
+   * Adds a worker that an earlier owner used; it isn't listed until `upsertWorker` gets its entry. `leaseOverAt`: when
+   * the leases of earlier owners on it are over, if that is recorded.
+   */
+  restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#earlierLeasesExpireAt): void {
+    this.upsertWorker(entry, now)
+    this.unlistWorker(entry.id)
+    this.workers.get(entry.id)?.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#earlierLeasesExpireAt)), now)
+  }
+
   /** Marks a worker as no longer listed. */
   unlistWorker (id: WorkerId): void {
     const worker = this.workers.get(id)
@@ -557,7 +569,7 @@
     if (this.#isReconciled) return true
     if (now < this.#earlierLeasesExpireAt) {
       if (!this.#areEarlierWorkersKnown) return false
-      for (const worker of this.workers.values()) if (!worker.hasReported) return false
+      for (const worker of this.workers.values()) if (!worker.hasReported && now < worker.leaseExpiresAt) return false
     }
     this.#isReconciled = true
     return true
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -23,6 +23,10 @@
   acknowledgedEnd = 0
   /** Whether the worker is in the list of workers. */
   isListed = true
+  /** Whether an earlier incarnation was known to this owner; orders for that one may still reach this one. */
+  isReborn = false
+  /** Whether this owner may extend the worker's lease: not while the record of the term names the end of the lease. */
+  isLeasable = true
   /** Whether the worker has reported to this owner and therefore rejects orders of all earlier owners. */
   hasReported = false
   /** When the latest report that was compared with the runs was requested. */
@@ -37,10 +41,11 @@
   acceleratorsUsed = 0
   servingRuns = 0
   fillerRuns = 0
-  #isUnresponsive = false
+  #failedCalls = 0
   #clockSample: ClockSample | undefined
   #leasedUntilMs = 0
   #leaseExpiresAt: Instant
+  #leaseKnownSince: Instant
   #pausedUntil: Instant
   #consecutiveFailures = 0
 
@@ -49,6 +54,7 @@
     this.#pausedUntil = now
     // An earlier owner may have extended the lease just before this term began.
     this.#leaseExpiresAt = brand<Instant>(now + leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+    this.#leaseKnownSince = now
   }
 
   get entry (): WorkerEntry {
@@ -57,7 +63,12 @@
 
   /** Whether the last call to the worker got no response. */
   get isUnresponsive (): boolean {
-    return this.#isUnresponsive
+    return this.#failedCalls > 0
+  }
+
+  /** Number of calls without a response since the last response. */
+  get failedCalls (): number {
+    return this.#failedCalls
   }
 
   /** Applies a newer entry of the same incarnation. */
@@ -71,9 +82,20 @@
     return this.#leaseExpiresAt
   }
 
+  /** From when on the time until `leaseExpiresAt` counts: the worker's leases last at most that long from this moment. */
+  get leaseKnownSince (): Instant {
+    return this.#leaseKnownSince
+  }
+
+  /** Records, at `now` and before any call to the worker, when the leases of earlier owners are over. */
+  limitEarlierLeases (expiresAt: Instant, now: Instant): void {
+    this.#leaseExpiresAt = expiresAt
+    this.#leaseKnownSince = now
+  }
+
   /** Records a reading of the worker's clock, received at `at`. */
   recordClock (clockMs: number, at: Instant): void {
-    this.#isUnresponsive = false
+    this.#failedCalls = 0
     this.#clockSample = { clockMs, at }
     this.#updateLeaseExpiry()
   }
@@ -94,16 +116,17 @@
     if (this.#clockSample === undefined || this.#leasedUntilMs === 0) return
     const remainingMs = (this.#leasedUntilMs - this.#clockSample.clockMs) / MIN_CLOCK_RATE
     this.#leaseExpiresAt = brand<Instant>(this.#clockSample.at + Math.max(0, remainingMs) + LEASE_MARGIN_MS)
+    this.#leaseKnownSince = this.#clockSample.at
   }
 
   /** Whether new work may be sent to the worker. */
   acceptsWork (now: Instant): boolean {
-    return this.hasReported && this.isListed && !this.#entry.isDraining && now >= this.#pausedUntil && !this.#isUnresponsive
+    return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive
   }
 
   /** Records that a call got no response; the worker gets no new work until it responds to one. */
   markUnresponsive (): void {
-    this.#isUnresponsive = true
+    this.#failedCalls++
   }
 
   /** Sends the worker no new work for a while. */
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -15,7 +15,8 @@
 import { readPart } from './readPart.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { RowKey, StoredRow } from './RowStore.ts'
-import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
+import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
+import { StoreClock } from './StoreClock.ts'
 import { TableFollower, TableListener } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
@@ -69,7 +70,7 @@
     this.#onTermLost = onTermLost
     this.#onOverload = onOverload
     const { store, clock, log } = ports
-    this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, clock.now(), new LoggingJobSchedulerObserver(ports))
+    this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, claimed.earlierTermOverAt, new LoggingJobSchedulerObserver(ports))
     this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
     this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
@@ -142,9 +143,13 @@
 
   async #restore (): Promise<Result<void, AuburnpinError>> {
     const { store, clock } = this.#ports
+    let termRowsAt = clock.now()
     const [progress, termRows] = await Promise.all([
       readPart(store, PROGRESS_TABLE, this.#claimed.cell),
-      store.range({ table: TERMS_TABLE, part: this.#claimed.cell, from: '', to: '' })
+      store.range({ table: TERMS_TABLE, part: this.#claimed.cell, from: '', to: '' }).then(page => {
+        termRowsAt = clock.now()
+        return page
+      })
     ])
     if (progress.err) return progress
     if (termRows.err) return termRows
@@ -167,7 +172,7 @@
       if (!isUsedWorkersKey(row.key)) continue
       usedWorkersKeys.push(row.key)
       const read = readUsedWorkers(row.value)
-      if (read !== undefined) usedWorkers.push(...read)
+      if (read !== undefined) usedWorkers.push(...(this.#claimed.term.areLeaseEndsRecorded === true ? read : read.map(withoutLeaseEnd)))
       else {
         this.#ports.log.error('The workers of earlier owners cannot be read; no task starts before their leases are over', { row: row.key })
         this.#scheduler.waitForEarlierLeases()
@@ -175,8 +180,9 @@
     }
     for (const worker of usedWorkers) {
       this.#recordedOffsets.set(worker.id, worker.epochOffset ?? 0)
-      this.#scheduler.upsertWorker(unlistedEntry(worker), now)
-      this.#scheduler.unlistWorker(worker.id)
+      const { leaseOverAt } = worker
+      const { storeTime } = termRows.val
+      this.#scheduler.restoreWorker(unlistedEntry(worker), now, leaseOverAt === undefined || storeTime === undefined ? undefined : StoreClock.instantOf(leaseOverAt, storeTime, termRowsAt))
     }
     this.#writer.restoreUsedWorkers(usedWorkers, usedWorkersKeys)
     return read
@@ -344,6 +350,13 @@
     this.#ports.metrics.gauge('cell.load', loadPercent, { cell: this.#claimed.cell })
   }
 
+  /** A report of a worker was applied to the scheduler's state. */
+  workerReported (id: WorkerId): void {
+    const worker = this.#scheduler.workers.get(id)
+    if (worker !== undefined) this.#writer.workerReported(worker.entry)
+    this.stateChanged()
+  }
+
   /** A commit succeeded, so that pollers may acknowledge ends and use newly recorded workers. */
   committed (jobs: readonly JobRecord[]): void {
     this.#transfers.progressStored(jobs)
@@ -369,11 +382,18 @@
       const isOverloaded = this.#overloadDetector.recordTick(now - dueAt) || (!this.#isRestored && now - this.#claimed.claimedAt > MAX_RESTORE_MS)
       if (isOverloaded && !this.#isClosed) this.#onOverload()
       // A new owner waits for all recorded workers, so those that have left for certain are removed from the record.
-      if (this.#isRestored && this.#writer.usedWorkerIds.size > this.#scheduler.workers.size) this.#writer.setUsedWorkers(this.#usedWorkers())
+      if (this.#isRestored) this.#updateUsedWorkers()
       this.stateChanged()
     }
   }
 
+  // A worker that its own report has shown to be reborn is not in the record yet.
+  #updateUsedWorkers (): void {
+    const workers = [...this.#scheduler.workers.values()]
+    if (this.#writer.usedWorkerIds.size > workers.length || workers.some(({ entry }) => !this.#writer.isUsed(entry))) this.#writer.setUsedWorkers(this.#usedWorkers())
+    else this.#writer.updateLeaseEnds()
+  }
+
   // An unexpected error must end neither the process nor the renewal of leases; the next pass tries again.
   #runPassSafely (): void {
     try {
@@ -387,6 +407,7 @@
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
     const startedAt = clock.now()
+    for (const worker of this.#scheduler.workers.values()) worker.isLeasable = this.#writer.isLeasable(worker.entry)
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
     this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
@@ -437,7 +458,7 @@
 
   async #start (order: RunOrder & { kind: 'start' }, worker: WorkerRecord): Promise<void> {
     const { clock, calls, log } = this.#ports
-    const leaseEndMs = worker.leaseEnd(WORKER_LEASE_MS, clock.now())
+    const leaseEndMs = this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, clock.now()) : undefined
     if (leaseEndMs === undefined) {
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
       return
@@ -478,8 +499,8 @@
 }
 
 /** Placeholder entry of a worker that an earlier owner used; the worker gets no work until the list contains it. */
-const unlistedEntry = (worker: UsedWorker): WorkerEntry =>
-  ({ ...worker, zone: '', rack: '', isDraining: false, labels: [], processors: 0, memoryMb: 0, accelerators: 0 })
+const unlistedEntry = ({ id, incarnation, address, service }: UsedWorker): WorkerEntry =>
+  ({ id, incarnation, address, service, zone: '', rack: '', isDraining: false, labels: [], processors: 0, memoryMb: 0, accelerators: 0 })
 
 class OwnerTermListener extends TermListener {
   readonly #owner: CellOwner
@@ -594,8 +615,12 @@
     return this.#owner.writer.isUsable(entry)
   }
 
-  stateChanged (): void {
-    this.#owner.stateChanged()
+  isLeasable ({ entry }: WorkerRecord): boolean {
+    return this.#owner.writer.isLeasable(entry)
+  }
+
+  reported (worker: WorkerId): void {
+    this.#owner.workerReported(worker)
   }
 
   fenced (worker: WorkerId): void {
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -155,7 +155,8 @@
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
       loadPercent: previous?.term.loadPercent,
-      cells: previous?.term.cells
+      cells: previous?.term.cells,
+      areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded
     }
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
@@ -171,7 +172,7 @@
     }
     if (outcome.val.kind === 'conflict' || this.#isStopped) return
     this.#log.info('Term claimed', { cell: this.#cell, epoch: term.epoch, before: previous?.term.holder ?? '' })
-    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall })
+    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall, earlierTermOverAt: claimedAt })
   }
 
   #startOwner (claimed: ClaimedTerm): void {
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,12 +1,13 @@
 /**
  * Renews an owner's term, and makes its progress durable under that term.
  */
-import { InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type JobId, type Log, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type JobId, type Log, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { EMPTY_LAYOUT, type JobScheduler, type JobRecord, type Layout, type WorkerRecord } from '@auburnpin/core'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
-import type { RowTransaction, RowStore } from './RowStore.ts'
-import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, type Term, type UsedWorker } from './rows.ts'
+import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import type { RowTransaction, RowStore, StoreTime } from './RowStore.ts'
+import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
+import { StoreClock } from './StoreClock.ts'
 
 /** Content of one commit besides the term itself. */
 type Batch = Readonly<{
@@ -18,6 +19,11 @@
   progressToDelete: readonly JobId[]
 }>
 
+/** One incarnation of a worker. */
+type WorkerIdentity = Pick<UsedWorker, 'id' | 'incarnation'>
+
+const keyOf = ({ id, incarnation }: WorkerIdentity): string => `${id}#${incarnation}`
+
 /** Receives the results of the commits. */
 export abstract class TermListener {
   /** A commit succeeded: its ends may be acknowledged, its workers may be used, and the progress of `jobs` is durable. */
@@ -46,9 +52,15 @@
   #heldSinceWall: number
   #usedWorkers: readonly UsedWorker[] = []
   #usedWorkerIds: ReadonlySet<WorkerId> = new Set()
+  #usedWorkerKeys: ReadonlySet<string> = new Set()
   /** Keys of the rows of used workers that the store has, or may have. */
   #usedWorkersKeys = new Set<string>()
   #durableWorkers = new Set<string>()
+  /** Those of them whose leases may be extended. A worker leaves it before a commit that names the end of its lease is sent. */
+  #leasableWorkers = new Set<string>()
+  /** Ends of the leases of silent workers, as the store has them or may have them. */
+  readonly #leaseEnds = new Map<string, StoreTime>()
+  readonly #storeClock = new StoreClock()
   #progressToDelete: JobId[] = []
   #layout: Layout = EMPTY_LAYOUT
   #durableLayout: Layout = EMPTY_LAYOUT
@@ -107,6 +119,7 @@
   setUsedWorkers (workers: readonly UsedWorker[]): void {
     this.#usedWorkers = workers
     this.#usedWorkerIds = new Set(workers.map(({ id }) => id))
+    this.#usedWorkerKeys = new Set(workers.map(keyOf))
     this.#areUsedWorkersDirty = true
     this.requestCommit()
   }
@@ -114,7 +127,27 @@
   /** Sets the workers that the owner before used, and the keys of the rows that record them. */
   restoreUsedWorkers (workers: readonly UsedWorker[], keys: readonly string[]): void {
     for (const key of keys) this.#usedWorkersKeys.add(key)
-    this.setUsedWorkers(workers)
+    for (const worker of workers) if (worker.leaseOverAt !== undefined) this.#leaseEnds.set(keyOf(worker), worker.leaseOverAt)
+    this.setUsedWorkers(workers.map(withoutLeaseEnd))
+  }
+
+  /** Whether a worker is among those set last, so that it is recorded or about to be. */
+  isUsed (worker: WorkerIdentity): boolean {
+    return this.#usedWorkerKeys.has(keyOf(worker))
+  }
+
+  /** Requests that ends of leases are recorded or removed, if workers have fallen silent or have reported. */
+  updateLeaseEnds (): void {
+    if (!this.#usedWorkers.some(worker => this.#isLeaseEndOutdated(worker))) return
+    this.#areUsedWorkersDirty = true
+    this.requestCommit()
+  }
+
+  /** A worker has reported: its lease may be extended once the end is removed from the record. */
+  workerReported (worker: WorkerIdentity): void {
+    if (!this.#leaseEnds.has(keyOf(worker))) return
+    this.#areUsedWorkersDirty = true
+    this.requestCommit()
   }
 
   /** Ids of the workers that this owner or an earlier one may have sent orders to. */
@@ -145,14 +178,20 @@
   }
 
   /** Whether the worker is recorded durably, so that the next owner finds it; before that it must get no orders. */
-  isUsable ({ id, incarnation }: Pick<UsedWorker, 'id' | 'incarnation'>): boolean {
-    return this.#durableWorkers.has(`${id}#${incarnation}`)
+  isUsable (worker: WorkerIdentity): boolean {
+    return this.#durableWorkers.has(keyOf(worker))
+  }
+
+  /** Whether the worker's lease may be extended, by a start or otherwise: it is recorded durably without an end of its lease. */
+  isLeasable (worker: WorkerIdentity): boolean {
+    return this.#leasableWorkers.has(keyOf(worker))
   }
 
-  /** Releases the term, so that another process can claim it at once. */
+  /** Releases the term, so that another process can claim it at once. Owners in a row pass on when the leases of silent workers are over. */
   async release (): Promise<void> {
     while (this.#isCommitting) await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
-    const transaction = this.#buildTransaction({ jobs: [], ends: new Map(), usedWorkers: undefined, layout: undefined, progressToDelete: [] }, { ...this.#term, holder: '', commit: this.#term.commit + 1 })
+    const usedWorkers = this.#isRestored ? this.#recordLeaseEnds(true) : undefined
+    const transaction = this.#buildTransaction({ jobs: [], ends: new Map(), usedWorkers, layout: undefined, progressToDelete: [] }, this.#nextTerm({ ...this.#term, holder: '' }, usedWorkers))
     const outcome = await this.#store.transact(transaction)
     this.#log.info('Term released', { epoch: this.#term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
   }
@@ -172,6 +211,7 @@
       await this.#commit()
     } catch (thrown) {
       this.#isCommitting = false
+      this.#areUsedWorkersDirty = true
       this.#log.error('Commit failed unexpectedly', { cell: this.#cell, epoch: this.#term.epoch, error: String(thrown) })
       await this.#clock.sleep(COMMIT_RETRY_DELAY_MS)
     }
@@ -189,7 +229,7 @@
   async #commit (): Promise<void> {
     this.#isCommitting = true
     const batch = this.#takeBatch()
-    const next: Term = { ...this.#term, commit: this.#term.commit + 1, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers, ...this.#listener.publishedLoad() }
+    const next = this.#nextTerm({ ...this.#term, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers, ...this.#listener.publishedLoad() }, batch.usedWorkers)
     const sentAt = this.#clock.now()
     const sentAtWall = this.#clock.wallTime()
     this.#lastCommitAt = sentAt
@@ -198,13 +238,14 @@
     if (outcome.ok && outcome.val.kind === 'committed') {
       this.#term = next
       this.#version = outcome.val.version
+      this.#storeClock.record(outcome.val.storeTime, sentAt)
     }
     if (this.#isStopped) return
     if (outcome.ok && outcome.val.kind === 'committed') {
       this.#extendHold(sentAt, sentAtWall)
       this.#scheduler.markEndsDurable(batch.ends)
       if (batch.layout !== undefined) this.#durableLayout = batch.layout
-      if (batch.usedWorkers !== undefined) this.#durableWorkers = new Set(batch.usedWorkers.map(({ id, incarnation }) => `${id}#${incarnation}`))
+      if (batch.usedWorkers !== undefined) this.#markDurable(batch.usedWorkers)
       this.#listener.committed(batch.jobs)
       await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
       return
@@ -227,13 +268,59 @@
     else this.#log.warn('Commit failed', fields)
   }
 
+  #markDurable (workers: readonly UsedWorker[]): void {
+    this.#durableWorkers = new Set(workers.map(keyOf))
+    this.#leasableWorkers = new Set(workers.filter(({ leaseOverAt }) => leaseOverAt === undefined).map(keyOf))
+  }
+
+  #nextTerm (term: Term, usedWorkers: readonly UsedWorker[] | undefined): Term {
+    return { ...term, commit: term.commit + 1, areLeaseEndsRecorded: usedWorkers === undefined ? term.areLeaseEndsRecorded : true }
+  }
+
+  // An earlier commit without a response may still be applied, but none of them after one that has succeeded: each
+  // checks the same version. So it is enough that a worker isn't leasable from before the first such commit until one
+  // without the end has succeeded.
+  #recordLeaseEnds (isReleasing: boolean): readonly UsedWorker[] {
+    return this.#usedWorkers.map(worker => {
+      const key = keyOf(worker)
+      const leaseOverAt = this.#leaseOverAt(worker, isReleasing)
+      if (leaseOverAt === undefined) {
+        this.#leaseEnds.delete(key)
+        return worker
+      }
+      this.#leaseEnds.set(key, leaseOverAt)
+      this.#leasableWorkers.delete(key)
+      return { ...worker, leaseOverAt }
+    })
+  }
+
+  #isLeaseEndOutdated (worker: UsedWorker): boolean {
+    return this.#leaseEnds.has(keyOf(worker)) !== (this.#leaseOverAt(worker, false) !== undefined)
+  }
+
+  // An end that was recorded holds until the worker is leasable again. For a reborn worker there is none, as a late
+  // order for the incarnation before can set a lease that ends at any time.
+  #leaseOverAt (worker: UsedWorker, isReleasing: boolean): StoreTime | undefined {
+    const record = this.#scheduler.workers.get(worker.id)
+    if (record === undefined || record.entry.incarnation !== worker.incarnation || record.isReborn) return undefined
+    const recorded = this.#leaseEnds.get(keyOf(worker))
+    if (!this.#isSilent(record, recorded !== undefined || isReleasing)) return undefined
+    const computed = this.#storeClock.latest(record.leaseExpiresAt, record.leaseKnownSince)
+    return recorded === undefined || computed === undefined ? recorded ?? computed : brand<StoreTime>(Math.min(recorded, computed))
+  }
+
+  #isSilent ({ hasReported, isUnresponsive, failedCalls }: WorkerRecord, isRecordedOrReleasing: boolean): boolean {
+    if (!hasReported) return isRecordedOrReleasing || isUnresponsive
+    return isRecordedOrReleasing ? isUnresponsive : failedCalls >= SILENT_CALLS
+  }
+
   #extendHold (sentAt: Instant, sentAtWall: number): void {
     this.#heldSince = sentAt
     this.#heldSinceWall = sentAtWall
   }
 
   #takeBatch (): Batch {
-    const usedWorkers = this.#areUsedWorkersDirty ? this.#usedWorkers : undefined
+    const usedWorkers = this.#areUsedWorkersDirty ? this.#recordLeaseEnds(false) : undefined
     this.#areUsedWorkersDirty = false
     const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers).size)
     const layout = this.#nextLayout()
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -12,8 +12,10 @@
   abstract get isHeld (): boolean
   /** Whether the worker is recorded durably, so that the next owner finds it. */
   abstract isUsable (worker: WorkerRecord): boolean
-  /** A report was applied to the scheduler's state. */
-  abstract stateChanged (): void
+  /** Whether the worker's lease may be extended. */
+  abstract isLeasable (worker: WorkerRecord): boolean
+  /** A report of the worker was applied to the scheduler's state. */
+  abstract reported (worker: WorkerId): void
   /** The worker has accepted an order or request of a later owner. */
   abstract fenced (worker: WorkerId): void
 }
@@ -86,7 +88,8 @@
       return
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
-    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 ? reportWaitMs(worker) : 0)
+    // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
+    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 && this.#mayExtendLease(worker) ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
   }
@@ -95,16 +98,20 @@
     return this.#host.isHeld && this.#host.isUsable(worker)
   }
 
-  // A worker reports ends again until they are acknowledged, so the next request waits until they are durable.
+  // The lease of a worker that does not respond isn't renewed: the worker may be lost, and then its lease must expire; it may also execute this call late.
+  #mayExtendLease (worker: WorkerRecord): boolean {
+    return !worker.isUnresponsive && this.#host.isLeasable(worker)
+  }
+
+  // A worker reports ends again until they are acknowledged, so the next request waits until they are durable, or until the lease may be extended.
   async #waitBetweenReports (worker: WorkerRecord): Promise<void> {
     await this.#clock.sleep(MIN_REPORT_INTERVAL_MS)
-    if (worker.appliedEnd > worker.durableEnd) await this.#sleep.sleep(PENDING_COMMIT_REPORT_INTERVAL_MS)
+    if (worker.appliedEnd > worker.durableEnd || (worker.runs.size > 0 && !this.#mayExtendLease(worker))) await this.#sleep.sleep(PENDING_COMMIT_REPORT_INTERVAL_MS)
   }
 
   async #report (worker: WorkerRecord, waitMs: number): Promise<Result<WorkerReport, AuburnpinError>> {
     const requestedAt = this.#clock.now()
-    // The lease of a worker that does not respond isn't renewed: the worker may be lost, and then its lease must expire; it may also execute this call late.
-    const leaseEndMs = worker.runs.size > 0 && !worker.isUnresponsive ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
+    const leaseEndMs = worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     if (leaseEndMs !== undefined) worker.extendLease(leaseEndMs)
     const acknowledgedEnd = worker.durableEnd
     const outcome = await this.#calls.report(worker.entry, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
@@ -117,7 +124,7 @@
     }
     worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, acknowledgedEnd)
     this.#scheduler.applyReport(this.#worker, outcome.val, requestedAt, this.#clock.now())
-    this.#host.stateChanged()
+    this.#host.reported(this.#worker)
     return outcome
   }
 
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -25,6 +25,9 @@
 /** Time between two reads of a cell's racks by its owner, in milliseconds. */
 export const RACKS_POLL_INTERVAL_MS = 500
 
+/** A worker that has reported to its owner counts as silent after this many calls without a response, so that a single lost one costs no commit. */
+export const SILENT_CALLS = 2
+
 /** Number of parts of the jobs table. The store runs the transactions of one part one after another, which takes long when it is slow. */
 export const JOB_PART_COUNT = 16
 
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -4,6 +4,7 @@
 import { brand, type CellId, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
 import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, JOB_PART_COUNT } from './constants.ts'
+import type { StoreTime } from './RowStore.ts'
 
 /** Accepted jobs, and their cancellations. */
 export const JOBS_TABLE = 'jobs'
@@ -77,6 +78,11 @@
   loadPercent?: number
   /** In the term of the first of several cells. */
   cells?: PublishedCells
+  /**
+   * Whether the ends of leases in the rows of used workers hold. An owner of an earlier version writes them back
+   * unchanged although it extends leases, and doesn't write this field.
+   */
+  areLeaseEndsRecorded?: boolean
 }>
 
 /** A job, and the cell that it was assigned to when it was accepted. */
@@ -90,6 +96,8 @@
   service: ServiceName
   /** What is added to the epochs of terms in orders for the worker; see `CellWorkers`. */
   epochOffset?: number
+  /** From then on no lease that an owner so far extended is running on the worker. While it is stored, no owner extends one. */
+  leaseOverAt?: StoreTime
 }>
 
 /** Workers in one row, so that a row stays within the store's limit however many workers there are: an id has up to 200 bytes. */
@@ -192,6 +200,13 @@
   return bases.every(isEntry) && pairs.every(isEntry) && Object.values(shortest).every(share => typeof share === 'number') ? state : undefined
 }
 export const readTerm = (value: string): Term | undefined => parseRow(value, { holder: '', life: '', epoch: 0, commit: 0, pending: {}, workers: 0 })
-export const readUsedWorkers = (value: string): readonly UsedWorker[] | undefined => parseRow(value, [{ id: '', incarnation: 0, address: '', service: '' }])
+export const readUsedWorkers = (value: string): readonly UsedWorker[] | undefined => {
+  const workers = parseRow<readonly UsedWorker[]>(value, [{ id: '', incarnation: 0, address: '', service: '' }])
+  return workers?.map(worker => hasLeaseEnd(worker) ? worker : withoutLeaseEnd(worker))
+}
+export const withoutLeaseEnd = ({ leaseOverAt, ...worker }: UsedWorker): UsedWorker => worker
+
+// Without the field the next owner waits as long as any lease can last.
+const hasLeaseEnd = ({ leaseOverAt }: UsedWorker): boolean => Number.isSafeInteger(leaseOverAt) && Number(leaseOverAt) >= 0
 
 const JOB_PHASES: ReadonlySet<string> = new Set<JobPhase>(['queued', 'active', 'completed', 'failed', 'cancelled'])
