A new owner keeps silent workers until it has read the list of workers

Cause: a recorded worker isn't listed before the list is read.

Change: unlisted workers are removed once the list has been read.

Evidence: takeoversInARow.test.ts now also delays the list by 5 to 200 ms, as a process has to ask the store for it.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -69,6 +69,8 @@
   readonly waits = new WaitingSteps()
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
+  /** Whether the list of workers has been read, so that an earlier worker that isn't listed has left. */
+  #isListRead = false
   #isReconciled = false
 
   constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver) {
@@ -221,6 +223,7 @@
 
   /** Replaces the list of workers. A worker that is missing gets no new work; its runs continue until its lease expires. */
   replaceWorkers (entries: readonly WorkerEntry[], now: Instant): void {
+    this.#isListRead = true
     for (const worker of this.workers.values()) worker.isListed = false
     for (const entry of entries) this.upsertWorker(entry, now)
   }
@@ -552,7 +555,7 @@
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
       if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over')
-      if (!worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
+      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
 
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -155,6 +155,8 @@
   /** Workers that the list of workers contains. */
   readonly listed = new Set<string>()
   workersPerCell = WORKERS_PER_CELL
+  /** Time until a process that asks for the list of workers has it, in milliseconds. */
+  listReadMs = 0
 
   /** `workerClockRate` is the rate of the clocks of all workers. */
   constructor (workerCount: number, behaviourOf: (task: TaskName) => FakeRunBehaviour, workerClockRate = 1) {
@@ -238,6 +240,7 @@
   }
 
   async #follow (listener: WorkerListener): Promise<void> {
+    if (this.#simulation.listReadMs > 0) await this.#simulation.clock.sleep(this.#simulation.listReadMs)
     while (this.#listeners.has(listener)) {
       listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => worker.entry))
       await this.#simulation.clock.sleep(100)
--- a/packages/jobs/tests/takeoversInARow.test.ts
+++ b/packages/jobs/tests/takeoversInARow.test.ts
@@ -24,6 +24,8 @@
   takeovers: readonly Takeover[]
   /** Time between two takeovers. */
   spacingMs: number
+  /** Time until a new owner has the list of workers. */
+  listReadMs?: number
 }>
 
 /** Three processes, and a step with a long-running task on each of four out of six workers. */
@@ -87,9 +89,10 @@
   }
 }
 
-const play = async (t: ExecutionContext, { silence, silentForMs, takeovers, spacingMs }: Story): Promise<void> => {
+const play = async (t: ExecutionContext, { silence, silentForMs, takeovers, spacingMs, listReadMs = 0 }: Story): Promise<void> => {
   const cluster = new Cluster()
   const { simulation } = cluster
+  simulation.listReadMs = listReadMs
   await cluster.start()
   const [silent, failing] = [...simulation.workers.values()].filter(({ running }) => running.length === 1)
   if (silent === undefined || failing === undefined) return t.fail('the tasks run on different workers')
@@ -115,6 +118,7 @@
   for (const silence of SILENCES) {
     await play(t, { silence, silentForMs: 8_000, takeovers: ['roll', 'roll'], spacingMs: 2_500 })
     await play(t, { silence, silentForMs: 8_000, takeovers: ['roll', 'roll', 'roll'], spacingMs: 2_000 })
+    for (const listReadMs of [5, 15, 40, 200]) await play(t, { silence, silentForMs: 8_000, takeovers: ['roll', 'roll'], spacingMs: 2_500, listReadMs })
   }
 })
 
