The lease of a start on a worker idle for long allows for a slow clock

Cause: the end of a lease was the last reading of the worker's clock plus the time since then by the owner's clock, plus 4.5 s. A worker's clock may be 2 % slow, and an idle worker isn't asked for reports: after 90 s the lease lasts 1.8 s too long. The next owner doesn't know of that and waits for 4.8 s only, so that a task could run twice: started on such a worker just before a takeover, with the worker out of the new owner's reach.

Change: the time since the reading counts at the lowest rate. So that the leases of exact clocks don't get short, an idle worker is asked for a report after 60 s (about 4 a second for 245 idle workers).

Ruled out: a longer wait of new owners, which would be paid at each takeover.

--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -100,10 +100,18 @@
     this.#updateLeaseExpiry()
   }
 
-  /** End of a lease of `leaseMs` from now, on the worker's clock; `undefined` until a reading of its clock is recorded. */
+  /**
+   * End of a lease of at most `leaseMs` from now, on the worker's clock; `undefined` until a reading of its clock is
+   * recorded. The clock may have been slow since, and the next owner waits no longer than for `leaseMs`.
+   */
   leaseEnd (leaseMs: number, now: Instant): number | undefined {
     if (this.#clockSample === undefined) return undefined
-    return Math.floor(this.#clockSample.clockMs + (now - this.#clockSample.at) + leaseMs)
+    return Math.floor(this.#clockSample.clockMs + (now - this.#clockSample.at) * MIN_CLOCK_RATE + leaseMs)
+  }
+
+  /** Age of the latest reading of the worker's clock, in milliseconds. */
+  clockAgeMs (now: Instant): number {
+    return this.#clockSample === undefined ? Infinity : now - this.#clockSample.at
   }
 
   /** Records that a call with this end of the lease is about to be sent. */
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -1,9 +1,9 @@
 /**
  * Polls one worker for reports and renews its lease while anything runs there.
  */
-import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Log, type Result, type WorkerId } from '@auburnpin/common'
+import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_CLOCK_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -83,7 +83,7 @@
       await this.#sleep.sleep(TICK_INTERVAL_MS)
       return
     }
-    if (!needsReport(worker)) {
+    if (!needsReport(worker, this.#clock.now())) {
       await this.#sleep.sleep(REPORT_WAIT_MS)
       return
     }
@@ -140,5 +140,5 @@
 const reportWaitMs = (worker: WorkerRecord): number => worker.servingRuns > 0 ? SERVING_REPORT_WAIT_MS : REPORT_WAIT_MS
 
 // An idle worker needs no lease, and each report takes processor time on both sides.
-const needsReport = (worker: WorkerRecord): boolean =>
-  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd
+const needsReport = (worker: WorkerRecord, now: Instant): boolean =>
+  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= MAX_CLOCK_AGE_MS
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -58,6 +58,9 @@
 /** Longest delay of the next report while reported ends are not durable yet, in milliseconds. */
 export const PENDING_COMMIT_REPORT_INTERVAL_MS = 200
 
+/** Greatest age of the reading of an idle worker's clock, in milliseconds; the lease of a start is shorter by 2 % of it. */
+export const MAX_CLOCK_AGE_MS = 60_000
+
 /** Delay before a failed report is requested again, in milliseconds. */
 export const REPORT_RETRY_DELAY_MS = 250
 
