--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -43,7 +43,8 @@
 /**
  * Schedules jobs for one term of ownership, without access to a clock, the network or the store: the time is an
  * argument of each call, and `decide` returns the orders to send. No task that an earlier owner may have started is
- * started before each worker that it may have used has reported to this owner or its lease has certainly expired.
+ * started before each worker that it may have used has reported to this owner or its lease has certainly expired; all
+ * leases of earlier owners were extended before the time that the constructor gets.
  *
  * @example
  * const scheduler = new JobScheduler(epoch, { leaseMs: 4_000 }, now, observer)
@@ -72,6 +73,8 @@
   readonly #termStartedAt: Instant
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
+  /** Whether the list of workers has been read, so that an earlier worker that isn't listed has left. */
+  #isListRead = false
   #isReconciled = false
 
   constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver) {
@@ -244,6 +247,7 @@
 
   /** Replaces the list of workers. A worker that is missing gets no new work; its runs continue until its lease expires. */
   replaceWorkers (entries: readonly WorkerEntry[], now: Instant): void {
+    this.#isListRead = true
     for (const worker of this.workers.values()) worker.isListed = false
     for (const entry of entries) this.upsertWorker(entry, now)
   }
@@ -254,12 +258,23 @@
     if (existing === undefined || existing.entry.incarnation < entry.incarnation) {
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
+      worker.isReborn = existing !== undefined
       if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
   }
 
+  /**
+   * Adds a worker that an earlier owner used; it isn't listed until `upsertWorker` gets its entry. `leaseOverAt`: when
+   * the leases of earlier owners on it are over, if that is recorded.
+   */
+  restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#earlierLeasesExpireAt): void {
+    this.upsertWorker(entry, now)
+    this.unlistWorker(entry.id)
+    this.workers.get(entry.id)?.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#earlierLeasesExpireAt)), now)
+  }
+
   /** Marks a worker as no longer listed. */
   unlistWorker (id: WorkerId): void {
     const worker = this.workers.get(id)
@@ -587,7 +602,7 @@
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
       if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
-      if (!worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
+      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
 
@@ -604,7 +619,7 @@
     if (this.#isReconciled) return true
     if (now < this.#earlierLeasesExpireAt) {
       if (!this.#areEarlierWorkersKnown) return false
-      for (const worker of this.workers.values()) if (!worker.hasReported) return false
+      for (const worker of this.workers.values()) if (!worker.hasReported && now < worker.leaseExpiresAt) return false
     }
     this.#isReconciled = true
     return true
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -163,7 +163,8 @@
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
       loadPercent: previous?.term.loadPercent,
-      cells: previous?.term.cells
+      cells: previous?.term.cells,
+      areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded
     }
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
@@ -179,7 +180,7 @@
     }
     if (outcome.val.kind === 'conflict') return
     this.#log.info('Term claimed', { cell: this.#cell, epoch: term.epoch, before: previous?.term.holder ?? '' })
-    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall })
+    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall, earlierTermOverAt: claimedAt })
     // Stopped meanwhile: the others need not wait for the term to expire.
     if (this.#isRetired) await this.retire()
   }
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -1,9 +1,9 @@
 /**
  * Polls one worker for reports and renews its lease while anything runs there.
  */
-import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Log, type Result, type WorkerId } from '@auburnpin/common'
+import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MAX_WORKER_LEASE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_CLOCK_AGE_MS, MAX_WORKER_LEASE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -12,8 +12,10 @@
   abstract get isHeld (): boolean
   /** Whether the worker is recorded durably, so that the next owner finds it. */
   abstract isUsable (worker: WorkerRecord): boolean
-  /** A report was applied to the scheduler's state. */
-  abstract stateChanged (): void
+  /** Whether the worker's lease may be extended. */
+  abstract isLeasable (worker: WorkerRecord): boolean
+  /** A report of the worker was applied to the scheduler's state. */
+  abstract reported (worker: WorkerId): void
   /** The worker has accepted an order or request of a later owner. */
   abstract fenced (worker: WorkerId): void
 }
@@ -85,12 +87,13 @@
       await this.#sleep.sleep(TICK_INTERVAL_MS)
       return
     }
-    if (!needsReport(worker)) {
+    if (!needsReport(worker, this.#clock.now())) {
       await this.#sleep.sleep(REPORT_WAIT_MS)
       return
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
-    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 ? reportWaitMs(worker) : 0)
+    // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
+    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 && this.#mayExtendLease(worker) ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
   }
@@ -99,16 +102,20 @@
     return this.#host.isHeld && this.#host.isUsable(worker)
   }
 
-  // A worker reports ends again until they are acknowledged, so the next request waits until they are durable.
+  // The lease of a worker that does not respond isn't renewed: the worker may be lost, and then its lease must expire; it may also execute this call late.
+  #mayExtendLease (worker: WorkerRecord): boolean {
+    return !worker.isUnresponsive && this.#host.isLeasable(worker)
+  }
+
+  // A worker reports ends again until they are acknowledged, so the next request waits until they are durable, or until the lease may be extended.
   async #waitBetweenReports (worker: WorkerRecord): Promise<void> {
     await this.#clock.sleep(MIN_REPORT_INTERVAL_MS)
-    if (worker.appliedEnd > worker.durableEnd) await this.#sleep.sleep(PENDING_COMMIT_REPORT_INTERVAL_MS)
+    if (worker.appliedEnd > worker.durableEnd || (worker.runs.size > 0 && !this.#mayExtendLease(worker))) await this.#sleep.sleep(PENDING_COMMIT_REPORT_INTERVAL_MS)
   }
 
   async #report (worker: WorkerRecord, waitMs: number): Promise<Result<WorkerReport, AuburnpinError>> {
     const requestedAt = this.#clock.now()
-    // The lease of a worker that does not respond isn't renewed: the worker may be lost, and then its lease must expire; it may also execute this call late.
-    const leaseEndMs = worker.runs.size > 0 && !worker.isUnresponsive ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
+    const leaseEndMs = worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     if (leaseEndMs !== undefined) worker.extendLease(leaseEndMs)
     const acknowledgedEnd = worker.durableEnd
     const outcome = await this.#calls.report(worker.entry, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
@@ -124,7 +131,7 @@
     const current = this.#scheduler.workers.get(this.#worker)
     // A reborn worker has read the end of the lease on its own clock, although it was meant for its earlier incarnation's.
     if (leaseEndMs !== undefined && current !== undefined && current !== worker) current.extendLease(Math.min(leaseEndMs, outcome.val.clockMs + MAX_WORKER_LEASE_MS))
-    this.#host.stateChanged()
+    this.#host.reported(this.#worker)
     return outcome
   }
 
@@ -140,5 +147,5 @@
 const reportWaitMs = (worker: WorkerRecord): number => worker.servingRuns > 0 ? SERVING_REPORT_WAIT_MS : REPORT_WAIT_MS
 
 // An idle worker needs no lease, and each report takes processor time on both sides.
-const needsReport = (worker: WorkerRecord): boolean =>
-  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd
+const needsReport = (worker: WorkerRecord, now: Instant): boolean =>
+  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= MAX_CLOCK_AGE_MS
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -25,6 +25,9 @@
 /** Time between two reads of a cell's racks by its owner, in milliseconds. */
 export const RACKS_POLL_INTERVAL_MS = 500
 
+/** A worker that has reported to its owner counts as silent after this many calls without a response, so that a single lost one costs no commit. */
+export const SILENT_CALLS = 2
+
 /** Number of parts of the jobs table. The store runs the transactions of one part one after another, which takes long when it is slow. */
 export const JOB_PART_COUNT = 16
 
@@ -58,6 +61,9 @@
 /** Longest delay of the next report while reported ends are not durable yet, in milliseconds. */
 export const PENDING_COMMIT_REPORT_INTERVAL_MS = 200
 
+/** Greatest age of the reading of an idle worker's clock, in milliseconds; the lease of a start is shorter by 2 % of it. */
+export const MAX_CLOCK_AGE_MS = 60_000
+
 /** Delay before a failed report is requested again, in milliseconds. */
 export const REPORT_RETRY_DELAY_MS = 250
 
