--- a/packages/jobs/tests/leaseEnds.test.ts
+++ b/packages/jobs/tests/leaseEnds.test.ts
@@ -13,7 +13,7 @@
 const JOB = jobOf('00000000000000a1', [stepOf({ isLasting: true })])
 const TASK = brand<TaskName>(`${JOB.id}.0.0.0`)
 const OTHER_JOB = jobOf('00000000000000b2', []).id
-const EARLIER_EPOCH = 4
+const EARLIER_EPOCH = 2
 const LEASE_MS = 4_500
 /** A process starts, claims the cell and restores it well within this time. */
 const START_MS = 1_000
