A job row that no owner could hold, or under another job's key, concerns nothing but itself

A row with an absurd number of tasks threw in the middle of the rows read with it, so that after a takeover the jobs read later were never scheduled; a row whose id differs from its key ran its task anew at each end.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -219,7 +219,7 @@
     const now = this.#ports.clock.now()
     for (const row of rows) {
       if (cancelledJob(row.key) !== undefined) continue
-      const assigned = readJob(row.value)
+      const assigned = readJob(row)
       if (assigned === undefined) {
         this.#ports.log.error('A job cannot be read and is not scheduled', { row: row.key, version: row.version })
         continue
--- a/packages/jobs/src/JobRepository.ts
+++ b/packages/jobs/src/JobRepository.ts
@@ -117,7 +117,7 @@
     if (rows.err) return rows
     const row = rows.val.rows.find(({ key }) => key === id)
     if (row === undefined) return Ok(undefined)
-    const assigned = readJob(row.value)
+    const assigned = readJob(row)
     if (assigned === undefined) return Err(damagedRow(`job ${id}`))
     const { cell } = assigned
     this.#rememberCell(id, cell)
--- a/packages/jobs/src/JobTransfers.ts
+++ b/packages/jobs/src/JobTransfers.ts
@@ -110,7 +110,7 @@
     if (page.err) return false
     const [row] = page.val.rows
     if (row === undefined) return true
-    const assigned = readJob(row.value)
+    const assigned = readJob(row)
     if (assigned === undefined) return false
     if (assigned.cell !== this.#cell) return true
     const key = { table: JOBS_TABLE, key: id }
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -2,7 +2,7 @@
  * Tables, keys and encodings of the rows that job scheduling stores.
  */
 import { brand, type CellId, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
-import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type Layout } from '@auburnpin/core'
+import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type JobStep, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, JOB_PART_COUNT } from './constants.ts'
 import type { StoreTime } from './RowStore.ts'
 
@@ -152,6 +152,9 @@
 export const readCellWorkers = (value: string | undefined): CellWorkers | undefined =>
   value === undefined ? NO_WORKERS : parseRow<CellWorkers>(value, { racks: [''], services: {}, epochOffsets: {} })
 
+/** Most tasks of a step that is read; a larger number is a damaged row. */
+const MAX_TASKS_PER_STEP = 10_000
+
 /** Most cells of a layout that is read; a larger number is a damaged row. */
 const MAX_CELLS = 10_000
 
@@ -178,12 +181,17 @@
 }
 
 /** Each function reads the value of a row and returns `undefined` if it is invalid. */
-export const readJob = (value: string): AssignedJob | undefined => {
+export const readJob = ({ key, value }: Readonly<{ key: string, value: string }>): AssignedJob | undefined => {
   const row = parseRow<JobRow>(value, JOB_SHAPE)
-  if (row === undefined) return undefined
+  if (row === undefined || row.id !== key || !row.steps.every(isSoundStep)) return undefined
   const { cell = FIRST_CELL, ...job } = row
   return { job, cell }
 }
+
+// An owner keeps each task in memory; a step that depends on itself or a later one would never start.
+const isSoundStep = ({ taskCount, after }: JobStep, number: number): boolean =>
+  Number.isInteger(taskCount) && taskCount >= 0 && taskCount <= MAX_TASKS_PER_STEP && after.every(before => Number.isInteger(before) && before >= 0 && before < number)
+
 export const readProgress = (value: string): JobProgress | undefined => {
   const progress = parseRow<JobProgress>(value, { phase: '', done: {}, failed: {}, checkpoints: {} })
   const isValid = progress !== undefined && JOB_PHASES.has(progress.phase) &&
--- a/packages/jobs/tests/severalCells.test.ts
+++ b/packages/jobs/tests/severalCells.test.ts
@@ -178,7 +178,7 @@
 
 const cellOf = (simulation: JobsSimulation, id: string): string | undefined => {
   const row = simulation.rows.read('jobs', jobPart(jobOf(id, []).id), id)
-  return row === undefined ? undefined : readJob(row.value)?.cell
+  return row === undefined ? undefined : readJob(row)?.cell
 }
 
 test('jobs that wait in a full cell are given to cells with free workers, and every process finds them there', async t => {
