An expired term's wait counts from its end, not from the claim

Cause: after a kill the next owner waits 2.1 s at least for the term to expire, up to 0.5 s more until it looks, and its claim is delayed further on small VMs and by cells that it owns. It counted the 4.8 s for silent workers from the end of all that, although the earlier owner had held its term for 1.6 s after its last renewal only.

Change: the wait counts from 1.6 s after this process saw the last renewal, plus the 250 ms by which a suspension may go unnoticed; from the claim if that is sooner, which holds for released terms and earlier lives of the process.

Ruled out: the last commit's time by the store's clock, which would need a reading of the owner before it and so another 250 ms.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -462,7 +462,9 @@
 
   async #start (order: RunOrder & { kind: 'start' }, worker: WorkerRecord): Promise<void> {
     const { clock, log } = this.#ports
-    const leaseEndMs = this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, clock.now()) : undefined
+    // Read before the check, so that the lease counts from a moment at which the term is held.
+    const decidedAt = clock.now()
+    const leaseEndMs = this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
     if (leaseEndMs === undefined) {
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
       return
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -2,7 +2,7 @@
  * Elects the owner of a cell: each process polls the cell's term and claims it when it is released or expired.
  */
 import { brand, type CellId, type Clock, type Epoch, type Instant, type Log, type Random, type RowVersion } from '@auburnpin/common'
-import { CORES_PER_WORKER, FIRST_CELL, HANDOVER_CLAIM_PAUSE_MS, MIN_HANDOVER_INTERVAL_MS, OWNED_CELL_CLAIM_DELAY_MS, SHORTFALL_CLAIM_DELAY_MS, TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
+import { CORES_PER_WORKER, FIRST_CELL, HANDOVER_CLAIM_PAUSE_MS, MIN_HANDOVER_INTERVAL_MS, OWNED_CELL_CLAIM_DELAY_MS, SHORTFALL_CLAIM_DELAY_MS, SUSPENSION_THRESHOLD_MS, TERM_EXPIRY_MS, TERM_LENGTH_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import { CellOwner } from './CellOwner.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
@@ -32,6 +32,11 @@
 /** Stands for the holder of a term that cannot be read; no process has this name. */
 const UNKNOWN_HOLDER = '?'
 
+// The earlier owner sent its last renewal before this process saw it, and holds its term for the term's length from then;
+// a shorter suspension than the threshold goes unnoticed.
+const earlierTermOverAt = (claimedAt: Instant, renewalObservedAt: Instant | undefined): Instant =>
+  brand<Instant>(Math.min(claimedAt, (renewalObservedAt ?? claimedAt) + TERM_LENGTH_MS + SUSPENSION_THRESHOLD_MS))
+
 /** Participation of one process in the election of the owner of one cell. The polled term also contains the lengths of the queues. */
 export class OwnerElection {
   readonly #ports: OwnerPorts
@@ -153,6 +158,7 @@
 
   async #claim (): Promise<void> {
     const previous = this.#observed
+    const renewalObservedAt = this.#renewalObservedAt
     const delayMs = this.#identity.claimDelayMs + MAX_CLAIM_JITTER_MS * this.#random.fraction() + SHORTFALL_CLAIM_DELAY_MS * this.#processorShortfall + OWNED_CELL_CLAIM_DELAY_MS * this.#countOwnedCells()
     await this.#clock.sleep(delayMs)
     // After a long delay another process has probably claimed the cell.
@@ -182,7 +188,7 @@
     }
     if (outcome.val.kind === 'conflict') return
     this.#log.info('Term claimed', { cell: this.#cell, epoch: term.epoch, before: previous?.term.holder ?? '' })
-    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall, earlierTermOverAt: claimedAt })
+    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall, earlierTermOverAt: earlierTermOverAt(claimedAt, renewalObservedAt) })
     // Stopped meanwhile: the others need not wait for the term to expire.
     if (this.#isRetired) await this.retire()
   }
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -104,7 +104,7 @@
 
   // The lease of a worker that does not respond isn't renewed: the worker may be lost, and then its lease must expire; it may also execute this call late.
   #mayExtendLease (worker: WorkerRecord): boolean {
-    return !worker.isUnresponsive && this.#host.isLeasable(worker)
+    return this.#host.isHeld && !worker.isUnresponsive && this.#host.isLeasable(worker)
   }
 
   // A worker reports ends again until they are acknowledged, so the next request waits until they are durable, or until the lease may be extended.
--- a/packages/jobs/tests/takeoversInARow.test.ts
+++ b/packages/jobs/tests/takeoversInARow.test.ts
@@ -11,8 +11,11 @@
 /** RULES.md, LOST: it holds at any time when the 3 s and the 4 s before them are calm, in milliseconds. */
 const CALM_MS = 7_000
 
-/** What happens to the owner of the cell. `roll`: it is stopped and its process starts again; this is planned work and leaves a time calm. */
-type Takeover = 'roll' | 'kill'
+/**
+ * What happens to the owner of the cell. `roll`: it is stopped and its process starts again; this is planned work and
+ * leaves a time calm. `kill`: its process is killed and starts again. `loss`: it is killed for good.
+ */
+type Takeover = 'roll' | 'kill' | 'loss'
 
 /** What happens to a worker before the first takeover. */
 type Silence = 'crash' | 'mute'
@@ -26,6 +29,8 @@
   spacingMs: number
   /** Time until a new owner has the list of workers. */
   listReadMs?: number
+  /** Delay of the whole story, which shifts it against the renewals of the term. */
+  phaseMs?: number
 }>
 
 /** Three processes, and a step with a long-running task on each of four out of six workers. */
@@ -54,7 +59,8 @@
     const { owner } = this.simulation
     if (owner === undefined) return
     if (takeover === 'roll') this.#roll(owner)
-    else this.#kill(owner)
+    else if (takeover === 'kill') this.#kill(owner)
+    else owner.kill()
   }
 
   #roll (node: Node): void {
@@ -89,18 +95,19 @@
   }
 }
 
-const play = async (t: ExecutionContext, { silence, silentForMs, takeovers, spacingMs, listReadMs = 0 }: Story): Promise<void> => {
+const play = async (t: ExecutionContext, { silence, silentForMs, takeovers, spacingMs, listReadMs = 0, phaseMs = 0 }: Story): Promise<void> => {
   const cluster = new Cluster()
   const { simulation } = cluster
   simulation.listReadMs = listReadMs
   await cluster.start()
+  await simulation.advance(phaseMs)
   const [silent, failing] = [...simulation.workers.values()].filter(({ running }) => running.length === 1)
   if (silent === undefined || failing === undefined) return t.fail('the tasks run on different workers')
   cluster.silence(silent.id, silence)
   let calmFrom = simulation.clock.now()
   await simulation.advance(silentForMs)
   for (const [index, takeover] of takeovers.entries()) {
-    if (takeover === 'kill') calmFrom = simulation.clock.now()
+    if (takeover !== 'roll') calmFrom = simulation.clock.now()
     cluster.takeOver(takeover)
     if (index === 0) failing.failRuns()
     await simulation.advance(spacingMs)
@@ -141,3 +148,9 @@
     }
   }
 })
+
+test('the tasks of a worker that crashes together with the owner run elsewhere in time', async t => {
+  for (const takeover of ['kill', 'loss'] as const) {
+    for (let phaseMs = 0; phaseMs < 500; phaseMs += 50) await play(t, { silence: 'crash', silentForMs: 0, takeovers: [takeover], spacingMs: 0, phaseMs })
+  }
+})
