A long-running task that fails at once on several workers quarantines none of them

A failure at once is evidence against the worker only if the task's failure before was of another kind.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -407,8 +407,8 @@
     const hasFailed = end.ending === 'failed'
     if (hasFailed) task.failedOn.add(worker)
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
-    // That a long-running task fails some time after its start says nothing about the worker.
-    const isEvidence = end.ending === 'done' || (hasFailed && (!task.step.shape.isLasting || isShortRun(run, now)))
+    // A long-running task that fails some time after its start, or again and again, says nothing about the worker.
+    const isEvidence = end.ending === 'done' || (hasFailed && (!task.step.shape.isLasting || (isShortRun(run, now) && !task.hasFailedAtOnce)))
     if (isEvidence && worker.recordRunResult(hasFailed, now)) this.#observer.workerQuarantined(worker.entry.id, 'several consecutive runs failed')
     if (end.ending === 'done') this.#finishTask(task, now)
     else if (hasFailed && !task.step.shape.isLasting && !task.isDone && !task.failedAttempts.includes(end.attempt)) {
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -95,6 +95,11 @@
     else if (end.ending === 'failed') this.#shortFailures = 0
   }
 
+  /** Whether the last run that failed did so soon after its start. */
+  get hasFailedAtOnce (): boolean {
+    return this.#shortFailures > 0
+  }
+
   /** Whether a long-running task may start again. One that keeps failing soon after its start waits longer each time. */
   mayRestart (now: Instant): boolean {
     if (this.lastEnd === undefined || this.#shortFailures < 2) return true
--- a/packages/core/tests/failingLongRunningTasks.test.ts
+++ b/packages/core/tests/failingLongRunningTasks.test.ts
@@ -18,3 +18,15 @@
   const restart = scenario.starts.find(({ task, at }) => task as string === `${ID}.0.0.2` && at > failedAt)
   t.true((restart?.at ?? Infinity) - failedAt - 2 * 2_000 <= MAX_AWAY_MS, `again after ${(restart?.at ?? Infinity) - failedAt} ms`)
 })
+
+test('long-running tasks that fail at once again and again quarantine no worker', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000 })
+  scenario.submit(ID, [stepOf({ isLasting: true, taskCount: 4, processors: 1_000 })])
+  scenario.advance(300)
+  let acceptingFewest = Infinity
+  scenario.advance(30_000, () => {
+    for (let index = 0; index < 4; index++) scenario.fail(`${ID}.0.0.${index}`)
+    if (scenario.now > 5_000) acceptingFewest = Math.min(acceptingFewest, [...scenario.scheduler.workers.values()].filter(worker => worker.acceptsWork(scenario.now)).length)
+  })
+  t.is(acceptingFewest, 3)
+})
