Of the interrupted tasks, those without a run for longest are placed first

They were placed in the order in which their jobs were accepted, so that a task that keeps failing on a worker took the gap again and again before a task that had waited there for long.

--- a/packages/core/src/jobs/placeInterruptedTasks.ts
+++ b/packages/core/src/jobs/placeInterruptedTasks.ts
@@ -9,7 +9,7 @@
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
- * Places the interrupted long-running tasks, those of the job accepted first before others. They come before all tasks
+ * Places the interrupted long-running tasks, those without a run for longest first. They come before all tasks
  * that have not run, of whatever priority, and may use every worker. Those that fit nowhere hold workers at once.
  * Designed for an overload in which all capacity that comes free is taken again in the same pass.
  *
@@ -33,7 +33,13 @@
 }
 
 const interruptedTasks = (steps: Iterable<StepRecord>): TaskRecord[] => {
-  const interruptedSteps = [...steps].filter(({ shape, waiting }) => shape.isLasting && waiting.size > 0)
-  interruptedSteps.sort((one, other) => one.job.job.acceptedAt - other.job.job.acceptedAt)
-  return interruptedSteps.flatMap(({ waiting }) => [...waiting].filter(task => task.isInterrupted))
+  const interrupted: TaskRecord[] = []
+  for (const { shape, waiting } of steps) {
+    if (!shape.isLasting) continue
+    for (const task of waiting) if (task.isInterrupted) interrupted.push(task)
+  }
+  return interrupted.sort((one, other) => interruptedSince(one) - interruptedSince(other))
 }
+
+// Tasks whose last run ended in an earlier term come first.
+const interruptedSince = ({ lastEnd }: TaskRecord): number => lastEnd?.at ?? 0
