--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -7,10 +7,10 @@
 import type { ReportRequest, RunName, StartRequest } from '@auburnpin/jobs'
 import { workerEntryOf } from './jobBuilders.ts'
 
-/** How long a task runs and how it ends. */
-export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed' }>
+/** How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. */
+export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed', startupMs?: number }>
 
-type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number, readonly runMs: number }
+type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number, readonly fullProgressMs: number }
 
 /** Start or end of a run. `unacknowledged`: the worker crashed or its lease expired before the end was acknowledged. */
 export type WorkerEvent = Readonly<{ kind: 'started' | 'ended' | 'unacknowledged', worker: WorkerId, task: TaskName, attempt: Attempt, how: string, at: number }>
@@ -96,8 +96,8 @@
     if (this.#runs.get(task)?.attempt === attempt) return 'started'
     if (attempt <= (this.#highestAttempts.get(task) ?? 0)) return 'superseded'
     if (leaseEndMs <= this.clockMs) return 'too-late'
-    const { runMs, ending } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
-    const run: Run = { task, attempt, runMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#finish(run, ending)) }
+    const { runMs, ending, startupMs = runMs } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
+    const run: Run = { task, attempt, fullProgressMs: startupMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#finish(run, ending)) }
     this.#highestAttempts.set(task, attempt)
     this.#runs.set(task, run)
     this.#emit({ kind: 'started', worker: this.id, task, attempt, how: '', at: this.#clock.now() })
@@ -119,8 +119,8 @@
     this.expireLeaseIfDue()
     if (leaseEndMs !== undefined) this.#extendLease(leaseEndMs)
     this.#ended = this.#ended.filter(end => end.sequence > acknowledgedEnd)
-    const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, runMs }) =>
-      ({ task, attempt, checkpoint: '', progressPercent: Math.floor(100 * (this.#clock.now() - startedAt) / runMs), reading: 0 }))
+    const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, fullProgressMs }) =>
+      ({ task, attempt, checkpoint: '', progressPercent: Math.min(100, Math.floor(100 * (this.#clock.now() - startedAt) / fullProgressMs)), reading: 0 }))
     return { incarnation: this.entry.incarnation, clockMs: this.clockMs, running, ended: [...this.#ended] }
   }
 
--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -87,11 +87,18 @@
 
   since (table: string, after: RowVersion): RowChanges {
     if (after < this.#trimmedVersion) return { kind: 'trimmed' }
-    const changes = this.#history.filter(({ row }) => row.table === table && row.version > after)
+    const changes = this.#history.slice(this.#indexAfter(after)).filter(({ row }) => row.table === table)
     const changed = changes.filter(({ isDeleted }) => !isDeleted).map(({ row }) => row)
     const deleted: RowKey[] = changes.filter(({ isDeleted }) => isDeleted).map(({ row: { key } }) => ({ table, key }))
     return { kind: 'changes', changed, deleted, version: this.version }
   }
+
+  // Most callers ask for the newest changes, and versions ascend.
+  #indexAfter (version: RowVersion): number {
+    let index = this.#history.length
+    while (index > 0 && (this.#history[index - 1]?.row.version ?? 0) > version) index--
+    return index
+  }
 }
 
 /** Limits of the store for one transaction. */
