--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -1,7 +1,8 @@
 /**
  * One task of a job and its runs.
  */
-import { brand, type Attempt, type Instant } from '@auburnpin/common'
+import { brand, type Attempt, type Instant, type WorkerId } from '@auburnpin/common'
+import { MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS, SHORT_RUN_MS } from './constants.ts'
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskName } from './types.ts'
@@ -37,6 +38,9 @@
   stopAcceptedAt?: Instant
 }
 
+/** How a run ended; `ending` is as in `JobSchedulerObserver.runEnded`. */
+export type RunEnd = Readonly<{ attempt: Attempt, ending: string, worker: WorkerId, at: Instant }>
+
 /** State of one task, its failures and its current runs. */
 export class TaskRecord {
   readonly step: StepRecord
@@ -48,12 +52,18 @@
   /** Workers on which a run failed or stalled during this term. */
   readonly failedOn = new Set<WorkerRecord>()
   isDone = false
-  /** Whether a run is known to have been ordered; a long-running task that ran before must be restarted soon. */
+  /** Whether a run was ordered. */
+  wasOrdered = false
+  /** Whether a run has started or may have; a long-running task that ran before must be restarted soon. */
   hasRun = false
   checkpoint = ''
+  /** The end of the last run that ended during this term. */
+  lastEnd?: RunEnd
   /** How often a run was stopped to continue on another worker. */
   moves = 0
   #lastAttempt = 0
+  /** Runs in a row that failed soon after their start. */
+  #shortFailures = 0
 
   constructor (step: StepRecord, index: number, name: TaskName) {
     this.step = step
@@ -71,16 +81,33 @@
     return this.step.shape.latencyTargetMs > 0 && !this.hasRun
   }
 
+  /** Whether this is a long-running task that has run and has no run now. */
+  get isInterrupted (): boolean {
+    return this.step.shape.isLasting && this.hasRun && this.runs.length === 0
+  }
+
+  /** Records the end of a run. */
+  recordEnd (run: RunRecord, ending: string, now: Instant): void {
+    if (run.attempt >= (this.lastEnd?.attempt ?? 0)) this.lastEnd = { attempt: run.attempt, ending, worker: run.worker.entry.id, at: now }
+    if (ending === 'failed') this.#shortFailures = now - run.orderedAt < SHORT_RUN_MS ? this.#shortFailures + 1 : 0
+  }
+
+  /** Whether a long-running task may start again. One that keeps failing soon after its start waits longer each time. */
+  mayRestart (now: Instant): boolean {
+    if (this.lastEnd === undefined || this.#shortFailures < 2) return true
+    return now - this.lastEnd.at >= Math.min(MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS * 2 ** (this.#shortFailures - 2))
+  }
+
   /** Attempt number for the next run: above all known ones, and above all that an earlier term can have used. */
   nextAttempt (firstOfTerm: number): Attempt {
     this.#lastAttempt = Math.max(this.#lastAttempt + 1, firstOfTerm)
-    this.hasRun = true
+    this.wasOrdered = true
     return brand<Attempt>(this.#lastAttempt)
   }
 
   /** Records an attempt number that a worker reported. */
   recordAttempt (attempt: Attempt): void {
     this.#lastAttempt = Math.max(this.#lastAttempt, attempt)
-    this.hasRun = true
+    this.wasOrdered = true
   }
 }
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -42,6 +42,13 @@
     this.scheduler.cancel(brand<JobId>(id), this.now)
   }
 
+  /** Ends the runs of a task on all workers as failed. */
+  fail (task: string): void {
+    for (const runs of this.#running.values()) {
+      for (const run of runs.filter(({ order }) => order.task === task)) this.#end(run, 'failed')
+    }
+  }
+
   /** Number of starts of a job's tasks. */
   startsOf (id: string): number {
     return this.starts.filter(({ task }) => task.startsWith(`${id}.`)).length
@@ -64,6 +71,12 @@
     }
   }
 
+  /** Advances the time by one interval and applies the reports of all workers, without a scheduling pass. */
+  report (ms: number): void {
+    this.#now += ms
+    this.#report()
+  }
+
   #execute (order: RunOrder): void {
     if (order.kind === 'start') {
       const jobId = brand<JobId>(order.task.slice(0, order.task.indexOf('.')))
