--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -43,7 +43,8 @@
 /**
  * Schedules jobs for one term of ownership, without access to a clock, the network or the store: the time is an
  * argument of each call, and `decide` returns the orders to send. No task that an earlier owner may have started is
- * started before each worker that it may have used has reported to this owner or its lease has certainly expired.
+ * started before each worker that it may have used has reported to this owner or its lease has certainly expired; all
+ * leases of earlier owners were extended before the time that the constructor gets.
  *
  * @example
  * const scheduler = new JobScheduler(epoch, { leaseMs: 4_000 }, now, observer)
@@ -72,6 +73,8 @@
   readonly #termStartedAt: Instant
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
+  /** Whether the list of workers has been read, so that an earlier worker that isn't listed has left. */
+  #isListRead = false
   #isReconciled = false
 
   constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver) {
@@ -181,7 +184,7 @@
     for (const step of this.#openSteps) {
       const { job } = step
       if (job.phase !== 'queued' || job.movedTo !== undefined || job.job.occurrences > 0 || !this.waits.hasWaitedSince(step, before)) continue
-      if (![...job.tasks()].some(task => task.wasOrdered || task.runs.length > 0)) untouched.add(job)
+      if (![...job.tasks()].some(task => task.wasOrdered || task.isDone || task.failedAttempts.length > 0 || task.runs.length > 0)) untouched.add(job)
     }
     return [...untouched]
   }
@@ -244,6 +247,7 @@
 
   /** Replaces the list of workers. A worker that is missing gets no new work; its runs continue until its lease expires. */
   replaceWorkers (entries: readonly WorkerEntry[], now: Instant): void {
+    this.#isListRead = true
     for (const worker of this.workers.values()) worker.isListed = false
     for (const entry of entries) this.upsertWorker(entry, now)
   }
@@ -254,12 +258,23 @@
     if (existing === undefined || existing.entry.incarnation < entry.incarnation) {
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
+      worker.isReborn = existing !== undefined
       if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
   }
 
+  /**
+   * Adds a worker that an earlier owner used; it isn't listed until `upsertWorker` gets its entry. `leaseOverAt`: when
+   * the leases of earlier owners on it are over, if that is recorded.
+   */
+  restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#earlierLeasesExpireAt): void {
+    this.upsertWorker(entry, now)
+    this.unlistWorker(entry.id)
+    this.workers.get(entry.id)?.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#earlierLeasesExpireAt)), now)
+  }
+
   /** Marks a worker as no longer listed. */
   unlistWorker (id: WorkerId): void {
     const worker = this.workers.get(id)
@@ -292,6 +307,7 @@
       const run = worker.runs.get(key)
       if (run !== undefined) {
         this.#confirmRunning(run, now)
+        run.isReported = true
         run.reading = reported.reading
         if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
         run.progressPercent = reported.progressPercent
@@ -357,7 +373,7 @@
     const { attempt } = reported
     task.recordAttempt(attempt)
     this.#recordStart(task)
-    const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
+    const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isReported: true, isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#markJobActive(task)
   }
@@ -434,16 +450,17 @@
     this.#observer.runEnded(run, ending, worker)
   }
 
-  // Runs that the worker confirmed have ended with its old incarnation. Any other run is kept for the new incarnation,
-  // which its order may still reach.
+  // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
+  // order may still reach, or whose response to the order may have been taken for one of the old incarnation.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     for (const run of [...old.runs.values()]) {
-      if (run.state === 'running') {
+      if (run.isReported) {
         this.#endRun(run, 'reborn', now)
         continue
       }
       old.removeRun(run)
-      const moved: RunRecord = { ...run, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const state = run.state === 'running' ? 'unconfirmed' : run.state
+      const moved: RunRecord = { ...run, state, since: now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
@@ -573,7 +590,7 @@
       this.#addRun(run)
       this.waits.recordPlacement(task)
       orders.push({
-        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint
+        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint, isLongRunning: task.step.shape.isLasting
       })
       if (++starts >= maxStarts) break
     }
@@ -585,7 +602,7 @@
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
       if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
-      if (!worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
+      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
 
@@ -602,7 +619,7 @@
     if (this.#isReconciled) return true
     if (now < this.#earlierLeasesExpireAt) {
       if (!this.#areEarlierWorkersKnown) return false
-      for (const worker of this.workers.values()) if (!worker.hasReported) return false
+      for (const worker of this.workers.values()) if (!worker.hasReported && now < worker.leaseExpiresAt) return false
     }
     this.#isReconciled = true
     return true
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -66,9 +66,14 @@
     this.#isStalling = true
   }
 
-  /** Every task that starts from now on fails. */
-  failNewRuns (): void {
-    this.#isFailing = true
+  /** Every task that starts from now on fails, or none. */
+  failNewRuns (isFailing = true): void {
+    this.#isFailing = isFailing
+  }
+
+  /** Ends all runs as failed. */
+  failRuns (): void {
+    for (const run of [...this.#runs.values()]) this.#finish(run, 'failed')
   }
 
   /** Ends all runs; their ends and those not yet acknowledged are lost. */
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -7,6 +7,7 @@
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { ABSENT_ROW_VERSION, encodeRow, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
+import { soundTerm } from './soundTerm.ts'
 
 /** Identity of this process, and what decides how soon it claims a free term. */
 export type CandidateIdentity = Readonly<{
@@ -44,8 +45,8 @@
   #renewalObservedAt: Instant | undefined
   #owner: CellOwner | undefined
   #isStopped = false
+  #isRetired = false
   #isClaiming = false
-  #claimInFlight: Promise<void> | undefined
   #hasReadFailed = false
   #handedOverAt = brand<Instant>(-Infinity)
 
@@ -83,10 +84,15 @@
     void this.#run()
   }
 
-  /** Stops the election, and releases the cell if this process owns it or its claim is being stored. */
+  /** Stops the election, and releases the cell if this process owns it. */
   async stop (): Promise<void> {
     this.#isStopped = true
-    await this.#claimInFlight
+    await this.retire()
+  }
+
+  /** Claims the cell no more, and releases it if this process owns it; what its owner publishes is still read. */
+  async retire (): Promise<void> {
+    this.#isRetired = true
     await this.#owner?.close(true)
     this.#clearOwner()
   }
@@ -95,7 +101,7 @@
     while (!this.#isStopped) {
       // The owner of the first cell also reads what it publishes itself.
       const isClaimable = (this.#owner === undefined || this.#cell === FIRST_CELL) && await this.#isClaimable()
-      if (isClaimable && !this.#isStopped) {
+      if (isClaimable && !this.#isRetired) {
         this.#isClaiming = true
         await this.#claim()
         this.#isClaiming = false
@@ -122,6 +128,8 @@
     if (this.#owner !== undefined || now - this.#handedOverAt < HANDOVER_CLAIM_PAUSE_MS) return false
     if (this.#observed === undefined) return true
     const { holder, life } = this.#observed.term
+    // A claim of this process whose response was lost; nobody acts under it.
+    if (holder === this.#identity.name && life === this.#identity.life) return true
     // An earlier incarnation of this process has certainly ended. A VM with too little processor time still waits for the term to expire, as other processes may be better owners.
     if (holder === '' || (holder === this.#identity.name && life !== this.#identity.life && this.#processorShortfall === 0)) return true
     return now - (this.#renewalObservedAt ?? now) >= TERM_EXPIRY_MS
@@ -129,7 +137,7 @@
 
   // Each term has written its row at least once, so that the version of the row is above all epochs so far.
   #readTerm (value: string, version: RowVersion): Term {
-    const term = readTerm(value)
+    const term = soundTerm(readTerm(value), version)
     if (term !== undefined) return term
     this.#log.error('The term cannot be read and is treated as one without renewals', { cell: this.#cell, version })
     return { holder: UNKNOWN_HOLDER, life: '', epoch: brand<Epoch>(version), commit: 0, pending: {}, workers: 0 }
@@ -148,7 +156,7 @@
     const delayMs = this.#identity.claimDelayMs + MAX_CLAIM_JITTER_MS * this.#random.fraction() + SHORTFALL_CLAIM_DELAY_MS * this.#processorShortfall + OWNED_CELL_CLAIM_DELAY_MS * this.#countOwnedCells()
     await this.#clock.sleep(delayMs)
     // After a long delay another process has probably claimed the cell.
-    if (this.#isStopped || (delayMs > TERM_POLL_INTERVAL_MS && !await this.#isClaimable())) return
+    if (this.#isRetired || (delayMs > TERM_POLL_INTERVAL_MS && !await this.#isClaimable())) return
     const term: Term = {
       holder: this.#identity.name,
       life: this.#identity.life,
@@ -157,13 +165,9 @@
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
       loadPercent: previous?.term.loadPercent,
-      cells: previous?.term.cells
+      cells: previous?.term.cells,
+      areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded
     }
-    this.#claimInFlight = this.#storeClaim(previous, term)
-    await this.#claimInFlight
-  }
-
-  async #storeClaim (previous: ObservedTerm | undefined, term: Term): Promise<void> {
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
     const outcome = await this.#ports.store.transact({
@@ -178,15 +182,9 @@
     }
     if (outcome.val.kind === 'conflict') return
     this.#log.info('Term claimed', { cell: this.#cell, epoch: term.epoch, before: previous?.term.holder ?? '' })
-    if (this.#isStopped) await this.#releaseUnused(term, outcome.val.version)
-    else this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall })
-  }
-
-  // Otherwise the others would wait until the term expires.
-  async #releaseUnused (term: Term, version: RowVersion): Promise<void> {
-    const key = { table: TERMS_TABLE, key: TERM_KEY }
-    const outcome = await this.#ports.store.transact({ part: this.#cell, checks: [{ ...key, version }], puts: [{ ...key, value: encodeRow({ ...term, holder: '' }) }], deletes: [] })
-    this.#log.info('Term released', { cell: this.#cell, epoch: term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
+    this.#startOwner({ cell: this.#cell, term, version: outcome.val.version, claimedAt, claimedAtWall, earlierTermOverAt: claimedAt })
+    // Stopped meanwhile: the others need not wait for the term to expire.
+    if (this.#isRetired) await this.retire()
   }
 
   #startOwner (claimed: ClaimedTerm): void {
@@ -202,7 +200,7 @@
   async #releaseOverloadedCell (): Promise<void> {
     const owner = this.#owner
     const now = this.#clock.now()
-    if (owner === undefined || this.#isStopped || now - this.#handedOverAt < MIN_HANDOVER_INTERVAL_MS) return
+    if (owner === undefined || this.#isRetired || now - this.#handedOverAt < MIN_HANDOVER_INTERVAL_MS) return
     this.#handedOverAt = now
     this.#log.warn('Owner is overloaded and releases its cell', { cell: this.#cell, epoch: this.#observed?.term.epoch })
     await owner.close(true)
--- a/packages/jobs/tests/takeover.test.ts
+++ b/packages/jobs/tests/takeover.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava'
+import { brand, type QueueName } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
-import { FIRST_CELL } from '../src/index.ts'
-import { readTerm, TERM_KEY, TERMS_TABLE } from '../src/rows.ts'
 import { JobsSimulation } from './support/JobsSimulation.ts'
 
 const LONG = { runMs: 4_000, ending: 'done' } as const
@@ -113,7 +112,7 @@
   simulation.rows.slowJobReads = true
   for (let step = 0; step < 60; step++) {
     await simulation.advance(100)
-    published.push(other?.election.pending.drafts)
+    published.push(other?.election.pendingOf(brand<QueueName>('drafts')))
   }
   t.true(other?.election.isOwner)
   t.deepEqual([...new Set(published)], [1])
@@ -216,18 +215,32 @@
   t.deepEqual(simulation.breaches, [])
 })
 
-test('a process that is stopped at any moment of its first claim leaves the cell without an owner', async t => {
-  let releasedClaims = 0
-  for (let stoppedAfterMs = 1; stoppedAfterMs <= 150; stoppedAfterMs++) {
-    const simulation = new JobsSimulation(1, () => LONG)
-    const { election } = simulation.addNode('n1')
-    await simulation.advance(stoppedAfterMs)
-    await simulation.settle(election.stop())
+test('a process that stops knows the lengths of the queues until it ends', async t => {
+  const simulation = new JobsSimulation(0, () => ({ runMs: 100, ending: 'done' }))
+  const first = simulation.addNode('n1')
+  await simulation.advance(400)
+  const second = simulation.addNode('n2')
+  await simulation.advance(400)
+  await simulation.settle(first.election.stop())
+  await simulation.advance(1_500)
+  t.true(second.election.isOwner)
+  await simulation.settle(second.jobs.submit(jobOf('00000000000000a1', [stepOf()]), 2_000))
+  await simulation.advance(2_000)
+  t.is(first.election.pendingOf(brand<QueueName>('drafts')), 1)
+  second.kill()
+  await simulation.advance(6_000)
+  t.false(first.election.isOwner)
+})
+
+test('a process that is stopped while it claims a cell gives it up', async t => {
+  for (let stopAfterMs = 0; stopAfterMs < 130; stopAfterMs += 4) {
+    const simulation = new JobsSimulation(1, () => ({ runMs: 100, ending: 'done' }))
+    const node = simulation.addNode('n1')
+    await simulation.advance(stopAfterMs)
+    await simulation.settle(node.election.stop())
     await simulation.advance(200)
-    const term = simulation.rows.read(TERMS_TABLE, FIRST_CELL, TERM_KEY)
-    if (term === undefined) continue
-    t.is(readTerm(term.value)?.holder, '', `stopped after ${stoppedAfterMs} ms`)
-    releasedClaims++
+    const row = simulation.rows.read('terms', 'cell-0', 'term')
+    t.is((JSON.parse(row?.value ?? '{"holder":""}') as { holder: string }).holder, '', `stopped after ${stopAfterMs} ms`)
+    t.false(node.election.isOwner)
   }
-  t.true(releasedClaims > 0)
 })
