An interrupted task may use a quarantined worker if no other has capacity for it

Quarantine is a preference for it now, weighed like an earlier failure of the task on the worker; refusals still pause a worker for all.

--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -47,11 +47,13 @@
   #leaseExpiresAt: Instant
   #leaseKnownSince: Instant
   #pausedUntil: Instant
+  #quarantinedUntil: Instant
   #consecutiveFailures = 0
 
   constructor (entry: WorkerEntry, now: Instant, leaseMs: number) {
     this.#entry = entry
     this.#pausedUntil = now
+    this.#quarantinedUntil = now
     // An earlier owner may have extended the lease just before this term began.
     this.#leaseExpiresAt = brand<Instant>(now + leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
     this.#leaseKnownSince = now
@@ -129,17 +131,26 @@
 
   /** Whether new work may be sent to the worker. */
   acceptsWork (now: Instant): boolean {
+    return this.acceptsRestarts(now) && !this.isQuarantined(now)
+  }
+
+  /** Whether interrupted tasks may be sent to the worker, also while it is quarantined: it may be sound, and they may find no other. */
+  acceptsRestarts (now: Instant): boolean {
     return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive
   }
 
+  isQuarantined (now: Instant): boolean {
+    return now < this.#quarantinedUntil
+  }
+
   /** Records that a call got no response; the worker gets no new work until it responds to one. */
   markUnresponsive (): void {
     this.#failedCalls++
   }
 
   /** Sends the worker no new work for a while. */
-  pause (now: Instant, pauseMs = REFUSAL_PAUSE_MS): void {
-    this.#pausedUntil = brand<Instant>(Math.max(this.#pausedUntil, now + pauseMs))
+  pause (now: Instant): void {
+    this.#pausedUntil = brand<Instant>(Math.max(this.#pausedUntil, now + REFUSAL_PAUSE_MS))
   }
 
   /** Records the result of a run, to distinguish a faulty worker from a faulty job. Returns `true` if the worker is quarantined from now on. */
@@ -150,7 +161,7 @@
     }
     this.#consecutiveFailures++
     if (this.#consecutiveFailures < FAILURES_TO_QUARANTINE) return false
-    this.pause(now, QUARANTINE_MS)
+    this.#quarantinedUntil = brand<Instant>(now + QUARANTINE_MS)
     return true
   }
 
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -31,7 +31,7 @@
     if (free < shape.processors) continue
     const pressure = addedPressure(task.step, worker, interference, now)
     if (pressure > MAX_PLACING_PRESSURE) continue
-    const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) ? FAILED_HERE_PENALTY : 0)
+    const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -42,8 +42,8 @@
 
 /** Score for a worker in the rack that holds the task's data; 1 stands for all processors of a worker. */
 const DATA_RACK_BONUS = 4
-/** Penalty for an earlier failure of the task on the worker; outweighs all else, since attempts are few and the worker may be faulty. */
-const FAILED_HERE_PENALTY = 100
+/** Penalty for a worker that is quarantined, or on which the task has failed; outweighs all else, since attempts are few and the worker may be faulty. */
+const FAULT_PENALTY = 100
 /** Weight of the pressure expected on serving tasks, relative to the worker's share of free processors. */
 const PRESSURE_WEIGHT = 2
 /** Scores for a worker whose serving tasks are all of the same job, all of the same image, or partly of other images. */
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -35,11 +35,12 @@
  * @example
  * if (findFixedObstacle(task, worker, now) !== undefined) continue
  */
-export const findFixedObstacle = ({ step, runs }: TaskRecord, worker: WorkerRecord, now: Instant): Obstacle | undefined => {
+export const findFixedObstacle = (task: TaskRecord, worker: WorkerRecord, now: Instant): Obstacle | undefined => {
+  const { step, runs } = task
   const { shape } = step
   const { entry } = worker
   if (entry.service !== step.job.job.policy.service) return 'other-service'
-  if (!worker.acceptsWork(now)) return 'unavailable'
+  if (!(task.isInterrupted ? worker.acceptsRestarts(now) : worker.acceptsWork(now))) return 'unavailable'
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
   if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
   if (runs.some(run => run.worker === worker)) return 'tasks-per-worker'
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -25,10 +25,11 @@
  */
 export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, context: PlacingContext): Generator<PlacedTask> {
   const { held, interference, now } = context
-  const candidates = [...workers].filter(worker => worker.acceptsWork(now))
-  if (candidates.length === 0) return
+  const available = [...workers].filter(worker => worker.acceptsRestarts(now))
   const waitingSteps = [...steps].filter(({ waiting }) => waiting.size > 0)
-  yield * placeInterruptedTasks(waitingSteps, candidates, context)
+  yield * placeInterruptedTasks(waitingSteps, available, context)
+  const candidates = available.filter(worker => worker.acceptsWork(now))
+  if (candidates.length === 0) return
   const reserved = reserveWorkers(candidates)
   const unreserved = candidates.filter(worker => !reserved.has(worker))
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => task.isNewServing ? unreserved : candidates
--- a/packages/core/tests/interruptedTaskConflicts.test.ts
+++ b/packages/core/tests/interruptedTaskConflicts.test.ts
@@ -73,3 +73,17 @@
   // 4 of the 8 cores are free all the time.
   t.true(startedAfter(scenario, SMALL, submittedAt) <= 1_000, `started after ${startedAfter(scenario, SMALL, submittedAt)} ms`)
 })
+
+test('an interrupted task runs again in time on a worker that is quarantined, if no other has capacity for it', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000 })
+  scenario.submit(LARGE, [stepOf({ processors: 6_000, isLasting: true })])
+  scenario.submit(BATCH, [stepOf({ processors: 500, taskCount: 4 })], { runMs: 60_000 })
+  scenario.advance(1_000)
+  for (let index = 0; index < 4; index++) scenario.fail(`${BATCH}.0.0.${index}`)
+  scenario.advance(100)
+  const failedAt = scenario.now
+  t.true([...scenario.scheduler.workers.values()].every(worker => worker.isQuarantined(failedAt)))
+  scenario.fail(`${LARGE}.0.0.0`)
+  scenario.advance(1_000)
+  t.true(startedAfter(scenario, LARGE, failedAt) <= 1_000)
+})
