--- a/packages/core/src/jobs/HeldWorkers.ts
+++ b/packages/core/src/jobs/HeldWorkers.ts
@@ -1,5 +1,5 @@
 /**
- * Workers that are held for tasks that have waited long.
+ * Workers that are held for interrupted long-running tasks and for tasks that have waited long.
  */
 import type { Instant } from '@auburnpin/common'
 import { HELD_WORKER_SHARE } from './constants.ts'
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -115,5 +115,5 @@
 /** Milliseconds that a long-running task waits before it holds a worker. */
 export const LONG_RUNNING_HOLD_AFTER_MS = 2_000
 
-/** Largest share of the workers that is held at the same time. */
+/** Largest share of the workers that is held at the same time for tasks that have not run. */
 export const HELD_WORKER_SHARE = 0.125
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -26,7 +26,7 @@
   | 'pressure'
   /** The worker is reserved for short tasks and restarts. */
   | 'reserved'
-  /** The task would take capacity that is held for one that has waited long. */
+  /** The task would take capacity that is held for another one. */
   | 'held'
 
 /**
