--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -216,9 +216,10 @@
   const workers = parseRow<readonly UsedWorker[]>(value, [{ id: '', incarnation: 0, address: '', service: '' }])
   return workers?.map(worker => hasLeaseEnd(worker) ? worker : withoutLeaseEnd(worker))
 }
+
+/** The same worker, for which a new owner waits as long as any lease can last. */
 export const withoutLeaseEnd = ({ leaseOverAt, ...worker }: UsedWorker): UsedWorker => worker
 
-// Without the field the next owner waits as long as any lease can last.
 const hasLeaseEnd = ({ leaseOverAt }: UsedWorker): boolean => Number.isSafeInteger(leaseOverAt) && Number(leaseOverAt) >= 0
 
 const JOB_PHASES: ReadonlySet<string> = new Set<JobPhase>(['queued', 'active', 'completed', 'failed', 'cancelled'])
