--- a/packages/core/tests/interruptedTaskConflicts.test.ts
+++ b/packages/core/tests/interruptedTaskConflicts.test.ts
@@ -31,7 +31,7 @@
   t.true(startedAfter(scenario, SMALL, failedAt) <= MAX_INTERRUPTION_MS)
 })
 
-test('a long-running task that fails from time to time runs again in time on the only worker with room for it', t => {
+test('a long-running task that fails from time to time runs again in time on the only worker with free capacity for it', t => {
   const scenario = new SchedulerScenario({ w1: 8_000 })
   scenario.submit(LARGE, [stepOf({ processors: 6_000, isLasting: true })])
   for (let failures = 1; failures <= 4; failures++) {
--- a/packages/jobs/tests/takeoversInARow.test.ts
+++ b/packages/jobs/tests/takeoversInARow.test.ts
@@ -6,9 +6,9 @@
 /** A run that lasts until the worker or its lease ends. */
 const LASTING_MS = 1e9
 
-/** RULES.md, LOST: how long a task that lasts may be away after the end of its last run, in milliseconds. */
+/** How long users allow a long-running task to be away after the end of its last run, in milliseconds. */
 const MAX_AWAY_MS = 6_000
-/** RULES.md, LOST: it holds at any time when the 3 s and the 4 s before them are calm, in milliseconds. */
+/** That holds at any time when the 3 s and the 4 s before them are calm, in milliseconds. */
 const CALM_MS = 7_000
 
 /**
