--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -139,6 +139,7 @@
     return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive
   }
 
+  /** Whether several runs in a row failed here a short time ago, so that the worker may be faulty. */
   isQuarantined (now: Instant): boolean {
     return now < this.#quarantinedUntil
   }
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -184,7 +184,7 @@
       this.#recordedOffsets.set(worker.id, worker.epochOffset ?? 0)
       const { leaseOverAt } = worker
       const { storeTime } = termRows.val
-      this.#scheduler.restoreWorker(unlistedEntry(worker), now, leaseOverAt === undefined || storeTime === undefined ? undefined : StoreClock.instantOf(leaseOverAt, storeTime, termRowsAt))
+      this.#scheduler.restoreWorker(unlistedEntry(worker), now, leaseOverAt === undefined || storeTime === undefined ? undefined : StoreClock.toInstant(leaseOverAt, storeTime, termRowsAt))
     }
     this.#writer.restoreUsedWorkers(usedWorkers, usedWorkersKeys)
     return read
--- a/packages/jobs/src/StoreClock.ts
+++ b/packages/jobs/src/StoreClock.ts
@@ -20,26 +20,26 @@
   }
 
   /**
-   * A time of the store by which a moment is certainly past that this process took, at `knownSince`, to be over at
-   * `at`. `undefined` unless the latest reading was requested after that: while a process is suspended its clock stops and the
-   * store's doesn't, so that what was computed later can't be counted from an earlier reading.
+   * A time of the store at which `at`, which this process computed at `computedAt`, is certainly past. `undefined` without
+   * a reading requested since `computedAt`: this process's clock stops while it is suspended and the store's doesn't, so a
+   * suspension between an earlier reading and `computedAt` would make the result too early.
    *
    * @example
-   * const over = storeClock.latest(worker.leaseExpiresAt, worker.leaseKnownSince)
+   * const leaseOverAt = storeClock.toStoreTime(worker.leaseExpiresAt, worker.leaseKnownSince)
    */
-  latest (at: Instant, knownSince: Instant): StoreTime | undefined {
-    if (this.#storeTime === undefined || this.#requestedAt <= knownSince) return undefined
+  toStoreTime (at: Instant, computedAt: Instant): StoreTime | undefined {
+    if (this.#storeTime === undefined || this.#requestedAt <= computedAt) return undefined
     return brand<StoreTime>(Math.ceil(this.#storeTime + STORE_TIME_RESOLUTION_MS + Math.max(0, at - this.#requestedAt)))
   }
 
   /**
-   * The time of this process's clock by which a time of the store is certainly past, from a reading of the store's
-   * clock whose response arrived at `receivedAt`.
+   * The moment of this process's clock at which a time of the store is certainly past, by a reading of the store's clock
+   * whose response arrived at `receivedAt`.
    *
    * @example
-   * const expiresAt = StoreClock.instantOf(leaseOverAt, page.storeTime, receivedAt)
+   * const expiresAt = StoreClock.toInstant(leaseOverAt, page.storeTime, receivedAt)
    */
-  static instantOf (time: StoreTime, reading: StoreTime, receivedAt: Instant): Instant {
+  static toInstant (time: StoreTime, reading: StoreTime, receivedAt: Instant): Instant {
     return brand<Instant>(receivedAt + Math.max(0, time - reading))
   }
 }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -305,7 +305,7 @@
     if (record === undefined || record.entry.incarnation !== worker.incarnation || record.isReborn) return undefined
     const recorded = this.#leaseEnds.get(keyOf(worker))
     if (!this.#isSilent(record, recorded !== undefined || isReleasing)) return undefined
-    const computed = this.#storeClock.latest(record.leaseExpiresAt, record.leaseKnownSince)
+    const computed = this.#storeClock.toStoreTime(record.leaseExpiresAt, record.leaseKnownSince)
     return recorded === undefined || computed === undefined ? recorded ?? computed : brand<StoreTime>(Math.min(recorded, computed))
   }
 
--- a/packages/jobs/tests/leaseEnds.test.ts
+++ b/packages/jobs/tests/leaseEnds.test.ts
@@ -203,7 +203,7 @@
     const [requested, read, knownSince] = [Math.min(one, other), Math.max(one, other), next].map(position => Math.min(position, spans.length)) as [number, number, number]
     const clock = new StoreClock()
     clock.record(brand<StoreTime>(world[read] ?? 0), brand<Instant>(own[requested] ?? 0))
-    const over = clock.latest(brand<Instant>((own[knownSince] ?? 0) + leaseMs), brand<Instant>(own[knownSince] ?? 0))
+    const over = clock.toStoreTime(brand<Instant>((own[knownSince] ?? 0) + leaseMs), brand<Instant>(own[knownSince] ?? 0))
     if (over !== undefined) t.true(over >= (world[knownSince] ?? 0) + leaseMs)
   }), { numRuns: 2_000, seed: 3 })
   t.pass()
