Fakes: a run may crash its worker, which returns as a new incarnation

A task that kills its worker soon after its start could not be played: crash() is called from outside and marks all runs alike. A run with `crashAfterMs` now crashes its worker that long after its start and ends `crashing`, while the runs beside it end `crashed`, so that a checker can tell which task caused a crash. The simulation restarts such a worker after `returnAfterMs`, and can leave the orders to start some tasks without a response although they are executed (`unansweredStarts`).

--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -7,12 +7,18 @@
 import type { ReportRequest, RunName, StartRequest } from '@auburnpin/jobs'
 import { workerEntryOf } from './jobBuilders.ts'
 
-/** How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. */
-export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed', startupMs?: number }>
+/**
+ * How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. A deadly task
+ * crashes its worker `crashAfterMs` after its start.
+ */
+export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed', startupMs?: number, crashAfterMs?: number }>
 
 type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number, readonly fullProgressMs: number }
 
-/** Start or end of a run. `unacknowledged`: the worker crashed or its lease expired before the end was acknowledged. */
+/**
+ * Start or end of a run. `unacknowledged`: the worker crashed or its lease expired before the end was acknowledged. A run
+ * that its worker's crash ended has ended `crashing` if it caused the crash, else `crashed`.
+ */
 export type WorkerEvent = Readonly<{ kind: 'started' | 'ended' | 'unacknowledged', worker: WorkerId, task: TaskName, attempt: Attempt, how: string, at: number }>
 
 const FAILING_RUN: FakeRunBehaviour = { runMs: 50, ending: 'failed' }
@@ -78,8 +84,12 @@
 
   /** Ends all runs; their ends and those not yet acknowledged are lost. */
   crash (): void {
+    this.#crash()
+  }
+
+  #crash (cause?: Run): void {
     this.hasCrashed = true
-    for (const run of [...this.#runs.values()]) this.#end(run, 'crashed')
+    for (const run of [...this.#runs.values()]) this.#end(run, run === cause ? 'crashing' : 'crashed')
     this.#emitUnacknowledgedEnds()
     this.#ended = []
   }
@@ -101,8 +111,8 @@
     if (this.#runs.get(task)?.attempt === attempt) return 'started'
     if (attempt <= (this.#highestAttempts.get(task) ?? 0)) return 'superseded'
     if (leaseEndMs <= this.clockMs) return 'too-late'
-    const { runMs, ending, startupMs = runMs } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
-    const run: Run = { task, attempt, fullProgressMs: startupMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#finish(run, ending)) }
+    const { runMs, ending, startupMs = runMs, crashAfterMs } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
+    const run: Run = { task, attempt, fullProgressMs: startupMs, startedAt: this.#clock.now(), timer: this.#clock.after(crashAfterMs ?? runMs, () => crashAfterMs === undefined ? this.#finish(run, ending) : this.#crashUnder(run)) }
     this.#highestAttempts.set(task, attempt)
     this.#runs.set(task, run)
     this.#emit({ kind: 'started', worker: this.id, task, attempt, how: '', at: this.#clock.now() })
@@ -165,11 +175,16 @@
     this.#end(run, ending)
   }
 
-  #end (run: Run, how: RunEnding | 'crashed'): void {
+  #crashUnder (run: Run): void {
+    this.expireLeaseIfDue()
+    if (this.#runs.get(run.task) === run) this.#crash(run)
+  }
+
+  #end (run: Run, how: RunEnding | 'crashed' | 'crashing'): void {
     if (this.#runs.get(run.task) !== run) return
     run.timer.cancel()
     this.#runs.delete(run.task)
     this.#emit({ kind: 'ended', worker: this.id, task: run.task, attempt: run.attempt, how, at: this.#clock.now() })
-    if (how !== 'crashed') this.#ended.push({ sequence: ++this.#lastSequence, task: run.task, attempt: run.attempt, ending: how, checkpoint: '' })
+    if (how !== 'crashed' && how !== 'crashing') this.#ended.push({ sequence: ++this.#lastSequence, task: run.task, attempt: run.attempt, ending: how, checkpoint: '' })
   }
 }
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -155,6 +155,10 @@
   /** Workers that the list of workers contains. */
   readonly listed = new Set<string>()
   workersPerCell = WORKERS_PER_CELL
+  /** Tasks whose orders to start are executed without a response. */
+  readonly unansweredStarts = new Set<string>()
+  /** Time until a worker that crashed under a deadly task returns as a new incarnation, in milliseconds. */
+  returnAfterMs = 3_000
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
 
@@ -163,11 +167,18 @@
     const workerClock = workerClockRate === 1 ? this.clock : new SlowClock(this.clock, workerClockRate)
     for (let index = 1; index <= workerCount; index++) {
       const id = `w${index}`
-      this.workers.set(id, new FakeJobWorker(id, workerClock, behaviourOf, event => this.#checker.record(event)))
+      this.workers.set(id, new FakeJobWorker(id, workerClock, behaviourOf, event => this.#record(event)))
       this.listed.add(id)
     }
   }
 
+  #record (event: WorkerEvent): void {
+    this.#checker.record(event)
+    if (event.how !== 'crashing') return
+    const worker = this.worker(event.worker)
+    this.clock.after(this.returnAfterMs, () => { if (worker.hasCrashed) worker.restart() })
+  }
+
   addNode (name: string, life = `${name}-1`, processorShare = 1): Node {
     const node = new Node(this, name, life, processorShare)
     this.nodes.set(name, node)
@@ -260,6 +271,10 @@
 
   async start (worker: WorkerAddress, request: StartRequest): Promise<StartResponse> {
     const outcome = await this.#call<StartOutcome>(worker, fake => fake.start(request))
+    if (this.#simulation.unansweredStarts.has(request.task)) {
+      await this.#node.clock.sleep(CALL_TIMEOUT_MS)
+      return { outcome: 'unknown' }
+    }
     return outcome === undefined ? { outcome: 'unknown' } : outcome === 'refused' ? { outcome: 'unavailable' } : { outcome, clockMs: this.#simulation.worker(worker.id).clockMs }
   }
 
