Simulation: a held request ends with its worker's incarnation, and a killed process stays dead

JobsSimulation held a request for a report for up to 1.5 s and then answered it from whatever incarnation the worker had by then, so that an acknowledgement or a lease for the earlier incarnation reached the next one. A process that dies closes its connections, so no response comes (WireWorker does the same). An order that is executed late is another thing and is still played (link state 'late').

A suspended process is also not suspended again, which resumed it too early.

--- a/packages/jobs/tests/support/CrashingCluster.ts
+++ b/packages/jobs/tests/support/CrashingCluster.ts
@@ -101,12 +101,13 @@
 
   suspendOwner (ms: number): void {
     const { owner } = this.simulation
-    if (owner === undefined) return
+    if (owner === undefined || this.#suspended.has(owner)) return
     owner.suspend()
     this.#suspended.add(owner)
     this.simulation.clock.after(ms, () => {
       this.#suspended.delete(owner)
-      owner.resume()
+      // One that was killed meanwhile stays dead.
+      if (this.simulation.nodes.get(owner.name) === owner) owner.resume()
     })
   }
 
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -289,9 +289,13 @@
   }
 
   async report (worker: WorkerAddress, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
+    const fake = this.#simulation.worker(worker.id)
+    const { incarnation } = fake.entry
     for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
-      if (this.#simulation.worker(worker.id).hasEndAfter(request.acknowledgedEnd)) break
+      if (fake.hasEndAfter(request.acknowledgedEnd)) break
       await this.#node.clock.sleep(POLL_INTERVAL_MS)
+      // A request that a worker holds ends with the incarnation that received it.
+      if (fake.entry.incarnation !== incarnation) return Err(new AuburnpinError('unreachable', 'connection lost', 'Wait.'))
     }
     const report = await this.#call(worker, fake => fake.report(request))
     if (report === 'fenced') return Err(new AuburnpinError('fenced', 'fenced', 'Nothing.'))
