A job whose task crashes the workers that start it fails

Cause: nothing counted the loss of a worker against a task. `failedAttempts` has only the ends that workers report, and a task that was lost with its worker waited again as if nothing had happened. Class of fault: an effect on others that the retry doesn't see.

Change (CrashDetector, TaskCrashes, WorkerLosses): - A run that its worker hasn't listed for 500 ms when the worker falls silent or is reborn counts one crash for its task; once a run of the task is listed that long, the count is gone. Counted at the first call without a response, so that it is stored some 20 ms later and not when the lease is over. Taken back if the worker reports in the same incarnation, lists the run, or is still listed 10 s later.

Ruled out: giving up at the second loss (an innocent task is lost twice beside such a task; users allow two more starts after the third); counting when the lease is over (a killed owner takes up to 4.8 s of knowledge with it); an announcement of every start (a store write on each; design 060 rejects it).

--- /dev/null
+++ b/packages/core/src/jobs/CrashDetector.ts
@@ -0,0 +1,143 @@
+/**
+ * Detection of tasks that crash the workers that start them.
+ */
+import type { Instant, WorkerId } from '@auburnpin/common'
+import { MAX_WORKER_CRASHES, START_SURVIVAL_MS } from './constants.ts'
+import type { JobRecord } from './JobRecord.ts'
+import type { StepRecord } from './StepRecord.ts'
+import type { RunRecord, TaskRecord } from './TaskRecord.ts'
+import { WorkerLosses } from './WorkerLosses.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+/** What the detector needs from the scheduler. */
+export abstract class CrashHost {
+  /** Whether the runs of earlier owners are known or have ended, as far as they concern the job. */
+  abstract areRunsKnown (job: JobRecord): boolean
+  /** The job's progress must be stored. */
+  abstract progressChanged (job: JobRecord): void
+  /** `suspects`: the tasks that had just started on a worker that was lost. */
+  abstract workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void
+  /** The task crashes workers, so its job can't be done. */
+  abstract giveUp (task: TaskRecord, now: Instant): void
+}
+
+/**
+ * Counts, for each task, the workers that were lost just after they had started it. A worker runs other tasks as well
+ * when it is lost; these are told apart as they survive their next start. A task that two workers were lost under starts
+ * only where no other run has just started, and none starts beside it. With the third loss its job fails; with the fourth, if other workers were lost at the same
+ * time as the third. Workers that drain don't count, nor do those that turn out to be alive.
+ *
+ * @example
+ * detector.observe(workers, now)
+ * for (const run of runs) detector.runReported(run, report.clockMs)
+ */
+export class CrashDetector {
+  readonly #host: CrashHost
+  readonly #losses = new WorkerLosses()
+  #wereEarlierWorkersLost = false
+  /** Tasks that two or more workers were lost under. */
+  readonly #likely = new Set<TaskRecord>()
+
+  constructor (host: CrashHost) {
+    this.#host = host
+  }
+
+  /** The tasks of these steps were restored from the progress of an earlier owner. */
+  restore (steps: readonly StepRecord[]): void {
+    for (const { tasks } of steps) for (const task of tasks) if (task.crashes.areLikely) this.#likely.add(task)
+  }
+
+  /** Counts losses as soon as workers are silent, so that they are stored in time, and gives up the tasks that caused them. */
+  observe (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): void {
+    for (const worker of workers.values()) if (worker.isUnresponsive) this.#countLoss(worker, now)
+    this.#withdraw(this.#losses.takeBackListed(workers, now))
+    for (const task of this.#likely) this.#decide(task, workers, now)
+  }
+
+  /**
+   * Whether an attempt must be stored before it is ordered, so that a loss counts even if this owner doesn't live to store
+   * it: a worker was lost under the task, or maybe under an earlier owner's run of it that no one knows.
+   */
+  mustAnnounce ({ crashes, step: { job } }: TaskRecord): boolean {
+    return crashes.count > 0 || (this.#wereEarlierWorkersLost && !job.isNewInTerm && !crashes.hasSurvived)
+  }
+
+  /** A worker that an earlier owner used was lost before it reported to this one. */
+  earlierWorkerLost (): void {
+    this.#wereEarlierWorkersLost = true
+  }
+
+  #decide (task: TaskRecord, workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): void {
+    const { crashes, runs, isDone, step: { job } } = task
+    if (!crashes.areLikely || isDone || job.isFinal) {
+      this.#likely.delete(task)
+      return
+    }
+    if (crashes.count < MAX_WORKER_CRASHES || runs.length > 0 || !this.#host.areRunsKnown(job)) return
+    crashes.areUndecided = this.#losses.isUncertain(task, workers)
+    if (crashes.areUndecided) return
+    if (crashes.count > MAX_WORKER_CRASHES || this.#losses.wasLastAlone(task)) this.#host.giveUp(task, now)
+  }
+
+  /** All runs of a worker are about to end, or to be kept for its next incarnation. */
+  workerLost (worker: WorkerRecord, ending: string, now: Instant): void {
+    if (worker.runs.size === 0) return
+    this.#countLoss(worker, now)
+    this.#host.workerLost(worker.entry.id, ending, [...worker.runs.values()].filter(mayHaveCrashed).map(({ task }) => task))
+  }
+
+  #countLoss (worker: WorkerRecord, now: Instant): void {
+    if (worker.entry.isDraining) return
+    const suspects: RunRecord[] = []
+    for (const run of worker.runs.values()) if (mayHaveCrashed(run) && this.#count(run)) suspects.push(run)
+    this.#losses.add(worker.entry, suspects, now)
+  }
+
+  #count ({ task, attempt }: RunRecord): boolean {
+    const { crashes, isDone, step: { job } } = task
+    if (isDone || job.isFinal || !crashes.add(attempt)) return false
+    if (crashes.areLikely) this.#likely.add(task)
+    this.#host.progressChanged(job)
+    return true
+  }
+
+  #withdraw (runs: readonly RunRecord[]): void {
+    for (const { task, attempt } of runs) this.attemptReported(task, attempt)
+  }
+
+  /** A worker has reported, so it was not lost. */
+  workerReported ({ entry }: WorkerRecord): void {
+    this.#withdraw(this.#losses.takeBack(entry))
+  }
+
+  /** A worker has listed an attempt as running or ended, so it was not lost. */
+  attemptReported ({ crashes, step: { job } }: TaskRecord, attempt: RunRecord['attempt']): void {
+    if (!crashes.withdraw(attempt)) return
+    crashes.areUndecided = false
+    this.#host.progressChanged(job)
+  }
+
+  /** A worker, at this time of its clock, has listed a run as running. */
+  runReported (run: RunRecord, clockMs: number): void {
+    const { task, worker, attempt } = run
+    this.attemptReported(task, attempt)
+    if (run.hasSurvivedStart) return
+    run.listedSinceClockMs ??= clockMs
+    if (clockMs - run.listedSinceClockMs < START_SURVIVAL_MS) return
+    run.hasSurvivedStart = true
+    worker.suspects.delete(run)
+    if (task.crashes.clear()) this.#host.progressChanged(task.step.job)
+  }
+
+  /** A run has ended for whatever reason. */
+  runEnded ({ task: { crashes, step: { job } }, attempt }: RunRecord): void {
+    if (crashes.endAnnouncement(attempt)) this.#host.progressChanged(job)
+  }
+
+  /** A run that was ordered from an incarnation that is lost isn't on the next one. */
+  runMissing (run: RunRecord): void {
+    if (run.isFromLostIncarnation) this.#count(run)
+  }
+}
+
+const mayHaveCrashed = ({ state, hasSurvivedStart }: RunRecord): boolean => state !== 'ordered' && !hasSurvivedStart
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -1,7 +1,7 @@
 /**
  * A job and the state of its tasks.
  */
-import type { CellId, Instant } from '@auburnpin/common'
+import { brand, type Attempt, type CellId, type Instant } from '@auburnpin/common'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import { expectedMs, taskWork } from './taskWork.ts'
@@ -121,12 +121,23 @@
     }
   }
 
+  /** The progress is about to be stored. */
+  startStoring (): void {
+    for (const { crashes } of this.tasks()) crashes.startStoring()
+  }
+
+  /** The progress as of the last `startStoring` is durable. */
+  markStored (): void {
+    for (const { crashes } of this.tasks()) crashes.markStored()
+  }
+
   /** The state to be made durable; a job that has ended keeps only its phase. */
   get progress (): JobProgress {
     const done: Record<string, readonly number[] | 'all'> = {}
     const started: Record<string, readonly number[] | 'all'> = {}
     const failed: Record<string, readonly number[]> = {}
     const checkpoints: Record<string, string> = {}
+    const crashed: Record<string, readonly number[]> = {}
     if (this.isFinal) return { phase: this.#phase, done, failed, checkpoints }
     if (this.movedTo !== undefined) return { phase: this.#phase, done, failed, checkpoints, movedTo: this.movedTo }
     for (const steps of this.occurrences.values()) {
@@ -140,11 +151,12 @@
         for (const task of step.tasks) {
           if (task.isDone) continue
           if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
+          if (task.crashes.toStore.length > 0) crashed[task.progressKey] = task.crashes.toStore
           if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
         }
       }
     }
-    return { phase: this.#phase, done, started, failed, checkpoints }
+    return { phase: this.#phase, done, started, failed, checkpoints, crashed }
   }
 }
 
@@ -154,6 +166,8 @@
   for (const task of step.tasks) {
     if (includes(done, task.index)) step.markDone(task)
     for (const attempt of progress.failed[task.progressKey] ?? []) task.failedAttempts.push(attempt)
+    const crashed = progress.crashed?.[task.progressKey]
+    if (crashed !== undefined) task.crashes.restore(crashed.map(attempt => brand<Attempt>(attempt)))
     task.checkpoint = progress.checkpoints[task.progressKey] ?? ''
     task.wasOrdered = progress.phase === 'active'
     task.hasRun = started === undefined ? task.wasOrdered : includes(started, task.index)
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -3,6 +3,7 @@
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE, SHORT_RUN_MS } from './constants.ts'
+import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
@@ -32,12 +33,16 @@
   /**
    * `ending` is the worker's `RunEnding`, the `StartOutcome` of an order that started nothing, or a conclusion of the
    * scheduler: `vanished` or `not there` if a report does not list the run, `reborn` if the worker has a later
-   * incarnation, `lease over` if its lease has expired.
+   * incarnation, `lease over` if its lease has expired, `not ordered` if the order was not sent after all.
    */
   abstract runEnded (run: RunRecord, ending: string, worker: WorkerId): void
   abstract runStalled (run: RunRecord, worker: WorkerId): void
   abstract phaseChanged (job: JobRecord): void
   abstract workerQuarantined (worker: WorkerId, reason: string): void
+  /** `suspects`: the tasks that had just started there, one of which may have crashed the worker. */
+  abstract workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void
+  /** The job of the task fails, as workers were lost just after they had started the task. */
+  abstract taskGivenUp (task: TaskRecord): void
 }
 
 /**
@@ -66,6 +71,9 @@
   /** Estimates of how much fillers interfere with serving tasks. */
   readonly interference = new FillerInterference()
   readonly #fairness = new SizeFairness()
+  readonly #crashDetector: CrashDetector
+  /** Runs that are ordered once their attempts are stored. */
+  readonly #announcedRuns = new Set<RunRecord>()
   /** Workers held by the last scheduling pass. */
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
@@ -81,6 +89,7 @@
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
+    this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.#termStartedAt = now
     this.#earlierLeasesExpireAt = brand<Instant>(now + lease.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
   }
@@ -93,6 +102,7 @@
   /** Records that an earlier owner may have used workers that this one doesn't know, so that no task starts before all leases are over. */
   waitForEarlierLeases (): void {
     this.#areEarlierWorkersKnown = false
+    this.#crashDetector.earlierWorkerLost()
   }
 
   /**
@@ -126,7 +136,7 @@
 
   #createOccurrence (record: JobRecord, occurrence: number, now: Instant, progress?: JobProgress): void {
     if (record.occurrences.has(occurrence)) return
-    record.createOccurrence(occurrence, progress)
+    this.#crashDetector.restore(record.createOccurrence(occurrence, progress))
     this.#fairness.accept(record, occurrence, now)
     this.#openReadySteps(record, occurrence)
   }
@@ -260,6 +270,7 @@
       this.workers.set(entry.id, worker)
       worker.isReborn = existing !== undefined
       if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
+      if (existing?.isEarlier === true && !existing.hasReported) this.#crashDetector.earlierWorkerLost()
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
@@ -272,7 +283,10 @@
   restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#earlierLeasesExpireAt): void {
     this.upsertWorker(entry, now)
     this.unlistWorker(entry.id)
-    this.workers.get(entry.id)?.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#earlierLeasesExpireAt)), now)
+    const worker = this.workers.get(entry.id)
+    if (worker === undefined) return
+    worker.isEarlier = true
+    worker.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#earlierLeasesExpireAt)), now)
   }
 
   /** Marks a worker as no longer listed. */
@@ -288,16 +302,17 @@
     if (report.incarnation > existing.entry.incarnation) this.upsertWorker({ ...existing.entry, incarnation: report.incarnation }, now)
     const worker = this.workers.get(id) as WorkerRecord
     worker.recordClock(report.clockMs, now)
+    this.#crashDetector.workerReported(worker)
     for (const end of report.ended) {
       if (end.sequence > worker.appliedEnd) this.#applyEnd(worker, end, now)
       worker.appliedEnd = Math.max(worker.appliedEnd, end.sequence)
     }
     // Reports may arrive out of order, and an older one may list runs that have ended since.
-    if (requestedAt >= worker.reportRequestedAt) this.#reconcileRuns(worker, report.running, requestedAt, now)
+    if (requestedAt >= worker.reportRequestedAt) this.#reconcileRuns(worker, report, requestedAt, now)
     worker.hasReported = true
   }
 
-  #reconcileRuns (worker: WorkerRecord, running: WorkerReport['running'], requestedAt: Instant, now: Instant): void {
+  #reconcileRuns (worker: WorkerRecord, { running, clockMs }: WorkerReport, requestedAt: Instant, now: Instant): void {
     worker.reportRequestedAt = requestedAt
     const present = new Set<string>()
     for (const reported of running) {
@@ -307,11 +322,13 @@
       const run = worker.runs.get(key)
       if (run !== undefined) {
         this.#confirmRunning(run, now)
+        this.#crashDetector.runReported(run, clockMs)
         run.isReported = true
+        run.isFromLostIncarnation = false
         run.reading = reported.reading
         if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
         run.progressPercent = reported.progressPercent
-      } else if (task !== undefined) this.#adoptRun(worker, task, reported, now)
+      } else if (task !== undefined) this.#crashDetector.runReported(this.#adoptRun(worker, task, reported, now), clockMs)
       else if (!worker.unknownRuns.has(key)) worker.unknownRuns.set(key, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
     }
@@ -336,12 +353,15 @@
   // A report requested before the response to the order arrived does not show whether the run exists.
   #handleMissingRun (run: RunRecord, requestedAt: Instant, now: Instant): void {
     if (run.stopAcceptedAt !== undefined && requestedAt > run.stopAcceptedAt) {
+      this.#crashDetector.runMissing(run)
       this.#endRun(run, 'not there', now)
       return
     }
     if (requestedAt <= run.since) return
     if (run.state === 'unconfirmed') run.isStopRequested = true
-    if (run.state === 'running') this.#endRun(run, 'vanished', now)
+    if (run.state !== 'running') return
+    this.#crashDetector.runMissing(run)
+    this.#endRun(run, 'vanished', now)
   }
 
   #confirmRunning (run: RunRecord, now: Instant): void {
@@ -369,13 +389,14 @@
   }
 
   // Takes over a run that an earlier owner started.
-  #adoptRun (worker: WorkerRecord, task: TaskRecord, reported: ReportedRun, now: Instant): void {
+  #adoptRun (worker: WorkerRecord, task: TaskRecord, reported: ReportedRun, now: Instant): RunRecord {
     const { attempt } = reported
     task.recordAttempt(attempt)
     this.#recordStart(task)
     const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isReported: true, isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#markJobActive(task)
+    return run
   }
 
   #isRedundant (task: TaskRecord): boolean {
@@ -402,6 +423,7 @@
     const run = worker.runs.get(runKey(end.task, end.attempt))
     if (task === undefined) return
     task.recordAttempt(end.attempt)
+    this.#crashDetector.attemptReported(task, end.attempt)
     this.#recordStart(task)
     const job = task.step.job
     const hasFailed = end.ending === 'failed'
@@ -437,6 +459,7 @@
   #endRun (run: RunRecord, ending: string, now: Instant): void {
     const { task } = run
     run.worker.removeRun(run)
+    this.#crashDetector.runEnded(run)
     const index = task.runs.indexOf(run)
     if (index >= 0) task.runs.splice(index, 1)
     this.#recordEnd(run, ending, now, ending === 'failed' && isShortRun(run, now))
@@ -453,31 +476,34 @@
   // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
   // order may still reach, or whose response to the order may have been taken for one of the old incarnation.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
+    this.#crashDetector.workerLost(old, 'reborn', now)
     for (const run of [...old.runs.values()]) {
-      if (run.isReported) {
-        this.#endRun(run, 'reborn', now)
+      if (run.isReported || this.#announcedRuns.has(run)) {
+        this.#endRun(run, run.isReported ? 'reborn' : 'not ordered', now)
         continue
       }
       old.removeRun(run)
       const state = run.state === 'running' ? 'unconfirmed' : run.state
-      const moved: RunRecord = { ...run, state, since: now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const moved: RunRecord = { ...run, state, since: now, worker: current, listedSinceClockMs: undefined, isFromLostIncarnation: !old.entry.isDraining, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
   }
 
   #endRuns (worker: WorkerRecord, ending: string, now: Instant): void {
+    this.#crashDetector.workerLost(worker, ending, now)
     for (const run of [...worker.runs.values()]) this.#endRun(run, ending, now)
   }
 
-  /** Records the outcome of an order to start. Returns `true` if this owner's fencing token is no longer the highest. */
-  recordStartOutcome (id: WorkerId, name: TaskName, attempt: number, outcome: StartOutcome, now: Instant): boolean {
+  /** Records the outcome of an order to start, and the worker's clock if the response has it. Returns `true` if this owner's fencing token is no longer the highest. */
+  recordStartOutcome (id: WorkerId, name: TaskName, attempt: number, outcome: StartOutcome, now: Instant, clockMs?: number): boolean {
     const worker = this.workers.get(id)
     const run = worker?.runs.get(runKey(name, attempt))
     if (worker === undefined || run === undefined) return outcome === 'fenced'
     switch (outcome) {
       case 'started':
         this.#confirmRunning(run, now)
+        run.listedSinceClockMs ??= clockMs
         return false
       case 'fenced':
         return true
@@ -526,11 +552,17 @@
     for (const job of this.#dirty) {
       if (taken.length >= limit) break
       taken.push(job)
+      job.startStoring()
       this.#dirty.delete(job)
     }
     return taken
   }
 
+  /** Records that the progress of jobs that were taken is durable. */
+  markStored (jobs: readonly JobRecord[]): void {
+    for (const job of jobs) job.markStored()
+  }
+
   get dirtyCount (): number {
     return this.#dirty.size
   }
@@ -579,9 +611,14 @@
     this.#createDueOccurrences(now, wallTime)
     const orders: RunOrder[] = []
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
-    const startableSteps = this.#checkReconciled(now) ? this.#openSteps : [...this.#openSteps].filter(({ job }) => job.isNewInTerm)
+    const isReconciled = this.#checkReconciled(now)
+    this.#crashDetector.observe(this.workers, now)
+    const startableSteps = isReconciled ? this.#openSteps : [...this.#openSteps].filter(({ job }) => job.isNewInTerm)
     if (maxStarts <= 0) return orders
-    let starts = 0
+    const announcedStarts = this.#takeAnnouncedStarts(now, maxStarts)
+    orders.push(...announcedStarts)
+    let starts = announcedStarts.length
+    if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
@@ -589,19 +626,56 @@
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       this.waits.recordPlacement(task)
-      orders.push({
-        kind: 'start', worker: worker.entry.id, address: worker.entry.address, task: task.name, attempt: run.attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint, isLongRunning: task.step.shape.isLasting
-      })
+      if (this.#crashDetector.mustAnnounce(task)) this.#announce(run)
+      else orders.push(startOrder(run))
       if (++starts >= maxStarts) break
     }
     this.waits.observe(this.#openSteps, now)
     return orders
   }
 
+  // The run keeps its capacity until its attempt is stored.
+  #announce (run: RunRecord): void {
+    run.task.crashes.announce(run.attempt)
+    this.#announcedRuns.add(run)
+    this.#dirty.add(run.task.step.job)
+  }
+
+  #takeAnnouncedStarts (now: Instant, limit: number): RunOrder[] {
+    const orders: RunOrder[] = []
+    for (const run of this.#announcedRuns) {
+      if (orders.length >= limit) break
+      const { task, worker, attempt } = run
+      const mayStart = task.crashes.isAnnounced(attempt) && !run.isStopRequested && worker.runs.has(runKey(task.name, attempt)) && worker.acceptsRestarts(now)
+      if (mayStart && !task.crashes.isStored(attempt)) continue
+      this.#announcedRuns.delete(run)
+      if (mayStart) orders.push(startOrder(run))
+      else if (task.runs.includes(run)) this.#endRun(run, 'not ordered', now)
+    }
+    return orders
+  }
+
+  /** A job's progress must be stored. */
+  progressChanged (job: JobRecord): void {
+    if (!job.isFinal) this.#dirty.add(job)
+  }
+
+  /** Observes the loss of a worker. */
+  workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void {
+    this.#observer.workerLost(worker, ending, suspects)
+  }
+
+  /** Fails the job of a task that crashes workers. */
+  giveUp (task: TaskRecord, now: Instant): void {
+    this.#observer.taskGivenUp(task)
+    this.#endJob(task.step.job, 'failed', now)
+  }
+
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
       if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
+      if (worker.isEarlier && !worker.hasReported && now >= worker.leaseExpiresAt) this.#crashDetector.earlierWorkerLost()
       if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
@@ -626,12 +700,40 @@
   }
 }
 
+class SchedulerCrashHost extends CrashHost {
+  readonly #scheduler: JobScheduler
+
+  constructor (scheduler: JobScheduler) {
+    super()
+    this.#scheduler = scheduler
+  }
+
+  areRunsKnown ({ isNewInTerm }: JobRecord): boolean {
+    return isNewInTerm || this.#scheduler.isReconciled
+  }
+
+  progressChanged (job: JobRecord): void {
+    this.#scheduler.progressChanged(job)
+  }
+
+  workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void {
+    this.#scheduler.workerLost(worker, ending, suspects)
+  }
+
+  giveUp (task: TaskRecord, now: Instant): void {
+    this.#scheduler.giveUp(task, now)
+  }
+}
+
+const startOrder = ({ task, attempt, worker: { entry: { id, address } } }: RunRecord): RunOrder =>
+  ({ kind: 'start', worker: id, address, task: task.name, attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint, isLongRunning: task.step.shape.isLasting })
+
 // How long a run lasted is known only if this owner knew it.
 const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
 
-const occurrencesWithProgress = ({ done, started = {}, failed, checkpoints }: JobProgress): ReadonlySet<number> => {
+const occurrencesWithProgress = ({ done, started = {}, failed, checkpoints, crashed = {} }: JobProgress): ReadonlySet<number> => {
   const occurrences = new Set<number>()
-  for (const state of [done, started, failed, checkpoints]) {
+  for (const state of [done, started, failed, checkpoints, crashed]) {
     for (const key of Object.keys(state)) occurrences.add(Number(key.slice(0, key.indexOf('.'))))
   }
   return occurrences
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -5,6 +5,7 @@
 import { MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS } from './constants.ts'
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
+import { TaskCrashes } from './TaskCrashes.ts'
 import type { TaskName } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
@@ -23,6 +24,12 @@
   since: Instant
   /** Whether the worker's incarnation has listed the run in a report. */
   isReported: boolean
+  /** The worker's clock when it first confirmed the run. */
+  listedSinceClockMs?: number
+  /** Whether the worker has listed the run for long enough, so that a later loss of the worker isn't due to its start. */
+  hasSurvivedStart: boolean
+  /** Whether the run was ordered from an earlier incarnation of the worker, which may have been lost because of it. */
+  isFromLostIncarnation: boolean
   isStopRequested: boolean
   /** Last reported value: a serving task's tail latency in milliseconds, or the thousandths of a core that any other task uses. */
   reading?: number
@@ -61,6 +68,8 @@
   checkpoint = ''
   /** The end of the last run that ended during this term. */
   lastEnd?: RunEnd
+  /** Workers that were lost just after they had started the task. */
+  readonly crashes = new TaskCrashes()
   /** How often a run was stopped to continue on another worker. */
   moves = 0
   #lastAttempt = 0
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -14,6 +14,8 @@
 export class WorkerRecord {
   #entry: WorkerEntry
   readonly runs = new Map<string, RunRecord>()
+  /** Runs of tasks under which other workers were lost, until they have survived their start here. */
+  readonly suspects = new Set<RunRecord>()
   /** Reported runs that belong to no known task; they are stopped. */
   readonly unknownRuns = new Map<string, UnknownRun>()
   /** Sequence numbers of the last end applied and of the last end whose effects are durable. */
@@ -21,6 +23,8 @@
   durableEnd = 0
   /** Sequence number of the last end that has been acknowledged to the worker, so that it may delete it. */
   acknowledgedEnd = 0
+  /** Whether an earlier owner used this incarnation. */
+  isEarlier = false
   /** Whether the worker is in the list of workers. */
   isListed = true
   /** Whether an earlier incarnation was known to this owner; orders for that one may still reach this one. */
@@ -111,6 +115,18 @@
     return Math.floor(this.#clockSample.clockMs + (now - this.#clockSample.at) * MIN_CLOCK_RATE + leaseMs)
   }
 
+  /** Whether a run here will probably crash the worker, so that nothing else should start beside it. */
+  get isLikelyToCrash (): boolean {
+    for (const { task } of this.suspects) if (task.crashes.areLikely) return true
+    return false
+  }
+
+  /** Whether a run here may still crash the worker by its start. */
+  get hasNewRuns (): boolean {
+    for (const { hasSurvivedStart } of this.runs.values()) if (!hasSurvivedStart) return true
+    return false
+  }
+
   /** Age of the latest reading of the worker's clock, in milliseconds. */
   clockAgeMs (now: Instant): number {
     return this.#clockSample === undefined ? Infinity : now - this.#clockSample.at
@@ -168,10 +184,12 @@
 
   addRun (run: RunRecord): void {
     this.runs.set(runKey(run.task.name, run.attempt), run)
+    if (run.task.crashes.count > 0 && !run.hasSurvivedStart) this.suspects.add(run)
     this.#addUsage(run, 1)
   }
 
   removeRun (run: RunRecord): void {
+    this.suspects.delete(run)
     if (this.runs.delete(runKey(run.task.name, run.attempt))) this.#addUsage(run, -1)
   }
 
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -31,7 +31,7 @@
     if (free < shape.processors) continue
     const pressure = addedPressure(task.step, worker, interference, now)
     if (pressure > MAX_PLACING_PRESSURE) continue
-    const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0)
+    const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0) - crashCost(task, worker)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -51,6 +51,16 @@
 const SAME_IMAGE_BONUS = 2
 const OTHER_IMAGE_PENALTY = 2
 
+/** Cost of starting a task that may crash its worker beside another such task; less than the value of a data rack. */
+const SUSPECT_BESIDE_COST = 2
+
+// A task that may crash its worker starts where it can be told apart from others; one that probably does, where the loss
+// concerns the fewest runs.
+const crashCost = ({ crashes }: TaskRecord, { runs, suspects }: WorkerRecord): number => {
+  if (crashes.areLikely) return runs.size * FAULT_PENALTY
+  return crashes.count > 0 && suspects.size > 0 ? SUSPECT_BESIDE_COST : 0
+}
+
 const scoreWorker = (step: StepRecord, worker: WorkerRecord, free: number): number => {
   const { shape } = step
   const { entry } = worker
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -97,6 +97,21 @@
 export const MIN_RESTART_DELAY_MS = 200
 export const MAX_RESTART_DELAY_MS = 2_000
 
+/** A run that its worker lists for this many milliseconds has not crashed the worker by starting. */
+export const START_SURVIVAL_MS = 500
+
+/** A job fails when this many workers were lost just after the start of one of its tasks; users allow two more starts after that. */
+export const MAX_WORKER_CRASHES = 3
+
+/** Workers that fall silent within this many milliseconds may have been lost for the same reason; calls to them time out after up to 2.3 s. */
+export const LOST_TOGETHER_MS = 2_500
+
+/** Milliseconds after which a silent worker that is still listed counts as alive; the entry of one that has crashed is removed sooner. */
+export const LISTED_ALIVE_MS = 10_000
+
+/** Milliseconds for which the loss of a worker is remembered; several leases. */
+export const LOSS_MEMORY_MS = 30_000
+
 /** Quantiles of the sizes of a queue's recent jobs that divide its jobs into bands. */
 export const SIZE_BAND_QUANTILES: readonly number[] = [0.5, 0.75, 0.9]
 
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -22,6 +22,8 @@
   | 'memory'
   | 'accelerators'
   | 'processors'
+  /** The task has crashed workers and other runs have just started there, or the other way round; or it is uncertain whether it has crashed the last one. */
+  | 'crash-suspect'
   /** The task is a filler that would slow down serving tasks too much. */
   | 'pressure'
   /** The worker is reserved for short tasks and restarts. */
@@ -43,6 +45,7 @@
   if (!(task.isInterrupted ? worker.acceptsRestarts(now) : worker.acceptsWork(now))) return 'unavailable'
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
   if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
+  if (task.crashes.areUndecided) return 'crash-suspect'
   if (runs.some(run => run.worker === worker)) return 'tasks-per-worker'
   if (shape.maxPerWorker > 0 && countRunsOfStep(step, worker) >= shape.maxPerWorker) return 'tasks-per-worker'
   return undefined
@@ -58,6 +61,7 @@
   const fixed = findFixedObstacle(task, worker, now)
   if (fixed !== undefined) return fixed
   const { shape } = task.step
+  if (task.crashes.areLikely ? worker.hasNewRuns : worker.isLikelyToCrash) return 'crash-suspect'
   // A filler that interferes little by itself would still delay the recovery of the serving tasks.
   if (shape.isFiller && worker.pacing.isRecovering(now)) return 'pressure'
   if (worker.memoryUsedMb + shape.memoryMb > worker.entry.memoryMb) return 'memory'
--- a/packages/core/src/jobs/holdWorkers.ts
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -22,8 +22,8 @@
     other.shape.processors - one.shape.processors || waits.waitedMs(other, now) - waits.waitedMs(one, now))
   for (const step of holders) {
     for (const task of step.waiting) {
-      // Interrupted tasks hold workers already.
-      if (!task.isInterrupted && !held.hold(task, workersFor(task), now)) break
+      // Interrupted tasks hold workers already, and those that may crash theirs start apart.
+      if (!task.isInterrupted && !task.crashes.areLikely && !held.hold(task, workersFor(task), now)) break
     }
   }
 }
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -78,7 +78,7 @@
 /** A task's name: job, occurrence, step and index, separated by dots. */
 export type TaskName = Branded<string, 'TaskName'>
 
-/** Durable state of a job, from which the next owner continues: tasks done, long-running tasks that have run, failed runs and checkpoints. */
+/** Durable state of a job, from which the next owner continues: tasks done, long-running tasks that have run, failed runs, checkpoints and runs lost with their workers. */
 export type JobProgress = Readonly<{
   phase: JobPhase
   /** For each `occurrence.step` with finished tasks: their indexes, or `all`. */
@@ -89,6 +89,8 @@
   failed: Readonly<Record<string, readonly number[]>>
   /** For each `occurrence.step.index` with a checkpoint: the checkpoint. */
   checkpoints: Readonly<Record<string, string>>
+  /** For each `occurrence.step.index`: the attempt numbers of runs under which workers were lost, or may be; see `TaskCrashes`. Absent in rows of earlier versions. */
+  crashed?: Readonly<Record<string, readonly number[]>>
   /** The cell that the job is to be scheduled in instead; set only while no task of the job has ever been started. */
   movedTo?: CellId
 }>
--- a/packages/core/tests/lateReports.test.ts
+++ b/packages/core/tests/lateReports.test.ts
@@ -35,6 +35,8 @@
   const { scheduler, order } = startTask()
   scheduler.workers.get(order.worker)?.markUnresponsive()
   t.deepEqual(scheduler.decide(at(1_000), 1_000).filter(isStart), [])
+  t.deepEqual(scheduler.decide(at(LATE_MS), LATE_MS).filter(isStart), [], 'the attempt is not stored')
+  scheduler.markStored(scheduler.takeDirty(1))
   const [again] = scheduler.decide(at(LATE_MS), LATE_MS).filter(isStart)
   t.is(again?.task, order.task)
   t.not(again?.worker, order.worker)
--- a/packages/fakes/src/SilentJobSchedulerObserver.ts
+++ b/packages/fakes/src/SilentJobSchedulerObserver.ts
@@ -9,4 +9,6 @@
   runStalled (): void {}
   phaseChanged (): void {}
   workerQuarantined (): void {}
+  workerLost (): void {}
+  taskGivenUp (): void {}
 }
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -6,7 +6,7 @@
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, SURVIVAL_REPORT_DELAY_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { JobTransfers, TransferHost } from './JobTransfers.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
@@ -461,10 +461,12 @@
     if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, now)
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, outcome })
-    if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
+    if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now, clockMs)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
     const poller = this.#pollers.get(order.worker)
     if (outcome === 'unknown' || outcome === 'superseded') poller?.reportNow()
     else poller?.wake()
+    // A task that may crash the worker is cleared by the first report after it has survived its start.
+    if (worker.suspects.size > 0) clock.after(SURVIVAL_REPORT_DELAY_MS, () => poller?.reportNow())
   }
 
   // An unexpected error may come after the order was sent, and the run must not stay in progress for ever.
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -2,9 +2,11 @@
  * Logs and counts the changes of state that the job scheduler reports.
  */
 import type { WorkerId } from '@auburnpin/common'
-import { JobSchedulerObserver, type JobRecord, type RunRecord } from '@auburnpin/core'
+import { JobSchedulerObserver, type JobRecord, type RunRecord, type TaskRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
 
+const MAX_LOGGED_SUSPECTS = 20
+
 /** Writes one log record for each change of a run, of a job's phase or of a worker's quarantine. */
 export class LoggingJobSchedulerObserver extends JobSchedulerObserver {
   readonly #ports: OwnerPorts
@@ -40,4 +42,18 @@
   workerQuarantined (worker: WorkerId, why: string): void {
     this.#ports.log.warn('Worker is quarantined', { worker, why })
   }
+
+  workerLost (worker: WorkerId, how: string, suspects: readonly TaskRecord[]): void {
+    const { log, metrics } = this.#ports
+    metrics.count('workers.lost', 1, { how })
+    // Each with the number of workers that were lost under it.
+    const crashes = suspects.slice(0, MAX_LOGGED_SUSPECTS).map(task => `${task.name}:${task.crashes.count}`)
+    log.warn('Worker was lost with its runs', { worker, how, suspects: suspects.length, crashes: crashes.join(' ') })
+  }
+
+  taskGivenUp ({ name, step: { job: { job } }, crashes }: TaskRecord): void {
+    const { log, metrics } = this.#ports
+    metrics.count('jobs.crashing')
+    log.error('Job fails, as workers are lost whenever they start one of its tasks', { job: job.id, queue: job.queue, task: name, crashes: crashes.count })
+  }
 }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -244,6 +244,7 @@
     if (outcome.ok && outcome.val.kind === 'committed') {
       this.#extendHold(sentAt, sentAtWall)
       this.#scheduler.markEndsDurable(batch.ends)
+      this.#scheduler.markStored(batch.jobs)
       if (batch.layout !== undefined) this.#durableLayout = batch.layout
       if (batch.usedWorkers !== undefined) this.#markDurable(batch.usedWorkers)
       this.#listener.committed(batch.jobs)
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -1,5 +1,6 @@
 /** Timings and limits of job scheduling. */
 import { brand, type CellId } from '@auburnpin/common'
+import { MIN_CLOCK_RATE, START_SURVIVAL_MS } from '@auburnpin/core'
 
 /** The cell that exists in every deployment. Its owner assigns the racks to cells and publishes the state of all cells. */
 export const FIRST_CELL = brand<CellId>('cell-0')
@@ -55,6 +56,9 @@
 /** The same for a worker with serving tasks, in milliseconds; one reading of their latency covers 500 ms. */
 export const SERVING_REPORT_WAIT_MS = 600
 
+/** Milliseconds after the start of a task that may crash its worker until a report shows that it has survived its start, also on a slow clock. */
+export const SURVIVAL_REPORT_DELAY_MS = START_SURVIVAL_MS / MIN_CLOCK_RATE + 20
+
 /** Shortest time between two reports of one worker, in milliseconds, so that one report lists several ended runs. */
 export const MIN_REPORT_INTERVAL_MS = 25
 
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -197,6 +197,7 @@
   const isValid = progress !== undefined && JOB_PHASES.has(progress.phase) &&
     areTaskIndexes(progress.done) && areTaskIndexes(progress.started ?? {}) &&
     Object.values(progress.failed).every(failed => hasShape(failed, [0])) &&
+    areAttempts(progress.crashed ?? {}) &&
     Object.values(progress.checkpoints).every(checkpoint => typeof checkpoint === 'string')
   return isValid ? progress : undefined
 }
@@ -204,6 +205,9 @@
 const areTaskIndexes = (indexes: unknown): boolean =>
   hasShape(indexes, {}) && Object.values(indexes as object).every(ofStep => ofStep === 'all' || hasShape(ofStep, [0]))
 
+const areAttempts = (attempts: unknown): boolean =>
+  hasShape(attempts, {}) && Object.values(attempts as object).every(ofTask => hasShape(ofTask, [0]))
+
 export const readEstimates = (value: string): FillerInterferenceState | undefined => {
   const state = parseRow<FillerInterferenceState>(value, { estimates: { bases: [[]], pairs: [[]] }, shortest: {} })
   if (state === undefined) return undefined
--- a/packages/jobs/tests/deadlyTasks.test.ts
+++ b/packages/jobs/tests/deadlyTasks.test.ts
@@ -23,7 +23,7 @@
   t.deepEqual(await cluster.findInnocentUndone(), [], story)
 }
 
-test.serial.failing('a task that crashes every worker that starts it is given up, and the work beside it is done', async t => {
+test.serial('a task that crashes every worker that starts it is given up, and the work beside it is done', async t => {
   for (const crashAfterMs of [0, 10, 100, 400]) {
     const cluster = await startCluster(6)
     cluster.submitInnocent(6, 4, 2_000)
@@ -35,7 +35,7 @@
   }
 })
 
-test.serial.failing('a task that crashes workers that return at once, or after long, is given up', async t => {
+test.serial('a task that crashes workers that return at once, or after long, is given up', async t => {
   for (const returnAfterMs of [0, 300, 1_000, 8_000]) {
     const cluster = await startCluster(6)
     cluster.simulation.returnAfterMs = returnAfterMs
@@ -47,7 +47,7 @@
   }
 })
 
-test.serial.failing('a step with several tasks that crash workers is given up, and jobs that shared workers with it are done', async t => {
+test.serial('a step with several tasks that crash workers is given up, and jobs that shared workers with it are done', async t => {
   for (const deadlyCount of [2, 4, 8]) {
     const cluster = await startCluster(8)
     cluster.submitInnocent(8, 4, 1_500)
@@ -58,7 +58,7 @@
   }
 })
 
-test.serial.failing('a long-running task that crashes workers is given up, and those beside it run on', async t => {
+test.serial('a long-running task that crashes workers is given up, and those beside it run on', async t => {
   for (const crashAfterMs of [10, 300]) {
     const cluster = await startCluster(6)
     cluster.submit([stepOf({ isLasting: true, taskCount: 6 })], () => LASTING_RUN)
@@ -70,7 +70,7 @@
   }
 })
 
-test.serial.failing('a task that crashes workers before they respond to its order, so that no report lists it, is given up', async t => {
+test.serial('a task that crashes workers before they respond to its order, so that no report lists it, is given up', async t => {
   for (const returnAfterMs of [100, 3_000, 8_000]) {
     const cluster = await startCluster(6)
     cluster.simulation.returnAfterMs = returnAfterMs
@@ -85,7 +85,7 @@
 
 const DELAYS_MS = [0, 300, 1_000, 2_500, 4_500] as const
 
-test.serial.failing('a task that crashes workers is given up although the owner is killed between two of the crashes', async t => {
+test.serial('a task that crashes workers is given up although the owner is killed between two of the crashes', async t => {
   for (const crashes of [1, 2, 3]) {
     for (const killedAfterMs of DELAYS_MS) {
       const cluster = await startCluster(6)
@@ -99,7 +99,7 @@
   }
 })
 
-test.serial.failing('a task that crashes workers is given up although the owner is killed after each crash', async t => {
+test.serial('a task that crashes workers is given up although the owner is killed after each crash', async t => {
   for (const killedAfterMs of DELAYS_MS) {
     const cluster = await startCluster(6)
     const deadly = cluster.submitDeadly()
@@ -113,7 +113,7 @@
   }
 })
 
-test.serial.failing('a task that crashes workers is given up although the owner is killed before each response to its order', async t => {
+test.serial('a task that crashes workers is given up although the owner is killed before each response to its order', async t => {
   const cluster = await startCluster(6)
   const deadly = cluster.submitDeadly()
   for (let starts = 1; starts <= 6; starts++) {
@@ -124,7 +124,7 @@
   await assertKept(t, cluster, 'killed at each start')
 })
 
-test.serial.failing('a task that crashes workers is given up although the owner is paused after each crash', async t => {
+test.serial('a task that crashes workers is given up although the owner is paused after each crash', async t => {
   for (const pausedAfterMs of DELAYS_MS) {
     for (const pauseMs of [800, 6_000]) {
       const cluster = await startCluster(6)
@@ -141,7 +141,7 @@
   }
 })
 
-test.serial.failing('a task that crashes workers is given up although the store fails the owner, or all, after each crash', async t => {
+test.serial('a task that crashes workers is given up although the store fails the owner, or all, after each crash', async t => {
   for (const fault of STORE_FAULTS) {
     for (const target of ['owner', 'all'] as const) {
       for (const faultMs of [1_000, 5_000]) {
@@ -162,7 +162,7 @@
   }
 })
 
-test.serial.failing('a repeating job with a task that crashes workers is given up, and its later occurrences start nothing', async t => {
+test.serial('a repeating job with a task that crashes workers is given up, and its later occurrences start nothing', async t => {
   for (const intervalMs of [1_000, 6_000]) {
     const cluster = await startCluster(6)
     cluster.submitInnocent(4, 4, 2_000)
@@ -174,7 +174,7 @@
   }
 })
 
-test.serial.failing('with several cells, tasks that crash workers are given up in each', async t => {
+test.serial('with several cells, tasks that crash workers are given up in each', async t => {
   const cluster = new CrashingCluster(12)
   cluster.simulation.workersPerCell = 4
   for (const [index, worker] of [...cluster.simulation.workers.values()].entries()) worker.rack = `r${index % 6}`
@@ -191,7 +191,7 @@
   await assertKept(t, cluster, '3 cells')
 })
 
-test.serial.failing('jobs that keep coming while several tasks crash workers are all done', async t => {
+test.serial('jobs that keep coming while several tasks crash workers are all done', async t => {
   for (const gapMs of [400, 150]) {
     const cluster = await startCluster(10)
     cluster.simulation.returnAfterMs = 1_000
