A worker whose clock has begun anew is waited for no longer than for its longest lease

A start's response doesn't name the incarnation. When a worker had been reborn under its id and nobody had noticed, as an idle worker is asked once in 60 s, the response to the next start carried the clock of the new incarnation, which began at 0. The owner compared the lease's end on the old clock with it, so the lease seemed to last as long as the worker had been up.

A worker shortens every lease to 10 s of its own clock, so a reading of its clock bounds the end of any lease set before it. The other half: a reading that was requested before the latest one arrived may be older, also of the incarnation before, and would make the lease of the later one seem over; it isn't recorded.

Ruled out: to ignore a reading that is lower than expected. Later orders need the clock that the worker has, and the wait would be that of the dead incarnation, while the new one may run the task for 10 s.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -287,7 +287,7 @@
     if (existing === undefined || report.incarnation < existing.entry.incarnation) return
     if (report.incarnation > existing.entry.incarnation) this.upsertWorker({ ...existing.entry, incarnation: report.incarnation }, now)
     const worker = this.workers.get(id) as WorkerRecord
-    worker.recordClock(report.clockMs, now)
+    worker.recordClock(report.clockMs, requestedAt, now)
     for (const end of report.ended) {
       if (end.sequence > worker.appliedEnd) this.#applyEnd(worker, end, now)
       worker.appliedEnd = Math.max(worker.appliedEnd, end.sequence)
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -2,7 +2,7 @@
  * State of one incarnation of a worker, as known to the owner.
  */
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
+import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
 import { FillerPacing } from './FillerPacing.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { ClockSample, TaskName, WorkerEntry } from './types.ts'
@@ -95,10 +95,14 @@
     this.#leaseKnownSince = now
   }
 
-  /** Records a reading of the worker's clock, received at `at`. */
-  recordClock (clockMs: number, at: Instant): void {
+  /** Records a reading of the worker's clock, from a response that was requested at `requestedAt` and received at `at`. */
+  recordClock (clockMs: number, requestedAt: Instant, at: Instant): void {
     this.#failedCalls = 0
+    // Responses may overtake one another: a reading requested before the latest one arrived may be older.
+    if (this.#clockSample !== undefined && requestedAt < this.#clockSample.at) return
     this.#clockSample = { clockMs, at }
+    // The reading may be of a later incarnation, whose clock has begun anew.
+    this.#leasedUntilMs = Math.min(this.#leasedUntilMs, clockMs + MAX_WORKER_LEASE_MS)
     this.#updateLeaseExpiry()
   }
 
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -6,6 +6,9 @@
 /** Milliseconds after the end of a lease before it counts as expired; covers one late timer on a small VM. */
 export const LEASE_MARGIN_MS = 200
 
+/** Longest lease that a worker takes, in milliseconds; it shortens a longer one. */
+export const MAX_WORKER_LEASE_MS = 10_000
+
 /** Distance between the first attempt numbers of consecutive terms. Even a task that fails at once each time needs over two days for as many starts. */
 export const ATTEMPTS_PER_TERM = 100_000
 
--- /dev/null
+++ b/packages/core/tests/workerLease.test.ts
@@ -0,0 +1,41 @@
+import test from 'ava'
+import { brand, type Instant } from '@auburnpin/common'
+import { workerEntryOf } from '@auburnpin/fakes'
+import { WorkerRecord } from '../src/index.ts'
+
+const LEASE_MS = 4_500
+/** The longest lease of a worker, on a clock that is 2 % slow, and an allowance for late timers. */
+const LONGEST_WAIT_MS = 10_000 / 0.98 + 200
+const at = (ms: number): Instant => brand<Instant>(ms)
+
+/** A worker that had been up for an hour when its clock was read, 50 s ago. */
+const idleWorker = (): WorkerRecord => {
+  const worker = new WorkerRecord(workerEntryOf('w1'), at(0), LEASE_MS)
+  worker.recordClock(3_600_000, at(0), at(0))
+  return worker
+}
+
+test('a worker whose clock has begun anew is waited for no longer than for its longest lease', t => {
+  const worker = idleWorker()
+  worker.extendLease(worker.leaseEnd(LEASE_MS, at(50_000)) as number)
+  worker.recordClock(30, at(50_000), at(50_002))
+  t.true(worker.leaseExpiresAt > at(50_002 + 10_000))
+  t.true(worker.leaseExpiresAt <= at(50_002 + LONGEST_WAIT_MS))
+})
+
+test('a response of an earlier incarnation that comes late does not make the lease of the later one seem over', t => {
+  const worker = idleWorker()
+  worker.extendLease(worker.leaseEnd(LEASE_MS, at(50_000)) as number)
+  worker.recordClock(30, at(50_000), at(50_002))
+  worker.recordClock(3_649_000, at(49_000), at(50_010))
+  t.true(worker.leaseExpiresAt > at(50_002 + 10_000))
+})
+
+test('an overtaken response of the same incarnation still shows that the worker responds', t => {
+  const worker = idleWorker()
+  worker.recordClock(3_650_000, at(50_000), at(50_002))
+  worker.markUnresponsive()
+  worker.recordClock(3_649_990, at(49_990), at(50_010))
+  t.false(worker.isUnresponsive)
+  t.is(worker.clockAgeMs(at(50_010)), 8)
+})
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -458,7 +458,7 @@
     const now = clock.now()
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#isClosed) return
-    if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, now)
+    if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, sentAt, now)
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, outcome })
     if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -2,8 +2,8 @@
  * Polls one worker for reports and renews its lease while anything runs there.
  */
 import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
-import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MAX_CLOCK_AGE_MS, MAX_WORKER_LEASE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_WORKER_LEASE_MS, type JobScheduler, type WorkerRecord, type WorkerReport } from '@auburnpin/core'
+import { MAX_CLOCK_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -46,9 +46,6 @@
 /** Length of a worker's lease, in milliseconds: longer than a takeover, and shorter than the longest delay of an order. */
 export const WORKER_LEASE_MS = 4_500
 
-/** Longest lease that a worker takes, in milliseconds; it shortens a longer one. */
-export const MAX_WORKER_LEASE_MS = 10_000
-
 /** How long a worker may hold back a report until a run ends, in milliseconds; several reports fit into a lease. */
 export const REPORT_WAIT_MS = 1_500
 
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -5,7 +5,7 @@
   AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
   type Instant, type Result, type Timer, type WorkerId
 } from '@auburnpin/common'
-import type { StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
+import type { StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
 import { CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
@@ -154,6 +154,8 @@
   readonly #checker = new RunInvariantChecker()
   /** Workers that the list of workers contains. */
   readonly listed = new Set<string>()
+  /** Entries that the list of workers shows instead of the workers' present ones. */
+  readonly outdatedEntries = new Map<string, WorkerEntry>()
   workersPerCell = WORKERS_PER_CELL
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
@@ -200,6 +202,14 @@
     return this.#checker.breaches
   }
 
+  /** Crashes a worker and starts it again; its entry in the list of workers stays as it was. */
+  rebearUnnoticed (id: string): void {
+    const worker = this.worker(id)
+    this.outdatedEntries.set(id, worker.entry)
+    worker.crash()
+    worker.restart()
+  }
+
   startsOf (task: string): number {
     return this.events.filter(event => event.kind === 'started' && event.task === task).length
   }
@@ -242,7 +252,7 @@
   async #follow (listener: WorkerListener): Promise<void> {
     if (this.#simulation.listReadMs > 0) await this.#simulation.clock.sleep(this.#simulation.listReadMs)
     while (this.#listeners.has(listener)) {
-      listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => worker.entry))
+      listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(({ id, entry }) => this.#simulation.outdatedEntries.get(id) ?? entry))
       await this.#simulation.clock.sleep(100)
     }
   }
