A lease that a reborn worker took from an order for its earlier incarnation is waited for

An order names no incarnation, so one sent to a worker that has been reborn unnoticed is carried out by the new incarnation. It reads the end of the lease on its own clock, which has begun anew, and shortens it to 10 s; no later call shortens it further. Once the rebirth was noticed, the owner counted with its usual 4.8 s: a worker that was cut off after that ran the task for up to 5 s beside its next run elsewhere. The poller knew this for reports, not for starts.

The record of the new incarnation now takes over what the one before it knows, and the response to such an order, whenever it comes, bounds the lease by the reading in it. Waits of other workers don't change.

Ruled out: to wait 10 s for each reborn worker. Calls without a response are in flight at each crash, and a worker that crashes again just after its rebirth would keep its long-running tasks away for longer than users allow.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -259,7 +259,10 @@
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
       worker.isReborn = existing !== undefined
-      if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
+      if (existing !== undefined) {
+        worker.inheritLeases(existing)
+        this.#replaceIncarnation(existing, worker, now)
+      }
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -45,6 +45,9 @@
   #clockSample: ClockSample | undefined
   #leasedUntilMs = 0
   #leaseExpiresAt: Instant
+  /** When the leases are over that calls for earlier incarnations may have set on this one, and from when on that is known. */
+  #inheritedLeaseExpiresAt = brand<Instant>(-Infinity)
+  #inheritedLeaseKnownSince = brand<Instant>(-Infinity)
   #leaseKnownSince: Instant
   #pausedUntil: Instant
   #quarantinedUntil: Instant
@@ -55,7 +58,7 @@
     this.#pausedUntil = now
     this.#quarantinedUntil = now
     // An earlier owner may have extended the lease just before this term began.
-    this.#leaseExpiresAt = brand<Instant>(now + leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+    this.#leaseExpiresAt = leaseExpiry(leaseMs, now)
     this.#leaseKnownSince = now
   }
 
@@ -81,12 +84,12 @@
 
   /** When all runs on the worker have certainly ended unless the lease is extended, by this process's clock. */
   get leaseExpiresAt (): Instant {
-    return this.#leaseExpiresAt
+    return brand<Instant>(Math.max(this.#leaseExpiresAt, this.#inheritedLeaseExpiresAt))
   }
 
   /** From when on the time until `leaseExpiresAt` counts: the worker's leases last at most that long from this moment. */
   get leaseKnownSince (): Instant {
-    return this.#leaseKnownSince
+    return brand<Instant>(Math.max(this.#leaseKnownSince, this.#inheritedLeaseKnownSince))
   }
 
   /** Records, at `now` and before any call to the worker, when the leases of earlier owners are over. */
@@ -126,10 +129,27 @@
     this.#updateLeaseExpiry()
   }
 
+  /**
+   * Records a response, received at `at`, to a call with this end of the lease that may have been sent for an earlier
+   * incarnation. Whichever incarnation carried it out, its lease ends at most this much later than the reading of its clock.
+   */
+  inheritLease (untilMs: number, clockMs: number, at: Instant): void {
+    this.#inherit(leaseExpiry(Math.min(untilMs - clockMs, MAX_WORKER_LEASE_MS), at), at)
+  }
+
+  /** Records that this incarnation may have carried out calls for an earlier one. */
+  inheritLeases ({ leaseExpiresAt, leaseKnownSince }: WorkerRecord): void {
+    this.#inherit(leaseExpiresAt, leaseKnownSince)
+  }
+
+  #inherit (expiresAt: Instant, knownSince: Instant): void {
+    this.#inheritedLeaseExpiresAt = brand<Instant>(Math.max(this.#inheritedLeaseExpiresAt, expiresAt))
+    this.#inheritedLeaseKnownSince = brand<Instant>(Math.max(this.#inheritedLeaseKnownSince, knownSince))
+  }
+
   #updateLeaseExpiry (): void {
     if (this.#clockSample === undefined || this.#leasedUntilMs === 0) return
-    const remainingMs = (this.#leasedUntilMs - this.#clockSample.clockMs) / MIN_CLOCK_RATE
-    this.#leaseExpiresAt = brand<Instant>(this.#clockSample.at + Math.max(0, remainingMs) + LEASE_MARGIN_MS)
+    this.#leaseExpiresAt = leaseExpiry(this.#leasedUntilMs - this.#clockSample.clockMs, this.#clockSample.at)
     this.#leaseKnownSince = this.#clockSample.at
   }
 
@@ -197,5 +217,8 @@
   }
 }
 
+/** When a lease with `remainingMs` left on a worker's clock at `at` has certainly ended, by this process's clock. */
+const leaseExpiry = (remainingMs: number, at: Instant): Instant => brand<Instant>(at + Math.max(0, remainingMs) / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+
 /** Key of a run among those of its worker. */
 export const runKey = (task: TaskName, attempt: number): string => `${task}#${attempt}`
--- a/packages/core/tests/workerLease.test.ts
+++ b/packages/core/tests/workerLease.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { brand, type Instant } from '@auburnpin/common'
+import { brand, type Incarnation, type Instant } from '@auburnpin/common'
 import { workerEntryOf } from '@auburnpin/fakes'
 import { WorkerRecord } from '../src/index.ts'
 
@@ -39,3 +39,25 @@
   t.false(worker.isUnresponsive)
   t.is(worker.clockAgeMs(at(50_010)), 8)
 })
+
+test('a reborn worker is waited for until the lease is over that it took from an order for its earlier incarnation', t => {
+  const earlier = idleWorker()
+  const untilMs = earlier.leaseEnd(LEASE_MS, at(50_000)) as number
+  earlier.extendLease(untilMs)
+  const reborn = new WorkerRecord(workerEntryOf('w1', { incarnation: brand<Incarnation>(2) }), at(50_001), LEASE_MS)
+  reborn.inheritLeases(earlier)
+  reborn.inheritLease(untilMs, 30, at(50_002))
+  reborn.recordClock(40, at(50_010), at(50_012))
+  reborn.extendLease(reborn.leaseEnd(LEASE_MS, at(50_020)) as number)
+  t.true(reborn.leaseExpiresAt > at(50_002 + 10_000))
+  t.true(reborn.leaseExpiresAt <= at(50_002 + LONGEST_WAIT_MS))
+})
+
+test('a lease that an earlier incarnation took does not hold up a reborn worker', t => {
+  const earlier = idleWorker()
+  const untilMs = earlier.leaseEnd(LEASE_MS, at(50_000)) as number
+  earlier.extendLease(untilMs)
+  const reborn = new WorkerRecord(workerEntryOf('w1', { incarnation: brand<Incarnation>(2) }), at(50_001), LEASE_MS)
+  reborn.inheritLease(untilMs, 3_650_000, at(50_002))
+  t.true(reborn.leaseExpiresAt <= at(50_002 + LEASE_MS / 0.98 + 200))
+})
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -458,7 +458,11 @@
     const now = clock.now()
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#isClosed) return
-    if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, sentAt, now)
+    const current = this.#scheduler.workers.get(order.worker)
+    if (clockMs !== undefined) {
+      if (worker === current) worker.recordClock(clockMs, sentAt, now)
+      current?.inheritLease(leaseEndMs, clockMs, now)
+    }
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, outcome })
     if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -2,7 +2,7 @@
  * Polls one worker for reports and renews its lease while anything runs there.
  */
 import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
-import { MAX_WORKER_LEASE_MS, type JobScheduler, type WorkerRecord, type WorkerReport } from '@auburnpin/core'
+import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
 import { MAX_CLOCK_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
@@ -130,7 +130,7 @@
     this.#scheduler.applyReport(this.#worker, outcome.val, requestedAt, this.#clock.now())
     const current = this.#scheduler.workers.get(this.#worker)
     // A reborn worker has read the end of the lease on its own clock, although it was meant for its earlier incarnation's.
-    if (leaseEndMs !== undefined && current !== undefined && current !== worker) current.extendLease(Math.min(leaseEndMs, outcome.val.clockMs + MAX_WORKER_LEASE_MS))
+    if (leaseEndMs !== undefined && current !== worker) current?.inheritLease(leaseEndMs, outcome.val.clockMs, this.#clock.now())
     this.#host.reported(this.#worker)
     return outcome
   }
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -75,3 +75,20 @@
   }
   t.deepEqual(late, [])
 })
+
+test('a task runs nowhere else while the VM that was reborn unnoticed before the order is only cut off', async t => {
+  const breaches: string[] = []
+  for (const isLasting of [true, false]) {
+    for (const noticedAfterMs of [0, 300, 1_000]) {
+      for (const cutOffAfterMs of [0, 2, 5, 100, 700, 2_000, 5_000]) {
+        const simulation = await startOnRebornVm(20_000, isLasting)
+        simulation.clock.after(noticedAfterMs, () => simulation.outdatedEntries.clear())
+        await simulation.advance(cutOffAfterMs)
+        simulation.links.set('w1', 'mute')
+        await simulation.advance(20_000)
+        for (const breach of simulation.breaches) breaches.push(`${isLasting ? 'long-running' : 'batch'}, noticed after ${noticedAfterMs} ms, cut off after ${cutOffAfterMs} ms: ${breach}`)
+      }
+    }
+  }
+  t.deepEqual(breaches, [])
+})
