Idle workers are asked for reports while any worker does not respond

When a rack loses its power, the idle workers in it are asked once in 60 s. A long-running task that came from there was placed on them one after another, and each was found to be gone only by the 0.7 s that the owner waits for a response: 9.99 s away with 8 idle workers in the rack, where users allow 9 s at the outermost. While any worker doesn't respond, idle ones are now asked every 1.5 s, as busy ones are, so that they are known to be gone before the lease is over.

Evidence: idleWorkersLost with 8 and 16 idle VMs in the rack fails before the change and passes with it.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -64,6 +64,7 @@
   readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
   #isGauged = false
+  #isAnyUnresponsive = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
   constructor (ports: OwnerPorts, claimed: ClaimedTerm, onTermLost: () => void, onOverload: () => void) {
@@ -91,6 +92,11 @@
     return !this.#isClosed && this.#writer.isHeld
   }
 
+  /** Whether any worker did not respond to the last call to it, as of the last scheduling pass. */
+  get isAnyUnresponsive (): boolean {
+    return this.#isAnyUnresponsive
+  }
+
   get writer (): TermWriter {
     return this.#writer
   }
@@ -409,7 +415,11 @@
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
     const startedAt = clock.now()
-    for (const worker of this.#scheduler.workers.values()) worker.isLeasable = this.#writer.isLeasable(worker.entry)
+    this.#isAnyUnresponsive = false
+    for (const worker of this.#scheduler.workers.values()) {
+      worker.isLeasable = this.#writer.isLeasable(worker.entry)
+      if (worker.isUnresponsive) this.#isAnyUnresponsive = true
+    }
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
     this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
@@ -625,6 +635,10 @@
     return this.#owner.writer.isLeasable(entry)
   }
 
+  get isAnyUnresponsive (): boolean {
+    return this.#owner.isAnyUnresponsive
+  }
+
   reported (worker: WorkerId): void {
     this.#owner.workerReported(worker)
   }
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -14,6 +14,8 @@
   abstract isUsable (worker: WorkerRecord): boolean
   /** Whether the worker's lease may be extended. */
   abstract isLeasable (worker: WorkerRecord): boolean
+  /** Whether any worker of the cell does not respond, so that idle ones may be gone as well. */
+  abstract get isAnyUnresponsive (): boolean
   /** A report of the worker was applied to the scheduler's state. */
   abstract reported (worker: WorkerId): void
   /** The worker has accepted an order or request of a later owner. */
@@ -105,7 +107,7 @@
       await this.#sleep.sleep(TICK_INTERVAL_MS)
       return
     }
-    if (!needsReport(worker, this.#clock.now())) {
+    if (!needsReport(worker, this.#clock.now(), this.#host.isAnyUnresponsive ? REPORT_WAIT_MS : MAX_CLOCK_AGE_MS)) {
       await this.#sleep.sleep(REPORT_WAIT_MS)
       return
     }
@@ -165,5 +167,5 @@
 const reportWaitMs = (worker: WorkerRecord): number => worker.servingRuns > 0 ? SERVING_REPORT_WAIT_MS : REPORT_WAIT_MS
 
 // An idle worker needs no lease, and each report takes processor time on both sides.
-const needsReport = (worker: WorkerRecord, now: Instant): boolean =>
-  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= MAX_CLOCK_AGE_MS
+const needsReport = (worker: WorkerRecord, now: Instant, maxIdleMs: number): boolean =>
+  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= maxIdleMs
--- a/packages/jobs/tests/idleWorkersLost.test.ts
+++ b/packages/jobs/tests/idleWorkersLost.test.ts
@@ -7,7 +7,7 @@
 const TASK = '00000000000000a1.0.0.0'
 
 test('a long-running task of a rack that loses power runs elsewhere in time, although its idle VMs are still listed', async t => {
-  for (const idleInRack of [1, 2, 4]) {
+  for (const idleInRack of [1, 2, 4, 8, 16]) {
     for (let lostAfterMs = 0; lostAfterMs < 1_600; lostAfterMs += 200) {
       const simulation = new JobsSimulation(idleInRack + 2, () => ({ runMs: 1e9, ending: 'done' }))
       const node = simulation.addNode('n1')
