A run whose VM was reborn before it reported the run is known to have ended at once

An order that was accepted but is in no report yet may have reached either incarnation, so its run is kept for the new one. The report that showed the rebirth didn't count for it, the next one was held back for 1.5 s, and then the run had to be stopped before its task could start elsewhere. If the worker died for good meanwhile, its lease was waited for, which may last 10 s: 10.6 s to 12.0 s without a run, where users allow 9 s at the outermost.

While a reborn worker may have such runs its reports are not held back, and a run that had started counts as ended if a report that was requested after the response to its order doesn't list it. An order without a response is still stopped first, as it may come late.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -455,7 +455,8 @@
   }
 
   // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
-  // order may still reach, or whose response to the order may have been taken for one of the old incarnation.
+  // order may still reach, or whose response to the order may have been taken for one of the old incarnation. In the
+  // second case the next report that was requested after the response lists the run, or it has ended.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     for (const run of [...old.runs.values()]) {
       if (run.isReported) {
@@ -463,8 +464,7 @@
         continue
       }
       old.removeRun(run)
-      const state = run.state === 'running' ? 'unconfirmed' : run.state
-      const moved: RunRecord = { ...run, state, since: now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const moved: RunRecord = { ...run, since: run.state === 'running' ? run.since : now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -43,6 +43,7 @@
   acceleratorsUsed = 0
   servingRuns = 0
   fillerRuns = 0
+  readonly #knownSince: Instant
   #failedCalls = 0
   #clockSample: ClockSample | undefined
   #leasedUntilMs = 0
@@ -57,6 +58,7 @@
 
   constructor (entry: WorkerEntry, now: Instant, leaseMs: number) {
     this.#entry = entry
+    this.#knownSince = now
     this.#pausedUntil = now
     this.#quarantinedUntil = now
     // An earlier owner may have extended the lease just before this term began.
@@ -192,6 +194,13 @@
     return true
   }
 
+  /** Whether runs are expected here that an order for an earlier incarnation may have started, and no report has shown yet. */
+  get hasInheritedRuns (): boolean {
+    if (!this.isReborn) return false
+    for (const { isReported, orderedAt } of this.runs.values()) if (!isReported && orderedAt < this.#knownSince) return true
+    return false
+  }
+
   addRun (run: RunRecord): void {
     this.runs.set(runKey(run.task.name, run.attempt), run)
     this.#addUsage(run, 1)
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -95,3 +95,27 @@
   }
   t.deepEqual(breaches, [])
 })
+
+test('a long-running task whose VM is reborn unnoticed before it reported the run, and then dies for good, is back in time', async t => {
+  const late: string[] = []
+  for (const rebornAfterMs of [10, 200, 500, 1_000, 1_400]) {
+    for (const diesAfterMs of [200, 400, 800, 1_600]) {
+      const simulation = new JobsSimulation(2, () => ({ runMs: LASTING_MS, ending: 'done' }))
+      simulation.listed.delete('w2')
+      const node = simulation.addNode('n1')
+      await simulation.advance(20_000)
+      await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting: true })]), 2_000))
+      for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
+      await simulation.advance(rebornAfterMs)
+      simulation.rebearUnnoticed('w1')
+      simulation.listed.add('w2')
+      await simulation.advance(diesAfterMs)
+      simulation.worker('w1').crash()
+      await simulation.advance(20_000)
+      const awayMs = awayMsOf(simulation, '00000000000000a1.0.0.0')
+      if (awayMs > MAX_AWAY_MS) late.push(`reborn after ${rebornAfterMs} ms, dies ${diesAfterMs} ms later: away for ${Math.round(awayMs)} ms`)
+      t.deepEqual(simulation.breaches, [])
+    }
+  }
+  t.deepEqual(late, [])
+})
