A task whose order may come late to a later incarnation of its VM is kept for it

An order without a response may be carried out seconds later. By then the VM may have been reborn, and the new incarnation holds a lease of up to 10 s of its own, as its clock begins anew. If it was cut off meanwhile, the owner took its lease for over 4.8 s after it had noticed the rebirth, and the task ran a second time beside it, or again after it was done.

Such a run is now kept until the longest lease from a late order is over, unless the VM responds: then a report and a stop settle it at once. Not for long-running tasks: a VM that has crashed again is the likelier case there, and users allow 9 s at the outermost; for them it remains possible.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -2,7 +2,7 @@
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
-import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
@@ -19,7 +19,7 @@
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
-import { runKey, WorkerRecord } from './WorkerRecord.ts'
+import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
 const UNKNOWN_PACE = -1
@@ -82,7 +82,7 @@
     this.#lease = lease
     this.#observer = observer
     this.#termStartedAt = now
-    this.#earlierLeasesExpireAt = brand<Instant>(now + lease.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+    this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
   }
 
   /** Whether all runs of earlier owners are known or have certainly ended, so that tasks may start. */
@@ -464,14 +464,17 @@
         continue
       }
       old.removeRun(run)
-      const moved: RunRecord = { ...run, since: run.state === 'running' ? run.since : now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const isAnswered = run.state === 'running'
+      // A long-running task must not be away for that long; it is the likelier case that the worker has left.
+      const keptUntil = isAnswered || run.task.step.shape.isLasting ? run.keptUntil : leaseExpiry(MAX_WORKER_LEASE_MS, brand<Instant>(Math.max(now, run.orderedAt + MAX_ORDER_DELAY_MS)))
+      const moved: RunRecord = { ...run, since: isAnswered ? run.since : now, keptUntil, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
   }
 
-  #endRuns (worker: WorkerRecord, ending: string, now: Instant): void {
-    for (const run of [...worker.runs.values()]) this.#endRun(run, ending, now)
+  #expireRuns (worker: WorkerRecord, now: Instant): void {
+    for (const run of [...worker.runs.values()]) if (run.keptUntil === undefined || now >= run.keptUntil) this.#endRun(run, 'lease over', now)
   }
 
   /** Records the outcome of an order to start. Returns `true` if this owner's fencing token is no longer the highest. */
@@ -605,7 +608,7 @@
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
-      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
+      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#expireRuns(worker, now)
       if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -24,6 +24,8 @@
   /** Whether the worker's incarnation has listed the run in a report. */
   isReported: boolean
   isStopRequested: boolean
+  /** Until when a reborn worker that is silent may run it, if the order got no response and was meant for the incarnation before. */
+  keptUntil?: Instant
   /** Last reported value: a serving task's tail latency in milliseconds, or the thousandths of a core that any other task uses. */
   reading?: number
   /** Last reported progress in percent; 100 for a long-running task that is ready. */
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -229,7 +229,7 @@
 }
 
 /** When a lease with `remainingMs` left on a worker's clock at `at` has certainly ended, by this process's clock. */
-const leaseExpiry = (remainingMs: number, at: Instant): Instant => brand<Instant>(at + Math.max(0, remainingMs) / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+export const leaseExpiry = (remainingMs: number, at: Instant): Instant => brand<Instant>(at + Math.max(0, remainingMs) / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
 
 /** Key of a run among those of its worker. */
 export const runKey = (task: TaskName, attempt: number): string => `${task}#${attempt}`
--- a/packages/jobs/tests/lostStarts.test.ts
+++ b/packages/jobs/tests/lostStarts.test.ts
@@ -45,3 +45,29 @@
   t.deepEqual(simulation.breaches, [])
   t.is(simulation.events.filter(({ how }) => how === 'done').length, 2)
 })
+
+test('a task whose order comes late, to a later incarnation of its VM that is cut off, runs nowhere else meanwhile', async t => {
+  const breaches: string[] = []
+  for (const rebornAfterMs of [300, 1_000, 2_000, 2_900]) {
+    for (const listedAfterMs of [0, 500, 1_500]) {
+      for (const cutOffMs of [4_000, 8_000, 20_000]) {
+        const simulation = new JobsSimulation(2, () => ({ runMs: 9_000, ending: 'done' }))
+        simulation.listed.delete('w2')
+        const node = simulation.addNode('n1')
+        await simulation.advance(20_000)
+        simulation.links.set('w1', 'late')
+        await simulation.settle(node.jobs.submit(jobOf('00000000000000c2', [stepOf()]), 2_000))
+        await simulation.advance(rebornAfterMs)
+        simulation.links.set('w1', 'mute')
+        simulation.rebearUnnoticed('w1')
+        simulation.listed.add('w2')
+        simulation.clock.after(listedAfterMs, () => simulation.outdatedEntries.clear())
+        simulation.clock.after(cutOffMs, () => simulation.links.clear())
+        await simulation.advance(40_000)
+        for (const breach of simulation.breaches) breaches.push(`reborn after ${rebornAfterMs} ms, listed ${listedAfterMs} ms later, cut off for ${cutOffMs} ms: ${breach}`)
+        t.true(simulation.events.some(({ how }) => how === 'done'))
+      }
+    }
+  }
+  t.deepEqual(breaches, [])
+})
