An idle worker is asked for a report before any task starts there

The next owner doesn't know that a reborn worker took a lease of 10 s from an order for its earlier incarnation: if the owner is killed, nobody has recorded it, and 4.8 s are waited for. For long-running tasks the report before the start excludes this, as it shows the rebirth; now for all tasks. A worker with a run that it has reported is polled anyway and isn't asked, nor is one that has reported within 2 s.

Cost: one call more for the first start at a worker that has been idle for 2 s; starts in the same moment share it.

The stories of rebirths within 2 s of a report are in rebornWorkers as well, as the orders of the idle ones no longer reach the reborn VM.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -455,8 +455,8 @@
   async #start (order: RunOrder & { kind: 'start' }, worker: WorkerRecord): Promise<void> {
     const { clock, log } = this.#ports
     this.#startWindow.open()
-    // A long-running task must not wait for the lease of an idle worker that has left, or was reborn, unnoticed.
-    const isConfirmed = !order.isLongRunning || await this.#pollers.get(order.worker)?.confirm(worker) === true
+    // A task must neither wait for the lease of an idle worker that has left unnoticed, nor give one that was reborn a lease meant for the incarnation before.
+    const isConfirmed = await this.#pollers.get(order.worker)?.confirm(worker) === true
     if (this.#isClosed) return
     // Read before the check, so that the lease counts from a moment at which the term is held.
     const decidedAt = clock.now()
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -67,9 +67,9 @@
     if (worker !== undefined && this.#mayPoll(worker)) this.#report(worker, 0).catch((thrown: unknown) => this.#logUnexpected(thrown))
   }
 
-  /** Whether the worker is there and still the same incarnation; unless it has reported a short time ago, it is asked. */
+  /** Whether the worker is there and still the same incarnation; an idle one is asked unless it has reported a short time ago. */
   async confirm (worker: WorkerRecord): Promise<boolean> {
-    if (this.#clock.now() - worker.reportedAt < MAX_REPORT_AGE_MS) return true
+    if (this.#clock.now() - worker.reportedAt < MAX_REPORT_AGE_MS || [...worker.runs.values()].some(({ isReported }) => isReported)) return true
     this.#confirmation ??= this.#askForReport(worker).finally(() => { this.#confirmation = undefined })
     return await this.#confirmation && this.#scheduler.workers.get(this.#worker) === worker
   }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -52,7 +52,7 @@
 /** The same for a worker with serving tasks, in milliseconds; one reading of their latency covers 500 ms. */
 export const SERVING_REPORT_WAIT_MS = 600
 
-/** Age of a worker's latest report from which on the worker is asked before a long-running task starts there, in milliseconds: more than between two reports of a busy one. */
+/** Age of an idle worker's latest report from which on the worker is asked before a task starts there, in milliseconds: more than between two reports of a busy one. */
 export const MAX_REPORT_AGE_MS = 2_000
 
 /** Shortest time between two reports of one worker, in milliseconds, so that one report lists several ended runs. */
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -7,6 +7,7 @@
 /** Users allow a long-running task 6 s without a run, and 3 s more, in milliseconds. */
 const MAX_AWAY_MS = 9_000
 const LASTING_MS = 1e9
+const SHORT_JOB = '00000000000000a0'
 
 /** Time from the end of the task's first run to the start of its next one; 0 if it runs on without an end. */
 const awayMsOf = ({ events }: JobsSimulation, task: string): number => {
@@ -48,12 +49,24 @@
   t.is(simulation.worker('w3').running.length, 1)
 })
 
-/** An idle VM that is reborn unnoticed, and a task that then has to start there; a second VM is listed a little later. */
-const startOnRebornVm = async (idleMs: number, isLasting: boolean): Promise<JobsSimulation> => {
-  const simulation = new JobsSimulation(2, () => ({ runMs: LASTING_MS, ending: 'done' }))
+/** An idle VM that is reborn unnoticed, at most a second after a report if it `hasJustReported`, and a task that then has to start there. */
+type Rebirth = Readonly<{ idleMs: number, isLasting: boolean, hasJustReported: boolean }>
+
+const REBIRTHS: readonly Rebirth[] = [3_000, 20_000, 50_000, 200_000].flatMap(idleMs =>
+  [true, false].flatMap(isLasting => [true, false].map(hasJustReported => ({ idleMs, isLasting, hasJustReported }))))
+
+const describeRebirth = ({ idleMs, isLasting, hasJustReported }: Rebirth): string => `${isLasting ? 'long-running' : 'batch'}, idle for ${idleMs} ms, ${hasJustReported ? 'reported just before' : 'not asked since'}`
+
+/** Returns once the task has started on the reborn VM, or some time later; a second VM is listed from then on. */
+const startOnRebornVm = async ({ idleMs, isLasting, hasJustReported }: Rebirth): Promise<JobsSimulation> => {
+  const simulation = new JobsSimulation(2, task => ({ runMs: task.startsWith(SHORT_JOB) ? 100 : LASTING_MS, ending: 'done' }))
   simulation.listed.delete('w2')
   const node = simulation.addNode('n1')
   await simulation.advance(idleMs)
+  if (hasJustReported) {
+    await simulation.settle(node.jobs.submit(jobOf(SHORT_JOB, [stepOf()]), 2_000))
+    await simulation.advance(500)
+  }
   simulation.rebearUnnoticed('w1')
   await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting })]), 2_000))
   for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
@@ -63,17 +76,16 @@
 
 test('a task whose VM was reborn unnoticed before the order, and then dies for good, comes back within the bounds of its kind', async t => {
   const late: string[] = []
-  for (const isLasting of [true, false]) {
-    for (const idleMs of [3_000, 20_000, 50_000, 200_000]) {
-      for (const diesAfterMs of [0, 100, 700, 1_400]) {
-        const simulation = await startOnRebornVm(idleMs, isLasting)
-        await simulation.advance(diesAfterMs)
-        simulation.worker('w1').crash()
-        await simulation.advance(20_000)
-        const awayMs = awayMsOf(simulation, '00000000000000a1.0.0.0')
-        if (awayMs > (isLasting ? MAX_AWAY_MS : MAX_LEASE_AWAY_MS)) late.push(`${isLasting ? 'long-running' : 'batch'}, idle for ${idleMs} ms, dies after ${diesAfterMs} ms: away for ${Math.round(awayMs)} ms`)
-        t.deepEqual(simulation.breaches, [])
-      }
+  for (const rebirth of REBIRTHS) {
+    for (const diesAfterMs of [0, 100, 700, 1_400]) {
+      const simulation = await startOnRebornVm(rebirth)
+      await simulation.advance(diesAfterMs)
+      simulation.worker('w1').crash()
+      await simulation.advance(20_000)
+      const awayMs = awayMsOf(simulation, '00000000000000a1.0.0.0')
+      const maxMs = rebirth.isLasting && !rebirth.hasJustReported ? MAX_AWAY_MS : MAX_LEASE_AWAY_MS
+      if (awayMs > maxMs) late.push(`${describeRebirth(rebirth)}, dies after ${diesAfterMs} ms: away for ${Math.round(awayMs)} ms`)
+      t.deepEqual(simulation.breaches, [])
     }
   }
   t.deepEqual(late, [])
@@ -81,15 +93,15 @@
 
 test('a task runs nowhere else while the VM that was reborn unnoticed before the order is only cut off', async t => {
   const breaches: string[] = []
-  for (const isLasting of [true, false]) {
+  for (const rebirth of REBIRTHS.filter(({ idleMs }) => idleMs === 20_000)) {
     for (const noticedAfterMs of [0, 300, 1_000]) {
       for (const cutOffAfterMs of [0, 2, 5, 100, 700, 2_000, 5_000]) {
-        const simulation = await startOnRebornVm(20_000, isLasting)
+        const simulation = await startOnRebornVm(rebirth)
         simulation.clock.after(noticedAfterMs, () => simulation.outdatedEntries.clear())
         await simulation.advance(cutOffAfterMs)
         simulation.links.set('w1', 'mute')
         await simulation.advance(20_000)
-        for (const breach of simulation.breaches) breaches.push(`${isLasting ? 'long-running' : 'batch'}, noticed after ${noticedAfterMs} ms, cut off after ${cutOffAfterMs} ms: ${breach}`)
+        for (const breach of simulation.breaches) breaches.push(`${describeRebirth(rebirth)}, noticed after ${noticedAfterMs} ms, cut off after ${cutOffAfterMs} ms: ${breach}`)
       }
     }
   }
@@ -119,3 +131,22 @@
   }
   t.deepEqual(late, [])
 })
+
+test('the next owner waits for the lease of an idle VM that was reborn unnoticed before the order', async t => {
+  const breaches: string[] = []
+  for (const isLasting of [true, false]) {
+    for (const how of ['stopped', 'killed'] as const) {
+      for (const endsAfterMs of [0, 500, 3_000, 5_000]) {
+        const simulation = await startOnRebornVm({ idleMs: 20_000, isLasting, hasJustReported: false })
+        simulation.addNode('n2')
+        simulation.links.set('w1', 'mute')
+        await simulation.advance(endsAfterMs)
+        if (how === 'killed') simulation.nodes.get('n1')?.kill()
+        else void simulation.nodes.get('n1')?.election.stop()
+        await simulation.advance(20_000)
+        for (const breach of simulation.breaches) breaches.push(`${isLasting ? 'long-running' : 'batch'}, owner ${how} after ${endsAfterMs} ms: ${breach}`)
+      }
+    }
+  }
+  t.deepEqual(breaches, [])
+})
