A report that a silent VM carries out late no longer acknowledges the ends of its later incarnation

A report names the last end that is durable, and no incarnation. While a VM doesn't respond it is asked every 250 ms; one of these calls may be carried out seconds later, after a rebirth, when the numbers of the ends begin anew. It then made the new incarnation forget that a task was done, and the task started again.

A VM that doesn't respond is now asked without an acknowledgement; its first response gets one. A report that was in flight when it fell silent still has one: KNOWN-RED.txt. Ruled out for now: no number unless there is a new end to acknowledge; if a worker compares that number with all its ends, reports that should wait for an end would return at once.

Evidence: lostStarts fails before (2 of 12 cases) and passes now.

--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -138,7 +138,8 @@
     const requestedAt = this.#clock.now()
     const leaseEndMs = isLeasing && worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     if (leaseEndMs !== undefined) worker.extendLease(leaseEndMs)
-    const acknowledgedEnd = worker.durableEnd
+    // A worker that does not respond may carry this out late, after a rebirth, and the numbers of its ends begin anew.
+    const acknowledgedEnd = worker.isUnresponsive ? 0 : worker.durableEnd
     const outcome = await this.#calls.report(worker.entry, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
     if (this.#isStopped) return outcome
     this.#logStateChange(outcome)
--- a/packages/jobs/tests/lostStarts.test.ts
+++ b/packages/jobs/tests/lostStarts.test.ts
@@ -71,3 +71,37 @@
   }
   t.deepEqual(breaches, [])
 })
+
+/** Plays a VM that is reborn while its link is late, with a task whose order its later incarnation carries out. */
+const playLateReports = async (runMs: number): Promise<readonly string[]> => {
+  const breaches: string[] = []
+  for (const rebornAfterMs of [300, 1_000, 2_000, 2_500]) {
+    for (const lateMs of [4_500, 5_500, 7_000]) {
+      const simulation = new JobsSimulation(1, task => ({ runMs: task.startsWith('00000000000000c0') ? 1e9 : task.startsWith('00000000000000c1') ? 300 : runMs, ending: 'done' }))
+      const node = simulation.addNode('n1')
+      await simulation.advance(500)
+      await simulation.settle(node.jobs.submit(jobOf('00000000000000c0', [stepOf()]), 2_000))
+      await simulation.settle(node.jobs.submit(jobOf('00000000000000c1', [stepOf({ taskCount: 6 })]), 2_000))
+      await simulation.advance(3_000)
+      simulation.links.set('w1', 'late')
+      await simulation.settle(node.jobs.submit(jobOf('00000000000000c2', [stepOf()]), 2_000))
+      await simulation.advance(rebornAfterMs)
+      simulation.worker('w1').crash()
+      simulation.worker('w1').restart()
+      await simulation.advance(lateMs - rebornAfterMs)
+      simulation.links.clear()
+      await simulation.advance(20_000)
+      for (const breach of simulation.breaches) breaches.push(`reborn after ${rebornAfterMs} ms, late for ${lateMs} ms: ${breach}`)
+    }
+  }
+  return breaches
+}
+
+test('reports that a silent VM carries out late, after a rebirth, do not acknowledge the ends of its later incarnation', async t => {
+  t.deepEqual(await playLateReports(1_700), [])
+})
+
+// See KNOWN-RED.txt.
+test.failing('nor does a report that was in flight when the VM fell silent', async t => {
+  t.deepEqual(await playLateReports(300), [])
+})
