An order whose run has ended or must stop while its worker was asked is not sent

Since an idle worker is asked for a report before an order is sent there, the job may be cancelled in between, or the run may end as the worker counts as silent and its last lease is long over; then its task may already be placed elsewhere. The order is now sent only if its run is still wanted.

Evidence: idleWorkersLost with a slow process: a task cancelled 50 ms after its acceptance still started before, and doesn't now. The other case is by reading.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,7 +2,7 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { JobScheduler, rackKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { JobScheduler, rackKey, runKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
@@ -458,9 +458,10 @@
     // A task must neither wait for the lease of an idle worker that has left unnoticed, nor give one that was reborn a lease meant for the incarnation before.
     const isConfirmed = await this.#pollers.get(order.worker)?.confirm(worker) === true
     if (this.#isClosed) return
+    const isWanted = isConfirmed && worker.runs.get(runKey(order.task, order.attempt))?.isStopRequested === false
     // Read before the check, so that the lease counts from a moment at which the term is held.
     const decidedAt = clock.now()
-    const leaseEndMs = isConfirmed && this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
+    const leaseEndMs = isWanted && this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
     if (leaseEndMs === undefined) {
       this.#startWindow.close(decidedAt, decidedAt, false)
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
--- a/packages/jobs/tests/idleWorkersLost.test.ts
+++ b/packages/jobs/tests/idleWorkersLost.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { brand, type JobId } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
 import { JobsSimulation } from './support/JobsSimulation.ts'
 
@@ -27,3 +28,18 @@
     }
   }
 })
+
+test('a task of a job that is cancelled while an idle VM is asked is not sent there', async t => {
+  for (const cancelledAfterMs of [50, 150, 300, 500]) {
+    const simulation = new JobsSimulation(1, () => ({ runMs: 1e9, ending: 'done' }))
+    const node = simulation.addNode('n1')
+    await simulation.advance(20_000)
+    node.processor.messageMs = 300
+    await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting: true })]), 2_000))
+    await simulation.advance(cancelledAfterMs)
+    t.is(simulation.startsOf(TASK), 0)
+    await simulation.settle(node.jobs.cancel(brand<JobId>('00000000000000a1'), 2_000))
+    await simulation.advance(10_000)
+    t.is(simulation.startsOf(TASK), 0, `cancelled after ${cancelledAfterMs} ms`)
+  }
+})
