After a report without a response the next one is not held back

The next report shows whether the worker is still there and still the same incarnation. The response to an order that was on its way made the worker count as responding again, so that this report was held back for up to 1.5 s; a worker that was reborn and died meanwhile kept its long-running tasks away for 10.5 s.

A test that shifts the rebirth by single milliseconds (200 cases) didn't meet the moment and isn't in.

--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -113,7 +113,7 @@
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
     // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
-    const mayWait = areEndsDurable && worker.runs.size > 0 && !worker.hasInheritedRuns && this.#mayExtendLease(worker)
+    const mayWait = areEndsDurable && !this.#isFailing && worker.runs.size > 0 && !worker.hasInheritedRuns && this.#mayExtendLease(worker)
     const outcome = await this.#report(worker, mayWait ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
