Random stories with workers reborn in series or unnoticed, racks without power and orders across a rebirth

Stories of a second kind beside those that exist, each with seeds of its own: what the first kind draws is unchanged. Newer faults: a worker reborn up to 8 times within seconds; a rack at once, for good or for some seconds, listed for up to 8 s; a rebirth that the list doesn't show and the end of the worker soon after; orders that are carried out 3 s late, by the incarnation that is there by then. There, a crash closes the worker's connections.

In the simulation a call that was on its way as its worker crashed is no longer carried out by the crashed worker: its run lived on into the next incarnation, and two of its ends had the same number (story 1282 with rebirths: a done task started again). That applies to all stories, so some of them go on differently after such a moment.

--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -157,6 +157,8 @@
   /** Entries that the list of workers shows instead of the workers' present ones. */
   readonly outdatedEntries = new Map<string, WorkerEntry>()
   workersPerCell = WORKERS_PER_CELL
+  /** Whether the connections of a worker that crashes are closed, as when its process ends; otherwise a report that is held back comes from the next incarnation. */
+  closesConnections = false
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
 
@@ -284,7 +286,10 @@
   }
 
   async report (worker: WorkerAddress, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
+    const { entry: { incarnation } } = this.#simulation.worker(worker.id)
     for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
+      const { hasCrashed, entry } = this.#simulation.worker(worker.id)
+      if (this.#simulation.closesConnections && (hasCrashed || entry.incarnation !== incarnation)) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
       if (this.#simulation.worker(worker.id).hasEndAfter(request.acknowledgedEnd)) break
       await this.#node.clock.sleep(POLL_INTERVAL_MS)
     }
@@ -302,6 +307,10 @@
     if (state === 'well' && !worker.hasCrashed) {
       await this.#node.processor.handleMessage()
       await this.#node.clock.sleep(CALL_MS)
+      if (worker.hasCrashed) {
+        await this.#node.clock.sleep(CALL_TIMEOUT_MS)
+        return undefined
+      }
       const value = action(worker)
       await this.#node.clock.sleep(CALL_MS)
       await this.#node.processor.handleMessage()
--- a/packages/jobs/tests/support/LongRunningStory.ts
+++ b/packages/jobs/tests/support/LongRunningStory.ts
@@ -25,8 +25,12 @@
 /** Gaps between two faults in milliseconds. */
 const GAPS_MS: readonly number[] = [0, 20, 300, 1_000, 2_400]
 
+/** `rebirths`: with the faults of `any`, and workers that are reborn in series or unnoticed, racks without power, and orders that come late across a rebirth. */
+export type StoryKind = 'any' | 'rebirths'
+
 export class LongRunningStory {
   readonly #seed: number
+  readonly #kind: StoryKind
   readonly #random: SeededRandom
   readonly #simulation: JobsSimulation
   readonly #jobs = new Map<JobId, Job>()
@@ -37,6 +41,8 @@
   readonly #outOfTouch = new Set<string>()
   readonly #failing = new Set<string>()
   readonly #suspended = new Set<Node>()
+  /** Workers that never come back. */
+  readonly #lost = new Set<string>()
   /** Starts the processes that are away. */
   readonly #returning: (() => void)[] = []
   /** Work submitted per unit of capacity. */
@@ -45,11 +51,13 @@
   #lives = 0
   #isOver = false
 
-  constructor (seed: number) {
+  constructor (seed: number, kind: StoryKind = 'any') {
     this.#seed = seed
+    this.#kind = kind
     this.#random = new SeededRandom(seed)
     this.#loadFactor = this.#between(0.5, 2)
     this.#simulation = new JobsSimulation(WORKERS, task => this.#behaviourOf(task))
+    this.#simulation.closesConnections = kind === 'rebirths'
     if (this.#chance(0.5)) this.#simulation.workersPerCell = 4
     if (this.#chance(0.5)) for (const [index, worker] of [...this.#simulation.workers.values()].entries()) worker.rack = `r${index % 4}`
   }
@@ -89,6 +97,7 @@
     const count = 1 + Math.floor(this.#random.fraction() * MAX_FAULTS_PER_TURN)
     for (let fault = 0; fault < count; fault++) {
       this.#pick([
+        ...this.#kind === 'any' ? [] : this.#rebirths,
         () => this.#loseWorker(), () => this.#cutOffWorker(), () => this.#cutOffWorker(), () => this.#rebearWorker(), () => this.#failOnWorker(), () => this.#drainWorker(),
         () => this.#endProcess('stopped'), () => this.#endProcess('killed'), () => this.#endProcess('killed'), () => this.#suspendProcess(), () => this.#disturbStore()
       ])()
@@ -97,6 +106,10 @@
     await this.#simulation.advance(Math.max(0, this.#disturbedUntil - this.#now))
   }
 
+  get #rebirths (): readonly (() => void)[] {
+    return [() => this.#rebearInSeries(), () => this.#darkenRack(), () => this.#loseRebornWorker(), () => this.#delayOrdersAcrossRebirth()]
+  }
+
   get #now (): number {
     return this.#simulation.clock.now()
   }
@@ -152,14 +165,99 @@
   #loseWorker (): void {
     const id = this.#pickWorker()
     if (id === undefined) return
-    this.#simulation.worker(id).crash()
     this.#during(`worker ${id} vanishes`, 0)
-    this.#simulation.clock.after(this.#between(0, 2_500), () => {
+    this.#crashForGood(id, this.#between(0, 2_500))
+  }
+
+  #crashForGood (id: string, listedMs: number): void {
+    this.#simulation.worker(id).crash()
+    this.#lost.add(id)
+    this.#noteContacts()
+    this.#simulation.clock.after(listedMs, () => {
       this.#simulation.listed.delete(id)
       this.#noteContacts()
     })
   }
 
+  #restart (id: string): void {
+    const worker = this.#simulation.worker(id)
+    if (worker.hasCrashed && !this.#lost.has(id)) worker.restart()
+  }
+
+  // The list shows a rebirth some time after it, as workers write their entries every now and then.
+  #keepEntry (id: string, ms: number): void {
+    const { outdatedEntries } = this.#simulation
+    outdatedEntries.set(id, this.#simulation.worker(id).entry)
+    this.#simulation.clock.after(ms, () => outdatedEntries.delete(id))
+  }
+
+  #rebearInSeries (): void {
+    const id = this.#pickWorker()
+    if (id === undefined) return
+    const count = this.#pick([2, 3, 5, 8])
+    let crashesInMs = 0
+    for (let index = 0; index < count; index++) {
+      const downMs = this.#between(0, 500)
+      const listedMs = this.#chance(0.5) ? 0 : this.#between(0, 2_500)
+      this.#simulation.clock.after(crashesInMs, () => {
+        if (this.#simulation.worker(id).hasCrashed) return
+        this.#keepEntry(id, listedMs)
+        this.#simulation.worker(id).crash()
+        this.#simulation.clock.after(downMs, () => this.#restart(id))
+      })
+      crashesInMs += downMs + this.#between(0, 1_200)
+    }
+    this.#during(`worker ${id} is reborn ${count} times`, crashesInMs + 500)
+  }
+
+  #darkenRack (): void {
+    const up = [...this.#simulation.workers.values()].filter(({ id, hasCrashed }) => !hasCrashed && this.#simulation.listed.has(id))
+    const { rack } = this.#pick(up)
+    const dark = (rack === '' ? up.slice(0, 3) : up.filter(worker => worker.rack === rack)).slice(0, Math.max(0, up.length - MIN_WORKERS)).map(({ id }) => id)
+    const isBack = this.#chance(0.5)
+    const listedMs = this.#between(0, 8_000)
+    if (isBack) {
+      for (const id of dark) this.#simulation.worker(id).crash()
+      this.#during(`workers ${dark.join(' ')} are without power`, this.#between(500, 9_000), () => { for (const id of dark) this.#restart(id) })
+    } else {
+      this.#during(`workers ${dark.join(' ')} lose power for good`, 0)
+      for (const id of dark) this.#crashForGood(id, listedMs)
+    }
+  }
+
+  // A rebirth that the list doesn't show, and the end of the worker soon after.
+  #loseRebornWorker (): void {
+    const id = this.#pickWorker()
+    if (id === undefined) return
+    const downMs = this.#pick([0, 0, 50, 400])
+    const upMs = this.#between(0, 1_600)
+    const listedMs = this.#between(0, 2_500)
+    this.#keepEntry(id, downMs + upMs + listedMs)
+    this.#simulation.worker(id).crash()
+    this.#simulation.clock.after(downMs, () => this.#restart(id))
+    this.#during(`worker ${id} is reborn unnoticed after ${Math.round(downMs)}, and vanishes`, downMs + upMs, () => this.#crashForGood(id, listedMs))
+  }
+
+  // Orders sent meanwhile are carried out 3 s later, by the incarnation that is there by then.
+  #delayOrdersAcrossRebirth (): void {
+    const id = this.#pickWorker()
+    if (id === undefined) return
+    const lateMs = this.#between(100, 3_000)
+    const crashesInMs = this.#between(0, 3_000)
+    const downMs = this.#between(0, 500)
+    const cutOffMs = this.#chance(0.5) ? 0 : this.#between(0, 6_000)
+    const { links, clock } = this.#simulation
+    links.set(id, 'late')
+    clock.after(lateMs, () => links.set(id, 'mute'))
+    clock.after(crashesInMs, () => {
+      if (this.#simulation.worker(id).hasCrashed) return
+      this.#keepEntry(id, downMs + 1_000)
+      this.#simulation.worker(id).crash()
+      clock.after(downMs, () => this.#restart(id))
+    })
+    this.#during(`link ${id} is late for ${Math.round(lateMs)}, then mute; reborn after ${Math.round(crashesInMs)}`, Math.max(lateMs + cutOffMs, crashesInMs + downMs), () => links.delete(id))
+  }
+
   #cutOffWorker (): void {
     const id = this.#pickWorker()
     if (id === undefined) return
@@ -174,7 +272,7 @@
     if (id === undefined) return
     const worker = this.#simulation.worker(id)
     worker.crash()
-    this.#during(`worker ${id} is reborn`, this.#between(0, 3_000), () => worker.restart())
+    this.#during(`worker ${id} is reborn`, this.#between(0, 3_000), () => this.#restart(id))
   }
 
   #failOnWorker (): void {
