--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -2,7 +2,7 @@
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
-import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
@@ -19,7 +19,7 @@
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
-import { runKey, WorkerRecord } from './WorkerRecord.ts'
+import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
 const UNKNOWN_PACE = -1
@@ -82,7 +82,7 @@
     this.#lease = lease
     this.#observer = observer
     this.#termStartedAt = now
-    this.#earlierLeasesExpireAt = brand<Instant>(now + lease.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+    this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
   }
 
   /** Whether all runs of earlier owners are known or have certainly ended, so that tasks may start. */
@@ -259,7 +259,10 @@
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
       worker.isReborn = existing !== undefined
-      if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
+      if (existing !== undefined) {
+        worker.inheritLeases(existing)
+        this.#replaceIncarnation(existing, worker, now)
+      }
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
@@ -287,7 +290,7 @@
     if (existing === undefined || report.incarnation < existing.entry.incarnation) return
     if (report.incarnation > existing.entry.incarnation) this.upsertWorker({ ...existing.entry, incarnation: report.incarnation }, now)
     const worker = this.workers.get(id) as WorkerRecord
-    worker.recordClock(report.clockMs, now)
+    worker.recordClock(report.clockMs, requestedAt, now)
     for (const end of report.ended) {
       if (end.sequence > worker.appliedEnd) this.#applyEnd(worker, end, now)
       worker.appliedEnd = Math.max(worker.appliedEnd, end.sequence)
@@ -295,6 +298,7 @@
     // Reports may arrive out of order, and an older one may list runs that have ended since.
     if (requestedAt >= worker.reportRequestedAt) this.#reconcileRuns(worker, report.running, requestedAt, now)
     worker.hasReported = true
+    worker.reportedAt = now
   }
 
   #reconcileRuns (worker: WorkerRecord, running: WorkerReport['running'], requestedAt: Instant, now: Instant): void {
@@ -451,7 +455,8 @@
   }
 
   // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
-  // order may still reach, or whose response to the order may have been taken for one of the old incarnation.
+  // order may still reach, or whose response to the order may have been taken for one of the old incarnation. In the
+  // second case the next report that was requested after the response lists the run, or it has ended.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     for (const run of [...old.runs.values()]) {
       if (run.isReported) {
@@ -459,15 +464,17 @@
         continue
       }
       old.removeRun(run)
-      const state = run.state === 'running' ? 'unconfirmed' : run.state
-      const moved: RunRecord = { ...run, state, since: now, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const isAnswered = run.state === 'running'
+      // A long-running task must not be away for that long; it is the likelier case that the worker has left.
+      const keptUntil = isAnswered || run.task.step.shape.isLasting ? run.keptUntil : leaseExpiry(MAX_WORKER_LEASE_MS, brand<Instant>(Math.max(now, run.orderedAt + MAX_ORDER_DELAY_MS)))
+      const moved: RunRecord = { ...run, since: isAnswered ? run.since : now, keptUntil, worker: current, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
   }
 
-  #endRuns (worker: WorkerRecord, ending: string, now: Instant): void {
-    for (const run of [...worker.runs.values()]) this.#endRun(run, ending, now)
+  #expireRuns (worker: WorkerRecord, now: Instant): void {
+    for (const run of [...worker.runs.values()]) if (run.keptUntil === undefined || now >= run.keptUntil) this.#endRun(run, 'lease over', now)
   }
 
   /** Records the outcome of an order to start. Returns `true` if this owner's fencing token is no longer the highest. */
@@ -601,7 +608,7 @@
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
-      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
+      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#expireRuns(worker, now)
       if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
   }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -2,7 +2,7 @@
  * State of one incarnation of a worker, as known to the owner.
  */
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
+import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
 import { FillerPacing } from './FillerPacing.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { ClockSample, TaskName, WorkerEntry } from './types.ts'
@@ -29,6 +29,8 @@
   isLeasable = true
   /** Whether the worker has reported to this owner and therefore rejects orders of all earlier owners. */
   hasReported = false
+  /** When the latest report arrived. */
+  reportedAt = brand<Instant>(-Infinity)
   /** When the latest report that was compared with the runs was requested. */
   reportRequestedAt = brand<Instant>(-Infinity)
   /** Sets the pace of the fillers on this worker. */
@@ -41,10 +43,14 @@
   acceleratorsUsed = 0
   servingRuns = 0
   fillerRuns = 0
+  readonly #knownSince: Instant
   #failedCalls = 0
   #clockSample: ClockSample | undefined
   #leasedUntilMs = 0
   #leaseExpiresAt: Instant
+  /** When the leases are over that calls for earlier incarnations may have set on this one, and from when on that is known. */
+  #inheritedLeaseExpiresAt = brand<Instant>(-Infinity)
+  #inheritedLeaseKnownSince = brand<Instant>(-Infinity)
   #leaseKnownSince: Instant
   #pausedUntil: Instant
   #quarantinedUntil: Instant
@@ -52,10 +58,11 @@
 
   constructor (entry: WorkerEntry, now: Instant, leaseMs: number) {
     this.#entry = entry
+    this.#knownSince = now
     this.#pausedUntil = now
     this.#quarantinedUntil = now
     // An earlier owner may have extended the lease just before this term began.
-    this.#leaseExpiresAt = brand<Instant>(now + leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+    this.#leaseExpiresAt = leaseExpiry(leaseMs, now)
     this.#leaseKnownSince = now
   }
 
@@ -81,12 +88,12 @@
 
   /** When all runs on the worker have certainly ended unless the lease is extended, by this process's clock. */
   get leaseExpiresAt (): Instant {
-    return this.#leaseExpiresAt
+    return brand<Instant>(Math.max(this.#leaseExpiresAt, this.#inheritedLeaseExpiresAt))
   }
 
   /** From when on the time until `leaseExpiresAt` counts: the worker's leases last at most that long from this moment. */
   get leaseKnownSince (): Instant {
-    return this.#leaseKnownSince
+    return brand<Instant>(Math.max(this.#leaseKnownSince, this.#inheritedLeaseKnownSince))
   }
 
   /** Records, at `now` and before any call to the worker, when the leases of earlier owners are over. */
@@ -95,10 +102,14 @@
     this.#leaseKnownSince = now
   }
 
-  /** Records a reading of the worker's clock, received at `at`. */
-  recordClock (clockMs: number, at: Instant): void {
+  /** Records a reading of the worker's clock, from a response that was requested at `requestedAt` and received at `at`. */
+  recordClock (clockMs: number, requestedAt: Instant, at: Instant): void {
     this.#failedCalls = 0
+    // Responses may overtake one another: a reading requested before the latest one arrived may be older.
+    if (this.#clockSample !== undefined && requestedAt < this.#clockSample.at) return
     this.#clockSample = { clockMs, at }
+    // The reading may be of a later incarnation, whose clock has begun anew.
+    this.#leasedUntilMs = Math.min(this.#leasedUntilMs, clockMs + MAX_WORKER_LEASE_MS)
     this.#updateLeaseExpiry()
   }
 
@@ -122,10 +133,27 @@
     this.#updateLeaseExpiry()
   }
 
+  /**
+   * Records a response, received at `at`, to a call with this end of the lease that may have been sent for an earlier
+   * incarnation. Whichever incarnation carried it out, its lease ends at most this much later than the reading of its clock.
+   */
+  inheritLease (untilMs: number, clockMs: number, at: Instant): void {
+    this.#inherit(leaseExpiry(Math.min(untilMs - clockMs, MAX_WORKER_LEASE_MS), at), at)
+  }
+
+  /** Records that this incarnation may have carried out calls for an earlier one. */
+  inheritLeases ({ leaseExpiresAt, leaseKnownSince }: WorkerRecord): void {
+    this.#inherit(leaseExpiresAt, leaseKnownSince)
+  }
+
+  #inherit (expiresAt: Instant, knownSince: Instant): void {
+    this.#inheritedLeaseExpiresAt = brand<Instant>(Math.max(this.#inheritedLeaseExpiresAt, expiresAt))
+    this.#inheritedLeaseKnownSince = brand<Instant>(Math.max(this.#inheritedLeaseKnownSince, knownSince))
+  }
+
   #updateLeaseExpiry (): void {
     if (this.#clockSample === undefined || this.#leasedUntilMs === 0) return
-    const remainingMs = (this.#leasedUntilMs - this.#clockSample.clockMs) / MIN_CLOCK_RATE
-    this.#leaseExpiresAt = brand<Instant>(this.#clockSample.at + Math.max(0, remainingMs) + LEASE_MARGIN_MS)
+    this.#leaseExpiresAt = leaseExpiry(this.#leasedUntilMs - this.#clockSample.clockMs, this.#clockSample.at)
     this.#leaseKnownSince = this.#clockSample.at
   }
 
@@ -166,6 +194,13 @@
     return true
   }
 
+  /** Whether runs are expected here that an order for an earlier incarnation may have started, and no report has shown yet. */
+  get hasInheritedRuns (): boolean {
+    if (!this.isReborn) return false
+    for (const { isReported, orderedAt } of this.runs.values()) if (!isReported && orderedAt < this.#knownSince) return true
+    return false
+  }
+
   addRun (run: RunRecord): void {
     this.runs.set(runKey(run.task.name, run.attempt), run)
     this.#addUsage(run, 1)
@@ -193,5 +228,8 @@
   }
 }
 
+/** When a lease with `remainingMs` left on a worker's clock at `at` has certainly ended, by this process's clock. */
+export const leaseExpiry = (remainingMs: number, at: Instant): Instant => brand<Instant>(at + Math.max(0, remainingMs) / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+
 /** Key of a run among those of its worker. */
 export const runKey = (task: TaskName, attempt: number): string => `${task}#${attempt}`
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,7 +2,7 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { JobScheduler, rackKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { JobScheduler, rackKey, runKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
@@ -64,6 +64,7 @@
   readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
   #isGauged = false
+  #isAnyUnresponsive = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
   constructor (ports: OwnerPorts, claimed: ClaimedTerm, onTermLost: () => void, onOverload: () => void) {
@@ -91,6 +92,11 @@
     return !this.#isClosed && this.#writer.isHeld
   }
 
+  /** Whether any worker did not respond to the last call to it, as of the last scheduling pass. */
+  get isAnyUnresponsive (): boolean {
+    return this.#isAnyUnresponsive
+  }
+
   get writer (): TermWriter {
     return this.#writer
   }
@@ -409,7 +415,11 @@
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
     const startedAt = clock.now()
-    for (const worker of this.#scheduler.workers.values()) worker.isLeasable = this.#writer.isLeasable(worker.entry)
+    this.#isAnyUnresponsive = false
+    for (const worker of this.#scheduler.workers.values()) {
+      worker.isLeasable = this.#writer.isLeasable(worker.entry)
+      if (worker.isUnresponsive) this.#isAnyUnresponsive = true
+    }
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
     this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
@@ -444,21 +454,30 @@
 
   async #start (order: RunOrder & { kind: 'start' }, worker: WorkerRecord): Promise<void> {
     const { clock, log } = this.#ports
+    this.#startWindow.open()
+    // A task must neither wait for the lease of an idle worker that has left unnoticed, nor give one that was reborn a lease meant for the incarnation before.
+    const isConfirmed = await this.#pollers.get(order.worker)?.confirm(worker) === true
+    if (this.#isClosed) return
+    const isWanted = isConfirmed && worker.runs.get(runKey(order.task, order.attempt))?.isStopRequested === false
     // Read before the check, so that the lease counts from a moment at which the term is held.
     const decidedAt = clock.now()
-    const leaseEndMs = this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
+    const leaseEndMs = isWanted && this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
     if (leaseEndMs === undefined) {
+      this.#startWindow.close(decidedAt, decidedAt, false)
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
       return
     }
     worker.extendLease(leaseEndMs)
     const sentAt = clock.now()
-    this.#startWindow.open()
     const { outcome, clockMs } = await this.#callStart(order, worker, leaseEndMs)
     const now = clock.now()
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#isClosed) return
-    if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, now)
+    const current = this.#scheduler.workers.get(order.worker)
+    if (clockMs !== undefined) {
+      if (worker === current) worker.recordClock(clockMs, sentAt, now)
+      current?.inheritLease(leaseEndMs, clockMs, now)
+    }
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, outcome })
     if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
@@ -617,6 +636,10 @@
     return this.#owner.writer.isLeasable(entry)
   }
 
+  get isAnyUnresponsive (): boolean {
+    return this.#owner.isAnyUnresponsive
+  }
+
   reported (worker: WorkerId): void {
     this.#owner.workerReported(worker)
   }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -46,15 +46,15 @@
 /** Length of a worker's lease, in milliseconds: longer than a takeover, and shorter than the longest delay of an order. */
 export const WORKER_LEASE_MS = 4_500
 
-/** Longest lease that a worker takes, in milliseconds; it shortens a longer one. */
-export const MAX_WORKER_LEASE_MS = 10_000
-
 /** How long a worker may hold back a report until a run ends, in milliseconds; several reports fit into a lease. */
 export const REPORT_WAIT_MS = 1_500
 
 /** The same for a worker with serving tasks, in milliseconds; one reading of their latency covers 500 ms. */
 export const SERVING_REPORT_WAIT_MS = 600
 
+/** Age of an idle worker's latest report from which on the worker is asked before a task starts there, in milliseconds: more than between two reports of a busy one. */
+export const MAX_REPORT_AGE_MS = 2_000
+
 /** Shortest time between two reports of one worker, in milliseconds, so that one report lists several ended runs. */
 export const MIN_REPORT_INTERVAL_MS = 25
 
