--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -2,7 +2,7 @@
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
-import { ATTEMPTS_PER_TERM, LEASE_MARGIN_MS, MIN_CLOCK_RATE, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
@@ -20,7 +20,7 @@
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
-import { runKey, WorkerRecord } from './WorkerRecord.ts'
+import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
 const UNKNOWN_PACE = -1
@@ -91,7 +91,7 @@
     this.#observer = observer
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.#termStartedAt = now
-    this.#earlierLeasesExpireAt = brand<Instant>(now + lease.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
+    this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
   }
 
   /** Whether all runs of earlier owners are known or have certainly ended, so that tasks may start. */
@@ -269,8 +269,11 @@
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
       worker.isReborn = existing !== undefined
-      if (existing !== undefined) this.#replaceIncarnation(existing, worker, now)
-      if (existing?.isEarlier === true && !existing.hasReported) this.#crashDetector.earlierWorkerLost()
+      if (existing !== undefined) {
+        worker.inheritLeases(existing)
+        this.#replaceIncarnation(existing, worker, now)
+        if (existing.isEarlier && !existing.hasReported) this.#crashDetector.earlierWorkerLost()
+      }
       return
     }
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
@@ -301,7 +304,7 @@
     if (existing === undefined || report.incarnation < existing.entry.incarnation) return
     if (report.incarnation > existing.entry.incarnation) this.upsertWorker({ ...existing.entry, incarnation: report.incarnation }, now)
     const worker = this.workers.get(id) as WorkerRecord
-    worker.recordClock(report.clockMs, now)
+    worker.recordClock(report.clockMs, requestedAt, now)
     this.#crashDetector.workerReported(worker)
     for (const end of report.ended) {
       if (end.sequence > worker.appliedEnd) this.#applyEnd(worker, end, now)
@@ -310,6 +313,7 @@
     // Reports may arrive out of order, and an older one may list runs that have ended since.
     if (requestedAt >= worker.reportRequestedAt) this.#reconcileRuns(worker, report, requestedAt, now)
     worker.hasReported = true
+    worker.reportedAt = now
   }
 
   #reconcileRuns (worker: WorkerRecord, { running, clockMs }: WorkerReport, requestedAt: Instant, now: Instant): void {
@@ -474,7 +478,8 @@
   }
 
   // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
-  // order may still reach, or whose response to the order may have been taken for one of the old incarnation.
+  // order may still reach, or whose response to the order may have been taken for one of the old incarnation. In the
+  // second case the next report that was requested after the response lists the run, or it has ended.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     this.#crashDetector.workerLost(old, 'reborn', now)
     for (const run of [...old.runs.values()]) {
@@ -483,16 +488,29 @@
         continue
       }
       old.removeRun(run)
-      const state = run.state === 'running' ? 'unconfirmed' : run.state
-      const moved: RunRecord = { ...run, state, since: now, worker: current, listedSinceClockMs: undefined, isFromLostIncarnation: !old.entry.isDraining, stopOrderSentAt: undefined, stopAcceptedAt: undefined }
+      const isAnswered = run.state === 'running'
+      // A long-running task must not be away for that long; it is the likelier case that the worker has left.
+      const keptUntil = isAnswered || run.task.step.shape.isLasting ? run.keptUntil : leaseExpiry(MAX_WORKER_LEASE_MS, brand<Instant>(Math.max(now, run.orderedAt + MAX_ORDER_DELAY_MS)))
+      const moved: RunRecord = {
+        ...run,
+        since: isAnswered ? run.since : now,
+        keptUntil,
+        worker: current,
+        listedSinceClockMs: undefined,
+        isFromLostIncarnation: !old.entry.isDraining,
+        stopOrderSentAt: undefined,
+        stopAcceptedAt: undefined
+      }
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
   }
 
-  #endRuns (worker: WorkerRecord, ending: string, now: Instant): void {
-    this.#crashDetector.workerLost(worker, ending, now)
-    for (const run of [...worker.runs.values()]) this.#endRun(run, ending, now)
+  #expireRuns (worker: WorkerRecord, now: Instant): void {
+    const expired = [...worker.runs.values()].filter(({ keptUntil }) => keptUntil === undefined || now >= keptUntil)
+    if (expired.length === 0) return
+    this.#crashDetector.workerLost(worker, 'lease over', now)
+    for (const run of expired) this.#endRun(run, 'lease over', now)
   }
 
   /** Records the outcome of an order to start, and the worker's clock if the response has it. Returns `true` if this owner's fencing token is no longer the highest. */
@@ -674,7 +692,7 @@
   #expireLeases (now: Instant): void {
     for (const [id, worker] of this.workers) {
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
-      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#endRuns(worker, 'lease over', now)
+      if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#expireRuns(worker, now)
       if (worker.isEarlier && !worker.hasReported && now >= worker.leaseExpiresAt) this.#crashDetector.earlierWorkerLost()
       if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
     }
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -3,7 +3,7 @@
  */
 import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MAX_CLOCK_AGE_MS, MAX_WORKER_LEASE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_CLOCK_AGE_MS, MAX_REPORT_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -14,6 +14,8 @@
   abstract isUsable (worker: WorkerRecord): boolean
   /** Whether the worker's lease may be extended. */
   abstract isLeasable (worker: WorkerRecord): boolean
+  /** Whether any worker of the cell does not respond, so that idle ones may be gone as well. */
+  abstract get isAnyUnresponsive (): boolean
   /** A report of the worker was applied to the scheduler's state. */
   abstract reported (worker: WorkerId): void
   /** The worker has accepted an order or request of a later owner. */
@@ -30,6 +32,7 @@
   readonly #log: Log
   readonly #sleep: InterruptibleSleep
   readonly #host: PollerHost
+  #confirmation: Promise<boolean> | undefined
   #isStopped = false
   #isFailing = false
 
@@ -64,6 +67,23 @@
     if (worker !== undefined && this.#mayPoll(worker)) this.#report(worker, 0).catch((thrown: unknown) => this.#logUnexpected(thrown))
   }
 
+  /** Whether the worker is there and still the same incarnation; an idle one is asked unless it has reported a short time ago. */
+  async confirm (worker: WorkerRecord): Promise<boolean> {
+    if (this.#clock.now() - worker.reportedAt < MAX_REPORT_AGE_MS || [...worker.runs.values()].some(({ isReported }) => isReported)) return true
+    this.#confirmation ??= this.#askForReport(worker).finally(() => { this.#confirmation = undefined })
+    return await this.#confirmation && this.#scheduler.workers.get(this.#worker) === worker
+  }
+
+  // Without an extension of the lease, which a reborn worker would read on its own clock.
+  async #askForReport (worker: WorkerRecord): Promise<boolean> {
+    try {
+      return (await this.#report(worker, 0, false)).ok
+    } catch (thrown) {
+      this.#logUnexpected(thrown)
+      return false
+    }
+  }
+
   #logUnexpected (thrown: unknown): void {
     this.#log.error('A report could not be applied', { worker: this.#worker, error: String(thrown) })
   }
@@ -87,13 +107,14 @@
       await this.#sleep.sleep(TICK_INTERVAL_MS)
       return
     }
-    if (!needsReport(worker, this.#clock.now())) {
+    if (!needsReport(worker, this.#clock.now(), this.#host.isAnyUnresponsive ? REPORT_WAIT_MS : MAX_CLOCK_AGE_MS)) {
       await this.#sleep.sleep(REPORT_WAIT_MS)
       return
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
     // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
-    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 && this.#mayExtendLease(worker) ? reportWaitMs(worker) : 0)
+    const mayWait = areEndsDurable && !this.#isFailing && worker.runs.size > 0 && !worker.hasInheritedRuns && this.#mayExtendLease(worker)
+    const outcome = await this.#report(worker, mayWait ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
   }
@@ -113,11 +134,12 @@
     if (worker.appliedEnd > worker.durableEnd || (worker.runs.size > 0 && !this.#mayExtendLease(worker))) await this.#sleep.sleep(PENDING_COMMIT_REPORT_INTERVAL_MS)
   }
 
-  async #report (worker: WorkerRecord, waitMs: number): Promise<Result<WorkerReport, AuburnpinError>> {
+  async #report (worker: WorkerRecord, waitMs: number, isLeasing = true): Promise<Result<WorkerReport, AuburnpinError>> {
     const requestedAt = this.#clock.now()
-    const leaseEndMs = worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
+    const leaseEndMs = isLeasing && worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     if (leaseEndMs !== undefined) worker.extendLease(leaseEndMs)
-    const acknowledgedEnd = worker.durableEnd
+    // A worker that does not respond may carry this out late, after a rebirth, and the numbers of its ends begin anew.
+    const acknowledgedEnd = worker.isUnresponsive ? 0 : worker.durableEnd
     const outcome = await this.#calls.report(worker.entry, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
     if (this.#isStopped) return outcome
     this.#logStateChange(outcome)
@@ -130,7 +152,7 @@
     this.#scheduler.applyReport(this.#worker, outcome.val, requestedAt, this.#clock.now())
     const current = this.#scheduler.workers.get(this.#worker)
     // A reborn worker has read the end of the lease on its own clock, although it was meant for its earlier incarnation's.
-    if (leaseEndMs !== undefined && current !== undefined && current !== worker) current.extendLease(Math.min(leaseEndMs, outcome.val.clockMs + MAX_WORKER_LEASE_MS))
+    if (leaseEndMs !== undefined && current !== worker) current?.inheritLease(leaseEndMs, outcome.val.clockMs, this.#clock.now())
     this.#host.reported(this.#worker)
     return outcome
   }
@@ -147,5 +169,5 @@
 const reportWaitMs = (worker: WorkerRecord): number => worker.servingRuns > 0 ? SERVING_REPORT_WAIT_MS : REPORT_WAIT_MS
 
 // An idle worker needs no lease, and each report takes processor time on both sides.
-const needsReport = (worker: WorkerRecord, now: Instant): boolean =>
-  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= MAX_CLOCK_AGE_MS
+const needsReport = (worker: WorkerRecord, now: Instant, maxIdleMs: number): boolean =>
+  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= maxIdleMs
--- a/packages/jobs/tests/support/CrashingCluster.ts
+++ b/packages/jobs/tests/support/CrashingCluster.ts
@@ -30,6 +30,7 @@
 
   constructor (workerCount: number) {
     this.simulation = new JobsSimulation(workerCount, task => this.#behaviourOf(task))
+    this.simulation.closesConnections = true
   }
 
   /** Starts the processes and waits until a cell has an owner. */
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -5,7 +5,7 @@
   AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
   type Instant, type Result, type Timer, type WorkerId
 } from '@auburnpin/common'
-import type { StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
+import type { StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
 import { CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
@@ -154,11 +154,15 @@
   readonly #checker = new RunInvariantChecker()
   /** Workers that the list of workers contains. */
   readonly listed = new Set<string>()
+  /** Entries that the list of workers shows instead of the workers' present ones. */
+  readonly outdatedEntries = new Map<string, WorkerEntry>()
   workersPerCell = WORKERS_PER_CELL
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a deadly task returns as a new incarnation, in milliseconds. */
   returnAfterMs = 3_000
+  /** Whether the connections of a worker that crashes are closed, as when its process ends; otherwise a report that is held back comes from the next incarnation. */
+  closesConnections = false
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
 
@@ -211,6 +215,14 @@
     return this.#checker.breaches
   }
 
+  /** Crashes a worker and starts it again; its entry in the list of workers stays as it was. */
+  rebearUnnoticed (id: string): void {
+    const worker = this.worker(id)
+    this.outdatedEntries.set(id, worker.entry)
+    worker.crash()
+    worker.restart()
+  }
+
   startsOf (task: string): number {
     return this.events.filter(event => event.kind === 'started' && event.task === task).length
   }
@@ -253,7 +265,7 @@
   async #follow (listener: WorkerListener): Promise<void> {
     if (this.#simulation.listReadMs > 0) await this.#simulation.clock.sleep(this.#simulation.listReadMs)
     while (this.#listeners.has(listener)) {
-      listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => worker.entry))
+      listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(({ id, entry }) => this.#simulation.outdatedEntries.get(id) ?? entry))
       await this.#simulation.clock.sleep(100)
     }
   }
@@ -289,13 +301,12 @@
   }
 
   async report (worker: WorkerAddress, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
-    const fake = this.#simulation.worker(worker.id)
-    const { incarnation } = fake.entry
+    const { entry: { incarnation } } = this.#simulation.worker(worker.id)
     for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
-      if (fake.hasEndAfter(request.acknowledgedEnd)) break
+      const { hasCrashed, entry } = this.#simulation.worker(worker.id)
+      if (this.#simulation.closesConnections && (hasCrashed || entry.incarnation !== incarnation)) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
+      if (this.#simulation.worker(worker.id).hasEndAfter(request.acknowledgedEnd)) break
       await this.#node.clock.sleep(POLL_INTERVAL_MS)
-      // A request that a worker holds ends with the incarnation that received it.
-      if (fake.entry.incarnation !== incarnation) return Err(new AuburnpinError('unreachable', 'connection lost', 'Wait.'))
     }
     const report = await this.#call(worker, fake => fake.report(request))
     if (report === 'fenced') return Err(new AuburnpinError('fenced', 'fenced', 'Nothing.'))
@@ -311,6 +322,10 @@
     if (state === 'well' && !worker.hasCrashed) {
       await this.#node.processor.handleMessage()
       await this.#node.clock.sleep(CALL_MS)
+      if (worker.hasCrashed) {
+        await this.#node.clock.sleep(CALL_TIMEOUT_MS)
+        return undefined
+      }
       const value = action(worker)
       await this.#node.clock.sleep(CALL_MS)
       await this.#node.processor.handleMessage()
