A task that crashes workers soon after its start is given up at the third crash in a row

Callers saw: a batch task, watch or replica that kills its worker was started again at once, on one VM after the other, without an end; each crash took along whatever ran beside it.

Cause: an attempt that is lost with its worker is queued again and counts as nothing; only attempts that end as failed do.

Change: an attempt that was not seen running for 500 ms when its worker came back in a new incarnation, or its VM left the list, is a suspect of the crash. The VMs of a task's crashes in a row are durable (`crashedOn`); the third fails the task with the reason `crashed-workers`. A survived start (transition `survived`, written only for suspects) or an end by itself clears them. Attempts being stopped, leaving VMs and workers that only lost their lease don't count. Suspects start on VMs other than those that crashed and with the fewest tasks; a task with two crashes starts only where no attempt is unproven, and nothing starts beside it until it has survived.

Ruled out: the count alone.

--- a/packages/core/src/cell/applyTransition.ts
+++ b/packages/core/src/cell/applyTransition.ts
@@ -2,7 +2,7 @@
  * Applies transitions to tasks. A task's durable state changes nowhere else.
  */
 import { assertNever, assertInvariant, brand, copyWith, type Attempt, type Instant, type VmId } from '@auburnpin/common'
-import { MAX_FAILED_ATTEMPTS } from '../constants.ts'
+import { CRASHES_TO_GIVE_UP, MAX_FAILED_ATTEMPTS } from '../constants.ts'
 import type { Task, TaskSpec, Transition } from './types.ts'
 
 /**
@@ -21,6 +21,8 @@
       return markStopping(task, transition)
     case 'ended':
       return end(task, transition)
+    case 'survived':
+      return task.placement === undefined || task.attempt !== transition.attempt ? task : copyWith(task, { crashedOn: undefined })
     case 'withdrawn':
       return withdraw(task, transition)
     case 'respecified':
@@ -39,7 +41,7 @@
 // The attempt number is kept, as a worker never starts the same attempt of a task twice.
 const respecify = (task: Task, spec: TaskSpec): Task => {
   if (task.placement !== undefined) return task
-  return copyWith(task, { spec, state: 'queued', failures: 0, failedOn: undefined, isWithdrawn: false, reason: undefined })
+  return copyWith(task, { spec, state: 'queued', failures: 0, failedOn: undefined, crashedOn: undefined, isWithdrawn: false, reason: undefined })
 }
 
 const newTask = (spec: TaskSpec): Task => ({
@@ -65,9 +67,10 @@
 const end = (task: Task, transition: Extract<Transition, { kind: 'ended' }>): Task => {
   if (task.placement === undefined || task.attempt !== transition.attempt) return task
   const ended = copyWith(task, { placement: undefined, checkpoint: transition.checkpoint ?? task.checkpoint })
-  if (transition.end === 'finished') return copyWith(ended, { state: 'finished', result: transition.result, reason: undefined })
+  if (transition.end === 'finished') return copyWith(ended, { state: 'finished', crashedOn: undefined, result: transition.result, reason: undefined })
   if (task.isWithdrawn) return copyWith(ended, { state: 'cancelled' })
   if (transition.end === 'failed') return endFailed(ended, task.placement.vm, transition.result ?? 'no reason given')
+  if (transition.crash === 'suspect') return endInCrash(ended, task.placement.vm)
   const isEviction = task.placement.isStopping
   return copyWith(ended, {
     state: 'queued',
@@ -80,8 +83,15 @@
   const failures = task.failures + 1
   const failedOn = [...new Set(task.failedOn ?? []).add(vm)]
   const isExhausted = task.spec.kind === 'batch' && failures >= MAX_FAILED_ATTEMPTS
-  if (!isExhausted) return copyWith(task, { state: 'queued', failures, failedOn })
-  return copyWith(task, { state: 'failed', failures, failedOn, result: last, reason: { kind: 'attempts-used-up', last } })
+  if (!isExhausted) return copyWith(task, { state: 'queued', failures, failedOn, crashedOn: undefined })
+  return copyWith(task, { state: 'failed', failures, failedOn, crashedOn: undefined, result: last, reason: { kind: 'attempts-used-up', last } })
+}
+
+// Unlike failed attempts, crashes cost others their work, so they are limited for replicas and watches as well.
+const endInCrash = (task: Task, vm: VmId): Task => {
+  const crashedOn = [...task.crashedOn ?? [], vm]
+  if (crashedOn.length < CRASHES_TO_GIVE_UP) return copyWith(task, { state: 'queued', crashedOn, reason: { kind: 'may-crash-workers', vms: crashedOn } })
+  return copyWith(task, { state: 'failed', crashedOn, reason: { kind: 'crashed-workers', vms: crashedOn } })
 }
 
 const withdraw = (task: Task, transition: Extract<Transition, { kind: 'withdrawn' }>): Task => {
--- a/packages/core/src/cell/journalSchema.ts
+++ b/packages/core/src/cell/journalSchema.ts
@@ -27,7 +27,8 @@
   accepted: z.looseObject({ kind: z.literal('accepted'), spec }),
   assigned: z.looseObject({ kind: z.literal('assigned'), task: z.string(), attempt, vm: z.string(), session: z.string() }),
   stopping: z.looseObject({ kind: z.literal('stopping'), task: z.string(), attempt, reason }),
-  ended: z.looseObject({ kind: z.literal('ended'), task: z.string(), attempt, end: z.enum(['finished', 'failed', 'stopped', 'lost']) }),
+  ended: z.looseObject({ kind: z.literal('ended'), task: z.string(), attempt, end: z.enum(['finished', 'failed', 'stopped', 'lost']), crash: z.enum(['suspect', 'bystander']).optional() }),
+  survived: z.looseObject({ kind: z.literal('survived'), task: z.string(), attempt }),
   withdrawn: z.looseObject({ kind: z.literal('withdrawn'), task: z.string(), reason }),
   respecified: z.looseObject({ kind: z.literal('respecified'), task: z.string(), spec }),
   unrunnable: z.looseObject({ kind: z.literal('unrunnable'), task: z.string(), reason }),
@@ -51,6 +52,7 @@
   attempt,
   placement: placement.optional(),
   failures: z.int().min(0),
+  crashedOn: z.array(z.string()).optional(),
   evictions: z.int().min(0),
   isWithdrawn: z.boolean()
 })
--- a/packages/core/src/cell/reconcileReport.ts
+++ b/packages/core/src/cell/reconcileReport.ts
@@ -2,9 +2,9 @@
  * Reconciles a worker's report with the attempts that the cell has placed on it.
  */
 import type { Instant, LeaseSession, VmId } from '@auburnpin/common'
-import { REPLICA_DRAIN_MS } from '../constants.ts'
+import { MIN_SURVIVAL_MS, REPLICA_DRAIN_MS } from '../constants.ts'
 import type { CellState } from './CellState.ts'
-import type { CellAction, CellEvent, Placement, ReportedTask, Task, Transition, Vm } from './types.ts'
+import type { CellAction, CellEvent, CrashRole, Placement, ReportedTask, Task, Transition, Vm } from './types.ts'
 
 type Report = Extract<CellEvent, { kind: 'reported' }>
 
@@ -24,15 +24,16 @@
     const task = state.tasks.get(id)
     if (task?.placement === undefined) continue
     const reported = reportedByKey.get(`${id}/${task.attempt}`)
-    if (reported !== undefined) reconcilePresent(state, vm, task, task.placement, reported, result, now)
-    else if (report.askedAt > task.placement.since) reconcileMissing(vm, task, task.placement, report.session, result)
+    if (reported !== undefined) reconcilePresent(state, vm, task, task.placement, reported, report, result, now)
+    else if (report.askedAt > task.placement.since) reconcileMissing(vm, task, task.placement, report, result)
   }
   for (const reported of report.tasks) reconcileUnexpected(state, vm, reported, report.session, result)
   return result
 }
 
-const reconcilePresent = (state: CellState, vm: Vm, task: Task, placement: Placement, reported: ReportedTask, result: Reconciliation, now: Instant): void => {
+const reconcilePresent = (state: CellState, vm: Vm, task: Task, placement: Placement, reported: ReportedTask, report: Report, result: Reconciliation, now: Instant): void => {
   if (reported.state === 'running') {
+    recordSurvival(state, task, placement, report, result, now)
     const isChanged = !placement.isRunning || placement.address !== reported.address
     if (isChanged) state.updatePlacement(task.spec.id, { isRunning: true, address: reported.address })
     if (isChanged && task.spec.kind === 'replica') result.actions.push({ kind: 'publish-endpoints' })
@@ -47,6 +48,18 @@
   if (task.spec.kind === 'replica') result.actions.push({ kind: 'publish-endpoints' })
 }
 
+// The attempt ran before the first report arrived, and still when the later one was requested.
+const recordSurvival = (state: CellState, { spec, attempt, crashedOn }: Task, { seenSince, hasSurvived }: Placement, report: Report, result: Reconciliation, now: Instant): void => {
+  if (hasSurvived === true) return
+  if (seenSince === undefined) {
+    state.updatePlacement(spec.id, { seenSince: now })
+    return
+  }
+  if (report.askedAt - seenSince < MIN_SURVIVAL_MS) return
+  state.updatePlacement(spec.id, { hasSurvived: true })
+  if (crashedOn !== undefined) result.transitions.push({ kind: 'survived', task: spec.id, attempt })
+}
+
 // A replica is stopped only after its requests had time to end. The start of the drain is not durable, so a new owner
 // starts the drain again.
 const isDrained = (state: CellState, task: Task, placement: Placement, result: Reconciliation, now: Instant): boolean => {
@@ -57,10 +70,11 @@
   return false
 }
 
-const reconcileMissing = (vm: Vm, task: Task, placement: Placement, session: LeaseSession | null, result: Reconciliation): void => {
-  if (session !== placement.session) {
+const reconcileMissing = (vm: Vm, task: Task, placement: Placement, report: Report, result: Reconciliation): void => {
+  if (report.session !== placement.session) {
+    const crash = report.isNewIncarnation === true ? crashRoleOf(vm, task, placement) : undefined
     // A closed session is never reopened, so a delayed start under it can no longer take effect.
-    result.transitions.push({ kind: 'ended', task: task.spec.id, attempt: task.attempt, end: 'lost', reason: { kind: 'lease-ran-out', vm: vm.id } })
+    result.transitions.push({ kind: 'ended', task: task.spec.id, attempt: task.attempt, end: 'lost', reason: { kind: 'lease-ran-out', vm: vm.id }, crash })
     if (task.spec.kind === 'replica') result.actions.push({ kind: 'publish-endpoints' })
     return
   }
@@ -79,6 +93,10 @@
   }
 }
 
+// A VM that leaves, and an attempt that is being stopped, may end at any time.
+const crashRoleOf = (vm: Vm | undefined, task: Task, placement: Placement): CrashRole =>
+  placement.hasSurvived === true || placement.isStopping || task.isWithdrawn || vm?.isLeaving === true ? 'bystander' : 'suspect'
+
 /** The action that stops a placed attempt, with a checkpoint if the task will resume. */
 export const stopAction = (vm: Vm, task: Task, placement: Placement): CellAction => ({
   kind: 'stop',
@@ -108,6 +126,9 @@
   return transitions
 }
 
-const lostTransition = (state: CellState, id: Task['spec']['id'], vm: VmId): Transition => ({
-  kind: 'ended', task: id, attempt: (state.tasks.get(id) as Task).attempt, end: 'lost', reason: { kind: 'vm-lost', vm }
-})
+const lostTransition = (state: CellState, id: Task['spec']['id'], vmId: VmId): Transition => {
+  const task = state.tasks.get(id) as Task
+  const vm = state.vms.get(vmId)
+  const crash = vm?.isLeaving === true ? undefined : crashRoleOf(vm, task, task.placement as Placement)
+  return { kind: 'ended', task: id, attempt: task.attempt, end: 'lost', reason: { kind: 'vm-lost', vm: vmId }, crash }
+}
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -46,6 +46,8 @@
   | Readonly<{ kind: 'vm-lost', vm: VmId }>
   | Readonly<{ kind: 'lease-ran-out', vm: VmId }>
   | Readonly<{ kind: 'attempts-used-up', last: string }>
+  | Readonly<{ kind: 'may-crash-workers', vms: readonly VmId[] }>
+  | Readonly<{ kind: 'crashed-workers', vms: readonly VmId[] }>
   | Readonly<{ kind: 'redeclared' }>
   | Readonly<{ kind: 'replaced' }>
   | Readonly<{ kind: 'withdrawn' }>
@@ -59,6 +61,10 @@
   since: Instant
   isRunning: boolean
   isStopping: boolean
+  /** When a report first showed this owner that the attempt runs. */
+  seenSince?: Instant
+  /** Whether reports have shown the attempt running for `MIN_SURVIVAL_MS`. */
+  hasSurvived?: boolean
   /** When this owner first published the replica as leaving; it is stopped after `REPLICA_DRAIN_MS`. */
   drainedSince?: Instant
   /** Share of its declared processors that the attempt may use, 0 to 1; 1 if absent. */
@@ -80,6 +86,8 @@
   failures: number
   /** VMs on which an attempt failed, each once. */
   failedOn?: readonly VmId[]
+  /** VMs whose workers crashed soon after they had been sent an attempt, one for each crash since the task last survived a start. */
+  crashedOn?: readonly VmId[]
   evictions: number
   /** Set once the task must not run again, however its current attempt ends. */
   isWithdrawn: boolean
@@ -88,12 +96,16 @@
 /** How an attempt ended. */
 export type AttemptEnd = 'finished' | 'failed' | 'stopped' | 'lost'
 
+/** Whether an attempt that was lost in a crash of its worker may have caused it: not if it had survived its start. */
+export type CrashRole = 'suspect' | 'bystander'
+
 /** One change of a cell's durable state, as recorded in the journal. */
 export type Transition =
   | Readonly<{ kind: 'accepted', spec: TaskSpec }>
   | Readonly<{ kind: 'assigned', task: TaskId, attempt: Attempt, vm: VmId, session: LeaseSession }>
   | Readonly<{ kind: 'stopping', task: TaskId, attempt: Attempt, reason: TaskReason }>
-  | Readonly<{ kind: 'ended', task: TaskId, attempt: Attempt, end: AttemptEnd, result?: string, checkpoint?: string, reason?: TaskReason }>
+  | Readonly<{ kind: 'ended', task: TaskId, attempt: Attempt, end: AttemptEnd, result?: string, checkpoint?: string, reason?: TaskReason, crash?: CrashRole }>
+  | Readonly<{ kind: 'survived', task: TaskId, attempt: Attempt }>
   | Readonly<{ kind: 'withdrawn', task: TaskId, reason: TaskReason }>
   | Readonly<{ kind: 'respecified', task: TaskId, spec: TaskSpec }>
   | Readonly<{ kind: 'unrunnable', task: TaskId, reason: TaskReason }>
@@ -157,7 +169,7 @@
   | Readonly<{ kind: 'vms-listed', vms: readonly ListedVm[] }>
   | Readonly<{ kind: 'lease-granted', vm: VmId, session: LeaseSession, sentAt: Instant }>
   | Readonly<{ kind: 'lease-refused', vm: VmId, openSession: LeaseSession | null }>
-  | Readonly<{ kind: 'reported', vm: VmId, askedAt: Instant, session: LeaseSession | null, tasks: readonly ReportedTask[] }>
+  | Readonly<{ kind: 'reported', vm: VmId, askedAt: Instant, session: LeaseSession | null, isNewIncarnation?: boolean, tasks: readonly ReportedTask[] }>
   | Readonly<{ kind: 'usage', vm: VmId, readings: readonly UsageReading[] }>
 
 /** An action that the cell's caller carries out once the step's transitions are durable. */
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -12,6 +12,12 @@
 export const MAX_REMOVED_PER_PASS = 256
 /** Failed attempts after which a batch task is not tried again. */
 export const MAX_FAILED_ATTEMPTS = 5
+/** Crashes of workers within `MIN_SURVIVAL_MS` of a start, in a row, after which a task is given up. */
+export const CRASHES_TO_GIVE_UP = 3
+/** Time for which an attempt must have been seen running for a later crash of its worker not to count, in milliseconds. */
+export const MIN_SURVIVAL_MS = 500
+/** Wait after which a task that may be given up at the next crash is started beside other starts that nothing is known against, in milliseconds. */
+export const MAX_TRIAL_WAIT_MS = 30_000
 /** Most starts decided in one placement pass. */
 export const MAX_STARTS_PER_PASS = 256
 /** VMs examined for one placement. */
--- a/packages/core/src/explain/describeReason.ts
+++ b/packages/core/src/explain/describeReason.ts
@@ -3,6 +3,7 @@
  */
 import { assertNever, type Resources, type ServiceName, type VmId } from '@auburnpin/common'
 import type { TaskReason } from '../cell/types.ts'
+import { CRASHES_TO_GIVE_UP } from '../constants.ts'
 
 const PERCENT = 100
 
@@ -45,6 +46,10 @@
       return { cause: `the worker's lease on VM ${reason.vm} expired`, nextStep: 'it resumes by itself on a VM whose worker holds a lease' }
     case 'attempts-used-up':
       return { cause: `all its attempts failed, the last with "${reason.last}"`, nextStep: 'correct its command, then submit it under a new key' }
+    case 'may-crash-workers':
+      return { cause: describeCrashes(reason.vms), nextStep: `it starts again by itself, apart from other tasks, and is given up at ${CRASHES_TO_GIVE_UP} crashes in a row` }
+    case 'crashed-workers':
+      return { cause: describeCrashes(reason.vms), nextStep: 'correct its command, then submit it under a new key or declare it again' }
     case 'redeclared':
       return { cause: 'its declaration has changed', nextStep: 'it resumes by itself under the new one' }
     case 'replaced':
@@ -58,6 +63,9 @@
   }
 }
 
+const describeCrashes = (vms: readonly VmId[]): string =>
+  vms.length === 1 ? `the worker that started it on VM ${vms[0]} crashed soon after` : `the workers that started it on VMs ${vms.join(', ')} crashed soon after`
+
 const describePlaced = (vm: VmId, services: readonly ServiceName[]): string => {
   if (services.length === 0) return `VM ${vm} has capacity for it and runs no service`
   return `VM ${vm} has capacity for it beside ${services.join(', ')}`
--- a/packages/core/src/placement/VmCapacity.ts
+++ b/packages/core/src/placement/VmCapacity.ts
@@ -4,6 +4,7 @@
 import { addResources, NO_RESOURCES, subtractResources, type Instant, type Resources, type TaskId, type VmId } from '@auburnpin/common'
 import type { CellState } from '../cell/CellState.ts'
 import type { Task, Vm } from '../cell/types.ts'
+import { CRASHES_TO_GIVE_UP } from '../constants.ts'
 import type { WorkerHealth } from '../health/WorkerHealth.ts'
 import { CapacityIndex } from './CapacityIndex.ts'
 
@@ -90,7 +91,7 @@
 
   #indexFree (state: CellState, id: VmId, vm: Vm | undefined, now: Instant): void {
     const isUsable = vm?.session !== undefined && !vm.isLeaving && vm.missingSince === undefined
-    if (!isUsable || !this.#health.acceptsTasks(id, now)) {
+    if (!isUsable || !this.#health.acceptsTasks(id, now) || hasTrial(state, id)) {
       this.free.delete(id)
       this.freeAfterEviction.delete(id)
       return
@@ -125,6 +126,15 @@
   return tasks
 }
 
+/** Whether one more crash would have the task given up, so that no other start may confuse the verdict. */
+export const isOnTrial = ({ crashedOn = [] }: Task): boolean => crashedOn.length === CRASHES_TO_GIVE_UP - 1
+
+/** Whether a task on trial has been started on the VM and has not survived its start yet. */
+export const hasTrial = (state: CellState, vm: VmId): boolean => {
+  for (const task of tasksOn(state, vm)) if (isOnTrial(task)) return true
+  return false
+}
+
 /** Whether the present attempt has been ordered to stop, so that its capacity is about to be freed. */
 export const isStopping = ({ placement, isWithdrawn }: Task): boolean => placement !== undefined && (placement.isStopping || isWithdrawn)
 
--- a/packages/core/src/placement/VmSelector.ts
+++ b/packages/core/src/placement/VmSelector.ts
@@ -7,7 +7,7 @@
 import { PLACEMENT_CANDIDATES, REPLICA_CANDIDATES } from '../constants.ts'
 import type { ServiceLoads } from '../interference/ServiceLoads.ts'
 import type { ReplicaSpread } from './ReplicaSpread.ts'
-import type { VmCapacity } from './VmCapacity.ts'
+import { hasTrial, isOnTrial, tasksOn, type VmCapacity } from './VmCapacity.ts'
 
 /** How batch tasks are placed. */
 export type PlacementRule = 'interference' | 'best-fit' | 'first-fit'
@@ -22,8 +22,18 @@
   tailLimit: number
 }>
 
+/** Which VMs one selection may take. */
+export type SelectionRules = Readonly<{
+  /** Predicted interference adds to the cost of a VM but excludes none. */
+  mustPlace: boolean
+  /** A task on trial may start beside attempts that have not survived their starts, unless these are suspects as well. */
+  isTrialShared: boolean
+}>
+
 // Costs are in units of one VM: a cost of 1 offsets the free processors of a whole VM.
 const FAILED_ON_VM_COST = 10
+const CRASHED_ON_VM_COST = 100
+const SUSPECT_NEIGHBOUR_COST = 1
 const ACCELERATOR_WASTE_COST = 5
 const SAME_VM_COST = 100
 const SAME_RACK_COST = 10
@@ -49,17 +59,18 @@
     this.#settings = settings
   }
 
-  /** With `mustPlace`, predicted interference adds to the cost of a VM but excludes none. */
-  select (state: CellState, task: Task, mustPlace: boolean): Selection {
-    const reservedVm = this.#reservedVm(state, task)
+  select (state: CellState, task: Task, { mustPlace, isTrialShared }: SelectionRules): Selection {
+    const reservedVm = this.#reservedVm(state, task, isTrialShared)
     if (reservedVm !== undefined) return { vm: reservedVm }
     const wanted = task.spec.resources
     const isReplica = task.spec.kind === 'replica'
     const isFirstFit = this.#settings.rule === 'first-fit' && !isReplica
     const start = isFirstFit ? 0 : this.#random.fraction()
-    const candidates = this.#capacity.free.find(wanted, isReplica ? REPLICA_CANDIDATES : PLACEMENT_CANDIDATES, start)
+    const isTrial = isOnTrial(task)
+    const found = this.#capacity.free.find(wanted, isReplica || isTrial ? REPLICA_CANDIDATES : PLACEMENT_CANDIDATES, start)
+    const candidates = isTrial ? found.filter(vm => isApart(state, vm, isTrialShared)) : found
     if (isFirstFit && candidates[0] !== undefined) return { vm: state.vms.get(candidates[0]) }
-    return isReplica ? this.#cheapest(state, candidates, vm => this.#replicaCost(task, vm)) : this.#selectForBatch(state, task, candidates, mustPlace)
+    return isReplica ? this.#cheapest(state, candidates, vm => this.#replicaCost(state, task, vm)) : this.#selectForBatch(state, task, candidates, mustPlace)
   }
 
   /** Whether a sampled VM other than `from` could take the task with every service there within its latency limit. */
@@ -71,15 +82,16 @@
     return false
   }
 
-  #reservedVm (state: CellState, task: Task): Vm | undefined {
+  #reservedVm (state: CellState, task: Task, isTrialShared: boolean): Vm | undefined {
     const reservation = this.#capacity.reservationOf(task.spec.id)
     const vm = reservation === undefined ? undefined : state.vms.get(reservation.vm)
-    if (vm?.session === undefined || vm.isLeaving) return undefined
+    if (vm?.session === undefined || vm.isLeaving || hasTrial(state, vm.id)) return undefined
+    if (isOnTrial(task) && !isApart(state, vm.id, isTrialShared)) return undefined
     return fitsWithin(task.spec.resources, state.freeOn(vm)) ? vm : undefined
   }
 
   #selectForBatch (state: CellState, task: Task, candidates: readonly VmId[], mustPlace: boolean): Selection {
-    if (this.#settings.rule === 'best-fit') return this.#cheapest(state, candidates, vm => this.#packingCost(task, vm))
+    if (this.#settings.rule === 'best-fit') return this.#cheapest(state, candidates, vm => this.#packingCost(state, task, vm))
     const slowedServices: ServiceName[] = []
     const selection = this.#cheapest(state, candidates, vm => {
       const slowed = this.#firstSlowedService(state, task, vm.id)
@@ -87,7 +99,7 @@
         slowedServices.push(slowed)
         return Infinity
       }
-      return this.#packingCost(task, vm) + INTERFERENCE_COST * this.#interferenceOn(state, task, vm.id)
+      return this.#packingCost(state, task, vm) + INTERFERENCE_COST * this.#interferenceOn(state, task, vm.id)
     })
     return selection.vm === undefined ? { wouldSlow: slowedServices[0] } : selection
   }
@@ -105,18 +117,16 @@
     return { vm: best }
   }
 
-  #replicaCost ({ spec, failedOn }: Task, vm: Vm): number {
-    const service = spec.service as ServiceName
-    const failed = failedOn?.includes(vm.id) === true ? FAILED_ON_VM_COST : 0
+  #replicaCost (state: CellState, task: Task, vm: Vm): number {
+    const service = task.spec.service as ServiceName
     const free = freeShare(this.#capacity.free.get(vm.id), vm.resources)
-    return failed + SAME_VM_COST * this.#spread.onVm(service, vm.id) + SAME_RACK_COST * this.#spread.onRack(service, vm.rack) - free
+    return historyCost(state, task, vm) + SAME_VM_COST * this.#spread.onVm(service, vm.id) + SAME_RACK_COST * this.#spread.onRack(service, vm.rack) - free
   }
 
-  #packingCost ({ spec, failedOn }: Task, vm: Vm): number {
+  #packingCost (state: CellState, task: Task, vm: Vm): number {
     const free = this.#capacity.free.get(vm.id)
-    const failed = failedOn?.includes(vm.id) === true ? FAILED_ON_VM_COST : 0
-    const isWaste = spec.resources.accelerators === 0 && free.accelerators > 0
-    return failed + (isWaste ? ACCELERATOR_WASTE_COST : 0) + freeShare(free, vm.resources)
+    const isWaste = task.spec.resources.accelerators === 0 && free.accelerators > 0
+    return historyCost(state, task, vm) + (isWaste ? ACCELERATOR_WASTE_COST : 0) + freeShare(free, vm.resources)
   }
 
   #interferenceOn (state: CellState, task: Task, vm: VmId): number {
@@ -133,4 +143,20 @@
   }
 }
 
+// A suspect starts apart from others: they are lost if it crashes its worker again, and may be suspects themselves.
+const historyCost = (state: CellState, { failedOn, crashedOn }: Task, vm: Vm): number => {
+  const failed = failedOn?.includes(vm.id) === true ? FAILED_ON_VM_COST : 0
+  if (crashedOn === undefined) return failed
+  const crashed = crashedOn.includes(vm.id) ? CRASHED_ON_VM_COST : 0
+  return failed + crashed + SUSPECT_NEIGHBOUR_COST * state.placedOn(vm.id).size
+}
+
+// Otherwise a crash would not show which of them caused it.
+const isApart = (state: CellState, vm: VmId, isShared: boolean): boolean => {
+  for (const { placement, crashedOn } of tasksOn(state, vm)) {
+    if (placement?.hasSurvived !== true && (crashedOn !== undefined || !isShared)) return false
+  }
+  return true
+}
+
 const freeShare = (free: Resources, total: Resources): number => free.processors / Math.max(total.processors, 1)
--- a/packages/core/src/policy/ColocationPolicy.ts
+++ b/packages/core/src/policy/ColocationPolicy.ts
@@ -5,7 +5,7 @@
 import type { CellState } from '../cell/CellState.ts'
 import type { Task, TaskReason, TaskReading, Transition, UsageReading } from '../cell/types.ts'
 import type { Configuration } from '../configuration/types.ts'
-import { MAX_RESERVATIONS_PER_PASS, MAX_IDLE_PASS_MS, MAX_STARTS_PER_PASS, MAX_AVOIDANCE_MS } from '../constants.ts'
+import { MAX_RESERVATIONS_PER_PASS, MAX_IDLE_PASS_MS, MAX_STARTS_PER_PASS, MAX_AVOIDANCE_MS, MAX_TRIAL_WAIT_MS } from '../constants.ts'
 import type { InterferenceModel, Neighbour } from '../interference/InterferenceModel.ts'
 import { workloadKindOf } from '../interference/workloadKindOf.ts'
 import { UsageEstimates } from '../interference/UsageEstimates.ts'
@@ -173,7 +173,8 @@
     const isDeclared = spec.kind !== 'batch'
     if (!this.#mayStart(task)) return undefined
     const waitedMs = now - (queue.waitingSince(spec) ?? now)
-    const { vm } = this.#selector.select(state, task, isDeclared || spec.isUrgent || waitedMs > MAX_AVOIDANCE_MS)
+    const rules = { mustPlace: isDeclared || spec.isUrgent || waitedMs > MAX_AVOIDANCE_MS, isTrialShared: waitedMs > MAX_TRIAL_WAIT_MS }
+    const { vm } = this.#selector.select(state, task, rules)
     if (vm?.session === undefined) return undefined
     capacity.release(spec.id)
     health.recordStart(vm.id)
--- a/packages/core/src/policy/TaskQueue.ts
+++ b/packages/core/src/policy/TaskQueue.ts
@@ -6,11 +6,12 @@
 import type { Task, TaskSpec } from '../cell/types.ts'
 import { EQUIVALENCE_CLASSES_PER_PASS } from '../constants.ts'
 import { workloadKindOf } from '../interference/workloadKindOf.ts'
+import { isOnTrial } from '../placement/VmCapacity.ts'
 import { BinaryHeap } from './BinaryHeap.ts'
 
 type Entry = Readonly<{ id: TaskId, acceptedAt: number, order: number, since: Instant }>
 
-/** Waiting tasks with the same resources, workload and VMs on which they failed: if one cannot be placed, none can. */
+/** Waiting tasks with the same resources, workload and VMs on which they failed, all or none on trial: if one cannot be placed, none can. */
 type EquivalenceClass = { readonly key: string, readonly entries: BinaryHeap<Entry> }
 
 /** Tries to place a task; returns whether it has left the queue. */
@@ -116,8 +117,10 @@
 const isOlder = (left: Entry, right: Entry): boolean =>
   left.acceptedAt < right.acceptedAt || (left.acceptedAt === right.acceptedAt && left.order < right.order)
 
-const equivalenceKey = ({ spec, failedOn }: Task): string =>
-  `${sizeKey(spec)}/${spec.service ?? ''}/${workloadKindOf(spec)}/${(failedOn ?? []).join(',')}`
+const equivalenceKey = (task: Task): string => {
+  const { spec, failedOn } = task
+  return `${sizeKey(spec)}/${spec.service ?? ''}/${workloadKindOf(spec)}/${(failedOn ?? []).join(',')}/${String(isOnTrial(task))}`
+}
 
 const sizeKey = ({ resources }: TaskSpec): string =>
   `${resources.processors}/${resources.memoryMb}/${resources.accelerators}`
--- a/packages/core/src/policy/findTaskReason.ts
+++ b/packages/core/src/policy/findTaskReason.ts
@@ -32,6 +32,6 @@
   if (capacity.free.size === 0) return { kind: 'waiting-for-workers' }
   if (reservation !== undefined) return { kind: 'waiting-for-eviction', vm: reservation.vm }
   if (kind === 'batch' && quota !== undefined && !usage.isWithinQuota(team, resources, isUrgent)) return { kind: 'over-quota', team, quota }
-  const { wouldSlow } = selector.select(state, task, false)
+  const { wouldSlow } = selector.select(state, task, { mustPlace: false, isTrialShared: false })
   return wouldSlow === undefined ? { kind: 'waiting-for-room' } : { kind: 'would-slow', service: wouldSlow }
 }
--- a/packages/core/tests/explainTask.test.ts
+++ b/packages/core/tests/explainTask.test.ts
@@ -43,6 +43,8 @@
   { kind: 'vm-lost', vm: VM },
   { kind: 'lease-ran-out', vm: VM },
   { kind: 'attempts-used-up', last: 'exit 1' },
+  { kind: 'may-crash-workers', vms: [VM] },
+  { kind: 'crashed-workers', vms: [VM, VM, VM] },
   { kind: 'withdrawn' },
   { kind: 'by-caller' }
 ]
--- a/packages/fakes/src/FakeWorkers.ts
+++ b/packages/fakes/src/FakeWorkers.ts
@@ -5,44 +5,74 @@
 import {
   Worker, Workers, type AttemptReference, type TaskStart, type UsageSample, type WorkerResponse, type WorkerLease, type WorkerReport, type WorkerTask
 } from '@auburnpin/ports'
-import { reportEntry, WorkerState, type WorkerEntry, type WorkerRefusal, type WorkerResources } from '@auburnpin/stand-in'
+import { reportEntry, WorkerState, type WorkerEntry, type WorkerEvent, type WorkerRefusal, type WorkerResources } from '@auburnpin/stand-in'
 import type { FakeLink } from './FakeLink.ts'
 
-/** What a fake task does: it finishes or fails after a time, or stays running until it is stopped. */
-export type FakeTaskBehaviour = Readonly<{ kind: 'finish' | 'fail', afterMs: number }> | Readonly<{ kind: 'stay' }>
+/**
+ * What a fake task does: it finishes or fails after a time, stays running until it is stopped, or crashes its worker,
+ * which starts again after `restartMs`, if that is set.
+ */
+export type FakeTaskBehaviour =
+  | Readonly<{ kind: 'finish' | 'fail', afterMs: number }>
+  | Readonly<{ kind: 'crash', afterMs: number, restartMs?: number }>
+  | Readonly<{ kind: 'stay' }>
 
 /** Decides the behaviour of a task when it starts. */
 export type FakeBehaviourChooser = (start: WorkerEntry['start']) => FakeTaskBehaviour
 
-/** One VM's worker; `state.events` records what actually ran. */
+/** One VM's worker; `events` records what actually ran. */
 export class FakeVmWorker {
-  readonly #state: WorkerState
+  readonly #capacity: WorkerResources
   readonly #clock: Clock
   readonly #behaviourOf: FakeBehaviourChooser
   readonly #timers = new Map<WorkerEntry, Timer>()
+  readonly #earlierEvents: WorkerEvent[] = []
+  #state: WorkerState
   #leaseTimer: Timer | undefined
   #isDead = false
+  #crashes = 0
 
   constructor (capacity: WorkerResources, clock: Clock, behaviourOf: FakeBehaviourChooser) {
+    this.#capacity = capacity
     this.#clock = clock
     this.#behaviourOf = behaviourOf
-    this.#state = new WorkerState(capacity, entry => this.#run(entry), entry => this.#timers.get(entry)?.cancel())
+    this.#state = this.#newState()
   }
 
   get state (): WorkerState {
     return this.#state
   }
 
+  /** All starts and ends, oldest first, also those before a restart. */
+  get events (): readonly WorkerEvent[] {
+    return [...this.#earlierEvents, ...this.#state.events]
+  }
+
+  /** Number of times that the worker was lost through `kill` or a task. */
+  get crashes (): number {
+    return this.#crashes
+  }
+
   get isDead (): boolean {
     return this.#isDead
   }
 
   /** Simulates the failure of the VM: all tasks end at once and calls fail as unreachable. */
   kill (): void {
+    if (this.#isDead) return
     this.#isDead = true
+    this.#crashes++
+    this.#leaseTimer?.cancel()
     this.#state.expire()
   }
 
+  /** Starts the worker again; nothing that it knew before the failure is left. */
+  restart (): void {
+    this.#earlierEvents.push(...this.#state.events)
+    this.#state = this.#newState()
+    this.#isDead = false
+  }
+
   lease (lease: WorkerLease): WorkerRefusal | undefined {
     const refusal = this.#state.lease(lease)
     if (refusal !== undefined) return refusal
@@ -55,9 +85,22 @@
     if (entry.start.service !== undefined) entry.address = `127.0.0.1:${entry.start.attempt}`
     const behaviour = this.#behaviourOf(entry.start)
     if (behaviour.kind === 'stay') return
+    if (behaviour.kind === 'crash') {
+      this.#timers.set(entry, this.#clock.after(behaviour.afterMs, () => this.#crash(behaviour.restartMs)))
+      return
+    }
     const end = behaviour.kind === 'finish' ? 'finished' : 'failed'
     this.#timers.set(entry, this.#clock.after(behaviour.afterMs, () => this.#state.finish(entry, end, `attempt ${entry.start.attempt}`)))
   }
+
+  #crash (restartMs: number | undefined): void {
+    this.kill()
+    if (restartMs !== undefined) this.#clock.after(restartMs, () => this.restart())
+  }
+
+  #newState (): WorkerState {
+    return new WorkerState(this.#capacity, entry => this.#run(entry), entry => this.#timers.get(entry)?.cancel())
+  }
 }
 
 /** All workers by address. */
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -7,6 +7,8 @@
 import { LEASE_RENEWAL_INTERVAL_MS, REPORT_INTERVAL_MS, USAGE_INTERVAL_MS } from './constants.ts'
 
 const SESSION_ID_LENGTH = 12
+/** A worker that has been granted no lease since it started reports a lower epoch. */
+const FIRST_EPOCH = 1
 
 /** Polls one worker for one owner. Exchanges run one at a time, so responses are handled in order. */
 export class WorkerLink {
@@ -48,7 +50,8 @@
     const report = await this.#worker.report()
     if (report.err) return
     // Posted before the renewal, so that a cell waiting for the lease to expire allows for a renewal in flight.
-    this.#post({ kind: 'reported', vm: this.#vm.id, askedAt, session: report.val.session, tasks: report.val.tasks })
+    const { session, epoch, tasks } = report.val
+    this.#post({ kind: 'reported', vm: this.#vm.id, askedAt, session, isNewIncarnation: epoch < FIRST_EPOCH, tasks })
     if (this.#isRenewalDue(report.val)) await this.#renew(report.val)
     if (this.#usageAt === undefined || askedAt - this.#usageAt >= USAGE_INTERVAL_MS) await this.#readUsage(askedAt)
   }
--- a/packages/scheduler/tests/support/World.ts
+++ b/packages/scheduler/tests/support/World.ts
@@ -144,7 +144,7 @@
   }
 
   #events () {
-    return [...this.vms.values()].flatMap(vm => [...vm.state.events])
+    return [...this.vms.values()].flatMap(vm => [...vm.events])
   }
 }
 
