A worker gets a new lease session only once the ends of its attempts are recorded

Callers saw: a task that crashes workers was started five times instead of three when owners took over between the crashes.

The next owner then met a worker with a session and an epoch, which could as well have lost only its lease, and counted no crash.

Change: a report without a session is waited for until what it changed is durable; without that no session is opened. An owner that can't write can start nothing there anyway. Closing a cell doesn't wait for it.

--- a/bench/workerControl.ts
+++ b/bench/workerControl.ts
@@ -25,7 +25,7 @@
   }
   const client = new HttpClient(4)
   const vm = { id: brand<VmId>('vm-1'), dataCentre: brand<DataCentre>('colombo'), rack: brand<RackId>('r1'), address, resources: RESOURCES, isLeaving: false }
-  const owner = new WorkerLink(vm, { cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(EPOCH) }, new HttpWorkers(client).at(address), new SystemClock(), new SystemRandom(), new SilentLog(), () => {}, () => {})
+  const owner = new WorkerLink(vm, { cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(EPOCH) }, new HttpWorkers(client).at(address), new SystemClock(), new SystemRandom(), new SilentLog(), () => {}, () => Promise.resolve(true), () => {})
   owner.start()
   await new Promise(resolve => setTimeout(resolve, WARM_UP_MS))
   const before = proxy.bytes
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -49,6 +49,7 @@
   readonly #events: SerialQueue<Message>
   readonly #ticker: Ticker
   readonly #links = new Map<VmId, WorkerLink>()
+  readonly #unrecordedReports = new Set<(isRecorded: boolean) => void>()
   readonly #onLost: () => void
   /** Number of submissions and cancellations without a result. */
   #openRequests = 0
@@ -148,6 +149,7 @@
     this.#isClosed = true
     if (isFenced) await this.#journal.close(true)
     await this.#ticker.stop()
+    for (const resolve of this.#unrecordedReports) resolve(false)
     await Promise.all([...this.#links.values()].map(link => link.stop()))
     await this.#events.close()
     await this.#journal.close(isFenced)
@@ -179,7 +181,10 @@
       return
     }
     // These events recur, so they are dropped instead of queued while the journal is stalled.
-    if (PERIODIC_EVENTS.has(event.kind) && this.#journal.isStalled) return
+    if (PERIODIC_EVENTS.has(event.kind) && this.#journal.isStalled) {
+      settle?.(Err(this.#overloadedError()))
+      return
+    }
     const step = this.#decide(event)
     if (step.err) {
       settle?.(step)
@@ -231,7 +236,7 @@
     const { clock, random, log, workers } = this.#ports
     for (const vm of this.#cell.state.vms.values()) {
       if (this.#links.has(vm.id)) continue
-      const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, event => this.#events.enqueue({ event }), () => this.#loseOwnership())
+      const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, event => this.#events.enqueue({ event }), event => this.#record(event), () => this.#loseOwnership())
       this.#links.set(vm.id, link)
       link.start()
     }
@@ -242,6 +247,19 @@
     }
   }
 
+  // A link must not wait for the store while the cell is being closed.
+  #record (event: CellEvent): Promise<boolean> {
+    if (this.#isClosed) return Promise.resolve(false)
+    return new Promise(resolve => {
+      this.#unrecordedReports.add(resolve)
+      const settle = (outcome: JournalOutcome): void => {
+        this.#unrecordedReports.delete(resolve)
+        resolve(outcome.ok)
+      }
+      this.#events.enqueue({ event, settle })
+    })
+  }
+
   #reportError (error: unknown): void {
     if (error instanceof InvariantError) this.#ports.invariants.record(error)
     this.#ports.log.error(error instanceof Error ? error.message : String(error), { cell: this.#claimed.cell, epoch: this.#claimed.epoch })
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -18,6 +18,7 @@
   readonly #clock: Clock
   readonly #random: Random
   readonly #post: (event: CellEvent) => void
+  readonly #record: (event: CellEvent) => Promise<boolean>
   readonly #onFenced: () => void
   readonly #ticker: Ticker
   #session: LeaseSession | undefined
@@ -25,13 +26,18 @@
   #usageAt: Instant | undefined
   #usageSince = 0
 
-  constructor (vm: Vm, term: CellTerm, worker: Worker, clock: Clock, random: Random, log: Log, post: (event: CellEvent) => void, onFenced: () => void) {
+  /** `record` resolves to whether all changes that the event caused are durable; `post` doesn't wait for them. */
+  constructor (
+    vm: Vm, term: CellTerm, worker: Worker, clock: Clock, random: Random, log: Log,
+    post: (event: CellEvent) => void, record: (event: CellEvent) => Promise<boolean>, onFenced: () => void
+  ) {
     this.#vm = vm
     this.#term = term
     this.#worker = worker
     this.#clock = clock
     this.#random = random
     this.#post = post
+    this.#record = record
     this.#onFenced = onFenced
     this.#ticker = new Ticker(clock, REPORT_INTERVAL_MS, () => this.exchange(), error => log.error(String(error), { vm: vm.id }))
   }
@@ -50,12 +56,19 @@
     const report = await this.#worker.report()
     if (report.err) return
     // Posted before the renewal, so that a cell waiting for the lease to expire allows for a renewal in flight.
-    const { session, epoch, tasks } = report.val
-    this.#post({ kind: 'reported', vm: this.#vm.id, askedAt, session, isNewIncarnation: epoch < FIRST_EPOCH, tasks })
+    if (!await this.#postReport(report.val, askedAt)) return
     if (this.#isRenewalDue(report.val)) await this.#renew(report.val)
     if (this.#usageAt === undefined || askedAt - this.#usageAt >= USAGE_INTERVAL_MS) await this.#readUsage(askedAt)
   }
 
+  // A new session hides from the next owner that the worker was restarted, so what that ended must be durable before.
+  async #postReport ({ session, epoch, tasks }: WorkerReport, askedAt: Instant): Promise<boolean> {
+    const event: CellEvent = { kind: 'reported', vm: this.#vm.id, askedAt, session, isNewIncarnation: epoch < FIRST_EPOCH, tasks }
+    if (session === null) return await this.#record(event)
+    this.#post(event)
+    return true
+  }
+
   async #readUsage (askedAt: Instant): Promise<void> {
     this.#usageAt = askedAt
     const usage = await this.#worker.usage(this.#usageSince)
--- a/packages/scheduler/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/scheduler/tests/tasksThatCrashWorkers.test.ts
@@ -78,6 +78,20 @@
   assertGivenUp(t, world, runner)
 })
 
+test('an owner that takes over between the crashes goes on counting', async t => {
+  const world = new World(VMS, behaviourWith(CRASHES_AT_ONCE))
+  let runner = await openOrThrow(world, 'a')
+  submitAll(runner)
+  for (const [count, member] of ['b', 'c', 'd', 'e'].entries()) {
+    await world.until(MINUTE_MS, () => totalCrashes(world) > count)
+    await advance(world, runner, 2_000)
+    runner = await openOrThrow(world, member)
+    await advance(world, runner, 2_000)
+  }
+  await advance(world, runner, MINUTE_MS)
+  assertGivenUp(t, world, runner)
+})
+
 test('a crash that only the next owner learns of counts as well', async t => {
   const world = new World(VMS, behaviourWith(CRASHES_AT_ONCE))
   const first = await openOrThrow(world, 'a')
