A replica that was given up is not started again under another id, nor does it replace one that works

Callers saw: after a replica had crashed three workers, the next change of any declaration started another replica of the same work in its place, which crashes three more. While a broken declaration was rolled out, the replica that worked was withdrawn after two minutes although its successor had only crashed workers.

Cause: a slot whose replica has ended counts as empty; a successor without a failed attempt counts as one that finds no capacity, for which its predecessor makes room.

Change: a slot stays empty, or with its old replica, while a replica of the same work was given up for it. That record is kept while the slot is declared. A changed declaration starts a new one.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from '../configuration/types.ts'
 import { EMPTY_CONFIGURATION } from '../configuration/mergeNote.ts'
 import type { Policy } from '../policy/Policy.ts'
-import { isFinal } from './applyTransition.ts'
+import { isFinal, isGivenUp } from './applyTransition.ts'
 import { CellState } from './CellState.ts'
 import { endAttemptsOnLostVms, reconcileReport, stopAction } from './reconcileReport.ts'
 import { idsOf, redeclare } from './redeclare.ts'
@@ -134,7 +134,8 @@
     for (const [id, since] of this.#state.finalSince) {
       if (transitions.length >= MAX_REMOVED_PER_PASS) break
       if (surplus <= 0 && now - since < FINAL_RETENTION_MS) break
-      if (this.#declaredIds.has(id)) continue
+      const task = this.#state.tasks.get(id)
+      if (this.#declaredIds.has(id) || (task !== undefined && isGivenUp(task) && this.#isDeclared(task.spec))) continue
       transitions.push({ kind: 'forgotten', task: id })
       surplus--
     }
@@ -205,6 +206,10 @@
     return undeclared
   }
 
+  #isDeclared ({ id, slot }: TaskSpec): boolean {
+    return this.#declaredIds.has(slot ?? id)
+  }
+
   #redeclare (now: Instant): CellStep {
     if (this.#pendingDeclarations.length === 0) return EMPTY_STEP
     const { transitions, actions, pending } = redeclare(this.#state, this.#pendingDeclarations)
--- a/packages/core/src/cell/ReplicaReplacement.ts
+++ b/packages/core/src/cell/ReplicaReplacement.ts
@@ -3,7 +3,7 @@
  */
 import { brand, type Epoch, type Instant, type TaskId } from '@auburnpin/common'
 import { MAX_LEAVING_WAIT_MS, MAX_REPLACEMENT_WAIT_MS } from '../constants.ts'
-import { isFinal } from './applyTransition.ts'
+import { isFinal, isGivenUp } from './applyTransition.ts'
 import type { CellState } from './CellState.ts'
 import type { Task, TaskSpec } from './types.ts'
 
@@ -34,12 +34,15 @@
   /** Compares the existing replicas with the declared ones. */
   reconcile (state: CellState, now: Instant): Replacement {
     const bySlot = this.#replicasBySlot(state)
+    const givenUp = givenUpBySlot(state)
     const accepted: TaskSpec[] = []
     const withdrawn: TaskId[] = []
     for (const spec of this.#declared) {
       const present = bySlot.get(spec.id) ?? []
       bySlot.delete(spec.id)
       const usable = present.filter(task => isUsable(state, task, spec))
+      // Another replica of the same work would crash as many workers again.
+      if (usable.length === 0 && givenUp.get(spec.id)?.some(other => isSameWork(other, spec)) === true) continue
       const kept = usable.find(task => task.placement?.isRunning) ?? usable[0]
       const next = kept?.spec ?? this.#replacementSpec(state, spec)
       if (kept === undefined) accepted.push(next)
@@ -60,7 +63,8 @@
       const next = state.tasks.get(successor.id)
       const isRunning = next?.placement?.address !== undefined && next.placement.isRunning
       // A successor that has failed must not replace a working replica; one that was never placed may need its capacity.
-      const isStuck = now - successor.since >= successorTimeoutMs(state, id) && next?.placement === undefined && next?.failures === 0
+      const hasFailed = next?.failures !== 0 || next.crashedOn !== undefined
+      const isStuck = now - successor.since >= successorTimeoutMs(state, id) && next?.placement === undefined && !hasFailed
       if (!isRunning && !isStuck) continue
       this.#successors.delete(id)
       due.push(id)
@@ -96,6 +100,16 @@
   return isLeaving ? MAX_LEAVING_WAIT_MS : MAX_REPLACEMENT_WAIT_MS
 }
 
+const givenUpBySlot = (state: CellState): Map<TaskId, TaskSpec[]> => {
+  const bySlot = new Map<TaskId, TaskSpec[]>()
+  for (const task of state.tasks.values()) {
+    if (task.spec.kind !== 'replica' || !isGivenUp(task)) continue
+    const slot = task.spec.slot ?? task.spec.id
+    bySlot.set(slot, [...bySlot.get(slot) ?? [], task.spec])
+  }
+  return bySlot
+}
+
 const isUsable = (state: CellState, task: Task, spec: TaskSpec): boolean => {
   const vm = task.placement === undefined ? undefined : state.vms.get(task.placement.vm)
   return isSameWork(task.spec, spec) && vm?.isLeaving !== true && task.placement?.isStopping !== true
--- a/packages/core/src/cell/applyTransition.ts
+++ b/packages/core/src/cell/applyTransition.ts
@@ -100,6 +100,9 @@
   return copyWith(task, { isWithdrawn: true, state: 'cancelled', reason: transition.reason })
 }
 
+/** Whether the task has failed because it crashed too many workers in a row. */
+export const isGivenUp = (task: Task): boolean => task.reason?.kind === 'crashed-workers'
+
 /** Whether the task is finished, failed or cancelled. */
 export const isFinal = (task: Task): boolean =>
   task.state === 'finished' || task.state === 'failed' || task.state === 'cancelled'
--- a/packages/core/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/core/tests/tasksThatCrashWorkers.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava'
 import { brand, type CellId, type Epoch, type JournalSequence, type TaskId, type VmId } from '@auburnpin/common'
 import {
-  BaselinePolicy, Cell, CRASHES_TO_GIVE_UP, explainTask, fromSnapshot, LEASE_MARGIN_MS, MIN_SURVIVAL_MS, readRecord, readSnapshot, SpreadPolicy, toSnapshot, WORKER_LEASE_MS,
+  BaselinePolicy, Cell, CRASHES_TO_GIVE_UP, explainTask, FINAL_RETENTION_MS, fromSnapshot, LEASE_MARGIN_MS, MIN_SURVIVAL_MS, readRecord, readSnapshot, SpreadPolicy, toSnapshot, WORKER_LEASE_MS,
   type CellStep, type Task, type Transition
 } from '../src/index.ts'
-import { PolicyScenario, replicaOf, specOf, vmOf } from './support/PolicyScenario.ts'
+import { idsOf, PolicyScenario, replicaOf, specOf, vmOf } from './support/PolicyScenario.ts'
 
 const VMS = ['vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5'].map(id => vmOf(id))
 const DEADLY = 'recipe-import'
@@ -210,6 +210,37 @@
   t.is(durableTasks(scenario).find(({ spec }) => spec.id === DEADLY)?.crashedOn, undefined)
 })
 
+test('a replica that was given up is not started under another id by the next configuration, but by a changed declaration', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).withService(100, [replicaOf(REPLICA, 1)])
+  startAndCrash(scenario, REPLICA, CRASHES_TO_GIVE_UP)
+  t.is(scenario.task(REPLICA).state, 'failed')
+  scenario.withService(100, [replicaOf(REPLICA, 1)])
+  scenario.tick(1_000)
+  t.deepEqual([...scenario.cell.state.tasks.keys()], [brand<TaskId>(REPLICA)])
+  scenario.withService(100, [{ ...replicaOf(REPLICA, 1), command: 'serve corrected' }])
+  t.is(idsOf(scenario.tick(1_000), 'assigned').length, 1)
+})
+
+test('a successor that crashes its workers doesn\'t replace a replica that works', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).withService(100, [replicaOf(REPLICA, 1)])
+  scenario.tick()
+  survive(scenario, REPLICA)
+  const changed = { ...replicaOf(REPLICA, 1), command: 'serve broken' }
+  scenario.withService(100, [changed])
+  const successor = [...scenario.cell.state.tasks.keys()].find(id => id !== REPLICA) ?? ''
+  startAndCrash(scenario, successor, CRASHES_TO_GIVE_UP)
+  for (let minute = 0; minute < 10; minute++) {
+    scenario.withService(100, [changed])
+    scenario.tick(60_000)
+    scenario.report(REPLICA, 'running')
+  }
+  scenario.tick(2 * FINAL_RETENTION_MS)
+  scenario.withService(100, [changed])
+  t.is(scenario.task(successor).state, 'failed')
+  t.like(scenario.task(REPLICA), { state: 'running', isWithdrawn: false })
+  t.is(scenario.cell.state.tasks.size, 2)
+})
+
 test('a watch that was given up is started again by a changed declaration, with a new count', t => {
   const scenario = new PolicyScenario().withVms(...VMS)
   const declare = (command: string) => scenario.withService(100, [specOf(DEADLY, 1, { kind: 'watch', isDeclared: true, command })])
