A declared task that was given up starts again once its declaration is withdrawn and made again

Change: a withdrawal marks a watch, replica or declared task that was given up as withdrawn; the next declaration then starts it with a new count. A job that was given up stays failed when it is cancelled.

Evidence: the test failed before (state failed after the withdrawal).

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -165,7 +165,8 @@
     const actions: CellAction[] = []
     for (const id of ids) {
       const task = this.#state.tasks.get(id)
-      if (task === undefined || isFinal(task) || task.isWithdrawn) continue
+      const isRevoked = task !== undefined && isGivenUp(task) && reason.kind === 'withdrawn'
+      if (task === undefined || (isFinal(task) && !isRevoked) || task.isWithdrawn) continue
       transitions.push({ kind: 'withdrawn', task: id, reason })
       const vm = task.placement === undefined ? undefined : this.#state.vms.get(task.placement.vm)
       if (task.placement === undefined || vm === undefined) continue
@@ -196,12 +197,13 @@
     return joinSteps([withdrawn, accepted, this.#redeclare(now), this.#replaceReplicas(now), PUBLISH_ENDPOINTS])
   }
 
-  // Undeclared replicas are not included: `ReplicaReplacement` finds them.
+  // Undeclared replicas are not included, except for those given up: `ReplicaReplacement` finds the others.
   #undeclaredTasks (): TaskId[] {
     const undeclared: TaskId[] = []
-    for (const { spec } of this.#state.tasks.values()) {
-      const isDeclared = spec.kind === 'watch' || spec.isDeclared === true
-      if (isDeclared && !this.#declaredIds.has(spec.id)) undeclared.push(spec.id)
+    for (const task of this.#state.tasks.values()) {
+      const { spec } = task
+      const isDeclared = spec.kind === 'watch' || spec.isDeclared === true || (spec.kind === 'replica' && isGivenUp(task))
+      if (isDeclared && !this.#isDeclared(spec)) undeclared.push(spec.id)
     }
     return undeclared
   }
--- a/packages/core/src/cell/applyTransition.ts
+++ b/packages/core/src/cell/applyTransition.ts
@@ -95,7 +95,8 @@
 }
 
 const withdraw = (task: Task, transition: Extract<Transition, { kind: 'withdrawn' }>): Task => {
-  if (isFinal(task)) return task
+  // A declaration that is withdrawn and made again starts a task that was given up again.
+  if (isFinal(task) && !isGivenUp(task)) return task
   if (task.placement !== undefined) return copyWith(task, { isWithdrawn: true, reason: transition.reason })
   return copyWith(task, { isWithdrawn: true, state: 'cancelled', reason: transition.reason })
 }
--- a/packages/core/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/core/tests/tasksThatCrashWorkers.test.ts
@@ -252,3 +252,22 @@
   startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
   t.is(scenario.task(DEADLY).state, 'queued')
 })
+
+test('a declared task that was given up is started again once its declaration was withdrawn and made again', t => {
+  const scenario = new PolicyScenario().withVms(...VMS)
+  const watch = specOf(DEADLY, 1, { kind: 'watch', isDeclared: true })
+  scenario.withService(100, [replicaOf(REPLICA, 1), watch])
+  for (const id of [DEADLY, REPLICA]) while (scenario.task(id).state !== 'failed') startAndCrash(scenario, id, 1)
+  t.deepEqual([DEADLY, REPLICA].map(id => scenario.task(id).state), ['failed', 'failed'])
+  scenario.withService(100, [])
+  t.deepEqual([DEADLY, REPLICA].map(id => scenario.task(id).state), ['cancelled', 'cancelled'])
+  scenario.withService(100, [replicaOf(REPLICA, 1), watch])
+  t.is(idsOf(scenario.tick(1_000), 'assigned').length, 2)
+})
+
+test('a job that was given up stays failed if it is cancelled', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP)
+  scenario.step({ kind: 'cancelled', task: brand<TaskId>(DEADLY) })
+  t.is(scenario.task(DEADLY).state, 'failed')
+})
