Tasks on VMs that are lost together with their owner don't count as suspects

Change: an owner that inherits a placement and hasn't seen it survive doesn't count the loss of its VM.

Evidence: the test failed before (reason may-crash-workers); the stories of tasksThatCrashWorkers are unchanged.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -54,6 +54,7 @@
     for (const task of tasks) this.#state.load(task, now)
     this.#apply(transitions, now)
     this.markDurable(transitions, now)
+    for (const id of this.#state.tasks.keys()) this.#state.updatePlacement(id, { isInherited: true })
   }
 
   /** Version of the last configuration that any owner has applied to this cell's tasks. */
--- a/packages/core/src/cell/reconcileReport.ts
+++ b/packages/core/src/cell/reconcileReport.ts
@@ -129,6 +129,9 @@
 const lostTransition = (state: CellState, id: Task['spec']['id'], vmId: VmId): Transition => {
   const task = state.tasks.get(id) as Task
   const vm = state.vms.get(vmId)
-  const crash = vm?.isLeaving === true ? undefined : crashRoleOf(vm, task, task.placement as Placement)
+  const placement = task.placement as Placement
+  // An owner that is lost together with its data centre leaves tasks behind that had long survived.
+  const isUnknown = placement.isInherited === true && placement.hasSurvived !== true
+  const crash = vm?.isLeaving === true || isUnknown ? undefined : crashRoleOf(vm, task, placement)
   return { kind: 'ended', task: id, attempt: task.attempt, end: 'lost', reason: { kind: 'vm-lost', vm: vmId }, crash }
 }
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -61,6 +61,8 @@
   since: Instant
   isRunning: boolean
   isStopping: boolean
+  /** Whether an earlier owner made the placement, so that this one doesn't know for how long the attempt has run. */
+  isInherited?: boolean
   /** When a report first showed this owner that the attempt runs. */
   seenSince?: Instant
   /** Whether reports have shown the attempt running for `MIN_SURVIVAL_MS`. */
--- a/packages/core/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/core/tests/tasksThatCrashWorkers.test.ts
@@ -124,6 +124,18 @@
   t.not(placeOf(next, DEADLY), place)
 })
 
+test('tasks that had long run in a data centre that is lost together with their owner don\'t count', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  scenario.tick()
+  survive(scenario, DEADLY)
+  const place = scenario.task(DEADLY).placement?.vm
+  const next = new PolicyScenario()
+  next.cell.restore([], next.now, durableTasks(scenario))
+  next.withVms(...VMS.filter(vm => vm.id !== place))
+  t.deepEqual(idsOf(next.tick(WORKER_LEASE_MS + LEASE_MARGIN_MS), 'ended'), [DEADLY])
+  t.like(next.task(DEADLY), { state: 'queued', crashedOn: undefined, reason: { kind: 'vm-lost' } })
+})
+
 test('workers that only lost their leases don\'t count', t => {
   const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
   for (let count = 0; count <= CRASHES_TO_GIVE_UP; count++) {
