Each crash of a worker is logged with its suspects; two metrics count suspects and tasks given up

One record `Worker crashed` for each worker, with the attempts lost and those that may have caused it, and one record for a task that is given up.

--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -22,6 +22,8 @@
   'tasks.started': { type: 'count', unit: 'attempts', tags: ['cell'], meaning: 'Attempts that were assigned to a VM.', worry: 'Far above tasks.finished: attempts fail or are moved.' },
   'tasks.finished': { type: 'count', unit: 'tasks', tags: ['cell'], meaning: 'Tasks that finished; the batch throughput.', worry: 'Zero while the queue is not empty.' },
   'tasks.evicted': { type: 'count', unit: 'attempts', tags: ['cell', 'reason'], meaning: 'Attempts stopped to run again elsewhere, by reason.', worry: 'Steady evictions on the same cell.' },
+  'tasks.suspected': { type: 'count', unit: 'attempts', tags: ['cell'], meaning: 'Attempts that were lost in a crash of their worker soon after they were sent to it.', worry: 'Rises without failures of VMs: a task crashes its workers; the log record `Worker crashed` names the suspects.' },
+  'tasks.givenUp': { type: 'count', unit: 'tasks', tags: ['cell'], meaning: 'Tasks that failed because three workers in a row crashed soon after they had been sent the task.', worry: 'Any; `auburnpin explain TASK` names the VMs.' },
   'queue.length': { type: 'gauge', unit: 'tasks', tags: ['cell'], meaning: 'Tasks that wait for a VM.', worry: 'Rises for an hour.' },
   'queue.age': { type: 'gauge', unit: 'seconds', tags: ['cell'], meaning: 'Age of the submitted job that has waited longest.', worry: 'Above the time in which the team expects its work.' },
   'table.writes': { type: 'count', unit: 'transactions', tags: ['class'], meaning: 'Transactions sent to the table service, the write budget in use.', worry: 'The sum over all members nears the platform\'s rate.' },
--- a/packages/scheduler/src/reportTransitions.ts
+++ b/packages/scheduler/src/reportTransitions.ts
@@ -1,8 +1,8 @@
 /**
  * Logs and metrics of the transitions of a cell.
  */
-import type { Log, LogFields, Metrics } from '@auburnpin/common'
-import type { CellState, CellTerm, Transition } from '@auburnpin/core'
+import type { Log, LogFields, Metrics, VmId } from '@auburnpin/common'
+import { isGivenUp, type CellState, type CellTerm, type Task, type TaskReason, type Transition } from '@auburnpin/core'
 
 type Ended = Extract<Transition, { kind: 'ended' }>
 
@@ -18,8 +18,34 @@
       reportEnd(transition, term, state, log, metrics)
     }
   }
+  reportCrashes(transitions, term, state, log, metrics)
 }
 
+// One record for each worker, as only all of its attempts together show which tasks may have crashed it.
+const reportCrashes = (transitions: readonly Transition[], term: CellTerm, state: CellState, log: Log, metrics: Metrics): void => {
+  const lostByVm = new Map<VmId, Ended[]>()
+  for (const transition of transitions) {
+    if (transition.kind !== 'ended' || transition.crash === undefined) continue
+    const vm = vmOf(transition.reason)
+    if (vm !== undefined) lostByVm.set(vm, [...lostByVm.get(vm) ?? [], transition])
+  }
+  for (const [vm, lost] of lostByVm) {
+    const suspects = lost.filter(({ crash }) => crash === 'suspect').map(({ task }) => task)
+    log.warn('Worker crashed', { cell: term.cell, epoch: term.epoch, vm, attempts: lost.length, suspects: suspects.join(', ') })
+    if (suspects.length > 0) metrics.count('tasks.suspected', suspects.length, { cell: term.cell })
+    for (const id of suspects) reportIfGivenUp(state.tasks.get(id), term, log, metrics)
+  }
+}
+
+const reportIfGivenUp = (task: Task | undefined, term: CellTerm, log: Log, metrics: Metrics): void => {
+  if (task === undefined || !isGivenUp(task)) return
+  metrics.count('tasks.givenUp', 1, { cell: term.cell })
+  log.warn('Task is given up: each worker in a row that started it crashed', { ...fieldsOf(term, { task: task.spec.id, attempt: task.attempt }), vms: task.crashedOn?.join(', ') })
+}
+
+const vmOf = (reason: TaskReason | undefined): VmId | undefined =>
+  reason?.kind === 'lease-ran-out' || reason?.kind === 'vm-lost' ? reason.vm : undefined
+
 const reportEnd = (ended: Ended, term: CellTerm, state: CellState, log: Log, metrics: Metrics): void => {
   const fields = { ...fieldsOf(term, ended), end: ended.end, reason: ended.reason?.kind }
   if (ended.end === 'finished') {
