--- a/packages/standIn/src/StandInEndpoint.ts
+++ b/packages/standIn/src/StandInEndpoint.ts
@@ -22,6 +22,8 @@
   | 'cut-chunks'
   /** Resets a connection that has already served a request. */
   | 'reset-reused'
+  /** Crashes on a request whose path contains `deadly`: all connections end, and no others are accepted. */
+  | 'crash-on-deadly'
 
 /** A request that the endpoint executed. */
 export type HandledRequest = Readonly<{ requestId: string, method: string, path: string, headers: IncomingMessage['headers'] }>
@@ -45,6 +47,7 @@
   #refusals = 0
   #bytesSent = 0
   #blockedWrites = 0
+  #hasCrashed = false
 
   constructor (serviceMs: number, slots = DEFAULT_SLOTS) {
     this.#serviceMs = serviceMs
@@ -62,6 +65,11 @@
     return this.#handledRequests
   }
 
+  /** Whether a request has crashed the endpoint. */
+  get hasCrashed (): boolean {
+    return this.#hasCrashed
+  }
+
   /** Requests in progress. */
   get busy (): number {
     return this.#busy
@@ -116,6 +124,7 @@
     const isReused = this.#usedSockets.has(incoming.socket)
     this.#usedSockets.add(incoming.socket)
     if (fault === 'silent') return
+    if (fault === 'crash-on-deadly' && incoming.url?.includes('deadly') === true) return void this.#crash()
     if (fault === 'cut-before') return void incoming.socket.destroy()
     if (fault === 'reset-reused' && isReused) return void incoming.socket.resetAndDestroy()
     if (fault === 'refusing') return this.#refuseLeaving(incoming, outgoing)
@@ -130,6 +139,12 @@
     }
   }
 
+  #crash (): void {
+    this.#hasCrashed = true
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
   // The body is read first: closing a connection with unread bytes resets it, and the refusal could be lost.
   #refuseLeaving (incoming: IncomingMessage, outgoing: ServerResponse): void {
     incoming.resume()
