An endpoint on which a request failed within the last second is used only if no other has a free slot

Callers saw: after one GET had crashed three of twelve endpoints, the next requests got 503, not run, although nine endpoints were idle.

Cause: a dead endpoint has the most free slots, so on an idle service the next request tries the same three in turn and has no tries left; only after three failures each are they ejected.

Change: a failure within the last second puts an endpoint behind all others with a free slot.

Evidence: the test failed before with 503, and passes now; tests of packages/gateway and routing.test.ts pass.

--- a/packages/core/src/routing/EndpointHealth.ts
+++ b/packages/core/src/routing/EndpointHealth.ts
@@ -4,12 +4,13 @@
 import { brand, type EndpointId, type Instant } from '@auburnpin/common'
 import type { Endpoint } from '../cell/types.ts'
 import {
-  BUSY_PAUSE_MS, EJECTION_MS, FAILURES_TO_EJECT, LEAVING_MEMORY_MS, MAX_EJECTED_SHARE, MAX_EJECTION_MS, RAMP_UP_SLOTS
+  BUSY_PAUSE_MS, EJECTION_MS, FAILURE_MEMORY_MS, FAILURES_TO_EJECT, LEAVING_MEMORY_MS, MAX_EJECTED_SHARE, MAX_EJECTION_MS, RAMP_UP_SLOTS
 } from './constants.ts'
 import type { RequestOutcome } from './types.ts'
 
 type HealthRecord = Readonly<{
   failures: number
+  lastFailureAt: Instant
   /** Consecutive ejections. */
   ejections: number
   ejectedUntil: Instant
@@ -20,7 +21,7 @@
 }>
 
 const NEVER = brand<Instant>(-Infinity)
-const HEALTHY: HealthRecord = { failures: 0, ejections: 0, ejectedUntil: NEVER, leavingUntil: NEVER, busyUntil: NEVER }
+const HEALTHY: HealthRecord = { failures: 0, lastFailureAt: NEVER, ejections: 0, ejectedUntil: NEVER, leavingUntil: NEVER, busyUntil: NEVER }
 
 /** An ejected endpoint gets no requests for a time that doubles with each ejection, then a growing number of slots. */
 export class EndpointHealth {
@@ -42,6 +43,12 @@
     return Math.min(endpoint.slots, record.rampUpSlots ?? endpoint.slots)
   }
 
+  /** Whether a request to the endpoint has failed a short time ago. */
+  hasFailedRecently (id: EndpointId, now: Instant): boolean {
+    const record = this.#records.get(id)
+    return record !== undefined && now - record.lastFailureAt < FAILURE_MEMORY_MS
+  }
+
   /** Records the outcome of a request; `siblings` are all endpoints of the service. */
   record (id: EndpointId, outcome: RequestOutcome, siblings: readonly Endpoint[], now: Instant): void {
     const before = this.#records.get(id) ?? HEALTHY
@@ -66,12 +73,12 @@
     const failures = before.failures + 1
     const isOutlier = failures >= FAILURES_TO_EJECT || before.rampUpSlots !== undefined
     if (!isOutlier || now < before.ejectedUntil || !this.#mayEject(siblings, now)) {
-      this.#records.set(id, { ...before, failures })
+      this.#records.set(id, { ...before, failures, lastFailureAt: now })
       return
     }
     const ejectionMs = Math.min(MAX_EJECTION_MS, EJECTION_MS * 2 ** before.ejections)
     this.#records.set(id, {
-      ...before, failures, ejections: before.ejections + 1, ejectedUntil: later(now, ejectionMs), rampUpSlots: RAMP_UP_SLOTS
+      ...before, failures, lastFailureAt: now, ejections: before.ejections + 1, ejectedUntil: later(now, ejectionMs), rampUpSlots: RAMP_UP_SLOTS
     })
   }
 
--- a/packages/core/src/routing/EndpointPool.ts
+++ b/packages/core/src/routing/EndpointPool.ts
@@ -76,7 +76,8 @@
     if (bound !== undefined && !tried.has(bound) && this.isAccepting(bound, now)) {
       return this.#endpoints.find(endpoint => endpoint.id === bound && this.#freeShare(endpoint, now) > 0)
     }
-    return this.#leastLoaded(now, endpoint => !tried.has(endpoint.id)) ?? this.#leastLoaded(now, endpoint => tried.has(endpoint.id))
+    const isSound = ({ id }: Endpoint): boolean => !tried.has(id) && !this.#health.hasFailedRecently(id, now)
+    return this.#leastLoaded(now, isSound) ?? this.#leastLoaded(now, endpoint => !tried.has(endpoint.id)) ?? this.#leastLoaded(now, endpoint => tried.has(endpoint.id))
   }
 
   #leastLoaded (now: Instant, isCandidate: (endpoint: Endpoint) => boolean): Endpoint | undefined {
--- a/packages/core/src/routing/constants.ts
+++ b/packages/core/src/routing/constants.ts
@@ -1,5 +1,7 @@
 /** Consecutive failures after which an endpoint is ejected: it gets no requests for a while. */
 export const FAILURES_TO_EJECT = 3
+/** How long after a failure an endpoint is used only if no other has a free slot, in milliseconds. */
+export const FAILURE_MEMORY_MS = 1_000
 /** Duration of the first ejection, in milliseconds; each further one lasts twice as long. */
 export const EJECTION_MS = 1_000
 /** Longest ejection of an endpoint, in milliseconds. */
--- a/packages/gateway/tests/requestsThatCrashEndpoints.test.ts
+++ b/packages/gateway/tests/requestsThatCrashEndpoints.test.ts
@@ -35,3 +35,9 @@
     t.is(crashed(rig), 1)
   })
 }
+
+test('after a request has taken down as many endpoints as it has tries, the others answer each request', async t => {
+  const rig = await startRig(t, 1)
+  await send(rig, 'GET', 'deadly')
+  for (let count = 0; count < ENDPOINTS; count++) t.is((await send(rig, 'GET', 'butter')).status, 200)
+})
