--- a/packages/core/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/core/tests/tasksThatCrashWorkers.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type CellId, type Epoch, type JournalSequence, type TaskId, type VmId } from '@auburnpin/common'
 import {
-  BaselinePolicy, Cell, CRASHES_TO_GIVE_UP, explainTask, FINAL_RETENTION_MS, fromSnapshot, LEASE_MARGIN_MS, MIN_SURVIVAL_MS, readRecord, readSnapshot, SpreadPolicy, toSnapshot, WORKER_LEASE_MS,
+  BaselinePolicy, Cell, CRASHES_TO_GIVE_UP, explainTask, FINAL_RETENTION_MS, fromSnapshot, LEASE_MARGIN_MS, MAX_TRIAL_WAIT_MS, MIN_SURVIVAL_MS, readRecord, readSnapshot, SpreadPolicy, toSnapshot, WORKER_LEASE_MS,
   type CellStep, type Task, type Transition
 } from '../src/index.ts'
 import { idsOf, PolicyScenario, replicaOf, specOf, vmOf } from './support/PolicyScenario.ts'
@@ -165,6 +165,18 @@
   t.deepEqual([DEADLY, 'order', 'later'].map(id => scenario.task(id).state), ['failed', 'running', 'starting'])
 })
 
+test('a task after two crashes waits for a VM without other starts, but not without end', t => {
+  const scenario = new PolicyScenario().withVms(...VMS.slice(0, 1)).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  scenario.submit(specOf('order', 1, { isUrgent: true }))
+  scenario.tick(1_000)
+  t.deepEqual(['order', DEADLY].map(id => placeOf(scenario, id)), ['vm-1', undefined])
+  for (let passed = 0; passed < MAX_TRIAL_WAIT_MS - 5_000; passed += 1_000) scenario.tick(1_000)
+  t.is(placeOf(scenario, DEADLY), undefined)
+  for (let passed = 0; passed < 10_000; passed += 1_000) scenario.tick(1_000)
+  t.is(placeOf(scenario, DEADLY), 'vm-1')
+})
+
 test('a suspect starts on a VM other than those that crashed, with as few other tasks as possible', t => {
   const watches = ['watch-1', 'watch-2']
   const scenario = new PolicyScenario().withVms(...VMS.slice(0, 2)).submit(...watches.map(id => specOf(id, 5, { kind: 'watch' })))
