--- a/packages/core/src/placement/VmCapacity.ts
+++ b/packages/core/src/placement/VmCapacity.ts
@@ -91,20 +91,28 @@
 
   #indexFree (state: CellState, id: VmId, vm: Vm | undefined, now: Instant): void {
     const isUsable = vm?.session !== undefined && !vm.isLeaving && vm.missingSince === undefined
-    if (!isUsable || !this.#health.acceptsTasks(id, now) || hasTrial(state, id)) {
-      this.free.delete(id)
-      this.freeAfterEviction.delete(id)
+    if (!isUsable || !this.#health.acceptsTasks(id, now)) {
+      this.#exclude(id)
       return
     }
     const free = this.unreservedOn(state, vm)
-    this.free.set(id, free)
     let freeAfterEviction = free
     for (const task of tasksOn(state, id)) {
+      if (isOnTrial(task)) {
+        this.#exclude(id)
+        return
+      }
       if (isEvictable(task) || isStopping(task)) freeAfterEviction = addResources(freeAfterEviction, task.spec.resources)
     }
+    this.free.set(id, free)
     this.freeAfterEviction.set(id, freeAfterEviction)
   }
 
+  #exclude (id: VmId): void {
+    this.free.delete(id)
+    this.freeAfterEviction.delete(id)
+  }
+
   #indexTotal (id: VmId, vm: Vm | undefined): void {
     const before = this.total.get(id)
     const isListed = vm !== undefined && vm.missingSince === undefined && !vm.isLeaving
@@ -127,7 +135,7 @@
 }
 
 /** Whether one more crash would have the task given up, so that no other start may confuse the verdict. */
-export const isOnTrial = ({ crashedOn = [] }: Task): boolean => crashedOn.length === CRASHES_TO_GIVE_UP - 1
+export const isOnTrial = ({ crashedOn }: Task): boolean => crashedOn?.length === CRASHES_TO_GIVE_UP - 1
 
 /** Whether a task on trial has been started on the VM and has not survived its start yet. */
 export const hasTrial = (state: CellState, vm: VmId): boolean => {
