--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from '../configuration/types.ts'
 import { EMPTY_CONFIGURATION } from '../configuration/mergeNote.ts'
 import type { Policy } from '../policy/Policy.ts'
-import { isFinal } from './applyTransition.ts'
+import { isFinal, isGivenUp } from './applyTransition.ts'
 import { CellState } from './CellState.ts'
 import { endAttemptsOnLostVms, reconcileReport, stopAction } from './reconcileReport.ts'
 import { idsOf, redeclare } from './redeclare.ts'
@@ -54,6 +54,7 @@
     for (const task of tasks) this.#state.load(task, now)
     this.#apply(transitions, now)
     this.markDurable(transitions, now)
+    for (const id of this.#state.tasks.keys()) this.#state.updatePlacement(id, { isInherited: true })
   }
 
   /** Version of the last configuration that any owner has applied to this cell's tasks. */
@@ -134,7 +135,8 @@
     for (const [id, since] of this.#state.finalSince) {
       if (transitions.length >= MAX_REMOVED_PER_PASS) break
       if (surplus <= 0 && now - since < FINAL_RETENTION_MS) break
-      if (this.#declaredIds.has(id)) continue
+      const task = this.#state.tasks.get(id)
+      if (this.#declaredIds.has(id) || (task !== undefined && isGivenUp(task) && this.#isDeclared(task.spec))) continue
       transitions.push({ kind: 'forgotten', task: id })
       surplus--
     }
@@ -164,7 +166,8 @@
     const actions: CellAction[] = []
     for (const id of ids) {
       const task = this.#state.tasks.get(id)
-      if (task === undefined || isFinal(task) || task.isWithdrawn) continue
+      const isRevoked = task !== undefined && isGivenUp(task) && reason.kind === 'withdrawn'
+      if (task === undefined || (isFinal(task) && !isRevoked) || task.isWithdrawn) continue
       transitions.push({ kind: 'withdrawn', task: id, reason })
       const vm = task.placement === undefined ? undefined : this.#state.vms.get(task.placement.vm)
       if (task.placement === undefined || vm === undefined) continue
@@ -195,16 +198,21 @@
     return joinSteps([withdrawn, accepted, this.#redeclare(now), this.#replaceReplicas(now), PUBLISH_ENDPOINTS])
   }
 
-  // Undeclared replicas are not included: `ReplicaReplacement` finds them.
+  // Undeclared replicas are not included, except for those given up: `ReplicaReplacement` finds the others.
   #undeclaredTasks (): TaskId[] {
     const undeclared: TaskId[] = []
-    for (const { spec } of this.#state.tasks.values()) {
-      const isDeclared = spec.kind === 'watch' || spec.isDeclared === true
-      if (isDeclared && !this.#declaredIds.has(spec.id)) undeclared.push(spec.id)
+    for (const task of this.#state.tasks.values()) {
+      const { spec } = task
+      const isDeclared = spec.kind === 'watch' || spec.isDeclared === true || (spec.kind === 'replica' && isGivenUp(task))
+      if (isDeclared && !this.#isDeclared(spec)) undeclared.push(spec.id)
     }
     return undeclared
   }
 
+  #isDeclared ({ id, slot }: TaskSpec): boolean {
+    return this.#declaredIds.has(slot ?? id)
+  }
+
   #redeclare (now: Instant): CellStep {
     if (this.#pendingDeclarations.length === 0) return EMPTY_STEP
     const { transitions, actions, pending } = redeclare(this.#state, this.#pendingDeclarations)
--- a/packages/core/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/core/tests/tasksThatCrashWorkers.test.ts
@@ -1,218 +1,297 @@
 import test from 'ava'
-import { brand, type Epoch, type Incarnation, type Instant, type WorkerId } from '@auburnpin/common'
-import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
-import { JobScheduler, type Job, type JobPhase, type JobProgress, type RunOrder, type TaskName } from '../src/index.ts'
-
-const DEADLY = '00000000000000d1'
-const DEADLY_TASK = `${DEADLY}.0.0.0`
-const OTHER = '00000000000000a1'
-const LEASE_MS = 4_000
-/** More than the longest time for which a lease of a silent worker is waited for. */
-const LEASE_OVER_MS = 5_000
-
-type Start = RunOrder & { kind: 'start' }
-
-/** A scheduler whose workers do nothing by themselves. */
-class CrashScenario {
-  readonly scheduler: JobScheduler
-  readonly workers: readonly string[]
-  now = 0
-  readonly #incarnations = new Map<string, number>()
-
-  constructor (workers: readonly string[], jobs: readonly Job[], progress?: JobProgress) {
-    this.workers = workers
-    this.scheduler = new JobScheduler(brand<Epoch>(2), { leaseMs: LEASE_MS }, this.#instant, new SilentJobSchedulerObserver())
-    this.scheduler.replaceWorkers(workers.map(id => workerEntryOf(id)), this.#instant)
-    for (const id of workers) this.report(id)
-    for (const job of jobs) this.scheduler.addJob(job, this.#instant, progress)
-  }
+import { brand, type CellId, type Epoch, type JournalSequence, type TaskId, type VmId } from '@auburnpin/common'
+import {
+  BaselinePolicy, Cell, CRASHES_TO_GIVE_UP, explainTask, FINAL_RETENTION_MS, fromSnapshot, LEASE_MARGIN_MS, MAX_TRIAL_WAIT_MS, MIN_SURVIVAL_MS, readRecord, readSnapshot, SpreadPolicy, toSnapshot, WORKER_LEASE_MS,
+  type CellStep, type Task, type Transition
+} from '../src/index.ts'
+import { idsOf, PolicyScenario, replicaOf, specOf, vmOf } from './support/PolicyScenario.ts'
 
-  get #instant (): Instant {
-    return brand<Instant>(this.now)
-  }
+const VMS = ['vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5'].map(id => vmOf(id))
+const DEADLY = 'recipe-import'
+const REPLICA = 'stockline.0'
 
-  phaseOf (id: string): JobPhase | undefined {
-    return [...this.scheduler.jobs.values()].find(({ job }) => job.id === id)?.phase
-  }
+const placeOf = (scenario: PolicyScenario, id: string): string | undefined => scenario.task(id).placement?.vm
 
-  /** Runs a scheduling pass and lets the workers start what was ordered. */
-  start (): Start[] {
-    const starts = this.scheduler.decide(this.#instant, this.now).filter((order): order is Start => order.kind === 'start')
-    for (const { worker, task, attempt } of starts) this.scheduler.recordStartOutcome(worker, task, attempt, 'started', this.#instant, this.now)
-    return starts
-  }
+/** The worker of the task's VM crashes and is restarted. */
+const crash = (scenario: PolicyScenario, id: string): CellStep => {
+  const vm = scenario.task(id).placement?.vm
+  if (vm === undefined) throw new Error(`Task ${id} is not placed`)
+  return scenario.step({ kind: 'reported', vm, askedAt: brand(scenario.now + 100), session: null, isNewIncarnation: true, tasks: [] }, 100)
+}
 
-  /** Starts a task on a worker and returns which. */
-  startOf (task: string): WorkerId | undefined {
-    const starts = this.start()
-    this.store()
-    return [...starts, ...this.start()].find(order => order.task as string === task)?.worker
+const startAndCrash = (scenario: PolicyScenario, id: string, times: number): void => {
+  for (let count = 0; count < times; count++) {
+    scenario.tick(1_000)
+    crash(scenario, id)
   }
+}
 
-  /** A report of a worker that lists all runs there, or none. */
-  report (id: string, listsRuns = true): void {
-    const runs = listsRuns ? [...this.scheduler.workers.get(brand<WorkerId>(id))?.runs.values() ?? []] : []
-    const running = runs.map(({ task, attempt }) => ({ task: task.name, attempt, checkpoint: '', progressPercent: 1, reading: 0 }))
-    this.scheduler.applyReport(brand<WorkerId>(id), { incarnation: this.#incarnation(id), clockMs: this.now, running, ended: [] }, this.#instant, this.#instant)
-  }
+const survive = (scenario: PolicyScenario, id: string): void => {
+  scenario.report(id, 'running', 1_000)
+  scenario.report(id, 'running', 1_000)
+}
 
-  /** A worker no longer responds until its lease is over; its entry is removed from the list. */
-  lose (id: string, isUnlisted = true): void {
-    const worker = this.scheduler.workers.get(brand<WorkerId>(id))
-    worker?.extendLease(this.now + LEASE_MS)
-    worker?.markUnresponsive()
-    if (isUnlisted) this.scheduler.unlistWorker(brand<WorkerId>(id))
-    this.now += LEASE_OVER_MS
-  }
+const durableTasks = (scenario: PolicyScenario): readonly Task[] => {
+  const snapshot = toSnapshot(brand<JournalSequence>(1), scenario.cell.state.tasks.values())
+  return fromSnapshot(readSnapshot(JSON.parse(JSON.stringify(snapshot)), 'snapshot').unwrap(), scenario.now)
+}
 
-  /** A worker comes back in a new incarnation and reports. */
-  restart (id: string): void {
-    this.#incarnations.set(id, this.#incarnation(id) + 1)
-    this.report(id, false)
-  }
+test('the explanation of a task that was given up names the task and the VMs whose workers crashed', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, 1)
+  t.regex(explainTask(scenario.task(DEADLY)), /^recipe-import is queued because the worker that started it on VM vm-\d crashed soon after; it starts again by itself, apart from other tasks, and is given up at 3 crashes in a row\.$/)
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  const task = scenario.task(DEADLY)
+  t.is(task.state, 'failed')
+  const vms = task.crashedOn ?? []
+  t.is(new Set(vms).size, CRASHES_TO_GIVE_UP)
+  t.is(explainTask(task), `recipe-import failed after 3 attempts because the workers that started it on VMs ${vms.join(', ')} crashed soon after; correct its command, then submit it under a new key or declare it again.`)
+})
 
-  /** Runs a scheduling pass that starts nothing. */
-  detect (): void {
-    this.scheduler.decide(this.#instant, this.now, 0)
+test('a task that survives a start after two crashes is not given up at the next crash', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  scenario.tick()
+  survive(scenario, DEADLY)
+  crash(scenario, DEADLY)
+  t.is(scenario.task(DEADLY).state, 'queued')
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  t.is(scenario.task(DEADLY).state, 'queued')
+  startAndCrash(scenario, DEADLY, 1)
+  t.is(scenario.task(DEADLY).state, 'failed')
+})
+
+test('reports that show an attempt running for a shorter time don\'t show that it survived its start', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  for (let count = 0; count < CRASHES_TO_GIVE_UP; count++) {
+    scenario.tick(1_000)
+    scenario.report(DEADLY, 'running', 1_000)
+    scenario.report(DEADLY, 'running', MIN_SURVIVAL_MS - 1)
+    crash(scenario, DEADLY)
   }
+  t.is(scenario.task(DEADLY).state, 'failed')
+})
 
-  store (): void {
-    const jobs = this.scheduler.takeDirty(100)
-    this.scheduler.markStored(jobs)
+test('a task whose attempt fails by itself between crashes is not given up as one that crashes workers', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  scenario.tick()
+  scenario.report(DEADLY, 'failed')
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  t.is(scenario.task(DEADLY).state, 'queued')
+})
+
+test('VMs that are drained right after they were sent a task don\'t count, even if they leave the VM list at once', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  const left = new Set<string>()
+  for (let count = 0; count <= CRASHES_TO_GIVE_UP; count++) {
+    scenario.tick(1_000)
+    const place = placeOf(scenario, DEADLY) ?? ''
+    const others = VMS.filter(({ id }) => id !== place && !left.has(id))
+    scenario.step({ kind: 'vms-listed', vms: [...others, vmOf(place, { isLeaving: true })] })
+    left.add(place)
+    scenario.step({ kind: 'vms-listed', vms: others }, 100)
+    scenario.tick(WORKER_LEASE_MS + LEASE_MARGIN_MS)
+    t.is(scenario.task(DEADLY).crashedOn, undefined)
   }
+  t.is(left.size, CRASHES_TO_GIVE_UP + 1)
+})
 
-  #incarnation (id: string): Incarnation {
-    return brand<Incarnation>(this.#incarnations.get(id) ?? 1)
+test('a worker that is restarted while its VM leaves, or while a task is being stopped there, doesn\'t count', t => {
+  for (const id of [REPLICA, DEADLY]) {
+    const scenario = new PolicyScenario().withVms(...VMS).withService(100, [replicaOf(REPLICA, 1)])
+    scenario.submit(specOf(DEADLY, 1))
+    scenario.tick()
+    const place = placeOf(scenario, id) ?? ''
+    scenario.step({ kind: 'vms-listed', vms: [...VMS.filter(vm => vm.id !== place), vmOf(place, { isLeaving: true })] })
+    crash(scenario, id)
+    t.is(scenario.task(id).crashedOn, undefined, id)
   }
-}
+})
 
-const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6']
+test('a new owner doesn\'t count a task that its predecessor was stopping on a VM that has left since', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  scenario.tick()
+  const place = placeOf(scenario, DEADLY) ?? ''
+  const others = VMS.filter(vm => vm.id !== place)
+  scenario.step({ kind: 'vms-listed', vms: [...others, vmOf(place, { isLeaving: true })] })
+  const next = new PolicyScenario()
+  next.cell.restore([], next.now, durableTasks(scenario))
+  next.withVms(...others)
+  next.tick(WORKER_LEASE_MS + LEASE_MARGIN_MS)
+  next.tick()
+  t.like(next.task(DEADLY), { state: 'starting', crashedOn: undefined })
+  t.not(placeOf(next, DEADLY), place)
+})
 
-test('a job whose task is lost with three workers just after its start fails, and the task starts on no fourth', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()])])
-  for (let crash = 1; crash <= 3; crash++) {
-    const worker = scenario.startOf(DEADLY_TASK)
-    t.truthy(worker, `start ${crash}`)
-    scenario.lose(worker as string)
-    scenario.detect()
-    scenario.store()
-  }
-  t.is(scenario.startOf(DEADLY_TASK), undefined)
-  t.is(scenario.phaseOf(DEADLY), 'failed')
-})
-
-test('a run that no report has ever listed counts when its worker comes back without it', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()])])
-  for (let crash = 1; crash <= 3; crash++) {
-    const worker = scenario.startOf(DEADLY_TASK) as string
-    t.truthy(worker, `start ${crash}`)
-    scenario.now += 10
-    scenario.restart(worker)
-    scenario.scheduler.recordStopAccepted(brand(worker), DEADLY_TASK as TaskName, [...scenario.scheduler.workers.get(brand<WorkerId>(worker))?.runs.values() ?? []][0]?.attempt ?? 0, brand<Instant>(scenario.now))
-    scenario.now += 10
-    scenario.report(worker, false)
-    scenario.store()
-  }
-  scenario.start()
-  t.is(scenario.phaseOf(DEADLY), 'failed')
-})
-
-test('a long-running task that survives its start is not given up, however many workers are lost under it later', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(OTHER, [stepOf({ isLasting: true })])])
-  for (let crash = 1; crash <= 5; crash++) {
-    const worker = scenario.startOf(`${OTHER}.0.0.0`) as string
-    t.truthy(worker, `start ${crash}`)
-    scenario.now += 600
-    scenario.report(worker)
-    scenario.lose(worker)
-    scenario.store()
-  }
-  t.is(scenario.phaseOf(OTHER), 'active')
-})
-
-test('workers that drain, or report again in the same incarnation, don\'t count as crashed', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(OTHER, [stepOf()])])
-  for (let loss = 1; loss <= 6; loss++) {
-    const worker = scenario.startOf(`${OTHER}.0.0.0`) as string
-    t.truthy(worker, `start ${loss}`)
-    if (loss % 2 === 0) scenario.scheduler.upsertWorker(workerEntryOf(worker, { isDraining: true }), brand<Instant>(scenario.now))
-    scenario.lose(worker, false)
-    scenario.detect()
-    if (loss % 2 === 1) scenario.report(worker, false)
-    scenario.store()
-  }
-  t.is(scenario.phaseOf(OTHER), 'active')
+test('tasks that had long run in a data centre that is lost together with their owner don\'t count', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  scenario.tick()
+  survive(scenario, DEADLY)
+  const place = scenario.task(DEADLY).placement?.vm
+  const next = new PolicyScenario()
+  next.cell.restore([], next.now, durableTasks(scenario))
+  next.withVms(...VMS.filter(vm => vm.id !== place))
+  t.deepEqual(idsOf(next.tick(WORKER_LEASE_MS + LEASE_MARGIN_MS), 'ended'), [DEADLY])
+  t.like(next.task(DEADLY), { state: 'queued', crashedOn: undefined, reason: { kind: 'vm-lost' } })
 })
 
-test('while it is uncertain whether the last worker was lost, its task waits and its job does not fail', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(OTHER, [stepOf()])])
-  for (let loss = 1; loss <= 3; loss++) {
-    scenario.lose(scenario.startOf(`${OTHER}.0.0.0`) as string, loss < 3)
-    scenario.detect()
-    scenario.store()
+test('workers that only lost their leases don\'t count', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  for (let count = 0; count <= CRASHES_TO_GIVE_UP; count++) {
+    scenario.tick(1_000)
+    const vm = scenario.task(DEADLY).placement?.vm
+    if (vm === undefined) return t.fail('not placed')
+    scenario.step({ kind: 'reported', vm, askedAt: brand(scenario.now + 100), session: null, isNewIncarnation: false, tasks: [] }, 100)
   }
-  t.is(scenario.startOf(`${OTHER}.0.0.0`), undefined)
-  t.is(scenario.phaseOf(OTHER), 'active')
-  // Still listed long after, so the worker is alive.
-  scenario.now += 10_000
-  scenario.start()
-  scenario.store()
-  t.truthy(scenario.startOf(`${OTHER}.0.0.0`) ?? [...scenario.scheduler.workers.values()].find(({ runs }) => runs.size > 0))
-})
-
-test('a task that workers were lost under starts only once its attempt is stored, and after two of them neither beside another such task nor others beside it', t => {
-  const jobs = [jobOf(DEADLY, [stepOf()]), jobOf(OTHER, [stepOf()])]
-  const scenario = new CrashScenario(['w1', 'w2', 'w3', 'w4', 'w5'], jobs)
-  for (let crash = 1; crash <= 2; crash++) {
-    const starts = scenario.start()
-    if (crash === 2) {
-      t.deepEqual(starts, [], 'the second attempts are not stored')
-      scenario.store()
-      starts.push(...scenario.start())
-    }
-    t.is(starts.length, 2)
-    for (const { worker } of starts) {
-      const { scheduler, now } = scenario
-      scheduler.workers.get(worker)?.extendLease(now + LEASE_MS)
-      scheduler.workers.get(worker)?.markUnresponsive()
-      scheduler.unlistWorker(worker)
-    }
-    scenario.now += LEASE_OVER_MS
-    scenario.detect()
+  t.is(scenario.task(DEADLY).crashedOn, undefined)
+})
+
+test('tasks that crashed two workers beside each other are started apart from each other and from all new starts', t => {
+  const scenario = new PolicyScenario().withVms(...VMS.slice(0, 2)).submit(specOf(DEADLY, 1), specOf('order', 1))
+  for (let count = 1; count < CRASHES_TO_GIVE_UP; count++) {
+    scenario.tick(1_000)
+    if (placeOf(scenario, DEADLY) !== placeOf(scenario, 'order')) return t.pass('they were not started together')
+    crash(scenario, DEADLY)
   }
-  t.deepEqual(scenario.start(), [], 'the third attempt is not stored')
-  scenario.store()
-  scenario.scheduler.addJob(jobOf('00000000000000a2', [stepOf()]), brand<Instant>(scenario.now))
-  // Only one worker is left.
-  for (let start = 1; start <= 3; start++) {
-    const [{ worker } = { worker: '' }, ...others] = scenario.start()
-    t.deepEqual(others, [])
-    scenario.now += 600
-    scenario.report(worker)
+  scenario.submit(specOf('later', 1))
+  scenario.tick(1_000)
+  t.not(placeOf(scenario, DEADLY), placeOf(scenario, 'order'))
+  t.is(placeOf(scenario, 'later'), undefined)
+  survive(scenario, 'order')
+  scenario.tick()
+  t.is(placeOf(scenario, 'later'), placeOf(scenario, 'order'))
+  crash(scenario, DEADLY)
+  t.deepEqual([DEADLY, 'order', 'later'].map(id => scenario.task(id).state), ['failed', 'running', 'starting'])
+})
+
+test('a task after two crashes waits for a VM without other starts, but not without end', t => {
+  const scenario = new PolicyScenario().withVms(...VMS.slice(0, 1)).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  scenario.submit(specOf('order', 1, { isUrgent: true }))
+  scenario.tick(1_000)
+  t.deepEqual(['order', DEADLY].map(id => placeOf(scenario, id)), ['vm-1', undefined])
+  for (let passed = 0; passed < MAX_TRIAL_WAIT_MS - 5_000; passed += 1_000) scenario.tick(1_000)
+  t.is(placeOf(scenario, DEADLY), undefined)
+  for (let passed = 0; passed < 10_000; passed += 1_000) scenario.tick(1_000)
+  t.is(placeOf(scenario, DEADLY), 'vm-1')
+})
+
+test('a suspect starts on a VM other than those that crashed, with as few other tasks as possible', t => {
+  const watches = ['watch-1', 'watch-2']
+  const scenario = new PolicyScenario().withVms(...VMS.slice(0, 2)).submit(...watches.map(id => specOf(id, 5, { kind: 'watch' })))
+  scenario.tick()
+  for (const id of watches) survive(scenario, id)
+  scenario.submit(specOf(DEADLY, 1))
+  scenario.tick()
+  const first = placeOf(scenario, DEADLY)
+  crash(scenario, DEADLY)
+  scenario.withVms(...VMS.slice(2))
+  scenario.tick(1_000)
+  const second = placeOf(scenario, DEADLY)
+  t.not(second, first)
+  t.is(scenario.cell.state.placedOn(brand<VmId>(second ?? '')).size, 1)
+})
+
+test('a new owner keeps the count from a snapshot and from the journal', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  const fromSnapshotOnly = durableTasks(scenario).find(({ spec }) => spec.id === DEADLY)
+  t.is(fromSnapshotOnly?.crashedOn?.length, CRASHES_TO_GIVE_UP - 1)
+
+  const recorded: Transition[] = [{ kind: 'accepted', spec: specOf(DEADLY, 1) }]
+  const next = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  for (let count = 1; count < CRASHES_TO_GIVE_UP; count++) recorded.push(...next.tick(1_000).transitions, ...crash(next, DEADLY).transitions)
+  const record = JSON.parse(JSON.stringify({ format: 1, epoch: 1, transitions: recorded })) as unknown
+  const cell = new Cell({ cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(2) }, new BaselinePolicy(new SpreadPolicy()))
+  cell.restore(readRecord(record, 'record').unwrap().transitions, next.now)
+  t.deepEqual(cell.state.durable.get(brand<TaskId>(DEADLY))?.crashedOn, next.task(DEADLY).crashedOn)
+})
+
+test('a journal of an earlier version, whose ends don\'t say whether a worker crashed, counts nothing', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  const recorded: Transition[] = [{ kind: 'accepted', spec: specOf(DEADLY, 1) }]
+  for (let count = 0; count <= CRASHES_TO_GIVE_UP; count++) {
+    const [assigned] = scenario.tick(1_000).transitions
+    if (assigned?.kind !== 'assigned') return t.fail('not assigned')
+    const { task, attempt, vm } = assigned
+    recorded.push(assigned, { kind: 'ended', task, attempt, end: 'lost', reason: { kind: 'lease-ran-out', vm } })
+    scenario.step({ kind: 'reported', vm, askedAt: brand(scenario.now + 100), session: null, tasks: [] }, 100)
   }
+  const record = JSON.parse(JSON.stringify({ format: 1, epoch: 1, transitions: recorded })) as unknown
+  const cell = new Cell({ cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(2) }, new BaselinePolicy(new SpreadPolicy()))
+  cell.restore(readRecord(record, 'record').unwrap().transitions, scenario.now)
+  t.like(cell.state.tasks.get(brand<TaskId>(DEADLY)), { state: 'queued', attempt: CRASHES_TO_GIVE_UP + 1, crashedOn: undefined })
+})
+
+test('the clearing of a count is recorded, so that a later owner doesn\'t go on from it', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  scenario.tick()
+  scenario.report(DEADLY, 'running', 1_000)
+  t.deepEqual(scenario.report(DEADLY, 'running', 1_000).transitions, [{ kind: 'survived', task: brand<TaskId>(DEADLY), attempt: scenario.task(DEADLY).attempt }])
+  t.deepEqual(scenario.report(DEADLY, 'running', 1_000).transitions, [])
+  t.is(durableTasks(scenario).find(({ spec }) => spec.id === DEADLY)?.crashedOn, undefined)
 })
 
-test('an owner continues the count of the owner before it', t => {
-  const progress = { phase: 'active', done: {}, failed: {}, checkpoints: {}, crashed: { '0.0.0': [1, 2] } } as const
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()])], progress)
-  scenario.lose(scenario.startOf(DEADLY_TASK) as string)
-  scenario.start()
-  t.is(scenario.phaseOf(DEADLY), 'failed')
-})
-
-test('tasks of other jobs that were lost with the same workers start again at once, and their job goes on', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()]), jobOf(OTHER, [stepOf({ taskCount: 20, processors: 200 })])])
-  for (let crash = 1; crash <= 3; crash++) {
-    const worker = scenario.startOf(DEADLY_TASK) as string
-    t.truthy(worker, `start ${crash}`)
-    scenario.now += 600
-    for (const id of scenario.workers) if (id !== worker) scenario.report(id)
-    scenario.lose(worker)
-    scenario.detect()
-    scenario.store()
+test('a replica that was given up is not started under another id by the next configuration, but by a changed declaration', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).withService(100, [replicaOf(REPLICA, 1)])
+  startAndCrash(scenario, REPLICA, CRASHES_TO_GIVE_UP)
+  t.is(scenario.task(REPLICA).state, 'failed')
+  scenario.withService(100, [replicaOf(REPLICA, 1)])
+  scenario.tick(1_000)
+  t.deepEqual([...scenario.cell.state.tasks.keys()], [brand<TaskId>(REPLICA)])
+  scenario.withService(100, [{ ...replicaOf(REPLICA, 1), command: 'serve corrected' }])
+  t.is(idsOf(scenario.tick(1_000), 'assigned').length, 1)
+})
+
+test('a successor that crashes its workers doesn\'t replace a replica that works', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).withService(100, [replicaOf(REPLICA, 1)])
+  scenario.tick()
+  survive(scenario, REPLICA)
+  const changed = { ...replicaOf(REPLICA, 1), command: 'serve broken' }
+  scenario.withService(100, [changed])
+  const successor = [...scenario.cell.state.tasks.keys()].find(id => id !== REPLICA) ?? ''
+  startAndCrash(scenario, successor, CRASHES_TO_GIVE_UP)
+  for (let minute = 0; minute < 10; minute++) {
+    scenario.withService(100, [changed])
+    scenario.tick(60_000)
+    scenario.report(REPLICA, 'running')
   }
-  scenario.start()
-  t.is(scenario.phaseOf(DEADLY), 'failed')
-  t.is(scenario.phaseOf(OTHER), 'active')
-  t.is([...scenario.scheduler.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0), 20)
+  scenario.tick(2 * FINAL_RETENTION_MS)
+  scenario.withService(100, [changed])
+  t.is(scenario.task(successor).state, 'failed')
+  t.like(scenario.task(REPLICA), { state: 'running', isWithdrawn: false })
+  t.is(scenario.cell.state.tasks.size, 2)
+})
+
+test('a watch that was given up is started again by a changed declaration, with a new count', t => {
+  const scenario = new PolicyScenario().withVms(...VMS)
+  const declare = (command: string) => scenario.withService(100, [specOf(DEADLY, 1, { kind: 'watch', isDeclared: true, command })])
+  declare('watch')
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP)
+  declare('watch')
+  t.is(scenario.task(DEADLY).state, 'failed')
+  declare('watch corrected')
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP - 1)
+  t.is(scenario.task(DEADLY).state, 'queued')
+})
+
+test('a declared task that was given up is started again once its declaration was withdrawn and made again', t => {
+  const scenario = new PolicyScenario().withVms(...VMS)
+  const watch = specOf(DEADLY, 1, { kind: 'watch', isDeclared: true })
+  scenario.withService(100, [replicaOf(REPLICA, 1), watch])
+  for (const id of [DEADLY, REPLICA]) while (scenario.task(id).state !== 'failed') startAndCrash(scenario, id, 1)
+  t.deepEqual([DEADLY, REPLICA].map(id => scenario.task(id).state), ['failed', 'failed'])
+  scenario.withService(100, [])
+  t.deepEqual([DEADLY, REPLICA].map(id => scenario.task(id).state), ['cancelled', 'cancelled'])
+  scenario.withService(100, [replicaOf(REPLICA, 1), watch])
+  t.is(idsOf(scenario.tick(1_000), 'assigned').length, 2)
+})
+
+test('a job that was given up stays failed if it is cancelled', t => {
+  const scenario = new PolicyScenario().withVms(...VMS).submit(specOf(DEADLY, 1))
+  startAndCrash(scenario, DEADLY, CRASHES_TO_GIVE_UP)
+  scenario.step({ kind: 'cancelled', task: brand<TaskId>(DEADLY) })
+  t.is(scenario.task(DEADLY).state, 'failed')
 })
