No filler starts on a worker that has shrunk below what its other tasks reserve

Callers saw: on a worker that doesn't guard its capacity, a filler started although the worker was over its processors already.

Cause: the free processors for a filler count serving tasks by their expected use, so a worker whose serving tasks reserve more than it has left still seemed to have some.

Change: such a worker has no place for a filler; the wait names the processors.

Ruled out: stopping fillers that run there; what runs stays.

Evidence: the new story in changedCapacity.test.ts failed before (1 start instead of 0).

--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -60,6 +60,8 @@
   const { shape } = task.step
   // A filler that interferes little by itself would still delay the recovery of the serving tasks.
   if (shape.isFiller && worker.pacing.isRecovering(now)) return 'pressure'
+  // Its capacity may have shrunk below what its other tasks reserve; then not even a filler, whose processors don't count, fits.
+  if (shape.isFiller && worker.processorsUsed > worker.entry.processors) return 'processors'
   if (worker.memoryUsedMb + shape.memoryMb > worker.entry.memoryMb) return 'memory'
   if (worker.acceleratorsUsed + shape.accelerators > worker.entry.accelerators) return 'accelerators'
   return held.accepts(task, worker) ? undefined : 'held'
--- a/packages/core/tests/changedCapacity.test.ts
+++ b/packages/core/tests/changedCapacity.test.ts
@@ -77,6 +77,22 @@
   t.deepEqual(starts, [0, 0, 1])
 })
 
+test('no filler starts on a worker whose serving tasks reserve more processors than it has left, however little they use', t => {
+  // The second worker is reserved for restarts.
+  const scenario = new SchedulerScenario({ w1: 16_000, w2: 500 })
+  scenario.submit(FIRST, [{ ...WATCH, taskCount: 2, processors: 5_000, latencyTargetMs: 100 }])
+  scenario.advance(200)
+  changeCapacity(scenario, 'w1', { processors: 9_000 })
+  scenario.submit(SECOND, [stepOf({ processors: 1_000, isFiller: true, image: 'index' })])
+  scenario.advance(1_500)
+  t.is(scenario.startsOf(FIRST), 2)
+  t.is(scenario.startsOf(SECOND), 0)
+  t.deepEqual(obstaclesOf(scenario, 'filler'), new Map([['processors', 1], ['too-small', 1]]))
+  changeCapacity(scenario, 'w1', { processors: 10_000 })
+  scenario.advance(100)
+  t.is(scenario.startsOf(SECOND), 1)
+})
+
 test('an interrupted long-running task whose only worker has shrunk waits without keeping others away, and is the first to start there once it has grown', t => {
   const scenario = new SchedulerScenario({ w1: 8_000 })
   scenario.submit(FIRST, [{ ...WATCH, processors: 6_000 }])
