A worker that has shrunk below what its serving tasks reserve takes no capacity from its service

Callers saw: large jobs were promoted over others although they could not be in time any more, or not promoted although they could be.

Cause: ServiceCapacity summed processors less those of serving tasks, which is negative on a worker that has shrunk below them. The sum lost what other workers have, and below zero the shortest time of a job came out negative, which counts as in time.

Change: such a worker counts as one without capacity.

Evidence: serviceCapacity.test.ts failed before (-3000 instead of 5000, -8000 instead of 0).

--- a/packages/core/src/jobs/ServiceCapacity.ts
+++ b/packages/core/src/jobs/ServiceCapacity.ts
@@ -15,7 +15,7 @@
 
   constructor (workers: Iterable<WorkerRecord>) {
     for (const { entry: { service, processors }, servingProcessors } of workers) {
-      this.#processors.set(service, (this.#processors.get(service) ?? 0) + processors - servingProcessors)
+      this.#processors.set(service, (this.#processors.get(service) ?? 0) + Math.max(0, processors - servingProcessors))
     }
   }
 
