Nothing starts beside a run of an unknown job until it has been stopped

Callers saw: a worker that doesn't guard its capacity could be brought over it.

Cause: a report may list a run whose job the owner doesn't know, such as one whose order was carried out after the job's rows were deleted. The run is stopped, but until its end it counted for nothing, although what is being stopped still takes capacity.

Change: the worker gets no work until its reports list no such run; the obstacle is 'unavailable'.

Ruled out: assuming a size. It isn't in the report.

--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -136,7 +136,8 @@
 
   /** Whether interrupted tasks may be sent to the worker, also while it is quarantined: it may be sound, and they may find no other. */
   acceptsRestarts (now: Instant): boolean {
-    return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive
+    // What an unknown run needs is unknown as well, so nothing may start beside it until it has been stopped.
+    return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive && this.unknownRuns.size === 0
   }
 
   /** Whether several runs in a row failed here a short time ago, so that the worker may be faulty. */
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -12,7 +12,7 @@
 /** The first of these that applies keeps a task from a worker. */
 export type Obstacle =
   | 'other-service'
-  /** The worker drains, is paused, isn't listed or doesn't respond. */
+  /** The worker drains, is paused, isn't listed, doesn't respond or still runs a task of an unknown job. */
   | 'unavailable'
   | 'label'
   /** The worker already runs as many tasks of the step as the step allows. */
