A reborn worker gets work once its own entry is known

Callers saw: after a worker came back smaller, or of another kind, tasks could start there that its new capacity or labels don't allow.

Cause: a report that showed a new incarnation before the list did gave it the entry of the old one, and listed it even if the old one wasn't listed.

Change: the new incarnation is unlisted until the list has its own entry. A whole read of the list treated it so already.

Ruled out: a cost while the store is away. There a new incarnation isn't in the record of used workers, so it got no orders before either.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -285,7 +285,11 @@
   applyReport (id: WorkerId, report: WorkerReport, requestedAt: Instant, now: Instant): void {
     const existing = this.workers.get(id)
     if (existing === undefined || report.incarnation < existing.entry.incarnation) return
-    if (report.incarnation > existing.entry.incarnation) this.upsertWorker({ ...existing.entry, incarnation: report.incarnation }, now)
+    if (report.incarnation > existing.entry.incarnation) {
+      this.upsertWorker({ ...existing.entry, incarnation: report.incarnation }, now)
+      // The new incarnation may be of another kind, so it gets work once its own entry is known.
+      this.unlistWorker(id)
+    }
     const worker = this.workers.get(id) as WorkerRecord
     worker.recordClock(report.clockMs, now)
     for (const end of report.ended) {
