A worker whose entry is dropped and written again within one response of the feed stays listed

Callers saw: a worker got no new work until its next change, although its entry, perhaps with another capacity, was back in the store.

Cause: the feed returns changes in order, but they were split into written and deleted rows, and the deleted ones were applied last. Entries that expire and come back while the feed is away arrive in one response.

Change: of several changes of a row the last one counts; RowStore says so, and the fake store keeps to it.

--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -98,7 +98,14 @@
 
   since (table: string, after: RowVersion): RowChanges {
     if (after < this.#trimmedVersion) return { kind: 'trimmed' }
-    const changes = this.#history.slice(this.#indexAfter(after)).filter(({ row }) => row.table === table)
+    const newest = new Map<string, Change>()
+    for (const change of this.#history.slice(this.#indexAfter(after))) {
+      if (change.row.table !== table) continue
+      const path = `${change.row.part}/${change.row.key}`
+      newest.delete(path)
+      newest.set(path, change)
+    }
+    const changes = [...newest.values()]
     const changed = changes.filter(({ isDeleted }) => !isDeleted).map(({ row }) => row)
     const deleted: RowKey[] = changes.filter(({ isDeleted }) => isDeleted).map(({ row: { key } }) => ({ table, key }))
     return { kind: 'changes', changed, deleted, version: this.version }
--- a/packages/jobs/src/RowStore.ts
+++ b/packages/jobs/src/RowStore.ts
@@ -35,7 +35,7 @@
 /** A consistent page of rows of a range, with the store's version and its clock, if it states it, at the time of the read. */
 export type RowPage = Readonly<{ rows: readonly StoredRow[], hasMore: boolean, version: RowVersion, storeTime?: StoreTime }>
 
-/** Changes of a table after a version, in order. `trimmed`: the store no longer has all of them. */
+/** Changes of a table after a version, in order, with the last one of each row. `trimmed`: the store no longer has all of them. */
 export type RowChanges =
   | Readonly<{ kind: 'changes', changed: readonly StoredRow[], deleted: readonly RowKey[], version: RowVersion }>
   | Readonly<{ kind: 'trimmed' }>
