A reborn worker doesn't forget ends that its owner has not read

Callers saw: a task whose run had ended as done was started again, without any late or lost call.

Cause: a worker forgets its ends up to the number that a request for a report acknowledges, and a new incarnation counts from 1. An order could reach the new incarnation before the owner knew of it; the next request, still with the number of the old one, made it forget the end of that run, and the run counted as vanished.

Change: - A request acknowledges ends, and lets the worker wait, only if its incarnation is certain: not after a call without a response, and not once a response has shown that the worker's clock has gone back, until a report names it. - While a request that acknowledges ends of the old incarnation has no outcome, nothing starts on the new one. A report requested meanwhile, after a start without a response, may have shown the new one already.

Stand-in: a report that the simulated worker holds back is lost with the incarnation that was asked, as with the platform's stand-in. Before, the new incarnation answered it.

Ruled out: naming the incarnation in the request; the protocol's header names the id, which incarnations share. Remains: such a request that is carried out after its time-out.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -291,7 +291,8 @@
       this.unlistWorker(id)
     }
     const worker = this.workers.get(id) as WorkerRecord
-    worker.recordClock(report.clockMs, now)
+    worker.recordClock(report.clockMs, now, requestedAt)
+    worker.confirmIncarnation()
     for (const end of report.ended) {
       if (end.sequence > worker.appliedEnd) this.#applyEnd(worker, end, now)
       worker.appliedEnd = Math.max(worker.appliedEnd, end.sequence)
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -43,6 +43,7 @@
   fillerRuns = 0
   #failedCalls = 0
   #clockSample: ClockSample | undefined
+  #hasClockGoneBack = false
   #leasedUntilMs = 0
   #leaseExpiresAt: Instant
   #leaseKnownSince: Instant
@@ -95,9 +96,27 @@
     this.#leaseKnownSince = now
   }
 
-  /** Records a reading of the worker's clock, received at `at`. */
-  recordClock (clockMs: number, at: Instant): void {
+  /**
+   * Whether this incarnation is certainly the one that calls reach now. After a call without a response, or once the
+   * worker's clock has gone back, another may have taken its place until the next report says which it is.
+   */
+  get isIncarnationCertain (): boolean {
+    return !this.isUnresponsive && !this.#hasClockGoneBack
+  }
+
+  /** Records that a report has shown this incarnation. */
+  confirmIncarnation (): void {
+    this.#hasClockGoneBack = false
+  }
+
+  /** Records a reading of the worker's clock that was requested at `requestedAt` and received at `at`. */
+  recordClock (clockMs: number, at: Instant, requestedAt = at): void {
     this.#failedCalls = 0
+    if (this.#clockSample !== undefined) {
+      const elapsedMs = requestedAt - this.#clockSample.at
+      const earliestMs = this.#clockSample.clockMs + (elapsedMs > 0 ? elapsedMs * MIN_CLOCK_RATE : elapsedMs / MIN_CLOCK_RATE)
+      if (clockMs < Math.floor(earliestMs)) this.#hasClockGoneBack = true
+    }
     this.#clockSample = { clockMs, at }
     this.#updateLeaseExpiry()
   }
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -409,7 +409,7 @@
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
     const startedAt = clock.now()
-    for (const worker of this.#scheduler.workers.values()) worker.isLeasable = this.#writer.isLeasable(worker.entry)
+    for (const worker of this.#scheduler.workers.values()) worker.isLeasable = this.#mayStartOn(worker)
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
     this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
@@ -423,6 +423,10 @@
     if (this.#scheduler.dirtyCount > 0) this.#writer.requestCommit()
   }
 
+  #mayStartOn (worker: WorkerRecord): boolean {
+    return this.#writer.isLeasable(worker.entry) && this.#pollers.get(worker.entry.id)?.acknowledgesEarlierIncarnation(worker) !== true
+  }
+
   async #execute (order: RunOrder): Promise<void> {
     const worker = this.#scheduler.workers.get(order.worker)
     if (worker === undefined) return
@@ -458,7 +462,7 @@
     const now = clock.now()
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#isClosed) return
-    if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, now)
+    if (clockMs !== undefined && worker === this.#scheduler.workers.get(order.worker)) worker.recordClock(clockMs, now, sentAt)
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, outcome })
     if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -4,7 +4,7 @@
 import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
 import { MAX_CLOCK_AGE_MS, MAX_WORKER_LEASE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
-import type { WorkerCalls } from './WorkerCalls.ts'
+import type { ReportRequest, WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
 export abstract class PollerHost {
@@ -30,6 +30,8 @@
   readonly #log: Log
   readonly #sleep: InterruptibleSleep
   readonly #host: PollerHost
+  /** For each incarnation, the number of requests without an outcome yet that acknowledge ends. */
+  readonly #openAcknowledgements = new Map<WorkerRecord, number>()
   #isStopped = false
   #isFailing = false
 
@@ -64,6 +66,15 @@
     if (worker !== undefined && this.#mayPoll(worker)) this.#report(worker, 0).catch((thrown: unknown) => this.#logUnexpected(thrown))
   }
 
+  /**
+   * Whether a request that acknowledges ends of an earlier incarnation has no outcome yet. The present one may have
+   * received it, and would forget its own ends up to that number.
+   */
+  acknowledgesEarlierIncarnation (current: WorkerRecord): boolean {
+    for (const worker of this.#openAcknowledgements.keys()) if (worker !== current) return true
+    return false
+  }
+
   #logUnexpected (thrown: unknown): void {
     this.#log.error('A report could not be applied', { worker: this.#worker, error: String(thrown) })
   }
@@ -93,7 +104,8 @@
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
     // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
-    const outcome = await this.#report(worker, areEndsDurable && worker.runs.size > 0 && this.#mayExtendLease(worker) ? reportWaitMs(worker) : 0)
+    const mayWait = areEndsDurable && worker.runs.size > 0 && worker.isIncarnationCertain && this.#mayExtendLease(worker)
+    const outcome = await this.#report(worker, mayWait ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
   }
@@ -117,8 +129,9 @@
     const requestedAt = this.#clock.now()
     const leaseEndMs = worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     if (leaseEndMs !== undefined) worker.extendLease(leaseEndMs)
-    const acknowledgedEnd = worker.durableEnd
-    const outcome = await this.#calls.report(worker.entry, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
+    // A new incarnation counts its ends from 1 and would forget those up to this number, which nobody has read.
+    const acknowledgedEnd = worker.isIncarnationCertain ? worker.durableEnd : 0
+    const outcome = await this.#request(worker, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
     if (this.#isStopped) return outcome
     this.#logStateChange(outcome)
     if (outcome.err) {
@@ -135,6 +148,18 @@
     return outcome
   }
 
+  async #request (worker: WorkerRecord, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
+    if (request.acknowledgedEnd === 0) return await this.#calls.report(worker.entry, request)
+    this.#openAcknowledgements.set(worker, (this.#openAcknowledgements.get(worker) ?? 0) + 1)
+    try {
+      return await this.#calls.report(worker.entry, request)
+    } finally {
+      const remaining = (this.#openAcknowledgements.get(worker) ?? 0) - 1
+      if (remaining > 0) this.#openAcknowledgements.set(worker, remaining)
+      else this.#openAcknowledgements.delete(worker)
+    }
+  }
+
   #logStateChange (outcome: Result<WorkerReport, AuburnpinError>): void {
     if (outcome.err === this.#isFailing) return
     this.#isFailing = outcome.err
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -274,9 +274,13 @@
   }
 
   async report (worker: WorkerAddress, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
+    const asked = this.#simulation.worker(worker.id)
+    const { incarnation } = asked.entry
     for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
-      if (this.#simulation.worker(worker.id).hasEndAfter(request.acknowledgedEnd)) break
+      if (asked.hasEndAfter(request.acknowledgedEnd)) break
       await this.#node.clock.sleep(POLL_INTERVAL_MS)
+      // A request that the worker holds ends with the incarnation that received it.
+      if (asked.entry.incarnation !== incarnation) return Err(new AuburnpinError('unreachable', 'the connection is lost', 'Wait.'))
     }
     const report = await this.#call(worker, fake => fake.report(request))
     if (report === 'fenced') return Err(new AuburnpinError('fenced', 'fenced', 'Nothing.'))
