Stories of workers whose capacity shrinks and grows while they run

Callers: nothing changed. The simulated worker has a capacity that may change; it either refuses what doesn't fit or starts whatever it is told to. findStartsOverCapacity names the starts that brought one over its capacity later than its entry could be read; what is being stopped counts.

--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -5,6 +5,7 @@
 import { brand, type Attempt, type Clock, type Epoch, type Incarnation, type Timer, type WorkerId } from '@auburnpin/common'
 import type { ReportedEnd, ReportedRun, RunEnding, StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
 import type { ReportRequest, RunName, StartRequest } from '@auburnpin/jobs'
+import { FakeCapacity } from './FakeCapacity.ts'
 import { workerEntryOf } from './jobBuilders.ts'
 
 /** How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. */
@@ -24,6 +25,7 @@
 /** One worker across its incarnations. */
 export class FakeJobWorker {
   readonly id: WorkerId
+  readonly capacity: FakeCapacity
   readonly #clock: Clock
   readonly #behaviourOf: (task: TaskName) => FakeRunBehaviour
   readonly #emit: (event: WorkerEvent) => void
@@ -44,13 +46,14 @@
   constructor (id: string, clock: Clock, behaviourOf: (task: TaskName) => FakeRunBehaviour, onEvent: (event: WorkerEvent) => void) {
     this.id = brand<WorkerId>(id)
     this.#clock = clock
+    this.capacity = new FakeCapacity(clock)
     this.#behaviourOf = behaviourOf
     this.#emit = onEvent
     this.#startedAt = Math.floor(clock.now())
   }
 
   get entry (): WorkerEntry {
-    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#startedAt + 1), address: this.id, zone: 'derby', rack: this.rack, isDraining: this.isDraining, memoryMb: 32_000 })
+    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#startedAt + 1), address: this.id, zone: 'derby', rack: this.rack, isDraining: this.isDraining, ...this.capacity.amounts })
   }
 
   get running (): readonly TaskName[] {
@@ -101,6 +104,7 @@
     if (this.#runs.get(task)?.attempt === attempt) return 'started'
     if (attempt <= (this.#highestAttempts.get(task) ?? 0)) return 'superseded'
     if (leaseEndMs <= this.clockMs) return 'too-late'
+    if (this.capacity.refuses(task, this.running)) return 'no-room'
     const { runMs, ending, startupMs = runMs } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
     const run: Run = { task, attempt, fullProgressMs: startupMs, startedAt: this.#clock.now(), timer: this.#clock.after(runMs, () => this.#finish(run, ending)) }
     this.#highestAttempts.set(task, attempt)
