A worker that is listed again after its entry had expired is polled again

Callers saw: after the entry of an idle worker had expired and come back, as when the store is away for long, nothing started there any more until another process took the cell over.

Cause: once such a worker's lease is over its record is removed, and its poller ends. When the worker was listed again the owner found that poller and started no new one, so the worker never reported and never accepted work.

Change: a poller that has ended is replaced.

Simulation: its list of workers passes on changes, as the list in the store does. It passed on the whole list every 100 ms, which removed such pollers in time and hid the fault.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -320,7 +320,7 @@
       this.#writer.setUsedWorkers(this.#usedWorkers())
     }
     for (const [id, poller] of this.#pollers) {
-      if (this.#scheduler.workers.has(id)) continue
+      if (this.#scheduler.workers.has(id) && !poller.hasEnded) continue
       poller.stop()
       this.#pollers.delete(id)
     }
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -33,6 +33,7 @@
   /** For each incarnation, the number of requests without an outcome yet that acknowledge ends. */
   readonly #openAcknowledgements = new Map<WorkerRecord, number>()
   #isStopped = false
+  #hasEnded = false
   #isFailing = false
 
   constructor (worker: WorkerId, epoch: Epoch, scheduler: JobScheduler, calls: WorkerCalls, clock: Clock, log: Log, host: PollerHost) {
@@ -55,6 +56,11 @@
     this.#sleep.wake()
   }
 
+  /** Whether the poller was stopped or its worker was removed; it doesn't notice if the worker is listed again. */
+  get hasEnded (): boolean {
+    return this.#hasEnded
+  }
+
   /** Ends the wait before the next report, as the worker has new runs or its reported ends have become durable. */
   wake (): void {
     this.#sleep.wake()
@@ -82,7 +88,7 @@
   async #run (): Promise<void> {
     while (!this.#isStopped) {
       const worker = this.#scheduler.workers.get(this.#worker)
-      if (worker === undefined) return
+      if (worker === undefined) break
       try {
         await this.#poll(worker)
       } catch (thrown) {
@@ -91,6 +97,7 @@
         await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
       }
     }
+    this.#hasEnded = true
   }
 
   async #poll (worker: WorkerRecord): Promise<void> {
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -5,7 +5,7 @@
   AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
   type Instant, type Result, type Timer, type WorkerId
 } from '@auburnpin/common'
-import type { StartOutcome, TaskName, WorkerReport } from '@auburnpin/core'
+import type { StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
 import { CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
@@ -241,11 +241,22 @@
 
   async #follow (listener: WorkerListener): Promise<void> {
     if (this.#simulation.listReadMs > 0) await this.#simulation.clock.sleep(this.#simulation.listReadMs)
+    let known = new Map<WorkerId, string>()
+    listener.replaceAll(this.#entries)
     while (this.#listeners.has(listener)) {
-      listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => worker.entry))
+      const entries = this.#entries
+      const current = new Map(entries.map(entry => [entry.id, JSON.stringify(entry)]))
+      const changed = entries.filter(({ id }) => current.get(id) !== known.get(id))
+      const removed = [...known.keys()].filter(id => !current.has(id))
+      if (changed.length > 0 || removed.length > 0) listener.update(changed, removed)
+      known = current
       await this.#simulation.clock.sleep(100)
     }
   }
+
+  get #entries (): readonly WorkerEntry[] {
+    return [...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => worker.entry)
+  }
 }
 
 class FakeWorkerCalls extends WorkerCalls {
