--- a/packages/jobs/tests/changingCapacity.test.ts
+++ b/packages/jobs/tests/changingCapacity.test.ts
@@ -80,6 +80,18 @@
   t.is(start('a.0.0.4'), 'no-room')
 })
 
+test('the check finds an owner that never learns of a shrunk capacity', async t => {
+  const story = new CapacityStory(2, () => 300)
+  const { simulation } = story
+  simulation.mutateEntry = entry => ({ ...entry, processors: 8_000 })
+  await story.start()
+  simulation.worker('w1').capacity.change({ processors: 2_000 })
+  await simulation.advance(1_000)
+  await story.submit(FIRST, [stepOf({ processors: 1_000, taskCount: 12 })])
+  await simulation.advance(2_000)
+  t.true(story.startsOverCapacity.length > 0)
+})
+
 for (const isGuarded of [false, true]) {
   const kind = isGuarded ? 'a worker that guards its capacity' : 'a worker that does not guard its capacity'
 
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -157,6 +157,8 @@
   workersPerCell = WORKERS_PER_CELL
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
+  /** Changes the entries that processes read; for deliberate faults that the checks must detect. */
+  mutateEntry = (entry: WorkerEntry): WorkerEntry => entry
 
   /** `workerClockRate` is the rate of the clocks of all workers. */
   constructor (workerCount: number, behaviourOf: (task: TaskName) => FakeRunBehaviour, workerClockRate = 1) {
@@ -255,7 +257,7 @@
   }
 
   get #entries (): readonly WorkerEntry[] {
-    return [...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => worker.entry)
+    return [...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(worker => this.#simulation.mutateEntry(worker.entry))
   }
 }
 
