--- a/packages/fakes/src/FakeCapacity.ts
+++ b/packages/fakes/src/FakeCapacity.ts
@@ -7,6 +7,9 @@
 /** Processors in thousandths of a core, memory and accelerators: what a worker has or what a task needs. */
 export type FakeAmounts = Pick<WorkerEntry, 'processors' | 'memoryMb' | 'accelerators'>
 
+/** What a worker had from some time on. */
+export type FakeCapacityChange = Readonly<{ amounts: FakeAmounts, at: number }>
+
 const INITIAL: FakeAmounts = { processors: 8_000, memoryMb: 32_000, accelerators: 0 }
 
 /**
@@ -17,7 +20,7 @@
  */
 export class FakeCapacity {
   readonly #clock: Clock
-  readonly #changes: Array<Readonly<{ amounts: FakeAmounts, at: number }>> = [{ amounts: INITIAL, at: -Infinity }]
+  readonly #changes: FakeCapacityChange[] = [{ amounts: INITIAL, at: -Infinity }]
   /** Whether the worker refuses a task that doesn't fit beside those that run. */
   isGuarded = false
   /** What a task needs; nothing, unless a test says more. */
@@ -27,6 +30,11 @@
     this.#clock = clock
   }
 
+  /** The capacity at first, and each change. */
+  get changes (): readonly FakeCapacityChange[] {
+    return this.#changes
+  }
+
   get amounts (): FakeAmounts {
     return this.#changes.at(-1)?.amounts ?? INITIAL
   }
