The log tells when a worker's capacity changes

Operators saw only what followed: tasks that wait as too-small or for processors.

Change: 'Worker capacity changed' names the capacity before and after, and what is in use there.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -309,11 +309,23 @@
     for (const entry of entries) this.#entries.set(entry.id, entry)
     for (const id of removed) this.#entries.delete(id)
     this.#membership.update(this.#entries, entries)
-    for (const entry of entries) if (this.#membership.has(entry)) this.#scheduler.upsertWorker(entry, now)
+    for (const entry of entries) {
+      if (!this.#membership.has(entry)) continue
+      this.#logCapacityChange(entry)
+      this.#scheduler.upsertWorker(entry, now)
+    }
     for (const id of removed) this.#scheduler.unlistWorker(id)
     this.#updatePollers()
   }
 
+  #logCapacityChange ({ id, incarnation, processors, memoryMb, accelerators }: WorkerEntry): void {
+    const worker = this.#scheduler.workers.get(id)
+    if (worker?.isListed !== true || worker.entry.incarnation !== incarnation) return
+    const { entry: before, processorsUsed, memoryUsedMb, acceleratorsUsed } = worker
+    if (before.processors === processors && before.memoryMb === memoryMb && before.accelerators === accelerators) return
+    this.#ports.log.info('Worker capacity changed', { worker: id, processors, memoryMb, accelerators, processorsBefore: before.processors, memoryMbBefore: before.memoryMb, acceleratorsBefore: before.accelerators, processorsUsed, memoryUsedMb, acceleratorsUsed })
+  }
+
   #updatePollers (): void {
     const workers = [...this.#scheduler.workers.values()]
     if (workers.some(({ entry }) => !this.#writer.isUsable(entry))) {
