--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -50,6 +50,7 @@
   readonly #knownSince: Instant
   #failedCalls = 0
   #clockSample: ClockSample | undefined
+  #hasClockGoneBack = false
   #leasedUntilMs = 0
   #leaseExpiresAt: Instant
   /** When the leases are over that calls for earlier incarnations may have set on this one, and from when on that is known. */
@@ -106,11 +107,29 @@
     this.#leaseKnownSince = now
   }
 
+  /**
+   * Whether this incarnation is certainly the one that calls reach now. After a call without a response, or once the
+   * worker's clock has gone back, another may have taken its place until the next report says which it is.
+   */
+  get isIncarnationCertain (): boolean {
+    return !this.isUnresponsive && !this.#hasClockGoneBack
+  }
+
+  /** Records that a report has shown this incarnation. */
+  confirmIncarnation (): void {
+    this.#hasClockGoneBack = false
+  }
+
   /** Records a reading of the worker's clock, from a response that was requested at `requestedAt` and received at `at`. */
   recordClock (clockMs: number, requestedAt: Instant, at: Instant): void {
     this.#failedCalls = 0
-    // Responses may overtake one another: a reading requested before the latest one arrived may be older.
-    if (this.#clockSample !== undefined && requestedAt < this.#clockSample.at) return
+    if (this.#clockSample !== undefined) {
+      const elapsedMs = requestedAt - this.#clockSample.at
+      const earliestMs = this.#clockSample.clockMs + (elapsedMs > 0 ? elapsedMs * MIN_CLOCK_RATE : elapsedMs / MIN_CLOCK_RATE)
+      if (clockMs < Math.floor(earliestMs)) this.#hasClockGoneBack = true
+      // Responses may overtake one another: a reading requested before the latest one arrived may be older.
+      if (elapsedMs < 0) return
+    }
     this.#clockSample = { clockMs, at }
     // The reading may be of a later incarnation, whose clock has begun anew.
     this.#leasedUntilMs = Math.min(this.#leasedUntilMs, clockMs + MAX_WORKER_LEASE_MS)
@@ -180,7 +199,8 @@
 
   /** Whether interrupted tasks may be sent to the worker, also while it is quarantined: it may be sound, and they may find no other. */
   acceptsRestarts (now: Instant): boolean {
-    return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive
+    // What an unknown run needs is unknown as well, so nothing may start beside it until it has been stopped.
+    return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive && this.unknownRuns.size === 0
   }
 
   /** Whether several runs in a row failed here a short time ago, so that the worker may be faulty. */
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -12,7 +12,7 @@
 /** The first of these that applies keeps a task from a worker. */
 export type Obstacle =
   | 'other-service'
-  /** The worker drains, is paused, isn't listed or doesn't respond. */
+  /** The worker drains, is paused, isn't listed, doesn't respond or still runs a task of an unknown job. */
   | 'unavailable'
   | 'label'
   /** The worker already runs as many tasks of the step as the step allows. */
@@ -64,6 +64,8 @@
   if (task.crashes.areLikely ? worker.hasNewRuns : worker.isLikelyToCrash) return 'crash-suspect'
   // A filler that interferes little by itself would still delay the recovery of the serving tasks.
   if (shape.isFiller && worker.pacing.isRecovering(now)) return 'pressure'
+  // Its capacity may have shrunk below what its other tasks reserve; then not even a filler, whose processors don't count, fits.
+  if (shape.isFiller && worker.processorsUsed > worker.entry.processors) return 'processors'
   if (worker.memoryUsedMb + shape.memoryMb > worker.entry.memoryMb) return 'memory'
   if (worker.acceleratorsUsed + shape.accelerators > worker.entry.accelerators) return 'accelerators'
   return held.accepts(task, worker) ? undefined : 'held'
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -315,18 +315,30 @@
     for (const entry of entries) this.#entries.set(entry.id, entry)
     for (const id of removed) this.#entries.delete(id)
     this.#membership.update(this.#entries, entries)
-    for (const entry of entries) if (this.#membership.has(entry)) this.#scheduler.upsertWorker(entry, now)
+    for (const entry of entries) {
+      if (!this.#membership.has(entry)) continue
+      this.#logCapacityChange(entry)
+      this.#scheduler.upsertWorker(entry, now)
+    }
     for (const id of removed) this.#scheduler.unlistWorker(id)
     this.#updatePollers()
   }
 
+  #logCapacityChange ({ id, incarnation, processors, memoryMb, accelerators }: WorkerEntry): void {
+    const worker = this.#scheduler.workers.get(id)
+    if (worker?.isListed !== true || worker.entry.incarnation !== incarnation) return
+    const { entry: before, processorsUsed, memoryUsedMb, acceleratorsUsed } = worker
+    if (before.processors === processors && before.memoryMb === memoryMb && before.accelerators === accelerators) return
+    this.#ports.log.info('Worker capacity changed', { worker: id, processors, memoryMb, accelerators, processorsBefore: before.processors, memoryMbBefore: before.memoryMb, acceleratorsBefore: before.accelerators, processorsUsed, memoryUsedMb, acceleratorsUsed })
+  }
+
   #updatePollers (): void {
     const workers = [...this.#scheduler.workers.values()]
     if (workers.some(({ entry }) => !this.#writer.isUsable(entry))) {
       this.#writer.setUsedWorkers(this.#usedWorkers())
     }
     for (const [id, poller] of this.#pollers) {
-      if (this.#scheduler.workers.has(id)) continue
+      if (this.#scheduler.workers.has(id) && !poller.hasEnded) continue
       poller.stop()
       this.#pollers.delete(id)
     }
@@ -417,7 +429,7 @@
     const startedAt = clock.now()
     this.#isAnyUnresponsive = false
     for (const worker of this.#scheduler.workers.values()) {
-      worker.isLeasable = this.#writer.isLeasable(worker.entry)
+      worker.isLeasable = this.#mayStartOn(worker)
       if (worker.isUnresponsive) this.#isAnyUnresponsive = true
     }
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
@@ -433,6 +445,10 @@
     if (this.#scheduler.dirtyCount > 0) this.#writer.requestCommit()
   }
 
+  #mayStartOn (worker: WorkerRecord): boolean {
+    return this.#writer.isLeasable(worker.entry) && this.#pollers.get(worker.entry.id)?.acknowledgesEarlierIncarnation(worker) !== true
+  }
+
   async #execute (order: RunOrder): Promise<void> {
     const worker = this.#scheduler.workers.get(order.worker)
     if (worker === undefined) return
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -165,6 +165,8 @@
   closesConnections = false
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
+  /** Changes the entries that processes read; for deliberate faults that the checks must detect. */
+  mutateEntry = (entry: WorkerEntry): WorkerEntry => entry
 
   /** `workerClockRate` is the rate of the clocks of all workers. */
   constructor (workerCount: number, behaviourOf: (task: TaskName) => FakeRunBehaviour, workerClockRate = 1) {
@@ -264,11 +266,22 @@
 
   async #follow (listener: WorkerListener): Promise<void> {
     if (this.#simulation.listReadMs > 0) await this.#simulation.clock.sleep(this.#simulation.listReadMs)
+    let known = new Map<WorkerId, string>()
+    listener.replaceAll(this.#entries)
     while (this.#listeners.has(listener)) {
-      listener.replaceAll([...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(({ id, entry }) => this.#simulation.outdatedEntries.get(id) ?? entry))
+      const entries = this.#entries
+      const current = new Map(entries.map(entry => [entry.id, JSON.stringify(entry)]))
+      const changed = entries.filter(({ id }) => current.get(id) !== known.get(id))
+      const removed = [...known.keys()].filter(id => !current.has(id))
+      if (changed.length > 0 || removed.length > 0) listener.update(changed, removed)
+      known = current
       await this.#simulation.clock.sleep(100)
     }
   }
+
+  get #entries (): readonly WorkerEntry[] {
+    return [...this.#simulation.workers.values()].filter(({ id }) => this.#simulation.listed.has(id)).map(({ id, entry }) => this.#simulation.mutateEntry(this.#simulation.outdatedEntries.get(id) ?? entry))
+  }
 }
 
 class FakeWorkerCalls extends WorkerCalls {
@@ -301,12 +314,14 @@
   }
 
   async report (worker: WorkerAddress, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
-    const { entry: { incarnation } } = this.#simulation.worker(worker.id)
+    const asked = this.#simulation.worker(worker.id)
+    const { incarnation } = asked.entry
     for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
-      const { hasCrashed, entry } = this.#simulation.worker(worker.id)
-      if (this.#simulation.closesConnections && (hasCrashed || entry.incarnation !== incarnation)) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
-      if (this.#simulation.worker(worker.id).hasEndAfter(request.acknowledgedEnd)) break
+      if (this.#simulation.closesConnections && asked.hasCrashed) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
+      if (asked.hasEndAfter(request.acknowledgedEnd)) break
       await this.#node.clock.sleep(POLL_INTERVAL_MS)
+      // A request that the worker holds ends with the incarnation that received it.
+      if (asked.entry.incarnation !== incarnation) return Err(new AuburnpinError('unreachable', 'the connection is lost', 'Wait.'))
     }
     const report = await this.#call(worker, fake => fake.report(request))
     if (report === 'fenced') return Err(new AuburnpinError('fenced', 'fenced', 'Nothing.'))
