Test: the next owner and the lease of a VM that was reborn just after a report

The test of the next owner played only VMs that hadn't been asked lately. A start is sent without asking if the last report is at most 2 s old; the lease then is meant for the earlier incarnation and the reborn VM takes 10 s of it.

Known red: a lease end in the record would come a commit too late if the owner is killed at once, and a longer wait for all workers would keep long-running tasks away after each takeover.

Also played now: an owner that ends after 1.5 s.

--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -150,12 +150,13 @@
   t.deepEqual(late, [])
 })
 
-test('the next owner waits for the lease of an idle VM that was reborn unnoticed before the order', async t => {
+/** Plays the end of an owner that has just started a task on a reborn VM, which is cut off from then on. */
+const playNextOwner = async (hasJustReported: boolean): Promise<readonly string[]> => {
   const breaches: string[] = []
   for (const isLasting of [true, false]) {
     for (const how of ['stopped', 'killed'] as const) {
-      for (const endsAfterMs of [0, 500, 3_000, 5_000]) {
-        const simulation = await startOnRebornVm({ idleMs: 20_000, isLasting, hasJustReported: false })
+      for (const endsAfterMs of [0, 500, 1_500, 3_000, 5_000]) {
+        const simulation = await startOnRebornVm({ idleMs: 20_000, isLasting, hasJustReported })
         simulation.addNode('n2')
         simulation.links.set('w1', 'mute')
         await simulation.advance(endsAfterMs)
@@ -166,5 +167,14 @@
       }
     }
   }
-  t.deepEqual(breaches, [])
+  return breaches
+}
+
+test('the next owner waits for the lease of an idle VM that was reborn unnoticed before the order', async t => {
+  t.deepEqual(await playNextOwner(false), [])
+})
+
+// See KNOWN-RED.txt.
+test.failing('so it does if the VM had reported just before it was reborn', async t => {
+  t.deepEqual(await playNextOwner(true), [])
 })
