--- a/packages/jobs/tests/rebornWorkerEnds.test.ts
+++ b/packages/jobs/tests/rebornWorkerEnds.test.ts
@@ -30,3 +30,25 @@
     }
   })
 }
+
+for (const closesConnections of [false, true]) {
+  test(`the end of a short task on a VM that was reborn just after a report is not taken for one of its earlier incarnation${closesConnections ? ', whose connections are closed' : ''}`, async t => {
+    for (const runMs of [50, 150, 300, 600, 1_000]) {
+      const simulation = new JobsSimulation(2, task => ({ runMs: task.startsWith('b') ? 100 : runMs, ending: 'done' }))
+      simulation.closesConnections = closesConnections
+      simulation.listed.delete('w2')
+      const node = simulation.addNode('n1')
+      await simulation.advance(20_000)
+      await simulation.settle(node.jobs.submit(jobOf('b000000000000000', [stepOf()]), 2_000))
+      await simulation.advance(500)
+      simulation.rebearUnnoticed('w1')
+      await simulation.settle(node.jobs.submit(jobOf('c000000000000000', [stepOf()]), 2_000))
+      for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
+      simulation.listed.add('w2')
+      simulation.outdatedEntries.clear()
+      await simulation.advance(10_000)
+      t.deepEqual(simulation.breaches, [], `runs for ${runMs} ms`)
+      t.is(simulation.startsOf('c000000000000000.0.0.0'), 1, `runs for ${runMs} ms`)
+    }
+  })
+}
