Idle workers are asked more often only for a time after one has fallen silent

Callers saw: no fault; while one dead worker stays in the list, all idle workers were asked every 1.5 s without end (1,470 reports a minute of 50 workers).

Cause: the shorter interval held while any worker was unresponsive. It is there for workers that went together, and these are found within the first rounds.

Change: a worker counts for SILENCE_WATCH_MS after its reports began to fail: until its lease is over and the idle ones have been asked again. After that they are asked once in 60 s, and before a start, as ever.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -64,7 +64,7 @@
   readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
   #isGauged = false
-  #isAnyUnresponsive = false
+  #hasAnyFallenSilent = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
   constructor (ports: OwnerPorts, claimed: ClaimedTerm, onTermLost: () => void, onOverload: () => void) {
@@ -92,9 +92,9 @@
     return !this.#isClosed && this.#writer.isHeld
   }
 
-  /** Whether any worker did not respond to the last call to it, as of the last scheduling pass. */
-  get isAnyUnresponsive (): boolean {
-    return this.#isAnyUnresponsive
+  /** Whether any worker has fallen silent a short time ago, as of the last scheduling pass. */
+  get hasAnyFallenSilent (): boolean {
+    return this.#hasAnyFallenSilent
   }
 
   get writer (): TermWriter {
@@ -427,10 +427,10 @@
     if (!this.#isRestored || !this.isHeld) return
     const { clock } = this.#ports
     const startedAt = clock.now()
-    this.#isAnyUnresponsive = false
+    this.#hasAnyFallenSilent = false
     for (const worker of this.#scheduler.workers.values()) {
       worker.isLeasable = this.#mayStartOn(worker)
-      if (worker.isUnresponsive) this.#isAnyUnresponsive = true
+      if (worker.isUnresponsive && this.#pollers.get(worker.entry.id)?.hasBeenSilentForLong !== true) this.#hasAnyFallenSilent = true
     }
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
     this.#passSpacing.recordPass(clock.now() - startedAt)
@@ -654,8 +654,8 @@
     return this.#owner.writer.isLeasable(entry)
   }
 
-  get isAnyUnresponsive (): boolean {
-    return this.#owner.isAnyUnresponsive
+  get hasAnyFallenSilent (): boolean {
+    return this.#owner.hasAnyFallenSilent
   }
 
   reported (worker: WorkerId): void {
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -3,7 +3,7 @@
  */
 import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MAX_CLOCK_AGE_MS, MAX_REPORT_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_CLOCK_AGE_MS, MAX_REPORT_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, SILENCE_WATCH_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { ReportRequest, WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -14,8 +14,8 @@
   abstract isUsable (worker: WorkerRecord): boolean
   /** Whether the worker's lease may be extended. */
   abstract isLeasable (worker: WorkerRecord): boolean
-  /** Whether any worker of the cell does not respond, so that idle ones may be gone as well. */
-  abstract get isAnyUnresponsive (): boolean
+  /** Whether any worker of the cell has fallen silent a short time ago, so that idle ones may be gone as well. */
+  abstract get hasAnyFallenSilent (): boolean
   /** A report of the worker was applied to the scheduler's state. */
   abstract reported (worker: WorkerId): void
   /** The worker has accepted an order or request of a later owner. */
@@ -37,7 +37,7 @@
   readonly #openAcknowledgements = new Map<WorkerRecord, number>()
   #isStopped = false
   #hasEnded = false
-  #isFailing = false
+  #failingSince: Instant | undefined
 
   constructor (worker: WorkerId, epoch: Epoch, scheduler: JobScheduler, calls: WorkerCalls, clock: Clock, log: Log, host: PollerHost) {
     this.#worker = worker
@@ -75,6 +75,11 @@
     if (worker !== undefined && this.#mayPoll(worker)) this.#report(worker, 0).catch((thrown: unknown) => this.#logUnexpected(thrown))
   }
 
+  /** Whether reports have been failing for a long time, so that idle workers that went with it have been noticed. */
+  get hasBeenSilentForLong (): boolean {
+    return this.#failingSince !== undefined && this.#clock.now() - this.#failingSince >= SILENCE_WATCH_MS
+  }
+
   /** Whether the worker is there and still the same incarnation; an idle one is asked unless it has reported a short time ago. */
   async confirm (worker: WorkerRecord): Promise<boolean> {
     if (this.#clock.now() - worker.reportedAt < MAX_REPORT_AGE_MS || [...worker.runs.values()].some(({ isReported }) => isReported)) return true
@@ -125,13 +130,13 @@
       await this.#sleep.sleep(TICK_INTERVAL_MS)
       return
     }
-    if (!needsReport(worker, this.#clock.now(), this.#host.isAnyUnresponsive ? REPORT_WAIT_MS : MAX_CLOCK_AGE_MS)) {
+    if (!needsReport(worker, this.#clock.now(), this.#host.hasAnyFallenSilent ? REPORT_WAIT_MS : MAX_CLOCK_AGE_MS)) {
       await this.#sleep.sleep(REPORT_WAIT_MS)
       return
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
     // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
-    const mayWait = areEndsDurable && !this.#isFailing && worker.runs.size > 0 && !worker.hasInheritedRuns && worker.isIncarnationCertain && this.#mayExtendLease(worker)
+    const mayWait = areEndsDurable && this.#failingSince === undefined && worker.runs.size > 0 && !worker.hasInheritedRuns && worker.isIncarnationCertain && this.#mayExtendLease(worker)
     const outcome = await this.#report(worker, mayWait ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
@@ -188,8 +193,8 @@
   }
 
   #logStateChange (outcome: Result<WorkerReport, AuburnpinError>): void {
-    if (outcome.err === this.#isFailing) return
-    this.#isFailing = outcome.err
+    if (outcome.err === (this.#failingSince !== undefined)) return
+    this.#failingSince = outcome.err ? this.#clock.now() : undefined
     if (outcome.err) this.#log.warn('Worker does not report', { worker: this.#worker, error: outcome.val.message })
     else this.#log.info('Worker reports', { worker: this.#worker, incarnation: outcome.val.incarnation, running: outcome.val.running.length })
   }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -68,6 +68,9 @@
 /** Greatest age of the reading of an idle worker's clock, in milliseconds; the lease of a start is shorter by 2 % of it. */
 export const MAX_CLOCK_AGE_MS = 60_000
 
+/** How long idle workers are asked more often once a worker has fallen silent, in milliseconds: until its lease is over and they have been asked again. */
+export const SILENCE_WATCH_MS = WORKER_LEASE_MS / MIN_CLOCK_RATE + 2 * REPORT_WAIT_MS
+
 /** Delay before a failed report is requested again, in milliseconds. */
 export const REPORT_RETRY_DELAY_MS = 250
 
--- a/packages/jobs/tests/idleWorkersLost.test.ts
+++ b/packages/jobs/tests/idleWorkersLost.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { brand, type JobId } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
+import { MAX_CLOCK_AGE_MS, SILENCE_WATCH_MS } from '../src/index.ts'
 import { JobsSimulation } from './support/JobsSimulation.ts'
 
 /** Users allow a long-running task 6 s without a run, and 3 s more, in milliseconds. */
@@ -43,3 +44,17 @@
     t.is(simulation.startsOf(TASK), 0, `cancelled after ${cancelledAfterMs} ms`)
   }
 })
+
+test('idle VMs are asked no more often once a VM that is still listed has been silent for some time', async t => {
+  const simulation = new JobsSimulation(50, () => ({ runMs: 100, ending: 'done' }))
+  simulation.addNode('n1')
+  await simulation.advance(70_000)
+  simulation.worker('w1').crash()
+  // By then the owner has asked the VM, and its lease is over.
+  await simulation.advance(MAX_CLOCK_AGE_MS + SILENCE_WATCH_MS + 5_000)
+  simulation.reportCounts.clear()
+  await simulation.advance(MAX_CLOCK_AGE_MS)
+  simulation.reportCounts.delete('w1')
+  t.true(simulation.reportCounts.size > 0)
+  t.true(Math.max(...simulation.reportCounts.values()) <= 2, `${Math.max(...simulation.reportCounts.values())} reports of one idle VM`)
+})
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -163,6 +163,8 @@
   returnAfterMs = 3_000
   /** Whether the connections of a worker that crashes are closed, as when its process ends; otherwise a report that is held back comes from the next incarnation. */
   closesConnections = false
+  /** Number of reports that processes have requested of each worker. */
+  readonly reportCounts = new Map<string, number>()
   /** Time until a process that asks for the list of workers has it, in milliseconds. */
   listReadMs = 0
   /** Changes the entries that processes read; for deliberate faults that the checks must detect. */
@@ -314,6 +316,7 @@
   }
 
   async report (worker: WorkerAddress, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
+    this.#simulation.reportCounts.set(worker.id, (this.#simulation.reportCounts.get(worker.id) ?? 0) + 1)
     const asked = this.#simulation.worker(worker.id)
     const { incarnation } = asked.entry
     for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
