The time that an order may come late counts from when it was sent

Callers saw: nothing yet; found by a reviewer. A short task whose order had no response is kept for the reborn worker until a late order's lease is over, counted from when the order was decided. An idle worker is asked for a report first, so the order may be sent up to 0.8 s later, and the task could start elsewhere that much too early.

Change: RunRecord.sentAt, set as the call is sent; keptUntil counts from it.

Ruled out: adding the time-out of a report to the delay; that is the client's, and a busy owner may take longer.

Evidence: the new test of lateReports failed before (the task started elsewhere 1 ms before the late order's lease was over). lostStarts, rebornWorkers and startWindow pass, with the known failures.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -495,7 +495,7 @@
       old.removeRun(run)
       const isAnswered = run.state === 'running'
       // A long-running task must not be away for that long; it is the likelier case that the worker has left.
-      const keptUntil = isAnswered || run.task.step.shape.isLasting ? run.keptUntil : leaseExpiry(MAX_WORKER_LEASE_MS, brand<Instant>(Math.max(now, run.orderedAt + MAX_ORDER_DELAY_MS)))
+      const keptUntil = isAnswered || run.task.step.shape.isLasting ? run.keptUntil : leaseExpiry(MAX_WORKER_LEASE_MS, brand<Instant>(Math.max(now, (run.sentAt ?? run.orderedAt) + MAX_ORDER_DELAY_MS)))
       const moved: RunRecord = {
         ...run,
         since: isAnswered ? run.since : now,
@@ -518,6 +518,12 @@
     for (const run of expired) this.#endRun(run, 'lease over', now)
   }
 
+  /** Records that the call with an order to start is about to be sent. */
+  recordStartSent (id: WorkerId, name: TaskName, attempt: number, now: Instant): void {
+    const run = this.workers.get(id)?.runs.get(runKey(name, attempt))
+    if (run !== undefined) run.sentAt = now
+  }
+
   /** Records the outcome of an order to start, and the worker's clock if the response has it. Returns `true` if this owner's fencing token is no longer the highest. */
   recordStartOutcome (id: WorkerId, name: TaskName, attempt: number, outcome: StartOutcome, now: Instant, clockMs?: number): boolean {
     const worker = this.workers.get(id)
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -18,6 +18,8 @@
   readonly attempt: Attempt
   readonly worker: WorkerRecord
   readonly orderedAt: Instant
+  /** When the call was sent, which may be after the worker was asked for a report. */
+  sentAt?: Instant
   /** `ordered`: the call is in progress; `unconfirmed`: it did not show whether the run exists; `running`: confirmed by the worker. */
   state: 'ordered' | 'unconfirmed' | 'running'
   /** When the state was last set; a report requested earlier cannot contradict it. */
--- a/packages/core/tests/lateReports.test.ts
+++ b/packages/core/tests/lateReports.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { brand, type Epoch, type Instant } from '@auburnpin/common'
+import { brand, type Epoch, type Incarnation, type Instant } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
 import { JobScheduler, type RunOrder } from '../src/index.ts'
 
@@ -41,3 +41,30 @@
   t.is(again?.task, order.task)
   t.not(again?.worker, order.worker)
 })
+
+test('a task whose order was sent late, and had no response, starts elsewhere only once the order can no longer come to a reborn worker', t => {
+  const ASKED_MS = 800
+  const scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: LEASE_MS }, at(0), new SilentJobSchedulerObserver())
+  const entries = ['w1', 'w2'].map(id => workerEntryOf(id))
+  scheduler.replaceWorkers(entries, at(0))
+  for (const { id, incarnation } of entries) scheduler.applyReport(id, { incarnation, clockMs: 0, running: [], ended: [] }, at(0), at(0))
+  scheduler.addJob(jobOf('00000000000000d1', [stepOf()]), at(0))
+  const startsAt = (ms: number): readonly RunOrder[] => {
+    const starts = scheduler.decide(at(ms), ms).filter(isStart)
+    scheduler.markStored(scheduler.takeDirty(1))
+    return [...starts, ...scheduler.decide(at(ms), ms).filter(isStart)]
+  }
+  const order = scheduler.decide(at(10), 10).find(isStart)
+  if (order === undefined) throw new Error('Nothing was started')
+  const sentMs = 10 + ASKED_MS
+  scheduler.recordStartSent(order.worker, order.task, order.attempt, at(sentMs))
+  scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unknown', at(sentMs + 700))
+  scheduler.upsertWorker(workerEntryOf(order.worker, { incarnation: brand<Incarnation>(2) }), at(sentMs + 800))
+  scheduler.workers.get(order.worker)?.markUnresponsive()
+  // The order comes within 5 s, and gives the worker a lease of at most 10 s on a clock that may be 2 % slow.
+  const overMs = sentMs + 5_000 + 10_000 / 0.98
+  t.deepEqual(startsAt(overMs - 1), [])
+  const [again] = startsAt(overMs + 201)
+  t.not(again?.worker, order.worker)
+  t.is(again?.task, order.task)
+})
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -485,6 +485,7 @@
     }
     worker.extendLease(leaseEndMs)
     const sentAt = clock.now()
+    this.#scheduler.recordStartSent(order.worker, order.task, order.attempt, sentAt)
     const { outcome, clockMs } = await this.#callStart(order, worker, leaseEndMs)
     const now = clock.now()
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
