A job under whose tasks workers were lost stays in its cell

If no start of such a task was answered, the job is still queued and, after a takeover, counted as untouched: it moved to another cell, and the losses were forgotten with its progress.

The test fails without the change.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -194,7 +194,7 @@
     for (const step of this.#openSteps) {
       const { job } = step
       if (job.phase !== 'queued' || job.movedTo !== undefined || job.job.occurrences > 0 || !this.waits.hasWaitedSince(step, before)) continue
-      if (![...job.tasks()].some(task => task.wasOrdered || task.isDone || task.failedAttempts.length > 0 || task.runs.length > 0)) untouched.add(job)
+      if (![...job.tasks()].some(task => task.wasOrdered || task.isDone || task.failedAttempts.length > 0 || task.crashes.toStore.length > 0 || task.runs.length > 0)) untouched.add(job)
     }
     return [...untouched]
   }
--- a/packages/core/tests/untouchedJobs.test.ts
+++ b/packages/core/tests/untouchedJobs.test.ts
@@ -20,3 +20,11 @@
   scheduler.decide(at(5_000), 5_000)
   t.deepEqual(scheduler.untouchedJobs(at(4_000)), [])
 })
+
+test('a job with a task under which a worker was lost stays in its cell, so that the losses count', t => {
+  const scheduler = new JobScheduler(brand<Epoch>(2), { leaseMs: 4_500 }, at(0), new SilentJobSchedulerObserver())
+  scheduler.addJob(jobOf('00000000000000a1', [stepOf({ taskCount: 2 })]), at(0), { phase: 'queued', done: {}, failed: {}, checkpoints: {}, crashed: { '0.0.0': [1] } })
+  scheduler.decide(at(0), 0)
+  scheduler.decide(at(5_000), 5_000)
+  t.deepEqual(scheduler.untouchedJobs(at(4_000)), [])
+})
