What a commit that throws should have stored is stored by a later one

After an unexpected error in a commit its jobs were no longer waiting to be written. The ends of their runs were then acknowledged as if they were durable, and the next owner started a task again that was done; an attempt that waits to be stored was never ordered, and kept its capacity.

That a store client throws was never seen.

--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -7,9 +7,9 @@
 /**
  * How the store responds to a process. `well`: no fault. `refusing`: calls are refused at once. `silent`: calls time out
  * and change nothing. `lost`: transactions are committed and time out. `late`: transactions time out and are committed
- * 3 s later.
+ * 3 s later. `broken`: the client throws at transactions.
  */
-export type StoreFaultMode = 'well' | 'refusing' | 'silent' | 'lost' | 'late'
+export type StoreFaultMode = 'well' | 'refusing' | 'silent' | 'lost' | 'late' | 'broken'
 
 const CALL_TIMEOUT_MS = 800
 const LATE_COMMIT_MS = 3_000
@@ -145,6 +145,7 @@
     if (isTooLarge(change)) return Err(new AuburnpinError('invalid-request', 'The transaction has too many entries, or a row is too long', 'Divide it.'))
     const faultMode = this.#rows.faultModeOf(this.#process)
     if (faultMode === 'refusing') return Err(new AuburnpinError('unreachable', 'The store refused the call', 'Wait.'))
+    if (faultMode === 'broken') throw new Error('an unexpected error of the client')
     await this.#clock.sleep(RESPONSE_MS)
     if (faultMode === 'well') return Ok(this.#rows.apply(change))
     if (faultMode === 'lost') this.#rows.apply(change)
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -207,11 +207,17 @@
 
   // An unexpected error must not end the renewal of the term.
   async #commitSafely (): Promise<void> {
+    let batch: Batch | undefined
     try {
-      await this.#commit()
+      batch = this.#takeBatch()
+      await this.#commit(batch)
     } catch (thrown) {
       this.#isCommitting = false
       this.#areUsedWorkersDirty = true
+      if (batch !== undefined) {
+        this.#scheduler.markDirty(batch.jobs)
+        this.#progressToDelete.push(...batch.progressToDelete)
+      }
       this.#log.error('Commit failed unexpectedly', { cell: this.#cell, epoch: this.#term.epoch, error: String(thrown) })
       await this.#clock.sleep(COMMIT_RETRY_DELAY_MS)
     }
@@ -226,9 +232,8 @@
     this.#listener.committed([])
   }
 
-  async #commit (): Promise<void> {
+  async #commit (batch: Batch): Promise<void> {
     this.#isCommitting = true
-    const batch = this.#takeBatch()
     const next = this.#nextTerm({ ...this.#term, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers, ...this.#listener.publishedLoad() }, batch.usedWorkers)
     const sentAt = this.#clock.now()
     const sentAtWall = this.#clock.wallTime()
