The progress of a job names at most 400 tasks under which workers were lost

With all of them, the row of a job with thousands of tasks passed the store's limit once several workers were lost; the store then rejected each commit of the cell, and starts that wait for being stored never came. What is left out counts as stored: a later owner forgets those losses, as it did before there was a count. Those with most losses come first.

The new test fails without the change (the field alone has 150 KB).

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -2,6 +2,7 @@
  * A job and the state of its tasks.
  */
 import { brand, type Attempt, type CellId, type Instant } from '@auburnpin/common'
+import { MAX_STORED_CRASHES } from './constants.ts'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import { expectedMs, taskWork } from './taskWork.ts'
@@ -137,7 +138,7 @@
     const started: Record<string, readonly number[] | 'all'> = {}
     const failed: Record<string, readonly number[]> = {}
     const checkpoints: Record<string, string> = {}
-    const crashed: Record<string, readonly number[]> = {}
+    const crashing: TaskRecord[] = []
     if (this.isFinal) return { phase: this.#phase, done, failed, checkpoints }
     if (this.movedTo !== undefined) return { phase: this.#phase, done, failed, checkpoints, movedTo: this.movedTo }
     for (const steps of this.occurrences.values()) {
@@ -151,15 +152,21 @@
         for (const task of step.tasks) {
           if (task.isDone) continue
           if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
-          if (task.crashes.toStore.length > 0) crashed[task.progressKey] = task.crashes.toStore
+          if (task.crashes.toStore.length > 0) crashing.push(task)
           if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
         }
       }
     }
-    return { phase: this.#phase, done, started, failed, checkpoints, crashed }
+    return { phase: this.#phase, done, started, failed, checkpoints, crashed: crashesToStore(crashing) }
   }
 }
 
+// Those with the most losses matter most.
+const crashesToStore = (tasks: readonly TaskRecord[]): Readonly<Record<string, readonly number[]>> => {
+  const kept = tasks.length <= MAX_STORED_CRASHES ? tasks : [...tasks].sort((one, other) => other.crashes.count - one.crashes.count).slice(0, MAX_STORED_CRASHES)
+  return Object.fromEntries(kept.map(task => [task.progressKey, task.crashes.toStore]))
+}
+
 const restoreStep = (step: StepRecord, progress: JobProgress): void => {
   const done = progress.done[step.key]
   const started = progress.started?.[step.key]
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -109,6 +109,9 @@
 /** A job fails when this many workers were lost just after the start of one of its tasks; users allow two more starts after that. */
 export const MAX_WORKER_CRASHES = 3
 
+/** Most tasks of a job whose lost runs are stored, so that the row of a job with thousands of tasks stays within the store's limit. */
+export const MAX_STORED_CRASHES = 400
+
 /** Workers that fall silent within this many milliseconds may have been lost for the same reason; calls to them time out after up to 2.3 s. */
 export const LOST_TOGETHER_MS = 2_500
 
--- a/packages/core/tests/crashingTasksOfJobs.test.ts
+++ b/packages/core/tests/crashingTasksOfJobs.test.ts
@@ -216,3 +216,16 @@
   t.is(scenario.phaseOf(OTHER), 'active')
   t.is([...scenario.scheduler.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0), 20)
 })
+
+test('the progress of a job with thousands of tasks names only those that crashed the most workers, so that its row can be stored', t => {
+  const scenario = new CrashScenario(WORKERS, [jobOf(OTHER, [stepOf({ taskCount: 10_000, processors: 1 })])])
+  const [job] = scenario.scheduler.jobs.values()
+  for (const task of job?.tasks() ?? []) {
+    task.crashes.add(brand(1))
+    if (task.index >= 9_990) task.crashes.add(brand(2))
+  }
+  const crashed = job?.progress.crashed ?? {}
+  // A row may have 65,536 bytes in base64, and the tasks that are done need most of them.
+  t.true(JSON.stringify(crashed).length <= 10_000)
+  for (let index = 9_990; index < 10_000; index++) t.deepEqual(crashed[`0.0.${index}`], [1, 2])
+})
