A crash suspect that fits nowhere keeps no worker from others, and a cleared one doesn't wait

A task that survived a start while it was uncertain about an earlier loss kept the mark and would not start again.

The two new tests fail without the change.

--- a/packages/core/src/jobs/HeldWorkers.ts
+++ b/packages/core/src/jobs/HeldWorkers.ts
@@ -49,14 +49,17 @@
     return true
   }
 
-  /** Keeps all other tasks from the worker on which the task can start apart first; returns `false` if there is none or too many are held. */
+  /**
+   * Keeps all other tasks from the worker on which the task can start apart first; returns `false` if there is none or too
+   * many are held. An interrupted task holds a worker also while it doesn't fit there.
+   */
   holdApart (task: TaskRecord, workers: Iterable<WorkerRecord>, now: Instant): boolean {
     if (this.#apart.size >= this.#limit) return false
     let best: WorkerRecord | undefined
     let mostFree = -Infinity
     for (const worker of workers) {
       const free = worker.entry.processors - worker.processorsUsed
-      if (free <= mostFree || this.#apart.has(worker) || !willFit(task.step.shape, worker)) continue
+      if (free <= mostFree || this.#apart.has(worker) || !(task.isInterrupted ? willFit : fitsNow)(task.step.shape, worker)) continue
       if (findFixedObstacle(task, worker, now) !== undefined) continue
       best = worker
       mostFree = free
@@ -93,6 +96,9 @@
 
 const priorityOf = ({ step }: TaskRecord): number => step.job.job.policy.priority
 
+const fitsNow = ({ processors, memoryMb, accelerators }: JobStep, { entry, processorsUsed, memoryUsedMb, acceleratorsUsed }: WorkerRecord): boolean =>
+  processorsUsed + processors <= entry.processors && memoryUsedMb + memoryMb <= entry.memoryMb && acceleratorsUsed + accelerators <= entry.accelerators
+
 // Whether a task fits once all tasks have ended that end by themselves.
 const willFit = (shape: JobStep, { entry, lasting }: WorkerRecord): boolean =>
   lasting.processors + shape.processors <= entry.processors &&
--- a/packages/core/src/jobs/TaskCrashes.ts
+++ b/packages/core/src/jobs/TaskCrashes.ts
@@ -53,6 +53,7 @@
   clear (): boolean {
     const hadAny = this.toStore.length > 0
     this.#hasSurvived = true
+    this.areUndecided = false
     this.#attempts = NONE
     this.#announced = undefined
     return hadAny
--- a/packages/core/tests/crashingTasksOfJobs.test.ts
+++ b/packages/core/tests/crashingTasksOfJobs.test.ts
@@ -229,3 +229,23 @@
   t.true(JSON.stringify(crashed).length <= 10_000)
   for (let index = 9_990; index < 10_000; index++) t.deepEqual(crashed[`0.0.${index}`], [1, 2])
 })
+
+test('a task that may crash its worker and fits nowhere now keeps no worker from others', t => {
+  const progress = { phase: 'active', done: {}, failed: {}, checkpoints: {}, crashed: { '0.0.0': [1, 2] } } as const
+  const scenario = new CrashScenario(['w1'], [])
+  scenario.scheduler.addJob(jobOf(OTHER, [stepOf({ processors: 4_000 })]), brand<Instant>(0))
+  t.is(scenario.startOf(`${OTHER}.0.0.0`), brand<WorkerId>('w1'))
+  scenario.scheduler.addJob(jobOf(DEADLY, [stepOf({ processors: 8_000 })]), brand<Instant>(0), progress)
+  scenario.scheduler.addJob(jobOf('00000000000000a2', [stepOf()]), brand<Instant>(0))
+  t.is(scenario.startOf('00000000000000a2.0.0.0'), brand<WorkerId>('w1'))
+})
+
+test('a task that has survived a start elsewhere no longer waits for certainty about an earlier loss', t => {
+  const scenario = new CrashScenario(['w1'], [jobOf(OTHER, [stepOf()])])
+  const [task] = [...scenario.scheduler.jobs.values()].flatMap(job => [...job.tasks()])
+  if (task === undefined) return t.fail()
+  task.crashes.areUndecided = true
+  t.is(scenario.startOf(`${OTHER}.0.0.0`), undefined)
+  task.crashes.clear()
+  t.is(scenario.startOf(`${OTHER}.0.0.0`), brand<WorkerId>('w1'))
+})
