--- a/packages/core/src/jobs/CrashDetector.ts
+++ b/packages/core/src/jobs/CrashDetector.ts
@@ -42,6 +42,11 @@
     this.#host = host
   }
 
+  /** Tasks that two or more workers were lost under; a few of them may have been cleared since. */
+  get likelyTasks (): Iterable<TaskRecord> {
+    return this.#likely
+  }
+
   /** The tasks of these steps were restored from the progress of an earlier owner. */
   restore (steps: readonly StepRecord[]): void {
     for (const { tasks } of steps) for (const task of tasks) if (task.crashes.areLikely) this.#likely.add(task)
@@ -49,6 +54,7 @@
 
   /** Counts losses as soon as workers are silent, so that they are stored in time, and gives up the tasks that caused them. */
   observe (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): void {
+    this.#losses.forgetOld(now)
     for (const worker of workers.values()) if (worker.isUnresponsive) this.#countLoss(worker, now)
     this.#withdraw(this.#losses.takeBackListed(workers, now))
     for (const task of this.#likely) this.#decide(task, workers, now)
@@ -76,7 +82,7 @@
     if (crashes.count < MAX_WORKER_CRASHES || runs.length > 0 || !this.#host.areRunsKnown(job)) return
     crashes.areUndecided = this.#losses.isUncertain(task, workers)
     if (crashes.areUndecided) return
-    if (crashes.count > MAX_WORKER_CRASHES || this.#losses.wasLastAlone(task)) this.#host.giveUp(task, now)
+    if (crashes.count > MAX_WORKER_CRASHES || this.#losses.wasLastAlone(task, now)) this.#host.giveUp(task, now)
   }
 
   /** All runs of a worker are about to end, or to be kept for its next incarnation. */
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -649,7 +649,7 @@
     let starts = announcedStarts.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, waits: this.waits, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, crashSuspects: this.#crashDetector.likelyTasks, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -5,6 +5,7 @@
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
 import type { SizeFairness } from './SizeFairness.ts'
+import type { TaskRecord } from './TaskRecord.ts'
 import type { WaitingSteps } from './WaitingSteps.ts'
 
 /** `wallTime` is in milliseconds since 1970. */
@@ -13,6 +14,8 @@
   /** Empty at the start of a scheduling pass; the pass fills it. */
   held: HeldWorkers
   fairness: SizeFairness
+  /** Tasks that have probably crashed workers; most of them don't wait. */
+  crashSuspects: Iterable<TaskRecord>
   waits: WaitingSteps
   now: Instant
   wallTime: number
--- a/packages/core/src/jobs/WorkerLosses.ts
+++ b/packages/core/src/jobs/WorkerLosses.ts
@@ -22,9 +22,13 @@
   /** By incarnation, in the order of their times. */
   readonly #losses = new Map<string, WorkerLoss>()
 
+  /** Forgets the losses that are too old to be compared with new ones. */
+  forgetOld (now: Instant): void {
+    for (const [key, { at }] of this.#losses) if (now - at >= LOSS_MEMORY_MS) this.#losses.delete(key)
+  }
+
   /** Records the loss of an incarnation, or further runs that were lost with it. */
   add (worker: IncarnationName, suspects: readonly RunRecord[], now: Instant): void {
-    for (const [key, { at }] of this.#losses) if (now - at >= LOSS_MEMORY_MS) this.#losses.delete(key)
     const loss = this.#losses.get(keyOf(worker))
     if (loss === undefined) this.#losses.set(keyOf(worker), { worker, at: now, suspects: [...suspects] })
     else loss.suspects.push(...suspects)
@@ -53,10 +57,12 @@
   }
 
   /** Whether no other worker was lost at about the same time as the last one under the task, so that the task is the likely cause. */
-  wasLastAlone (task: TaskRecord): boolean {
+  wasLastAlone (task: TaskRecord, now: Instant): boolean {
     const losses = [...this.#losses.values()]
     const last = losses.filter(loss => concerns(loss, task)).at(-1)
-    return last !== undefined && losses.every(loss => concerns(loss, task) || Math.abs(loss.at - last.at) >= LOST_TOGETHER_MS)
+    // Others of the same time may be forgotten already.
+    if (last === undefined || now - last.at >= LOSS_MEMORY_MS - LOST_TOGETHER_MS) return false
+    return losses.every(loss => concerns(loss, task) || Math.abs(loss.at - last.at) >= LOST_TOGETHER_MS)
   }
 }
 
--- a/packages/core/src/jobs/placeCrashSuspects.ts
+++ b/packages/core/src/jobs/placeCrashSuspects.ts
@@ -14,13 +14,12 @@
  * @example
  * for (const { task, worker } of placeCrashSuspects(openSteps, candidates, context)) start(task, worker)
  */
-export function * placeCrashSuspects (steps: Iterable<StepRecord>, candidates: readonly WorkerRecord[], { held, interference, now }: PlacingContext): Generator<PlacedTask> {
-  for (const { waiting } of steps) {
-    for (const task of waiting) {
-      if (!task.crashes.areLikely) continue
-      const worker = chooseWorker(task, candidates, held, interference, now)
-      if (worker !== undefined) yield { task, worker }
-      else held.holdApart(task, candidates, now)
-    }
+export function * placeCrashSuspects (steps: Iterable<StepRecord>, candidates: readonly WorkerRecord[], { crashSuspects, held, interference, now }: PlacingContext): Generator<PlacedTask> {
+  const startable = new Set(steps)
+  for (const task of crashSuspects) {
+    if (!task.crashes.areLikely || !startable.has(task.step) || !task.step.waiting.has(task)) continue
+    const worker = chooseWorker(task, candidates, held, interference, now)
+    if (worker !== undefined) yield { task, worker }
+    else held.holdApart(task, candidates, now)
   }
 }
