--- a/packages/jobs/tests/support/CrashStory.ts
+++ b/packages/jobs/tests/support/CrashStory.ts
@@ -26,6 +26,7 @@
     this.#random = new SeededRandom(seed)
     this.#deadlyShare = this.#between(0, 0.3)
     const { simulation } = this.#cluster
+    simulation.closesConnections = seed % 2 === 0
     if (this.#chance(0.3)) simulation.workersPerCell = 4
     simulation.returnAfterMs = this.#pick([0, 300, 1_000, 3_000, 6_000])
     for (const [index, worker] of this.#workers.entries()) worker.rack = `r${index % RACKS}`
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -161,7 +161,7 @@
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a deadly task returns as a new incarnation, in milliseconds. */
   returnAfterMs = 3_000
-  /** Whether the connections of a worker that crashes are closed, as when its process ends; otherwise a report that is held back comes from the next incarnation. */
+  /** Whether the connections of a worker that crashes are closed at once, as when its process ends; otherwise a request that it holds ends with its return or a time-out. */
   closesConnections = false
   /** Number of reports that processes have requested of each worker. */
   readonly reportCounts = new Map<string, number>()
