--- /dev/null
+++ b/packages/core/src/jobs/AnnouncedStarts.ts
@@ -0,0 +1,48 @@
+/**
+ * Starts that wait until their attempts are stored.
+ */
+import type { Instant } from '@auburnpin/common'
+import type { RunRecord } from './TaskRecord.ts'
+import { runKey } from './WorkerRecord.ts'
+
+/** Runs whose orders may be sent now, and those whose orders must not be sent any more. */
+export type SettledStarts = Readonly<{ due: readonly RunRecord[], obsolete: readonly RunRecord[] }>
+
+/**
+ * Holds runs back until a later owner would count them. They keep their capacity on the worker meanwhile.
+ *
+ * @example
+ * announced.add(run)
+ * for (const run of announced.take(now, 64).due) order(run)
+ */
+export class AnnouncedStarts {
+  readonly #runs = new Set<RunRecord>()
+
+  /** Announces a run that was added to its worker; the job's progress must be stored. */
+  add (run: RunRecord): void {
+    run.task.crashes.announce(run.attempt)
+    this.#runs.add(run)
+  }
+
+  has (run: RunRecord): boolean {
+    return this.#runs.has(run)
+  }
+
+  /** Removes the runs that need not wait any longer, at most `limit` of which are due. */
+  take (now: Instant, limit: number): SettledStarts {
+    const due: RunRecord[] = []
+    const obsolete: RunRecord[] = []
+    for (const run of this.#runs) {
+      if (due.length >= limit) break
+      const isWanted = mayStart(run, now)
+      if (isWanted && !run.task.crashes.isStored(run.attempt)) continue
+      this.#runs.delete(run)
+      if (isWanted) due.push(run)
+      else if (run.task.runs.includes(run)) obsolete.push(run)
+    }
+    return { due, obsolete }
+  }
+}
+
+const mayStart = ({ task, attempt, worker, isStopRequested }: RunRecord, now: Instant): boolean =>
+  task.crashes.isAnnounced(attempt) && !isStopRequested && worker.runs.has(runKey(task.name, attempt)) && worker.acceptsRestarts(now)
--- a/packages/core/src/jobs/CrashDetector.ts
+++ b/packages/core/src/jobs/CrashDetector.ts
@@ -2,7 +2,7 @@
  * Detection of tasks that crash the workers that start them.
  */
 import type { Instant, WorkerId } from '@auburnpin/common'
-import { MAX_WORKER_CRASHES, START_SURVIVAL_MS } from './constants.ts'
+import { CRASHES_TO_GIVE_UP, MIN_SURVIVAL_MS } from '../constants.ts'
 import type { JobRecord } from './JobRecord.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
@@ -23,9 +23,10 @@
 
 /**
  * Counts, for each task, the workers that were lost just after they had started it. A worker runs other tasks as well
- * when it is lost; these are told apart as they survive their next start. A task that two workers were lost under starts
- * only where no other run has just started, and none starts beside it. With the third loss its job fails; with the fourth, if other workers were lost at the same
- * time as the third. Workers that drain don't count, nor do those that turn out to be alive.
+ * when it is lost; these are told apart as they survive their next start. A task that two workers were lost under is on
+ * trial: it starts only where no other run has just started, and none starts beside it. With the third loss its job
+ * fails; with the fourth, if other workers were lost at the same time as the third. Workers that drain don't count, nor do
+ * those that turn out to be alive.
  *
  * @example
  * detector.observe(workers, now)
@@ -35,29 +36,29 @@
   readonly #host: CrashHost
   readonly #losses = new WorkerLosses()
   #wereEarlierWorkersLost = false
-  /** Tasks that two or more workers were lost under. */
-  readonly #likely = new Set<TaskRecord>()
+  /** A few of them may have been cleared since. */
+  readonly #onTrial = new Set<TaskRecord>()
 
   constructor (host: CrashHost) {
     this.#host = host
   }
 
-  /** Tasks that two or more workers were lost under; a few of them may have been cleared since. */
-  get likelyTasks (): Iterable<TaskRecord> {
-    return this.#likely
+  /** The tasks on trial; a few of them may have been cleared since. */
+  get tasksOnTrial (): Iterable<TaskRecord> {
+    return this.#onTrial
   }
 
   /** The tasks of these steps were restored from the progress of an earlier owner. */
   restore (steps: readonly StepRecord[]): void {
-    for (const { tasks } of steps) for (const task of tasks) if (task.crashes.areLikely) this.#likely.add(task)
+    for (const { tasks } of steps) for (const task of tasks) if (task.isOnTrial) this.#onTrial.add(task)
   }
 
   /** Counts losses as soon as workers are silent, so that they are stored in time, and gives up the tasks that caused them. */
   observe (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): void {
     this.#losses.forgetOld(now)
     for (const worker of workers.values()) if (worker.isUnresponsive) this.#countLoss(worker, now)
-    this.#withdraw(this.#losses.takeBackListed(workers, now))
-    for (const task of this.#likely) this.#decide(task, workers, now)
+    this.#withdraw(this.#losses.withdrawListed(workers, now))
+    for (const task of this.#onTrial) this.#decide(task, workers, now)
   }
 
   /**
@@ -74,15 +75,15 @@
   }
 
   #decide (task: TaskRecord, workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): void {
-    const { crashes, runs, isDone, step: { job } } = task
-    if (!crashes.areLikely || isDone || job.isFinal) {
-      this.#likely.delete(task)
+    const { crashes, isOnTrial, runs, isDone, step: { job } } = task
+    if (!isOnTrial || isDone || job.isFinal) {
+      this.#onTrial.delete(task)
       return
     }
-    if (crashes.count < MAX_WORKER_CRASHES || runs.length > 0 || !this.#host.areRunsKnown(job)) return
-    crashes.areUndecided = this.#losses.isUncertain(task, workers)
-    if (crashes.areUndecided) return
-    if (crashes.count > MAX_WORKER_CRASHES || this.#losses.wasLastAlone(task, now)) this.#host.giveUp(task, now)
+    if (crashes.count < CRASHES_TO_GIVE_UP || runs.length > 0 || !this.#host.areRunsKnown(job)) return
+    crashes.areUncertain = this.#losses.isUncertain(task, workers)
+    if (crashes.areUncertain) return
+    if (crashes.count > CRASHES_TO_GIVE_UP || this.#losses.wasLastAlone(task, now)) this.#host.giveUp(task, now)
   }
 
   /** All runs of a worker are about to end, or to be kept for its next incarnation. */
@@ -102,7 +103,7 @@
   #count ({ task, attempt }: RunRecord): boolean {
     const { crashes, isDone, step: { job } } = task
     if (isDone || job.isFinal || !crashes.add(attempt)) return false
-    if (crashes.areLikely) this.#likely.add(task)
+    if (task.isOnTrial) this.#onTrial.add(task)
     this.#host.progressChanged(job)
     return true
   }
@@ -113,13 +114,13 @@
 
   /** A worker has reported, so it was not lost. */
   workerReported ({ entry }: WorkerRecord): void {
-    this.#withdraw(this.#losses.takeBack(entry))
+    this.#withdraw(this.#losses.withdraw(entry))
   }
 
   /** A worker has listed an attempt as running or ended, so it was not lost. */
   attemptReported ({ crashes, step: { job } }: TaskRecord, attempt: RunRecord['attempt']): void {
     if (!crashes.withdraw(attempt)) return
-    crashes.areUndecided = false
+    crashes.areUncertain = false
     this.#host.progressChanged(job)
   }
 
@@ -128,8 +129,8 @@
     const { task, worker, attempt } = run
     this.attemptReported(task, attempt)
     if (run.hasSurvivedStart) return
-    run.listedSinceClockMs ??= clockMs
-    if (clockMs - run.listedSinceClockMs < START_SURVIVAL_MS) return
+    run.confirmedAtClockMs ??= clockMs
+    if (clockMs - run.confirmedAtClockMs < MIN_SURVIVAL_MS) return
     run.hasSurvivedStart = true
     worker.suspects.delete(run)
     if (task.crashes.clear()) this.#host.progressChanged(task.step.job)
--- a/packages/core/src/jobs/HeldWorkers.ts
+++ b/packages/core/src/jobs/HeldWorkers.ts
@@ -21,8 +21,8 @@
  */
 export class HeldWorkers {
   readonly #holders = new Map<WorkerRecord, TaskRecord>()
-  /** Workers on which one task is to start apart from others. */
-  readonly #apart = new Map<WorkerRecord, TaskRecord>()
+  /** Workers on which a task on trial is to start, and nothing else. */
+  readonly #trials = new Map<WorkerRecord, TaskRecord>()
   readonly #holdingSteps = new Set<StepRecord>()
   readonly #limit: number
 
@@ -53,19 +53,19 @@
    * Keeps all other tasks from the worker on which the task can start apart first; returns `false` if there is none or too
    * many are held. An interrupted task holds a worker also while it doesn't fit there.
    */
-  holdApart (task: TaskRecord, workers: Iterable<WorkerRecord>, now: Instant): boolean {
-    if (this.#apart.size >= this.#limit) return false
+  holdForTrial (task: TaskRecord, workers: Iterable<WorkerRecord>, now: Instant): boolean {
+    if (this.#trials.size >= this.#limit) return false
     let best: WorkerRecord | undefined
     let mostFree = -Infinity
     for (const worker of workers) {
       const free = worker.entry.processors - worker.processorsUsed
-      if (free <= mostFree || this.#apart.has(worker) || !(task.isInterrupted ? willFit : fitsNow)(task.step.shape, worker)) continue
+      if (free <= mostFree || this.#trials.has(worker) || !(task.isInterrupted ? willFit : fitsNow)(task.step.shape, worker)) continue
       if (findFixedObstacle(task, worker, now) !== undefined) continue
       best = worker
       mostFree = free
     }
     if (best === undefined) return false
-    this.#apart.set(best, task)
+    this.#trials.set(best, task)
     return true
   }
 
@@ -76,7 +76,7 @@
 
   /** Whether a task may start on a worker without taking capacity that is held for another one. */
   accepts (task: TaskRecord, worker: WorkerRecord): boolean {
-    const apart = this.#apart.get(worker)
+    const apart = this.#trials.get(worker)
     if (apart !== undefined) return apart === task
     const holder = this.#holders.get(worker)
     if (holder === undefined || takesPrecedence(task, holder)) return true
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -2,6 +2,7 @@
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
+import { AnnouncedStarts } from './AnnouncedStarts.ts'
 import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
@@ -12,6 +13,7 @@
 import { paceOrders } from './paceOrders.ts'
 import { placeTasks } from './placeTasks.ts'
 import { SizeFairness } from './SizeFairness.ts'
+import { startOrder } from './startOrder.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { stopOrders } from './stopOrders.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
@@ -72,8 +74,7 @@
   readonly interference = new FillerInterference()
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
-  /** Runs that are ordered once their attempts are stored. */
-  readonly #announcedRuns = new Set<RunRecord>()
+  readonly #announcedStarts = new AnnouncedStarts()
   /** Workers held by the last scheduling pass. */
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
@@ -488,7 +489,7 @@
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     this.#crashDetector.workerLost(old, 'reborn', now)
     for (const run of [...old.runs.values()]) {
-      if (run.isReported || this.#announcedRuns.has(run)) {
+      if (run.isReported || this.#announcedStarts.has(run)) {
         this.#endRun(run, run.isReported ? 'reborn' : 'not ordered', now)
         continue
       }
@@ -501,7 +502,7 @@
         since: isAnswered ? run.since : now,
         keptUntil,
         worker: current,
-        listedSinceClockMs: undefined,
+        confirmedAtClockMs: undefined,
         isFromLostIncarnation: !old.entry.isDraining,
         stopOrderSentAt: undefined,
         stopAcceptedAt: undefined
@@ -532,7 +533,7 @@
     switch (outcome) {
       case 'started':
         this.#confirmRunning(run, now)
-        run.listedSinceClockMs ??= clockMs
+        run.confirmedAtClockMs ??= clockMs
         return false
       case 'fenced':
         return true
@@ -644,46 +645,29 @@
     this.#crashDetector.observe(this.workers, now)
     const startableSteps = isReconciled ? this.#openSteps : [...this.#openSteps].filter(({ job }) => job.isNewInTerm)
     if (maxStarts <= 0) return orders
-    const announcedStarts = this.#takeAnnouncedStarts(now, maxStarts)
-    orders.push(...announcedStarts)
-    let starts = announcedStarts.length
+    const { due, obsolete } = this.#announcedStarts.take(now, maxStarts)
+    for (const run of obsolete) this.#endRun(run, 'not ordered', now)
+    orders.push(...due.map(startOrder))
+    let starts = due.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, crashSuspects: this.#crashDetector.likelyTasks, waits: this.waits, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       this.waits.recordPlacement(task)
-      if (this.#crashDetector.mustAnnounce(task)) this.#announce(run)
-      else orders.push(startOrder(run))
+      if (!this.#crashDetector.mustAnnounce(task)) orders.push(startOrder(run))
+      else {
+        this.#announcedStarts.add(run)
+        this.#dirty.add(task.step.job)
+      }
       if (++starts >= maxStarts) break
     }
     this.waits.observe(this.#openSteps, now)
     return orders
   }
 
-  // The run keeps its capacity until its attempt is stored.
-  #announce (run: RunRecord): void {
-    run.task.crashes.announce(run.attempt)
-    this.#announcedRuns.add(run)
-    this.#dirty.add(run.task.step.job)
-  }
-
-  #takeAnnouncedStarts (now: Instant, limit: number): RunOrder[] {
-    const orders: RunOrder[] = []
-    for (const run of this.#announcedRuns) {
-      if (orders.length >= limit) break
-      const { task, worker, attempt } = run
-      const mayStart = task.crashes.isAnnounced(attempt) && !run.isStopRequested && worker.runs.has(runKey(task.name, attempt)) && worker.acceptsRestarts(now)
-      if (mayStart && !task.crashes.isStored(attempt)) continue
-      this.#announcedRuns.delete(run)
-      if (mayStart) orders.push(startOrder(run))
-      else if (task.runs.includes(run)) this.#endRun(run, 'not ordered', now)
-    }
-    return orders
-  }
-
   /** A job's progress must be stored. */
   progressChanged (job: JobRecord): void {
     if (!job.isFinal) this.#dirty.add(job)
@@ -754,9 +738,6 @@
   }
 }
 
-const startOrder = ({ task, attempt, worker: { entry: { id, address } } }: RunRecord): RunOrder =>
-  ({ kind: 'start', worker: id, address, task: task.name, attempt, spec: task.step.job.job.spec, checkpoint: task.checkpoint, isLongRunning: task.step.shape.isLasting })
-
 // How long a run lasted is known only if this owner knew it.
 const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
 
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -14,8 +14,8 @@
   /** Empty at the start of a scheduling pass; the pass fills it. */
   held: HeldWorkers
   fairness: SizeFairness
-  /** Tasks that have probably crashed workers; most of them don't wait. */
-  crashSuspects: Iterable<TaskRecord>
+  /** Tasks under which several workers were lost; most of them don't wait. */
+  tasksOnTrial: Iterable<TaskRecord>
   waits: WaitingSteps
   now: Instant
   wallTime: number
--- a/packages/core/src/jobs/TaskCrashes.ts
+++ b/packages/core/src/jobs/TaskCrashes.ts
@@ -2,7 +2,6 @@
  * Runs of one task under which workers were lost.
  */
 import type { Attempt } from '@auburnpin/common'
-import { MAX_WORKER_CRASHES } from './constants.ts'
 
 // Most tasks crash no worker, so they share one list.
 const NONE: readonly Attempt[] = []
@@ -23,18 +22,13 @@
   #stored = NONE
   #hasSurvived = false
   /** Whether the task waits until it is certain that the last worker was lost. */
-  areUndecided = false
+  areUncertain = false
 
   /** Number of workers that were lost. */
   get count (): number {
     return this.#attempts.length
   }
 
-  /** Whether the next loss of a worker may fail the job. */
-  get areLikely (): boolean {
-    return this.count >= MAX_WORKER_CRASHES - 1
-  }
-
   /** Counts a lost run; returns `false` if it was counted before. */
   add (attempt: Attempt): boolean {
     if (this.#attempts.includes(attempt)) return false
@@ -53,7 +47,7 @@
   clear (): boolean {
     const hadAny = this.toStore.length > 0
     this.#hasSurvived = true
-    this.areUndecided = false
+    this.areUncertain = false
     this.#attempts = NONE
     this.#announced = undefined
     return hadAny
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -2,6 +2,7 @@
  * One task of a job and its runs.
  */
 import { brand, type Attempt, type Instant, type WorkerId } from '@auburnpin/common'
+import { CRASHES_TO_GIVE_UP } from '../constants.ts'
 import { MAX_RESTART_DELAY_MS, MIN_RESTART_DELAY_MS } from './constants.ts'
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
@@ -27,7 +28,7 @@
   /** Whether the worker's incarnation has listed the run in a report. */
   isReported: boolean
   /** The worker's clock when it first confirmed the run. */
-  listedSinceClockMs?: number
+  confirmedAtClockMs?: number
   /** Whether the worker has listed the run for long enough, so that a later loss of the worker isn't due to its start. */
   hasSurvivedStart: boolean
   /** Whether the run was ordered from an earlier incarnation of the worker, which may have been lost because of it. */
@@ -101,6 +102,11 @@
     return this.step.shape.isLasting && this.hasRun && this.runs.length === 0
   }
 
+  /** Whether the next loss of a worker may fail the job, so that no other start may be taken for its cause. */
+  get isOnTrial (): boolean {
+    return this.crashes.count >= CRASHES_TO_GIVE_UP - 1
+  }
+
   /** Records the end of a run, and whether it failed soon after its start. */
   recordEnd (end: RunEnd, hasFailedAtOnce: boolean): void {
     if (end.attempt >= (this.lastEnd?.attempt ?? 0)) this.lastEnd = end
--- a/packages/core/src/jobs/WorkerLosses.ts
+++ b/packages/core/src/jobs/WorkerLosses.ts
@@ -16,7 +16,7 @@
  *
  * @example
  * losses.add(worker.entry, [run], now)
- * for (const { task, attempt } of losses.takeBack(worker.entry)) task.withdrawCrash(attempt)
+ * for (const { task, attempt } of losses.withdraw(worker.entry)) task.crashes.withdraw(attempt)
  */
 export class WorkerLosses {
   /** By incarnation, in the order of their times. */
@@ -35,17 +35,17 @@
   }
 
   /** The worker is alive: forgets the loss and returns the runs that can't have caused it. */
-  takeBack (worker: IncarnationName): readonly RunRecord[] {
+  withdraw (worker: IncarnationName): readonly RunRecord[] {
     const loss = this.#losses.get(keyOf(worker))
     this.#losses.delete(keyOf(worker))
     return loss?.suspects ?? []
   }
 
-  /** Does the same for all workers that are still listed so long after their loss that they must be alive. */
-  takeBackListed (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): readonly RunRecord[] {
+  /** Forgets the losses of all workers that are still listed so long afterwards that they must be alive, and returns their runs. */
+  withdrawListed (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): readonly RunRecord[] {
     const cleared: RunRecord[] = []
     for (const { worker, at } of this.#losses.values()) {
-      if (now - at >= LISTED_ALIVE_MS && isListed(worker, workers)) cleared.push(...this.takeBack(worker))
+      if (now - at >= LISTED_ALIVE_MS && isListed(worker, workers)) cleared.push(...this.withdraw(worker))
     }
     return cleared
   }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -145,9 +145,9 @@
     return Math.floor(this.#clockSample.clockMs + (now - this.#clockSample.at) * MIN_CLOCK_RATE + leaseMs)
   }
 
-  /** Whether a run here will probably crash the worker, so that nothing else should start beside it. */
-  get isLikelyToCrash (): boolean {
-    for (const { task } of this.suspects) if (task.crashes.areLikely) return true
+  /** Whether a task on trial has been started here and has not survived its start yet, so that nothing else may start. */
+  get hasTrial (): boolean {
+    for (const { task } of this.suspects) if (task.isOnTrial) return true
     return false
   }
 
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -54,10 +54,9 @@
 /** Cost of starting a task that may crash its worker beside another such task; less than the value of a data rack. */
 const SUSPECT_BESIDE_COST = 2
 
-// A task that may crash its worker starts where it can be told apart from others; one that probably does, where the loss
-// concerns the fewest runs.
-const crashCost = ({ crashes }: TaskRecord, { runs, suspects }: WorkerRecord): number => {
-  if (crashes.areLikely) return runs.size * FAULT_PENALTY
+// A suspect starts where it can be told apart from others; one on trial, where the loss of the worker concerns the fewest runs.
+const crashCost = ({ isOnTrial, crashes }: TaskRecord, { runs, suspects }: WorkerRecord): number => {
+  if (isOnTrial) return runs.size * FAULT_PENALTY
   return crashes.count > 0 && suspects.size > 0 ? SUSPECT_BESIDE_COST : 0
 }
 
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -103,12 +103,6 @@
 export const MIN_RESTART_DELAY_MS = 200
 export const MAX_RESTART_DELAY_MS = 2_000
 
-/** A run that its worker lists for this many milliseconds has not crashed the worker by starting. */
-export const START_SURVIVAL_MS = 500
-
-/** A job fails when this many workers were lost just after the start of one of its tasks; users allow two more starts after that. */
-export const MAX_WORKER_CRASHES = 3
-
 /** Most tasks of a job whose lost runs are stored, so that the row of a job with thousands of tasks stays within the store's limit. */
 export const MAX_STORED_CRASHES = 400
 
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -23,7 +23,7 @@
   | 'accelerators'
   | 'processors'
   /** The task has crashed workers and other runs have just started there, or the other way round; or it is uncertain whether it has crashed the last one. */
-  | 'crash-suspect'
+  | 'trial'
   /** The task is a filler that would slow down serving tasks too much. */
   | 'pressure'
   /** The worker is reserved for short tasks and restarts. */
@@ -45,7 +45,7 @@
   if (!(task.isInterrupted ? worker.acceptsRestarts(now) : worker.acceptsWork(now))) return 'unavailable'
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
   if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
-  if (task.crashes.areUndecided) return 'crash-suspect'
+  if (task.crashes.areUncertain) return 'trial'
   if (runs.some(run => run.worker === worker)) return 'tasks-per-worker'
   if (shape.maxPerWorker > 0 && countRunsOfStep(step, worker) >= shape.maxPerWorker) return 'tasks-per-worker'
   return undefined
@@ -61,7 +61,7 @@
   const fixed = findFixedObstacle(task, worker, now)
   if (fixed !== undefined) return fixed
   const { shape } = task.step
-  if (task.crashes.areLikely ? worker.hasNewRuns : worker.isLikelyToCrash) return 'crash-suspect'
+  if (task.isOnTrial ? worker.hasNewRuns : worker.hasTrial) return 'trial'
   // A filler that interferes little by itself would still delay the recovery of the serving tasks.
   if (shape.isFiller && worker.pacing.isRecovering(now)) return 'pressure'
   // Its capacity may have shrunk below what its other tasks reserve; then not even a filler, whose processors don't count, fits.
--- a/packages/core/src/jobs/holdWorkers.ts
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -23,7 +23,7 @@
   for (const step of holders) {
     for (const task of step.waiting) {
       // Interrupted tasks hold workers already, and those that may crash theirs start apart.
-      if (!task.isInterrupted && !task.crashes.areLikely && !held.hold(task, workersFor(task), now)) break
+      if (!task.isInterrupted && !task.isOnTrial && !held.hold(task, workersFor(task), now)) break
     }
   }
 }
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -2,7 +2,7 @@
 export type * from './types.ts'
 export { JobSchedulerObserver, JobScheduler, type Interruption } from './JobScheduler.ts'
 export { JobRecord } from './JobRecord.ts'
-export { MIN_CLOCK_RATE, START_SURVIVAL_MS } from './constants.ts'
+export { MIN_CLOCK_RATE } from './constants.ts'
 export { createRun } from './createRun.ts'
 export type { RunRecord, TaskRecord } from './TaskRecord.ts'
 export type { StepRecord } from './StepRecord.ts'
--- a/packages/core/src/jobs/placeInterruptedTasks.ts
+++ b/packages/core/src/jobs/placeInterruptedTasks.ts
@@ -36,7 +36,7 @@
   const interrupted: TaskRecord[] = []
   for (const { shape, waiting } of steps) {
     if (!shape.isLasting) continue
-    for (const task of waiting) if (task.isInterrupted && !task.crashes.areLikely) interrupted.push(task)
+    for (const task of waiting) if (task.isInterrupted && !task.isOnTrial) interrupted.push(task)
   }
   return interrupted.sort((one, other) => interruptedSince(one) - interruptedSince(other))
 }
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -4,7 +4,7 @@
 import { chooseWorker } from './chooseWorker.ts'
 import { holdWorkers } from './holdWorkers.ts'
 import { orderSteps } from './orderSteps.ts'
-import { placeCrashSuspects } from './placeCrashSuspects.ts'
+import { placeTrials } from './placeTrials.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
 import { reserveWorkers } from './reserveWorkers.ts'
 import type { PlacingContext } from './PlacingContext.ts'
@@ -29,7 +29,7 @@
   const { held, interference, now } = context
   const available = [...workers].filter(worker => worker.acceptsRestarts(now))
   const waitingSteps = [...steps].filter(({ waiting }) => waiting.size > 0)
-  yield * placeCrashSuspects(waitingSteps, available, context)
+  yield * placeTrials(waitingSteps, available, context)
   yield * placeInterruptedTasks(waitingSteps, available, context)
   const candidates = available.filter(worker => worker.acceptsWork(now))
   if (candidates.length === 0) return
@@ -42,7 +42,7 @@
   for (const step of ordered) {
     if (!held.isHolder(step) && refused.some(other => needsAtLeast(step, other))) continue
     for (const task of step.waiting) {
-      if (task.isInterrupted || task.crashes.areLikely) continue
+      if (task.isInterrupted || task.isOnTrial) continue
       const worker = chooseWorker(task, workersFor(task), held, interference, now)
       if (worker === undefined) {
         if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step)
--- a/packages/core/src/jobs/placeCrashSuspects.ts
+++ b/packages/core/src/jobs/placeTrials.ts
@@ -12,14 +12,14 @@
  * a further loss shows the cause. If there is none, it holds one until the runs there have survived their starts.
  *
  * @example
- * for (const { task, worker } of placeCrashSuspects(openSteps, candidates, context)) start(task, worker)
+ * for (const { task, worker } of placeTrials(openSteps, candidates, context)) start(task, worker)
  */
-export function * placeCrashSuspects (steps: Iterable<StepRecord>, candidates: readonly WorkerRecord[], { crashSuspects, held, interference, now }: PlacingContext): Generator<PlacedTask> {
+export function * placeTrials (steps: Iterable<StepRecord>, candidates: readonly WorkerRecord[], { tasksOnTrial, held, interference, now }: PlacingContext): Generator<PlacedTask> {
   const startable = new Set(steps)
-  for (const task of crashSuspects) {
-    if (!task.crashes.areLikely || !startable.has(task.step) || !task.step.waiting.has(task)) continue
+  for (const task of tasksOnTrial) {
+    if (!task.isOnTrial || !startable.has(task.step) || !task.step.waiting.has(task)) continue
     const worker = chooseWorker(task, candidates, held, interference, now)
     if (worker !== undefined) yield { task, worker }
-    else held.holdApart(task, candidates, now)
+    else held.holdForTrial(task, candidates, now)
   }
 }
--- a/packages/core/tests/crashingTasksOfJobs.test.ts
+++ b/packages/core/tests/crashingTasks.test.ts
@@ -3,8 +3,8 @@
 import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
 import { JobScheduler, type Job, type JobPhase, type JobProgress, type RunOrder, type TaskName } from '../src/index.ts'
 
-const DEADLY = '00000000000000d1'
-const DEADLY_TASK = `${DEADLY}.0.0.0`
+const CRASHING = '00000000000000d1'
+const CRASHING_TASK = `${CRASHING}.0.0.0`
 const OTHER = '00000000000000a1'
 const LEASE_MS = 4_000
 /** More than the longest time for which a lease of a silent worker is waited for. */
@@ -89,32 +89,32 @@
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6']
 
 test('a job whose task is lost with three workers just after its start fails, and the task starts on no fourth', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()])])
+  const scenario = new CrashScenario(WORKERS, [jobOf(CRASHING, [stepOf()])])
   for (let crash = 1; crash <= 3; crash++) {
-    const worker = scenario.startOf(DEADLY_TASK)
+    const worker = scenario.startOf(CRASHING_TASK)
     t.truthy(worker, `start ${crash}`)
     scenario.lose(worker as string)
     scenario.detect()
     scenario.store()
   }
-  t.is(scenario.startOf(DEADLY_TASK), undefined)
-  t.is(scenario.phaseOf(DEADLY), 'failed')
+  t.is(scenario.startOf(CRASHING_TASK), undefined)
+  t.is(scenario.phaseOf(CRASHING), 'failed')
 })
 
 test('a run that no report has ever listed counts when its worker comes back without it', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()])])
+  const scenario = new CrashScenario(WORKERS, [jobOf(CRASHING, [stepOf()])])
   for (let crash = 1; crash <= 3; crash++) {
-    const worker = scenario.startOf(DEADLY_TASK) as string
+    const worker = scenario.startOf(CRASHING_TASK) as string
     t.truthy(worker, `start ${crash}`)
     scenario.now += 10
     scenario.restart(worker)
-    scenario.scheduler.recordStopAccepted(brand(worker), DEADLY_TASK as TaskName, [...scenario.scheduler.workers.get(brand<WorkerId>(worker))?.runs.values() ?? []][0]?.attempt ?? 0, brand<Instant>(scenario.now))
+    scenario.scheduler.recordStopAccepted(brand(worker), CRASHING_TASK as TaskName, [...scenario.scheduler.workers.get(brand<WorkerId>(worker))?.runs.values() ?? []][0]?.attempt ?? 0, brand<Instant>(scenario.now))
     scenario.now += 10
     scenario.report(worker, false)
     scenario.store()
   }
   scenario.start()
-  t.is(scenario.phaseOf(DEADLY), 'failed')
+  t.is(scenario.phaseOf(CRASHING), 'failed')
 })
 
 test('a long-running task that survives its start is not given up, however many workers are lost under it later', t => {
@@ -161,7 +161,7 @@
 })
 
 test('a task that workers were lost under starts only once its attempt is stored, and after two of them neither beside another such task nor others beside it', t => {
-  const jobs = [jobOf(DEADLY, [stepOf()]), jobOf(OTHER, [stepOf()])]
+  const jobs = [jobOf(CRASHING, [stepOf()]), jobOf(OTHER, [stepOf()])]
   const scenario = new CrashScenario(['w1', 'w2', 'w3', 'w4', 'w5'], jobs)
   for (let crash = 1; crash <= 2; crash++) {
     const starts = scenario.start()
@@ -194,16 +194,16 @@
 
 test('an owner continues the count of the owner before it', t => {
   const progress = { phase: 'active', done: {}, failed: {}, checkpoints: {}, crashed: { '0.0.0': [1, 2] } } as const
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()])], progress)
-  scenario.lose(scenario.startOf(DEADLY_TASK) as string)
+  const scenario = new CrashScenario(WORKERS, [jobOf(CRASHING, [stepOf()])], progress)
+  scenario.lose(scenario.startOf(CRASHING_TASK) as string)
   scenario.start()
-  t.is(scenario.phaseOf(DEADLY), 'failed')
+  t.is(scenario.phaseOf(CRASHING), 'failed')
 })
 
 test('tasks of other jobs that were lost with the same workers start again at once, and their job goes on', t => {
-  const scenario = new CrashScenario(WORKERS, [jobOf(DEADLY, [stepOf()]), jobOf(OTHER, [stepOf({ taskCount: 20, processors: 200 })])])
+  const scenario = new CrashScenario(WORKERS, [jobOf(CRASHING, [stepOf()]), jobOf(OTHER, [stepOf({ taskCount: 20, processors: 200 })])])
   for (let crash = 1; crash <= 3; crash++) {
-    const worker = scenario.startOf(DEADLY_TASK) as string
+    const worker = scenario.startOf(CRASHING_TASK) as string
     t.truthy(worker, `start ${crash}`)
     scenario.now += 600
     for (const id of scenario.workers) if (id !== worker) scenario.report(id)
@@ -212,7 +212,7 @@
     scenario.store()
   }
   scenario.start()
-  t.is(scenario.phaseOf(DEADLY), 'failed')
+  t.is(scenario.phaseOf(CRASHING), 'failed')
   t.is(scenario.phaseOf(OTHER), 'active')
   t.is([...scenario.scheduler.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0), 20)
 })
@@ -235,7 +235,7 @@
   const scenario = new CrashScenario(['w1'], [])
   scenario.scheduler.addJob(jobOf(OTHER, [stepOf({ processors: 4_000 })]), brand<Instant>(0))
   t.is(scenario.startOf(`${OTHER}.0.0.0`), brand<WorkerId>('w1'))
-  scenario.scheduler.addJob(jobOf(DEADLY, [stepOf({ processors: 8_000 })]), brand<Instant>(0), progress)
+  scenario.scheduler.addJob(jobOf(CRASHING, [stepOf({ processors: 8_000 })]), brand<Instant>(0), progress)
   scenario.scheduler.addJob(jobOf('00000000000000a2', [stepOf()]), brand<Instant>(0))
   t.is(scenario.startOf('00000000000000a2.0.0.0'), brand<WorkerId>('w1'))
 })
@@ -244,7 +244,7 @@
   const scenario = new CrashScenario(['w1'], [jobOf(OTHER, [stepOf()])])
   const [task] = [...scenario.scheduler.jobs.values()].flatMap(job => [...job.tasks()])
   if (task === undefined) return t.fail()
-  task.crashes.areUndecided = true
+  task.crashes.areUncertain = true
   t.is(scenario.startOf(`${OTHER}.0.0.0`), undefined)
   task.crashes.clear()
   t.is(scenario.startOf(`${OTHER}.0.0.0`), brand<WorkerId>('w1'))
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -9,7 +9,7 @@
 import { workerEntryOf } from './jobBuilders.ts'
 
 /**
- * How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. A deadly task
+ * How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. A crashing task
  * crashes its worker `crashAfterMs` after its start.
  */
 export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed', startupMs?: number, crashAfterMs?: number }>
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -1,6 +1,6 @@
 /** Timings and limits of job scheduling. */
 import { brand, type CellId } from '@auburnpin/common'
-import { MIN_CLOCK_RATE, START_SURVIVAL_MS } from '@auburnpin/core'
+import { MIN_CLOCK_RATE, MIN_SURVIVAL_MS } from '@auburnpin/core'
 
 /** The cell that exists in every deployment. Its owner assigns the racks to cells and publishes the state of all cells. */
 export const FIRST_CELL = brand<CellId>('cell-0')
@@ -54,7 +54,7 @@
 export const SERVING_REPORT_WAIT_MS = 600
 
 /** Milliseconds after the start of a task that may crash its worker until a report shows that it has survived its start, also on a slow clock. */
-export const SURVIVAL_REPORT_DELAY_MS = START_SURVIVAL_MS / MIN_CLOCK_RATE + 20
+export const SURVIVAL_REPORT_DELAY_MS = MIN_SURVIVAL_MS / MIN_CLOCK_RATE + 20
 
 /** Age of an idle worker's latest report from which on the worker is asked before a task starts there, in milliseconds: more than between two reports of a busy one. */
 export const MAX_REPORT_AGE_MS = 2_000
--- a/packages/jobs/tests/crashBreaches.test.ts
+++ b/packages/jobs/tests/crashBreaches.test.ts
@@ -13,17 +13,17 @@
   return [{ ...event, kind: 'started', how: '' } as const, { ...event, kind: 'ended', how } as const]
 })
 
-const find = (endings: readonly string[], phase: JobPhase, { isDeadly = false, phasesReadAt = 100 } = {}): readonly string[] => findCrashBreaches({
+const find = (endings: readonly string[], phase: JobPhase, { isCrashing = false, phasesReadAt = 100 } = {}): readonly string[] => findCrashBreaches({
   jobs: new Map([[JOB.id, JOB]]),
-  deadlyJobs: new Set<JobId>(isDeadly ? [JOB.id] : []),
+  crashingJobs: new Set<JobId>(isCrashing ? [JOB.id] : []),
   phases: new Map([[JOB.id, phase]]),
   phasesReadAt,
   events: eventsOf(endings)
 })
 
 test('two starts after the third crash are allowed, and a third is reported', t => {
-  t.deepEqual(find(Array.from({ length: 5 }, () => 'crashing'), 'failed', { isDeadly: true }), [])
-  t.is(find(Array.from({ length: 6 }, () => 'crashing'), 'failed', { isDeadly: true }).length, 1)
+  t.deepEqual(find(Array.from({ length: 5 }, () => 'crashing'), 'failed', { isCrashing: true }), [])
+  t.is(find(Array.from({ length: 6 }, () => 'crashing'), 'failed', { isCrashing: true }).length, 1)
 })
 
 test('a task that was on a worker that crashed by other causes may start again without limit', t => {
@@ -36,7 +36,7 @@
   t.deepEqual(find(['failed', 'failed', 'failed'], 'failed'), [])
 })
 
-test('a job with a deadly task that did not fail, or that starts afterwards, is reported', t => {
-  t.is(find(['crashing'], 'active', { isDeadly: true }).length, 1)
-  t.is(find(['crashing', 'crashing', 'crashing'], 'failed', { isDeadly: true, phasesReadAt: 1 }).length, 1)
+test('a job with a crashing task that did not fail, or that starts afterwards, is reported', t => {
+  t.is(find(['crashing'], 'active', { isCrashing: true }).length, 1)
+  t.is(find(['crashing', 'crashing', 'crashing'], 'failed', { isCrashing: true, phasesReadAt: 1 }).length, 1)
 })
--- a/packages/jobs/tests/deadlyTasks.test.ts
+++ b/packages/jobs/tests/crashingTasks.test.ts
@@ -4,7 +4,7 @@
 import test, { type ExecutionContext } from 'ava'
 import { readFileSync } from 'node:fs'
 import { WORKER_LEASE_MS } from '../src/constants.ts'
-import { CrashingCluster, DEADLY_RUN } from './support/CrashingCluster.ts'
+import { CrashingCluster, CRASHING_RUN } from './support/CrashingCluster.ts'
 import { CrashStory } from './support/CrashStory.ts'
 
 const LASTING_RUN: FakeRunBehaviour = { runMs: 1e9, ending: 'done', startupMs: 500 }
@@ -20,16 +20,16 @@
 
 const assertKept = async (t: ExecutionContext, cluster: CrashingCluster, story: string): Promise<void> => {
   t.deepEqual(await cluster.findBreaches(), [], story)
-  t.deepEqual(await cluster.findInnocentUndone(), [], story)
+  t.deepEqual(await cluster.findHarmlessUndone(), [], story)
 }
 
 test.serial('a task that crashes every worker that starts it is given up, and the work beside it is done', async t => {
   for (const crashAfterMs of [0, 10, 100, 400]) {
     const cluster = await startCluster(6)
-    cluster.submitInnocent(6, 4, 2_000)
-    const deadly = cluster.submitDeadly({}, { ...DEADLY_RUN, crashAfterMs })
-    cluster.submitInnocent(6, 4, 2_000)
-    t.true(await cluster.advanceToCrash(deadly, 3))
+    cluster.submitHarmless(6, 4, 2_000)
+    const crashing = cluster.submitCrashing({}, { ...CRASHING_RUN, crashAfterMs })
+    cluster.submitHarmless(6, 4, 2_000)
+    t.true(await cluster.advanceToCrash(crashing, 3))
     await cluster.simulation.advance(GIVE_UP_MS)
     await assertKept(t, cluster, `crash ${crashAfterMs} ms after the start`)
   }
@@ -39,22 +39,22 @@
   for (const returnAfterMs of [0, 300, 1_000, 8_000]) {
     const cluster = await startCluster(6)
     cluster.simulation.returnAfterMs = returnAfterMs
-    cluster.submitInnocent(4, 4, 2_000)
-    const deadly = cluster.submitDeadly()
-    t.true(await cluster.advanceToCrash(deadly, 3))
+    cluster.submitHarmless(4, 4, 2_000)
+    const crashing = cluster.submitCrashing()
+    t.true(await cluster.advanceToCrash(crashing, 3))
     await cluster.simulation.advance(GIVE_UP_MS)
     await assertKept(t, cluster, `workers return after ${returnAfterMs} ms`)
   }
 })
 
 test.serial('a step with several tasks that crash workers is given up, and jobs that shared workers with it are done', async t => {
-  for (const deadlyCount of [2, 4, 8]) {
+  for (const crashingCount of [2, 4, 8]) {
     const cluster = await startCluster(8)
-    cluster.submitInnocent(8, 4, 1_500)
-    const deadly = cluster.submit([stepOf({ taskCount: 8 })], ({ index }) => index < deadlyCount ? DEADLY_RUN : { runMs: 1_500, ending: 'done' }, { isDeadly: true })
-    t.true(await cluster.advanceToCrash(deadly, 3))
+    cluster.submitHarmless(8, 4, 1_500)
+    const crashing = cluster.submit([stepOf({ taskCount: 8 })], ({ index }) => index < crashingCount ? CRASHING_RUN : { runMs: 1_500, ending: 'done' }, { isCrashing: true })
+    t.true(await cluster.advanceToCrash(crashing, 3))
     await cluster.simulation.advance(2 * GIVE_UP_MS)
-    await assertKept(t, cluster, `${deadlyCount} deadly tasks`)
+    await assertKept(t, cluster, `${crashingCount} crashing tasks`)
   }
 })
 
@@ -63,8 +63,8 @@
     const cluster = await startCluster(6)
     cluster.submit([stepOf({ isLasting: true, taskCount: 6 })], () => LASTING_RUN)
     await cluster.simulation.advance(2_000)
-    const deadly = cluster.submitDeadly({ isLasting: true }, { ...DEADLY_RUN, crashAfterMs })
-    t.true(await cluster.advanceToCrash(deadly, 3))
+    const crashing = cluster.submitCrashing({ isLasting: true }, { ...CRASHING_RUN, crashAfterMs })
+    t.true(await cluster.advanceToCrash(crashing, 3))
     await cluster.simulation.advance(GIVE_UP_MS)
     await assertKept(t, cluster, `crash ${crashAfterMs} ms after the start`)
   }
@@ -74,10 +74,10 @@
   for (const returnAfterMs of [100, 3_000, 8_000]) {
     const cluster = await startCluster(6)
     cluster.simulation.returnAfterMs = returnAfterMs
-    cluster.submitInnocent(4, 4, 2_000)
-    const deadly = cluster.submitDeadly()
-    cluster.simulation.unansweredStarts.add(`${deadly.id}.0.0.0`)
-    t.true(await cluster.advanceToCrash(deadly, 3, 60_000))
+    cluster.submitHarmless(4, 4, 2_000)
+    const crashing = cluster.submitCrashing()
+    cluster.simulation.unansweredStarts.add(`${crashing.id}.0.0.0`)
+    t.true(await cluster.advanceToCrash(crashing, 3, 60_000))
     await cluster.simulation.advance(GIVE_UP_MS)
     await assertKept(t, cluster, `workers return after ${returnAfterMs} ms`)
   }
@@ -89,8 +89,8 @@
   for (const crashes of [1, 2, 3]) {
     for (const killedAfterMs of DELAYS_MS) {
       const cluster = await startCluster(6)
-      const deadly = cluster.submitDeadly()
-      t.true(await cluster.advanceToCrash(deadly, crashes))
+      const crashing = cluster.submitCrashing()
+      t.true(await cluster.advanceToCrash(crashing, crashes))
       await cluster.simulation.advance(killedAfterMs)
       cluster.killOwner()
       await cluster.simulation.advance(2 * GIVE_UP_MS)
@@ -102,9 +102,9 @@
 test.serial('a task that crashes workers is given up although the owner is killed after each crash', async t => {
   for (const killedAfterMs of DELAYS_MS) {
     const cluster = await startCluster(6)
-    const deadly = cluster.submitDeadly()
+    const crashing = cluster.submitCrashing()
     for (let crashes = 1; crashes <= 6; crashes++) {
-      if (!await cluster.advanceToCrash(deadly, crashes, GIVE_UP_MS)) break
+      if (!await cluster.advanceToCrash(crashing, crashes, GIVE_UP_MS)) break
       await cluster.simulation.advance(killedAfterMs)
       cluster.killOwner()
     }
@@ -115,9 +115,9 @@
 
 test.serial('a task that crashes workers is given up although the owner is killed before each response to its order', async t => {
   const cluster = await startCluster(6)
-  const deadly = cluster.submitDeadly()
+  const crashing = cluster.submitCrashing()
   for (let starts = 1; starts <= 6; starts++) {
-    if (await cluster.advanceToStart(deadly, GIVE_UP_MS) === undefined) break
+    if (await cluster.advanceToStart(crashing, GIVE_UP_MS) === undefined) break
     cluster.killOwner()
   }
   await cluster.simulation.advance(2 * GIVE_UP_MS)
@@ -128,9 +128,9 @@
   for (const pausedAfterMs of DELAYS_MS) {
     for (const pauseMs of [800, 6_000]) {
       const cluster = await startCluster(6)
-      const deadly = cluster.submitDeadly()
+      const crashing = cluster.submitCrashing()
       for (let crashes = 1; crashes <= 5; crashes++) {
-        if (!await cluster.advanceToCrash(deadly, crashes, GIVE_UP_MS)) break
+        if (!await cluster.advanceToCrash(crashing, crashes, GIVE_UP_MS)) break
         await cluster.simulation.advance(pausedAfterMs)
         cluster.suspendOwner(pauseMs)
         await cluster.simulation.advance(pauseMs)
@@ -147,9 +147,9 @@
       for (const faultMs of [1_000, 5_000]) {
         const cluster = await startCluster(6)
         const { simulation } = cluster
-        const deadly = cluster.submitDeadly()
+        const crashing = cluster.submitCrashing()
         for (let crashes = 1; crashes <= 5; crashes++) {
-          if (!await cluster.advanceToCrash(deadly, crashes, GIVE_UP_MS)) break
+          if (!await cluster.advanceToCrash(crashing, crashes, GIVE_UP_MS)) break
           const process = target === 'owner' ? simulation.owner?.name ?? 'all' : 'all'
           simulation.rows.faultModes.set(process, fault)
           await simulation.advance(faultMs)
@@ -165,10 +165,10 @@
 test.serial('a repeating job with a task that crashes workers is given up, and its later occurrences start nothing', async t => {
   for (const intervalMs of [1_000, 6_000]) {
     const cluster = await startCluster(6)
-    cluster.submitInnocent(4, 4, 2_000)
+    cluster.submitHarmless(4, 4, 2_000)
     const firstRunAt = cluster.simulation.clock.wallTime() + 500
-    const deadly = cluster.submit([stepOf()], () => DEADLY_RUN, { isDeadly: true, occurrences: 8, firstRunAt, intervalMs })
-    t.true(await cluster.advanceToCrash(deadly, 3))
+    const crashing = cluster.submit([stepOf()], () => CRASHING_RUN, { isCrashing: true, occurrences: 8, firstRunAt, intervalMs })
+    t.true(await cluster.advanceToCrash(crashing, 3))
     await cluster.simulation.advance(2 * GIVE_UP_MS)
     await assertKept(t, cluster, `every ${intervalMs} ms`)
   }
@@ -180,13 +180,13 @@
   for (const [index, worker] of [...cluster.simulation.workers.values()].entries()) worker.rack = `r${index % 6}`
   await cluster.start(4)
   await cluster.simulation.advance(4_000)
-  const deadly = []
+  const crashing = []
   for (let count = 0; count < 4; count++) {
-    cluster.submitInnocent(3, 4, 1_500)
-    deadly.push(cluster.submitDeadly())
+    cluster.submitHarmless(3, 4, 1_500)
+    crashing.push(cluster.submitCrashing())
     await cluster.simulation.advance(1_000)
   }
-  for (const job of deadly) t.true(await cluster.advanceToCrash(job, 3, 60_000))
+  for (const job of crashing) t.true(await cluster.advanceToCrash(job, 3, 60_000))
   await cluster.simulation.advance(GIVE_UP_MS)
   await assertKept(t, cluster, '3 cells')
 })
@@ -196,8 +196,8 @@
     const cluster = await startCluster(10)
     cluster.simulation.returnAfterMs = 1_000
     for (let count = 0; count < 60; count++) {
-      if (count % 12 === 0) cluster.submitDeadly()
-      cluster.submitInnocent(1, 4, 1_500)
+      if (count % 12 === 0) cluster.submitCrashing()
+      cluster.submitHarmless(1, 4, 1_500)
       await cluster.simulation.advance(gapMs)
     }
     await cluster.simulation.advance(2 * GIVE_UP_MS)
@@ -213,7 +213,7 @@
     for (const [index, worker] of workers.entries()) worker.rack = `r${index % 3}`
     await cluster.start()
     for (let crash = 1; crash <= 30; crash++) {
-      cluster.submitInnocent(1, 4, 600 + 2_000 * random.fraction())
+      cluster.submitHarmless(1, 4, 600 + 2_000 * random.fraction())
       await cluster.simulation.advance(500 + 1_500 * random.fraction())
       const first = workers[Math.floor(random.fraction() * workers.length)]
       const crashing = crash % 15 === 0 ? workers : crash % 5 === 0 ? workers.filter(({ rack }) => rack === first?.rack) : workers.filter(worker => worker === first)
@@ -306,7 +306,7 @@
 const firstSeed = Number(process.env.FIRST_STORY ?? 1)
 const seeds = Array.from({ length: Number(process.env.STORIES ?? STORIES_IN_CI) }, (_, index) => firstSeed + index)
 
-const knownRed = readFileSync(KNOWN_RED, 'utf8').split('\n').filter(line => line.startsWith('deadlyTasks, stories |'))
+const knownRed = readFileSync(KNOWN_RED, 'utf8').split('\n').filter(line => line.startsWith('crashingTasks, stories |'))
 const isKnownRed = (seed: number): boolean => knownRed.some(line => line.split('|')[2]?.split(' ').includes(`${seed}`))
 
 for (const seed of seeds) {
--- a/packages/jobs/tests/lostStarts.test.ts
+++ b/packages/jobs/tests/lostStarts.test.ts
@@ -59,7 +59,7 @@
         await simulation.settle(node.jobs.submit(jobOf('00000000000000c2', [stepOf()]), 2_000))
         await simulation.advance(rebornAfterMs)
         simulation.links.set('w1', 'mute')
-        simulation.rebearUnnoticed('w1')
+        simulation.restartUnnoticed('w1')
         simulation.listed.add('w2')
         simulation.clock.after(listedAfterMs, () => simulation.outdatedEntries.clear())
         simulation.clock.after(cutOffMs, () => simulation.links.clear())
--- a/packages/jobs/tests/rebornWorkerEnds.test.ts
+++ b/packages/jobs/tests/rebornWorkerEnds.test.ts
@@ -41,7 +41,7 @@
       await simulation.advance(20_000)
       await simulation.settle(node.jobs.submit(jobOf('b000000000000000', [stepOf()]), 2_000))
       await simulation.advance(500)
-      simulation.rebearUnnoticed('w1')
+      simulation.restartUnnoticed('w1')
       await simulation.settle(node.jobs.submit(jobOf('c000000000000000', [stepOf()]), 2_000))
       for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
       simulation.listed.add('w2')
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -72,7 +72,7 @@
     await simulation.settle(node.jobs.submit(jobOf(SHORT_JOB, [stepOf()]), 2_000))
     await simulation.advance(500)
   }
-  simulation.rebearUnnoticed('w1')
+  simulation.restartUnnoticed('w1')
   await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting })]), 2_000))
   for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
   simulation.listed.add('w2')
@@ -137,7 +137,7 @@
       await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting: true })]), 2_000))
       for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
       await simulation.advance(rebornAfterMs)
-      simulation.rebearUnnoticed('w1')
+      simulation.restartUnnoticed('w1')
       simulation.listed.add('w2')
       await simulation.advance(diesAfterMs)
       simulation.worker('w1').crash()
--- a/packages/jobs/tests/support/CrashStory.ts
+++ b/packages/jobs/tests/support/CrashStory.ts
@@ -3,7 +3,7 @@
  */
 import { SeededRandom } from '@auburnpin/common'
 import { stepOf, type FakeJobWorker, type FakeRunBehaviour } from '@auburnpin/fakes'
-import { CrashingCluster, DEADLY_RUN } from './CrashingCluster.ts'
+import { CrashingCluster, CRASHING_RUN } from './CrashingCluster.ts'
 import type { LinkState } from './JobsSimulation.ts'
 
 const WORKERS = 9
@@ -12,7 +12,7 @@
 const MIN_WORKERS = 5
 const SUBMIT_MS = 25_000
 const LONGEST_FAULT_MS = 9_000
-/** Time after the last fault until deadly tasks must have been given up and all others must be done. */
+/** Time after the last fault until crashing tasks must have been given up and all others must be done. */
 const CALM_MS = 60_000
 
 const LASTING_RUN: FakeRunBehaviour = { runMs: 1e9, ending: 'done', startupMs: 500 }
@@ -20,11 +20,11 @@
 export class CrashStory {
   readonly #random: SeededRandom
   readonly #cluster = new CrashingCluster(WORKERS)
-  readonly #deadlyShare: number
+  readonly #crashingShare: number
 
   constructor (seed: number) {
     this.#random = new SeededRandom(seed)
-    this.#deadlyShare = this.#between(0, 0.3)
+    this.#crashingShare = this.#between(0, 0.3)
     const { simulation } = this.#cluster
     simulation.closesConnections = seed % 2 === 0
     if (this.#chance(0.3)) simulation.workersPerCell = 4
@@ -41,7 +41,7 @@
     this.#keepDoing(endsAt, 300, 1_500, () => this.#submit())
     this.#keepDoing(endsAt, 500, 4_000, () => this.#disturb())
     await simulation.advance(SUBMIT_MS + LONGEST_FAULT_MS + CALM_MS)
-    return [...await cluster.findBreaches(), ...await cluster.findInnocentUndone()]
+    return [...await cluster.findBreaches(), ...await cluster.findHarmlessUndone()]
   }
 
   get #workers (): readonly FakeJobWorker[] {
@@ -70,11 +70,11 @@
   }
 
   #submit (): void {
-    if (this.#chance(this.#deadlyShare)) this.#submitDeadly()
-    else this.#submitInnocent()
+    if (this.#chance(this.#crashingShare)) this.#submitCrashing()
+    else this.#submitHarmless()
   }
 
-  #submitInnocent (): void {
+  #submitHarmless (): void {
     const run: FakeRunBehaviour = { runMs: Math.round(this.#between(300, 4_000)), ending: 'done' }
     const step = stepOf({ taskCount: this.#pick([1, 4, 8]), processors: this.#pick([500, 1_000, 3_000]), estimateMs: run.runMs })
     if (this.#chance(0.1)) this.#cluster.submit([{ ...step, isLasting: true, taskCount: 2 }], () => LASTING_RUN)
@@ -82,18 +82,18 @@
     else this.#cluster.submit([step], () => run)
   }
 
-  #submitDeadly (): void {
+  #submitCrashing (): void {
     const cluster = this.#cluster
-    const run: FakeRunBehaviour = { ...DEADLY_RUN, crashAfterMs: this.#pick([0, 10, 10, 100, 300, 450]) }
+    const run: FakeRunBehaviour = { ...CRASHING_RUN, crashAfterMs: this.#pick([0, 10, 10, 100, 300, 450]) }
     const step = stepOf({ processors: this.#pick([500, 1_000, 3_000]), isLasting: this.#chance(0.2) })
     const kind = this.#pick(['single', 'single', 'several', 'unanswered', 'repeating'] as const)
     if (kind === 'several') {
-      const deadlyCount = this.#pick([1, 2, 4])
-      cluster.submit([{ ...step, taskCount: 6 }], ({ index }) => index < deadlyCount ? run : step.isLasting ? LASTING_RUN : { runMs: 1_000, ending: 'done' }, { isDeadly: true })
+      const crashingCount = this.#pick([1, 2, 4])
+      cluster.submit([{ ...step, taskCount: 6 }], ({ index }) => index < crashingCount ? run : step.isLasting ? LASTING_RUN : { runMs: 1_000, ending: 'done' }, { isCrashing: true })
       return
     }
     const repeats = kind === 'repeating' ? { occurrences: 4, firstRunAt: cluster.simulation.clock.wallTime(), intervalMs: this.#pick([1_000, 5_000]) } : {}
-    const { id } = cluster.submit([step], () => run, { isDeadly: true, ...repeats })
+    const { id } = cluster.submit([step], () => run, { isCrashing: true, ...repeats })
     if (kind === 'unanswered') cluster.simulation.unansweredStarts.add(`${id}.0.0.0`)
   }
 
--- a/packages/jobs/tests/support/CrashingCluster.ts
+++ b/packages/jobs/tests/support/CrashingCluster.ts
@@ -16,14 +16,14 @@
 /** Decides how a run of a task behaves. */
 export type TaskBehaviour = (task: TaskNameParts) => FakeRunBehaviour
 
-/** A run of a deadly task. */
-export const DEADLY_RUN: FakeRunBehaviour = { runMs: 1e9, ending: 'done', crashAfterMs: 10 }
+/** A run of a crashing task. */
+export const CRASHING_RUN: FakeRunBehaviour = { runMs: 1e9, ending: 'done', crashAfterMs: 10 }
 
 export class CrashingCluster {
   readonly simulation: JobsSimulation
   readonly #jobs = new Map<JobId, Job>()
   readonly #behaviours = new Map<JobId, TaskBehaviour>()
-  readonly #deadlyJobs = new Set<JobId>()
+  readonly #crashingJobs = new Set<JobId>()
   readonly #suspended = new Set<Node>()
   #lives = 0
   #submitted = 0
@@ -39,12 +39,12 @@
     await this.simulation.advance(SETTLE_MS)
   }
 
-  /** Submits a job through a process that is up; `isDeadly`: each run of one of its tasks crashes its worker. */
-  submit (steps: readonly JobStep[], behaviour: TaskBehaviour, { isDeadly = false, ...overrides }: Partial<Job> & { isDeadly?: boolean } = {}): Job {
+  /** Submits a job through a process that is up; `isCrashing`: each run of one of its tasks crashes its worker. */
+  submit (steps: readonly JobStep[], behaviour: TaskBehaviour, { isCrashing = false, ...overrides }: Partial<Job> & { isCrashing?: boolean } = {}): Job {
     const job = jobOf((++this.#submitted).toString(16).padStart(16, '0'), steps, { acceptedAt: this.simulation.clock.wallTime(), ...overrides })
     this.#jobs.set(job.id, job)
     this.#behaviours.set(job.id, behaviour)
-    if (isDeadly) this.#deadlyJobs.add(job.id)
+    if (isCrashing) this.#crashingJobs.add(job.id)
     void this.#anyNode.jobs.submit(job, SUBMIT_WITHIN_MS).then(outcome => { if (outcome.err) this.#forget(job) })
     return job
   }
@@ -52,16 +52,16 @@
   // Nothing is promised for a job that wasn't accepted.
   #forget ({ id }: Job): void {
     this.#jobs.delete(id)
-    this.#deadlyJobs.delete(id)
+    this.#crashingJobs.delete(id)
   }
 
-  /** Submits a job of one deadly task. */
-  submitDeadly (overrides: Partial<JobStep> = {}, run: FakeRunBehaviour = DEADLY_RUN): Job {
-    return this.submit([stepOf(overrides)], () => run, { isDeadly: true })
+  /** Submits a job of one crashing task. */
+  submitCrashing (overrides: Partial<JobStep> = {}, run: FakeRunBehaviour = CRASHING_RUN): Job {
+    return this.submit([stepOf(overrides)], () => run, { isCrashing: true })
   }
 
   /** Submits jobs whose tasks crash no worker. */
-  submitInnocent (jobCount: number, taskCount: number, runMs: number, overrides: Partial<JobStep> = {}): readonly Job[] {
+  submitHarmless (jobCount: number, taskCount: number, runMs: number, overrides: Partial<JobStep> = {}): readonly Job[] {
     return Array.from({ length: jobCount }, () => this.submit([stepOf({ taskCount, estimateMs: runMs, ...overrides })], () => ({ runMs, ending: 'done' })))
   }
 
@@ -142,14 +142,14 @@
     const phases = await this.#readPhases()
     const phasesReadAt = simulation.clock.now()
     await simulation.advance(WATCH_MS)
-    return [...simulation.breaches, ...findCrashBreaches({ jobs: this.#jobs, deadlyJobs: this.#deadlyJobs, phases, phasesReadAt, events: simulation.events })]
+    return [...simulation.breaches, ...findCrashBreaches({ jobs: this.#jobs, crashingJobs: this.#crashingJobs, phases, phasesReadAt, events: simulation.events })]
   }
 
-  /** Returns the jobs without a deadly task that are not completed or, if long-running, not active. */
-  async findInnocentUndone (): Promise<readonly string[]> {
+  /** Returns the jobs without a crashing task that are not completed or, if long-running, not active. */
+  async findHarmlessUndone (): Promise<readonly string[]> {
     const found: string[] = []
     for (const [id, phase] of await this.#readPhases()) {
-      if (this.#deadlyJobs.has(id)) continue
+      if (this.#crashingJobs.has(id)) continue
       const isLasting = this.#jobs.get(id)?.steps.some(step => step.isLasting) ?? false
       if (phase !== (isLasting ? 'active' : 'completed')) found.push(`job ${id} is ${phase}`)
     }
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -159,7 +159,7 @@
   workersPerCell = WORKERS_PER_CELL
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
-  /** Time until a worker that crashed under a deadly task returns as a new incarnation, in milliseconds. */
+  /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
   returnAfterMs = 3_000
   /** Whether the connections of a worker that crashes are closed at once, as when its process ends; otherwise a request that it holds ends with its return or a time-out. */
   closesConnections = false
@@ -220,7 +220,7 @@
   }
 
   /** Crashes a worker and starts it again; its entry in the list of workers stays as it was. */
-  rebearUnnoticed (id: string): void {
+  restartUnnoticed (id: string): void {
     const worker = this.worker(id)
     this.outdatedEntries.set(id, worker.entry)
     worker.crash()
--- a/packages/jobs/tests/support/findCrashBreaches.ts
+++ b/packages/jobs/tests/support/findCrashBreaches.ts
@@ -13,7 +13,7 @@
 export type CrashRecord = Readonly<{
   jobs: ReadonlyMap<JobId, Job>
   /** Jobs with a task that crashes every worker that starts it. */
-  deadlyJobs: ReadonlySet<JobId>
+  crashingJobs: ReadonlySet<JobId>
   /** Phases of the jobs at `phasesReadAt`; some time passed between that and the end of the events. */
   phases: ReadonlyMap<JobId, JobPhase | undefined>
   phasesReadAt: number
@@ -22,7 +22,7 @@
 
 /**
  * Returns the broken rules: after the third crash that its own runs caused, a task starts at most twice; a job with a
- * deadly task fails, and then none of its tasks starts; a job fails only if a run of its tasks crashed a worker or
+ * crashing task fails, and then none of its tasks starts; a job fails only if a run of its tasks crashed a worker or
  * one task's runs have failed as often as its queue allows.
  *
  * @example
@@ -51,8 +51,8 @@
   const breaches: string[] = []
   for (const job of record.jobs.values()) {
     const phase = record.phases.get(job.id)
-    if (record.deadlyJobs.has(job.id)) {
-      if (phase !== 'failed' && phase !== 'cancelled') breaches.push(`job ${job.id} with a deadly task is ${phase}`)
+    if (record.crashingJobs.has(job.id)) {
+      if (phase !== 'failed' && phase !== 'cancelled') breaches.push(`job ${job.id} with a crashing task is ${phase}`)
     } else if (phase === 'failed' && !mayFail(job, record)) breaches.push(`job ${job.id} failed, though none of its runs crashed a worker`)
   }
   return breaches
--- a/packages/scheduler/tests/tasksThatCrashWorkers.test.ts
+++ b/packages/scheduler/tests/tasksThatCrashWorkers.test.ts
@@ -6,7 +6,7 @@
 import { specOf, World } from './support/World.ts'
 
 const SIZE = { processors: 0.5, memoryMb: 100, accelerators: 0 }
-const DEADLY = 'recipe-import'
+const CRASHING = 'recipe-import'
 const WATCH = 'cream-watch'
 const ORDERS = Array.from({ length: 12 }, (_, index) => `order-${index}`)
 const VMS = 5
@@ -17,8 +17,8 @@
 
 const CRASHES_AT_ONCE: FakeTaskBehaviour = { kind: 'crash', afterMs: 10, restartMs: 3_000 }
 
-const behaviourWith = (deadly: FakeTaskBehaviour) => (id: string): FakeTaskBehaviour => {
-  if (id === DEADLY) return deadly
+const behaviourWith = (crashing: FakeTaskBehaviour) => (id: string): FakeTaskBehaviour => {
+  if (id === CRASHING) return crashing
   return id === WATCH ? { kind: 'stay' } : { kind: 'finish', afterMs: 4_000 }
 }
 
@@ -34,7 +34,7 @@
   for (const id of ORDERS) void runner.submit(specOf(id, { resources: SIZE }))
   void runner.submit(specOf(WATCH, { kind: 'watch', resources: SIZE }))
   const service = kind === 'replica' ? { service: brand<ServiceName>('stockline') } : {}
-  void runner.submit(specOf(DEADLY, { kind, resources: SIZE, ...service }))
+  void runner.submit(specOf(CRASHING, { kind, resources: SIZE, ...service }))
 }
 
 /** Advances the clock; each second the VMs whose workers are gone for good leave the VM list. */
@@ -49,9 +49,9 @@
 
 const assertGivenUp = (t: ExecutionContext, world: World, runner: CellRunner): void => {
   t.deepEqual(world.allBreaches(), [])
-  t.deepEqual([world.starts(DEADLY), totalCrashes(world)], [MAX_CRASHES, MAX_CRASHES])
-  t.is(taskOf(runner, DEADLY)?.state, 'failed')
-  t.is(taskOf(runner, DEADLY)?.reason?.kind, 'crashed-workers')
+  t.deepEqual([world.starts(CRASHING), totalCrashes(world)], [MAX_CRASHES, MAX_CRASHES])
+  t.is(taskOf(runner, CRASHING)?.state, 'failed')
+  t.is(taskOf(runner, CRASHING)?.reason?.kind, 'crashed-workers')
   for (const id of ORDERS) t.deepEqual([taskOf(runner, id)?.state, world.finishes(id)], ['finished', 1], id)
   t.deepEqual([taskOf(runner, WATCH)?.state, world.runningOn(WATCH).length], ['running', 1])
 }
@@ -122,28 +122,28 @@
     await advance(world, runner, 2 * MINUTE_MS)
     t.deepEqual(world.allBreaches(), [], `seed ${seed}`)
     for (const id of ORDERS) t.is(taskOf(runner, id)?.state, 'finished', `seed ${seed}: ${id}`)
-    for (const id of [WATCH, DEADLY]) t.is(taskOf(runner, id)?.state, 'running', `seed ${seed}: ${id}`)
+    for (const id of [WATCH, CRASHING]) t.is(taskOf(runner, id)?.state, 'running', `seed ${seed}: ${id}`)
   }
 })
 
 test('several such tasks among others are given up, and nothing that was lost beside them', async t => {
-  const deadly = [DEADLY, 'price-import', 'label-import']
+  const crashing = [CRASHING, 'price-import', 'label-import']
   for (let seed = 1; seed <= 20; seed++) {
     const random = new SeededRandom(seed)
-    const world = new World(VMS, id => deadly.includes(id) ? CRASHES_AT_ONCE : behaviourWith(CRASHES_AT_ONCE)(id))
+    const world = new World(VMS, id => crashing.includes(id) ? CRASHES_AT_ONCE : behaviourWith(CRASHES_AT_ONCE)(id))
     const runner = await openOrThrow(world, 'a')
     submitAll(runner)
     for (let round = 0; round < 40; round++) {
       void runner.submit(specOf(`late-order-${round}`, { resources: SIZE }))
-      if (round % 5 === 1) void runner.submit(specOf(deadly[(round - 1) / 5] ?? `late-order-${round}b`, { resources: SIZE }))
+      if (round % 5 === 1) void runner.submit(specOf(crashing[(round - 1) / 5] ?? `late-order-${round}b`, { resources: SIZE }))
       runner.updateVms(world.listed)
       await world.clock.advance(random.below(2_000))
     }
     await advance(world, runner, 2 * MINUTE_MS)
     t.deepEqual(world.allBreaches(), [], `seed ${seed}`)
     const failed = [...runner.tasks.values()].filter(({ state }) => state === 'failed').map(({ spec }) => spec.id)
-    t.deepEqual(failed.sort(), deadly.map(id => brand<TaskId>(id)).sort(), `seed ${seed}`)
-    for (const id of deadly) t.true(world.starts(id) <= MAX_CRASHES, `seed ${seed}: ${id}`)
+    t.deepEqual(failed.sort(), crashing.map(id => brand<TaskId>(id)).sort(), `seed ${seed}`)
+    for (const id of crashing) t.true(world.starts(id) <= MAX_CRASHES, `seed ${seed}: ${id}`)
     t.is(taskOf(runner, WATCH)?.state, 'running', `seed ${seed}`)
   }
 })
@@ -154,13 +154,13 @@
   submitAll(runner, 'watch')
   for (let count = 0; count < 2 * MAX_CRASHES; count++) {
     await advance(world, runner, 10_000)
-    const [name] = world.runningOn(DEADLY)
+    const [name] = world.runningOn(CRASHING)
     const vm = world.vms.get(name ?? '')
     vm?.kill()
     world.clock.after(2_000, () => vm?.restart())
   }
   await advance(world, runner, MINUTE_MS)
-  t.is(taskOf(runner, DEADLY)?.state, 'running')
+  t.is(taskOf(runner, CRASHING)?.state, 'running')
   t.is(totalCrashes(world), 2 * MAX_CRASHES)
 })
 
@@ -168,21 +168,21 @@
   const cutOff = new Set<string>()
   const started: string[] = []
   const world = new World(VMS, id => {
-    if (id === DEADLY) {
-      for (const name of world.runningOn(DEADLY)) if (!cutOff.has(name) && started.length < 2 * MAX_CRASHES) cutOff.add(name)
+    if (id === CRASHING) {
+      for (const name of world.runningOn(CRASHING)) if (!cutOff.has(name) && started.length < 2 * MAX_CRASHES) cutOff.add(name)
       started.push(id)
     }
     return { kind: 'stay' }
   })
   world.link.setDeliveryPolicy((_from, to) => cutOff.has(to) ? REQUEST_LOST : IMMEDIATE)
   const runner = await openOrThrow(world, 'a')
-  void runner.submit(specOf(DEADLY, { kind: 'watch', resources: SIZE }))
+  void runner.submit(specOf(CRASHING, { kind: 'watch', resources: SIZE }))
   for (let count = 0; count < 2 * MAX_CRASHES; count++) {
     await advance(world, runner, 40_000)
     cutOff.clear()
     await advance(world, runner, 5_000)
   }
   await advance(world, runner, MINUTE_MS)
-  t.true(world.starts(DEADLY) > MAX_CRASHES)
-  t.is(taskOf(runner, DEADLY)?.state, 'running')
+  t.true(world.starts(CRASHING) > MAX_CRASHES)
+  t.is(taskOf(runner, CRASHING)?.state, 'running')
 })
--- a/packages/standIn/src/StandInEndpoint.ts
+++ b/packages/standIn/src/StandInEndpoint.ts
@@ -22,8 +22,8 @@
   | 'cut-chunks'
   /** Resets a connection that has already served a request. */
   | 'reset-reused'
-  /** Crashes on a request whose path contains `deadly`: all connections end, and no others are accepted. */
-  | 'crash-on-deadly'
+  /** Crashes on a request whose path contains `crash`: all connections end, and no others are accepted. */
+  | 'crash-on-request'
 
 /** A request that the endpoint executed. */
 export type HandledRequest = Readonly<{ requestId: string, method: string, path: string, headers: IncomingMessage['headers'] }>
@@ -124,7 +124,7 @@
     const isReused = this.#usedSockets.has(incoming.socket)
     this.#usedSockets.add(incoming.socket)
     if (fault === 'silent') return
-    if (fault === 'crash-on-deadly' && incoming.url?.includes('deadly') === true) return void this.#crash()
+    if (fault === 'crash-on-request' && incoming.url?.includes('crash') === true) return void this.#crash()
     if (fault === 'cut-before') return void incoming.socket.destroy()
     if (fault === 'reset-reused' && isReused) return void incoming.socket.resetAndDestroy()
     if (fault === 'refusing') return this.#refuseLeaving(incoming, outgoing)
