--- a/packages/jobs/tests/support/CrashingCluster.ts
+++ b/packages/jobs/tests/support/CrashingCluster.ts
@@ -16,7 +16,7 @@
 /** Decides how a run of a task behaves. */
 export type TaskBehaviour = (task: TaskNameParts) => FakeRunBehaviour
 
-/** A run of a crashing task. */
+/** A run that crashes its worker just after its start; a task with such runs is a crashing task. */
 export const CRASHING_RUN: FakeRunBehaviour = { runMs: 1e9, ending: 'done', crashAfterMs: 10 }
 
 export class CrashingCluster {
--- a/packages/jobs/tests/support/LongRunningStory.ts
+++ b/packages/jobs/tests/support/LongRunningStory.ts
@@ -98,7 +98,7 @@
     for (let fault = 0; fault < count; fault++) {
       this.#pick([
         ...this.#kind === 'any' ? [] : this.#rebirths,
-        () => this.#loseWorker(), () => this.#cutOffWorker(), () => this.#cutOffWorker(), () => this.#rebearWorker(), () => this.#failOnWorker(), () => this.#drainWorker(),
+        () => this.#loseWorker(), () => this.#cutOffWorker(), () => this.#cutOffWorker(), () => this.#restartWorker(), () => this.#failOnWorker(), () => this.#drainWorker(),
         () => this.#endProcess('stopped'), () => this.#endProcess('killed'), () => this.#endProcess('killed'), () => this.#suspendProcess(), () => this.#disturbStore()
       ])()
       await this.#simulation.advance(this.#pick(GAPS_MS) * (0.5 + this.#random.fraction()))
@@ -107,7 +107,7 @@
   }
 
   get #rebirths (): readonly (() => void)[] {
-    return [() => this.#rebearInSeries(), () => this.#darkenRack(), () => this.#loseRebornWorker(), () => this.#delayOrdersAcrossRebirth()]
+    return [() => this.#restartInSeries(), () => this.#cutPowerOfRack(), () => this.#loseRebornWorker(), () => this.#delayOrdersAcrossRebirth()]
   }
 
   get #now (): number {
@@ -191,7 +191,7 @@
     this.#simulation.clock.after(ms, () => outdatedEntries.delete(id))
   }
 
-  #rebearInSeries (): void {
+  #restartInSeries (): void {
     const id = this.#pickWorker()
     if (id === undefined) return
     const count = this.#pick([2, 3, 5, 8])
@@ -210,18 +210,18 @@
     this.#during(`worker ${id} is reborn ${count} times`, crashesInMs + 500)
   }
 
-  #darkenRack (): void {
+  #cutPowerOfRack (): void {
     const up = [...this.#simulation.workers.values()].filter(({ id, hasCrashed }) => !hasCrashed && this.#simulation.listed.has(id))
     const { rack } = this.#pick(up)
-    const dark = (rack === '' ? up.slice(0, 3) : up.filter(worker => worker.rack === rack)).slice(0, Math.max(0, up.length - MIN_WORKERS)).map(({ id }) => id)
+    const powerless = (rack === '' ? up.slice(0, 3) : up.filter(worker => worker.rack === rack)).slice(0, Math.max(0, up.length - MIN_WORKERS)).map(({ id }) => id)
     const isBack = this.#chance(0.5)
     const listedMs = this.#between(0, 8_000)
     if (isBack) {
-      for (const id of dark) this.#simulation.worker(id).crash()
-      this.#during(`workers ${dark.join(' ')} are without power`, this.#between(500, 9_000), () => { for (const id of dark) this.#restart(id) })
+      for (const id of powerless) this.#simulation.worker(id).crash()
+      this.#during(`workers ${powerless.join(' ')} are without power`, this.#between(500, 9_000), () => { for (const id of powerless) this.#restart(id) })
     } else {
-      this.#during(`workers ${dark.join(' ')} lose power for good`, 0)
-      for (const id of dark) this.#crashForGood(id, listedMs)
+      this.#during(`workers ${powerless.join(' ')} lose power for good`, 0)
+      for (const id of powerless) this.#crashForGood(id, listedMs)
     }
   }
 
@@ -267,7 +267,7 @@
     this.#during(`link ${key} is ${state}`, this.#between(200, 9_000), () => this.#simulation.links.delete(key))
   }
 
-  #rebearWorker (): void {
+  #restartWorker (): void {
     const id = this.#pickWorker()
     if (id === undefined) return
     const worker = this.#simulation.worker(id)
