--- a/packages/jobs/tests/crashingTasks.test.ts
+++ b/packages/jobs/tests/crashingTasks.test.ts
@@ -315,3 +315,9 @@
     t.deepEqual(await new CrashStory(seed).play(), [])
   })
 }
+
+for (const seed of seeds) {
+  test.serial(`whatever fails, no job is given up if no task crashes workers: story ${seed}`, async t => {
+    t.deepEqual(await new CrashStory(seed, 'faults only').play(), [])
+  })
+}
