--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -8,8 +8,12 @@
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
+import type { Interruption } from './Interruption.ts'
 import { JobRecord } from './JobRecord.ts'
+import type { JobSchedulerObserver } from './JobSchedulerObserver.ts'
 import { isStalled } from './isStalled.ts'
+import { availableProcessors, loadPercent } from './loadPercent.ts'
+import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
 import { paceOrders } from './paceOrders.ts'
 import { placeTasks } from './placeTasks.ts'
 import { SizeFairness } from './SizeFairness.ts'
@@ -27,26 +31,6 @@
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
 const UNKNOWN_PACE = -1
 
-/** A long-running task without a run, and for how long; since the start of the term if its last run was in an earlier one. */
-export type Interruption = Readonly<{ task: TaskRecord, interruptedMs: number }>
-
-/** Receives the changes of state that are logged and counted. */
-export abstract class JobSchedulerObserver {
-  /**
-   * `ending` is the worker's `RunEnding`, the `StartOutcome` of an order that started nothing, or a conclusion of the
-   * scheduler: `vanished` or `not there` if a report does not list the run, `reborn` if the worker has a later
-   * incarnation, `lease over` if its lease has expired, `not ordered` if the order was not sent after all.
-   */
-  abstract runEnded (run: RunRecord, ending: string, worker: WorkerId): void
-  abstract runStalled (run: RunRecord, worker: WorkerId): void
-  abstract phaseChanged (job: JobRecord): void
-  abstract workerQuarantined (worker: WorkerId, reason: string): void
-  /** `suspects`: the tasks that had just started there, one of which may have crashed the worker. */
-  abstract workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void
-  /** The job of the task fails, as workers were lost just after they had started the task. */
-  abstract taskGivenUp (task: TaskRecord): void
-}
-
 /**
  * Schedules jobs for one term of ownership, without access to a clock, the network or the store: the time is an
  * argument of each call, and `decide` returns the orders to send. No task that an earlier owner may have started is
@@ -232,21 +216,12 @@
 
   /** Processors of all listed workers, in thousandths of a core. */
   get processors (): number {
-    let available = 0
-    for (const { isListed, entry } of this.workers.values()) if (isListed) available += entry.processors
-    return available
+    return availableProcessors(this.workers.values())
   }
 
   /** Processors that running and waiting tasks need, as a percentage of those of all listed workers. */
   get loadPercent (): number {
-    const available = this.processors
-    let needed = 0
-    for (const worker of this.workers.values()) {
-      needed += worker.processorsUsed
-      for (const { task: { step: { shape } } } of worker.runs.values()) if (shape.isFiller) needed += shape.processors
-    }
-    for (const { waiting, shape } of this.#openSteps) needed += waiting.size * shape.processors
-    return available === 0 ? 0 : Math.round(100 * needed / available)
+    return loadPercent(this.workers.values(), this.#openSteps)
   }
 
   /** Removes a job whose rows have been deleted, or that belongs to another cell. */
@@ -740,11 +715,3 @@
 
 // How long a run lasted is known only if this owner knew it.
 const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
-
-const occurrencesWithProgress = ({ done, started = {}, failed, checkpoints, crashed = {} }: JobProgress): ReadonlySet<number> => {
-  const occurrences = new Set<number>()
-  for (const state of [done, started, failed, checkpoints, crashed]) {
-    for (const key of Object.keys(state)) occurrences.add(Number(key.slice(0, key.indexOf('.'))))
-  }
-  return occurrences
-}
--- /dev/null
+++ b/packages/core/src/jobs/JobSchedulerObserver.ts
@@ -0,0 +1,23 @@
+/**
+ * Changes of state of a scheduler of jobs that are logged and counted.
+ */
+import type { WorkerId } from '@auburnpin/common'
+import type { JobRecord } from './JobRecord.ts'
+import type { RunRecord, TaskRecord } from './TaskRecord.ts'
+
+/** Receives the changes of state that are logged and counted. */
+export abstract class JobSchedulerObserver {
+  /**
+   * `ending` is the worker's `RunEnding`, the `StartOutcome` of an order that started nothing, or a conclusion of the
+   * scheduler: `vanished` or `not there` if a report does not list the run, `reborn` if the worker has a later
+   * incarnation, `lease over` if its lease has expired, `not ordered` if the order was not sent after all.
+   */
+  abstract runEnded (run: RunRecord, ending: string, worker: WorkerId): void
+  abstract runStalled (run: RunRecord, worker: WorkerId): void
+  abstract phaseChanged (job: JobRecord): void
+  abstract workerQuarantined (worker: WorkerId, reason: string): void
+  /** `suspects`: the tasks that had just started there, one of which may have crashed the worker. */
+  abstract workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void
+  /** The job of the task fails, as workers were lost just after they had started the task. */
+  abstract taskGivenUp (task: TaskRecord): void
+}
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -1,6 +1,8 @@
 /** Job scheduling: the state of jobs and workers, and the decisions that follow from it. */
 export type * from './types.ts'
-export { JobSchedulerObserver, JobScheduler, type Interruption } from './JobScheduler.ts'
+export { JobScheduler } from './JobScheduler.ts'
+export { JobSchedulerObserver } from './JobSchedulerObserver.ts'
+export type { Interruption } from './Interruption.ts'
 export { JobRecord } from './JobRecord.ts'
 export { MIN_CLOCK_RATE } from './constants.ts'
 export { createRun } from './createRun.ts'
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -19,8 +19,10 @@
 import { StoreClock } from './StoreClock.ts'
 import { TableFollower, TableListener } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
+import { logCapacityChange } from './logCapacityChange.ts'
 import { logPlacements } from './logPlacements.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
+import { unlistedEntry } from './unlistedEntry.ts'
 import { WaitReporter } from './WaitReporter.ts'
 import { PollerHost, WorkerPoller } from './WorkerPoller.ts'
 import type { StartResponse } from './WorkerCalls.ts'
@@ -317,21 +319,13 @@
     this.#membership.update(this.#entries, entries)
     for (const entry of entries) {
       if (!this.#membership.has(entry)) continue
-      this.#logCapacityChange(entry)
+      logCapacityChange(this.#scheduler.workers.get(entry.id), entry, this.#ports.log)
       this.#scheduler.upsertWorker(entry, now)
     }
     for (const id of removed) this.#scheduler.unlistWorker(id)
     this.#updatePollers()
   }
 
-  #logCapacityChange ({ id, incarnation, processors, memoryMb, accelerators }: WorkerEntry): void {
-    const worker = this.#scheduler.workers.get(id)
-    if (worker?.isListed !== true || worker.entry.incarnation !== incarnation) return
-    const { entry: before, processorsUsed, memoryUsedMb, acceleratorsUsed } = worker
-    if (before.processors === processors && before.memoryMb === memoryMb && before.accelerators === accelerators) return
-    this.#ports.log.info('Worker capacity changed', { worker: id, processors, memoryMb, accelerators, processorsBefore: before.processors, memoryMbBefore: before.memoryMb, acceleratorsBefore: before.accelerators, processorsUsed, memoryUsedMb, acceleratorsUsed })
-  }
-
   #updatePollers (): void {
     const workers = [...this.#scheduler.workers.values()]
     if (workers.some(({ entry }) => !this.#writer.isUsable(entry))) {
@@ -534,10 +528,6 @@
   }
 }
 
-/** Placeholder entry of a worker that an earlier owner used; the worker gets no work until the list contains it. */
-const unlistedEntry = ({ id, incarnation, address, service }: UsedWorker): WorkerEntry =>
-  ({ id, incarnation, address, service, zone: '', rack: '', isDraining: false, labels: [], processors: 0, memoryMb: 0, accelerators: 0 })
-
 class OwnerTermListener extends TermListener {
   readonly #owner: CellOwner
 
