Scheduling passes reuse what they computed for a worker

Free capacity and expected pressure for fillers are kept until a run is added to the worker or the next pass begins (FillerCapacity); the tasks of a step that have never run share the scores of the workers (StepCandidates); free processors are compared first. The chosen workers are the same.

--- a/bench/run.ts
+++ b/bench/run.ts
@@ -11,6 +11,7 @@
   { script: 'workerControl.ts', sizes: [''] },
   { script: 'cellOwner.ts', sizes: ['25', '50', '100', '200', '400'] },
   { script: 'jobOwner.ts', sizes: ['33', '100', '245'] },
+  { script: 'schedulingPass.ts', sizes: ['245', '380'] },
   { script: 'clusterControl.ts', sizes: ['3', '9', '18', '30'] },
   { script: 'schedulerJournal.ts', sizes: [''] },
   { script: 'decisions.ts', sizes: [''] },
--- a/packages/core/src/jobs/FillerInterference.ts
+++ b/packages/core/src/jobs/FillerInterference.ts
@@ -5,6 +5,7 @@
 import { LearntInterference, type LearntEstimates } from '../interference/LearntInterference.ts'
 import type { Neighbour } from '../interference/InterferenceModel.ts'
 import { DEFAULT_SHORTEST_TAIL_SHARE, IDLE_TAIL_SHARE, NEGLIGIBLE_ADDED_PRESSURE, PACE_SETTLE_MS, PLACING_HORIZON_MS } from './constants.ts'
+import { FillerCapacity, ServingEffects } from './FillerCapacity.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
@@ -30,7 +31,9 @@
  * interference.learn(worker.runs.values(), now)
  * const added = interference.maxAddedPressure(filler, worker.runs.values())
  */
-export class FillerInterference {
+export class FillerInterference extends ServingEffects {
+  /** Capacity of workers for fillers, as of the present scheduling pass. */
+  readonly capacity = new FillerCapacity(this)
   readonly #model = new LearntInterference(NO_LOAD_BANDS)
   /** For each serving image, the shortest tail observed, as a share of its target. */
   readonly #shortest = new Map<string, number>()
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -626,6 +626,7 @@
     let starts = due.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
+    this.interference.capacity.startPass()
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -22,16 +22,10 @@
  * const worker = chooseWorker(task, workers, held, interference, now)
  */
 export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, held: HeldWorkers, interference: FillerInterference, now: Instant): WorkerRecord | undefined => {
-  const { shape } = task.step
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
   for (const worker of workers) {
-    if (findConstraint(task, worker, held, now) !== undefined) continue
-    const free = freeProcessors(task.step, worker, interference, now)
-    if (free < shape.processors) continue
-    const pressure = addedPressure(task.step, worker, interference, now)
-    if (pressure > MAX_PLACING_PRESSURE) continue
-    const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0) - crashCost(task, worker)
+    const score = scoreTask(task, worker, held, interference, now)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -40,6 +34,22 @@
   return best
 }
 
+/**
+ * How well a worker suits a task; `-Infinity` if the task can't start there now.
+ *
+ * @example
+ * scoreTask(task, worker, held, interference, now) // 0.8
+ */
+export const scoreTask = (task: TaskRecord, worker: WorkerRecord, held: HeldWorkers, interference: FillerInterference, now: Instant): number => {
+  const { step } = task
+  // Most workers have too few free processors under load, and comparing them costs least.
+  const free = freeProcessors(step, worker, interference, now)
+  if (free < step.shape.processors || findConstraint(task, worker, held, now) !== undefined) return -Infinity
+  const pressure = addedPressure(step, worker, interference, now)
+  if (pressure > MAX_PLACING_PRESSURE) return -Infinity
+  return scoreWorker(step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0) - crashCost(task, worker)
+}
+
 /** Score for a worker in the rack that holds the task's data; 1 stands for all processors of a worker. */
 const DATA_RACK_BONUS = 4
 /** Penalty for a worker that is quarantined, or on which the task has failed; outweighs all else, since attempts are few and the worker may be faulty. */
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -2,7 +2,7 @@
  * Reasons why a task can't start on a worker now.
  */
 import type { Instant } from '@auburnpin/common'
-import { DEFAULT_SERVING_UTILISATION, MAX_PLACING_PRESSURE } from './constants.ts'
+import { MAX_PLACING_PRESSURE } from './constants.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
 import type { StepRecord } from './StepRecord.ts'
@@ -92,7 +92,7 @@
  * freeProcessors(step, worker, interference, now) // 12_400
  */
 export const freeProcessors = ({ shape }: StepRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): number =>
-  shape.isFiller ? freeForFillers(worker, interference, now) : worker.entry.processors - worker.processorsUsed
+  shape.isFiller ? interference.capacity.free(worker, now) : worker.entry.processors - worker.processorsUsed
 
 /**
  * Returns the highest pressure expected on a serving task of a worker if a task of a step starts there; 0 if the task
@@ -102,19 +102,7 @@
  * addedPressure(step, worker, interference, now) // 0.84
  */
 export const addedPressure = ({ shape }: StepRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): number =>
-  shape.isFiller && worker.servingRuns > 0 ? interference.maxExpectedPressure(shape, worker.runs.values(), now) : 0
-
-// Processors available to a new filler, which makes no progress without them. Serving tasks count with their expected
-// use, since they reserve more, and fillers with their measured use, since some request more.
-const freeForFillers = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, interference: FillerInterference, now: Instant): number => {
-  let free = entry.processors - (processorsUsed - servingProcessors)
-  for (const { task: { step }, reading = 0 } of runs.values()) {
-    const { shape } = step
-    if (shape.latencyTargetMs > 0) free -= shape.processors * (interference.expectedUtilisation(step, now) ?? DEFAULT_SERVING_UTILISATION)
-    else if (shape.isFiller) free -= reading > 0 ? Math.min(reading, shape.processors) : shape.processors
-  }
-  return free
-}
+  shape.isFiller && worker.servingRuns > 0 ? interference.capacity.pressure(shape, worker, now) : 0
 
 const countRunsOfStep = (step: StepRecord, worker: WorkerRecord): number => {
   let count = 0
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -1,12 +1,12 @@
 /**
  * Placement of waiting tasks on workers.
  */
-import { chooseWorker } from './chooseWorker.ts'
 import { holdWorkers } from './holdWorkers.ts'
 import { orderSteps } from './orderSteps.ts'
 import { placeTrials } from './placeTrials.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
 import { reserveWorkers } from './reserveWorkers.ts'
+import { StepCandidates } from './StepCandidates.ts'
 import type { PlacingContext } from './PlacingContext.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -41,9 +41,11 @@
   const refused: StepRecord[] = []
   for (const step of ordered) {
     if (!held.isHolder(step) && refused.some(other => needsAtLeast(step, other))) continue
+    let stepCandidates: StepCandidates | undefined
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
-      const worker = chooseWorker(task, workersFor(task), held, interference, now)
+      stepCandidates ??= new StepCandidates(workersFor(task), held, interference, now)
+      const worker = stepCandidates.choose(task)
       if (worker === undefined) {
         if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step)
         break
