Evacuated data centres: nothing starts there, by whichever owner, until the row is deleted

Operators need to empty a data centre without stopping what runs there. Each process reads the evacuations with the configuration, from the operator's table that it follows anyway. An owner closes the workers of such a data centre at each pass, checks the list again after the last wait before an order is sent, and starts nothing before the list has been read. A cell without open workers publishes no capacity. Restored workers take new work over 4 s.

Without the check before sending, 'an order that is decided before ...' fails; without the spread, 'nothing starts ...' fails.

--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -50,6 +50,9 @@
   'term.epoch': { type: 'gauge', unit: 'epoch', tags: ['cell'], meaning: 'Epoch of the term that this process holds of a cell, 0 without one.', worry: 'For one cell, several processes above 0 for more than 3 s, or none.' },
   'cell.workers': { type: 'gauge', unit: 'workers', tags: ['cell'], meaning: 'Workers of a cell, at its owner; only with several cells.', worry: 'Cells of very different sizes.' },
   'cell.load': { type: 'gauge', unit: 'percent', tags: ['cell'], meaning: 'Processors that running and waiting tasks of a cell need, of all that its workers have; only with several cells.', worry: 'One cell far above the others for more than 10 s.' },
+  'cell.evacuatedWorkers': { type: 'gauge', unit: 'workers', tags: ['cell'], meaning: 'Workers of a cell in evacuated data centres, at its owner; absent until the first evacuation.', worry: 'Above 0 longer than planned.' },
+  'cell.evacuatedRuns': { type: 'gauge', unit: 'runs', tags: ['cell'], meaning: 'Runs on those workers, which go on until they end.', worry: 'Rises.' },
+  'runs.withheld': { type: 'count', unit: 'orders', tags: [], meaning: 'Orders to start that were decided and not sent, as the data centre had been evacuated meanwhile.', worry: 'Rises without an evacuation.' },
   'log.leftOut': { type: 'gauge', unit: 'records', tags: [], meaning: 'Log records left out since the start because there were too many of their kind.', worry: 'Rises on a calm day.' },
   'process.memory': { type: 'gauge', unit: 'bytes', tags: [], meaning: 'Resident memory of the process.', worry: 'Near the VM\'s limit.' },
   'invariants.broken': { type: 'gauge', unit: 'breaches', tags: [], meaning: 'Promises that would have been broken since the start; each action was refused.', worry: 'Any. Report it with the log.' }
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -3,7 +3,7 @@
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
-import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS } from './constants.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
@@ -11,6 +11,7 @@
 import type { Interruption } from './Interruption.ts'
 import { JobRecord } from './JobRecord.ts'
 import type { JobSchedulerObserver } from './JobSchedulerObserver.ts'
+import { isShortRun } from './isShortRun.ts'
 import { isStalled } from './isStalled.ts'
 import { availableProcessors, loadPercent } from './loadPercent.ts'
 import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
@@ -26,6 +27,7 @@
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
+import { countEvacuated } from './workerEvacuation.ts'
 import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
@@ -625,7 +627,7 @@
     orders.push(...due.map(startOrder))
     let starts = due.length
     if (starts >= maxStarts) return orders
-    this.held = new HeldWorkers(this.workers.size)
+    this.held = new HeldWorkers(this.workers.size - countEvacuated(this.workers.values()))
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
@@ -712,6 +714,3 @@
     this.#scheduler.giveUp(task, now)
   }
 }
-
-// How long a run lasted is known only if this owner knew it.
-const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -6,6 +6,7 @@
 import { FillerPacing } from './FillerPacing.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { ClockSample, TaskName, WorkerEntry } from './types.ts'
+import type { WorkerEvacuation } from './workerEvacuation.ts'
 
 /** A run whose task is unknown to this owner. */
 type UnknownRun = { readonly task: TaskName, readonly attempt: Attempt, stopOrderSentAt?: Instant }
@@ -31,6 +32,8 @@
   isReborn = false
   /** Whether this owner may extend the worker's lease: not while the record of the term names the end of the lease. */
   isLeasable = true
+  /** Whether the worker's data centre is evacuated, as of the last scheduling pass. */
+  evacuation: WorkerEvacuation = 'none'
   /** Whether the worker has reported to this owner and therefore rejects orders of all earlier owners. */
   hasReported = false
   /** When the latest report arrived. */
@@ -194,13 +197,13 @@
 
   /** Whether new work may be sent to the worker. */
   acceptsWork (now: Instant): boolean {
-    return this.acceptsRestarts(now) && !this.isQuarantined(now)
+    return this.acceptsRestarts(now) && this.evacuation === 'none' && !this.isQuarantined(now)
   }
 
   /** Whether interrupted tasks may be sent to the worker, also while it is quarantined: it may be sound, and they may find no other. */
   acceptsRestarts (now: Instant): boolean {
     // What an unknown run needs is unknown as well, so nothing may start beside it until it has been stopped.
-    return this.hasReported && this.isListed && this.isLeasable && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive && this.unknownRuns.size === 0
+    return this.hasReported && this.isListed && this.isLeasable && this.evacuation !== 'evacuated' && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive && this.unknownRuns.size === 0
   }
 
   /** Whether several runs in a row failed here a short time ago, so that the worker may be faulty. */
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -133,5 +133,8 @@
 /** Milliseconds that a long-running task waits before it holds a worker. */
 export const LONG_RUNNING_HOLD_AFTER_MS = 2_000
 
+/** Milliseconds over which the workers of a restored data centre take new work again: several tasks of 0.6 to 1.7 s, and less than users allow a long-running task to be away. */
+export const RESTORATION_SPREAD_MS = 4_000
+
 /** Largest share of the workers that is held at the same time for tasks that have not run. */
 export const HELD_WORKER_SHARE = 0.125
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -12,6 +12,8 @@
 /** The first of these that applies keeps a task from a worker. */
 export type Obstacle =
   | 'other-service'
+  /** The worker's data centre is evacuated, or was a short time ago. */
+  | 'evacuated'
   /** The worker drains, is paused, isn't listed, doesn't respond or still runs a task of an unknown job. */
   | 'unavailable'
   | 'label'
@@ -42,7 +44,7 @@
   const { shape } = step
   const { entry } = worker
   if (entry.service !== step.job.job.policy.service) return 'other-service'
-  if (!(task.isInterrupted ? worker.acceptsRestarts(now) : worker.acceptsWork(now))) return 'unavailable'
+  if (!(task.isInterrupted ? worker.acceptsRestarts(now) : worker.acceptsWork(now))) return worker.evacuation === 'none' ? 'unavailable' : 'evacuated'
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
   if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
   if (task.crashes.areUncertain) return 'trial'
--- a/packages/core/src/jobs/findObstacles.ts
+++ b/packages/core/src/jobs/findObstacles.ts
@@ -22,7 +22,7 @@
 }>
 
 /** Obstacles that hold whatever else runs on the worker. */
-const PERMANENT_OBSTACLES: ReadonlySet<Obstacle> = new Set<Obstacle>(['other-service', 'unavailable', 'label', 'too-small', 'reserved'])
+const PERMANENT_OBSTACLES: ReadonlySet<Obstacle> = new Set<Obstacle>(['other-service', 'evacuated', 'unavailable', 'label', 'too-small', 'reserved'])
 
 /**
  * Returns what keeps a task from each worker.
--- a/packages/core/src/jobs/loadPercent.ts
+++ b/packages/core/src/jobs/loadPercent.ts
@@ -5,19 +5,20 @@
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
- * Processors of all listed workers, in thousandths of a core.
+ * Processors of all listed workers outside evacuated data centres, in thousandths of a core.
  *
  * @example
  * availableProcessors(workers.values()) // 128_000
  */
 export const availableProcessors = (workers: Iterable<WorkerRecord>): number => {
   let available = 0
-  for (const { isListed, entry } of workers) if (isListed) available += entry.processors
+  for (const { isListed, evacuation, entry } of workers) if (isListed && evacuation !== 'evacuated') available += entry.processors
   return available
 }
 
 /**
  * Processors that running and waiting tasks need, as a percentage of those of all listed workers; 0 without workers.
+ * Workers in evacuated data centres and what runs there don't count, as they have nothing to offer to waiting tasks.
  *
  * @example
  * loadPercent([...workers.values()], openSteps) // 84
@@ -26,6 +27,7 @@
   let available = 0
   let needed = 0
   for (const worker of workers) {
+    if (worker.evacuation === 'evacuated') continue
     if (worker.isListed) available += worker.entry.processors
     needed += worker.processorsUsed
     for (const { task: { step: { shape } } } of worker.runs.values()) if (shape.isFiller) needed += shape.processors
--- a/packages/core/src/layout/chooseCell.ts
+++ b/packages/core/src/layout/chooseCell.ts
@@ -12,6 +12,8 @@
   loadPercent: number
   /** Whether the cell has an owner. */
   isOwned: boolean
+  /** Whether all workers of the cell are in evacuated data centres, so that nothing starts there. */
+  isEvacuated?: boolean
 }>
 
 /** Weight of the load: a cell without any gets five times the jobs of one whose tasks need all its processors. */
@@ -19,7 +21,8 @@
 
 /**
  * Returns the index of a cell that can run all steps of a job, at random by free capacity; `fraction` is uniformly
- * distributed in [0, 1). A cell whose rack holds a step's data goes first. The loads are some seconds old and every
+ * distributed in [0, 1). A cell whose rack holds a step's data goes first, and one that is
+ * evacuated only if no other can run the job. The loads are some seconds old and every
  * process chooses by itself, so sending each job to the least loaded cell would send all jobs of those seconds there.
  * A job that no cell can run goes to one with workers of its service, whose owner reports why it waits.
  *
@@ -27,7 +30,9 @@
  * const cell = chooseCell(job, layout.cells, loads, random.fraction())
  */
 export const chooseCell = (job: Job, cells: readonly CellWorkers[], loads: readonly CellLoad[], fraction: number): number => {
-  const able = cells.map((_, index) => index).filter(index => canRun(job, cells[index]))
+  const ableAtAll = cells.map((_, index) => index).filter(index => canRun(job, cells[index]))
+  const notEvacuated = ableAtAll.filter(index => loads[index]?.isEvacuated !== true)
+  const able = notEvacuated.length > 0 ? notEvacuated : ableAtAll
   const nearData = able.filter(index => holdsData(job, cells[index]))
   const ofService = cells.map((_, index) => index).filter(index => cells[index]?.services[job.policy.service] !== undefined)
   const suitable = [nearData, able, ofService].find(indexes => indexes.length > 0) ?? [0]
--- a/packages/core/src/layout/chooseTransfer.ts
+++ b/packages/core/src/layout/chooseTransfer.ts
@@ -20,7 +20,7 @@
   let best: number | undefined
   let lowest = (loads[from]?.loadPercent ?? 0) - MIN_LOAD_DIFFERENCE
   for (const [index, load] of loads.entries()) {
-    if (index === from || !load.isOwned || load.loadPercent > lowest || !canRun(job, cells[index])) continue
+    if (index === from || !load.isOwned || load.isEvacuated === true || load.loadPercent > lowest || !canRun(job, cells[index])) continue
     best = index
     lowest = load.loadPercent
   }
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -48,6 +48,7 @@
   hasCrashed = false
   isDraining = false
   rack = ''
+  zone = 'derby'
 
   constructor (id: string, clock: Clock, behaviourOf: (task: TaskName) => FakeRunBehaviour, onEvent: (event: WorkerEvent) => void) {
     this.id = brand<WorkerId>(id)
@@ -59,7 +60,7 @@
   }
 
   get entry (): WorkerEntry {
-    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#startedAt + 1), address: this.id, zone: 'derby', rack: this.rack, isDraining: this.isDraining, ...this.capacity.amounts })
+    return workerEntryOf(this.id, { incarnation: brand<Incarnation>(this.#startedAt + 1), address: this.id, zone: this.zone, rack: this.rack, isDraining: this.isDraining, ...this.capacity.amounts })
   }
 
   get running (): readonly TaskName[] {
--- a/packages/jobs/src/CellChooser.ts
+++ b/packages/jobs/src/CellChooser.ts
@@ -2,7 +2,7 @@
  * Choice of the cell of a new job, from what the owner of the first cell publishes.
  */
 import { type CellId, type Clock, type Log, type Random } from '@auburnpin/common'
-import { chooseCell, chooseTransfer, type Job, type Layout } from '@auburnpin/core'
+import { canRun, chooseCell, chooseTransfer, type Job, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, indexOfCell, LAYOUT_KEY_RANGE, readLayout, TERMS_TABLE, type PublishedCells } from './rows.ts'
@@ -47,9 +47,17 @@
     return cellAt(chooseCell(job, this.#layout.cells, loads, this.#random.fraction()))
   }
 
-  /** The less loaded cell that a job which waits in `from` should go to; `undefined` if there is none. */
+  /**
+   * The less loaded cell that a job which waits in `from` should go to; `undefined` if there is none. All jobs leave an
+   * evacuated cell, so they are divided among the others as new ones are.
+   */
   chooseTransfer (job: Job, from: CellId, loads: PublishedCells['loads']): CellId | undefined {
     if (this.#layout === undefined) return undefined
+    if (loads[indexOfCell(from)]?.isEvacuated === true) {
+      const to = chooseCell(job, this.#layout.cells, loads, this.#random.fraction())
+      const load = loads[to]
+      return load?.isOwned === true && load.isEvacuated !== true && canRun(job, this.#layout.cells[to]) ? cellAt(to) : undefined
+    }
     const index = chooseTransfer(job, indexOfCell(from), this.#layout.cells, loads)
     return index === undefined ? undefined : cellAt(index)
   }
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -6,6 +6,7 @@
 import { TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
+import { cellLoad } from './cellLoad.ts'
 import { soundTerm } from './soundTerm.ts'
 
 type ObservedCell = Readonly<{ term: Term, version: RowVersion, changedAt: Instant }>
@@ -56,7 +57,8 @@
     for (let index = 1; index < this.#cellCount; index++) {
       const observed = this.#observed.get(index)
       for (const [queue, count] of Object.entries(observed?.term.pending ?? {})) pending[queue] = (pending[queue] ?? 0) + count
-      loads.push({ workers: observed?.term.workers ?? 0, loadPercent: observed?.term.loadPercent ?? 0, isOwned: observed !== undefined && isOwned(observed, now) })
+      const { workers = 0, evacuatedWorkers = 0, loadPercent = 0 } = observed?.term ?? {}
+      loads.push(cellLoad(workers, evacuatedWorkers, loadPercent, observed !== undefined && isOwned(observed, now)))
     }
     return { layoutVersion, loads, pending }
   }
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,12 +2,15 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { JobScheduler, rackKey, runKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { countEvacuated, JobScheduler, rackKey, runKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { cellLoad } from './cellLoad.ts'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, SURVIVAL_REPORT_DELAY_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { EvacuationTracker } from './EvacuationTracker.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
+import { JobsTableListener } from './JobsTableListener.ts'
 import { JobTransfers, TransferHost } from './JobTransfers.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
 import { PassSpacing } from './PassSpacing.ts'
@@ -17,7 +20,7 @@
 import type { RowKey, StoredRow } from './RowStore.ts'
 import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
-import { TableFollower, TableListener } from './TableFollower.ts'
+import { TableFollower } from './TableFollower.ts'
 import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { logCapacityChange } from './logCapacityChange.ts'
 import { logPlacements } from './logPlacements.ts'
@@ -48,6 +51,7 @@
   /** Of the first cell only. */
   readonly #layout: LayoutMembership | undefined
   readonly #monitor: CellMonitor
+  readonly #evacuations: EvacuationTracker
   /** Epoch offsets of the workers that earlier owners used; the rack of one that isn't listed is unknown. */
   readonly #recordedOffsets = new Map<WorkerId, number>()
   /** The whole list of workers, also those of other cells. */
@@ -78,6 +82,7 @@
     this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, claimed.earlierTermOverAt, new LoggingJobSchedulerObserver(ports))
     this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
+    this.#evacuations = new EvacuationTracker(ports, claimed.cell)
     this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
     if (claimed.cell === FIRST_CELL) {
       this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, claimed.term.epoch, ports.workersPerCell)
@@ -138,6 +143,7 @@
     this.#ports.workerList.unsubscribe(this.#workerListener)
     this.#membership.stop()
     this.#monitor.stop()
+    this.#evacuations.stop()
     for (const poller of this.#pollers.values()) poller.stop()
     if (this.#isGauged) this.#gaugeCell(0, 0)
     if (isReleasing) await this.#writer.release()
@@ -348,14 +354,15 @@
   }
 
   /** The load of this cell and, in the first of several cells, the state of all; empty in a deployment with one cell. */
-  publishedLoad (): Pick<Term, 'loadPercent' | 'cells'> {
+  publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'cells'> {
     const { durableLayout } = this.#writer
     if (this.#layout !== undefined && durableLayout.cells.length <= 1) return {}
     const { loadPercent, workers } = this.#scheduler
     this.#monitor.setCellCount(durableLayout.cells.length)
     if (this.#isClosed) return { loadPercent }
     this.#gaugeCell(workers.size, loadPercent)
-    return { loadPercent, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, { workers: workers.size, loadPercent, isOwned: true }) }
+    const evacuatedWorkers = countEvacuated(workers.values())
+    return { loadPercent, evacuatedWorkers: evacuatedWorkers === 0 ? undefined : evacuatedWorkers, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, cellLoad(workers.size, evacuatedWorkers, loadPercent, true)) }
   }
 
   #gaugeCell (workers: number, loadPercent: number): void {
@@ -426,7 +433,8 @@
       worker.isLeasable = this.#mayStartOn(worker)
       if (worker.isUnresponsive && this.#pollers.get(worker.entry.id)?.hasBeenSilentForLong !== true) this.#hasAnyFallenSilent = true
     }
-    const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#startWindow.free)
+    this.#evacuations.update(this.#scheduler.workers.values(), this.#entries, startedAt)
+    const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#evacuations.isKnown ? this.#startWindow.free : 0)
     this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
       this.#wasReconciled = this.#scheduler.isReconciled
@@ -468,7 +476,7 @@
     // A task must neither wait for the lease of an idle worker that has left unnoticed, nor give one that was reborn a lease meant for the incarnation before.
     const isConfirmed = await this.#pollers.get(order.worker)?.confirm(worker) === true
     if (this.#isClosed) return
-    const isWanted = isConfirmed && worker.runs.get(runKey(order.task, order.attempt))?.isStopRequested === false
+    const isWanted = isConfirmed && this.#evacuations.admits(order, worker) && worker.runs.get(runKey(order.task, order.attempt))?.isStopRequested === false
     // Read before the check, so that the lease counts from a moment at which the term is held.
     const decidedAt = clock.now()
     const leaseEndMs = isWanted && this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
@@ -544,7 +552,7 @@
     this.#owner.loseTerm(reason)
   }
 
-  publishedLoad (): Pick<Term, 'loadPercent' | 'cells'> {
+  publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'cells'> {
     return this.#owner.publishedLoad()
   }
 }
@@ -591,23 +599,6 @@
   }
 }
 
-class JobsTableListener extends TableListener {
-  readonly #owner: CellOwner
-
-  constructor (owner: CellOwner) {
-    super()
-    this.#owner = owner
-  }
-
-  replaceAll (rows: readonly StoredRow[]): void {
-    this.#owner.replaceJobs(rows)
-  }
-
-  update (changed: readonly StoredRow[], deleted: readonly RowKey[]): void {
-    this.#owner.updateJobs(changed, deleted)
-  }
-}
-
 class OwnerWorkerListener extends WorkerListener {
   readonly #owner: CellOwner
 
--- a/packages/jobs/src/JobTransfers.ts
+++ b/packages/jobs/src/JobTransfers.ts
@@ -2,8 +2,9 @@
  * Gives jobs that wait in one cell to another.
  */
 import { brand, type CellId, type Instant, type JobId } from '@auburnpin/common'
-import { addedLoad, type CellLoad, type JobRecord, type JobScheduler } from '@auburnpin/core'
+import { addedLoad, countEvacuated, type CellLoad, type JobRecord, type JobScheduler } from '@auburnpin/core'
 import { MIN_TRANSFER_WAIT_MS, TRANSFER_INTERVAL_MS } from './constants.ts'
+import { cellLoad } from './cellLoad.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { encodeJob, indexOfCell, jobPart, JOBS_TABLE, readJob } from './rows.ts'
 import type { TermWriter } from './TermWriter.ts'
@@ -79,9 +80,9 @@
     if (loads === undefined || !this.#scheduler.isReconciled) return
     if (loads !== this.#lastLoads) this.#givenPercent = 0
     this.#lastLoads = loads
-    const { loadPercent, processors } = this.#scheduler
+    const { loadPercent, processors, workers } = this.#scheduler
     for (const record of this.#scheduler.untouchedJobs(brand<Instant>(clock.now() - MIN_TRANSFER_WAIT_MS))) {
-      const own = { ...loads[indexOfCell(this.#cell)], workers: 0, isOwned: true, loadPercent: loadPercent - 2 * this.#givenPercent }
+      const own = { ...cellLoad(workers.size, countEvacuated(workers.values()), loadPercent - 2 * this.#givenPercent, true), workers: 0 }
       const to = cells.chooseTransfer(record.job, this.#cell, loads.with(indexOfCell(this.#cell), own))
       if (to === undefined) return
       this.#givenPercent += addedLoad(record.job, processors)
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock, Log, Metrics } from '@auburnpin/common'
 import type { CellChooser } from './CellChooser.ts'
+import type { EvacuationList } from './EvacuationList.ts'
 import type { RowStore } from './RowStore.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 import type { WorkerList } from './WorkerList.ts'
@@ -14,6 +15,7 @@
   clock: Clock
   log: Log
   metrics: Metrics
+  evacuations: EvacuationList
   /** How long clients can read the phase of a finished job, in milliseconds. */
   finishedJobRetentionMs: number
   /** Workers of one cell; more workers are divided into several cells. */
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -76,6 +76,8 @@
   workers: number
   /** In a deployment with several cells: processors that running and waiting tasks need, as a percentage of all. */
   loadPercent?: number
+  /** In a deployment with several cells: number of the workers in evacuated data centres, if any. */
+  evacuatedWorkers?: number
   /** In the term of the first of several cells. */
   cells?: PublishedCells
   /**
--- a/packages/jobs/src/soundTerm.ts
+++ b/packages/jobs/src/soundTerm.ts
@@ -14,13 +14,14 @@
  */
 export const soundTerm = (term: Term | undefined, version: RowVersion): Term | undefined => {
   if (term === undefined || !isCount(term.epoch) || term.epoch > version) return undefined
-  const { pending, workers, loadPercent, cells } = term
+  const { pending, workers, loadPercent, evacuatedWorkers, cells } = term
   return {
     ...term,
     commit: isCount(term.commit) ? term.commit : 0,
     pending: countsOf(pending),
     workers: isCount(workers) ? workers : 0,
     loadPercent: typeof loadPercent === 'number' ? loadPercent : undefined,
+    evacuatedWorkers: isCount(evacuatedWorkers) ? evacuatedWorkers : undefined,
     cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending) } : undefined
   }
 }
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -6,7 +6,7 @@
   type Instant, type Result, type Timer, type WorkerId
 } from '@auburnpin/common'
 import type { StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
-import { CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
+import { CellChooser, CellElections, JobRepository, KnownEvacuations, MonitoredStore, TableFollower, TableListener, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RowKey, type RunName, type StoredRow, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
 /** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. `unheard`: calls are executed and time out. */
@@ -17,6 +17,26 @@
 const DELAYED_CALL_MS = 3_000
 const POLL_INTERVAL_MS = 10
 
+/** Table of the simulated operator; each row's key is an evacuated data centre. */
+const EVACUATIONS_TABLE = 'evacuations'
+
+class EvacuationRows extends TableListener {
+  readonly #evacuations: KnownEvacuations
+
+  constructor (evacuations: KnownEvacuations) {
+    super()
+    this.#evacuations = evacuations
+  }
+
+  replaceAll (rows: readonly StoredRow[]): void {
+    this.#evacuations.replaceAll(rows.map(({ key }) => key))
+  }
+
+  update (changed: readonly StoredRow[], deleted: readonly RowKey[]): void {
+    this.#evacuations.update(changed.map(({ key }) => key), deleted.map(({ key }) => key))
+  }
+}
+
 /** One process. Its clock can be stopped, which simulates the suspension of its VM. */
 export class Node {
   readonly name: string
@@ -24,6 +44,8 @@
   readonly election: CellElections
   readonly jobs: JobRepository
   readonly processor: SlowProcessor
+  readonly evacuations: KnownEvacuations
+  readonly #evacuationsFollower: TableFollower
   readonly #simulation: JobsSimulation
 
   constructor (simulation: JobsSimulation, name: string, life: string, processorShare: number) {
@@ -32,14 +54,22 @@
     this.clock = new NodeClock(simulation.clock)
     this.processor = new SlowProcessor(this.clock)
     const store = new MonitoredStore(simulation.rows.clientFor(name), this.clock, new SilentLog(), new SilentMetrics())
+    this.evacuations = new KnownEvacuations(this.clock)
+    this.#evacuationsFollower = new TableFollower(store, this.clock, new SilentLog(), EVACUATIONS_TABLE, [''], new EvacuationRows(this.evacuations))
+    if (simulation.followsEvacuations) this.followEvacuations()
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, cells }
+    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, cells, evacuations: this.evacuations }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
     cells.start()
     this.election.start()
   }
 
+  /** Begins to read the evacuations. */
+  followEvacuations (): void {
+    this.#evacuationsFollower.start()
+  }
+
   /** Kills the process. */
   kill (): void {
     this.clock.stop()
@@ -157,6 +187,8 @@
   /** Entries that the list of workers shows instead of the workers' present ones. */
   readonly outdatedEntries = new Map<string, WorkerEntry>()
   workersPerCell = WORKERS_PER_CELL
+  /** Whether processes read the evacuations from their start on. */
+  followsEvacuations = true
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
@@ -193,6 +225,16 @@
     return node
   }
 
+  /** Writes the operator's row that evacuates a data centre. */
+  evacuate (dataCentre: string): void {
+    this.rows.put(EVACUATIONS_TABLE, '', dataCentre, '{}')
+  }
+
+  /** Deletes that row. */
+  restore (dataCentre: string): void {
+    this.rows.apply({ part: '', checks: [], puts: [], deletes: [{ table: EVACUATIONS_TABLE, key: dataCentre }] })
+  }
+
   worker (id: string): FakeJobWorker {
     return this.workers.get(id) as FakeJobWorker
   }
