--- /dev/null
+++ b/packages/core/tests/workerEvacuation.test.ts
@@ -0,0 +1,95 @@
+import test from 'ava'
+import { brand, type Instant, type ServiceName, type WorkerId } from '@auburnpin/common'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import { chooseCell, chooseTransfer, evacuationOf, findObstacles, type CellLoad, type CellWorkers, type JobRecord, type WorkerEvacuation } from '../src/index.ts'
+import { AnnouncedStarts } from '../src/jobs/AnnouncedStarts.ts'
+import { SchedulerScenario } from './support/SchedulerScenario.ts'
+
+const FIRST = '00000000000000a1'
+const SECOND = '00000000000000a2'
+
+const setEvacuation = ({ scheduler }: SchedulerScenario, evacuation: WorkerEvacuation, ...ids: readonly string[]): void => {
+  for (const id of ids) {
+    const worker = scheduler.workers.get(brand<WorkerId>(id))
+    if (worker !== undefined) worker.evacuation = evacuation
+  }
+}
+
+test('workers of an evacuated data centre get neither new tasks nor restarts, and count neither as capacity nor as load', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000 })
+  scenario.submit(FIRST, [stepOf({ taskCount: 3, processors: 4_000, maxPerWorker: 1, isLasting: true })])
+  scenario.advance(200)
+  t.is(scenario.scheduler.loadPercent, 50)
+  setEvacuation(scenario, 'evacuated', 'w1')
+  t.is(scenario.scheduler.processors, 16_000)
+  t.is(scenario.scheduler.loadPercent, 50)
+  const before = scenario.starts.length
+  const lost = scenario.starts.find(({ worker }) => worker === 'w1')?.task ?? ''
+  scenario.fail(lost)
+  scenario.submit(SECOND, [stepOf({ taskCount: 4, processors: 3_000 })])
+  scenario.advance(3_000)
+  t.deepEqual(scenario.starts.slice(before).filter(({ worker }) => worker === 'w1'), [])
+  const waiting = [...scenario.scheduler.jobs.values()].flatMap((job: JobRecord) => [...job.tasks()]).find(task => task.name === lost)
+  t.truthy(waiting)
+  const { held, interference, workers } = scenario.scheduler
+  const obstacles = findObstacles(waiting!, [...workers.values()], held, interference, scenario.now)
+  t.is(obstacles.counts.get('evacuated'), 1)
+  t.true(obstacles.free <= 16_000)
+  setEvacuation(scenario, 'evacuated', 'w2', 'w3')
+  t.is(scenario.scheduler.processors, 0)
+  t.is(scenario.scheduler.loadPercent, 0)
+})
+
+test('a returning worker takes the restart of an interrupted task, and new tasks only afterwards', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000 })
+  scenario.submit(FIRST, [stepOf({ isLasting: true })])
+  scenario.advance(200)
+  setEvacuation(scenario, 'evacuated', 'w1')
+  scenario.fail(`${FIRST}.0.0.0`)
+  scenario.submit(SECOND, [stepOf()], { runMs: 500 })
+  scenario.advance(3_000)
+  t.is(scenario.starts.length, 1)
+  setEvacuation(scenario, 'returning', 'w1')
+  scenario.advance(1_000)
+  t.is(scenario.startsOf(FIRST), 2)
+  t.is(scenario.startsOf(SECOND), 0)
+  setEvacuation(scenario, 'none', 'w1')
+  scenario.advance(200)
+  t.is(scenario.startsOf(SECOND), 1)
+})
+
+test('an announced start on a worker whose data centre is evacuated meanwhile is not sent', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000 })
+  scenario.submit(FIRST, [stepOf({ isLasting: true })])
+  scenario.advance(200)
+  const [run] = [...scenario.scheduler.workers.values()].flatMap(({ runs }) => [...runs.values()])
+  const announced = new AnnouncedStarts()
+  announced.add(run!)
+  run!.task.crashes.markStored()
+  setEvacuation(scenario, 'evacuated', 'w1')
+  t.deepEqual(announced.take(scenario.now, 10), { due: [], obsolete: [run!] })
+})
+
+test('the workers of a restored data centre return evenly over four seconds', t => {
+  const ids = Array.from({ length: 400 }, (_, index) => brand<WorkerId>(`i-${index}`))
+  const returned = (ms: number): number => ids.filter(id => evacuationOf(id, false, brand<Instant>(1_000), brand<Instant>(1_000 + ms)) === 'none').length
+  for (const [ms, share] of [[0, 0], [1_000, 0.25], [2_000, 0.5], [3_000, 0.75]] as const) t.true(Math.abs(returned(ms) / ids.length - share) < 0.08, `${returned(ms)} after ${ms} ms`)
+  t.is(returned(4_000), ids.length)
+  t.is(evacuationOf(ids[0]!, true, brand<Instant>(1_000), brand<Instant>(9_000)), 'evacuated')
+  t.is(evacuationOf(ids[0]!, false, undefined, brand<Instant>(9_000)), 'none')
+})
+
+const OFFER = { processors: 8_000, memoryMb: 1_000, accelerators: 0, labels: ['r1'] }
+const cellOf = (labels: readonly string[] = []): CellWorkers => ({ racks: [], services: { [brand<ServiceName>('desk')]: { ...OFFER, labels } }, epochOffsets: {} })
+const EVACUATED: CellLoad = { workers: 0, loadPercent: 0, isOwned: true, isEvacuated: true }
+const LOADED: CellLoad = { workers: 4, loadPercent: 300, isOwned: true }
+
+test('jobs go to a loaded cell instead of an evacuated one, also if that holds their data', t => {
+  const job = jobOf(FIRST, [stepOf({ dataRack: 'r1' })])
+  for (const fraction of [0, 0.3, 0.6, 0.99]) {
+    t.is(chooseCell(job, [cellOf(['r1']), cellOf()], [EVACUATED, LOADED], fraction), 1)
+    t.is(chooseCell(job, [cellOf(['r1']), cellOf()], [EVACUATED, EVACUATED], fraction), 0)
+    t.is(chooseCell(job, [cellOf(['r1'])], [EVACUATED], fraction), 0)
+  }
+  t.is(chooseTransfer(job, 0, [cellOf(), cellOf()], [LOADED, EVACUATED]), undefined)
+})
