Workers reserved for short tasks by their measured demand

Cause: long-running tasks take what short tasks leave free between two waves of load and keep it, and a constant tenth of the workers is closed to them.

Change: ShortTaskDemand measures what short tasks use and wait for. While one of them has lacked room within three waves, WorkerReserve closes further workers to new long-running tasks: those with the most processors in pieces that a short task fits into, until they meet the demand or have the largest share that AUBURNPIN_MAX_RESERVED_SHARE allows. Without it, nothing changes.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -3,10 +3,11 @@
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
-import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, RESERVED_WORKER_SHARE, SHORT_RUN_MS } from './constants.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
+import { findInterruptions } from './findInterruptions.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
 import type { Interruption } from './Interruption.ts'
 import { JobRecord } from './JobRecord.ts'
@@ -27,6 +28,7 @@
 } from './types.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
 import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
+import { WorkerReserve } from './WorkerReserve.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
 const UNKNOWN_PACE = -1
@@ -63,6 +65,7 @@
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
   readonly waits = new WaitingSteps()
+  readonly reserve: WorkerReserve
   readonly #termStartedAt: Instant
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
@@ -70,10 +73,11 @@
   #isListRead = false
   #isReconciled = false
 
-  constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver) {
+  constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver, maxReservedShare = RESERVED_WORKER_SHARE) {
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
+    this.reserve = new WorkerReserve(maxReservedShare)
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.#termStartedAt = now
     this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
@@ -199,14 +203,7 @@
 
   /** The long-running tasks that have been interrupted for at least `minMs`, the longest first. */
   interruptedTasks (minMs: number, now: Instant): Interruption[] {
-    const interruptions: Interruption[] = []
-    for (const { waiting } of this.#openSteps) {
-      for (const task of waiting) {
-        const interruptedMs = now - (task.lastEnd?.at ?? this.#termStartedAt)
-        if (task.isInterrupted && interruptedMs >= minMs) interruptions.push({ task, interruptedMs })
-      }
-    }
-    return interruptions.sort((one, other) => other.interruptedMs - one.interruptedMs)
+    return findInterruptions(this.#openSteps, minMs, this.#termStartedAt, now)
   }
 
   /** Workers without a report to this owner, for which tasks accepted before its term wait. */
@@ -626,7 +623,7 @@
     let starts = due.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
@@ -640,6 +637,7 @@
       if (++starts >= maxStarts) break
     }
     this.waits.observe(this.#openSteps, now)
+    this.reserve.observe(startableSteps, this.workers.values(), now, wallTime)
     return orders
   }
 
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -7,6 +7,7 @@
 import type { SizeFairness } from './SizeFairness.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WaitingSteps } from './WaitingSteps.ts'
+import type { WorkerReserve } from './WorkerReserve.ts'
 
 /** `wallTime` is in milliseconds since 1970. */
 export type PlacingContext = Readonly<{
@@ -17,6 +18,7 @@
   /** Tasks under which several workers were lost; most of them don't wait. */
   tasksOnTrial: Iterable<TaskRecord>
   waits: WaitingSteps
+  reserve: WorkerReserve
   now: Instant
   wallTime: number
 }>
--- a/packages/core/src/jobs/WaitingSteps.ts
+++ b/packages/core/src/jobs/WaitingSteps.ts
@@ -100,14 +100,14 @@
   }
 
   /** The steps of a kind that have waited longest, at least `minWaitMs`, each with its reasons. */
-  longest (kind: StepKind, limit: number, minWaitMs: number, workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant): StepWait[] {
+  longest (kind: StepKind, limit: number, minWaitMs: number, workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant, added?: ReadonlySet<WorkerRecord>): StepWait[] {
     const waits = [...this.#waits].filter(([step, { since }]) => kindOf(step.shape) === kind && now - since >= minWaitMs)
     waits.sort(([, one], [, other]) => one.since - other.since)
     const described: StepWait[] = []
     for (const [step, { since, placedBefore }] of waits.slice(0, limit)) {
       const [task] = step.waiting
       if (task === undefined) continue
-      described.push({ step, kind, waitedMs: now - since, obstacles: findObstacles(task, workers, held, interference, now), placedSince: difference(this.#placed, placedBefore) })
+      described.push({ step, kind, waitedMs: now - since, obstacles: findObstacles(task, workers, held, interference, now, added), placedSince: difference(this.#placed, placedBefore) })
     }
     return described
   }
--- /dev/null
+++ b/packages/core/src/jobs/WorkerReserve.ts
@@ -0,0 +1,147 @@
+/**
+ * The part of the workers that is closed to new long-running tasks.
+ */
+import type { Instant, ServiceName } from '@auburnpin/common'
+import { RESERVED_WORKER_SHARE } from './constants.ts'
+import { freeForShortTasks, usableProcessors } from './usableProcessors.ts'
+import { reserveForDemand, reserveWorkers } from './reserveWorkers.ts'
+import { type Demand, ShortTaskDemand } from './ShortTaskDemand.ts'
+import type { StepRecord } from './StepRecord.ts'
+import type { TaskRecord } from './TaskRecord.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
+
+const NONE: ReadonlySet<WorkerRecord> = new Set()
+
+/** The workers that one scheduling pass closes. */
+export class ReservedWorkers {
+  /** Closed to serving tasks that have not run. */
+  readonly constant: ReadonlySet<WorkerRecord>
+  /** Closed to long-running tasks that have not run, as the demand of short tasks is above the constant share. */
+  readonly added: ReadonlySet<WorkerRecord>
+  readonly #candidates: readonly WorkerRecord[]
+  readonly #open = new Map<string, readonly WorkerRecord[]>()
+
+  constructor (candidates: readonly WorkerRecord[], added = NONE, constant = reserveWorkers(candidates)) {
+    this.#candidates = candidates
+    this.constant = constant
+    this.added = added
+  }
+
+  isClosedTo (task: TaskRecord, worker: WorkerRecord): boolean {
+    return (task.isNewServing && this.constant.has(worker)) || (isNewLongRunning(task) && this.added.has(worker))
+  }
+
+  /** The candidates that are open to a task. */
+  openTo (task: TaskRecord): readonly WorkerRecord[] {
+    const key = `${task.isNewServing} ${isNewLongRunning(task)}`
+    let open = this.#open.get(key)
+    if (open === undefined) {
+      open = this.#candidates.filter(worker => !this.isClosedTo(task, worker))
+      this.#open.set(key, open)
+    }
+    return open
+  }
+}
+
+/** The reserve of one service in one data centre. Processors are in thousandths of a core. */
+export type ZoneReserve = { workers: number, reserved: number, usable: number, free: number, largestFree: number }
+
+/** The reserve of one service; `zones` by the name of the data centre. */
+export type ServiceReserve = Readonly<{
+  service: ServiceName
+  /** `undefined` while short tasks find room without waiting, so that only the constant share is reserved. */
+  demand: Demand | undefined
+  /** Number of workers of the constant share, and of those added to it. */
+  constant: number
+  added: number
+  /** Processors of the reserved workers that short tasks can use. */
+  usable: number
+  /** What keeps the reserve below the demand: `share` if the largest share is reached, `workers` if no other worker has room for a short task. */
+  limit: 'none' | 'share' | 'workers'
+  zones: ReadonlyMap<string, ZoneReserve>
+}>
+
+/**
+ * Reserves workers for short tasks: the constant share, and beyond it what the measured demand needs, up to `maxShare` of
+ * the processors of a service. Addresses long-running tasks that take whatever short tasks leave free between two waves of load
+ * and keep it. With a `maxShare` of no more than the constant share, nothing is measured.
+ *
+ * @example
+ * const reserved = reserve.select(candidates, now)
+ * if (reserved.isClosedTo(task, worker)) continue
+ */
+export class WorkerReserve {
+  readonly #maxShare: number
+  readonly #demand = new ShortTaskDemand()
+  #last = new ReservedWorkers([])
+
+  constructor (maxShare: number) {
+    this.#maxShare = maxShare
+  }
+
+  get #isMeasured (): boolean {
+    return this.#maxShare > RESERVED_WORKER_SHARE
+  }
+
+  /** The workers closed by the last pass. */
+  get last (): ReservedWorkers {
+    return this.#last
+  }
+
+  /** Chooses the workers that a scheduling pass closes. */
+  select (candidates: readonly WorkerRecord[], now: Instant): ReservedWorkers {
+    const constant = reserveWorkers(candidates)
+    const added = this.#isMeasured ? reserveForDemand(candidates, constant, service => this.#demand.of(service, now), this.#maxShare, this.#last.added) : NONE
+    this.#last = new ReservedWorkers(candidates, added, constant)
+    return this.#last
+  }
+
+  /** Records that a task of a step has just found no worker. */
+  recordLackOfRoom (step: StepRecord, workers: readonly WorkerRecord[], now: Instant, wallTime: number): void {
+    if (this.#isMeasured) this.#demand.recordLackOfRoom(step, workers, now, wallTime)
+  }
+
+  /** Measures the demand at the end of a scheduling pass. */
+  observe (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, now: Instant, wallTime: number): void {
+    if (this.#isMeasured) this.#demand.observe(steps, workers, now, wallTime)
+  }
+
+  /** The reserve of each service as of the last pass, for logs and metrics; empty unless the demand is measured. */
+  describe (workers: Iterable<WorkerRecord>, now: Instant): ServiceReserve[] {
+    if (!this.#isMeasured) return []
+    const byService = new Map<ServiceName, WorkerRecord[]>()
+    for (const worker of workers) {
+      if (worker.acceptsWork(now)) byService.set(worker.entry.service, [...byService.get(worker.entry.service) ?? [], worker])
+    }
+    return [...byService].map(([service, ofService]) => this.#describeService(service, ofService, now))
+  }
+
+  #describeService (service: ServiceName, workers: readonly WorkerRecord[], now: Instant): ServiceReserve {
+    const demand = this.#demand.of(service, now)
+    const { constant, added } = this.#last
+    const zones = new Map<string, ZoneReserve>()
+    const counts = { constant: 0, added: 0, usable: 0, openUsable: 0 }
+    for (const worker of workers) {
+      const zone = zones.get(worker.entry.zone) ?? { workers: 0, reserved: 0, usable: 0, free: 0, largestFree: 0 }
+      zones.set(worker.entry.zone, zone)
+      const usable = usableProcessors(worker, demand?.taskProcessors ?? 1)
+      const free = freeForShortTasks(worker)
+      zone.workers++
+      zone.free += free
+      zone.largestFree = Math.max(zone.largestFree, free)
+      if (constant.has(worker)) counts.constant++
+      else if (added.has(worker)) counts.added++
+      else {
+        counts.openUsable += usable
+        continue
+      }
+      zone.reserved++
+      zone.usable += usable
+      counts.usable += usable
+    }
+    const isShort = demand !== undefined && counts.usable < demand.processors
+    return { service, demand, constant: counts.constant, added: counts.added, usable: counts.usable, limit: !isShort ? 'none' : counts.openUsable > 0 ? 'share' : 'workers', zones }
+  }
+}
+
+const isNewLongRunning = ({ step: { shape }, hasRun }: TaskRecord): boolean => shape.isLasting && !shape.isFiller && !hasRun
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -75,6 +75,21 @@
 /** Share of the workers not used for new serving tasks, to keep capacity for short urgent tasks and restarts. */
 export const RESERVED_WORKER_SHARE = 0.1
 
+/** Milliseconds over which the demand of short tasks is measured, and for which one that found no room counts; three waves of a load that swings every 11 s. */
+export const DEMAND_WINDOW_MS = 33_000
+
+/** Quantile of the demand within the window that is reserved; the shortest bursts, of 3 s, are a tenth of it. */
+export const DEMAND_QUANTILE = 0.9
+
+/** Milliseconds of which the highest demand counts as one value of the quantile. */
+export const DEMAND_BUCKET_MS = 1_000
+
+/** Minimum milliseconds between two measurements; a burst lasts 3 s and more, and a measurement visits every run. */
+export const DEMAND_SAMPLE_GAP_MS = 200
+
+/** Milliseconds in which the demand falls to no less than 37 %; longer than one wave, so that the trough between two opens little. */
+export const DEMAND_FALL_MS = 20_000
+
 /** Milliseconds without progress after which a run counts as stalled; the longest tasks, of 7 s, advance by a fifth in this time. */
 export const STALL_MS = 1_500
 
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -26,7 +26,7 @@
   | 'trial'
   /** The task is a filler that would slow down serving tasks too much. */
   | 'pressure'
-  /** The worker is reserved for short tasks and restarts. */
+  /** The worker is reserved for short tasks and restarts: one of the constant share, or one that the demand of short tasks adds to it. */
   | 'reserved'
   /** The task would take capacity that is held for another one. */
   | 'held'
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -16,6 +16,7 @@
 export type { Obstacle } from './findObstacle.ts'
 export { findObstacles, type WorkerObstacles } from './findObstacles.ts'
 export { HeldWorkers } from './HeldWorkers.ts'
+export { ReservedWorkers, WorkerReserve, type ServiceReserve, type ZoneReserve } from './WorkerReserve.ts'
 export { ServingLoad } from './ServingLoad.ts'
 export { FillerInterference } from './FillerInterference.ts'
 export type { FillerInterferenceState } from './FillerInterference.ts'
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -6,7 +6,6 @@
 import { orderSteps } from './orderSteps.ts'
 import { placeTrials } from './placeTrials.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
-import { reserveWorkers } from './reserveWorkers.ts'
 import type { PlacingContext } from './PlacingContext.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -26,16 +25,15 @@
  * for (const { task, worker } of placeTasks(openSteps, workers, context)) start(task, worker)
  */
 export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, context: PlacingContext): Generator<PlacedTask> {
-  const { held, interference, now } = context
+  const { held, interference, reserve, now, wallTime } = context
   const available = [...workers].filter(worker => worker.acceptsRestarts(now))
   const waitingSteps = [...steps].filter(({ waiting }) => waiting.size > 0)
   yield * placeTrials(waitingSteps, available, context)
   yield * placeInterruptedTasks(waitingSteps, available, context)
   const candidates = available.filter(worker => worker.acceptsWork(now))
   if (candidates.length === 0) return
-  const reserved = reserveWorkers(candidates)
-  const unreserved = candidates.filter(worker => !reserved.has(worker))
-  const workersFor = (task: TaskRecord): readonly WorkerRecord[] => task.isNewServing ? unreserved : candidates
+  const reserved = reserve.select(candidates, now)
+  const workersFor = (task: TaskRecord): readonly WorkerRecord[] => reserved.openTo(task)
   const ordered = orderSteps(waitingSteps, candidates, context)
   holdWorkers(ordered, workersFor, context)
   const refused: StepRecord[] = []
@@ -45,7 +43,8 @@
       if (task.isInterrupted || task.isOnTrial) continue
       const worker = chooseWorker(task, workersFor(task), held, interference, now)
       if (worker === undefined) {
-        if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step)
+        reserve.recordLackOfRoom(step, candidates, now, wallTime)
+        if (isUnconstrained(step.shape) && workersFor(task).length === candidates.length) refused.push(step)
         break
       }
       yield { task, worker }
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -75,7 +75,7 @@
     this.#onTermLost = onTermLost
     this.#onOverload = onOverload
     const { store, clock, log } = ports
-    this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, claimed.earlierTermOverAt, new LoggingJobSchedulerObserver(ports))
+    this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, claimed.earlierTermOverAt, new LoggingJobSchedulerObserver(ports), ports.maxReservedShare)
     this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
     this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -18,6 +18,8 @@
   finishedJobRetentionMs: number
   /** Workers of one cell; more workers are divided into several cells. */
   workersPerCell: number
+  /** Largest share of the processors of a service that is reserved while short tasks wait; if absent, the constant share is reserved. */
+  maxReservedShare?: number | undefined
   /** What is published of the other cells. */
   cells: CellChooser
 }>
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -44,11 +44,11 @@
 
   #report (): void {
     const now = this.#ports.clock.now()
-    const { waits, held, interference } = this.#scheduler
+    const { waits, held, interference, reserve } = this.#scheduler
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
-      for (const wait of waits.longest(kind, MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, workers, held, interference, now)) this.#write(wait)
+      for (const wait of waits.longest(kind, MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, workers, held, interference, now, reserve.last.added)) this.#write(wait)
     }
     const interruptions = this.#scheduler.interruptedTasks(MIN_REPORTED_INTERRUPTION_MS, now)
     this.#gaugeInterruptions(interruptions.length, interruptions[0]?.interruptedMs ?? 0)
