--- /dev/null
+++ b/packages/jobs/src/ReserveReporter.ts
@@ -0,0 +1,78 @@
+/**
+ * Logs and measures the workers that are reserved for short tasks.
+ */
+import type { Instant } from '@auburnpin/common'
+import type { JobScheduler, ServiceReserve, ZoneReserve } from '@auburnpin/core'
+import type { OwnerPorts } from './OwnerPorts.ts'
+
+const THOUSANDTHS_PER_CORE = 1_000
+
+/**
+ * Writes one record for each service whose reserve follows the measured demand, and one when it is the constant share
+ * again; updates the gauges of the reserve.
+ *
+ * @example
+ * const reporter = new ReserveReporter(ports, scheduler)
+ * reporter.report(now)
+ * reporter.stop()
+ */
+export class ReserveReporter {
+  readonly #ports: Pick<OwnerPorts, 'log' | 'metrics'>
+  readonly #scheduler: JobScheduler
+  /** Services with gauges, and those of them whose last record shows a measured demand. */
+  readonly #gauged = new Set<string>()
+  readonly #measured = new Set<string>()
+
+  constructor (ports: Pick<OwnerPorts, 'log' | 'metrics'>, scheduler: JobScheduler) {
+    this.#ports = ports
+    this.#scheduler = scheduler
+  }
+
+  report (now: Instant): void {
+    const described = this.#scheduler.reserve.describe(this.#scheduler.workers.values(), now)
+    for (const service of this.#gauged) if (!described.some(one => one.service === service)) this.#gauge(service, 0, 0, 0)
+    for (const one of described) {
+      this.#gauge(one.service, one.constant + one.added, one.usable, one.demand?.processors ?? 0)
+      if (one.demand !== undefined) this.#write(one)
+      else if (this.#measured.delete(one.service)) this.#ports.log.info('Short tasks find capacity without waiting; the constant share is reserved', { service: one.service, constant: one.constant })
+    }
+  }
+
+  stop (): void {
+    for (const service of this.#gauged) this.#gauge(service, 0, 0, 0)
+  }
+
+  #gauge (service: string, workers: number, usable: number, demand: number): void {
+    this.#gauged.add(service)
+    this.#ports.metrics.gauge('reserve.workers', workers, { service })
+    this.#ports.metrics.gauge('reserve.usable', usable / THOUSANDTHS_PER_CORE, { service })
+    this.#ports.metrics.gauge('reserve.demand', demand / THOUSANDTHS_PER_CORE, { service })
+  }
+
+  #write ({ service, demand, constant, added, usable, limit, zones }: ServiceReserve): void {
+    this.#measured.add(service)
+    this.#ports.log.info('Workers are reserved for short tasks', {
+      service,
+      demand: demand?.processors,
+      taskProcessors: demand?.taskProcessors,
+      constant,
+      added,
+      usable,
+      limit,
+      scarcest: scarcestZone(zones),
+      zones: [...zones].map(([zone, { reserved, workers, usable, free, largestFree }]) => `${zone}:${reserved}/${workers} usable=${usable} free=${free} largestFree=${largestFree}`).join('; ')
+    })
+  }
+}
+
+// The data centre whose workers have the least free processors on average.
+const scarcestZone = (zones: ReadonlyMap<string, ZoneReserve>): string | undefined => {
+  let scarcest: string | undefined
+  let least = Infinity
+  for (const [zone, { free, workers }] of zones) {
+    if (free / workers >= least) continue
+    scarcest = zone
+    least = free / workers
+  }
+  return scarcest
+}
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@auburnpin/common'
 import { findObstacles, STEP_KINDS, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerObstacles, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
+import { ReserveReporter } from './ReserveReporter.ts'
 import { MAX_REPORTED_INTERRUPTIONS, MAX_REPORTED_WAITS, MIN_REPORTED_INTERRUPTION_MS, MIN_REPORTED_WAIT_MS, WAIT_REPORT_INTERVAL_MS } from './constants.ts'
 
 const MS_PER_SECOND = 1_000
@@ -22,11 +23,13 @@
 export class WaitReporter {
   readonly #ports: OwnerPorts
   readonly #scheduler: JobScheduler
+  readonly #reserveReporter: ReserveReporter
   #isStopped = false
 
   constructor (ports: OwnerPorts, scheduler: JobScheduler) {
     this.#ports = ports
     this.#scheduler = scheduler
+    this.#reserveReporter = new ReserveReporter(ports, scheduler)
   }
 
   async run (): Promise<void> {
@@ -40,11 +43,13 @@
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
+    this.#reserveReporter.stop()
   }
 
   #report (): void {
     const now = this.#ports.clock.now()
     const { waits, held, interference, reserve } = this.#scheduler
+    this.#reserveReporter.report(now)
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
