--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -58,7 +58,7 @@
     this.#evacuationsFollower = new TableFollower(store, this.clock, new SilentLog(), EVACUATIONS_TABLE, [''], new EvacuationRows(this.evacuations))
     if (simulation.followsEvacuations) this.followEvacuations()
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, cells, evacuations: this.evacuations }
+    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, maxReservedShare: simulation.maxReservedShare, cells, evacuations: this.evacuations }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
     cells.start()
@@ -189,6 +189,7 @@
   workersPerCell = WORKERS_PER_CELL
   /** Whether processes read the evacuations from their start on. */
   followsEvacuations = true
+  maxReservedShare: number | undefined
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
