--- a/packages/jobs/src/EvacuationTracker.ts
+++ b/packages/jobs/src/EvacuationTracker.ts
@@ -2,7 +2,7 @@
  * Applies evacuations of data centres to the workers of a cell.
  */
 import type { CellId, Instant, Log, Metrics, WorkerId } from '@auburnpin/common'
-import { evacuationOf, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { evacuationOf, RESTORATION_SPREAD_MS, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { FIRST_CELL } from './constants.ts'
 import type { EvacuationList } from './EvacuationList.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
@@ -27,7 +27,7 @@
   readonly #evacuatedSince = new Map<string, Instant>()
   /** Evacuated data centres that were looked up in the whole list of workers. */
   readonly #lookedUp = new Set<string>()
-  #areAllOpen = true
+  #wasActive = false
   #isWaitLogged = false
   #isGauged = false
 
@@ -51,14 +51,14 @@
   /** Call it before each scheduling pass; `entries` are the workers of all cells. */
   update (workers: Iterable<WorkerRecord>, entries: ReadonlyMap<WorkerId, WorkerEntry>, now: Instant): void {
     const { dataCentres, restorations } = this.#list
-    if (this.#areAllOpen && dataCentres.size === 0) return
-    this.#areAllOpen = dataCentres.size === 0
+    const isActive = dataCentres.size > 0 || [...restorations.values()].some(at => now - at < RESTORATION_SPREAD_MS)
+    if (!isActive && !this.#wasActive) return
+    this.#wasActive = isActive
     const evacuated = new Map<string, Occupancy>()
     const restored = new Map<string, Occupancy>()
     for (const worker of workers) {
       const { id, zone } = worker.entry
       worker.evacuation = evacuationOf(id, dataCentres.has(zone), restorations.get(zone), now)
-      if (worker.evacuation !== 'none') this.#areAllOpen = false
       if (worker.evacuation === 'evacuated') addTo(evacuated, worker)
       else if (this.#evacuatedSince.has(zone)) addTo(restored, worker)
     }
--- a/packages/jobs/tests/evacuation.test.ts
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava'
 import { brand, type JobId } from '@auburnpin/common'
-import type { FakeRunBehaviour } from '@auburnpin/fakes'
-import { cancelKey, encodeRow, jobPart } from '../src/rows.ts'
+import type { CellLoad } from '@auburnpin/core'
+import { jobOf, stepOf, type FakeRunBehaviour } from '@auburnpin/fakes'
+import { cancelKey, cellAt, encodeJob, encodeRow, jobPart, readCellWorkers, readTerm } from '../src/rows.ts'
 import { EvacuationScenario, KNOWN_AFTER_MS } from './support/EvacuationScenario.ts'
+import type { JobsSimulation } from './support/JobsSimulation.ts'
 
 const SHORT: FakeRunBehaviour = { runMs: 400, ending: 'done' }
 const ENDLESS: FakeRunBehaviour = { runMs: 1e9, ending: 'done', startupMs: 100 }
@@ -25,6 +27,12 @@
   return scenario
 }
 
+/** The data centre of a cell's only rack; empty if it has several. */
+const dataCentreOfCell = ({ rows }: JobsSimulation, index: number): string => {
+  const [rack = '', ...more] = readCellWorkers(rows.read('terms', cellAt(0), `layout-${index}`)?.value)?.racks ?? []
+  return more.length > 0 ? '' : rack.slice(0, rack.indexOf('/'))
+}
+
 test('nothing starts in an evacuated data centre until its row is deleted, then it takes work again over some seconds', async t => {
   const scenario = await startScenario()
   await submitSteadily(scenario, 1_000)
@@ -238,3 +246,32 @@
   t.is(scenario.runningIn('derby') + scenario.runningIn('hull'), 9)
   t.deepEqual(scenario.simulation.breaches, [])
 })
+
+test('a cell whose workers are all evacuated publishes no capacity, and new and untouched jobs go to the other cells', async t => {
+  const scenario = new EvacuationScenario(8, ['derby', 'leeds'], () => SHORT, 4)
+  const { simulation } = scenario
+  simulation.workersPerCell = 4
+  for (const worker of simulation.workers.values()) worker.rack = 'r1'
+  for (let index = 5; index <= 6; index++) simulation.addNode(`n${index}`)
+  await simulation.advance(5_000)
+  const loads = (): readonly CellLoad[] => readTerm(simulation.rows.read('terms', cellAt(0), 'term')?.value ?? '')?.cells?.loads ?? []
+  const closed = dataCentreOfCell(simulation, 1)
+  t.is(loads().length, 2)
+  t.not(closed, '')
+  simulation.evacuate(closed)
+  const evacuatedAt = scenario.now
+  const untouched = await Promise.all([1, 2, 3, 4].map(() => scenario.submit({ taskCount: 2 })))
+  const job = jobOf('00000000000000f1', [stepOf({ taskCount: 4 })], { acceptedAt: simulation.clock.wallTime() })
+  simulation.rows.put('jobs', jobPart(job.id), job.id, encodeJob({ job, cell: cellAt(1) }))
+  await simulation.advance(4_000)
+  t.deepEqual(loads()[1], { workers: 0, loadPercent: 0, isOwned: true, isEvacuated: true })
+  const later = await scenario.submit({ taskCount: 2 })
+  await simulation.advance(2_000)
+  t.deepEqual(scenario.startsIn(closed, evacuatedAt + KNOWN_AFTER_MS), [])
+  for (const id of [...untouched, later, job.id]) t.true(simulation.events.some(({ how, task }) => how === 'done' && task.startsWith(id)), id)
+  simulation.restore(closed)
+  await simulation.advance(2_000)
+  t.is(loads()[1]?.workers, 4)
+  t.is(loads()[1]?.isEvacuated, undefined)
+  t.deepEqual(simulation.breaches, [])
+})
