The configuration can evacuate a data centre, and a cell assigns nothing new there

An operator can empty one VM, but can't close a data centre for new work without moving what runs there.

Change: the configuration has a section `evacuations`, by data centre, with reason and time of acceptance; a note may carry a reason for the audit trail. A cell marks the VMs of an evacuated data centre. They leave the index of free capacity, so no task, watch or replica is assigned, no task is evicted for another, and no reservation is used. What runs stays: a changed declaration is applied after the restoration, and a replica isn't withdrawn for a successor that can't start. A waiting task explains it by the evacuation.

A configuration of a peer of an earlier release gets the missing sections.

--- a/packages/cluster/src/ConfigurationFollower.ts
+++ b/packages/cluster/src/ConfigurationFollower.ts
@@ -136,9 +136,10 @@
   // Reads can overlap, so an older version may arrive last.
   #adopt (configuration: Configuration): void {
     if (configuration.version <= this.#current.version) return
-    this.#current = configuration
+    // A peer of an earlier release sends no sections that were added later.
+    this.#current = { ...EMPTY_CONFIGURATION, ...configuration }
     this.#log.info('Configuration in force', { version: configuration.version })
-    for (const listener of this.#listeners) listener(configuration)
+    for (const listener of this.#listeners) listener(this.#current)
   }
 }
 
--- a/packages/cluster/src/acceptNote.ts
+++ b/packages/cluster/src/acceptNote.ts
@@ -2,7 +2,7 @@
  * Accepts a release note: one transaction stores the merged configuration as the current one and writes the audit trail.
  */
 import { AuburnpinError, brand, Err, Ok, type Clock, type ConfigVersion, type NoteId, type Random, type Result, type RowVersion } from '@auburnpin/common'
-import { EMPTY_CONFIGURATION, mergeNote, type AuditEntry, type Configuration, type ConfigurationChange, type Note } from '@auburnpin/core'
+import { dateEvacuations, EMPTY_CONFIGURATION, mergeNote, type AuditEntry, type Configuration, type ConfigurationChange, type Note } from '@auburnpin/core'
 import { newTransactionId, type RowCheck, type TableStore } from '@auburnpin/ports'
 import { KEPT_CONFIGURATIONS, MAX_NOTE_MERGES } from './constants.ts'
 import { auditKey, configurationKey, CURRENT_CONFIGURATION_KEY, noteKey } from './storeKeys.ts'
@@ -43,8 +43,9 @@
     if (merged.err) return merged
     const { changes } = merged.val
     const acceptedAt = ports.clock.wallTime()
-    const configuration: Configuration = { ...merged.val.configuration, acceptedAt }
-    const entry: AuditEntry = { version: configuration.version, note: brand<NoteId>(note.id), operator, acceptedAt, changes }
+    const configuration: Configuration = { ...dateEvacuations(current.val.configuration, merged.val.configuration, acceptedAt), acceptedAt }
+    const reason = note.reason === undefined ? {} : { reason: note.reason }
+    const entry: AuditEntry = { version: configuration.version, note: brand<NoteId>(note.id), operator, acceptedAt, ...reason, changes }
     const outcome = await ports.table.transact({
       id: newTransactionId(ports.random),
       checks: [current.val.check, { kind: 'absent', key: noteKey(note.id) }],
--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -90,6 +90,7 @@
         return this.#configure(event.configuration, event.declared, now)
       case 'vms-listed':
         this.#state.updateVms(event.vms, now)
+        this.#markEvacuatedVms()
         return this.#drainLeavingVms(now)
       case 'lease-granted':
         return this.#recordLease(event)
@@ -113,9 +114,9 @@
     const replaced = this.#withdraw(this.#replacement.dueWithdrawals(this.#state, now), { kind: 'replaced' }, now)
     const redeclared = this.#redeclare(now)
     const forgotten = this.#forgetFinalTasks(now)
-    const reclaimed = this.#policy.reclaim(this.#state, now)
+    const reclaimed = this.#isConfigurationKnown ? this.#policy.reclaim(this.#state, now) : EMPTY_STEP
     this.#apply(reclaimed.transitions, now)
-    const placed = this.#policy.place(this.#state, now)
+    const placed = this.#isConfigurationKnown ? this.#policy.place(this.#state, now) : []
     const actions: CellAction[] = [...replaced.actions, ...redeclared.actions, ...reclaimed.actions]
     if (lost.length > 0) actions.push({ kind: 'publish-endpoints' })
     for (const transition of placed) {
@@ -190,6 +191,7 @@
     this.#configuredVersion = configuration.version
     this.#configuration = configuration
     this.#policy.configure(configuration)
+    this.#markEvacuatedVms()
     this.#declaredIds = idsOf(declared)
     this.#replacement.setDeclared(declared)
     const withdrawn = this.#withdraw(this.#undeclaredTasks(), { kind: 'withdrawn' }, now)
@@ -198,6 +200,19 @@
     return joinSteps([withdrawn, accepted, this.#redeclare(now), this.#replaceReplicas(now), PUBLISH_ENDPOINTS])
   }
 
+  // A new owner may not have read the configuration that its predecessor applied, which may evacuate the data centre.
+  get #isConfigurationKnown (): boolean {
+    return this.#configuration.version >= this.#configuredVersion
+  }
+
+  #markEvacuatedVms (): void {
+    const { evacuations } = this.#configuration
+    for (const vm of this.#state.vms.values()) {
+      const isEvacuated = evacuations[vm.dataCentre] !== undefined
+      if (isEvacuated !== (vm.isEvacuated === true)) this.#state.updateVm(vm.id, { isEvacuated })
+    }
+  }
+
   // Undeclared replicas are not included, except for those given up: `ReplicaReplacement` finds the others.
   #undeclaredTasks (): TaskId[] {
     const undeclared: TaskId[] = []
--- a/packages/core/src/cell/ReplicaReplacement.ts
+++ b/packages/core/src/cell/ReplicaReplacement.ts
@@ -64,7 +64,7 @@
       const isRunning = next?.placement?.address !== undefined && next.placement.isRunning
       // A successor that has failed must not replace a working replica; one that was never placed may need its capacity.
       const hasFailed = next?.failures !== 0 || next.crashedOn !== undefined
-      const isStuck = now - successor.since >= successorTimeoutMs(state, id) && next?.placement === undefined && !hasFailed
+      const isStuck = !isKeptByEvacuation(state, id) && now - successor.since >= successorTimeoutMs(state, id) && next?.placement === undefined && !hasFailed
       if (!isRunning && !isStuck) continue
       this.#successors.delete(id)
       due.push(id)
@@ -93,6 +93,13 @@
   }
 }
 
+// In an evacuated data centre the successor can't start, so that the replica would be lost without a replacement.
+const isKeptByEvacuation = (state: CellState, id: TaskId): boolean => {
+  const placement = state.tasks.get(id)?.placement
+  const vm = placement === undefined ? undefined : state.vms.get(placement.vm)
+  return vm?.isEvacuated === true && !vm.isLeaving
+}
+
 // A replica on a leaving VM waits for a shorter time, as the VM leaves in any case.
 const successorTimeoutMs = (state: CellState, id: TaskId): number => {
   const vm = state.tasks.get(id)?.placement?.vm
--- a/packages/core/src/cell/redeclare.ts
+++ b/packages/core/src/cell/redeclare.ts
@@ -12,6 +12,7 @@
 
 /**
  * A task without a placement gets its new declaration at once; a placed one is first stopped with a checkpoint.
+ * In an evacuated data centre a placed task runs on as it was declared, because it could not start again there.
  * A task that was withdrawn and is declared again is queued again. A finished task stays finished.
  */
 export const redeclare = (state: CellState, specs: readonly TaskSpec[]): Redeclaration => {
@@ -25,7 +26,7 @@
     }
     result.pending.push(spec)
     const vm = state.vms.get(task.placement.vm)
-    if (vm === undefined || task.isWithdrawn || task.placement.isStopping) continue
+    if (vm === undefined || vm.isEvacuated === true || task.isWithdrawn || task.placement.isStopping) continue
     result.transitions.push({ kind: 'stopping', task: spec.id, attempt: task.attempt, reason: { kind: 'redeclared' } })
     result.actions.push(stopAction(vm, task, task.placement))
   }
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -34,6 +34,7 @@
 export type TaskReason =
   | Readonly<{ kind: 'waiting-for-room' }>
   | Readonly<{ kind: 'waiting-for-workers' }>
+  | Readonly<{ kind: 'data-centre-evacuated', dataCentre: DataCentre }>
   | Readonly<{ kind: 'too-large', largest: Resources }>
   | Readonly<{ kind: 'over-quota', team: TeamName, quota: Resources }>
   | Readonly<{ kind: 'would-slow', service: ServiceName }>
@@ -122,6 +123,8 @@
   address: string
   resources: Resources
   isLeaving: boolean
+  /** Whether its data centre is evacuated: nothing new is assigned, what runs there stays. */
+  isEvacuated?: boolean
   /** Set while the VM is missing from the VM list. */
   missingSince?: Instant
   /** The lease session that this owner holds, if any. */
--- a/packages/core/src/configuration/mergeNote.ts
+++ b/packages/core/src/configuration/mergeNote.ts
@@ -9,7 +9,7 @@
 
 /** The configuration before the first note. */
 export const EMPTY_CONFIGURATION: Configuration = {
-  version: brand<ConfigVersion>(0), services: {}, tasks: {}, teams: {}, limits: {}, drains: {}
+  version: brand<ConfigVersion>(0), services: {}, tasks: {}, teams: {}, limits: {}, drains: {}, evacuations: {}
 }
 
 /** The configuration after a note, and what the note changed. */
--- a/packages/core/src/configuration/noteSchema.ts
+++ b/packages/core/src/configuration/noteSchema.ts
@@ -48,6 +48,14 @@
   reason: z.string().min(1).max(200).default('drained by an operator').describe('Why the VM shall be empty, for the audit trail.')
 })
 
+/** A data centre's name as the settings and the platform's VM list write it. */
+export const dataCentreNameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/, 'must be the name of a data centre')
+
+const reasonSchema = z.string().min(1).max(200)
+
+/** An evacuation's declaration. */
+export const evacuationSchema = z.strictObject({ reason: reasonSchema.describe('Why the data centre gets no new work; `auburnpin status` shows it.') })
+
 /** A limit's declaration. */
 export const limitSchema = z.strictObject({ value: z.number().positive().describe('The limit.') })
 
@@ -56,25 +64,28 @@
   tasks: z.record(nameSchema, declaredTaskSchema).default({}).describe('Standing watches and batch tasks by name.'),
   teams: z.record(nameSchema, teamSchema).default({}).describe('Teams by name.'),
   limits: z.record(nameSchema, limitSchema).default({}).describe('Limits of the installation by name.'),
-  drains: z.record(vmNameSchema, drainSchema).default({}).describe('VMs to empty, by their id in the VM list.')
+  drains: z.record(vmNameSchema, drainSchema).default({}).describe('VMs to empty, by their id in the VM list.'),
+  evacuations: z.record(dataCentreNameSchema, evacuationSchema).default({}).describe('Data centres that get no new work, by name.')
 })
 
-const EMPTY_SECTIONS = { services: {}, tasks: {}, teams: {}, limits: {}, drains: {} }
+const EMPTY_SECTIONS = { services: {}, tasks: {}, teams: {}, limits: {}, drains: {}, evacuations: {} }
 
 const withdrawnSchema = z.strictObject({
   services: z.array(nameSchema).default([]),
   tasks: z.array(nameSchema).default([]),
   teams: z.array(nameSchema).default([]),
   limits: z.array(nameSchema).default([]),
-  drains: z.array(vmNameSchema).default([])
+  drains: z.array(vmNameSchema).default([]),
+  evacuations: z.array(dataCentreNameSchema).default([])
 })
 
-const EMPTY_WITHDRAWN = { services: [], tasks: [], teams: [], limits: [], drains: [] }
+const EMPTY_WITHDRAWN = { services: [], tasks: [], teams: [], limits: [], drains: [], evacuations: [] }
 
 /** A release note. */
 export const noteSchema = z.strictObject({
   id: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$/).describe('Unique id; the same id is applied once.'),
   base: z.number().int().min(0).optional().describe('Version the note was written against; later changes of the same names are conflicts.'),
+  reason: reasonSchema.optional().describe('Why, for the audit trail.'),
   added: sectionsSchema.default(EMPTY_SECTIONS).describe('Names that are not there yet.'),
   changed: sectionsSchema.default(EMPTY_SECTIONS).describe('Names that are there, each with its whole new declaration; the same keys as under added.'),
   withdrawn: withdrawnSchema.default(EMPTY_WITHDRAWN).describe('Names to take away.')
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -1,7 +1,7 @@
 /**
  * The configuration: what operators have declared, and which note declared it.
  */
-import type { ConfigVersion, NoteId, Resources, ServiceName, TaskId, TeamName, VmId } from '@auburnpin/common'
+import type { ConfigVersion, DataCentre, NoteId, Resources, ServiceName, TaskId, TeamName, VmId } from '@auburnpin/common'
 
 /** A service whose replicas answer callers' requests. */
 export type Service = Readonly<{
@@ -40,6 +40,13 @@
 /** Drains a VM: it counts as leaving while this is declared. */
 export type Drain = Readonly<{ reason: string }>
 
+/** Closes a data centre for new work while this is declared; what runs there stays. */
+export type Evacuation = Readonly<{
+  reason: string
+  /** Wall clock of the acceptance, milliseconds since 1970. A changed reason keeps it. */
+  since: number
+}>
+
 /** A declaration with the note and the version that last changed it. */
 export type Declared<Value> = Readonly<{ value: Value, changedBy: NoteId, changedIn: ConfigVersion }>
 
@@ -53,10 +60,11 @@
   teams: Readonly<Record<TeamName, Declared<Team>>>
   limits: Readonly<Record<string, Declared<Limit>>>
   drains: Readonly<Record<VmId, Declared<Drain>>>
+  evacuations: Readonly<Record<DataCentre, Declared<Evacuation>>>
 }>
 
 /** The sections of a configuration that contain declarations. */
-export const CONFIGURATION_SECTIONS = ['services', 'tasks', 'teams', 'limits', 'drains'] as const
+export const CONFIGURATION_SECTIONS = ['services', 'tasks', 'teams', 'limits', 'drains', 'evacuations'] as const
 
 /** Name of one of the sections. */
 export type ConfigurationSection = typeof CONFIGURATION_SECTIONS[number]
@@ -77,5 +85,7 @@
   operator: string
   /** Wall clock, milliseconds since 1970. */
   acceptedAt: number
+  /** Why, if the note says so. */
+  reason?: string
   changes: readonly ConfigurationChange[]
 }>
--- a/packages/core/src/explain/describeReason.ts
+++ b/packages/core/src/explain/describeReason.ts
@@ -22,6 +22,11 @@
       return { cause: 'no VM of its cell has enough free capacity at present', nextStep: 'it starts by itself once other work ends or a VM is added' }
     case 'waiting-for-workers':
       return { cause: 'no worker of its cell holds a lease at present', nextStep: 'it starts by itself once a worker responds again; `auburnpin status` shows the cells' }
+    case 'data-centre-evacuated':
+      return {
+        cause: `data centre ${reason.dataCentre} is evacuated`,
+        nextStep: `it starts by itself after \`auburnpin restore ${reason.dataCentre}\`; a job can be cancelled and submitted under a new key to run elsewhere`
+      }
     case 'too-large':
       return { cause: `no VM of its cell is large enough; the largest offer ${describeResources(reason.largest)}`, nextStep: 'submit it with smaller sizes or add a larger VM, upon which it is examined again' }
     case 'over-quota':
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,6 +4,7 @@
 export * from './constants.ts'
 export * from './configuration/types.ts'
 export * from './configuration/noteSchema.ts'
+export { dateEvacuations } from './configuration/dateEvacuations.ts'
 export { EMPTY_CONFIGURATION, mergeNote, type MergeResult } from './configuration/mergeNote.ts'
 export type * from './cell/types.ts'
 export { applyTransition, isFinal, isGivenUp } from './cell/applyTransition.ts'
--- a/packages/core/src/placement/VmCapacity.ts
+++ b/packages/core/src/placement/VmCapacity.ts
@@ -27,7 +27,10 @@
     this.#health = health
   }
 
-  /** Sum of the capacity of all listed VMs that are not leaving. */
+  /**
+   * Sum of the capacity of all listed VMs that are not leaving. Those of an evacuated data centre are included, so that
+   * tasks there are not reported as too large for the cell.
+   */
   get cellTotal (): Resources {
     return this.#cellTotal
   }
@@ -90,7 +93,7 @@
   }
 
   #indexFree (state: CellState, id: VmId, vm: Vm | undefined, now: Instant): void {
-    const isUsable = vm?.session !== undefined && !vm.isLeaving && vm.missingSince === undefined
+    const isUsable = vm?.session !== undefined && !vm.isLeaving && vm.isEvacuated !== true && vm.missingSince === undefined
     if (!isUsable || !this.#health.acceptsTasks(id, now)) {
       this.#exclude(id)
       return
--- a/packages/core/src/placement/VmSelector.ts
+++ b/packages/core/src/placement/VmSelector.ts
@@ -85,7 +85,7 @@
   #reservedVm (state: CellState, task: Task, isTrialShared: boolean): Vm | undefined {
     const reservation = this.#capacity.reservationOf(task.spec.id)
     const vm = reservation === undefined ? undefined : state.vms.get(reservation.vm)
-    if (vm?.session === undefined || vm.isLeaving || hasTrial(state, vm.id)) return undefined
+    if (vm?.session === undefined || vm.isLeaving || vm.isEvacuated === true || hasTrial(state, vm.id)) return undefined
     if (isOnTrial(task) && !isApart(state, vm.id, isTrialShared)) return undefined
     return fitsWithin(task.spec.resources, state.freeOn(vm)) ? vm : undefined
   }
--- a/packages/core/src/policy/findTaskReason.ts
+++ b/packages/core/src/policy/findTaskReason.ts
@@ -29,9 +29,17 @@
   const { team, resources, isUrgent, kind } = task.spec
   const quota = usage.quotaOf(team)
   const reservation = capacity.reservationOf(task.spec.id)
-  if (capacity.free.size === 0) return { kind: 'waiting-for-workers' }
+  if (capacity.free.size === 0) return findClosedReason(state)
   if (reservation !== undefined) return { kind: 'waiting-for-eviction', vm: reservation.vm }
   if (kind === 'batch' && quota !== undefined && !usage.isWithinQuota(team, resources, isUrgent)) return { kind: 'over-quota', team, quota }
   const { wouldSlow } = selector.select(state, task, { mustPlace: false, isTrialShared: false })
   return wouldSlow === undefined ? { kind: 'waiting-for-room' } : { kind: 'would-slow', service: wouldSlow }
 }
+
+// Without a VM that takes tasks, an evacuation is the reason even if the workers hold no lease either.
+const findClosedReason = (state: CellState): TaskReason => {
+  for (const { isEvacuated, dataCentre } of state.vms.values()) {
+    if (isEvacuated === true) return { kind: 'data-centre-evacuated', dataCentre }
+  }
+  return { kind: 'waiting-for-workers' }
+}
--- a/packages/core/src/policy/placeWaiting.ts
+++ b/packages/core/src/policy/placeWaiting.ts
@@ -9,7 +9,7 @@
 
 /** Starts tasks and marks those that fit on no VM as unrunnable; applies each transition to the state. */
 export const placeWaiting = (state: CellState, policy: PlacementPolicy, now: Instant): Transition[] => {
-  const usable = [...state.vms.values()].filter(vm => vm.session !== undefined && !vm.isLeaving)
+  const usable = [...state.vms.values()].filter(vm => vm.session !== undefined && !vm.isLeaving && vm.isEvacuated !== true)
   const transitions: Transition[] = []
   if (usable.length === 0) return transitions
   for (const task of inPriorityOrder(state)) {
