auburnpin evacuate and restore; new jobs go to the cells of open data centres

The member that accepts the note refuses a data centre that has neither a live member nor a listed VM. A job without an idempotency key goes to a cell of an open data centre; one with a key stays in the cell that its key names, as another cell could run it a second time. `status` shows reason and date, `audit` the reason of a note. Each scheduler logs `Data centre evacuated` and `Data centre restored` with the workers and tasks of its cells there; gauges evacuation.dataCentres and evacuation.tasks.

--- a/app/src/Member.ts
+++ b/app/src/Member.ts
@@ -44,6 +44,7 @@
   readonly #gate: StoreGate
   readonly #store: RateLimitedTable
   readonly #table: TableStore
+  readonly #vmList: HttpVmList
   readonly #peers: WebSocketPeers
   readonly #directory: CellDirectory
   readonly #configuration: ConfigurationFollower
@@ -65,6 +66,7 @@
     this.#gate = new StoreGate(this.#clock, this.#random, this.#metrics)
     this.#store = new RateLimitedTable(new HttpTableStore(this.#storeClient, settings.platform.table), this.#gate, callClassOf)
     this.#table = new RetryingTable(this.#store, this.#clock, this.#random, STORE_DEADLINE_MS)
+    this.#vmList = new HttpVmList(this.#storeClient, settings.platform.vmList)
     const [host, port] = splitAddress(settings.listen.peers)
     const member = brand<MemberId>(settings.member)
     this.#peers = new WebSocketPeers({ member, host, port, keys: settings.peerKeys, contacts: settings.contacts }, this.#clock, this.#random, log.forComponent('peers'))
@@ -188,7 +190,7 @@
       invariants: this.#invariants,
       publish: notice => this.#peers.broadcast(notice),
       broadcast: notice => this.#peers.broadcast(notice),
-      vmList: new HttpVmList(this.#storeClient, platform.vmList),
+      vmList: this.#vmList,
       membership,
       directory: this.#directory,
       configuration: this.#configuration,
@@ -214,7 +216,14 @@
     membership.onPoll(() => callers.refresh())
     this.#callerServer = callers
     this.#operatorServer = new OperatorServer({
-      ...shared, table: this.#table, peers: this.#peers, membership, directory: this.#directory, cells: scheduler.cells
+      ...shared,
+      table: this.#table,
+      peers: this.#peers,
+      membership,
+      directory: this.#directory,
+      cells: scheduler.cells,
+      openCells: () => scheduler.openCells,
+      vmList: this.#vmList
     }, operators, this.#log.forComponent('operators'))
     return {
       callers: await this.#callerServer.listen(...splitAddress(listen.callers)),
--- a/app/src/commands/AuditCommand.ts
+++ b/app/src/commands/AuditCommand.ts
@@ -35,6 +35,7 @@
     const { entries, next } = response as AuditPage
     const lines = entries.flatMap(entry => [
       `version ${entry.version}  ${new Date(entry.acceptedAt).toISOString()}  ${entry.operator}  note ${entry.note}`,
+      ...(entry.reason === undefined ? [] : [`  reason: ${entry.reason}`]),
       ...entry.changes.flatMap(formatChange).map(line => `  ${line}`)
     ])
     return next === null ? lines : [...lines, `Older: auburnpin audit --before ${next}`]
--- a/app/src/commands/commands.ts
+++ b/app/src/commands/commands.ts
@@ -7,9 +7,11 @@
 import type { Command } from './Command.ts'
 import { DemoCommand } from './DemoCommand.ts'
 import { DrainCommand } from './DrainCommand.ts'
+import { EvacuateCommand } from './EvacuateCommand.ts'
 import { ExplainCommand } from './ExplainCommand.ts'
 import { JobsCommand } from './JobsCommand.ts'
 import { ReplayCommand } from './ReplayCommand.ts'
+import { RestoreCommand } from './RestoreCommand.ts'
 import { ServeCommand } from './ServeCommand.ts'
 import { StandInCommand } from './StandInCommand.ts'
 import { StatusCommand } from './StatusCommand.ts'
@@ -24,6 +26,8 @@
   new JobsCommand(),
   new ExplainCommand(),
   new DrainCommand(),
+  new EvacuateCommand(),
+  new RestoreCommand(),
   new AuditCommand(),
   new ReplayCommand(),
   new TraceCommand(),
--- a/app/src/commands/formatStatus.ts
+++ b/app/src/commands/formatStatus.ts
@@ -2,7 +2,7 @@
  * Formats the status of a region as text.
  */
 import type { MemberFigures, MemberRow } from '@auburnpin/cluster'
-import type { CellStatus } from '@auburnpin/gateway'
+import type { CellStatus, EvacuationStatus } from '@auburnpin/gateway'
 import type { Endpoint } from '@auburnpin/core'
 import { formatTable } from './formatTable.ts'
 
@@ -10,6 +10,8 @@
 export type Status = Readonly<{
   configVersion: number
   drains: readonly string[]
+  /** Missing in the response of a member of an earlier release. */
+  evacuations?: readonly EvacuationStatus[]
   members: readonly MemberRow[]
   cells: readonly CellStatus[]
   figures: readonly MemberFigures[]
@@ -22,6 +24,7 @@
 export const formatStatus = (status: Status, now: number): string[] => [
   `configuration version ${status.configVersion}, in force at ${countInForce(status)} of ${status.members.length} members`,
   ...(status.drains.length === 0 ? [] : [`drained ${status.drains.join(', ')}`.slice(0, 80)]),
+  ...(status.evacuations ?? []).map(({ dataCentre, since, reason }) => `evacuated ${dataCentre} since ${new Date(since).toISOString()}: ${reason}`.slice(0, 80)),
   '',
   ...formatTable(['MEMBER', 'DATA CENTRE', 'ROLES', 'VERSION', 'STATE'], status.members.map(memberRow)),
   '',
--- a/app/src/metrics/GaugeReporter.ts
+++ b/app/src/metrics/GaugeReporter.ts
@@ -1,7 +1,7 @@
 /**
  * Reports gauges at regular intervals.
  */
-import { Ticker, type Clock, type InvariantCounter, type Log, type Metrics } from '@auburnpin/common'
+import { Ticker, type CellId, type Clock, type InvariantCounter, type Log, type Metrics } from '@auburnpin/common'
 import type { Configuration } from '@auburnpin/core'
 import type { ConfigurationFollower, Membership } from '@auburnpin/cluster'
 import type { Scheduler } from '@auburnpin/scheduler'
@@ -23,6 +23,7 @@
   readonly #clock: Clock
   readonly #metrics: Metrics
   readonly #ticker: Ticker
+  #evacuatedCells: ReadonlySet<CellId> = new Set()
 
   constructor (sources: GaugeSources, clock: Clock, metrics: Metrics, log: Log) {
     this.#sources = sources
@@ -48,6 +49,7 @@
     this.#metrics.gauge('config.version', configuration.current.version)
     this.#metrics.gauge('invariants.broken', invariants.total)
     this.#reportQueues()
+    this.#reportEvacuations()
   }
 
   #reportQueues (): void {
@@ -58,6 +60,16 @@
     }
   }
 
+  // Once more with 0 after the restoration or a change of the owner: a receiver of gauges keeps the last value.
+  #reportEvacuations (): void {
+    const { scheduler, configuration } = this.#sources
+    this.#metrics.gauge('evacuation.dataCentres', Object.keys(configuration.current.evacuations).length)
+    const before = this.#evacuatedCells
+    const tasksIn = new Map(scheduler.evacuatedCells.map(({ cell, occupancy }) => [cell, occupancy.tasks]))
+    this.#evacuatedCells = new Set(tasksIn.keys())
+    for (const cell of new Set([...before, ...tasksIn.keys()])) this.#metrics.gauge('evacuation.tasks', tasksIn.get(cell) ?? 0, { cell })
+  }
+
   // The wall clocks of two processes can differ, so a negative lag is reported as 0.
   #reportLag ({ acceptedAt }: Configuration): void {
     if (acceptedAt !== undefined) this.#metrics.timing('config.lag', Math.max(0, this.#clock.wallTime() - acceptedAt))
--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -31,6 +31,8 @@
   'lease.age': { type: 'gauge', unit: 'milliseconds', tags: [], meaning: 'Time since this member last renewed its own lease.', worry: 'Above 6000: the lease lapses at 9000.' },
   'config.version': { type: 'gauge', unit: 'version', tags: [], meaning: 'Version of the configuration in force here.', worry: 'Members differ for more than 5 seconds.' },
   'config.lag': { type: 'timing', unit: 'milliseconds', tags: [], meaning: 'From the acceptance of a version to its being in force here, by wall clocks.', worry: 'Above 5000.' },
+  'evacuation.dataCentres': { type: 'gauge', unit: 'data centres', tags: [], meaning: 'Data centres that are evacuated by the configuration in force here.', worry: 'Members differ for more than 5 seconds, or above 0 after the works are done.' },
+  'evacuation.tasks': { type: 'gauge', unit: 'tasks', tags: ['cell'], meaning: 'Tasks that are still placed in a cell of an evacuated data centre, at the cell\'s owner; 0 once after the restoration.', worry: 'Rises: new work is assigned there.' },
   'clients.answered': { type: 'count', unit: 'requests', tags: ['method', 'status'], meaning: 'Requests of clients that submit jobs or ask for them, by the answer\'s status.', worry: '503 or 504 above 1 % for a minute.' },
   'clients.duration': { type: 'timing', unit: 'milliseconds', tags: ['method'], meaning: 'From a request of such a client to its answer.', worry: '99th percentile above 100 ms on a calm day.' },
   'jobs.ended': { type: 'count', unit: 'jobs', tags: ['phase'], meaning: 'Jobs that completed, failed or were cancelled.', worry: 'Failed rises without bad jobs.' },
--- a/packages/gateway/src/actions/Action.ts
+++ b/packages/gateway/src/actions/Action.ts
@@ -3,7 +3,7 @@
  */
 import type { AuburnpinError, CellId, Clock, MemberId, Random, Result } from '@auburnpin/common'
 import type { CellDirectory, ConfigurationFollower, EndpointDirectory, Membership, Peers } from '@auburnpin/cluster'
-import type { TableStore } from '@auburnpin/ports'
+import type { TableStore, VmList } from '@auburnpin/ports'
 
 /** Dependencies of the operations. */
 export type ActionPorts = Readonly<{
@@ -16,6 +16,9 @@
   configuration: ConfigurationFollower
   endpoints: EndpointDirectory
   cells: readonly CellId[]
+  /** Cells of the data centres that are not evacuated. */
+  openCells: () => readonly CellId[]
+  vmList: VmList
 }>
 
 /** An authenticated request of an operator. */
--- a/packages/gateway/src/actions/ApplyNoteAction.ts
+++ b/packages/gateway/src/actions/ApplyNoteAction.ts
@@ -4,6 +4,7 @@
 import { AuburnpinError, brand, Err, Ok, type ConfigVersion, type Result } from '@auburnpin/common'
 import { mergeNote, noteSchema, type Note } from '@auburnpin/core'
 import { acceptNote, readAcceptance, readCurrentConfiguration } from '@auburnpin/cluster'
+import { findUnknownDataCentre } from './findUnknownDataCentre.ts'
 import { Action, type ActionResponse, type ActionPorts, type ActionRequest } from './Action.ts'
 
 /** Accepts the note; with `?dry-run=true` it only returns the changes that the note would make. */
@@ -18,6 +19,8 @@
       const [issue] = parsed.error.issues
       return Err(new AuburnpinError('invalid-request', `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`, 'Check the note with `auburnpin check FILE`.'))
     }
+    const checked = await this.#checkDataCentres(ports, parsed.data)
+    if (checked.err) return checked
     if (request.query.get('dry-run') === 'true') return await this.#preview(ports, parsed.data)
     const accepted = await acceptNote(ports, parsed.data, request.operator)
     if (accepted.err) return accepted
@@ -25,6 +28,17 @@
     return Ok({ status: accepted.val.isRepeat ? 200 : 201, body: accepted.val })
   }
 
+  async #checkDataCentres (ports: ActionPorts, note: Note): Promise<Result<void, AuburnpinError>> {
+    const unknown = await findUnknownDataCentre(ports, note)
+    if (unknown.err) return unknown
+    if (unknown.val === null) return Ok(undefined)
+    // A note that is sent again was checked when it was accepted; its data centre may have gone since.
+    const earlier = await readAcceptance(ports.table, note)
+    if (earlier.err) return earlier
+    if (earlier.val !== null) return Ok(undefined)
+    return Err(new AuburnpinError('invalid-request', `Data centre "${unknown.val}" is not known: no VM and no member is in it`, 'Give a data centre that `auburnpin status` shows.'))
+  }
+
   async #preview (ports: ActionPorts, note: Note): Promise<Result<ActionResponse, AuburnpinError>> {
     const earlier = await readAcceptance(ports.table, note)
     if (earlier.err) return earlier
--- a/packages/gateway/src/actions/StatusAction.ts
+++ b/packages/gateway/src/actions/StatusAction.ts
@@ -2,7 +2,7 @@
  * `GET /v1/status`: members, cells, endpoints, tasks and the configuration in force.
  */
 import { Ok, type AuburnpinError, type Result } from '@auburnpin/common'
-import type { CellSummary } from '@auburnpin/core'
+import type { CellSummary, Configuration } from '@auburnpin/core'
 import type { CellRow, MemberFigures, MemberRow } from '@auburnpin/cluster'
 import { Action, type ActionResponse, type ActionPorts } from './Action.ts'
 import { sendToOwner } from './sendToOwner.ts'
@@ -10,6 +10,9 @@
 /** A cell's row and the summary of its tasks; `tasks` is `null` when the owner did not respond. */
 export type CellStatus = CellRow & Readonly<{ tasks: CellSummary | null }>
 
+/** An evacuated data centre: why, and since when in milliseconds since 1970. */
+export type EvacuationStatus = Readonly<{ dataCentre: string, reason: string, since: number, note: string }>
+
 /** Returns the state of the region in this member's view. */
 export class StatusAction extends Action {
   readonly name = 'status'
@@ -22,6 +25,7 @@
     const body = {
       configVersion: configuration.current.version,
       drains: Object.keys(configuration.current.drains),
+      evacuations: listEvacuations(configuration.current),
       members: membership.live,
       cells: await Promise.all(rows.map(row => summarise(ports, row))),
       figures: await readFigures(ports, membership.live),
@@ -31,6 +35,9 @@
   }
 }
 
+const listEvacuations = ({ evacuations }: Configuration): EvacuationStatus[] =>
+  Object.entries(evacuations).map(([dataCentre, { value, changedBy }]) => ({ dataCentre, reason: value.reason, since: value.since, note: changedBy }))
+
 const summarise = async (ports: ActionPorts, row: CellRow): Promise<CellStatus> => {
   const reply = await sendToOwner(ports, row.cell, { kind: 'summarise-cell', cell: row.cell })
   return { ...row, tasks: reply.ok && reply.val.kind === 'cell-summary' ? reply.val.summary : null }
--- a/packages/gateway/src/actions/SubmitJobAction.ts
+++ b/packages/gateway/src/actions/SubmitJobAction.ts
@@ -6,7 +6,7 @@
 import { AuburnpinError, brand, Err, Ok, type Result, type TaskId, type TeamName } from '@auburnpin/common'
 import { nameSchema, resourcesSchema, type TaskSpec } from '@auburnpin/core'
 import { Action, type ActionResponse, type ActionPorts, type ActionRequest } from './Action.ts'
-import { sendToOwner, cellOfJob } from './sendToOwner.ts'
+import { sendToOwner, cellOfJob, cellOfNewJob } from './sendToOwner.ts'
 
 /** Body of a job submission. */
 export const jobSchema = z.strictObject({
@@ -37,7 +37,7 @@
       return Err(new AuburnpinError('invalid-request', `Team "${team}" is not declared`, 'Add the team with a release note.'))
     }
     const spec: TaskSpec = { id: this.#idOf(ports, request), kind: 'batch', isUrgent, team, resources, command, acceptedAt: ports.clock.wallTime() }
-    const cell = cellOfJob(ports, spec.id)
+    const cell = isKeyed(request) ? cellOfJob(ports, spec.id) : cellOfNewJob(ports, spec.id)
     const reply = await sendToOwner(ports, cell, { kind: 'submit', cell, spec })
     if (reply.err) return reply
     return Ok({ status: 202, body: { id: spec.id, cell } })
@@ -50,3 +50,5 @@
     return brand<TaskId>(`job-${digest.slice(0, KEY_DIGEST_LENGTH)}`)
   }
 }
+
+const isKeyed = ({ headers }: ActionRequest): boolean => typeof headers['idempotency-key'] === 'string'
--- a/packages/gateway/src/actions/sendToOwner.ts
+++ b/packages/gateway/src/actions/sendToOwner.ts
@@ -9,6 +9,12 @@
 /** The cell in which a submitted job is kept; every member computes the same one. */
 export const cellOfJob = (ports: ActionPorts, id: TaskId): CellId => rendezvousRank(id, ports.cells)[0] as CellId
 
+/**
+ * The cell for a job whose id nobody has seen before: one of a data centre that is not evacuated, if there is one. An id
+ * that may have been submitted before must stay in `cellOfJob`, as another cell would run the job a second time.
+ */
+export const cellOfNewJob = (ports: ActionPorts, id: TaskId): CellId => rendezvousRank(id, ports.openCells())[0] ?? cellOfJob(ports, id)
+
 /** Sends a request to the cell's owner; a reply of the kind `failed` becomes an error. */
 export const sendToOwner = async (ports: ActionPorts, cell: CellId, request: PeerRequest): Promise<Result<PeerReply, AuburnpinError>> => {
   const owner = ports.directory.cells.get(cell)?.row.owner ?? null
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,6 @@
 export type * from './types.ts'
 export { ACTIONS } from './actions/actions.ts'
 export { Action, type ActionResponse, type ActionPorts, type ActionRequest } from './actions/Action.ts'
-export type { CellStatus } from './actions/StatusAction.ts'
+export type { CellStatus, EvacuationStatus } from './actions/StatusAction.ts'
 export { findTask, type FoundTask } from './actions/findTask.ts'
 export { jobSchema } from './actions/SubmitJobAction.ts'
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -33,6 +33,9 @@
   publish: (notice: EndpointsNotice) => void
 }>
 
+/** Number of VMs of a cell, and of tasks that are placed on them. */
+export type Occupancy = Readonly<{ workers: number, tasks: number }>
+
 type Settle = (outcome: JournalOutcome) => void
 type Message = Readonly<{ event: CellEvent, settle?: Settle }>
 
@@ -103,6 +106,14 @@
     return this.#cell.state.durable
   }
 
+  /** Number of VMs of the cell, and of tasks that are placed on one. */
+  get occupancy (): Occupancy {
+    const { vms } = this.#cell.state
+    let tasks = 0
+    for (const id of vms.keys()) tasks += this.#cell.state.placedOn(id).size
+    return { workers: vms.size, tasks }
+  }
+
   /** Returns the VM that the task is placed on, if any; `null` if the VM has not been listed in this term. */
   vmOf (task: Task): Vm | null | undefined {
     return task.placement === undefined ? undefined : this.#cell.state.vms.get(task.placement.vm) ?? null
--- a/packages/scheduler/src/Scheduler.ts
+++ b/packages/scheduler/src/Scheduler.ts
@@ -8,6 +8,7 @@
 import { cellOfVm, cellsOfRegion } from './cellOfVm.ts'
 import { CellOwnership, type OwnershipPorts } from './CellOwnership.ts'
 import type { CellRunner } from './CellRunner.ts'
+import { EvacuationLog, type OccupiedCell } from './EvacuationLog.ts'
 import { OrphanLeaseRenewer } from './OrphanLeaseRenewer.ts'
 import { VM_LIST_POLL_INTERVAL_MS } from './constants.ts'
 
@@ -27,6 +28,8 @@
   readonly #ports: SchedulerPorts
   readonly #layout: RegionLayout
   readonly #cells: readonly CellId[]
+  readonly #dataCentreOf: ReadonlyMap<CellId, DataCentre>
+  readonly #evacuationLog: EvacuationLog
   readonly #ownership: CellOwnership
   readonly #leaseRenewer: OrphanLeaseRenewer
   readonly #vmPoll: Ticker
@@ -37,6 +40,8 @@
     this.#cells = cellsOfRegion(layout.dataCentres, layout.cellsPerDataCentre)
     const locations = layout.dataCentres.flatMap(dataCentre =>
       cellsOfRegion([dataCentre], layout.cellsPerDataCentre).map(cell => ({ cell, dataCentre })))
+    this.#dataCentreOf = new Map(locations.map(({ cell, dataCentre }) => [cell, dataCentre]))
+    this.#evacuationLog = new EvacuationLog(ports.log)
     this.#ownership = new CellOwnership(locations, ports, runner => this.#initialise(runner))
     this.#leaseRenewer = new OrphanLeaseRenewer(ports, vm => cellOfVm(vm.dataCentre, vm.rack, layout.cellsPerDataCentre))
     this.#vmPoll = new Ticker(ports.clock, VM_LIST_POLL_INTERVAL_MS, () => this.#pollVms(), error => ports.log.error(String(error)))
@@ -47,6 +52,16 @@
     return this.#cells
   }
 
+  /** Cells of the data centres that are not evacuated. */
+  get openCells (): readonly CellId[] {
+    return this.#cells.filter(cell => !this.#isEvacuated(cell))
+  }
+
+  /** What is placed in each cell of an evacuated data centre that this member owns. */
+  get evacuatedCells (): readonly OccupiedCell[] {
+    return this.#occupiedCells.filter(({ cell }) => this.#isEvacuated(cell))
+  }
+
   /** Cells that this member currently owns. */
   get owned (): readonly CellId[] {
     return [...this.#ownership.runners.keys()]
@@ -104,7 +119,16 @@
     }
   }
 
+  get #occupiedCells (): readonly OccupiedCell[] {
+    return [...this.#ownership.runners].map(([cell, { occupancy }]) => ({ cell, dataCentre: this.#dataCentreOf.get(cell) as DataCentre, occupancy }))
+  }
+
+  #isEvacuated (cell: CellId): boolean {
+    return this.#ports.configuration.current.evacuations[this.#dataCentreOf.get(cell) as DataCentre] !== undefined
+  }
+
   #configure (configuration: Configuration): void {
+    this.#evacuationLog.record(configuration, this.#occupiedCells)
     for (const runner of this.#ownership.runners.values()) runner.configure(configuration)
   }
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -3,7 +3,7 @@
  */
 export * from './constants.ts'
 export { Scheduler, type RegionLayout, type SchedulerPorts } from './Scheduler.ts'
-export { CellRunner, type CellPorts } from './CellRunner.ts'
+export { CellRunner, type CellPorts, type Occupancy } from './CellRunner.ts'
 export { JournalWriter, type JournalOptions } from './JournalWriter.ts'
 export { SnapshotWriter, type SnapshotPorts } from './SnapshotWriter.ts'
 export { readSnapshotPointer, type SnapshotPointer, type SnapshotReference, type VersionedSnapshotPointer } from './snapshotPointer.ts'
--- a/soak/SoakMember.ts
+++ b/soak/SoakMember.ts
@@ -80,7 +80,9 @@
       directory: this.#directory,
       configuration: this.#configuration,
       endpoints,
-      cells: this.#scheduler.cells
+      cells: this.#scheduler.cells,
+      openCells: () => this.#scheduler.openCells,
+      vmList: environment.vmList
     }
   }
 
