--- a/packages/gateway/tests/sendToOwner.test.ts
+++ b/packages/gateway/tests/sendToOwner.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
-import { brand, Ok, VirtualClock, type CellId, type MemberId, type TaskId } from '@auburnpin/common'
+import { brand, Ok, SeededRandom, VirtualClock, type CellId, type MemberId, type TaskId } from '@auburnpin/common'
 import type { PeerReply, PeerRequest } from '@auburnpin/cluster'
 import type { ActionPorts } from '../src/index.ts'
+import { SubmitJobAction } from '../src/actions/SubmitJobAction.ts'
 import { sendToOwner } from '../src/actions/sendToOwner.ts'
 import { OWNER_TIMEOUT_MS } from '../src/constants.ts'
 
@@ -36,3 +37,25 @@
   const response = await sendToOwner(portsWith(new VirtualClock(), async () => ({ kind: 'task', task: null })), CELL, { kind: 'find-task', cell: CELL, task: TASK })
   t.deepEqual(response.val, { kind: 'task', task: null })
 })
+
+test('a job goes to an open data centre unless its idempotency key names a cell: there it may have been accepted before an evacuation', async t => {
+  const cells = [CELL, brand<CellId>('burton-0')]
+  const ports = (openCells: readonly CellId[]): ActionPorts => ({
+    ...portsWith(new VirtualClock(), async () => ({ kind: 'task', task: null })),
+    cells,
+    openCells: () => openCells,
+    random: new SeededRandom(1),
+    configuration: { current: { teams: { desk: {} } } },
+    directory: { cells: new Map(cells.map(cell => [cell, { row: { cell, owner: OWNER } }])) }
+  }) as unknown as ActionPorts
+  const cellsOf = async (openCells: readonly CellId[], keyOf: (job: number) => object): Promise<CellId[]> => {
+    const body = { team: 'desk', command: 'work 1', resources: { processors: 1, memoryMb: 100 } }
+    const requests = Array.from({ length: 20 }, (_, job) => ({ operator: 'tester', id: '', query: new URLSearchParams(), headers: { ...keyOf(job) }, body }))
+    const responses = await Promise.all(requests.map(request => new SubmitJobAction().run(ports(openCells), request)))
+    return responses.map(response => (response.unwrap().body as { cell: CellId }).cell)
+  }
+  const keyed = (job: number): object => ({ 'idempotency-key': `key-${job}` })
+  t.deepEqual(await cellsOf([CELL], keyed), await cellsOf(cells, keyed))
+  t.is(new Set(await cellsOf([CELL], keyed)).size, 2)
+  t.deepEqual(new Set(await cellsOf([CELL], () => ({}))), new Set([CELL]))
+})
