Test of the cell of new jobs: a new id for each job

Cause: each job got the same id, so the test passed with new jobs sent to evacuated cells. Change: one random source for all jobs. Shown: without cellOfNewJob the test now fails.

--- a/packages/gateway/tests/sendToOwner.test.ts
+++ b/packages/gateway/tests/sendToOwner.test.ts
@@ -40,11 +40,12 @@
 
 test('a job goes to an open data centre unless its idempotency key names a cell: there it may have been accepted before an evacuation', async t => {
   const cells = [CELL, brand<CellId>('burton-0')]
+  const random = new SeededRandom(1)
   const ports = (openCells: readonly CellId[]): ActionPorts => ({
     ...portsWith(new VirtualClock(), async () => ({ kind: 'task', task: null })),
     cells,
     openCells: () => openCells,
-    random: new SeededRandom(1),
+    random,
     configuration: { current: { teams: { desk: {} } } },
     directory: { cells: new Map(cells.map(cell => [cell, { row: { cell, owner: OWNER } }])) }
   }) as unknown as ActionPorts
