--- a/packages/cluster/tests/configuration.test.ts
+++ b/packages/cluster/tests/configuration.test.ts
@@ -1,11 +1,11 @@
 import fc, { type Scheduler } from 'fast-check'
 import test from 'ava'
-import { brand, SeededRandom, SilentLog, VirtualClock, type AuburnpinError, type MemberId, type Result } from '@auburnpin/common'
-import { noteSchema, type AuditEntry, type Note } from '@auburnpin/core'
+import { brand, SeededRandom, SilentLog, VirtualClock, type AuburnpinError, type ConfigVersion, type MemberId, type Result } from '@auburnpin/common'
+import { EMPTY_CONFIGURATION, noteSchema, type AuditEntry, type Configuration, type Note } from '@auburnpin/core'
 import { FakeLink, FakePeers, FakeTableStore, IMMEDIATE, type CallDelivery, type FakePeerNetwork } from '@auburnpin/fakes'
 import { RetryingTable, TableStore, type Row, type RowPage, type Transaction, type TransactionOutcome } from '@auburnpin/ports'
 import { MemoryTable } from '@auburnpin/stand-in'
-import { acceptNote, AUDIT_PREFIX, ConfigurationFollower, KEPT_CONFIGURATIONS, STORE_DEADLINE_MS } from '../src/index.ts'
+import { acceptNote, AUDIT_PREFIX, ConfigurationFollower, KEPT_CONFIGURATIONS, readCurrentConfiguration, STORE_DEADLINE_MS } from '../src/index.ts'
 
 const IN_FORCE_MS = 5_000
 const LOST: CallDelivery = { ...IMMEDIATE, loss: 'there' }
@@ -203,3 +203,23 @@
   await followers.clock.advance(10_000)
   t.false(fresh.isInTouch)
 })
+
+const rowOf = (key: string, value: object) => ({ key, value: { transaction: 'earlier', value } })
+
+test('a configuration of an earlier release, in the store or at a peer, has no evacuations and can be read', async t => {
+  const memory = new MemoryTable()
+  const clock = new VirtualClock()
+  const link = new FakeLink(clock)
+  const { evacuations: _, ...earlier } = { ...EMPTY_CONFIGURATION, version: brand<ConfigVersion>(1) }
+  memory.transact({ id: 'earlier', checks: [], deletes: [], puts: [rowOf('config/current', { version: 1 }), rowOf('config/000000000001', earlier)] })
+  t.deepEqual((await readCurrentConfiguration(new FakeTableStore(memory, link, 'new'))).unwrap().configuration.evacuations, {})
+
+  const network: FakePeerNetwork = new Map()
+  const old = new FakePeers(brand<MemberId>('old'), network, link)
+  old.onRequest(async () => ({ kind: 'configuration', configuration: earlier as Configuration }))
+  const follower = new ConfigurationFollower(new FakeTableStore(new MemoryTable(), link, 'new'), new FakePeers(brand<MemberId>('new'), network, link), clock, new SilentLog())
+  follower.start()
+  old.broadcast({ kind: 'configuration-accepted', version: earlier.version })
+  await clock.advance(IN_FORCE_MS)
+  t.like(follower.current, { version: earlier.version, evacuations: {} })
+})
