Reserve for short tasks: largest free piece of each data centre as a gauge

Cause: free processors are fragmented (largest piece 7 to 16 cores at bursts), and only the log told in which data centre.

--- a/packages/core/src/jobs/WorkerReserve.ts
+++ b/packages/core/src/jobs/WorkerReserve.ts
@@ -4,7 +4,7 @@
 import type { Instant, ServiceName } from '@auburnpin/common'
 import { RESERVED_WORKER_SHARE } from './constants.ts'
 import { freeForShortTasks, usableProcessors } from './usableProcessors.ts'
-import { reserveForDemand, reserveWorkers } from './reserveWorkers.ts'
+import { groupByService, reserveForDemand, reserveWorkers } from './reserveWorkers.ts'
 import { type Demand, ShortTaskDemand } from './ShortTaskDemand.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -109,11 +109,8 @@
   /** The reserve of each service as of the last pass, for logs and metrics; empty unless the demand is measured. */
   describe (workers: Iterable<WorkerRecord>, now: Instant): ServiceReserve[] {
     if (!this.#isMeasured) return []
-    const byService = new Map<ServiceName, WorkerRecord[]>()
-    for (const worker of workers) {
-      if (worker.acceptsWork(now)) byService.set(worker.entry.service, [...byService.get(worker.entry.service) ?? [], worker])
-    }
-    return [...byService].map(([service, ofService]) => this.#describeService(service, ofService, now))
+    const candidates = [...workers].filter(worker => worker.acceptsWork(now))
+    return [...groupByService(candidates)].map(([service, ofService]) => this.#describeService(service, ofService, now))
   }
 
   #describeService (service: ServiceName, workers: readonly WorkerRecord[], now: Instant): ServiceReserve {
--- a/packages/core/src/jobs/reserveWorkers.ts
+++ b/packages/core/src/jobs/reserveWorkers.ts
@@ -64,7 +64,13 @@
   return added
 }
 
-const groupByService = (workers: readonly WorkerRecord[]): ReadonlyMap<ServiceName, WorkerRecord[]> => {
+/**
+ * The workers of each service.
+ *
+ * @example
+ * groupByService(workers).get(service)?.length // 49
+ */
+export const groupByService = (workers: Iterable<WorkerRecord>): ReadonlyMap<ServiceName, WorkerRecord[]> => {
   const byService = new Map<ServiceName, WorkerRecord[]>()
   for (const worker of workers) {
     const others = byService.get(worker.entry.service)
--- a/packages/jobs/src/ReserveReporter.ts
+++ b/packages/jobs/src/ReserveReporter.ts
@@ -19,8 +19,8 @@
 export class ReserveReporter {
   readonly #ports: Pick<OwnerPorts, 'log' | 'metrics'>
   readonly #scheduler: JobScheduler
-  /** Services with gauges, and those of them whose last record shows a measured demand. */
-  readonly #gauged = new Set<string>()
+  /** Services with gauges and their data centres, and those services whose last record shows a measured demand. */
+  readonly #gauged = new Map<string, Set<string>>()
   readonly #measured = new Set<string>()
 
   constructor (ports: Pick<OwnerPorts, 'log' | 'metrics'>, scheduler: JobScheduler) {
@@ -30,20 +30,22 @@
 
   report (now: Instant): void {
     const described = this.#scheduler.reserve.describe(this.#scheduler.workers.values(), now)
-    for (const service of this.#gauged) if (!described.some(one => one.service === service)) this.#gauge(service, 0, 0, 0)
+    for (const service of this.#gauged.keys()) if (!described.some(one => one.service === service)) this.#gauge(service, 0, 0, 0)
     for (const one of described) {
-      this.#gauge(one.service, one.constant + one.added, one.usable, one.demand?.processors ?? 0)
+      this.#gauge(one.service, one.constant + one.added, one.usable, one.demand?.processors ?? 0, one.zones)
       if (one.demand !== undefined) this.#write(one)
       else if (this.#measured.delete(one.service)) this.#ports.log.info('Short tasks find capacity without waiting; the constant share is reserved', { service: one.service, constant: one.constant })
     }
   }
 
   stop (): void {
-    for (const service of this.#gauged) this.#gauge(service, 0, 0, 0)
+    for (const service of this.#gauged.keys()) this.#gauge(service, 0, 0, 0)
   }
 
-  #gauge (service: string, workers: number, usable: number, demand: number): void {
-    this.#gauged.add(service)
+  #gauge (service: string, workers: number, usable: number, demand: number, zones?: ReadonlyMap<string, ZoneReserve>): void {
+    const gaugedZones = new Set([...this.#gauged.get(service) ?? [], ...zones?.keys() ?? []])
+    this.#gauged.set(service, gaugedZones)
+    for (const dataCentre of gaugedZones) this.#ports.metrics.gauge('reserve.largestFree', (zones?.get(dataCentre)?.largestFree ?? 0) / THOUSANDTHS_PER_CORE, { service, dataCentre })
     this.#ports.metrics.gauge('reserve.workers', workers, { service })
     this.#ports.metrics.gauge('reserve.usable', usable / THOUSANDTHS_PER_CORE, { service })
     this.#ports.metrics.gauge('reserve.demand', demand / THOUSANDTHS_PER_CORE, { service })
--- a/packages/jobs/tests/reserveReporter.test.ts
+++ b/packages/jobs/tests/reserveReporter.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { brand, Log, Metrics, type Epoch, type Instant, type LogFields, type LogLevel, type MetricName } from '@auburnpin/common'
+import { brand, Log, Metrics, type Epoch, type Instant, type LogFields, type LogLevel, type MetricName, type MetricTags } from '@auburnpin/common'
 import { JobScheduler } from '@auburnpin/core'
 import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
 import { ReserveReporter } from '../src/ReserveReporter.ts'
@@ -17,12 +17,12 @@
 }
 
 class RecordingMetrics extends Metrics {
-  readonly gauges = new Map<MetricName, number>()
+  readonly gauges = new Map<string, number>()
 
   count (): void {}
   timing (): void {}
-  gauge (name: MetricName, value: number): void {
-    this.gauges.set(name, value)
+  gauge (name: MetricName, value: number, { dataCentre }: MetricTags = {}): void {
+    this.gauges.set(dataCentre === undefined ? name : `${name} ${dataCentre}`, value)
   }
 }
 
@@ -41,10 +41,10 @@
   reporter.report(at(100))
   t.like(log.records[0], { service: 'desk', demand: 25_000, taskProcessors: 5_000, constant: 1, added: 1, usable: 10_000, limit: 'share', scarcest: 'east' })
   t.is(log.records[0]?.zones, 'east:0/2 usable=0 free=6000 largestFree=3000; west:2/2 usable=10000 free=6000 largestFree=3000')
-  t.deepEqual([...metrics.gauges], [['reserve.workers', 2], ['reserve.usable', 10], ['reserve.demand', 25]])
+  t.deepEqual([...metrics.gauges], [['reserve.largestFree east', 3], ['reserve.largestFree west', 3], ['reserve.workers', 2], ['reserve.usable', 10], ['reserve.demand', 25]])
   reporter.report(at(34_000))
   t.is(log.records[1]?.message, 'Short tasks find capacity without waiting; the constant share is reserved')
   t.is(log.records.length, 2)
   reporter.stop()
-  t.is(metrics.gauges.get('reserve.workers'), 0)
+  t.true([...metrics.gauges.values()].every(value => value === 0))
 })
