Short tasks are packed while one of their service has lacked room

Cause: at bursts the free processors are in pieces of 7 to 16 cores on many workers, and tasks of up to 24 cores wait, since short tasks go to the worker with the most free capacity and split the largest pieces.

Change: while the measured demand is in force, a short task goes where it leaves the smallest piece. Without the setting, or while short tasks find room, they are spread as before.

--- a/packages/core/src/jobs/ShortTaskDemand.ts
+++ b/packages/core/src/jobs/ShortTaskDemand.ts
@@ -102,7 +102,13 @@
   }
 }
 
-const isShort = ({ isLasting, isFiller }: JobStep): boolean => !isLasting && !isFiller
+/**
+ * Whether tasks end by themselves and need processors of their own.
+ *
+ * @example
+ * isShort(step.shape) // false for long-running tasks and fillers
+ */
+export const isShort = ({ isLasting, isFiller }: JobStep): boolean => !isLasting && !isFiller
 
 const addTasks = (samples: Map<ServiceName, Sample>, { shape, job }: StepRecord, tasks: number): void => {
   const { service } = job.job.policy
--- a/packages/core/src/jobs/WorkerReserve.ts
+++ b/packages/core/src/jobs/WorkerReserve.ts
@@ -5,7 +5,7 @@
 import { RESERVED_WORKER_SHARE } from './constants.ts'
 import { freeForShortTasks, usableProcessors } from './usableProcessors.ts'
 import { groupByService, reserveForDemand, reserveWorkers } from './reserveWorkers.ts'
-import { type Demand, ShortTaskDemand } from './ShortTaskDemand.ts'
+import { type Demand, isShort, ShortTaskDemand } from './ShortTaskDemand.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -101,6 +101,14 @@
     if (this.#isMeasured) this.#demand.recordLackOfRoom(step, workers, now, wallTime)
   }
 
+  /**
+   * Whether the tasks of a step go where they leave the smallest piece: short tasks while one of their service has lacked
+   * room, as the free processors are then in pieces on many workers, each too small for the largest short tasks.
+   */
+  packs ({ shape, job }: StepRecord, now: Instant): boolean {
+    return this.#isMeasured && isShort(shape) && this.#demand.of(job.job.policy.service, now) !== undefined
+  }
+
   /** Measures the demand at the end of a scheduling pass. */
   observe (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, now: Instant, wallTime: number): void {
     if (this.#isMeasured) this.#demand.observe(steps, workers, now, wallTime)
--- a/packages/core/src/jobs/chooseWorker.ts
+++ b/packages/core/src/jobs/chooseWorker.ts
@@ -16,12 +16,13 @@
  * Designed for loads in which serving tasks reserve most processors and use half of them, and fillers use the
  * rest. Serving tasks are packed onto few workers together with others of their image, so that for each kind of
  * filler there are workers where it interferes with no serving task. Other tasks are spread to the workers with the
- * most free capacity, so that the loss of one worker affects few tasks.
+ * most free capacity, so that the loss of one worker affects few tasks, unless `isPacked`: then they go where they leave
+ * the smallest piece, so that large tasks find one.
  *
  * @example
  * const worker = chooseWorker(task, workers, held, interference, now)
  */
-export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, held: HeldWorkers, interference: FillerInterference, now: Instant): WorkerRecord | undefined => {
+export const chooseWorker = (task: TaskRecord, workers: Iterable<WorkerRecord>, held: HeldWorkers, interference: FillerInterference, now: Instant, isPacked = false): WorkerRecord | undefined => {
   const { shape } = task.step
   let best: WorkerRecord | undefined
   let bestScore = -Infinity
@@ -31,7 +32,7 @@
     if (free < shape.processors) continue
     const pressure = addedPressure(task.step, worker, interference, now)
     if (pressure > MAX_PLACING_PRESSURE) continue
-    const score = scoreWorker(task.step, worker, free) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0) - crashCost(task, worker)
+    const score = scoreWorker(task.step, worker, free, isPacked) - pressure * PRESSURE_WEIGHT - (task.failedOn.has(worker) || worker.isQuarantined(now) ? FAULT_PENALTY : 0) - crashCost(task, worker)
     if (score > bestScore) {
       best = worker
       bestScore = score
@@ -60,11 +61,11 @@
   return crashes.count > 0 && suspects.size > 0 ? SUSPECT_BESIDE_COST : 0
 }
 
-const scoreWorker = (step: StepRecord, worker: WorkerRecord, free: number): number => {
+const scoreWorker = (step: StepRecord, worker: WorkerRecord, free: number, isPacked: boolean): number => {
   const { shape } = step
   const { entry } = worker
   const freeShare = free / Math.max(1, entry.processors)
-  let score = shape.latencyTargetMs > 0 && !shape.isFiller ? 1 - freeShare : freeShare
+  let score = isPacked ? shape.processors / Math.max(1, free) : shape.latencyTargetMs > 0 && !shape.isFiller ? 1 - freeShare : freeShare
   if (shape.dataRack !== '' && entry.labels.includes(shape.dataRack)) score += DATA_RACK_BONUS
   if (shape.latencyTargetMs > 0 && worker.servingRuns > 0) score += colocationScore(step, worker)
   return score
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -39,9 +39,10 @@
   const refused: StepRecord[] = []
   for (const step of ordered) {
     if (!held.isHolder(step) && refused.some(other => needsAtLeast(step, other))) continue
+    const isPacked = reserve.packs(step, now)
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
-      const worker = chooseWorker(task, workersFor(task), held, interference, now)
+      const worker = chooseWorker(task, workersFor(task), held, interference, now, isPacked)
       if (worker === undefined) {
         reserve.recordLackOfRoom(step, candidates, now, wallTime)
         if (isUnconstrained(step.shape) && workersFor(task).length === candidates.length) refused.push(step)
