--- a/packages/core/src/jobs/StepCandidates.ts
+++ b/packages/core/src/jobs/StepCandidates.ts
@@ -14,7 +14,7 @@
  * which scoring all workers anew for each task took most of a pass.
  *
  * @example
- * const candidates = new StepCandidates(workers, held, interference, now)
+ * const candidates = new StepCandidates(workers, held, interference, now, false)
  * for (const task of step.waiting) start(task, candidates.choose(task))
  */
 export class StepCandidates {
@@ -22,25 +22,27 @@
   readonly #held: HeldWorkers
   readonly #interference: FillerInterference
   readonly #now: Instant
+  readonly #isPacked: boolean
   readonly #scores: number[] = []
   /** For each score, the number of runs on the worker when it was computed. */
   readonly #runCounts: number[] = []
 
-  constructor (workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant) {
+  constructor (workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant, isPacked: boolean) {
     this.#workers = workers
     this.#held = held
     this.#interference = interference
     this.#now = now
+    this.#isPacked = isPacked
   }
 
   /** The best worker for a task of the step; `undefined` if it can't start on any. */
   choose (task: TaskRecord): WorkerRecord | undefined {
-    if (!isLikeOthers(task)) return chooseWorker(task, this.#workers, this.#held, this.#interference, this.#now)
+    if (!isLikeOthers(task)) return chooseWorker(task, this.#workers, this.#held, this.#interference, this.#now, this.#isPacked)
     let best: WorkerRecord | undefined
     let bestScore = -Infinity
     for (const [index, worker] of this.#workers.entries()) {
       if (this.#runCounts[index] !== worker.runs.size) {
-        this.#scores[index] = scoreTask(task, worker, this.#held, this.#interference, this.#now)
+        this.#scores[index] = scoreTask(task, worker, this.#held, this.#interference, this.#now, this.#isPacked)
         this.#runCounts[index] = worker.runs.size
       }
       const score = this.#scores[index] ?? -Infinity
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -42,7 +42,7 @@
     let stepCandidates: StepCandidates | undefined
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
-      stepCandidates ??= new StepCandidates(workersFor(task), held, interference, now)
+      stepCandidates ??= new StepCandidates(workersFor(task), held, interference, now, reserve.packs(step, now))
       const worker = stepCandidates.choose(task)
       if (worker === undefined) {
         reserve.recordLackOfRoom(step, candidates, now, wallTime)
