Late runs of speculative steps get one copy while there is room

Cause: three runs in a hundred take seven times as long, one late task of ten makes its job late, and isSpeculative was decoded but not used. Change: placeCopies runs after all waiting tasks have been placed. A run is late if its speed (its progress by the worker's clock) shows that it takes longer than the learnt 90th percentile and needs more than twice the learnt median, or if its worker doesn't respond for as long. Copies need free processors (10 % of the service's), a budget (10 % of its running work) and no task that waits for room. The observer logs each with its inputs. moveRun, recordProgress and recordStarted leave the scheduler.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -3,7 +3,7 @@
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
-import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, SHORT_RUN_MS } from './constants.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
@@ -12,11 +12,17 @@
 import { JobRecord } from './JobRecord.ts'
 import type { JobSchedulerObserver } from './JobSchedulerObserver.ts'
 import { isStalled } from './isStalled.ts'
+import { LearntDurations } from './LearntDurations.ts'
 import { availableProcessors, loadPercent } from './loadPercent.ts'
+import { moveRun } from './moveRun.ts'
 import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
 import { paceOrders } from './paceOrders.ts'
+import { MAX_SPECULATIVE_RUNS } from './placeCopies.ts'
 import { placeTasks } from './placeTasks.ts'
+import { recordDuration } from './recordDuration.ts'
+import { recordProgress } from './recordProgress.ts'
 import { SizeFairness } from './SizeFairness.ts'
+import { recordStarted } from './recordStarted.ts'
 import { startOrder } from './startOrder.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { stopOrders } from './stopOrders.ts'
@@ -56,6 +62,8 @@
   readonly #cancelledBeforeAccepted = new Set<JobId>()
   /** Estimates of how much fillers interfere with serving tasks. */
   readonly interference = new FillerInterference()
+  /** How long tasks of each queue and image take. */
+  readonly durations = new LearntDurations()
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
   readonly #announcedStarts = new AnnouncedStarts()
@@ -308,11 +316,7 @@
       if (run !== undefined) {
         this.#confirmRunning(run, now)
         this.#crashDetector.runReported(run, clockMs)
-        run.isReported = true
-        run.isFromLostIncarnation = false
-        run.reading = reported.reading
-        if (run.progressPercent !== reported.progressPercent || run.progressedAt === undefined) run.progressedAt = now
-        run.progressPercent = reported.progressPercent
+        recordProgress(run, reported, clockMs, now)
       } else if (task !== undefined) this.#crashDetector.runReported(this.#adoptRun(worker, task, reported, now), clockMs)
       else if (!worker.unknownRuns.has(key)) worker.unknownRuns.set(key, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
@@ -385,7 +389,7 @@
   }
 
   #isRedundant (task: TaskRecord): boolean {
-    return task.isDone || task.step.job.isFinal || (task.runs.length > 0 && !task.step.shape.isSpeculative)
+    return task.isDone || task.step.job.isFinal || task.runs.length >= (task.step.shape.isSpeculative ? MAX_SPECULATIVE_RUNS : 1)
   }
 
   #addRun (run: RunRecord): void {
@@ -447,6 +451,7 @@
     this.#crashDetector.runEnded(run)
     const index = task.runs.indexOf(run)
     if (index >= 0) task.runs.splice(index, 1)
+    if (ending === 'done') recordDuration(run, this.durations, now)
     this.#recordEnd(run, ending, now, ending === 'failed' && isShortRun(run, now))
     if (task.runs.length === 0 && !task.isDone && !task.step.job.isFinal && task.step.isOpen) task.step.waiting.add(task)
   }
@@ -469,19 +474,7 @@
         continue
       }
       old.removeRun(run)
-      const isAnswered = run.state === 'running'
-      // A long-running task must not be away for that long; it is the likelier case that the worker has left.
-      const keptUntil = isAnswered || run.task.step.shape.isLasting ? run.keptUntil : leaseExpiry(MAX_WORKER_LEASE_MS, brand<Instant>(Math.max(now, (run.sentAt ?? run.orderedAt) + MAX_ORDER_DELAY_MS)))
-      const moved: RunRecord = {
-        ...run,
-        since: isAnswered ? run.since : now,
-        keptUntil,
-        worker: current,
-        confirmedAtClockMs: undefined,
-        isFromLostIncarnation: !old.entry.isDraining,
-        stopOrderSentAt: undefined,
-        stopAcceptedAt: undefined
-      }
+      const moved = moveRun(run, current, now)
       run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
       current.addRun(moved)
     }
@@ -508,7 +501,7 @@
     switch (outcome) {
       case 'started':
         this.#confirmRunning(run, now)
-        run.confirmedAtClockMs ??= clockMs
+        recordStarted(run, now, clockMs)
         return false
       case 'fenced':
         return true
@@ -626,12 +619,13 @@
     let starts = due.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
-    for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, durations: this.durations, now, wallTime }
+    for (const { task, worker, lateness } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
-      this.waits.recordPlacement(task)
+      if (lateness === undefined) this.waits.recordPlacement(task)
+      else this.#observer.copyStarted(run, lateness)
       if (!this.#crashDetector.mustAnnounce(task)) orders.push(startOrder(run))
       else {
         this.#announcedStarts.add(run)
--- a/packages/core/src/jobs/JobSchedulerObserver.ts
+++ b/packages/core/src/jobs/JobSchedulerObserver.ts
@@ -2,6 +2,7 @@
  * Changes of state of a scheduler of jobs that are logged and counted.
  */
 import type { WorkerId } from '@auburnpin/common'
+import type { Lateness } from './findLateness.ts'
 import type { JobRecord } from './JobRecord.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
 
@@ -13,6 +14,8 @@
    * incarnation, `lease over` if its lease has expired, `not ordered` if the order was not sent after all.
    */
   abstract runEnded (run: RunRecord, ending: string, worker: WorkerId): void
+  /** A second run of a task was ordered, as its first one is late. */
+  abstract copyStarted (copy: RunRecord, lateness: Lateness): void
   abstract runStalled (run: RunRecord, worker: WorkerId): void
   abstract phaseChanged (job: JobRecord): void
   abstract workerQuarantined (worker: WorkerId, reason: string): void
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -4,6 +4,7 @@
 import type { Instant } from '@auburnpin/common'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
+import type { LearntDurations } from './LearntDurations.ts'
 import type { SizeFairness } from './SizeFairness.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WaitingSteps } from './WaitingSteps.ts'
@@ -17,6 +18,7 @@
   /** Tasks under which several workers were lost; most of them don't wait. */
   tasksOnTrial: Iterable<TaskRecord>
   waits: WaitingSteps
+  durations: LearntDurations
   now: Instant
   wallTime: number
 }>
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -13,12 +13,19 @@
 /** Pace of a run that is not slowed down, in percent. */
 export const FULL_PACE = 100
 
+/** Progress of a run in percent, at a reading of the worker's clock. */
+export type ProgressSample = Readonly<{ percent: number, clockMs: number }>
+
 /** One run of a task on one worker, from the order to start until it has certainly ended. */
 export type RunRecord = {
   readonly task: TaskRecord
   readonly attempt: Attempt
   readonly worker: WorkerRecord
   readonly orderedAt: Instant
+  /** Whether another run of the task existed when this one was ordered. */
+  readonly isCopy: boolean
+  /** Whether the task had a checkpoint when this run was created, so that the run may be shorter than others. */
+  readonly isFromCheckpoint: boolean
   /** When the call was sent, which may be after the worker was asked for a report. */
   sentAt?: Instant
   /** `ordered`: the call is in progress; `unconfirmed`: it did not show whether the run exists; `running`: confirmed by the worker. */
@@ -27,6 +34,11 @@
   since: Instant
   /** Whether the worker's incarnation has listed the run in a report. */
   isReported: boolean
+  /** When the response to the order showed that the run had just started. */
+  startedAt?: Instant
+  /** The first and the last known progress, with the worker's clock at that time. */
+  firstProgress?: ProgressSample
+  lastProgress?: ProgressSample
   /** The worker's clock when it first confirmed the run. */
   confirmedAtClockMs?: number
   /** Whether the worker has listed the run for long enough, so that a later loss of the worker isn't due to its start. */
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -2,8 +2,10 @@
  * Placement of waiting tasks on workers.
  */
 import { chooseWorker } from './chooseWorker.ts'
+import type { Lateness } from './findLateness.ts'
 import { holdWorkers } from './holdWorkers.ts'
 import { orderSteps } from './orderSteps.ts'
+import { placeCopies } from './placeCopies.ts'
 import { placeTrials } from './placeTrials.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
 import { reserveWorkers } from './reserveWorkers.ts'
@@ -13,8 +15,8 @@
 import type { JobStep } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
-/** A task and the worker on which it is to start. */
-export type PlacedTask = Readonly<{ task: TaskRecord, worker: WorkerRecord }>
+/** A task and the worker on which it is to start; with `lateness`, beside its late run. */
+export type PlacedTask = Readonly<{ task: TaskRecord, worker: WorkerRecord, lateness?: Lateness }>
 
 /**
  * Places waiting tasks: interrupted long-running tasks first, then the most urgent job. A task that does not fit anywhere
@@ -27,7 +29,8 @@
  */
 export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, context: PlacingContext): Generator<PlacedTask> {
   const { held, interference, now } = context
-  const available = [...workers].filter(worker => worker.acceptsRestarts(now))
+  const allWorkers = [...workers]
+  const available = allWorkers.filter(worker => worker.acceptsRestarts(now))
   const waitingSteps = [...steps].filter(({ waiting }) => waiting.size > 0)
   yield * placeTrials(waitingSteps, available, context)
   yield * placeInterruptedTasks(waitingSteps, available, context)
@@ -51,6 +54,7 @@
       yield { task, worker }
     }
   }
+  yield * placeCopies(steps, allWorkers, candidates, context)
 }
 
 // If an unconstrained task fits nowhere, neither does any task of the service that needs at least as much. Fillers of
--- a/packages/fakes/src/SilentJobSchedulerObserver.ts
+++ b/packages/fakes/src/SilentJobSchedulerObserver.ts
@@ -6,6 +6,7 @@
 /** For tests that check only the decisions of a job scheduler. */
 export class SilentJobSchedulerObserver extends JobSchedulerObserver {
   runEnded (): void {}
+  copyStarted (): void {}
   runStalled (): void {}
   phaseChanged (): void {}
   workerQuarantined (): void {}
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -2,7 +2,7 @@
  * Logs and counts the changes of state that the job scheduler reports.
  */
 import type { WorkerId } from '@auburnpin/common'
-import { JobSchedulerObserver, type JobRecord, type RunRecord, type TaskRecord } from '@auburnpin/core'
+import { JobSchedulerObserver, type JobRecord, type Lateness, type RunRecord, type TaskRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
 
 const MAX_LOGGED_SUSPECTS = 20
@@ -19,11 +19,31 @@
   runEnded (run: RunRecord, how: string, worker: WorkerId): void {
     const { log, metrics } = this.#ports
     metrics.count('runs.ended', 1, { how })
+    if (run.isCopy) metrics.count('copies.ended', 1, { how })
     // Records of one message are limited per second, and those of short tasks would suppress the few of long-running ones.
     const message = run.task.step.shape.isLasting ? 'Run of a long-running task ended' : 'Run ended'
     log.info(message, { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
   }
 
+  copyStarted ({ task, attempt, worker }: RunRecord, { run, reason, remainingMs, totalMs, learnt }: Lateness): void {
+    const { log, metrics } = this.#ports
+    metrics.count('copies.started', 1, { reason })
+    log.info('Late run gets a copy', {
+      task: task.name,
+      attempt,
+      worker: worker.entry.id,
+      reason,
+      lateAttempt: run.attempt,
+      lateWorker: run.worker.entry.id,
+      progressPercent: run.progressPercent,
+      remainingMs: Math.round(remainingMs),
+      totalMs: Math.round(totalMs),
+      medianMs: Math.round(learnt.medianMs),
+      highMs: Math.round(learnt.highMs),
+      estimateMs: task.step.shape.estimateMs
+    })
+  }
+
   runStalled (run: RunRecord, worker: WorkerId): void {
     this.#ports.log.warn('Run makes no progress and is moved to another worker', { task: run.task.name, attempt: run.attempt, worker, progressPercent: run.progressPercent, moves: run.task.moves })
   }
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -40,11 +40,13 @@
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
+    this.#ports.metrics.gauge('durations.learnt', 0)
   }
 
   #report (): void {
     const now = this.#ports.clock.now()
-    const { waits, held, interference } = this.#scheduler
+    const { waits, held, interference, durations } = this.#scheduler
+    this.#ports.metrics.gauge('durations.learnt', durations.learntCount)
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
