--- a/packages/core/src/jobs/placeCopies.ts
+++ b/packages/core/src/jobs/placeCopies.ts
@@ -70,7 +70,7 @@
 
 // A copy must neither hide which task crashes workers, nor fail the job while the first run goes on.
 const mayHaveCopy = ({ runs, isDone, crashes, failedAttempts, step: { job } }: TaskRecord): boolean =>
-  runs.length === 1 && !isDone && !job.isFinal && crashes.toStore.length === 0 && (crashes.hasSurvived || job.isNewInTerm) && failedAttempts.length < job.job.policy.maxAttempts - 1
+  runs.length === 1 && !isDone && crashes.toStore.length === 0 && (crashes.hasSurvived || job.isNewInTerm) && failedAttempts.length < job.job.policy.maxAttempts - 1
 
 // Fillers use no processors that other tasks could reserve, so that waiting fillers delay only copies of fillers.
 const crowdKey = ({ job: { job: { policy: { service } } }, shape }: StepRecord): string => `${service} ${shape.isFiller}`
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -42,9 +42,10 @@
     this.scheduler.cancel(brand<JobId>(id), this.now)
   }
 
-  /** Ends the runs of a task on all workers as failed. */
-  fail (task: string): void {
-    for (const runs of this.#running.values()) {
+  /** Ends the runs of a task as failed, on one worker or on all. */
+  fail (task: string, on?: WorkerId): void {
+    for (const [worker, runs] of this.#running) {
+      if (on !== undefined && worker !== on) continue
       for (const run of runs.filter(({ order }) => order.task === task)) this.#end(run, 'failed')
     }
   }
