--- a/bench/run.ts
+++ b/bench/run.ts
@@ -14,6 +14,7 @@
   { script: 'clusterControl.ts', sizes: ['3', '9', '18', '30'] },
   { script: 'schedulerJournal.ts', sizes: [''] },
   { script: 'decisions.ts', sizes: [''] },
+  { script: 'speculativeCopies.ts', sizes: [''] },
   { script: 'cellBalance.ts', sizes: [''] },
   { script: 'gatewayCost.ts', sizes: [''] },
   { script: 'gatewayRouting.ts', sizes: [''] }
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -4,6 +4,7 @@
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
 import { ATTEMPTS_PER_TERM, SHORT_RUN_MS } from './constants.ts'
+import { CopyInterval } from './CopyInterval.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
@@ -64,6 +65,7 @@
   readonly interference = new FillerInterference()
   /** How long tasks of each queue and image take. */
   readonly durations = new LearntDurations()
+  readonly #copyInterval = new CopyInterval()
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
   readonly #announcedStarts = new AnnouncedStarts()
@@ -619,7 +621,7 @@
     let starts = due.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, durations: this.durations, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, durations: this.durations, copyInterval: this.#copyInterval, now, wallTime }
     for (const { task, worker, lateness } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -2,6 +2,7 @@
  * State that decides in which order tasks are placed and where.
  */
 import type { Instant } from '@auburnpin/common'
+import type { CopyInterval } from './CopyInterval.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
 import type { LearntDurations } from './LearntDurations.ts'
@@ -19,6 +20,7 @@
   tasksOnTrial: Iterable<TaskRecord>
   waits: WaitingSteps
   durations: LearntDurations
+  copyInterval: CopyInterval
   now: Instant
   wallTime: number
 }>
--- a/packages/core/src/jobs/placeCopies.ts
+++ b/packages/core/src/jobs/placeCopies.ts
@@ -34,26 +34,11 @@
  */
 export function * placeCopies (steps: Iterable<StepRecord>, workers: readonly WorkerRecord[], candidates: readonly WorkerRecord[], context: PlacingContext): Generator<PlacedTask> {
   const openSteps = [...steps]
-  const copyable = new Set(openSteps.filter(mayHaveCopies))
-  if (copyable.size === 0) return
-  const crowded = crowdedServices(openSteps, context)
-  const services = new Map<ServiceName, ServiceUsage>()
-  const late: Lateness[] = []
-  for (const worker of workers) {
-    const usage = services.get(worker.entry.service) ?? new ServiceUsage()
-    services.set(worker.entry.service, usage)
-    for (const run of worker.runs.values()) {
-      usage.addRun(run)
-      const { task } = run
-      if (!copyable.has(task.step) || crowded.has(crowdKey(task.step)) || !mayHaveCopy(task)) continue
-      const learnt = context.durations.learnt(task.step)
-      const lateness = learnt === undefined ? undefined : findLateness(run, learnt, context.now)
-      if (lateness !== undefined) late.push(lateness)
-    }
-  }
+  const copyable = openSteps.filter(mayHaveCopies)
+  if (copyable.length === 0 || !context.copyInterval.startSearch(context.now)) return
+  const late = findLateRuns(copyable, crowdedServices(openSteps, context), context)
   if (late.length === 0) return
-  for (const worker of candidates) services.get(worker.entry.service)?.addWorker(worker)
-  late.sort((one, other) => other.remainingMs - one.remainingMs)
+  const services = measureUsage(workers, candidates)
   for (const lateness of late) {
     const { task } = lateness.run
     const usage = services.get(task.step.job.job.policy.service)
@@ -65,6 +50,32 @@
   }
 }
 
+// The latest first.
+const findLateRuns = (steps: readonly StepRecord[], crowded: ReadonlySet<string>, { durations, now }: PlacingContext): Lateness[] => {
+  const late: Lateness[] = []
+  for (const step of steps) {
+    const learnt = durations.learnt(step)
+    if (learnt === undefined || crowded.has(crowdKey(step))) continue
+    for (const task of step.tasks) {
+      const [run] = task.runs
+      const lateness = run !== undefined && mayHaveCopy(task) ? findLateness(run, learnt, now) : undefined
+      if (lateness !== undefined) late.push(lateness)
+    }
+  }
+  return late.sort((one, other) => other.remainingMs - one.remainingMs)
+}
+
+const measureUsage = (workers: readonly WorkerRecord[], candidates: readonly WorkerRecord[]): ReadonlyMap<ServiceName, ServiceUsage> => {
+  const services = new Map<ServiceName, ServiceUsage>()
+  for (const { entry: { service }, runs } of workers) {
+    const usage = services.get(service) ?? new ServiceUsage()
+    services.set(service, usage)
+    for (const run of runs.values()) usage.addRun(run)
+  }
+  for (const worker of candidates) services.get(worker.entry.service)?.addWorker(worker)
+  return services
+}
+
 // The tasks of a gang end together, and a serving task or one without an end has no duration to compare.
 const mayHaveCopies = ({ shape }: StepRecord): boolean => shape.isSpeculative && !shape.isLasting && !shape.isGang && shape.latencyTargetMs === 0
 
