--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -27,6 +27,7 @@
   workerQuarantined (): void {}
   workerLost (): void {}
   taskGivenUp (): void {}
+  copyStarted (): void {}
 }
 
 const random = new SeededRandom(1)
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -2,8 +2,10 @@
  * State that decides in which order tasks are placed and where.
  */
 import type { Instant } from '@auburnpin/common'
+import type { CopyInterval } from './CopyInterval.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
+import type { LearntDurations } from './LearntDurations.ts'
 import type { SizeFairness } from './SizeFairness.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WaitingSteps } from './WaitingSteps.ts'
@@ -19,6 +21,8 @@
   tasksOnTrial: Iterable<TaskRecord>
   waits: WaitingSteps
   reserve: WorkerReserve
+  durations: LearntDurations
+  copyInterval: CopyInterval
   now: Instant
   wallTime: number
 }>
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -44,12 +44,14 @@
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
     this.#reserveReporter.stop()
+    this.#ports.metrics.gauge('durations.learnt', 0)
   }
 
   #report (): void {
     const now = this.#ports.clock.now()
-    const { waits, held, interference, reserve } = this.#scheduler
+    const { waits, held, interference, reserve, durations } = this.#scheduler
     this.#reserveReporter.report(now)
+    this.#ports.metrics.gauge('durations.learnt', durations.learntCount)
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
