--- a/packages/core/src/jobs/placeCopies.ts
+++ b/packages/core/src/jobs/placeCopies.ts
@@ -14,8 +14,11 @@
 /** Most runs that a task of a speculative step has at the same time. */
 export const MAX_SPECULATIVE_RUNS = 2
 
-/** Share of a service's processors that copies leave free for tasks that are submitted next. */
-const FREE_SHARE = 0.1
+/**
+ * Share of a service's processors that copies leave free for tasks that are submitted next. Long-running tasks reserve
+ * some nine tenths of the processors, so that a share of 0.1 allowed no copy on heavy days.
+ */
+const FREE_SHARE = 0.02
 
 /**
  * Largest share of the running work of a service that its copies may be. With three stragglers in a hundred, copies that
@@ -25,8 +28,8 @@
 
 /**
  * Places a copy of each run that is expected to end much later than a new run would, the latest first: on another worker,
- * if possible in another rack. Only steps that allow it get copies, and only while no task of the service waits for
- * room, enough processors are free and copies are a small part of the running work. Must come after all waiting tasks
+ * if possible in another rack. Only steps that allow it get copies, and only while no short task of the service
+ * waits for room, enough processors are free and copies are a small part of the running work. Must come after all waiting tasks
  * have been placed. Designed for loads of which a few runs take several times as long and delay their jobs.
  *
  * @example
@@ -90,7 +93,8 @@
   const crowded = new Set<string>()
   for (const step of steps) {
     const { job: { job: { policy: { service } } }, shape } = step
-    if (!waitsForRoom(step, context)) continue
+    // Some long-running tasks always wait for room; a copy takes it for a short time only.
+    if (shape.isLasting || !waitsForRoom(step, context)) continue
     crowded.add(`${service} true`)
     if (!shape.isFiller) crowded.add(`${service} false`)
   }
