--- a/app/src/commands/DataCentreCommand.ts
+++ b/app/src/commands/DataCentreCommand.ts
@@ -23,7 +23,7 @@
     return argv
       .positional('data-centre', { type: 'string', demandOption: true, describe: 'Name of the data centre' })
       .option('reason', { type: 'string', demandOption: true, describe: 'Why, for the audit trail' })
-      .option('base', { type: 'number', describe: 'Version that `status` showed; a later change of the same data centre is a conflict' })
+      .option('base', { type: 'number', describe: 'Version that `status` showed; a later evacuation of the data centre is a conflict' })
   }
 
   protected sendRequest (client: OperatorClient, options: CommandOptions): Promise<Result<unknown, AuburnpinError>> {
