--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -3,14 +3,17 @@
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
-import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS } from './constants.ts'
+import { countQueuedJobs } from './countQueuedJobs.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
+import { DelayScheduling } from './DelayScheduling.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
 import type { Interruption } from './Interruption.ts'
 import { JobRecord } from './JobRecord.ts'
 import type { JobSchedulerObserver } from './JobSchedulerObserver.ts'
+import { isShortRun } from './isShortRun.ts'
 import { isStalled } from './isStalled.ts'
 import { availableProcessors, loadPercent } from './loadPercent.ts'
 import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
@@ -63,6 +66,8 @@
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
   readonly waits = new WaitingSteps()
+  /** Steps whose tasks wait for a rack. */
+  readonly delays: DelayScheduling
   readonly #termStartedAt: Instant
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
@@ -70,10 +75,11 @@
   #isListRead = false
   #isReconciled = false
 
-  constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver) {
+  constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver, delays = new DelayScheduling()) {
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
+    this.delays = delays
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.#termStartedAt = now
     this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
@@ -580,11 +586,7 @@
 
   /** Number of jobs in each queue without a started task. */
   countQueuedJobs (): Readonly<Record<string, number>> {
-    const pending: Record<string, number> = {}
-    for (const { job, phase } of this.jobs.values()) {
-      if (phase === 'queued') pending[job.queue] = (pending[job.queue] ?? 0) + 1
-    }
-    return pending
+    return countQueuedJobs(this.jobs.values())
   }
 
   /** Puts back jobs whose progress could not be written. */
@@ -626,7 +628,7 @@
     let starts = due.length
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size)
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, delays: this.delays, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
@@ -712,6 +714,3 @@
     this.#scheduler.giveUp(task, now)
   }
 }
-
-// How long a run lasted is known only if this owner knew it.
-const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -2,6 +2,7 @@
  * State that decides in which order tasks are placed and where.
  */
 import type { Instant } from '@auburnpin/common'
+import type { DelayScheduling } from './DelayScheduling.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
 import type { SizeFairness } from './SizeFairness.ts'
@@ -17,6 +18,7 @@
   /** Tasks under which several workers were lost; most of them don't wait. */
   tasksOnTrial: Iterable<TaskRecord>
   waits: WaitingSteps
+  delays: DelayScheduling
   now: Instant
   wallTime: number
 }>
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -104,9 +104,14 @@
 export const addedPressure = ({ shape }: StepRecord, worker: WorkerRecord, interference: FillerInterference, now: Instant): number =>
   shape.isFiller && worker.servingRuns > 0 ? interference.maxExpectedPressure(shape, worker.runs.values(), now) : 0
 
-// Processors available to a new filler, which makes no progress without them. Serving tasks count with their expected
-// use, since they reserve more, and fillers with their measured use, since some request more.
-const freeForFillers = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, interference: FillerInterference, now: Instant): number => {
+/**
+ * Processors available to a new filler, which makes no progress without them. Serving tasks count with their expected
+ * use, since they reserve more, and fillers with their measured use, since some request more.
+ *
+ * @example
+ * freeForFillers(worker, interference, now) // 12_400
+ */
+export const freeForFillers = ({ entry, processorsUsed, servingProcessors, runs }: WorkerRecord, interference: FillerInterference, now: Instant): number => {
   let free = entry.processors - (processorsUsed - servingProcessors)
   for (const { task: { step }, reading = 0 } of runs.values()) {
     const { shape } = step
--- a/packages/core/src/jobs/holdWorkers.ts
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -16,8 +16,8 @@
  * holdWorkers(steps, () => workers, context)
  */
 export const holdWorkers = (steps: readonly StepRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], context: PlacingContext): void => {
-  const { held, waits, now } = context
-  const holders = steps.filter(step => isOverdue(step, context) && waits.isPassedBySmaller(step))
+  const { held, waits, delays, now } = context
+  const holders = steps.filter(step => isOverdue(step, context) && !delays.isDelayed(step) && waits.isPassedBySmaller(step))
   holders.sort((one, other) => one.job.job.policy.priority - other.job.job.policy.priority ||
     other.shape.processors - one.shape.processors || waits.waitedMs(other, now) - waits.waitedMs(one, now))
   for (const step of holders) {
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -1,9 +1,9 @@
 /**
  * Placement of waiting tasks on workers.
  */
-import { chooseWorker } from './chooseWorker.ts'
 import { holdWorkers } from './holdWorkers.ts'
 import { orderSteps } from './orderSteps.ts'
+import { DELAYED, PlaceChooser } from './PlaceChooser.ts'
 import { placeTrials } from './placeTrials.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
 import { reserveWorkers } from './reserveWorkers.ts'
@@ -26,7 +26,7 @@
  * for (const { task, worker } of placeTasks(openSteps, workers, context)) start(task, worker)
  */
 export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, context: PlacingContext): Generator<PlacedTask> {
-  const { held, interference, now } = context
+  const { held, now } = context
   const available = [...workers].filter(worker => worker.acceptsRestarts(now))
   const waitingSteps = [...steps].filter(({ waiting }) => waiting.size > 0)
   yield * placeTrials(waitingSteps, available, context)
@@ -38,12 +38,14 @@
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => task.isNewServing ? unreserved : candidates
   const ordered = orderSteps(waitingSteps, candidates, context)
   holdWorkers(ordered, workersFor, context)
+  const places = new PlaceChooser(candidates, context)
   const refused: StepRecord[] = []
   for (const step of ordered) {
     if (!held.isHolder(step) && refused.some(other => needsAtLeast(step, other))) continue
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
-      const worker = chooseWorker(task, workersFor(task), held, interference, now)
+      const worker = places.choose(task, workersFor(task))
+      if (worker === DELAYED) continue
       if (worker === undefined) {
         if (isUnconstrained(step.shape) && !task.isNewServing) refused.push(step)
         break
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -18,6 +18,8 @@
   finishedJobRetentionMs: number
   /** Workers of one cell; more workers are divided into several cells. */
   workersPerCell: number
+  /** How many times as long a task takes away from the rack of its data or of its step; absent or 1: tasks don't wait for a rack. */
+  remoteFactor?: number
   /** What is published of the other cells. */
   cells: CellChooser
 }>
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -40,12 +40,14 @@
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
+    this.#ports.metrics.gauge('tasks.delayed', 0)
   }
 
   #report (): void {
     const now = this.#ports.clock.now()
     const { waits, held, interference } = this.#scheduler
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
+    this.#ports.metrics.gauge('tasks.delayed', this.#scheduler.delays.delayedTasks)
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
       for (const wait of waits.longest(kind, MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, workers, held, interference, now)) this.#write(wait)
