--- a/bench/rackPolicies.ts
+++ b/bench/rackPolicies.ts
@@ -1,11 +1,11 @@
 /**
- * Policies of waiting for a rack on the same seeded loads: never, always, for a fixed time, and while it pays.
+ * Policies of waiting for a rack on the same seeded loads: never, always, for a fixed time, up to the time that running elsewhere adds, and the implemented one.
  * Run: node --import tsx bench/rackPolicies.ts
  */
 import { PayingWait, WaitPolicy, type WaitInputs } from '@auburnpin/core'
 import { RackLoad, type RackLoadResult, type RackLoadSettings } from '../packages/core/tests/support/RackLoad.ts'
 
-const SEEDS = [1, 2, 3]
+const SEEDS = [1, 2, 3, 4]
 
 class FixedWait extends WaitPolicy {
   readonly #ms: number
@@ -20,12 +20,20 @@
   }
 }
 
+/** Up to the whole time that running elsewhere adds, whatever the demand for the rack. */
+class WholeWait extends WaitPolicy {
+  longestWaitMs ({ addedMs, slackMs, waitedMs }: WaitInputs): number {
+    return waitedMs >= addedMs ? 0 : Math.max(0, Math.min(addedMs, slackMs))
+  }
+}
+
 const POLICIES: ReadonlyArray<readonly [string, () => WaitPolicy]> = [
   ['never', () => new FixedWait(0)],
   ['always', () => new FixedWait(Infinity)],
   ['fixed 100 ms', () => new FixedWait(100)],
   ['fixed 300 ms', () => new FixedWait(300)],
-  ['while it pays', () => new PayingWait()]
+  ['up to the added time', () => new WholeWait()],
+  ['implemented', () => new PayingWait()]
 ]
 
 type Load = Omit<RackLoadSettings, 'seed'>
@@ -37,7 +45,7 @@
   ['spread evenly', { hotShare: 0.125, jobsPerSecond: 22 }],
   ['spread evenly, estimates off by 90 %', { hotShare: 0.125, jobsPerSecond: 22, estimateError: 0.9 }],
   ['60 % in one rack, it shrinks to a quarter, then is lost', { ...HOT, hotRackCapacity: new Map([[10, 0.25], [20, 0]]) }],
-  ['one rack for each step', { hotShare: 0, oneRackShare: 1, jobsPerSecond: 22 }]
+  ['one rack for each step', { hotShare: 0, oneRackShare: 1, jobsPerSecond: 34 }]
 ]
 
 const mean = (results: readonly RackLoadResult[], value: (result: RackLoadResult) => number): number => results.reduce((sum, result) => sum + value(result), 0) / results.length
--- a/packages/core/src/jobs/DelayScheduling.ts
+++ b/packages/core/src/jobs/DelayScheduling.ts
@@ -3,6 +3,7 @@
  */
 import type { Instant } from '@auburnpin/common'
 import type { DelayDecision, DelayObserver } from './DelayObserver.ts'
+import { RackDemand } from './RackDemand.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import { awayReason, PayingWait, type WaitPolicy } from './waitForPlace.ts'
@@ -29,6 +30,8 @@
   readonly remoteFactor: number
   readonly policy: WaitPolicy
   readonly #observer: DelayObserver | undefined
+  /** Demand for the racks that hold data. */
+  readonly demand = new RackDemand()
   readonly #states = new Map<StepRecord, DelayState>()
 
   /** With a factor of 1 or less no task waits, and tasks are placed as without delay scheduling. */
@@ -66,8 +69,9 @@
     return tasks
   }
 
-  /** Forgets the steps that have no tasks that wait. */
+  /** Forgets the steps that have no tasks that wait, and the racks that are no longer in demand. */
   startPass (now: Instant): void {
+    this.demand.prune(now)
     for (const [step, state] of this.#states) {
       state.delayed = 0
       const { since } = state
--- a/packages/core/src/jobs/PlaceChooser.ts
+++ b/packages/core/src/jobs/PlaceChooser.ts
@@ -10,6 +10,7 @@
 import { RackIndex, type Rack } from './RackIndex.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
+import { taskWork } from './taskWork.ts'
 import type { WaitInputs } from './waitForPlace.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
@@ -64,7 +65,10 @@
     if (choice.elsewhere === undefined || task.failedOn.size > 0) choice.elsewhere = this.#chooseFrom(task, workers)
     if (choice.elsewhere === undefined) return undefined
     const worker = step.shape.isOneRack ? this.#chooseInSharedRack(task, choice, choice.elsewhere) : this.#chooseNearData(choice, choice.elsewhere)
-    if (worker !== DELAYED) choice.elsewhere = undefined
+    if (worker === DELAYED) return worker
+    choice.elsewhere = undefined
+    const { dataRack } = step.shape
+    if (dataRack !== '') this.#context.delays.demand.record(dataRack, taskWork(step.shape), this.#context.now)
     return worker
   }
 
@@ -85,7 +89,7 @@
 
   #planNearData (step: StepRecord): number {
     const rack = this.#racks.ofData(step.shape.dataRack)
-    const inputs = this.#inputsOf(step)
+    const inputs = this.#inputsOf(step, rack)
     const longestWaitMs = this.#context.delays.policy.longestWaitMs(inputs)
     const plan = this.#forecast.plan(step, longestWaitMs > 0 ? step.waiting.size : 0, rack.workers, longestWaitMs)
     this.#forecast.commit(plan)
@@ -137,13 +141,14 @@
     return best
   }
 
-  #inputsOf (step: StepRecord): WaitInputs {
+  #inputsOf (step: StepRecord, rack?: Rack): WaitInputs {
     const { delays, now, wallTime } = this.#context
     const { job, occurrence, number } = step
     return {
       addedMs: (delays.remoteFactor - 1) * expectedRunMs(step),
       slackMs: job.objectiveAt(occurrence) - wallTime - job.remainingMs(number),
-      waitedMs: delays.waitedMs(step, now)
+      waitedMs: delays.waitedMs(step, now),
+      demand: rack === undefined ? undefined : delays.demand.ratio(rack.key, processorsOf(rack), now)
     }
   }
 
@@ -153,6 +158,8 @@
   }
 }
 
+const processorsOf = ({ workers }: Rack): number => workers.reduce((sum, { entry, lasting }) => sum + entry.processors - lasting.processors, 0)
+
 const usedRacks = ({ tasks }: StepRecord): ReadonlySet<string> => {
   const racks = new Set<string>()
   for (const { runs } of tasks) for (const { worker } of runs) racks.add(rackKey(worker.entry))
--- /dev/null
+++ b/packages/core/tests/delayScheduling.test.ts
@@ -0,0 +1,137 @@
+import test from 'ava'
+import { brand, type Instant } from '@auburnpin/common'
+import { chooseWorker, PayingWait, WaitPolicy, waitForPlace, type StepRecord, type TaskRecord } from '../src/index.ts'
+import { RackLoad, type RackLoadResult, type RackLoadSettings } from './support/RackLoad.ts'
+
+/** Places tasks as without delay scheduling. */
+class NoWait extends WaitPolicy {
+  longestWaitMs (): number {
+    return 0
+  }
+}
+
+const SEEDS = [1, 2, 3]
+const HOT: RackLoadSettings = { seed: 5, hotShare: 0.6, jobsPerSecond: 16, seconds: 15 }
+const EVEN: RackLoadSettings = { ...HOT, hotShare: 0.125, jobsPerSecond: 22 }
+const HOT_AND_SLOW_ELSEWHERE: RackLoadSettings = { ...HOT, remoteFactor: 3, jobsPerSecond: 10 }
+const ONE_RACK: RackLoadSettings = { ...HOT, hotShare: 0, oneRackShare: 1, jobsPerSecond: 34 }
+
+const stepsOf = ({ scheduler }: RackLoad): StepRecord[] =>
+  [...scheduler.jobs.values()].filter(({ isFinal }) => !isFinal).flatMap(({ occurrences }) => [...occurrences.values()].flat()).filter(({ isOpen, waiting }) => isOpen && waiting.size > 0)
+
+const delayedSteps = (load: RackLoad): StepRecord[] => stepsOf(load).filter(step => load.scheduler.delays.isDelayed(step))
+
+const fitsSomewhere = ({ scheduler, now }: RackLoad, task: TaskRecord): boolean =>
+  chooseWorker(task, scheduler.workers.values(), scheduler.held, scheduler.interference, brand<Instant>(now)) !== undefined
+
+/** Runs a load until a step waits for the first rack. */
+const untilDelayed = (settings: RackLoadSettings, then: (load: RackLoad, delayed: readonly StepRecord[]) => void): RackLoad => {
+  const load = new RackLoad(settings, new PayingWait())
+  let hasHappened = false
+  load.onPass = () => {
+    const delayed = delayedSteps(load).filter(({ shape }) => shape.dataRack === 'r0')
+    if (hasHappened || delayed.length === 0) return
+    hasHappened = true
+    then(load, delayed)
+  }
+  load.run()
+  return load
+}
+
+test('a wait is shorter than what running elsewhere adds, within the slack, and less the more the rack is in demand', t => {
+  t.is(waitForPlace({ addedMs: 800, slackMs: 5_000, waitedMs: 0 }), 800)
+  t.is(waitForPlace({ addedMs: 800, slackMs: 300, waitedMs: 0 }), 300)
+  t.is(waitForPlace({ addedMs: 800, slackMs: -1, waitedMs: 0 }), 0)
+  t.is(waitForPlace({ addedMs: 800, slackMs: 5_000, waitedMs: 800 }), 0)
+  t.is(waitForPlace({ addedMs: 800, slackMs: 5_000, waitedMs: 0, demand: 0.1 }), 400)
+  t.is(waitForPlace({ addedMs: 800, slackMs: 5_000, waitedMs: 0, demand: 1.2 }), 0)
+  t.is(waitForPlace({ addedMs: 800, slackMs: 700, waitedMs: 0, demand: 1.2 }), 700)
+})
+
+test('with a factor of 1 no task waits for a rack and each ends when it would without', t => {
+  const settings = { ...HOT, remoteFactor: 1 }
+  const load = new RackLoad(settings, new PayingWait())
+  t.deepEqual(load.run(), new RackLoad(settings, new NoWait()).run())
+  t.deepEqual(load.decisions, [])
+})
+
+/** Means over some seeds of what the clients get with waits and without. */
+const compare = (settings: RackLoadSettings): Readonly<{ jobs: readonly number[], inTime: readonly number[], useful: readonly number[] }> => {
+  const results = [new PayingWait(), new NoWait()].map(policy => SEEDS.map(seed => new RackLoad({ ...settings, seed }, policy).run()))
+  const meansOf = (value: (result: RackLoadResult) => number): number[] => results.map(ofPolicy => ofPolicy.reduce((sum, result) => sum + value(result), 0) / SEEDS.length)
+  return { jobs: meansOf(({ jobs }) => jobs), inTime: meansOf(({ inTime }) => inTime), useful: meansOf(({ useful }) => useful) }
+}
+
+test('load: with the data of most tasks in one rack, more jobs end in time than without waits, and none are lost', t => {
+  // A rack in twice the demand that it can hold leaves nothing to gain at a factor of 1.5; then waits must cost nothing but chance.
+  for (const [settings, gain] of [[HOT_AND_SLOW_ELSEWHERE, 0.05], [EVEN, 0], [HOT, -0.01]] as const) {
+    const { jobs, inTime, useful } = compare(settings)
+    const [withWaits = 0, without = 0] = inTime
+    t.true(withWaits >= without + gain, JSON.stringify(inTime))
+    t.is(jobs[0], jobs[1])
+    t.true((useful[0] ?? 0) >= 0.99, JSON.stringify(useful))
+  }
+})
+
+test('load: steps whose tasks share a rack are spread less often, and more of their jobs end in time', t => {
+  const [waits, never] = [new RackLoad(ONE_RACK, new PayingWait()).run(), new RackLoad(ONE_RACK, new NoWait()).run()]
+  t.true(waits.nearShare > never.nearShare + 0.1 && waits.inTime > never.inTime + 0.05, JSON.stringify([waits, never]))
+})
+
+test('load: no task waits past its slack, and no capacity elsewhere is idle while a wait does not pay', t => {
+  for (const settings of [HOT, HOT_AND_SLOW_ELSEWHERE, ONE_RACK]) {
+    const load = new RackLoad(settings, new PayingWait())
+    load.onPass = () => {
+      for (const step of stepsOf(load)) {
+        const { job, occurrence, number } = step
+        if (load.scheduler.delays.isDelayed(step)) {
+          if (job.objectiveAt(occurrence) - load.now - job.remainingMs(number) < 0) t.fail(`${job.job.id} waits past its slack at ${load.now}`)
+        } else if ([...step.waiting].some(task => fitsSomewhere(load, task))) t.fail(`${job.job.id} could start at ${load.now}`)
+      }
+    }
+    load.run()
+    t.true(load.decisions.length > 0)
+  }
+})
+
+test('contention for one rack spills over: some steps wait for it and others start elsewhere at once', t => {
+  const load = new RackLoad(HOT_AND_SLOW_ELSEWHERE, new PayingWait())
+  const { nearShare } = load.run()
+  t.true(load.decisions.length > 0 && load.away.some(({ waitedMs }) => waitedMs === 0))
+  t.true(nearShare > 0.5 && nearShare < 1)
+})
+
+for (const [failure, capacity] of [['is lost', 0], ['shrinks so that no task fits any more', 0.1]] as const) {
+  test(`a rack ${failure} while tasks wait for it: they start elsewhere in the next pass`, t => {
+    let waited: readonly TaskRecord[] = []
+    untilDelayed(HOT_AND_SLOW_ELSEWHERE, (load, delayed) => {
+      waited = delayed.flatMap(({ waiting }) => [...waiting])
+      load.setHotRackCapacity(capacity)
+      load.scheduler.decide(brand<Instant>(load.now), load.now)
+      t.deepEqual(delayedSteps(load).filter(({ shape }) => shape.dataRack === 'r0'), [])
+      t.true(waited.every(task => task.runs.length > 0 || !fitsSomewhere(load, task)))
+    })
+    t.true(waited.length > 0)
+  })
+}
+
+test('the workers of a rack do not answer while tasks wait for it: they start elsewhere in the next pass', t => {
+  let waited: readonly TaskRecord[] = []
+  untilDelayed(HOT_AND_SLOW_ELSEWHERE, (load, delayed) => {
+    waited = delayed.flatMap(({ waiting }) => [...waiting])
+    for (const worker of load.scheduler.workers.values()) if (worker.entry.rack === 'r0') worker.markUnresponsive()
+    load.scheduler.decide(brand<Instant>(load.now), load.now)
+    t.true(waited.every(task => task.runs.length > 0 || !fitsSomewhere(load, task)))
+  })
+  t.true(waited.length > 0)
+})
+
+test('a job is cancelled while its tasks wait for a rack: it waits no more and nothing of it starts', t => {
+  let waited: readonly TaskRecord[] = []
+  const load = untilDelayed(HOT_AND_SLOW_ELSEWHERE, ({ scheduler, now }, delayed) => {
+    waited = [...(delayed[0] as StepRecord).waiting]
+    scheduler.cancel((delayed[0] as StepRecord).job.job.id, brand<Instant>(now))
+  })
+  t.true(waited.length > 0 && waited.every(({ wasOrdered }) => !wasOrdered))
+  t.is(load.scheduler.delays.delayedTasks, 0)
+})
--- a/packages/core/tests/support/RackLoad.ts
+++ b/packages/core/tests/support/RackLoad.ts
@@ -44,7 +44,7 @@
   readonly #random: SeededRandom
   readonly #running = new Map<WorkerId, Run[]>()
   readonly #ends = new Map<WorkerId, ReportedEnd[]>()
-  readonly #jobs = new Map<string, { acceptedAt: number, objectiveMs: number, baseMs: number, endedAt?: number }>()
+  readonly #jobs = new Map<string, { acceptedAt: number, objectiveMs: number, durationsMs: readonly number[], endedAt?: number }>()
   readonly #racksOfStep = new Map<string, Set<string>>()
   #starts = 0
   #nearStarts = 0
@@ -101,8 +101,10 @@
     const estimateMs = baseMs * (1 + estimateError * (2 * this.#random.fraction() - 1))
     const step = stepOf({ ...TASK, estimateMs, dataRack, isOneRack })
     const steps = this.#random.fraction() < 0.6 ? [step, { ...step, after: [0] }] : [step]
+    // Drawn here, so that the load is the same whatever the policy.
+    const durationsMs = steps.flatMap(({ taskCount }) => Array.from({ length: taskCount }, () => baseMs * (0.9 + 0.2 * this.#random.fraction())))
     // Clients count their objective by their own estimates.
-    this.#jobs.set(id, { acceptedAt: this.now, objectiveMs: POLICY.objectiveFactor * estimateMs * steps.length + POLICY.objectiveMs, baseMs })
+    this.#jobs.set(id, { acceptedAt: this.now, objectiveMs: POLICY.objectiveFactor * estimateMs * steps.length + POLICY.objectiveMs, durationsMs })
     this.scheduler.addJob(jobOf(id, steps, { acceptedAt: this.now, policy: POLICY }), this.#instant)
   }
 
@@ -117,7 +119,7 @@
     if (shape?.isOneRack === true) this.#racksOfStep.set(step, (this.#racksOfStep.get(step) ?? new Set()).add(entry?.rack ?? ''))
     this.#starts++
     if (!isAway && (this.#racksOfStep.get(step)?.size ?? 1) === 1) this.#nearStarts++
-    this.#runsOn(order.worker).push({ order, at: this.now, baseMs: (this.#jobs.get(name.job)?.baseMs ?? 0) * (0.9 + 0.2 * this.#random.fraction()), step, rack: entry?.rack ?? '', isAway })
+    this.#runsOn(order.worker).push({ order, at: this.now, baseMs: this.#jobs.get(name.job)?.durationsMs[name.step * TASK.taskCount + name.index] ?? 0, step, rack: entry?.rack ?? '', isAway })
     this.scheduler.recordStartSent(order.worker, order.task, order.attempt, this.#instant)
     this.scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'started', this.#instant)
   }
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -33,7 +33,7 @@
     this.processor = new SlowProcessor(this.clock)
     const store = new MonitoredStore(simulation.rows.clientFor(name), this.clock, new SilentLog(), new SilentMetrics())
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, cells }
+    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, remoteFactor: simulation.remoteFactor, cells }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
     cells.start()
@@ -157,6 +157,8 @@
   /** Entries that the list of workers shows instead of the workers' present ones. */
   readonly outdatedEntries = new Map<string, WorkerEntry>()
   workersPerCell = WORKERS_PER_CELL
+  /** How many times as long tasks take away from their rack; absent: tasks don't wait for a rack. */
+  remoteFactor?: number
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
