Steps that wait for racks share one search of all workers, and choose among eight racks

Change: the rack is searched first; that a task fits elsewhere holds for later steps that need no more until a task is placed; a step for a shared rack plans the eight racks with the most free processors. Tests: npx ava packages/core/tests/delayScheduling.test.ts packages/jobs/tests/rackWaits.test.ts platform/tests/decoding.test.ts pass.

--- a/packages/core/src/jobs/PlaceChooser.ts
+++ b/packages/core/src/jobs/PlaceChooser.ts
@@ -17,11 +17,12 @@
 /** Choice for a task that goes on waiting for a rack although it could start elsewhere. */
 export const DELAYED = 'delayed'
 
+/** Racks with the most free processors among which a step chooses; planning all of a cell's would take most of a pass under overload. */
+const MAX_PLANNED_RACKS = 8
+
 /** What was found for the tasks of the step that was looked at last. */
 type StepChoice = {
   readonly step: StepRecord
-  /** Where the next task would start if no rack were preferred; absent once a task has started. */
-  elsewhere?: WorkerRecord
   /** Number of tasks that go on waiting for the rack with the data; absent until one doesn't fit there. */
   delayed?: number
   /** The rack that the tasks share; none if they start anywhere. Absent until it is chosen. */
@@ -46,6 +47,8 @@
   readonly #racks: RackIndex
   readonly #forecast: RackForecast
   #choice: StepChoice | undefined
+  /** A step of which a task fits on some worker; unknown once a task is placed. */
+  #fitting: StepRecord | undefined
 
   /** `workers`: those that accept work now. */
   constructor (workers: readonly WorkerRecord[], context: PlacingContext) {
@@ -57,36 +60,67 @@
 
   /** The worker for a task among those that it may use; `undefined` if it fits nowhere. */
   choose (task: TaskRecord, workers: readonly WorkerRecord[]): WorkerRecord | typeof DELAYED | undefined {
-    if (!this.#context.delays.appliesTo(task)) return this.#chooseFrom(task, workers)
+    if (!this.#context.delays.appliesTo(task)) {
+      this.#fitting = undefined
+      return this.#chooseFrom(task, workers)
+    }
     const { step } = task
-    if (this.#choice?.step !== step) this.#choice = { step }
-    const choice = this.#choice
-    // Tasks of a step differ only in the workers on which they have failed.
-    if (choice.elsewhere === undefined || task.failedOn.size > 0) choice.elsewhere = this.#chooseFrom(task, workers)
-    if (choice.elsewhere === undefined) return undefined
-    const worker = step.shape.isOneRack ? this.#chooseInSharedRack(task, choice, choice.elsewhere) : this.#chooseNearData(choice, choice.elsewhere)
+    const worker = this.#chooseByRack(task, workers, this.#choiceOf(step))
     if (worker === DELAYED) return worker
-    choice.elsewhere = undefined
+    this.#fitting = undefined
     const { dataRack } = step.shape
-    if (dataRack !== '') this.#context.delays.demand.record(dataRack, taskWork(step.shape), this.#context.now)
+    if (worker !== undefined && dataRack !== '') this.#context.delays.demand.record(dataRack, taskWork(step.shape), this.#context.now)
     return worker
   }
 
+  #choiceOf (step: StepRecord): StepChoice {
+    if (this.#choice?.step === step) return this.#choice
+    this.#choice = { step }
+    return this.#choice
+  }
+
+  // What fits nowhere is left to the caller, which then passes over all steps that need as much.
+  #chooseByRack (task: TaskRecord, workers: readonly WorkerRecord[], choice: StepChoice): WorkerRecord | typeof DELAYED | undefined {
+    const { step } = task
+    const near = this.#chooseNear(task, choice)
+    if (near !== undefined) return near
+    if (!this.#fits(task, workers)) return undefined
+    if (step.shape.isOneRack) {
+      choice.shared ??= this.#planSharedRack(step) ?? 'none'
+      if (choice.shared !== 'none') return this.#chooseFrom(task, choice.shared.workers) ?? DELAYED
+    } else {
+      choice.delayed ??= this.#planNearData(step)
+      if (choice.delayed > 0) {
+        choice.delayed--
+        return DELAYED
+      }
+    }
+    return this.#chooseFrom(task, workers)
+  }
+
+  // A worker on which the task has failed is the last choice, also near the data.
+  #chooseNear (task: TaskRecord, { shared, delayed }: StepChoice): WorkerRecord | undefined {
+    const { shape: { isOneRack, dataRack } } = task.step
+    if (isOneRack ? shared === undefined || shared === 'none' : delayed !== undefined && task.failedOn.size === 0) return undefined
+    const rack = isOneRack ? shared as Rack : this.#racks.ofData(dataRack)
+    const worker = this.#chooseFrom(task, rack.workers)
+    return worker === undefined || task.failedOn.has(worker) ? undefined : worker
+  }
+
+  // Whether a task fits anywhere. Several steps that wait by choice need only one search, as nothing is placed in between.
+  #fits (task: TaskRecord, workers: readonly WorkerRecord[]): boolean {
+    const { step } = task
+    if (this.#fitting !== undefined && task.failedOn.size === 0 && needsNoMore(step, this.#fitting)) return true
+    const worker = this.#chooseFrom(task, workers)
+    if (worker !== undefined) this.#fitting = step
+    return worker !== undefined
+  }
+
   #chooseFrom (task: TaskRecord, workers: readonly WorkerRecord[]): WorkerRecord | undefined {
     const { held, interference, now } = this.#context
     return chooseWorker(task, workers, held, interference, now)
   }
 
-  // The workers near the data have the highest scores, so `best` is one of them if the task fits there.
-  #chooseNearData (choice: StepChoice, best: WorkerRecord): WorkerRecord | typeof DELAYED {
-    const { step } = choice
-    if (isNearData(step, best)) return best
-    choice.delayed ??= this.#planNearData(step)
-    if (choice.delayed <= 0) return best
-    choice.delayed--
-    return DELAYED
-  }
-
   #planNearData (step: StepRecord): number {
     const rack = this.#racks.ofData(step.shape.dataRack)
     const inputs = this.#inputsOf(step, rack)
@@ -97,12 +131,6 @@
     return plan.startsMs.length
   }
 
-  #chooseInSharedRack (task: TaskRecord, choice: StepChoice, best: WorkerRecord): WorkerRecord | typeof DELAYED {
-    choice.shared ??= this.#planSharedRack(choice.step) ?? 'none'
-    if (choice.shared === 'none') return best
-    return this.#chooseFrom(task, choice.shared.workers) ?? DELAYED
-  }
-
   // Once tasks of the step are in several racks, all of them are slow, and a further one gains nothing by waiting.
   #planSharedRack (step: StepRecord): Rack | undefined {
     const { delays } = this.#context
@@ -112,7 +140,7 @@
     const longestWaitMs = delays.policy.longestWaitMs(inputs)
     const [usedKey] = used
     const usedRack = usedKey === undefined ? undefined : this.#racks.of(usedKey)
-    const racks = usedRack === undefined ? this.#racks.byFreeProcessors() : [usedRack]
+    const racks = usedRack === undefined ? this.#racks.byFreeProcessors().slice(0, MAX_PLANNED_RACKS) : [usedRack]
     const offer = this.#soonest(step, racks, longestWaitMs, inputs)
     if (offer === undefined) {
       this.#record(step, racks.length === 1 ? racks[0] : undefined, undefined, { delayed: 0, away: step.waiting.size }, inputs, longestWaitMs)
@@ -161,6 +189,13 @@
 
 const processorsOf = ({ workers }: Rack): number => workers.reduce((sum, { entry, lasting }) => sum + entry.processors - lasting.processors, 0)
 
+// Whether each worker on which a task of the other step fits holds one of this step as well.
+const needsNoMore = ({ shape, job }: StepRecord, { shape: other, job: otherJob }: StepRecord): boolean => {
+  if (job.job.policy.service !== otherJob.job.policy.service || job.job.policy.priority !== otherJob.job.policy.priority) return false
+  if (shape.isFiller || other.isFiller || shape.requiredLabel !== other.requiredLabel || shape.maxPerWorker > 0) return false
+  return shape.processors <= other.processors && shape.memoryMb <= other.memoryMb && shape.accelerators <= other.accelerators
+}
+
 const usedRacks = ({ tasks }: StepRecord): ReadonlySet<string> => {
   const racks = new Set<string>()
   for (const { runs } of tasks) for (const { worker } of runs) racks.add(rackKey(worker.entry))
--- a/packages/core/tests/delayScheduling.test.ts
+++ b/packages/core/tests/delayScheduling.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import { brand, type Instant } from '@auburnpin/common'
+import { jobOf, stepOf } from '@auburnpin/fakes'
 import { chooseWorker, PayingWait, WaitPolicy, waitForPlace, type StepRecord, type TaskRecord } from '../src/index.ts'
 import { RackLoad, type RackLoadResult, type RackLoadSettings } from './support/RackLoad.ts'
 
@@ -142,3 +143,18 @@
   t.true(waited.length > 0 && waited.every(({ wasOrdered }) => !wasOrdered))
   t.is(load.scheduler.delays.delayedTasks, 0)
 })
+
+test('a wait gives way to more urgent work: an urgent task takes the place that comes free in the rack', t => {
+  const urgent = 'f000000000000001'
+  let waited: readonly TaskRecord[] = []
+  const load = untilDelayed({ ...HOT_AND_SLOW_ELSEWHERE, priority: 1 }, ({ scheduler, now }, delayed) => {
+    waited = delayed.flatMap(({ waiting }) => [...waiting])
+    for (const { entry, processorsUsed } of scheduler.workers.values()) {
+      if (entry.rack !== 'r0') scheduler.upsertWorker({ ...entry, processors: processorsUsed }, brand<Instant>(now))
+    }
+    scheduler.addJob(jobOf(urgent, [stepOf({ processors: 3_800, estimateMs: 640 })], { acceptedAt: now }), brand<Instant>(now))
+  })
+  const startOf = (task: TaskRecord | undefined): number => load.startedAt.get(task?.name as string) ?? Infinity
+  t.true(waited.length > 0)
+  t.true(startOf(load.scheduler.jobs.get(brand(urgent))?.findTask(0, 0, 0)) <= Math.min(...waited.map(startOf)))
+})
--- a/packages/core/tests/support/RackLoad.ts
+++ b/packages/core/tests/support/RackLoad.ts
@@ -20,6 +20,8 @@
   remoteFactor?: number
   seconds?: number
   racks?: number
+  /** Priority of the queue; 0 is the most urgent. */
+  priority?: number
   /** Changes of the first rack, by second: the share of processors that its workers have from then on; 0: it is lost. */
   hotRackCapacity?: ReadonlyMap<number, number>
 }>
@@ -46,6 +48,7 @@
   readonly #ends = new Map<WorkerId, ReportedEnd[]>()
   readonly #jobs = new Map<string, { acceptedAt: number, objectiveMs: number, durationsMs: readonly number[], endedAt?: number }>()
   readonly #racksOfStep = new Map<string, Set<string>>()
+  readonly startedAt = new Map<string, number>()
   #starts = 0
   #nearStarts = 0
   #delayedTasks = 0
@@ -105,7 +108,7 @@
     const durationsMs = steps.flatMap(({ taskCount }) => Array.from({ length: taskCount }, () => baseMs * (0.9 + 0.2 * this.#random.fraction())))
     // Clients count their objective by their own estimates.
     this.#jobs.set(id, { acceptedAt: this.now, objectiveMs: POLICY.objectiveFactor * estimateMs * steps.length + POLICY.objectiveMs, durationsMs })
-    this.scheduler.addJob(jobOf(id, steps, { acceptedAt: this.now, policy: POLICY }), this.#instant)
+    this.scheduler.addJob(jobOf(id, steps, { acceptedAt: this.now, policy: { ...POLICY, priority: this.#settings.priority ?? 0 } }), this.#instant)
   }
 
   #execute (order: RunOrder): void {
@@ -118,6 +121,7 @@
     const isAway = shape !== undefined && shape.dataRack !== '' && entry?.labels.includes(shape.dataRack) !== true
     if (shape?.isOneRack === true) this.#racksOfStep.set(step, (this.#racksOfStep.get(step) ?? new Set()).add(entry?.rack ?? ''))
     this.#starts++
+    this.startedAt.set(order.task, this.now)
     if (!isAway && (this.#racksOfStep.get(step)?.size ?? 1) === 1) this.#nearStarts++
     this.#runsOn(order.worker).push({ order, at: this.now, baseMs: this.#jobs.get(name.job)?.durationsMs[name.step * TASK.taskCount + name.index] ?? 0, step, rack: entry?.rack ?? '', isAway })
     this.scheduler.recordStartSent(order.worker, order.task, order.attempt, this.#instant)
