--- a/bench/run.ts
+++ b/bench/run.ts
@@ -15,6 +15,8 @@
   { script: 'schedulerJournal.ts', sizes: [''] },
   { script: 'decisions.ts', sizes: [''] },
   { script: 'cellBalance.ts', sizes: [''] },
+  { script: 'rackPolicies.ts', sizes: [''] },
+  { script: 'rackPassCost.ts', sizes: [''] },
   { script: 'gatewayCost.ts', sizes: [''] },
   { script: 'gatewayRouting.ts', sizes: [''] }
 ]
--- a/packages/core/src/jobs/DelayObserver.ts
+++ b/packages/core/src/jobs/DelayObserver.ts
@@ -7,7 +7,7 @@
 /** A decision on the tasks of a step that don't fit into the rack that they prefer, with its inputs; all in milliseconds. */
 export type DelayDecision = WaitInputs & Readonly<{
   step: StepRecord
-  /** Label of the rack with the data, or key of the rack that the step's tasks share. */
+  /** Label of the rack with the data, or key of the rack that the step's tasks share; the keys of those that were considered if none is chosen. */
   rack: string
   /** Workers of the rack that accept work. */
   workers: number
--- a/packages/core/src/jobs/PlaceChooser.ts
+++ b/packages/core/src/jobs/PlaceChooser.ts
@@ -142,7 +142,7 @@
     const racks = usedRack === undefined ? this.#racks.byFreeProcessors().slice(0, MAX_PLANNED_RACKS) : [usedRack]
     const offer = this.#soonest(step, racks, longestWaitMs, inputs)
     if (offer === undefined) {
-      this.#record(step, racks.length === 1 ? racks[0] : undefined, undefined, { delayed: 0, away: step.waiting.size }, inputs, longestWaitMs)
+      this.#record(step, combine(racks), undefined, { delayed: 0, away: step.waiting.size }, inputs, longestWaitMs)
       return undefined
     }
     this.#forecast.commit(offer.plan)
@@ -180,12 +180,15 @@
     }
   }
 
-  #record (step: StepRecord, rack: Rack | undefined, plan: RackPlan | undefined, tasks: Pick<DelayDecision, 'delayed' | 'away'>, inputs: WaitInputs, longestWaitMs: number): void {
+  #record (step: StepRecord, rack: Rack, plan: RackPlan | undefined, tasks: Pick<DelayDecision, 'delayed' | 'away'>, inputs: WaitInputs, longestWaitMs: number): void {
     const { delays, now } = this.#context
-    delays.record({ step, rack: rack?.key ?? '', workers: rack?.workers.length ?? 0, ...tasks, longestWaitMs, expectedWaitMs: plan?.startsMs.at(-1) ?? 0, ...inputs }, now)
+    delays.record({ step, rack: rack.key, workers: rack.workers.length, ...tasks, longestWaitMs, expectedWaitMs: plan?.startsMs.at(-1) ?? 0, ...inputs }, now)
   }
 }
 
+// For records about several racks.
+const combine = (racks: readonly Rack[]): Rack => ({ key: racks.map(({ key }) => key).join(' '), workers: racks.flatMap(({ workers }) => workers) })
+
 const processorsOf = ({ workers }: Rack): number => workers.reduce((sum, { entry, lasting }) => sum + entry.processors - lasting.processors, 0)
 
 // Whether each worker on which a task of the other step fits holds one of this step as well.
