--- a/bench/run.ts
+++ b/bench/run.ts
@@ -17,6 +17,8 @@
   { script: 'decisions.ts', sizes: [''] },
   { script: 'speculativeCopies.ts', sizes: [''] },
   { script: 'cellBalance.ts', sizes: [''] },
+  { script: 'rackPolicies.ts', sizes: [''] },
+  { script: 'rackPassCost.ts', sizes: [''] },
   { script: 'gatewayCost.ts', sizes: [''] },
   { script: 'gatewayRouting.ts', sizes: [''] }
 ]
--- a/bench/schedulingPass.ts
+++ b/bench/schedulingPass.ts
@@ -3,8 +3,8 @@
  * filler and short jobs arrive. Needs no network. Argument: number of workers; prints one JSON line.
  */
 import { brand, SeededRandom, type Attempt, type Epoch, type Instant, type JobId, type QueueName } from '@auburnpin/common'
-import { JobScheduler, JobSchedulerObserver, type JobStep, type ReportedRun } from '@auburnpin/core'
-import { jobOf, stepOf, workerEntryOf } from '@auburnpin/fakes'
+import { JobScheduler, type JobStep, type ReportedRun } from '@auburnpin/core'
+import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
 
 const WORKERS = Number(process.argv[2] ?? 245)
 const WORKER_PROCESSORS = 64_000
@@ -20,18 +20,8 @@
 /** Tasks that end by themselves run for this many passes. */
 const RUN_PASSES = 25
 
-class SilentObserver extends JobSchedulerObserver {
-  runEnded (): void {}
-  runStalled (): void {}
-  phaseChanged (): void {}
-  workerQuarantined (): void {}
-  workerLost (): void {}
-  taskGivenUp (): void {}
-  copyStarted (): void {}
-}
-
 const random = new SeededRandom(1)
-const scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: 4_500 }, brand<Instant>(0), new SilentObserver())
+const scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: 4_500 }, brand<Instant>(0), new SilentJobSchedulerObserver())
 const entries = Array.from({ length: WORKERS }, (_, index) => workerEntryOf(`w${index}`, { processors: WORKER_PROCESSORS, memoryMb: 250_000, rack: `r${Math.floor(index / RACK_WORKERS)}`, labels: ['a', `r${Math.floor(index / RACK_WORKERS)}`] }))
 let now = 10_000
 let jobs = 0
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -5,8 +5,10 @@
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
 import { ATTEMPTS_PER_TERM, RESERVED_WORKER_SHARE } from './constants.ts'
 import { CopyInterval } from './CopyInterval.ts'
+import { countQueuedJobs } from './countQueuedJobs.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
 import { createRun } from './createRun.ts'
+import { DelayScheduling } from './DelayScheduling.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { findInterruptions } from './findInterruptions.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
@@ -22,6 +24,7 @@
 import { paceOrders } from './paceOrders.ts'
 import { MAX_SPECULATIVE_RUNS } from './placeCopies.ts'
 import { placeTasks } from './placeTasks.ts'
+import type { PlacingSettings } from './PlacingContext.ts'
 import { recordDuration } from './recordDuration.ts'
 import { recordProgress } from './recordProgress.ts'
 import { SizeFairness } from './SizeFairness.ts'
@@ -78,6 +81,8 @@
   /** Waits of the open steps. */
   readonly waits = new WaitingSteps()
   readonly reserve: WorkerReserve
+  /** Steps whose tasks wait for a rack. */
+  readonly delays: DelayScheduling
   readonly #termStartedAt: Instant
   readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
@@ -85,11 +90,12 @@
   #isListRead = false
   #isReconciled = false
 
-  constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver, maxReservedShare = RESERVED_WORKER_SHARE) {
+  constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver, { delays = new DelayScheduling(), maxReservedShare = RESERVED_WORKER_SHARE }: PlacingSettings = {}) {
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
     this.reserve = new WorkerReserve(maxReservedShare)
+    this.delays = delays
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.#termStartedAt = now
     this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
@@ -574,11 +580,7 @@
 
   /** Number of jobs in each queue without a started task. */
   countQueuedJobs (): Readonly<Record<string, number>> {
-    const pending: Record<string, number> = {}
-    for (const { job, phase } of this.jobs.values()) {
-      if (phase === 'queued') pending[job.queue] = (pending[job.queue] ?? 0) + 1
-    }
-    return pending
+    return countQueuedJobs(this.jobs.values())
   }
 
   /** Puts back jobs whose progress could not be written. */
@@ -621,7 +623,7 @@
     if (starts >= maxStarts) return orders
     this.held = new HeldWorkers(this.workers.size - countEvacuated(this.workers.values()))
     this.interference.capacity.startPass()
-    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, durations: this.durations, copyInterval: this.#copyInterval, now, wallTime }
+    const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, durations: this.durations, copyInterval: this.#copyInterval, delays: this.delays, now, wallTime }
     for (const { task, worker, lateness } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -3,6 +3,7 @@
  */
 import type { Instant } from '@auburnpin/common'
 import type { CopyInterval } from './CopyInterval.ts'
+import type { DelayScheduling } from './DelayScheduling.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
 import type { LearntDurations } from './LearntDurations.ts'
@@ -23,6 +24,14 @@
   reserve: WorkerReserve
   durations: LearntDurations
   copyInterval: CopyInterval
+  delays: DelayScheduling
   now: Instant
   wallTime: number
 }>
+
+/** What an installation sets for placement; by default tasks don't wait for a rack and a constant share of the workers is reserved. */
+export type PlacingSettings = Readonly<{
+  delays?: DelayScheduling
+  /** Largest share of the processors of a service that is reserved for short tasks. */
+  maxReservedShare?: number | undefined
+}>
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -5,6 +5,7 @@
 import { holdWorkers } from './holdWorkers.ts'
 import { orderSteps } from './orderSteps.ts'
 import { placeCopies } from './placeCopies.ts'
+import { DELAYED, PlaceChooser } from './PlaceChooser.ts'
 import { placeTrials } from './placeTrials.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
 import { StepCandidates } from './StepCandidates.ts'
@@ -39,6 +40,7 @@
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => reserved.openTo(task)
   const ordered = orderSteps(waitingSteps, candidates, context)
   holdWorkers(ordered, workersFor, context)
+  const places = new PlaceChooser(candidates, context)
   const refused: StepRecord[] = []
   for (const step of ordered) {
     if (!held.isHolder(step) && refused.some(other => needsAtLeast(step, other))) continue
@@ -46,7 +48,8 @@
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
       stepCandidates ??= new StepCandidates(workersFor(task), held, interference, now, reserve.packs(step, now))
-      const worker = stepCandidates.choose(task)
+      const worker = places.choose(task, stepCandidates)
+      if (worker === DELAYED) continue
       if (worker === undefined) {
         reserve.recordLackOfRoom(step, candidates, now, wallTime)
         if (isUnconstrained(step.shape) && workersFor(task).length === candidates.length) refused.push(step)
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -24,7 +24,7 @@
 
   /** `workers` maps each worker's id to its processors in thousandths of a core. */
   constructor (workers: Readonly<Record<string, number>>, overrides: Partial<WorkerEntry> = {}, maxReservedShare?: number) {
-    this.scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: LEASE_MS }, brand<Instant>(0), new SilentJobSchedulerObserver(), maxReservedShare)
+    this.scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: LEASE_MS }, brand<Instant>(0), new SilentJobSchedulerObserver(), { maxReservedShare })
     this.scheduler.replaceWorkers(Object.entries(workers).map(([id, processors]) => workerEntryOf(id, { processors, ...overrides })), this.now)
     this.#report()
   }
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -22,6 +22,8 @@
   workersPerCell: number
   /** Largest share of the processors of a service that is reserved while short tasks wait; if absent, the constant share is reserved. */
   maxReservedShare?: number | undefined
+  /** How many times as long a task takes away from the rack of its data or of its step; absent or 1: tasks don't wait for a rack. */
+  remoteFactor?: number
   /** What is published of the other cells. */
   cells: CellChooser
 }>
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -45,6 +45,7 @@
     this.#gaugeInterruptions(0, 0)
     this.#reserveReporter.stop()
     this.#ports.metrics.gauge('durations.learnt', 0)
+    this.#ports.metrics.gauge('tasks.delayed', 0)
   }
 
   #report (): void {
@@ -53,6 +54,7 @@
     this.#reserveReporter.report(now)
     this.#ports.metrics.gauge('durations.learnt', durations.learntCount)
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
+    this.#ports.metrics.gauge('tasks.delayed', this.#scheduler.delays.delayedTasks)
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
       for (const wait of waits.longest(kind, MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, workers, held, interference, now, reserve.last.added)) this.#write(wait)
--- a/packages/jobs/tests/reserveReporter.test.ts
+++ b/packages/jobs/tests/reserveReporter.test.ts
@@ -10,7 +10,7 @@
   const gauges = new Map<string, number>()
   const log = Object.assign(new SilentLog(), { write: (_level: LogLevel, message: string, fields: LogFields = {}) => { records.push({ message, ...fields }) } })
   const metrics = Object.assign(new SilentMetrics(), { gauge: (name: MetricName, value: number, { dataCentre = '' }: MetricTags = {}) => { gauges.set(`${name} ${dataCentre}`.trim(), value) } })
-  const scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: 4_000 }, at(0), new SilentJobSchedulerObserver(), 0.6)
+  const scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: 4_000 }, at(0), new SilentJobSchedulerObserver(), { maxReservedShare: 0.6 })
   scheduler.replaceWorkers(['east', 'east', 'west', 'west'].map((zone, index) => workerEntryOf(`w${index}`, { zone })), at(0))
   for (const worker of scheduler.workers.values()) scheduler.applyReport(worker.entry.id, { incarnation: worker.entry.incarnation, clockMs: 0, running: [], ended: [] }, at(0), at(0))
   const reporter = new ReserveReporter({ log, metrics }, scheduler)
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -46,7 +46,7 @@
     this.#evacuationsFollower = new TableFollower(store, this.clock, new SilentLog(), EVACUATIONS_TABLE, [''], evacuationRows(this.evacuations))
     if (simulation.followsEvacuations) this.followEvacuations()
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, maxReservedShare: simulation.maxReservedShare, cells, evacuations: this.evacuations }
+    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, remoteFactor: simulation.remoteFactor, maxReservedShare: simulation.maxReservedShare, cells, evacuations: this.evacuations }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
     cells.start()
@@ -180,6 +180,8 @@
   /** Whether processes read the evacuations from their start on. */
   followsEvacuations = true
   maxReservedShare: number | undefined
+  /** How many times as long tasks take away from their rack; absent: tasks don't wait for a rack. */
+  remoteFactor?: number
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
