Forecast of waits, and the decision whether a job is accepted

Cause: under load every job is accepted and waits, and most large jobs end when they are useless or not at all.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -3,14 +3,16 @@
  */
 import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
-import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, SHORT_RUN_MS } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS } from './constants.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
+import { countQueuedJobs } from './countQueuedJobs.ts'
 import { createRun } from './createRun.ts'
 import { FillerInterference } from './FillerInterference.ts'
 import { HeldWorkers } from './HeldWorkers.ts'
 import type { Interruption } from './Interruption.ts'
 import { JobRecord } from './JobRecord.ts'
 import type { JobSchedulerObserver } from './JobSchedulerObserver.ts'
+import { isShortRun } from './isShortRun.ts'
 import { isStalled } from './isStalled.ts'
 import { availableProcessors, loadPercent } from './loadPercent.ts'
 import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
@@ -25,6 +27,7 @@
 import type {
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
+import type { WaitForecast } from './WaitForecast.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
 import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
 
@@ -59,6 +62,8 @@
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
   readonly #announcedStarts = new AnnouncedStarts()
+  /** Forecast of the waits of new jobs; `undefined` unless it is published. */
+  forecast: WaitForecast | undefined
   /** Workers held by the last scheduling pass. */
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
@@ -580,11 +585,7 @@
 
   /** Number of jobs in each queue without a started task. */
   countQueuedJobs (): Readonly<Record<string, number>> {
-    const pending: Record<string, number> = {}
-    for (const { job, phase } of this.jobs.values()) {
-      if (phase === 'queued') pending[job.queue] = (pending[job.queue] ?? 0) + 1
-    }
-    return pending
+    return countQueuedJobs(this.jobs.values())
   }
 
   /** Puts back jobs whose progress could not be written. */
@@ -629,6 +630,7 @@
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, now, wallTime }
     for (const { task, worker } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
+      this.forecast?.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       this.waits.recordPlacement(task)
@@ -640,6 +642,7 @@
       if (++starts >= maxStarts) break
     }
     this.waits.observe(this.#openSteps, now)
+    if (isReconciled) this.forecast?.observe(this.#openSteps, this.workers.values(), this.#fairness, now, wallTime)
     return orders
   }
 
@@ -712,6 +715,3 @@
     this.#scheduler.giveUp(task, now)
   }
 }
-
-// How long a run lasted is known only if this owner knew it.
-const isShortRun = (run: RunRecord | undefined, now: Instant): boolean => run !== undefined && now - run.orderedAt < SHORT_RUN_MS
--- a/packages/core/src/jobs/SizeFairness.ts
+++ b/packages/core/src/jobs/SizeFairness.ts
@@ -37,6 +37,9 @@
   }
 }
 
+/** Sizes of a queue's jobs, in thousandths of a core times milliseconds: the upper bounds of all bands but the last, and a typical size of each band. */
+export type QueueBands = Readonly<{ bounds: readonly number[], typical: readonly number[] }>
+
 /** Sizes of the recent jobs of one queue, in bands. */
 class QueueSizes {
   readonly #recent: number[] = []
@@ -57,6 +60,14 @@
     return band
   }
 
+  /** The sizes that divide the bands, and a typical size of each; no bounds while there are few jobs. */
+  get bands (): QueueBands {
+    const sorted = [...this.#recent].sort((one, other) => one - other)
+    const at = (quantile: number): number => sorted[Math.min(sorted.length - 1, Math.floor(quantile * sorted.length))] ?? 0
+    const edges = [0, ...SIZE_BAND_QUANTILES, 1]
+    return { bounds: SIZE_BAND_QUANTILES.map(at), typical: edges.slice(1).map((to, band) => at((to + (edges[band] ?? 0)) / 2)) }
+  }
+
   isBehind (band: SizeBand, now: Instant): boolean {
     let accepted = 0
     let started = 0
@@ -126,6 +137,11 @@
     return size.isPromoted
   }
 
+  /** The bands of a queue; `undefined` if none of its jobs was accepted in this term. */
+  bandsOf (queue: QueueName): QueueBands | undefined {
+    return this.#queues.get(queue)?.bands
+  }
+
   #sizeOf ({ job, occurrence }: StepRecord): JobSize | undefined {
     return this.#sizes.get(job)?.[occurrence]
   }
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -135,3 +135,49 @@
 
 /** Largest share of the workers that is held at the same time for tasks that have not run. */
 export const HELD_WORKER_SHARE = 0.125
+
+/** Share of a queue's jobs in each band of sizes; follows from `SIZE_BAND_QUANTILES`. */
+export const SIZE_BAND_SHARES: readonly number[] = [...SIZE_BAND_QUANTILES, 1].map((quantile, band) => quantile - (SIZE_BAND_QUANTILES[band - 1] ?? 0))
+
+/** Shortest time between two forecasts of waits, in milliseconds; about as often as terms are renewed and read. */
+export const FORECAST_INTERVAL_MS = 400
+
+/** An owner publishes no forecast that is older than this, in milliseconds; its passes may have stopped. */
+export const MAX_FORECAST_AGE_MS = 1_500
+
+/** Longest wait that is forecast, in milliseconds; each queue's jobs are useless before. */
+export const MAX_FORECAST_WAIT_MS = 60_000
+
+/** Most queues in the forecast of a cell, so that the row of the first of many cells stays within the store's limit. */
+export const MAX_FORECAST_QUEUES = 8
+
+/** Milliseconds over which the weight of a measured rate falls to 37 %; several waves of tasks of 0.6 to 2 s. */
+export const FORECAST_RATE_MEMORY_MS = 6_000
+
+/** As above while nothing waits, so that the rate of the last overload is soon replaced by that of free processors. */
+export const IDLE_RATE_MEMORY_MS = 10_000
+
+/** Milliseconds for which the rate of fully used processors counts beside the measured one. */
+export const FORECAST_PRIOR_MS = 1_000
+
+/** The part of the rate that a job's wait is computed with is at least this share of it, however much arrives before the job. */
+export const MIN_DRAIN_SHARE = 0.4
+
+/** A forecast that a process first saw longer ago than this refuses no job, in milliseconds; terms are renewed and polled every 500 ms. */
+export const MAX_WAITS_AGE_MS = 2_500
+
+/** Milliseconds in which the refused share falls from 1 to 0 at the fastest. */
+export const ADMISSION_SHARE_FALL_MS = 4_000
+
+/** Jobs are refused from this share of their slack on, if they would wait that long; half of it is left for the waits of later steps. */
+export const FIRST_REFUSAL_SHARE = 0.5
+
+/** Factor on the refused share, and on the time to come back, for each earlier refusal of a job. */
+export const REFUSAL_DISCOUNT = 0.8
+
+/** Bounds of the time after which a refused client may come back, in milliseconds. */
+export const MIN_RETRY_AFTER_MS = 1_000
+export const MAX_RETRY_AFTER_MS = 15_000
+
+/** Most refused jobs that a process remembers; at 30 refusals a second, those of the last two minutes. */
+export const MAX_REMEMBERED_REFUSALS = 4_000
