Owners publish the forecast of waits; processes refuse jobs by it

Change: the term's row carries 'waits', and the first cell's summary those of all cells, at commits that are written anyway. AdmissionControl reads the job's row before it refuses and never refuses one whose submission to this process has an unknown outcome. Off unless OwnerPorts.areWaitsPublished.

--- a/packages/jobs/src/CellChooser.ts
+++ b/packages/jobs/src/CellChooser.ts
@@ -2,7 +2,7 @@
  * Choice of the cell of a new job, from what the owner of the first cell publishes.
  */
 import { type CellId, type Clock, type Log, type Random } from '@auburnpin/common'
-import { chooseCell, chooseTransfer, type Job, type Layout } from '@auburnpin/core'
+import { canRun, chooseCell, chooseTransfer, type Job, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, indexOfCell, LAYOUT_KEY_RANGE, readLayout, TERMS_TABLE, type PublishedCells } from './rows.ts'
@@ -47,6 +47,14 @@
     return cellAt(chooseCell(job, this.#layout.cells, loads, this.#random.fraction()))
   }
 
+  /** Indexes of the cells with an owner that `choose` may return for a job. */
+  candidates (job: Job): readonly number[] {
+    const loads = this.#published()?.loads
+    if (loads === undefined || this.#layout === undefined) return [indexOfCell(FIRST_CELL)]
+    const { cells } = this.#layout
+    return [...cells.keys()].filter(index => loads[index]?.isOwned === true && canRun(job, cells[index]))
+  }
+
   /** The less loaded cell that a job which waits in `from` should go to; `undefined` if there is none. */
   chooseTransfer (job: Job, from: CellId, loads: PublishedCells['loads']): CellId | undefined {
     if (this.#layout === undefined) return undefined
--- a/packages/jobs/src/CellElections.ts
+++ b/packages/jobs/src/CellElections.ts
@@ -2,6 +2,7 @@
  * Participation of one process in the elections of the owners of all cells.
  */
 import { rendezvousRank, type CellId, type QueueName, type Random } from '@auburnpin/common'
+import type { Job, PublishedWaits } from '@auburnpin/core'
 import { CORES_PER_WORKER, FIRST_CELL, STANDBY_CELLS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import { OwnerElection, type CandidateIdentity } from './OwnerElection.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
@@ -45,6 +46,14 @@
     return this.#first.publishedCells
   }
 
+  /** Waits of new jobs in the cells that could run a job, as last published; `undefined` while the first cell has no owner. */
+  waitsFor (job: Job): PublishedWaits | undefined {
+    const published = this.#first.publishedWaits
+    if (published === undefined) return undefined
+    const { own, ofCells, ageMs } = published
+    return { cells: this.#ports.cells.candidates(job).map(index => index === 0 ? own : ofCells?.[index] ?? undefined), ageMs }
+  }
+
   /** Cells that this process owns. */
   get ownedCells (): readonly CellId[] {
     const owned = this.#first.isOwner ? [FIRST_CELL] : []
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -2,7 +2,7 @@
  * Observes the other cells of a deployment for the owner of the first cell.
  */
 import { type Clock, type Instant, type RowVersion } from '@auburnpin/common'
-import type { CellLoad } from '@auburnpin/core'
+import { MAX_FORECAST_AGE_MS, type CellLoad, type CellWaits } from '@auburnpin/core'
 import { TERM_EXPIRY_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
@@ -49,16 +49,18 @@
   /** State of all cells, with that of the first as its owner knows it; `undefined` while there is only one. */
   publish (layoutVersion: number, first: CellLoad): PublishedCells | undefined {
     if (this.#cellCount <= 1) return undefined
-    if (this.#before !== undefined && this.#before.loads.some((_, index) => index > 0 && !this.#observed.has(index))) return this.#before
+    if (this.#before !== undefined && this.#before.loads.some((_, index) => index > 0 && !this.#observed.has(index))) return { ...this.#before, waits: undefined }
     const now = this.#clock.now()
     const pending: Record<string, number> = {}
     const loads = [first]
+    const waits: (CellWaits | null)[] = [null]
     for (let index = 1; index < this.#cellCount; index++) {
       const observed = this.#observed.get(index)
       for (const [queue, count] of Object.entries(observed?.term.pending ?? {})) pending[queue] = (pending[queue] ?? 0) + count
+      waits.push(observed !== undefined && isOwned(observed, now) && now - observed.changedAt <= MAX_FORECAST_AGE_MS ? observed.term.waits ?? null : null)
       loads.push({ workers: observed?.term.workers ?? 0, loadPercent: observed?.term.loadPercent ?? 0, isOwned: observed !== undefined && isOwned(observed, now) })
     }
-    return { layoutVersion, loads, pending }
+    return { layoutVersion, loads, pending, waits: waits.some(ofCell => ofCell !== null) ? waits : undefined }
   }
 
   async #run (): Promise<void> {
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,11 +2,12 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { JobScheduler, rackKey, runKey, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { rackKey, runKey, type JobScheduler, type JobProgress, type JobRecord, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, SURVIVAL_REPORT_DELAY_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { createScheduler } from './createScheduler.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { JobTransfers, TransferHost } from './JobTransfers.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
@@ -18,7 +19,6 @@
 import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
 import { TableFollower, TableListener } from './TableFollower.ts'
-import { LoggingJobSchedulerObserver } from './LoggingJobSchedulerObserver.ts'
 import { logCapacityChange } from './logCapacityChange.ts'
 import { logPlacements } from './logPlacements.ts'
 import { TermListener, TermWriter } from './TermWriter.ts'
@@ -75,7 +75,7 @@
     this.#onTermLost = onTermLost
     this.#onOverload = onOverload
     const { store, clock, log } = ports
-    this.#scheduler = new JobScheduler(claimed.term.epoch, { leaseMs: WORKER_LEASE_MS }, claimed.earlierTermOverAt, new LoggingJobSchedulerObserver(ports))
+    this.#scheduler = createScheduler(ports, claimed)
     this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
     this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
@@ -87,7 +87,7 @@
     this.#pollerHost = new OwnerPollerHost(this)
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
-    this.#waitReporter = new WaitReporter(ports, this.#scheduler)
+    this.#waitReporter = new WaitReporter(ports, this.#scheduler, claimed.cell)
   }
 
   get isHeld (): boolean {
--- a/packages/jobs/src/JobRepository.ts
+++ b/packages/jobs/src/JobRepository.ts
@@ -7,6 +7,7 @@
 import { FIRST_CELL } from './constants.ts'
 import type { RowTransaction, StoredRow } from './RowStore.ts'
 import { storeUnavailable, type MonitoredStore } from './MonitoredStore.ts'
+import { UncertainSubmissions } from './UncertainSubmissions.ts'
 import { ABSENT_ROW_VERSION, cancelKey, encodeRow, encodeJob, jobKeyRange, jobPart, JOBS_TABLE, PROGRESS_TABLE, readJob, readProgress } from './rows.ts'
 
 /** Delay before a transaction with an unknown outcome is retried, in milliseconds. */
@@ -31,6 +32,7 @@
   readonly #cellOfJob = new Map<JobId, CellId>()
   /** Cancellations that could not be stored yet, with the time of the failed request. */
   readonly #pendingCancellations = new Map<JobId, Instant>()
+  readonly #uncertain = new UncertainSubmissions()
   #isRetrying = false
 
   constructor (store: MonitoredStore, clock: Clock, log: Log, cells: CellChooser) {
@@ -48,12 +50,21 @@
     const key = { table: JOBS_TABLE, key: job.id }
     const cell = this.#cells.choose(job)
     // While the store is unavailable the job is refused at once, as the client may find a process that can reach the store.
+    this.#uncertain.begin(job.id)
     const outcome = this.#store.isUnavailable ? storeUnavailable() : await this.#putOnce({ part: jobPart(job.id), checks: [{ ...key, version: ABSENT_ROW_VERSION }], puts: [{ ...key, value: encodeJob({ job, cell }) }], deletes: [] }, withinMs)
+    this.#uncertain.end(job.id, outcome.err && outcome.val.kind === 'unknown-outcome', this.#clock.now())
     this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: describeSteps(job), cell, outcome: outcome.ok ? outcome.val : outcome.val.kind })
     if (outcome.ok && outcome.val === 'stored') this.#rememberCell(job.id, cell)
     return outcome.err ? outcome : Ok(undefined)
   }
 
+  /** Whether a job is stored, or may be through an earlier submission to this process; `true` also if the store doesn't say. */
+  async mayBeStored (id: JobId): Promise<boolean> {
+    if (this.#store.isUnavailable || this.#uncertain.has(id, this.#clock.now())) return true
+    const rows = await this.#store.range({ table: JOBS_TABLE, part: jobPart(id), ...jobKeyRange(id) })
+    return rows.err || rows.val.rows.length > 0 || this.#uncertain.has(id, this.#clock.now())
+  }
+
   /**
    * Stores the cancellation of a job, also if the job itself isn't stored: a submission without a response may
    * still be stored later, and must not run then. Returns `false` if the job isn't stored so far. Errors as for
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -2,12 +2,13 @@
  * Elects the owner of a cell: each process polls the cell's term and claims it when it is released or expired.
  */
 import { brand, type CellId, type Clock, type Epoch, type Instant, type Log, type Random, type RowVersion } from '@auburnpin/common'
+import type { CellWaits } from '@auburnpin/core'
 import { CORES_PER_WORKER, FIRST_CELL, HANDOVER_CLAIM_PAUSE_MS, MIN_HANDOVER_INTERVAL_MS, OWNED_CELL_CLAIM_DELAY_MS, SHORTFALL_CLAIM_DELAY_MS, SUSPENSION_THRESHOLD_MS, TERM_EXPIRY_MS, TERM_LENGTH_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import { CellOwner } from './CellOwner.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { ABSENT_ROW_VERSION, encodeRow, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
-import { soundTerm } from './soundTerm.ts'
+import { hasUnreadableWaits, soundTerm } from './soundTerm.ts'
 
 /** Identity of this process, and what decides how soon it claims a free term. */
 export type CandidateIdentity = Readonly<{
@@ -21,7 +22,7 @@
   processorShare: number
 }>
 
-type ObservedTerm = Readonly<{ term: Term, version: RowVersion }>
+type ObservedTerm = Readonly<{ term: Term, version: RowVersion, observedAt: Instant }>
 
 /** Longest random addition to the delay before a claim, in milliseconds, so that equal processes don't claim at the same time. */
 const MAX_CLAIM_JITTER_MS = 80
@@ -53,6 +54,7 @@
   #isRetired = false
   #isClaiming = false
   #hasReadFailed = false
+  #hasLoggedWaits = false
   #handedOverAt = brand<Instant>(-Infinity)
 
   /** `countOwnedCells` returns how many cells this process owns; the more, the later it claims another one. */
@@ -76,6 +78,13 @@
     return this.#observed?.term.cells
   }
 
+  /** What the owner last published of the waits of new jobs in its cell and, from the first, in all; `undefined` without an owner. */
+  get publishedWaits (): Readonly<{ own: CellWaits | undefined, ofCells: PublishedCells['waits'], ageMs: number }> | undefined {
+    if (this.#observed === undefined || this.#observed.term.holder === '') return undefined
+    const { term: { waits, cells }, observedAt } = this.#observed
+    return { own: waits, ofCells: cells?.waits, ageMs: this.#clock.now() - observedAt }
+  }
+
   /** Whether this process owns the cell or is about to. */
   get isBusy (): boolean {
     return this.#isClaiming || this.#owner !== undefined
@@ -129,7 +138,8 @@
     // The owner may have lost the store as well, and may be about to renew.
     else if (this.#hasReadFailed) this.#renewalObservedAt = brand<Instant>(Math.max(this.#renewalObservedAt ?? now, now - TERM_EXPIRY_MS + STORE_RECOVERY_GRACE_MS))
     this.#hasReadFailed = false
-    this.#observed = row === undefined ? undefined : { term: this.#readTerm(row.value, version), version }
+    const observedAt = this.#observed?.version === version ? this.#observed.observedAt : now
+    this.#observed = row === undefined ? undefined : { term: this.#readTerm(row.value, version), version, observedAt }
     if (this.#owner !== undefined || now - this.#handedOverAt < HANDOVER_CLAIM_PAUSE_MS) return false
     if (this.#observed === undefined) return true
     const { holder, life } = this.#observed.term
@@ -142,7 +152,12 @@
 
   // Each term has written its row at least once, so that the version of the row is above all epochs so far.
   #readTerm (value: string, version: RowVersion): Term {
-    const term = soundTerm(readTerm(value), version)
+    const read = readTerm(value)
+    const term = soundTerm(read, version)
+    if (read !== undefined && !this.#hasLoggedWaits && hasUnreadableWaits(read)) {
+      this.#hasLoggedWaits = true
+      this.#log.warn('The forecast of waits cannot be read; no job is refused by it', { cell: this.#cell, version })
+    }
     if (term !== undefined) return term
     this.#log.error('The term cannot be read and is treated as one without renewals', { cell: this.#cell, version })
     return { holder: UNKNOWN_HOLDER, life: '', epoch: brand<Epoch>(version), commit: 0, pending: {}, workers: 0 }
@@ -171,7 +186,7 @@
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
       loadPercent: previous?.term.loadPercent,
-      cells: previous?.term.cells,
+      cells: previous?.term.cells === undefined ? undefined : { ...previous.term.cells, waits: undefined },
       areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded
     }
     const claimedAt = this.#clock.now()
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -18,6 +18,8 @@
   finishedJobRetentionMs: number
   /** Workers of one cell; more workers are divided into several cells. */
   workersPerCell: number
+  /** Whether owners publish how long new jobs would wait, for admission control. */
+  areWaitsPublished?: boolean
   /** What is published of the other cells. */
   cells: CellChooser
 }>
--- /dev/null
+++ b/packages/jobs/src/UncertainSubmissions.ts
@@ -0,0 +1,50 @@
+/**
+ * Submissions that may be stored although no response says so.
+ */
+import type { Instant, JobId } from '@auburnpin/common'
+import { MAX_UNCERTAIN_SUBMISSIONS, UNCERTAIN_SUBMISSION_MS } from './constants.ts'
+
+/**
+ * Remembers for each job how many submissions are in progress and when the last one with an unknown outcome ended, so
+ * that the process doesn't tell a client that such a job isn't stored. If it had to forget one that may still be
+ * stored, every job counts as uncertain until then.
+ *
+ * @example
+ * submissions.begin(job.id)
+ * submissions.end(job.id, isUnknown, now)
+ * submissions.has(job.id, now)
+ */
+export class UncertainSubmissions {
+  readonly #inProgress = new Map<JobId, number>()
+  /** In the order of the times, the oldest first. */
+  readonly #unknownUntil = new Map<JobId, Instant>()
+  #allUncertainUntil = -Infinity
+
+  begin (id: JobId): void {
+    this.#inProgress.set(id, (this.#inProgress.get(id) ?? 0) + 1)
+  }
+
+  end (id: JobId, isUnknown: boolean, now: Instant): void {
+    const others = (this.#inProgress.get(id) ?? 1) - 1
+    if (others > 0) this.#inProgress.set(id, others)
+    else this.#inProgress.delete(id)
+    if (!isUnknown) return
+    this.#unknownUntil.delete(id)
+    this.#unknownUntil.set(id, (now + UNCERTAIN_SUBMISSION_MS) as Instant)
+    this.#forget(now)
+  }
+
+  /** Whether an earlier submission of the job may be stored now or later. */
+  has (id: JobId, now: Instant): boolean {
+    return this.#inProgress.has(id) || now < this.#allUncertainUntil || now < (this.#unknownUntil.get(id) ?? -Infinity)
+  }
+
+  #forget (now: Instant): void {
+    for (const [id, until] of this.#unknownUntil) {
+      const isOver = now >= until
+      if (!isOver && this.#unknownUntil.size <= MAX_UNCERTAIN_SUBMISSIONS) return
+      this.#unknownUntil.delete(id)
+      if (!isOver) this.#allUncertainUntil = Math.max(this.#allUncertainUntil, until)
+    }
+  }
+}
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -1,8 +1,8 @@
 /**
  * Logs which tasks wait for workers, and why.
  */
-import type { Instant } from '@auburnpin/common'
-import { findObstacles, STEP_KINDS, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerObstacles, type WorkerRecord } from '@auburnpin/core'
+import type { CellId, Instant } from '@auburnpin/common'
+import { findObstacles, STEP_KINDS, type CellWaits, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerObstacles, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { MAX_REPORTED_INTERRUPTIONS, MAX_REPORTED_WAITS, MIN_REPORTED_INTERRUPTION_MS, MIN_REPORTED_WAIT_MS, WAIT_REPORT_INTERVAL_MS } from './constants.ts'
 
@@ -15,16 +15,19 @@
  * that has been interrupted for long, and updates the gauges of waiting tasks.
  *
  * @example
- * const reporter = new WaitReporter(ports, scheduler)
+ * const reporter = new WaitReporter(ports, scheduler, cell)
  * void reporter.run()
  * reporter.stop()
  */
 export class WaitReporter {
   readonly #ports: OwnerPorts
   readonly #scheduler: JobScheduler
+  readonly #cell: CellId
   #isStopped = false
+  #forecastQueues: readonly string[] = []
 
-  constructor (ports: OwnerPorts, scheduler: JobScheduler) {
+  constructor (ports: OwnerPorts, scheduler: JobScheduler, cell: CellId) {
+    this.#cell = cell
     this.#ports = ports
     this.#scheduler = scheduler
   }
@@ -40,12 +43,14 @@
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
+    this.#reportForecast(undefined)
   }
 
   #report (): void {
     const now = this.#ports.clock.now()
     const { waits, held, interference } = this.#scheduler
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
+    this.#reportForecast(this.#scheduler.forecast?.published(now))
     const workers = [...this.#scheduler.workers.values()]
     for (const kind of STEP_KINDS) {
       for (const wait of waits.longest(kind, MAX_REPORTED_WAITS, MIN_REPORTED_WAIT_MS, workers, held, interference, now)) this.#write(wait)
@@ -55,6 +60,16 @@
     for (const interruption of interruptions.slice(0, MAX_REPORTED_INTERRUPTIONS)) this.#writeInterruption(interruption, workers, now)
   }
 
+  #reportForecast (forecast: CellWaits | undefined): void {
+    const { log, metrics } = this.#ports
+    for (const queue of this.#forecastQueues) if (forecast?.[queue] === undefined) metrics.gauge('queue.forecastWait', 0, { cell: this.#cell, queue })
+    for (const [queue, { sizes, waits }] of Object.entries(forecast ?? {})) {
+      metrics.gauge('queue.forecastWait', Math.max(...waits), { cell: this.#cell, queue })
+      log.info('New jobs would wait', { cell: this.#cell, queue, sizes: sizes.join(' '), waitsMs: waits.join(' ') })
+    }
+    this.#forecastQueues = Object.keys(forecast ?? {})
+  }
+
   #gauge (kind: StepKind, tasks: number, longestMs: number): void {
     this.#ports.metrics.gauge('tasks.waiting', tasks, { kind })
     this.#ports.metrics.gauge('tasks.longestWait', longestMs / MS_PER_SECOND, { kind })
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -140,3 +140,12 @@
 
 /** Most steps of each kind of task in one report of waits. */
 export const MAX_REPORTED_WAITS = 4
+
+/** How long a submission with an unknown outcome may still be stored, in milliseconds; clients repeat theirs for less. */
+export const UNCERTAIN_SUBMISSION_MS = 60_000
+
+/** Most submissions with an unknown outcome that a process remembers; an outage of some seconds leaves some hundreds. */
+export const MAX_UNCERTAIN_SUBMISSIONS = 5_000
+
+/** Longest wait for the row of a job that is about to be refused, in milliseconds; leaves most of a client's time limit for its submission. */
+export const MAX_ADMISSION_READ_MS = 400
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -2,7 +2,7 @@
  * Tables, keys and encodings of the rows that job scheduling stores.
  */
 import { brand, type CellId, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
-import { NO_WORKERS, type CellLoad, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type JobStep, type Layout } from '@auburnpin/core'
+import { NO_WORKERS, type CellLoad, type CellWaits, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type JobStep, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, JOB_PART_COUNT } from './constants.ts'
 import type { StoreTime } from './RowStore.ts'
 
@@ -59,6 +59,8 @@
   loads: readonly CellLoad[]
   /** For all cells but the first: number of jobs of each queue that have no started task. */
   pending: Readonly<Record<string, number>>
+  /** For each cell but the first: its forecast of waits, `null` without one. Absent unless forecasts are published. */
+  waits?: ReadonlyArray<CellWaits | null>
 }>
 
 /** One period in which a process owns a cell. */
@@ -78,6 +80,8 @@
   loadPercent?: number
   /** In the term of the first of several cells. */
   cells?: PublishedCells
+  /** How long new jobs would wait in this cell. Absent if none would, or unless forecasts are published. */
+  waits?: CellWaits
   /**
    * Whether the ends of leases in the rows of used workers hold. An owner of an earlier version writes them back
    * unchanged although it extends leases, and doesn't write this field.
--- a/packages/jobs/src/soundTerm.ts
+++ b/packages/jobs/src/soundTerm.ts
@@ -2,7 +2,7 @@
  * Checks what `readTerm` leaves open: the numbers of a term, and what it publishes.
  */
 import type { RowVersion } from '@auburnpin/common'
-import type { CellLoad } from '@auburnpin/core'
+import type { CellLoad, CellWaits, QueueWait } from '@auburnpin/core'
 import type { PublishedCells, Term } from './rows.ts'
 
 /**
@@ -14,17 +14,22 @@
  */
 export const soundTerm = (term: Term | undefined, version: RowVersion): Term | undefined => {
   if (term === undefined || !isCount(term.epoch) || term.epoch > version) return undefined
-  const { pending, workers, loadPercent, cells } = term
+  const { pending, workers, loadPercent, cells, waits } = term
   return {
     ...term,
     commit: isCount(term.commit) ? term.commit : 0,
     pending: countsOf(pending),
     workers: isCount(workers) ? workers : 0,
     loadPercent: typeof loadPercent === 'number' ? loadPercent : undefined,
-    cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending) } : undefined
+    cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending), waits: soundWaitsOfCells(cells.waits) } : undefined,
+    waits: isCellWaits(waits) ? waits : undefined
   }
 }
 
+/** Whether a term has forecasts of waits that cannot be read, in a row for this cell or for another. */
+export const hasUnreadableWaits = ({ waits, cells }: Pick<Term, 'waits' | 'cells'>): boolean =>
+  (waits !== undefined && !isCellWaits(waits)) || (isObject(cells) && cells.waits !== undefined && soundWaitsOfCells(cells.waits) === undefined)
+
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 
 const isObject = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value)
@@ -37,3 +42,15 @@
 
 const isPublishedCells = (value: unknown): value is PublishedCells =>
   isObject(value) && isCount(value.layoutVersion) && Array.isArray(value.loads) && value.loads.every(isCellLoad) && isObject(value.pending)
+
+const isWait = (value: unknown): boolean => typeof value === 'number' && Number.isFinite(value) && value >= 0
+
+// Each band but the last has an upper bound.
+const isQueueWait = (value: unknown): value is QueueWait =>
+  isObject(value) && Array.isArray(value.sizes) && Array.isArray(value.waits) &&
+  value.waits.length === value.sizes.length + 1 && value.sizes.every(isWait) && value.waits.every(isWait)
+
+const isCellWaits = (value: unknown): value is CellWaits => isObject(value) && Object.values(value).every(isQueueWait)
+
+const soundWaitsOfCells = (value: unknown): PublishedCells['waits'] =>
+  Array.isArray(value) && value.every(one => one === null || isCellWaits(one)) ? value : undefined
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -3,10 +3,10 @@
  */
 import {
   AuburnpinError, brand, Clock, Err, Ok, SeededRandom, SilentLog, SilentMetrics, VirtualClock,
-  type Instant, type Result, type Timer, type WorkerId
+  type Instant, type Log, type Result, type Timer, type WorkerId
 } from '@auburnpin/common'
 import type { StartOutcome, TaskName, WorkerEntry, WorkerReport } from '@auburnpin/core'
-import { CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
+import { AdmissionControl, CellChooser, CellElections, JobRepository, MonitoredStore, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type ReportRequest, type RunName, type StartResponse, type StartRequest, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
 /** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. `unheard`: calls are executed and time out. */
@@ -23,6 +23,7 @@
   readonly clock: NodeClock
   readonly election: CellElections
   readonly jobs: JobRepository
+  readonly admission: AdmissionControl
   readonly processor: SlowProcessor
   readonly #simulation: JobsSimulation
 
@@ -33,9 +34,10 @@
     this.processor = new SlowProcessor(this.clock)
     const store = new MonitoredStore(simulation.rows.clientFor(name), this.clock, new SilentLog(), new SilentMetrics())
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: new SilentLog(), metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, cells }
+    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: simulation.log, metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, areWaitsPublished: simulation.areWaitsPublished, cells }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
+    this.admission = new AdmissionControl({ jobs: this.jobs, waitsFor: job => this.election.waitsFor(job), clock: this.clock, log: simulation.log, metrics: new SilentMetrics() })
     cells.start()
     this.election.start()
   }
@@ -157,6 +159,10 @@
   /** Entries that the list of workers shows instead of the workers' present ones. */
   readonly outdatedEntries = new Map<string, WorkerEntry>()
   workersPerCell = WORKERS_PER_CELL
+  /** Whether owners publish how long new jobs would wait. */
+  areWaitsPublished = false
+  /** Receives what the processes log of jobs and cells. */
+  log: Log = new SilentLog()
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
