--- a/packages/core/src/jobs/JobAdmission.ts
+++ b/packages/core/src/jobs/JobAdmission.ts
@@ -49,14 +49,16 @@
       return { kind: 'accept', why: 'no wait' }
     }
     const share = this.#shareOf(job.queue, wait, limits, now)
-    const { times } = this.#refusals.get(job.id) ?? { times: 0 }
+    const refusal = this.#refusals.get(job.id)
+    // An early retry is not preferred.
+    const times = refusal === undefined ? 0 : refusal.times - Number(now < refusal.returnsAt)
     const ownShare = share < 1 ? share * REFUSAL_DISCOUNT ** times : share
     if (fractionOf(job.id, 'share') >= ownShare) return { kind: 'accept', why: 'share' }
     const waitMs = wait.waits[bandOf(wait, limits.size)] ?? 0
     return { kind: 'refuse', retryAfterMs: retryAfterMs(job.id, waitMs, limits, times, now), waitMs, slackMs: Math.round(limits.slackMs), usefulMs: Math.round(limits.usefulMs), share: ownShare, refusals: times }
   }
 
-  /** Remembers a refusal. Only a job that comes back at its time is preferred, so that early retries gain nothing. */
+  /** Remembers a refusal, so that the job is preferred once it comes back at its time. */
   recordRefusal (id: JobId, retryAfterMs: number, now: Instant): void {
     const before = this.#refusals.get(id)
     const times = before === undefined ? 1 : before.times + Number(now >= before.returnsAt)
