--- a/packages/jobs/tests/admissionLoad.test.ts
+++ b/packages/jobs/tests/admissionLoad.test.ts
@@ -23,3 +23,40 @@
     t.deepEqual(refusing.simulation.breaches, [])
   }
 })
+
+// Guards against workers without work while clients are refused.
+test('while jobs are refused, workers run tasks', async t => {
+  for (const seed of [4, 5]) {
+    const { refusals } = await run({ seed, factorAt: atMs => atMs % 10_000 < 5_000 ? 3 : 0.2 })
+    t.true(refusals.length > 10)
+    // A forecast is up to a second old, in which a worker may have become idle.
+    t.true(refusals.filter(({ idleWorkers }) => idleWorkers > 0).length <= 0.02 * refusals.length)
+  }
+})
+
+// Guards against refusals that swing between all and none of the jobs.
+test('under a square wave of load, refusals last as long as the overload and do not oscillate within it', async t => {
+  const { submissions, refusals } = await run({ seed: 1, workers: 24, durationMs: 40_000, factorAt: atMs => atMs % 20_000 < 10_000 ? 3 : 0.2 })
+  const refusedAtOnce = new Set(refusals.filter(({ at, id }) => at - submissions.get(id)!.sentAt < 500).map(({ id }) => id))
+  const startedAt = submissions.values().next().value!.sentAt
+  const sharesFrom = (fromMs: number, toMs: number): number[] => {
+    const shares: number[] = []
+    for (let from = fromMs; from < toMs; from += 1_000) {
+      const sent = [...submissions.values()].filter(({ job, sentAt }) => job.queue === 'large' && sentAt - startedAt >= from && sentAt - startedAt < from + 1_000)
+      shares.push(sent.filter(({ job }) => refusedAtOnce.has(job.id)).length / Math.max(1, sent.length))
+    }
+    return shares
+  }
+  for (const phase of [0, 20_000]) {
+    const shares = sharesFrom(phase + 4_000, phase + 10_000)
+    t.true(shares.every(share => share >= 0.2), shares.join(' '))
+  }
+  t.is(refusals.filter(({ queue }) => queue === 'urgent').length, 0)
+})
+
+// Guards against a change of behaviour where admission control is off.
+test('without the setting, nothing is published and nothing is refused', async t => {
+  const load = await run({ seed: 1, durationMs: 5_000, isAdmissionOn: false })
+  t.false(load.simulation.rows.read('terms', 'cell-0', 'term')!.value.includes('waits'))
+  t.is(load.fates().refused, 0)
+})
