Refused clients come back spread over up to 15 s, however long the wait

Cause: delays were cut off at 15 s, so that with long waits most clients came back in the same second. Change: the delay before the spread is limited instead; shares are logged to the percent.

--- a/packages/core/src/jobs/JobAdmission.ts
+++ b/packages/core/src/jobs/JobAdmission.ts
@@ -132,6 +132,6 @@
 
 // The longer the wait, the longer the span over which jobs return; those refused before return first.
 const retryAfterMs = (id: JobId, waitMs: number, { slackMs }: JobLimits, times: number, now: Instant): number => {
-  const excessMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - Math.max(0, slackMs) / 2) * REFUSAL_DISCOUNT ** times
-  return Math.min(MAX_RETRY_AFTER_MS, excessMs * (1 + fractionOf(id, `return ${Math.floor(now)}`)))
+  const excessMs = Math.min(MAX_RETRY_AFTER_MS / 2, waitMs - FIRST_REFUSAL_SHARE * Math.max(0, slackMs)) * REFUSAL_DISCOUNT ** times
+  return Math.max(MIN_RETRY_AFTER_MS, excessMs) * (1 + fractionOf(id, `return ${Math.floor(now)}`))
 }
--- a/packages/core/tests/jobAdmission.test.ts
+++ b/packages/core/tests/jobAdmission.test.ts
@@ -75,6 +75,17 @@
   t.true(acceptedOf(firstTimes) > 1.2 * acceptedOf(newcomers), `${acceptedOf(firstTimes)} ${acceptedOf(newcomers)}`)
 })
 
+// Guards against a limit of the delay at which most clients come back together.
+test('however long the wait, refused clients come back spread over several seconds', t => {
+  const counts = new Map<number, number>()
+  for (let index = 0; index < 500; index++) {
+    const decision = new JobAdmission().decide(jobOfSize(index, 5_000), published([60_000, 60_000, 60_000, 60_000]), NOW)
+    const second = decision.kind === 'refuse' ? Math.ceil(decision.retryAfterMs / 1_000) : 0
+    counts.set(second, (counts.get(second) ?? 0) + 1)
+  }
+  t.true(counts.size >= 7 && Math.max(...counts.values()) < 100, JSON.stringify([...counts]))
+})
+
 // Guards against refusals that follow each change of the load at once.
 test('after the wait has fallen, the refused share falls slowly', t => {
   const admission = new JobAdmission()
--- a/packages/jobs/src/AdmissionControl.ts
+++ b/packages/jobs/src/AdmissionControl.ts
@@ -6,6 +6,9 @@
 import { MAX_ADMISSION_READ_MS } from './constants.ts'
 import type { JobRepository } from './JobRepository.ts'
 
+/** Shares are logged to the percent. */
+const PERCENT = 100
+
 /** A refusal as the client is told of it. */
 export type JobRefusal = Readonly<{ retryAfterMs: number, why: string }>
 
@@ -45,10 +48,10 @@
       metrics.count('jobs.admitted', 1, { queue: job.queue, why: decision.kind === 'accept' ? decision.why : 'may be stored' })
       return undefined
     }
-    const { kind, retryAfterMs, ...inputs } = decision
+    const { kind, retryAfterMs, share, ...inputs } = decision
     this.#admission.recordRefusal(job.id, retryAfterMs, clock.now())
     metrics.count('jobs.refused', 1, { queue: job.queue })
-    log.info('Job refused, as it would wait too long', { job: job.id, queue: job.queue, ...inputs, retryAfterMs: Math.round(retryAfterMs), forecastAgeMs: Math.round(published?.ageMs ?? 0) })
+    log.info('Job refused, as it would wait too long', { job: job.id, queue: job.queue, ...inputs, share: Math.round(share * PERCENT) / PERCENT, retryAfterMs: Math.round(retryAfterMs), forecastAgeMs: Math.round(published?.ageMs ?? 0) })
     return { retryAfterMs, why: 'the job would wait too long to end usefully; it is not stored' }
   }
 
