The refused share swings less under a lasting overload

Change: less weight of what keeps arriving (MIN_DRAIN_SHARE 0.4 to 0.8), refusals from a quarter of the slack on (from a half), the share falls within 8 s (from 4).

--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -160,17 +160,17 @@
 /** Milliseconds for which the rate of fully used processors counts beside the measured one. */
 export const FORECAST_PRIOR_MS = 1_000
 
-/** The part of the rate that a job's wait is computed with is at least this share of it, however much arrives before the job. */
-export const MIN_DRAIN_SHARE = 0.4
+/** The part of the rate that a job's wait is computed with is at least this share of it, however much arrives before the job; with 0.4 the refused share swung more. */
+export const MIN_DRAIN_SHARE = 0.8
 
 /** A forecast that a process first saw longer ago than this refuses no job, in milliseconds; terms are renewed and polled every 500 ms. */
 export const MAX_WAITS_AGE_MS = 2_500
 
-/** Milliseconds in which the refused share falls from 1 to 0 at the fastest. */
-export const ADMISSION_SHARE_FALL_MS = 4_000
+/** Milliseconds in which the refused share falls from 1 to 0 at the fastest; with 4 s it swung more. */
+export const ADMISSION_SHARE_FALL_MS = 8_000
 
-/** Jobs are refused from this share of their slack on, if they would wait that long; half of it is left for the waits of later steps. */
-export const FIRST_REFUSAL_SHARE = 0.5
+/** Jobs are refused from this share of their slack on, if they would wait that long; with 0.5 the refused share swung more. */
+export const FIRST_REFUSAL_SHARE = 0.25
 
 /** Factor on the refused share, and on the time to come back, for each earlier refusal of a job. */
 export const REFUSAL_DISCOUNT = 0.8
