A forecast counts for 2 s; a submission that throws has an unknown outcome

Cause: the failure test of a dead owner found a refusal 2.608 s after its death (bound 2.6 s), since a process may see a term up to 0.5 s after it was written; a submission that threw would have stayed in progress in memory for ever. Change: MAX_WAITS_AGE_MS 2,500 to 2,000; UncertainSubmissions.track ends every submission.

--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -164,7 +164,7 @@
 export const MIN_DRAIN_SHARE = 0.8
 
 /** A forecast that a process first saw longer ago than this refuses no job, in milliseconds; terms are renewed and polled every 500 ms. */
-export const MAX_WAITS_AGE_MS = 2_500
+export const MAX_WAITS_AGE_MS = 2_000
 
 /** Milliseconds in which the refused share falls from 1 to 0 at the fastest; with 4 s it swung more. */
 export const ADMISSION_SHARE_FALL_MS = 8_000
--- a/packages/core/tests/jobAdmission.test.ts
+++ b/packages/core/tests/jobAdmission.test.ts
@@ -21,7 +21,7 @@
   const hopeless = published([60_000, 60_000, 60_000, 60_000])
   const job = jobOfSize(1, 5_000)
   t.is(admission.decide(job, hopeless, NOW).kind, 'refuse')
-  for (const waits of [undefined, { cells: [], ageMs: 0 }, { cells: [undefined], ageMs: 0 }, { cells: [...hopeless.cells, undefined], ageMs: 0 }, { ...hopeless, ageMs: 2_600 }]) t.is(admission.decide(job, waits, NOW).kind, 'accept')
+  for (const waits of [undefined, { cells: [], ageMs: 0 }, { cells: [undefined], ageMs: 0 }, { cells: [...hopeless.cells, undefined], ageMs: 0 }, { ...hopeless, ageMs: 2_100 }]) t.is(admission.decide(job, waits, NOW).kind, 'accept')
   t.is(admission.decide({ ...job, queue: brand('constructor') }, hopeless, NOW).kind, 'accept')
   t.is(admission.decide({ ...job, occurrences: 2, intervalMs: 1_000 }, hopeless, NOW).kind, 'accept')
   t.is(admission.decide({ ...job, steps: [stepOf({ isLasting: true })] }, hopeless, NOW).kind, 'accept')
@@ -51,21 +51,23 @@
 test('refused clients come back spread over time, and those that come at their time are preferred', t => {
   const admission = new JobAdmission()
   const waits = published([1_700, 1_700, 1_700, 1_700])
-  const seconds = new Set<number>()
+  const counts = new Map<number, number>()
   let refused = 0
   const firstTimes: Job[] = []
   for (let index = 0; index < 500; index++) {
     const job = jobOfSize(index, 5_000)
-    const decision = admission.decide(job, published([6_000, 6_000, 6_000, 6_000]), NOW)
+    const decision = admission.decide(job, published([60_000, 60_000, 60_000, 60_000]), NOW)
     if (decision.kind === 'accept') continue
     t.true(decision.retryAfterMs >= 1_000 && decision.retryAfterMs <= 15_000)
-    seconds.add(Math.ceil(decision.retryAfterMs / 1_000))
+    const second = Math.ceil(decision.retryAfterMs / 1_000)
+    counts.set(second, (counts.get(second) ?? 0) + 1)
     admission.recordRefusal(job.id, decision.retryAfterMs, NOW)
     firstTimes.push(job)
     refused++
   }
   t.is(refused, 500)
-  t.true(seconds.size >= 5, [...seconds].join(' '))
+  // A limit of the delay must not bring them back in the same second.
+  t.true(counts.size >= 7 && Math.max(...counts.values()) < 100, JSON.stringify([...counts]))
   const later = brand<Instant>(NOW + 30_000)
   const acceptedOf = (jobs: readonly Job[]): number => jobs.filter(job => admission.decide(job, waits, later).kind === 'accept').length
   const newcomers = Array.from({ length: 500 }, (_, index) => jobOfSize(1_000 + index, 5_000))
@@ -75,17 +77,6 @@
   t.true(acceptedOf(firstTimes) > 1.2 * acceptedOf(newcomers), `${acceptedOf(firstTimes)} ${acceptedOf(newcomers)}`)
 })
 
-// Guards against a limit of the delay at which most clients come back together.
-test('however long the wait, refused clients come back spread over several seconds', t => {
-  const counts = new Map<number, number>()
-  for (let index = 0; index < 500; index++) {
-    const decision = new JobAdmission().decide(jobOfSize(index, 5_000), published([60_000, 60_000, 60_000, 60_000]), NOW)
-    const second = decision.kind === 'refuse' ? Math.ceil(decision.retryAfterMs / 1_000) : 0
-    counts.set(second, (counts.get(second) ?? 0) + 1)
-  }
-  t.true(counts.size >= 7 && Math.max(...counts.values()) < 100, JSON.stringify([...counts]))
-})
-
 // Guards against refusals that follow each change of the load at once.
 test('after the wait has fallen, the refused share falls slowly', t => {
   const admission = new JobAdmission()
--- a/packages/jobs/src/JobRepository.ts
+++ b/packages/jobs/src/JobRepository.ts
@@ -50,9 +50,7 @@
     const key = { table: JOBS_TABLE, key: job.id }
     const cell = this.#cells.choose(job)
     // While the store is unavailable the job is refused at once, as the client may find a process that can reach the store.
-    this.#uncertain.begin(job.id)
-    const outcome = this.#store.isUnavailable ? storeUnavailable() : await this.#putOnce({ part: jobPart(job.id), checks: [{ ...key, version: ABSENT_ROW_VERSION }], puts: [{ ...key, value: encodeJob({ job, cell }) }], deletes: [] }, withinMs)
-    this.#uncertain.end(job.id, outcome.err && outcome.val.kind === 'unknown-outcome', this.#clock.now())
+    const outcome = this.#store.isUnavailable ? storeUnavailable() : await this.#uncertain.track(job.id, this.#clock, () => this.#putOnce({ part: jobPart(job.id), checks: [{ ...key, version: ABSENT_ROW_VERSION }], puts: [{ ...key, value: encodeJob({ job, cell }) }], deletes: [] }, withinMs))
     this.#log.info('Job submitted', { job: job.id, queue: job.queue, steps: describeSteps(job), cell, outcome: outcome.ok ? outcome.val : outcome.val.kind })
     if (outcome.ok && outcome.val === 'stored') this.#rememberCell(job.id, cell)
     return outcome.err ? outcome : Ok(undefined)
--- a/packages/jobs/src/UncertainSubmissions.ts
+++ b/packages/jobs/src/UncertainSubmissions.ts
@@ -1,7 +1,7 @@
 /**
  * Submissions that may be stored although no response says so.
  */
-import type { Instant, JobId } from '@auburnpin/common'
+import type { AuburnpinError, Clock, Instant, JobId, Result } from '@auburnpin/common'
 import { MAX_UNCERTAIN_SUBMISSIONS, UNCERTAIN_SUBMISSION_MS } from './constants.ts'
 
 /**
@@ -10,9 +10,8 @@
  * stored, every job counts as uncertain until then.
  *
  * @example
- * submissions.begin(job.id)
- * submissions.end(job.id, isUnknown, now)
- * submissions.has(job.id, now)
+ * await submissions.track(job.id, clock, () => store(job))
+ * submissions.has(job.id, clock.now())
  */
 export class UncertainSubmissions {
   readonly #inProgress = new Map<JobId, number>()
@@ -20,6 +19,19 @@
   readonly #unknownUntil = new Map<JobId, Instant>()
   #allUncertainUntil = -Infinity
 
+  /** Runs a submission; one that throws has an unknown outcome. */
+  async track<Value> (id: JobId, clock: Clock, submit: () => Promise<Result<Value, AuburnpinError>>): Promise<Result<Value, AuburnpinError>> {
+    let isUnknown = true
+    this.begin(id)
+    try {
+      const outcome = await submit()
+      isUnknown = outcome.err && outcome.val.kind === 'unknown-outcome'
+      return outcome
+    } finally {
+      this.end(id, isUnknown, clock.now())
+    }
+  }
+
   begin (id: JobId): void {
     this.#inProgress.set(id, (this.#inProgress.get(id) ?? 0) + 1)
   }
--- a/packages/jobs/tests/admissionLoad.test.ts
+++ b/packages/jobs/tests/admissionLoad.test.ts
@@ -24,16 +24,6 @@
   }
 })
 
-// Guards against workers without work while clients are refused.
-test('while jobs are refused, workers run tasks', async t => {
-  for (const seed of [4, 5]) {
-    const { refusals } = await run({ seed, factorAt: atMs => atMs % 10_000 < 5_000 ? 3 : 0.2 })
-    t.true(refusals.length > 10)
-    // A forecast is up to a second old, in which a worker may have become idle.
-    t.true(refusals.filter(({ idleWorkers }) => idleWorkers > 0).length <= 0.02 * refusals.length)
-  }
-})
-
 /** Long enough for some 16 large jobs, so that the share doesn't vary much by chance; refusals that oscillate would do so over 4 s and more. */
 const WINDOW_MS = 2_000
 
@@ -70,7 +60,10 @@
       t.is(countFalls(shares), 0, `${seed}: ${shares.join(' ')}`)
       t.true(Math.max(...shares.slice(2)) >= 0.5, `${seed}: ${shares.join(' ')}`)
     }
-    t.is(load.refusals.filter(({ queue }) => queue === 'urgent').length, 0)
+    const { refusals } = load
+    t.is(refusals.filter(({ queue }) => queue === 'urgent').length, 0)
+    // No worker is idle while jobs are refused, but a forecast is up to a second old.
+    t.true(refusals.length > 10 && refusals.filter(({ idleWorkers }) => idleWorkers > 0).length <= 0.02 * refusals.length)
   }
 })
 
