--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -5,8 +5,8 @@
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
 import { ATTEMPTS_PER_TERM, RESERVED_WORKER_SHARE } from './constants.ts'
 import { CopyInterval } from './CopyInterval.ts'
-import { countQueuedJobs } from './countQueuedJobs.ts'
 import { CrashDetector, CrashHost } from './CrashDetector.ts'
+import { countQueuedJobs } from './countQueuedJobs.ts'
 import { createRun } from './createRun.ts'
 import { DelayScheduling } from './DelayScheduling.ts'
 import { FillerInterference } from './FillerInterference.ts'
@@ -37,6 +37,7 @@
 import type {
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
+import type { WaitForecast } from './WaitForecast.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
 import { countEvacuated } from './workerEvacuation.ts'
 import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
@@ -76,6 +77,8 @@
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
   readonly #announcedStarts = new AnnouncedStarts()
+  /** Forecast of the waits of new jobs; `undefined` unless it is published. */
+  forecast: WaitForecast | undefined
   /** Workers held by the last scheduling pass. */
   held = new HeldWorkers(0)
   /** Waits of the open steps. */
@@ -626,6 +629,7 @@
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, durations: this.durations, copyInterval: this.#copyInterval, delays: this.delays, now, wallTime }
     for (const { task, worker, lateness } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
+      this.forecast?.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       if (lateness === undefined) this.waits.recordPlacement(task)
@@ -639,6 +643,7 @@
     }
     this.waits.observe(this.#openSteps, now)
     this.reserve.observe(startableSteps, this.workers.values(), now, wallTime)
+    if (isReconciled) this.forecast?.observe(this.#openSteps, this.workers.values(), this.#fairness, now, wallTime)
     return orders
   }
 
--- a/packages/jobs/src/CellChooser.ts
+++ b/packages/jobs/src/CellChooser.ts
@@ -47,6 +47,14 @@
     return cellAt(chooseCell(job, this.#layout.cells, loads, this.#random.fraction()))
   }
 
+  /** Indexes of the cells with an owner that `choose` may return for a job. */
+  candidates (job: Job): readonly number[] {
+    const loads = this.#published()?.loads
+    if (loads === undefined || this.#layout === undefined) return [indexOfCell(FIRST_CELL)]
+    const { cells } = this.#layout
+    return [...cells.keys()].filter(index => loads[index]?.isOwned === true && canRun(job, cells[index]))
+  }
+
   /**
    * The less loaded cell that a job which waits in `from` should go to; `undefined` if there is none. All jobs leave an
    * evacuated cell, so they are divided among the others as new ones are.
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -7,8 +7,8 @@
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { createScheduler } from './createScheduler.ts'
 import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, SURVIVAL_REPORT_DELAY_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { createScheduler } from './createScheduler.ts'
 import { EvacuationTracker } from './EvacuationTracker.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { JobsTableListener } from './JobsTableListener.ts'
@@ -92,7 +92,7 @@
     this.#pollerHost = new OwnerPollerHost(this)
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
-    this.#waitReporter = new WaitReporter(ports, this.#scheduler)
+    this.#waitReporter = new WaitReporter(ports, this.#scheduler, claimed.cell)
   }
 
   get isHeld (): boolean {
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -24,6 +24,8 @@
   maxReservedShare?: number | undefined
   /** How many times as long a task takes away from the rack of its data or of its step; absent or 1: tasks don't wait for a rack. */
   remoteFactor?: number
+  /** Whether owners publish how long new jobs would wait, for admission control. */
+  areWaitsPublished?: boolean
   /** What is published of the other cells. */
   cells: CellChooser
 }>
