Tasks planned to start at once are not counted twice in the forecast of a pass

Cause: a plan kept the tasks that start now as reservations, and they were added again as runs. Change: only tasks that wait are kept. Tests: npx ava packages/core/tests/delayScheduling.test.ts packages/jobs/tests/rackWaits.test.ts pass.

--- a/packages/core/src/jobs/RackForecast.ts
+++ b/packages/core/src/jobs/RackForecast.ts
@@ -14,8 +14,9 @@
 export type RackPlan = Readonly<{
   /** Milliseconds until each task starts, in ascending order; those that would start later than asked for are left out. */
   startsMs: readonly number[]
-  /** The timelines with these tasks, by worker. */
-  timelines: ReadonlyMap<WorkerRecord, WorkerTimeline>
+  /** The step, and the worker of each of these tasks. */
+  step: StepRecord
+  workers: readonly WorkerRecord[]
 }>
 
 /** `runs`: number of runs when the timeline was created; within a pass, runs are only added. */
@@ -41,9 +42,10 @@
   /** Plans up to `count` tasks of a step on some workers, none with an expected wait above `longestWaitMs`. */
   plan (step: StepRecord, count: number, workers: readonly WorkerRecord[], longestWaitMs: number): RackPlan {
     const startsMs: number[] = []
+    const chosen: WorkerRecord[] = []
     const timelines = new Map<WorkerRecord, WorkerTimeline>()
     const [task] = step.waiting
-    if (task === undefined || longestWaitMs < 0) return { startsMs, timelines }
+    if (task === undefined || longestWaitMs < 0) return { startsMs, step, workers: chosen }
     const durationMs = expectedRunMs(step)
     const { maxPerWorker } = step.shape
     const eligible = workers.filter(worker => this.#mayAccept(task, worker)).map(worker => ({ worker, startMs: this.#timelineOf(worker).startMs(step.shape), left: maxPerWorker === 0 ? Infinity : maxPerWorker - runsOfStep(step, worker) }))
@@ -52,18 +54,22 @@
       for (const one of eligible) if (one.left > 0 && one.startMs < (first?.startMs ?? Infinity)) first = one
       if (first === undefined || first.startMs > longestWaitMs) break
       startsMs.push(first.startMs)
+      chosen.push(first.worker)
       const timeline = timelines.get(first.worker) ?? this.#timelineOf(first.worker).copy()
       timelines.set(first.worker, timeline)
       timeline.reserve(step.shape, first.startMs, durationMs)
       first.startMs = timeline.startMs(step.shape)
       first.left--
     }
-    return { startsMs, timelines }
+    return { startsMs, step, workers: chosen }
   }
 
-  /** Keeps the planned tasks in the forecast for all tasks that come after them. */
-  commit ({ timelines }: RackPlan): void {
-    for (const [worker, timeline] of timelines) this.#timelines.set(worker, { timeline, runs: worker.runs.size })
+  /** Keeps the planned tasks that wait in the forecast for all tasks that come after them; those that start now are runs soon. */
+  commit ({ startsMs, step, workers }: RackPlan): void {
+    for (const [index, worker] of workers.entries()) {
+      const startMs = startsMs[index] ?? 0
+      if (startMs > 0) this.#timelineOf(worker).reserve(step.shape, startMs, expectedRunMs(step))
+    }
   }
 
   #timelineOf (worker: WorkerRecord): WorkerTimeline {
