An owner starts nothing once its list of evacuated data centres is 10 s old

Cause: a review showed that the list stayed in effect without limit. Also, one job that only a closed cell can run kept all others in that cell, and a claim dropped the number of evacuated workers.

Test: the list is not confirmed any more although the term is held.

--- a/packages/jobs/src/EvacuationList.ts
+++ b/packages/jobs/src/EvacuationList.ts
@@ -2,10 +2,11 @@
  * The data centres that an operator has evacuated, as this process knows them.
  */
 import type { Clock, Instant } from '@auburnpin/common'
+import { MAX_EVACUATIONS_AGE_MS } from './constants.ts'
 
 /** No task is started on the workers of an evacuated data centre. */
 export abstract class EvacuationList {
-  /** Whether the list has been read at least once; no owner starts a task before. */
+  /** Whether the list has been read, and confirmed a short time ago; no owner starts a task otherwise. */
   abstract get isKnown (): boolean
 
   abstract has (dataCentre: string): boolean
@@ -18,10 +19,11 @@
 }
 
 /**
- * The list as a follower of the store's rows maintains it. It stays in effect while the store is unavailable.
+ * The list as a follower of the store's rows maintains it. It stays in effect for `MAX_EVACUATIONS_AGE_MS` while the
+ * follower gets no response: an owner keeps its term if only this table can't be read, and may have missed a row.
  *
  * @example
- * const evacuations = new KnownEvacuations(clock)
+ * const evacuations = new KnownEvacuations(clock, () => follower.currentAt)
  * evacuations.replaceAll(['derby'])
  * evacuations.update([], ['derby'])
  */
@@ -29,15 +31,18 @@
   readonly #clock: Clock
   #dataCentres: ReadonlySet<string> = new Set()
   readonly #restorations = new Map<string, Instant>()
-  #isKnown = false
+  readonly #confirmedAt: () => Instant | undefined
+  #isRead = false
 
-  constructor (clock: Clock) {
+  /** `confirmedAt`: as of when the follower is up to date. */
+  constructor (clock: Clock, confirmedAt: () => Instant | undefined) {
     super()
     this.#clock = clock
+    this.#confirmedAt = confirmedAt
   }
 
   get isKnown (): boolean {
-    return this.#isKnown
+    return this.#isRead && this.#clock.now() - (this.#confirmedAt() ?? -Infinity) <= MAX_EVACUATIONS_AGE_MS
   }
 
   has (dataCentre: string): boolean {
@@ -56,7 +61,7 @@
   replaceAll (dataCentres: Iterable<string>): void {
     const before = this.#dataCentres
     this.#dataCentres = new Set(dataCentres)
-    this.#isKnown = true
+    this.#isRead = true
     const now = this.#clock.now()
     for (const dataCentre of before) if (!this.#dataCentres.has(dataCentre)) this.#restorations.set(dataCentre, now)
     for (const dataCentre of this.#dataCentres) this.#restorations.delete(dataCentre)
--- a/packages/jobs/src/EvacuationTracker.ts
+++ b/packages/jobs/src/EvacuationTracker.ts
@@ -41,9 +41,10 @@
   /** Whether the list of evacuations is known, so that tasks may start. */
   get isKnown (): boolean {
     const { isKnown } = this.#list
-    if (!isKnown && !this.#isWaitLogged) {
+    if (isKnown) this.#isWaitLogged = false
+    else if (!this.#isWaitLogged) {
       this.#isWaitLogged = true
-      this.#log.warn('The evacuated data centres are not known yet; no task starts', { cell: this.#cell })
+      this.#log.warn('The evacuated data centres are not known; no task starts', { cell: this.#cell })
     }
     return isKnown
   }
--- a/packages/jobs/src/JobTransfers.ts
+++ b/packages/jobs/src/JobTransfers.ts
@@ -84,6 +84,8 @@
     for (const record of this.#scheduler.untouchedJobs(brand<Instant>(clock.now() - MIN_TRANSFER_WAIT_MS))) {
       const own = { ...cellLoad(workers.size, countEvacuated(workers.values()), loadPercent - 2 * this.#givenPercent, true), workers: 0 }
       const to = cells.chooseTransfer(record.job, this.#cell, loads.with(indexOfCell(this.#cell), own))
+      // A job that no other cell can run must not keep the others in a cell where nothing starts.
+      if (to === undefined && own.isEvacuated === true) continue
       if (to === undefined) return
       this.#givenPercent += addedLoad(record.job, processors)
       this.#scheduler.withdraw(record, to)
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -186,6 +186,7 @@
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
       loadPercent: previous?.term.loadPercent,
+      evacuatedWorkers: previous?.term.evacuatedWorkers,
       cells: previous?.term.cells === undefined ? undefined : { ...previous.term.cells, waits: undefined },
       areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded
     }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -80,6 +80,9 @@
 /** Delay before a failed read of a table or of its changes is retried, in milliseconds. */
 export const FEED_RETRY_DELAY_MS = 150
 
+/** An owner starts nothing once the list of evacuated data centres is older than this, in milliseconds: the 5 s that operators allow, and as much for a store that answers late. */
+export const MAX_EVACUATIONS_AGE_MS = 10_000
+
 /** Time between two scheduling passes when nothing changes, in milliseconds. */
 export const TICK_INTERVAL_MS = 100
 
--- a/packages/jobs/tests/evacuationTracker.test.ts
+++ b/packages/jobs/tests/evacuationTracker.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { brand, Log, SilentMetrics, VirtualClock, type CellId, type LogFields, type LogLevel } from '@auburnpin/common'
+import { brand, Log, SilentMetrics, VirtualClock, type CellId, type Instant, type LogFields, type LogLevel } from '@auburnpin/common'
 import { WorkerRecord, type RunOrder } from '@auburnpin/core'
 import { workerEntryOf } from '@auburnpin/fakes'
 import { EvacuationTracker } from '../src/EvacuationTracker.ts'
@@ -9,7 +9,9 @@
 class Scenario extends Log {
   readonly clock = new VirtualClock()
   readonly records: Array<Readonly<{ message: string, fields: LogFields }>> = []
-  readonly evacuations = new KnownEvacuations(this.clock)
+  /** When the list was last confirmed; at all times unless it is set. */
+  confirmedAt: Instant | undefined
+  readonly evacuations = new KnownEvacuations(this.clock, () => this.confirmedAt ?? this.clock.now())
   readonly workers = ['w1', 'w2', 'w3', 'w4'].map((id, index) => new WorkerRecord(workerEntryOf(id, { zone: index < 2 ? 'derby' : 'leeds' }), this.clock.now(), 1_000))
   readonly tracker: EvacuationTracker
 
@@ -84,3 +86,16 @@
   inDerby!.update(workerEntryOf('w1', { zone: 'leeds' }))
   t.true(tracker.admits(ORDER, inDerby!))
 })
+
+test('failure: the list is not confirmed any more although the term is held, and tasks start again once it is', async t => {
+  const scenario = new Scenario()
+  t.false(scenario.tracker.isKnown)
+  scenario.evacuations.replaceAll([])
+  scenario.confirmedAt = scenario.clock.now()
+  await scenario.clock.advance(10_000)
+  t.true(scenario.tracker.isKnown)
+  await scenario.clock.advance(1)
+  t.false(scenario.tracker.isKnown)
+  scenario.confirmedAt = scenario.clock.now()
+  t.true(scenario.tracker.isKnown)
+})
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -43,7 +43,7 @@
     this.clock = new NodeClock(simulation.clock)
     this.processor = new SlowProcessor(this.clock)
     const store = new MonitoredStore(simulation.rows.clientFor(name), this.clock, new SilentLog(), new SilentMetrics())
-    this.evacuations = new KnownEvacuations(this.clock)
+    this.evacuations = new KnownEvacuations(this.clock, () => this.#evacuationsFollower.currentAt)
     this.#evacuationsFollower = new TableFollower(store, this.clock, new SilentLog(), EVACUATIONS_TABLE, [''], evacuationRows(this.evacuations))
     if (simulation.followsEvacuations) this.followEvacuations()
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
