The forecast of waits leaves out what waits for particular workers

Cause: a review showed that one job with an unknown label made a cell with free processors refuse every job, that a queue without slack was refused completely, that one evacuated cell switched admission control off, and that evacuated workers and copies counted in the forecast. The load and failure tests of admission control pass unchanged.

--- a/packages/core/src/jobs/JobAdmission.ts
+++ b/packages/core/src/jobs/JobAdmission.ts
@@ -118,8 +118,9 @@
 
 // A job that has used its slack comes after all that can meet their objective, so while work keeps waiting it is
 // served too late or not at all. The share rises from 0 to 1 before that.
-const refusedShare = ({ waits }: QueueWait, { slackMs }: JobLimits, band: number): number => {
-  const limitMs = Math.max(1, slackMs)
+const refusedShare = ({ waits }: QueueWait, { slackMs, usefulMs }: JobLimits, band: number): number => {
+  // A queue may have no slack at all; its jobs are still useful for a time.
+  const limitMs = Math.max(1, slackMs > 0 ? slackMs : usefulMs)
   return Math.min(1, Math.max(0, ((waits[band] ?? 0) / limitMs - FIRST_REFUSAL_SHARE) / (1 - FIRST_REFUSAL_SHARE)))
 }
 
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -629,7 +629,7 @@
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, durations: this.durations, copyInterval: this.#copyInterval, delays: this.delays, now, wallTime }
     for (const { task, worker, lateness } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
-      this.forecast?.startTask(task, now)
+      if (lateness === undefined) this.forecast?.startTask(task, now)
       const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
       this.#addRun(run)
       if (lateness === undefined) this.waits.recordPlacement(task)
@@ -643,7 +643,7 @@
     }
     this.waits.observe(this.#openSteps, now)
     this.reserve.observe(startableSteps, this.workers.values(), now, wallTime)
-    if (isReconciled) this.forecast?.observe(this.#openSteps, this.workers.values(), this.#fairness, now, wallTime)
+    if (isReconciled) this.forecast?.observe(startableSteps, this.delays, this.workers.values(), this.#fairness, now, wallTime)
     return orders
   }
 
--- a/packages/core/src/jobs/WaitForecast.ts
+++ b/packages/core/src/jobs/WaitForecast.ts
@@ -3,6 +3,7 @@
  */
 import type { Instant, QueueName } from '@auburnpin/common'
 import { FORECAST_INTERVAL_MS, MAX_FORECAST_AGE_MS, MAX_FORECAST_QUEUES } from './constants.ts'
+import type { DelayScheduling } from './DelayScheduling.ts'
 import { DrainRate } from './DrainRate.ts'
 import type { SizeFairness } from './SizeFairness.ts'
 import type { StepRecord } from './StepRecord.ts'
@@ -62,13 +63,16 @@
   }
 
   /** Updates the forecast after a scheduling pass, unless it is recent; `steps` are all open ones. */
-  observe (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, fairness: SizeFairness, now: Instant, wallTime: number): void {
+  observe (steps: Iterable<StepRecord>, delays: DelayScheduling, workers: Iterable<WorkerRecord>, fairness: SizeFairness, now: Instant, wallTime: number): void {
     const elapsedMs = this.#observedAt === undefined ? 0 : now - this.#observedAt
     if (this.#observedAt !== undefined && elapsedMs < FORECAST_INTERVAL_MS) return
     this.#observedAt = now
+    const listed = [...workers]
     const backlogs = new Map<string, Map<number, number>>()
     for (const step of steps) {
       if (step.waiting.size === 0 || step.shape.isLasting || timelinessOf(step, wallTime) === USELESS) continue
+      // What waits for particular workers delays no other job.
+      if (isConstrained(step.shape) || delays.isDelayed(step) || !fitsSomeWorker(step, listed)) continue
       const work = step.waiting.size * taskWork(step.shape)
       const kind = kindKey(step)
       const backlog = backlogs.get(kind) ?? new Map<number, number>()
@@ -78,7 +82,7 @@
       this.#rateOf(kind)
       this.#recordMix(step, 0, now)
     }
-    const services = summariseServices(workers, now)
+    const services = summariseServices(listed, now)
     for (const [kind, rate] of this.#rates) {
       const service = services.get(serviceOf(kind))
       rate.observe(backlogs.get(kind) ?? new Map<number, number>(), service?.processors ?? 0, service?.hasIdleWorker ?? false, elapsedMs)
@@ -132,6 +136,12 @@
   }
 }
 
+const isConstrained = ({ requiredLabel, maxPerWorker, accelerators }: JobStep): boolean => requiredLabel !== '' || maxPerWorker > 0 || accelerators > 0
+
+// A task that no worker could hold even if it were empty waits for another reason than the load.
+const fitsSomeWorker = ({ shape, job: { job: { policy: { service } } } }: StepRecord, workers: readonly WorkerRecord[]): boolean =>
+  workers.some(({ entry, isListed }) => isListed && entry.service === service && shape.processors <= entry.processors && shape.memoryMb <= entry.memoryMb)
+
 const FILLER_PREFIX = 'f:'
 const BATCH_PREFIX = 'b:'
 
@@ -152,7 +162,7 @@
   for (const worker of workers) {
     const { service, processors } = worker.entry
     const summary = services.get(service) ?? { processors: 0, hasIdleWorker: false }
-    if (worker.isListed) summary.processors += Math.max(0, processors - worker.lasting.processors)
+    if (worker.isListed && worker.evacuation !== 'evacuated') summary.processors += Math.max(0, processors - worker.lasting.processors)
     if (worker.runs.size === 0 && worker.acceptsWork(now)) summary.hasIdleWorker = true
     services.set(service, summary)
   }
--- a/packages/jobs/src/CellChooser.ts
+++ b/packages/jobs/src/CellChooser.ts
@@ -52,7 +52,9 @@
     const loads = this.#published()?.loads
     if (loads === undefined || this.#layout === undefined) return [indexOfCell(FIRST_CELL)]
     const { cells } = this.#layout
-    return [...cells.keys()].filter(index => loads[index]?.isOwned === true && canRun(job, cells[index]))
+    const able = [...cells.keys()].filter(index => loads[index]?.isOwned === true && canRun(job, cells[index]))
+    const notEvacuated = able.filter(index => loads[index]?.isEvacuated !== true)
+    return notEvacuated.length > 0 ? notEvacuated : able
   }
 
   /**
