Copies: slowed-down fillers, steps that wait for a rack, runs that may still crash their worker

Cause, found by a review: a filler whose pace had been lowered looked like a straggler and spoilt what was learnt; a step that waits for a rack by choice kept all copies of its service away; a copy that started before the first run had survived its start could hide the loss of a worker; progress that falls by 1 % divided by zero.

--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -60,6 +60,8 @@
   pacePercent: number
   orderedPacePercent: number
   paceOrderSentAt?: Instant
+  /** Whether a pace below full speed was ordered, so that its duration and progress say nothing about its like. */
+  wasSlowedDown: boolean
   stopOrderSentAt?: Instant
   stopAcceptedAt?: Instant
 }
--- a/packages/core/src/jobs/findLateness.ts
+++ b/packages/core/src/jobs/findLateness.ts
@@ -41,10 +41,10 @@
 
 // The duration of the whole run at its speed so far; a lower limit, as the last step of the progress counts as done.
 const totalDurationMs = (run: RunRecord, { medianMs }: LearntDuration): number | undefined => {
-  const { firstProgress, lastProgress, state, isStopRequested, pacePercent, orderedPacePercent, task } = run
+  const { firstProgress, lastProgress, state, isStopRequested, pacePercent, orderedPacePercent } = run
   if (state !== 'running' || isStopRequested || firstProgress === undefined || lastProgress === undefined) return undefined
-  if (task.step.shape.isFiller && (pacePercent < FULL_PACE || orderedPacePercent !== FULL_PACE)) return undefined
+  if (run.wasSlowedDown || pacePercent < FULL_PACE || orderedPacePercent !== FULL_PACE) return undefined
   const observedMs = lastProgress.clockMs - firstProgress.clockMs
   if (observedMs < medianMs * MIN_OBSERVED_SHARE) return undefined
-  return 100 * observedMs / (lastProgress.percent - firstProgress.percent + 1)
+  return 100 * observedMs / Math.max(1, lastProgress.percent - firstProgress.percent + 1)
 }
--- a/packages/core/src/jobs/paceOrders.ts
+++ b/packages/core/src/jobs/paceOrders.ts
@@ -3,6 +3,7 @@
  */
 import type { Instant } from '@auburnpin/common'
 import { PACE_RETRY_MS } from './constants.ts'
+import { FULL_PACE } from './TaskRecord.ts'
 import type { RunOrder } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
@@ -18,6 +19,7 @@
     if (!run.task.step.shape.isFiller || run.state !== 'running' || run.isStopRequested || run.orderedPacePercent === run.pacePercent) continue
     if (run.orderedPacePercent < 0 && run.paceOrderSentAt !== undefined && now - run.paceOrderSentAt < PACE_RETRY_MS) continue
     run.orderedPacePercent = run.pacePercent
+    if (run.pacePercent < FULL_PACE) run.wasSlowedDown = true
     run.paceOrderSentAt = now
     yield { kind: 'pace', worker: worker.entry.id, address: worker.entry.address, task: run.task.name, attempt: run.attempt, percent: run.pacePercent }
   }
--- a/packages/core/src/jobs/placeCopies.ts
+++ b/packages/core/src/jobs/placeCopies.ts
@@ -84,7 +84,7 @@
 
 // A copy must neither hide which task crashes workers, nor fail the job while the first run goes on.
 const mayHaveCopy = ({ runs, isDone, crashes, failedAttempts, step: { job } }: TaskRecord): boolean =>
-  runs.length === 1 && !isDone && crashes.toStore.length === 0 && (crashes.hasSurvived || job.isNewInTerm) && failedAttempts.length < job.job.policy.maxAttempts - 1
+  runs.length === 1 && runs[0]?.hasSurvivedStart === true && !isDone && crashes.toStore.length === 0 && (crashes.hasSurvived || job.isNewInTerm) && failedAttempts.length < job.job.policy.maxAttempts - 1
 
 // Fillers use no processors that other tasks could reserve, so that waiting fillers delay only copies of fillers.
 const crowdKey = ({ job: { job: { policy: { service } } }, shape }: StepRecord): string => `${service} ${shape.isFiller}`
@@ -93,18 +93,18 @@
   const crowded = new Set<string>()
   for (const step of steps) {
     const { job: { job: { policy: { service } } }, shape } = step
-    // Some long-running tasks always wait for room; a copy takes it for a short time only.
-    if (shape.isLasting || !waitsForRoom(step, context)) continue
+    // Some long-running tasks always wait for room, and a copy takes it for the time of one task.
+    if (shape.isLasting || context.delays.isDelayed(step) || !waitsForRoom(step)) continue
     crowded.add(`${service} true`)
     if (!shape.isFiller) crowded.add(`${service} false`)
   }
   return crowded
 }
 
-// A task may also wait for a label or an accelerator, for its next restart, or until it can be told from other suspects.
-const waitsForRoom = ({ waiting, shape }: StepRecord, { now }: PlacingContext): boolean => {
+// A task may also wait for a label or an accelerator, or until it can be told from other suspects.
+const waitsForRoom = ({ waiting, shape }: StepRecord): boolean => {
   if (shape.requiredLabel !== '' || shape.accelerators > 0 || shape.maxPerWorker > 0) return false
-  for (const task of waiting) if (!task.isOnTrial && (!task.isInterrupted || task.mayRestart(now))) return true
+  for (const task of waiting) if (!task.isOnTrial) return true
   return false
 }
 
--- a/packages/core/src/jobs/recordDuration.ts
+++ b/packages/core/src/jobs/recordDuration.ts
@@ -9,13 +9,13 @@
 const MAX_REPORT_GAP_MS = 2_000
 
 /**
- * Records the duration of a run that has just been reported as done, unless its start or end is not known well or it
- * continued from a checkpoint.
+ * Records the duration of a run that has just been reported as done, unless its start or end is not known well it
+ * continued from a checkpoint, or it was slowed down.
  *
  * @example
  * if (ending === 'done') recordDuration(run, durations, now)
  */
-export const recordDuration = ({ startedAt, isFromCheckpoint, worker, task }: RunRecord, durations: LearntDurations, now: Instant): void => {
-  if (startedAt === undefined || isFromCheckpoint || task.step.shape.isLasting || now - worker.reportedAt > MAX_REPORT_GAP_MS) return
+export const recordDuration = ({ startedAt, isFromCheckpoint, wasSlowedDown, worker, task }: RunRecord, durations: LearntDurations, now: Instant): void => {
+  if (startedAt === undefined || isFromCheckpoint || wasSlowedDown || task.step.shape.isLasting || now - worker.reportedAt > MAX_REPORT_GAP_MS) return
   durations.record(task.step, now - startedAt, now)
 }
--- a/packages/core/tests/placeCopies.test.ts
+++ b/packages/core/tests/placeCopies.test.ts
@@ -126,3 +126,11 @@
   t.is(taskOf(scenario).step.waiting.size, 1)
   t.is(taskOf(scenario).failedAttempts.length, 2)
 })
+
+test('a filler that was slowed down is not taken for a late run', t => {
+  const scenario = startLateJob({ isFiller: true })
+  scenario.advance(600)
+  for (const worker of scenario.scheduler.workers.values()) for (const run of worker.runs.values()) run.wasSlowedDown = true
+  scenario.advance(5_000)
+  t.is(scenario.startsOf(LATE), 1)
+})
