Delay scheduling: fillers that want one rack no longer wait for ever

Cause, found by a review: the forecast said that a filler fits on a worker whose capacity has shrunk below what its serving tasks reserve, where it never starts. A wait now needs a start that is planned later; a lost rack ends it. Tasks of a step that may use different workers no longer share scores, and packing also holds near the data. The new test failed before.

--- a/packages/core/src/jobs/PlaceChooser.ts
+++ b/packages/core/src/jobs/PlaceChooser.ts
@@ -28,6 +28,8 @@
   delayed?: number
   /** The rack that the tasks share; none if they start anywhere. Absent until it is chosen. */
   shared?: Rack | 'none'
+  /** Whether the shared rack was chosen although some of the tasks have to wait for it. */
+  waits?: boolean
 }
 
 /** A rack that can hold all tasks of a step, and what starting them there costs, in milliseconds. */
@@ -83,15 +85,15 @@
   // What fits nowhere is left to the caller, which then passes over all steps that need as much.
   #chooseByRack (task: TaskRecord, anywhere: StepCandidates, choice: StepChoice): WorkerRecord | typeof DELAYED | undefined {
     const { step } = task
-    const near = this.#chooseNear(task, choice)
+    const near = this.#chooseNear(task, choice, anywhere)
     if (near !== undefined) return near
     const isKnownToFit = this.#isKnownToFit(task)
     const elsewhere = isKnownToFit ? undefined : anywhere.choose(task)
     if (elsewhere !== undefined) this.#fitting = step
     else if (!isKnownToFit) return undefined
     if (step.shape.isOneRack) {
-      choice.shared ??= this.#planSharedRack(step) ?? 'none'
-      if (choice.shared !== 'none') return this.#chooseFrom(task, choice.shared.workers) ?? DELAYED
+      choice.shared ??= this.#planSharedRack(choice) ?? 'none'
+      if (choice.shared !== 'none') return this.#chooseFrom(task, choice.shared.workers, anywhere) ?? (choice.waits === true ? DELAYED : elsewhere ?? anywhere.choose(task))
     } else {
       choice.delayed ??= this.#planNearData(step)
       if (choice.delayed > 0) {
@@ -103,11 +105,11 @@
   }
 
   // A worker on which the task has failed is the last choice, also near the data.
-  #chooseNear (task: TaskRecord, { shared, delayed }: StepChoice): WorkerRecord | undefined {
+  #chooseNear (task: TaskRecord, { shared, delayed }: StepChoice, anywhere: StepCandidates): WorkerRecord | undefined {
     const { shape: { isOneRack, dataRack } } = task.step
     if (isOneRack ? shared === undefined || shared === 'none' : delayed !== undefined && task.failedOn.size === 0) return undefined
     const rack = isOneRack ? shared as Rack : this.#racks.ofData(dataRack)
-    const worker = this.#chooseFrom(task, rack.workers)
+    const worker = this.#chooseFrom(task, rack.workers, anywhere)
     return worker === undefined || task.failedOn.has(worker) ? undefined : worker
   }
 
@@ -116,9 +118,9 @@
     return this.#fitting !== undefined && failedOn.size === 0 && needsNoMore(step, this.#fitting)
   }
 
-  #chooseFrom (task: TaskRecord, workers: readonly WorkerRecord[]): WorkerRecord | undefined {
+  #chooseFrom (task: TaskRecord, workers: readonly WorkerRecord[], { isPacked }: StepCandidates): WorkerRecord | undefined {
     const { held, interference, now } = this.#context
-    return chooseWorker(task, workers, held, interference, now)
+    return chooseWorker(task, workers, held, interference, now, isPacked)
   }
 
   #planNearData (step: StepRecord): number {
@@ -132,7 +134,8 @@
   }
 
   // Once tasks of the step are in several racks, all of them are slow, and a further one gains nothing by waiting.
-  #planSharedRack (step: StepRecord): Rack | undefined {
+  #planSharedRack (choice: StepChoice): Rack | undefined {
+    const { step } = choice
     const { delays } = this.#context
     const used = usedRacks(step)
     if (used.size > 1 || delays.hasStartedAway(step)) return undefined
@@ -140,6 +143,7 @@
     const longestWaitMs = delays.policy.longestWaitMs(inputs)
     const [usedKey] = used
     const usedRack = usedKey === undefined ? undefined : this.#racks.of(usedKey)
+    if (usedKey !== undefined && usedRack === undefined) return undefined
     const racks = usedRack === undefined ? this.#racks.byFreeProcessors().slice(0, MAX_PLANNED_RACKS) : [usedRack]
     const offer = this.#soonest(step, racks, longestWaitMs, inputs)
     if (offer === undefined) {
@@ -148,6 +152,7 @@
     }
     this.#forecast.commit(offer.plan)
     const delayed = offer.plan.startsMs.filter(startMs => startMs > 0).length
+    choice.waits = delayed > 0
     if (delayed > 0) this.#record(step, offer.rack, offer.plan, { delayed, away: 0 }, inputs, longestWaitMs)
     return offer.rack
   }
--- a/packages/core/src/jobs/PlacingContext.ts
+++ b/packages/core/src/jobs/PlacingContext.ts
@@ -31,7 +31,7 @@
 
 /** What an installation sets for placement; by default tasks don't wait for a rack and a constant share of the workers is reserved. */
 export type PlacingSettings = Readonly<{
-  delays?: DelayScheduling
+  delays?: DelayScheduling | undefined
   /** Largest share of the processors of a service that is reserved for short tasks. */
   maxReservedShare?: number | undefined
 }>
--- a/packages/core/src/jobs/RackForecast.ts
+++ b/packages/core/src/jobs/RackForecast.ts
@@ -87,7 +87,7 @@
     const { held, interference, now } = this.#context
     if (findFixedObstacle(task, worker, now) !== undefined || worker.hasTrial || task.failedOn.has(worker) || !held.accepts(task, worker)) return false
     if (!task.step.shape.isFiller) return true
-    return !worker.pacing.isRecovering(now) && addedPressure(task.step, worker, interference, now) <= MAX_PLACING_PRESSURE
+    return !worker.pacing.isRecovering(now) && worker.processorsUsed <= worker.entry.processors && addedPressure(task.step, worker, interference, now) <= MAX_PLACING_PRESSURE
   }
 }
 
--- a/packages/core/src/jobs/StepCandidates.ts
+++ b/packages/core/src/jobs/StepCandidates.ts
@@ -18,31 +18,32 @@
  * for (const task of step.waiting) start(task, candidates.choose(task))
  */
 export class StepCandidates {
-  readonly #workers: readonly WorkerRecord[]
+  readonly workers: readonly WorkerRecord[]
   readonly #held: HeldWorkers
   readonly #interference: FillerInterference
   readonly #now: Instant
-  readonly #isPacked: boolean
+  /** Whether the tasks go where they leave the smallest piece. */
+  readonly isPacked: boolean
   readonly #scores: number[] = []
   /** For each score, the number of runs on the worker when it was computed. */
   readonly #runCounts: number[] = []
 
   constructor (workers: readonly WorkerRecord[], held: HeldWorkers, interference: FillerInterference, now: Instant, isPacked: boolean) {
-    this.#workers = workers
+    this.workers = workers
     this.#held = held
     this.#interference = interference
     this.#now = now
-    this.#isPacked = isPacked
+    this.isPacked = isPacked
   }
 
   /** The best worker for a task of the step; `undefined` if it can't start on any. */
   choose (task: TaskRecord): WorkerRecord | undefined {
-    if (!isLikeOthers(task)) return chooseWorker(task, this.#workers, this.#held, this.#interference, this.#now, this.#isPacked)
+    if (!isLikeOthers(task)) return chooseWorker(task, this.workers, this.#held, this.#interference, this.#now, this.isPacked)
     let best: WorkerRecord | undefined
     let bestScore = -Infinity
-    for (const [index, worker] of this.#workers.entries()) {
+    for (const [index, worker] of this.workers.entries()) {
       if (this.#runCounts[index] !== worker.runs.size) {
-        this.#scores[index] = scoreTask(task, worker, this.#held, this.#interference, this.#now, this.#isPacked)
+        this.#scores[index] = scoreTask(task, worker, this.#held, this.#interference, this.#now, this.isPacked)
         this.#runCounts[index] = worker.runs.size
       }
       const score = this.#scores[index] ?? -Infinity
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -47,12 +47,14 @@
     let stepCandidates: StepCandidates | undefined
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
-      stepCandidates ??= new StepCandidates(workersFor(task), held, interference, now, reserve.packs(step, now))
+      // A task that has run may use workers that are closed to those that have not.
+      const usable = workersFor(task)
+      if (stepCandidates?.workers !== usable) stepCandidates = new StepCandidates(usable, held, interference, now, reserve.packs(step, now))
       const worker = places.choose(task, stepCandidates)
       if (worker === DELAYED) continue
       if (worker === undefined) {
         reserve.recordLackOfRoom(step, candidates, now, wallTime)
-        if (isUnconstrained(step.shape) && workersFor(task).length === candidates.length) refused.push(step)
+        if (isUnconstrained(step.shape) && usable.length === candidates.length) refused.push(step)
         break
       }
       yield { task, worker }
--- a/packages/core/tests/delayScheduling.test.ts
+++ b/packages/core/tests/delayScheduling.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
 import { brand, type Instant } from '@auburnpin/common'
-import { jobOf, stepOf } from '@auburnpin/fakes'
-import { chooseWorker, PayingWait, WaitPolicy, waitForPlace, type StepRecord, type TaskRecord } from '../src/index.ts'
+import { jobOf, stepOf, workerEntryOf } from '@auburnpin/fakes'
+import { chooseWorker, DelayScheduling, PayingWait, WaitPolicy, waitForPlace, type StepRecord, type TaskRecord } from '../src/index.ts'
+import { SchedulerScenario } from './support/SchedulerScenario.ts'
 import { RackLoad, type RackLoadResult, type RackLoadSettings } from './support/RackLoad.ts'
 
 /** Places tasks as without delay scheduling. */
@@ -158,3 +159,17 @@
   t.true(waited.length > 0)
   t.true(startOf(load.scheduler.jobs.get(brand(urgent))?.findTask(0, 0, 0)) <= Math.min(...waited.map(startOf)))
 })
+
+test('fillers that want one rack start although a worker there has shrunk below what its serving tasks reserve', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 }, {}, undefined, new DelayScheduling(1.5, new PayingWait()))
+  const listWorkers = (processors: number): void => {
+    for (const [id, rack, own] of [['w1', 'r1', processors], ['w2', 'r2', 8_000]] as const) scenario.scheduler.upsertWorker(workerEntryOf(id, { rack, labels: ['kind', rack], processors: own, memoryMb: rack === 'r1' ? 100_000 : 60_000 }), scenario.now)
+  }
+  listWorkers(8_000)
+  scenario.submit('00000000000000a1', [stepOf({ taskCount: 2, processors: 6_000, isLasting: true, latencyTargetMs: 100, image: 'watch', memoryMb: 1_000 })])
+  scenario.advance(500)
+  listWorkers(4_000)
+  scenario.submit('00000000000000b1', [stepOf({ taskCount: 2, processors: 200, isFiller: true, isOneRack: true, image: 'sweep', memoryMb: 45_000 })], { runMs: 500 })
+  scenario.advance(5_000)
+  t.true(scenario.startsOf('00000000000000b1') > 0)
+})
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -3,7 +3,7 @@
  */
 import { brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, workerEntryOf } from '@auburnpin/fakes'
-import { JobScheduler, type Job, type JobStep, type ReportedEnd, type RunOrder, type TaskName, type WorkerEntry } from '../../src/index.ts'
+import { JobScheduler, type DelayScheduling, type Job, type JobStep, type ReportedEnd, type RunOrder, type TaskName, type WorkerEntry } from '../../src/index.ts'
 
 const LEASE_MS = 10_000
 const PASS_INTERVAL_MS = 100
@@ -23,8 +23,8 @@
   #now = 0
 
   /** `workers` maps each worker's id to its processors in thousandths of a core. */
-  constructor (workers: Readonly<Record<string, number>>, overrides: Partial<WorkerEntry> = {}, maxReservedShare?: number) {
-    this.scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: LEASE_MS }, brand<Instant>(0), new SilentJobSchedulerObserver(), { maxReservedShare })
+  constructor (workers: Readonly<Record<string, number>>, overrides: Partial<WorkerEntry> = {}, maxReservedShare?: number, delays?: DelayScheduling) {
+    this.scheduler = new JobScheduler(brand<Epoch>(1), { leaseMs: LEASE_MS }, brand<Instant>(0), new SilentJobSchedulerObserver(), { maxReservedShare, delays })
     this.scheduler.replaceWorkers(Object.entries(workers).map(([id, processors]) => workerEntryOf(id, { processors, ...overrides })), this.now)
     this.#report()
   }
