--- a/packages/core/tests/placeCopies.test.ts
+++ b/packages/core/tests/placeCopies.test.ts
@@ -1,15 +1,15 @@
 import test from 'ava'
 import { brand, type Attempt, type JobId, type WorkerId } from '@auburnpin/common'
 import { stepOf, workerEntryOf } from '@auburnpin/fakes'
-import type { JobStep, TaskRecord } from '../src/index.ts'
+import { DelayScheduling, WaitPolicy, type JobStep, type TaskRecord } from '../src/index.ts'
 import { SchedulerScenario } from './support/SchedulerScenario.ts'
 
 const LATE = '00000000000000a1'
 const SPECULATIVE = stepOf({ image: 'a', isSpeculative: true, processors: 1_000, estimateMs: 90 })
 
 /** Starts a job whose runs all advance by 1 % in 100 ms, after runs of the same image have taken 500 ms. */
-const startLateJob = (overrides: Partial<JobStep> = {}, workers: Readonly<Record<string, number>> = { w1: 8_000, w2: 8_000, w3: 8_000, w4: 8_000 }): SchedulerScenario => {
-  const scenario = new SchedulerScenario(workers)
+const startLateJob = (overrides: Partial<JobStep> = {}, workers: Readonly<Record<string, number>> = { w1: 8_000, w2: 8_000, w3: 8_000, w4: 8_000 }, delays?: DelayScheduling): SchedulerScenario => {
+  const scenario = new SchedulerScenario(workers, {}, undefined, delays)
   scenario.submit('0000000000000001', [stepOf({ ...SPECULATIVE, isSpeculative: false, taskCount: 24 })], { runMs: 500 })
   scenario.advance(1_500)
   scenario.submit(LATE, [{ ...SPECULATIVE, ...overrides }])
@@ -134,3 +134,22 @@
   scenario.advance(5_000)
   t.is(scenario.startsOf(LATE), 1)
 })
+
+/** Waits for a rack for as long as it takes. */
+class EndlessWait extends WaitPolicy {
+  longestWaitMs (): number {
+    return 60_000
+  }
+}
+
+test('a copy starts although a step waits for a rack by choice', t => {
+  const delays = new DelayScheduling(1.5, new EndlessWait())
+  const scenario = startLateJob({}, undefined, delays)
+  scenario.scheduler.upsertWorker(workerEntryOf('w1', { rack: 'r1', labels: ['kind', 'r1'] }), scenario.now)
+  scenario.submit('0000000000000002', [stepOf({ dataRack: 'r1', processors: 7_000, estimateMs: 30_000 })])
+  scenario.advance(200)
+  scenario.submit('0000000000000003', [stepOf({ dataRack: 'r1', processors: 4_000 })])
+  scenario.advance(5_000)
+  t.true(delays.delayedTasks > 0)
+  t.is(scenario.startsOf(LATE), 2)
+})
--- a/packages/jobs/tests/evacuation.test.ts
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -207,6 +207,10 @@
   const closed = simulation.rows.read('terms', cellAt(0), 'layout-1')?.value.includes('derby') === true ? 'derby' : 'leeds'
   simulation.evacuate(closed)
   const evacuatedAt = scenario.now
+  // A job that no other cell can run waits longest, and must not keep the others there.
+  const stuck = jobOf('00000000000000f0', [stepOf({ requiredLabel: 'unknown' })], { acceptedAt: simulation.clock.wallTime() })
+  simulation.rows.put('jobs', jobPart(stuck.id), stuck.id, encodeJob({ job: stuck, cell: cellAt(1) }))
+  await simulation.advance(200)
   const untouched = jobOf('00000000000000f1', [stepOf({ taskCount: 4 })], { acceptedAt: simulation.clock.wallTime() })
   simulation.rows.put('jobs', jobPart(untouched.id), untouched.id, encodeJob({ job: untouched, cell: cellAt(1) }))
   await simulation.advance(4_000)
