--- a/packages/core/src/jobs/WorkerReserve.ts
+++ b/packages/core/src/jobs/WorkerReserve.ts
@@ -44,9 +44,9 @@
 }
 
 /** The reserve of one service in one data centre. Processors are in thousandths of a core. */
-export type ZoneReserve = { workers: number, reserved: number, usable: number, free: number, largestFree: number }
+export type DataCentreReserve = { workers: number, reserved: number, usable: number, free: number, largestFree: number }
 
-/** The reserve of one service; `zones` by the name of the data centre. */
+/** The reserve of one service; `dataCentres` by the name of the data centre. */
 export type ServiceReserve = Readonly<{
   service: ServiceName
   /** `undefined` while short tasks find room without waiting, so that only the constant share is reserved. */
@@ -58,7 +58,7 @@
   usable: number
   /** What keeps the reserve below the demand: `share` if the largest share is reached, `workers` if no other worker has room for a short task. */
   limit: 'none' | 'share' | 'workers'
-  zones: ReadonlyMap<string, ZoneReserve>
+  dataCentres: ReadonlyMap<string, DataCentreReserve>
 }>
 
 /**
@@ -124,28 +124,28 @@
   #describeService (service: ServiceName, workers: readonly WorkerRecord[], now: Instant): ServiceReserve {
     const demand = this.#demand.of(service, now)
     const { constant, added } = this.#last
-    const zones = new Map<string, ZoneReserve>()
+    const dataCentres = new Map<string, DataCentreReserve>()
     const counts = { constant: 0, added: 0, usable: 0, openUsable: 0 }
     for (const worker of workers) {
-      const zone = zones.get(worker.entry.zone) ?? { workers: 0, reserved: 0, usable: 0, free: 0, largestFree: 0 }
-      zones.set(worker.entry.zone, zone)
+      const ofDataCentre = dataCentres.get(worker.entry.zone) ?? { workers: 0, reserved: 0, usable: 0, free: 0, largestFree: 0 }
+      dataCentres.set(worker.entry.zone, ofDataCentre)
       const usable = usableProcessors(worker, demand?.taskProcessors ?? 1)
       const free = freeForShortTasks(worker)
-      zone.workers++
-      zone.free += free
-      zone.largestFree = Math.max(zone.largestFree, free)
+      ofDataCentre.workers++
+      ofDataCentre.free += free
+      ofDataCentre.largestFree = Math.max(ofDataCentre.largestFree, free)
       if (constant.has(worker)) counts.constant++
       else if (added.has(worker)) counts.added++
       else {
         counts.openUsable += usable
         continue
       }
-      zone.reserved++
-      zone.usable += usable
+      ofDataCentre.reserved++
+      ofDataCentre.usable += usable
       counts.usable += usable
     }
-    const isShort = demand !== undefined && counts.usable < demand.processors
-    return { service, demand, constant: counts.constant, added: counts.added, usable: counts.usable, limit: !isShort ? 'none' : counts.openUsable > 0 ? 'share' : 'workers', zones }
+    const isBelowDemand = demand !== undefined && counts.usable < demand.processors
+    return { service, demand, constant: counts.constant, added: counts.added, usable: counts.usable, limit: !isBelowDemand ? 'none' : counts.openUsable > 0 ? 'share' : 'workers', dataCentres }
   }
 }
 
--- a/packages/jobs/tests/reserveReporter.test.ts
+++ b/packages/jobs/tests/reserveReporter.test.ts
@@ -21,7 +21,7 @@
   scheduler.decide(at(100), 100)
   reporter.report(at(100))
   t.like(records[0], { service: 'desk', demand: 25_000, taskProcessors: 5_000, constant: 1, added: 1, usable: 10_000, limit: 'share', scarcest: 'east' })
-  t.is(records[0]?.zones, 'east:0/2 usable=0 free=6000 largestFree=3000; west:2/2 usable=10000 free=6000 largestFree=3000')
+  t.is(records[0]?.dataCentres, 'east:0/2 usable=0 free=6000 largestFree=3000; west:2/2 usable=10000 free=6000 largestFree=3000')
   t.deepEqual([...gauges], [['reserve.largestFree east', 3], ['reserve.largestFree west', 3], ['reserve.workers', 2], ['reserve.usable', 10], ['reserve.demand', 25]])
   reporter.report(at(34_000))
   t.is(records[1]?.message, 'Short tasks find capacity without waiting; the constant share is reserved')
