--- a/packages/core/src/jobs/PlaceChooser.ts
+++ b/packages/core/src/jobs/PlaceChooser.ts
@@ -93,7 +93,12 @@
     else if (!isKnownToFit) return undefined
     if (step.shape.isOneRack) {
       choice.shared ??= this.#planSharedRack(choice) ?? 'none'
-      if (choice.shared !== 'none') return this.#chooseFrom(task, choice.shared.workers, anywhere) ?? (choice.waits === true ? DELAYED : elsewhere ?? anywhere.choose(task))
+      if (choice.shared !== 'none') {
+        const worker = this.#chooseFrom(task, choice.shared.workers, anywhere)
+        if (worker !== undefined) return worker
+        // Where no start is planned later, the forecast was wrong about the rack, and waiting for it might never end.
+        if (choice.waits === true) return DELAYED
+      }
     } else {
       choice.delayed ??= this.#planNearData(step)
       if (choice.delayed > 0) {
