--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -178,16 +178,16 @@
 /** Milliseconds for which the rate of fully used processors counts beside the measured one. */
 export const FORECAST_PRIOR_MS = 1_000
 
-/** The part of the rate that a job's wait is computed with is at least this share of it, however much arrives before the job; with 0.4 the refused share swung more. */
+/** The part of the rate that a job's wait is computed with is at least this share of it, however much arrives before the job; a lower share makes the refused share oscillate. */
 export const MIN_DRAIN_SHARE = 0.8
 
 /** A forecast that a process first saw longer ago than this refuses no job, in milliseconds; terms are renewed and polled every 500 ms. */
 export const MAX_WAITS_AGE_MS = 2_000
 
-/** Milliseconds in which the refused share falls from 1 to 0 at the fastest; with 4 s it swung more. */
+/** Milliseconds in which the refused share falls from 1 to 0 at the fastest; a faster fall makes it oscillate with the load. */
 export const ADMISSION_SHARE_FALL_MS = 8_000
 
-/** Jobs are refused from this share of their slack on, if they would wait that long; with 0.5 the refused share swung more. */
+/** Jobs are refused from this share of their slack on, if they would wait that long; starting later makes the refused share oscillate. */
 export const FIRST_REFUSAL_SHARE = 0.25
 
 /** Factor on the refused share, and on the time to come back, for each earlier refusal of a job. */
--- a/packages/core/src/jobs/placeCopies.ts
+++ b/packages/core/src/jobs/placeCopies.ts
@@ -16,7 +16,7 @@
 
 /**
  * Share of a service's processors that copies leave free for tasks that are submitted next. Long-running tasks reserve
- * some nine tenths of the processors, so that a share of 0.1 allowed no copy on heavy days.
+ * some nine tenths of the processors, so that a larger share would allow no copy under load.
  */
 const FREE_SHARE = 0.02
 
@@ -128,6 +128,7 @@
     const { shape } = task.step
     if (shape.isFiller) this.#fillers += shape.processors
     if (!shape.isLasting) this.#running += shape.processors
+    // A run counts as a copy while an older run of its task exists.
     if (task.runs.length > 1 && task.runs.some(other => other.attempt < attempt)) this.#copies += shape.processors
   }
 
--- a/packages/core/src/jobs/waitForPlace.ts
+++ b/packages/core/src/jobs/waitForPlace.ts
@@ -44,7 +44,7 @@
 /**
  * The longest expected wait that pays, in milliseconds; 0 if none does. It is at most the slack. Designed for loads in
  * which most tasks of a queue need the same rack, clients' estimates are off by half to nine tenths, and running elsewhere
- * takes 1.5 to 3 times as long. Each rule was measured on such loads (design 094):
+ * takes 1.5 to 3 times as long; design 094 compares the rules with others:
  *
  * - A wait for data is at most what running elsewhere adds. While there are many free processors and the job can be in time
  *   elsewhere too, it is at most half of that, and less the more the rack is in demand: in a rack in full demand, each place
--- a/packages/core/src/layout/chooseCell.ts
+++ b/packages/core/src/layout/chooseCell.ts
@@ -6,7 +6,7 @@
 
 /** A cell as its owner last published it. */
 export type CellLoad = Readonly<{
-  /** Workers that accept work. */
+  /** Workers outside evacuated data centres. */
   workers: number
   /** Processors that running and waiting tasks need, as a percentage of those of all workers. */
   loadPercent: number
