--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,48 +1,42 @@
 import { dirname } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { findStandstill, highestUse } from '../standins/checks.mjs'
 import { sleep } from '../standins/http.mjs'
 import { runCase } from '../standins/Installation.mjs'
 
-const SUBMISSIONS = 40
-const TASK_MS = 1_000
-const KILLS = 2
-const DOWN_MS = 3_500
-/** Bound of the pages: `visible_ms` and 2 s more. */
-const COUNTED_AFTER_MS = 5_000
+const WORKERS = 10
+const CPU = 32_000
+const KIND = 'b'
+/** Positions of the two minions of this kind: `w2`, and `w9`, whose id is the last one in the order of texts. */
+const OF_KIND = [2, 9]
+const TASKS = 2
+const TASK_CPU = 4_000
+/** An entry is removed after three ping intervals of silence. */
+const REMOVED_AFTER_MS = 4_500
+/** Bounds of the pages. */
+const FINISH_MS = 14_000
+const STANDSTILL_MS = 3_000
 
 runCase(dirname(fileURLToPath(import.meta.url)), async (installation, hasTrouble) => {
-  await installation.start({ processes: 5, workers: 4, cpu: 32_000, memMb: 125_000 })
-  const killed = new Set()
-  const killOwner = () => {
-    const { owner } = installation
-    killed.add(owner)
-    installation.kill(owner, { downMs: DOWN_MS })
-    return owner
+  await installation.start({ processes: 3, workers: WORKERS, cpu: CPU, memMb: 125_000, kindOf: index => OF_KIND.includes(index) ? KIND : 'a' })
+  const lost = installation.workers[OF_KIND[0] - 1]
+  if (hasTrouble) {
+    installation.record('disruption', { what: 'the minion crashes and is lost for good', worker: lost.id })
+    lost.crash()
+    await sleep(REMOVED_AFTER_MS)
+    installation.store.remove('servers', '', lost.id)
   }
-  let last = hasTrouble ? killOwner() : undefined
-  const accepted = []
-  for (let index = 0; index < SUBMISSIONS; index++) {
-    const { id, isAccepted } = await installation.submit({ spec: 'draft', steps: [{ count: 2, cpu: 1_000, mem_mb: 64, estimate_ms: TASK_MS }] }, () => ({ ms: TASK_MS }))
-    if (isAccepted) accepted.push({ id, at: installation.now })
-  }
-  const breaches = []
-  const endsAt = installation.now + 12_000
-  while (installation.now < endsAt) {
-    if (hasTrouble && killed.size < KILLS && installation.owner !== last) last = killOwner()
-    const now = installation.now
-    const begun = new Set(installation.events.filter(({ kind }) => kind === 'start').map(({ task }) => task.split('.')[0]))
-    const counted = accepted.filter(({ id, at }) => now - at > COUNTED_AFTER_MS && !begun.has(id)).length
-    const asked = installation.processes.filter(process => !killed.has(process))
-    if (counted > 0) {
-      const answers = await Promise.all(asked.map(process => installation.send(process, 'GET', '')))
-      for (const [index, answer] of answers.entries()) {
-        const stillWaiting = accepted.filter(({ id, at }) => now - at > COUNTED_AFTER_MS && !installation.events.some(({ kind, task }) => kind === 'start' && task.startsWith(id))).length
-        if (answer?.status !== 200 || answer.body.pending >= stillWaiting / 2) continue
-        breaches.push(`${asked[index].name} gives ${answer.body.pending} as pending at ${now} ms, while ${stillWaiting} submissions accepted over ${COUNTED_AFTER_MS} ms before have not begun`)
-        installation.record('pending', { process: asked[index].name, pending: answer.body.pending, counted: stillWaiting })
-      }
-    }
-    await sleep(20)
-  }
-  return breaches
+  await sleep(5_000)
+  const body = { spec: 'watch', steps: [{ count: TASKS, cpu: TASK_CPU, mem_mb: 4_000, long_running: true, image: 'watch', target_ms: 150, requirements: KIND }] }
+  const { id, isAccepted } = await installation.submit(body, () => ({}))
+  if (!isAccepted) throw new Error('the submission is not accepted')
+  await sleep(FINISH_MS)
+  const finishAt = installation.now
+  await sleep(5_000)
+  const state = await installation.stateOf(id)
+  installation.record('state', { id, state })
+  const standstill = findStandstill(installation.events, id, () => TASKS, finishAt, installation.now)
+  const used = highestUse(installation.events, TASK_CPU, finishAt, installation.now)
+  if (standstill === undefined || standstill.ms < STANDSTILL_MS) return []
+  return [`accepted submission ${id} (${state}) has nothing running ${FINISH_MS} ms after the end of the traffic, for ${standstill.ms} ms; a minion of kind ${KIND} has ${CPU - used} of ${CPU} thousandths of a core free, and the ${TASKS} tasks need ${TASKS * TASK_CPU}`]
 })
--- a/review/standins/Installation.mjs
+++ b/review/standins/Installation.mjs
@@ -74,10 +74,10 @@
   }
 
   /** Starts the store, the minions and the processes, and waits until each process is ready. */
-  async start ({ processes, workers, cpu, memMb, queue = {} }) {
+  async start ({ processes, workers, cpu, memMb, queue = {}, kindOf = () => 'a' }) {
     this.storeAddress = await this.store.listen(this.#freeHost())
     for (let index = 1; index <= workers; index++) {
-      const worker = new Worker(`w${index}`, { service: 'desk', zone: 'derby', cpu, memMb, labels: ['a', `r1-${1 + Math.floor(index / 6)}`], holdMaxMs: this.#settings.holdMaxMs }, task => this.#taskOf(task), ({ kind, ...fields }) => this.record(kind, fields))
+      const worker = new Worker(`w${index}`, { service: 'desk', zone: 'derby', cpu, memMb, labels: [kindOf(index), `r1-${1 + Math.floor(index / 6)}`], holdMaxMs: this.#settings.holdMaxMs }, task => this.#taskOf(task), ({ kind, ...fields }) => this.record(kind, fields))
       await worker.listen(this.#freeHost())
       this.workers.push(worker)
       this.publish(worker)
@@ -236,7 +236,7 @@
     const submission = this.submissions.get(id)
     const shape = submission?.steps[Number(step)]
     if (shape === undefined) return undefined
-    return { cpu: shape.cpu, mem_mb: shape.mem_mb, ...submission.behaviour(task, shape) }
+    return { cpu: shape.cpu, mem_mb: shape.mem_mb, requires: shape.requirements, ...submission.behaviour(task, shape) }
   }
 
   /**
--- a/review/standins/Worker.mjs
+++ b/review/standins/Worker.mjs
@@ -16,6 +16,7 @@
   /** Events for the record and the check. */
   #emit
   #settings
+  #labels
   #server = createServer((request, response) => { this.#serve(request, response).catch(error => response.destroy(error)) })
   #born = Date.now()
   #bootedAt = performance.now()
@@ -30,10 +31,11 @@
   #isDown = false
   #boot = 0
 
-  /** `taskOf` returns what a task needs and does: `cpu`, `mem_mb`, `ms`, `how`, `savesEveryMs`. */
+  /** `taskOf` returns what a task needs and does: `cpu`, `mem_mb`, `ms`, `how`, `savesEveryMs`, `requires`. */
   constructor (id, settings, taskOf, emit) {
     this.id = id
     this.#settings = settings
+    this.#labels = settings.labels
     this.taskOf = taskOf
     this.#emit = (kind, fields) => emit({ kind, worker: id, boot: this.#boot, ...fields })
   }
@@ -59,8 +61,8 @@
   }
 
   get entry () {
-    const { service, zone, cpu, memMb, labels } = this.#settings
-    return JSON.stringify({ service, address: this.address, zone, version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, capacity: { cpu, mem_mb: memMb, gpu: 0 }, labels, seq_num: 1, clock_ms: this.clockMs, born: this.#born })
+    const { service, zone, cpu, memMb } = this.#settings
+    return JSON.stringify({ service, address: this.address, zone, version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, capacity: { cpu, mem_mb: memMb, gpu: 0 }, labels: this.#labels, seq_num: 1, clock_ms: this.clockMs, born: this.#born })
   }
 
   /** Crashes: everything that runs ends, and no call is answered. */
@@ -76,11 +78,12 @@
     this.#server.closeAllConnections()
   }
 
-  /** Starts again under the same id, with nothing of before; `born` is the time of day of its machine. */
-  restart (born = Date.now()) {
+  /** Starts again under the same id, with nothing of before, maybe as another kind. */
+  restart (labels = this.#labels) {
     this.#isDown = false
     this.#boot++
-    this.#born = born
+    this.#born = Date.now()
+    this.#labels = labels
     this.#bootedAt = performance.now()
     this.#fence = 0
     this.#leaseEndMs = 0
@@ -152,7 +155,7 @@
     this.#highest.set(task, run)
     this.#runs.set(task, started)
     if (needs.ms !== undefined) started.timer = setTimeout(() => { this.#expireLease(); this.#end(started, needs.how ?? 'done') }, needs.ms)
-    this.#emit('start', { task, run })
+    this.#emit('start', { task, run, ...(needs.requires === undefined ? {} : { requires: needs.requires, labels: this.#labels }) })
     this.#send(response, 200, {})
   }
 
--- a/review/standins/checks.mjs
+++ b/review/standins/checks.mjs
@@ -114,3 +114,8 @@
   for (const task of away.keys()) note(task, until)
   return [...longest].map(([task, ms]) => ({ task, ms }))
 }
+
+/** ROUTE: starts on a minion without the label that the step requires. */
+export const findMisplaced = events => events
+  .filter(({ kind, requires, labels }) => kind === 'start' && requires !== undefined && !labels.includes(requires))
+  .map(({ at, worker, boot, task, requires, labels }) => `${task} requires ${requires} and starts at ${at} ms on ${worker} (boot ${boot}), whose labels are ${labels.join(', ')}`)
