--- a/review/standins/Installation.mjs
+++ b/review/standins/Installation.mjs
@@ -23,6 +23,7 @@
 const TIME_LIMIT_MS = 3_000
 const HEARTBEAT_MS = 1_500
 const MAX_STARTUP_MS = 20_000
+const HOSTS_PER_NETWORK = 250
 const RESTART_DELAY_MS = 500
 
 /** The deploy file's role. */
@@ -110,7 +111,8 @@
   }
 
   #freeHost () {
-    return `127.${this.#network}.7.${this.#nextHost++}`
+    const host = this.#nextHost++
+    return `127.${this.#network}.${1 + Math.floor(host / HOSTS_PER_NETWORK)}.${1 + host % HOSTS_PER_NETWORK}`
   }
 
   async startProcess (name, host = this.#freeHost()) {
