--- a/review/standins/Worker.mjs
+++ b/review/standins/Worker.mjs
@@ -56,6 +56,11 @@
     return Math.floor(performance.now() - this.#bootedAt)
   }
 
+  /** Its zone and rack. */
+  get rackKey () {
+    return `${this.#settings.zone}/${this.#labels[1]}`
+  }
+
   get runningCount () {
     return this.#runs.size
   }
