--- a/review/standins/Installation.mjs
+++ b/review/standins/Installation.mjs
@@ -74,7 +74,7 @@
     this.#lines = []
   }
 
-  /** Starts the store, the minions and the processes, and waits until each process is ready. */
+  /** Starts the store, the workers and the processes, and waits until each process is ready. */
   async start ({ processes, workers, cpu, memMb, queue = {}, kindOf = () => 'a' }) {
     this.storeAddress = await this.store.listen(this.#freeHost())
     for (let index = 1; index <= workers; index++) {
@@ -105,7 +105,7 @@
     this.record('ready', { owner: this.ownerName })
   }
 
-  /** Writes the entry of a minion, as it does itself. */
+  /** Writes the entry of a worker, as it does itself. */
   publish (worker) {
     this.store.put('servers', '', worker.id, worker.entry)
   }
@@ -242,8 +242,8 @@
   }
 
   /**
-   * Submits as a requester does: again at another process after no answer, 502 or 504, and also after a refusal, a few
-   * times. Returns whether it was accepted. `behaviour` tells the minions how a task runs.
+   * Submits as a client does: again at another process after no answer, 502 or 504, and also after a refusal, a few
+   * times. Returns whether it was accepted. `behaviour` tells the workers how a task runs.
    */
   async submit (body, behaviour, id = this.newId(), tries = 5) {
     this.submissions.set(id, { ...body, behaviour })
@@ -258,7 +258,7 @@
     return { id, isAccepted: false }
   }
 
-  /** One request of a requester; `undefined` without an answer. */
+  /** One request of a client; `undefined` without an answer. */
   send ({ host, frontend, agent }, method, id, body) {
     return call({ host, port: frontend, method, path: `/drafts/${id}`, headers: { host: HOST, 'x-auburnpin-deadline-ms': String(TIME_LIMIT_MS) }, body, agent }).catch(() => undefined)
   }
--- a/review/standins/Worker.mjs
+++ b/review/standins/Worker.mjs
@@ -1,5 +1,5 @@
 /**
- * Stand-in for a minion (a worker of the platform): it runs tasks under a lease on its own clock, keeps the highest fencing
+ * Stand-in for a worker of the platform: it runs tasks under a lease on its own clock, keeps the highest fencing
  * token, guards its capacity, and lists the ends of runs, 500 at a time, until they are taken note of.
  */
 import { createServer } from 'node:http'
--- a/review/standins/checks.mjs
+++ b/review/standins/checks.mjs
@@ -1,10 +1,10 @@
 /**
- * Checks of rules on the events of the minions.
+ * Checks of rules on the events of the workers.
  */
 
 /**
  * TWICE: two runs of a task at the same time, or a start after a run has ended `done`, if that end is taken note of then or
- * later and the minion's lease has not lapsed in between. Returns a line for each breach.
+ * later and the worker's lease has not lapsed in between. Returns a line for each breach.
  */
 export const findTwice = events => {
   const notedAt = new Map()
@@ -34,7 +34,7 @@
   return breaches
 }
 
-/** Ends that minions have listed at least `ackMs` before `until`, and how many of them were not taken note of. */
+/** Ends that workers have listed at least `ackMs` before `until`, and how many of them were not taken note of. */
 export const findUnnoted = (events, until, ackMs) => {
   const noted = new Set()
   for (const { kind, worker, boot, task, run } of events) if (kind === 'noted') noted.add(`${worker}#${boot}#${task}#${run}`)
@@ -115,7 +115,7 @@
   return [...longest].map(([task, ms]) => ({ task, ms }))
 }
 
-/** ROUTE: starts on a minion without the label that the step requires. */
+/** ROUTE: starts on a worker without the label that the step requires. */
 export const findMisplaced = events => events
   .filter(({ kind, requires, labels }) => kind === 'start' && requires !== undefined && !labels.includes(requires))
   .map(({ at, worker, boot, task, requires, labels }) => `${task} requires ${requires} and starts at ${at} ms on ${worker} (boot ${boot}), whose labels are ${labels.join(', ')}`)
