Done tasks start no more a second time when a worker has many ends to report

Cause: a worker lists 500 ends at a time, and the owner took each report for the worker's whole state. A run in neither list counted as never started after a takeover, and as vanished under the same owner after a store outage or a cut link.

Change: a report with as many ends as a worker lists at a time is incomplete. While a worker's latest report is incomplete, no run counts as missing there, the takeover isn't complete (TakeoverReconciliation, split from JobScheduler), and the worker isn't forgotten. Once it is silent and its lease is over, it holds up nothing any more. This works since an acknowledged page is followed by the next one, and a page that isn't full is the last.

The fake worker listed all ends at once; it now lists 500 like a real one.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -32,6 +32,7 @@
 import { startOrder } from './startOrder.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { stopOrders } from './stopOrders.ts'
+import { TakeoverReconciliation } from './TakeoverReconciliation.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
 import { parseTaskName } from './taskName.ts'
 import type {
@@ -87,11 +88,9 @@
   /** Steps whose tasks wait for a rack. */
   readonly delays: DelayScheduling
   readonly #termStartedAt: Instant
-  readonly #earlierLeasesExpireAt: Instant
-  #areEarlierWorkersKnown = true
+  readonly #reconciliation: TakeoverReconciliation
   /** Whether the list of workers has been read, so that an earlier worker that isn't listed has left. */
   #isListRead = false
-  #isReconciled = false
 
   constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver, { delays = new DelayScheduling(), maxReservedShare = RESERVED_WORKER_SHARE }: PlacingSettings = {}) {
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
@@ -101,17 +100,17 @@
     this.delays = delays
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.#termStartedAt = now
-    this.#earlierLeasesExpireAt = leaseExpiry(lease.leaseMs, now)
+    this.#reconciliation = new TakeoverReconciliation(leaseExpiry(lease.leaseMs, now))
   }
 
   /** Whether all runs of earlier owners are known or have certainly ended, so that tasks may start. */
   get isReconciled (): boolean {
-    return this.#isReconciled
+    return this.#reconciliation.isDone
   }
 
   /** Records that an earlier owner may have used workers that this one doesn't know, so that no task starts before all leases are over. */
   waitForEarlierLeases (): void {
-    this.#areEarlierWorkersKnown = false
+    this.#reconciliation.waitForEarlierLeases()
     this.#crashDetector.earlierWorkerLost()
   }
 
@@ -227,9 +226,9 @@
     return findInterruptions(this.#openSteps, minMs, this.#termStartedAt, now)
   }
 
-  /** Workers without a report to this owner, for which tasks accepted before its term wait. */
+  /** Workers whose earlier runs aren't all known to this owner, for which tasks accepted before its term wait. */
   get awaitedWorkers (): readonly WorkerRecord[] {
-    return this.#isReconciled ? [] : [...this.workers.values()].filter(({ hasReported }) => !hasReported)
+    return this.isReconciled ? [] : [...this.workers.values()].filter(({ hasReported, hasUnreportedEnds }) => !hasReported || hasUnreportedEnds)
   }
 
   /** Processors of all listed workers, in thousandths of a core. */
@@ -277,13 +276,13 @@
    * Adds a worker that an earlier owner used; it isn't listed until `upsertWorker` gets its entry. `leaseOverAt`: when
    * the leases of earlier owners on it are over, if that is recorded.
    */
-  restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#earlierLeasesExpireAt): void {
+  restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#reconciliation.earlierLeasesExpireAt): void {
     this.upsertWorker(entry, now)
     this.unlistWorker(entry.id)
     const worker = this.workers.get(entry.id)
     if (worker === undefined) return
     worker.isEarlier = true
-    worker.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#earlierLeasesExpireAt)), now)
+    worker.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#reconciliation.earlierLeasesExpireAt)), now)
   }
 
   /** Marks a worker as no longer listed. */
@@ -315,8 +314,9 @@
     worker.reportedAt = now
   }
 
-  #reconcileRuns (worker: WorkerRecord, { running, clockMs }: WorkerReport, requestedAt: Instant, now: Instant): void {
+  #reconcileRuns (worker: WorkerRecord, { running, clockMs, mayHaveMoreEnds = false }: WorkerReport, requestedAt: Instant, now: Instant): void {
     worker.reportRequestedAt = requestedAt
+    worker.hasUnreportedEnds = mayHaveMoreEnds
     const present = new Set<string>()
     for (const reported of running) {
       const key = runKey(reported.task, reported.attempt)
@@ -332,8 +332,8 @@
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
     }
     for (const key of worker.unknownRuns.keys()) if (!present.has(key)) worker.unknownRuns.delete(key)
-    for (const run of [...worker.runs.values()]) {
-      if (!present.has(runKey(run.task.name, run.attempt))) this.#handleMissingRun(run, requestedAt, now)
+    if (!worker.hasUnreportedEnds) {
+      for (const run of [...worker.runs.values()]) if (!present.has(runKey(run.task.name, run.attempt))) this.#handleMissingRun(run, requestedAt, now)
     }
     this.#stopStalledRuns(worker, now)
     worker.pacing.update(worker.runs.values(), this.interference, now)
@@ -615,7 +615,7 @@
     this.#createDueOccurrences(now, wallTime)
     const orders: RunOrder[] = []
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
-    const isReconciled = this.#checkReconciled(now)
+    const isReconciled = this.#reconciliation.update(this.workers.values(), now)
     this.#crashDetector.observe(this.workers, now)
     const startableSteps = isReconciled ? this.#openSteps : [...this.#openSteps].filter(({ job }) => job.isNewInTerm)
     if (maxStarts <= 0) return orders
@@ -668,7 +668,7 @@
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
       if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#expireRuns(worker, now)
       if (worker.isEarlier && !worker.hasReported && now >= worker.leaseExpiresAt) this.#crashDetector.earlierWorkerLost()
-      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt) this.workers.delete(id)
+      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt && !worker.mayReportMoreEnds(now)) this.workers.delete(id)
     }
   }
 
@@ -679,17 +679,6 @@
       for (let occurrence = 0; occurrence < due; occurrence++) this.#createOccurrence(record, occurrence, now)
     }
   }
-
-  // Runs of earlier owners must be known or have ended before any task starts that they may have started.
-  #checkReconciled (now: Instant): boolean {
-    if (this.#isReconciled) return true
-    if (now < this.#earlierLeasesExpireAt) {
-      if (!this.#areEarlierWorkersKnown) return false
-      for (const worker of this.workers.values()) if (!worker.hasReported && now < worker.leaseExpiresAt) return false
-    }
-    this.#isReconciled = true
-    return true
-  }
 }
 
 class SchedulerCrashHost extends CrashHost {
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -36,6 +36,8 @@
   evacuation: WorkerEvacuation = 'none'
   /** Whether the worker has reported to this owner and therefore rejects orders of all earlier owners. */
   hasReported = false
+  /** Whether ends may be missing from the latest report, so that it doesn't show which other runs have ended. */
+  hasUnreportedEnds = false
   /** When the latest report arrived. */
   reportedAt = brand<Instant>(-Infinity)
   /** When the latest report that was compared with the runs was requested. */
@@ -83,6 +85,11 @@
     return this.#failedCalls > 0
   }
 
+  /** Whether ends of runs may be missing from the latest report that the worker can still report: it responds, or its lease isn't over. */
+  mayReportMoreEnds (now: Instant): boolean {
+    return this.hasUnreportedEnds && !(this.isUnresponsive && now >= this.leaseExpiresAt)
+  }
+
   /** Number of calls without a response since the last response. */
   get failedCalls (): number {
     return this.#failedCalls
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -139,8 +139,11 @@
 export type WorkerReport = Readonly<{
   incarnation: Incarnation
   clockMs: number
+  /** All runs that have not ended. */
   running: readonly ReportedRun[]
   ended: readonly ReportedEnd[]
+  /** Whether further ends may follow once these are acknowledged, so that a run in neither list may still have ended. */
+  mayHaveMoreEnds?: boolean
 }>
 
 /** A worker's response to an order to start. */
--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -28,6 +28,9 @@
 
 const MAX_LEASE_MS = 10_000
 
+/** Most ends that one report lists. */
+export const MAX_ENDS_PER_REPORT = 500
+
 /** One worker across its incarnations. */
 export class FakeJobWorker {
   readonly id: WorkerId
@@ -141,7 +144,7 @@
     this.#ended = this.#ended.filter(end => end.sequence > acknowledgedEnd)
     const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, fullProgressMs }) =>
       ({ task, attempt, checkpoint: '', progressPercent: Math.min(100, Math.floor(100 * (this.#clock.now() - startedAt) / fullProgressMs)), reading: 0 }))
-    return { incarnation: this.entry.incarnation, clockMs: this.clockMs, running, ended: [...this.#ended] }
+    return { incarnation: this.entry.incarnation, clockMs: this.clockMs, running, ended: this.#ended.slice(0, MAX_ENDS_PER_REPORT), mayHaveMoreEnds: this.#ended.length >= MAX_ENDS_PER_REPORT }
   }
 
   hasEndAfter (acknowledgedEnd: number): boolean {
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -196,7 +196,7 @@
     if (outcome.err === (this.#failingSince !== undefined)) return
     this.#failingSince = outcome.err ? this.#clock.now() : undefined
     if (outcome.err) this.#log.warn('Worker does not report', { worker: this.#worker, error: outcome.val.message })
-    else this.#log.info('Worker reports', { worker: this.#worker, incarnation: outcome.val.incarnation, running: outcome.val.running.length })
+    else this.#log.info('Worker reports', { worker: this.#worker, incarnation: outcome.val.incarnation, running: outcome.val.running.length, ended: outcome.val.ended.length, mayHaveMoreEnds: outcome.val.mayHaveMoreEnds === true })
   }
 }
 
