Long progress of a job no longer stops all scheduling

Cause: all progress of a job was one row. Once it was longer than a row may be, the store refused each commit that had it, and with it the renewal of the term; each next owner failed alike. Checkpoints of one large step end so too, and many rows together can exceed a call of the store. Evidence: the store's 400 for the value, and the owner's log of rejected commits.

Change: progress is divided into segments of 100 tasks with a row each, and only changed ones are written (ProgressSegment, UnstoredProgress). Checkpoints beyond the size of a row are left out, a commit takes what a call holds, and the size of a row is read from the settings. This works since what is stored of 100 tasks is bounded, and all of it only grows: rows need not be written at the same moment.

The test in crashingTasks that allowed the loss of all but 400 entries now asks for all of them, with the same bound for each row; nothing is left out any more.

--- a/packages/core/src/jobs/CrashDetector.ts
+++ b/packages/core/src/jobs/CrashDetector.ts
@@ -13,8 +13,8 @@
 export abstract class CrashHost {
   /** Whether the runs of earlier owners are known or have ended, as far as they concern the job. */
   abstract areRunsKnown (job: JobRecord): boolean
-  /** The job's progress must be stored. */
-  abstract progressChanged (job: JobRecord): void
+  /** The task's progress must be stored. */
+  abstract progressChanged (task: TaskRecord): void
   /** `suspects`: the tasks that had just started on a worker that was lost. */
   abstract workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void
   /** The task crashes workers, so its job can't be done. */
@@ -104,7 +104,7 @@
     const { crashes, isDone, step: { job } } = task
     if (isDone || job.isFinal || !crashes.add(attempt)) return false
     if (task.isOnTrial) this.#onTrial.add(task)
-    this.#host.progressChanged(job)
+    this.#host.progressChanged(task)
     return true
   }
 
@@ -118,10 +118,10 @@
   }
 
   /** A worker has listed an attempt as running or ended, so it was not lost. */
-  attemptReported ({ crashes, step: { job } }: TaskRecord, attempt: RunRecord['attempt']): void {
-    if (!crashes.withdraw(attempt)) return
-    crashes.areUncertain = false
-    this.#host.progressChanged(job)
+  attemptReported (task: TaskRecord, attempt: RunRecord['attempt']): void {
+    if (!task.crashes.withdraw(attempt)) return
+    task.crashes.areUncertain = false
+    this.#host.progressChanged(task)
   }
 
   /** A worker, at this time of its clock, has listed a run as running. */
@@ -133,12 +133,12 @@
     if (clockMs - run.confirmedAtClockMs < MIN_SURVIVAL_MS) return
     run.hasSurvivedStart = true
     worker.suspects.delete(run)
-    if (task.crashes.clear()) this.#host.progressChanged(task.step.job)
+    if (task.crashes.clear()) this.#host.progressChanged(task)
   }
 
   /** A run has ended for whatever reason. */
-  runEnded ({ task: { crashes, step: { job } }, attempt }: RunRecord): void {
-    if (crashes.endAnnouncement(attempt)) this.#host.progressChanged(job)
+  runEnded ({ task, attempt }: RunRecord): void {
+    if (task.crashes.endAnnouncement(attempt)) this.#host.progressChanged(task)
   }
 
   /** A run that was ordered from an incarnation that is lost isn't on the next one. */
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -2,7 +2,7 @@
  * A job and the state of its tasks.
  */
 import { brand, type Attempt, type CellId, type Instant } from '@auburnpin/common'
-import { MAX_STORED_CRASHES } from './constants.ts'
+import { collectProgress, noProgress, ProgressSegment, TASKS_PER_SEGMENT } from './ProgressSegment.ts'
 import { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import { expectedMs, taskWork } from './taskWork.ts'
@@ -22,6 +22,9 @@
   readonly isNewInTerm: boolean
   /** The cell that the job moves to; it is not scheduled here any more. */
   movedTo?: CellId
+  /** Tasks of one occurrence; at least 1. */
+  readonly tasksPerOccurrence: number
+  readonly #segments = new Map<number, ProgressSegment>()
   #doneOccurrences = new Set<number>()
   /** For each step, the duration of the longest chain of steps that starts with it, by the client's estimates, in milliseconds. */
   readonly #remainingMs: readonly number[]
@@ -30,6 +33,7 @@
   constructor (job: Job, isNewInTerm = false) {
     this.job = job
     this.isNewInTerm = isNewInTerm
+    this.tasksPerOccurrence = Math.max(1, job.steps.reduce((sum, { taskCount }) => sum + taskCount, 0))
     this.#remainingMs = longestChains(job)
     this.#objectiveMs = job.policy.objectiveMs + job.policy.objectiveFactor * Math.max(0, ...this.#remainingMs)
   }
@@ -90,7 +94,12 @@
   createOccurrence (occurrence: number, progress?: JobProgress): readonly StepRecord[] {
     const existing = this.occurrences.get(occurrence)
     if (existing !== undefined) return existing
-    const steps = this.job.steps.map((shape, number) => new StepRecord(this, occurrence, number, shape))
+    let firstOrdinal = occurrence * this.tasksPerOccurrence
+    const steps = this.job.steps.map((shape, number) => {
+      const step = new StepRecord(this, occurrence, number, shape, firstOrdinal)
+      firstOrdinal += shape.taskCount
+      return step
+    })
     this.occurrences.set(occurrence, steps)
     if (progress !== undefined) for (const step of steps) restoreStep(step, progress)
     return steps
@@ -122,49 +131,36 @@
     }
   }
 
-  /** The progress is about to be stored. */
-  startStoring (): void {
-    for (const { crashes } of this.tasks()) crashes.startStoring()
+  /** The segment that a task's progress is stored in; `ordinal` as in `TaskRecord`. */
+  segmentOf (ordinal: number): ProgressSegment {
+    const number = Math.floor(ordinal / TASKS_PER_SEGMENT)
+    const existing = this.#segments.get(number)
+    if (existing !== undefined) return existing
+    const segment = new ProgressSegment(this, number)
+    this.#segments.set(number, segment)
+    return segment
   }
 
-  /** The progress as of the last `startStoring` is durable. */
-  markStored (): void {
-    for (const { crashes } of this.tasks()) crashes.markStored()
+  get firstSegment (): ProgressSegment {
+    return this.segmentOf(0)
   }
 
-  /** The state to be made durable; a job that has ended keeps only its phase. */
-  get progress (): JobProgress {
-    const done: Record<string, readonly number[] | 'all'> = {}
-    const started: Record<string, readonly number[] | 'all'> = {}
-    const failed: Record<string, readonly number[]> = {}
-    const checkpoints: Record<string, string> = {}
-    const crashing: TaskRecord[] = []
-    if (this.isFinal) return { phase: this.#phase, done, failed, checkpoints }
-    if (this.movedTo !== undefined) return { phase: this.#phase, done, failed, checkpoints, movedTo: this.movedTo }
-    for (const steps of this.occurrences.values()) {
-      for (const step of steps) {
-        if (step.isDone) done[step.key] = 'all'
-        else if (step.doneCount > 0) done[step.key] = indexesOf(step.tasks.filter(task => task.isDone))
-        if (step.shape.isLasting) {
-          const startedTasks = step.tasks.filter(task => task.hasRun)
-          started[step.key] = startedTasks.length === step.tasks.length ? 'all' : indexesOf(startedTasks)
-        }
-        for (const task of step.tasks) {
-          if (task.isDone) continue
-          if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
-          if (task.crashes.toStore.length > 0) crashing.push(task)
-          if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
-        }
-      }
-    }
-    return { phase: this.#phase, done, started, failed, checkpoints, crashed: crashesToStore(crashing) }
+  /** The segments that were asked for so far. */
+  segments (): Iterable<ProgressSegment> {
+    return this.#segments.values()
   }
-}
 
-// Those with the most losses matter most.
-const crashesToStore = (tasks: readonly TaskRecord[]): Readonly<Record<string, readonly number[]>> => {
-  const kept = tasks.length <= MAX_STORED_CRASHES ? tasks : [...tasks].sort((one, other) => other.crashes.count - one.crashes.count).slice(0, MAX_STORED_CRASHES)
-  return Object.fromEntries(kept.map(task => [task.progressKey, task.crashes.toStore]))
+  /** Number of segments that all occurrences have together. */
+  get segmentCount (): number {
+    return Math.ceil(this.tasksPerOccurrence * Math.max(1, this.job.occurrences) / TASKS_PER_SEGMENT)
+  }
+
+  /** The state of all segments together. */
+  get progress (): JobProgress {
+    if (this.isFinal) return noProgress(this.#phase)
+    if (this.movedTo !== undefined) return { ...noProgress(this.#phase), movedTo: this.movedTo }
+    return collectProgress(this.#phase, [...this.occurrences.values()].flat().map(step => ({ step, tasks: step.tasks })))
+  }
 }
 
 const restoreStep = (step: StepRecord, progress: JobProgress): void => {
@@ -183,8 +179,6 @@
 
 const includes = (indexes: readonly number[] | 'all' | undefined, index: number): boolean => indexes === 'all' || indexes?.includes(index) === true
 
-const indexesOf = (tasks: readonly TaskRecord[]): readonly number[] => tasks.map(({ index }) => index)
-
 // A step depends only on earlier steps, so iterating from the last step backwards computes each chain once.
 const longestChains = ({ steps }: Job): number[] => {
   const remaining = steps.map(expectedMs)
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -25,6 +25,7 @@
 import { MAX_SPECULATIVE_RUNS } from './placeCopies.ts'
 import { placeTasks } from './placeTasks.ts'
 import type { PlacingSettings } from './PlacingContext.ts'
+import type { ProgressSegment } from './ProgressSegment.ts'
 import { recordDuration } from './recordDuration.ts'
 import { recordProgress } from './recordProgress.ts'
 import { SizeFairness } from './SizeFairness.ts'
@@ -38,6 +39,7 @@
 import type {
   Job, JobProgress, LeaseSettings, ReportedEnd, ReportedRun, RunOrder, StartOutcome, TaskName, WorkerEntry, WorkerReport
 } from './types.ts'
+import { UnstoredProgress } from './UnstoredProgress.ts'
 import type { WaitForecast } from './WaitForecast.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
 import { countEvacuated } from './workerEvacuation.ts'
@@ -65,7 +67,7 @@
   readonly #firstAttempt: number
   readonly #lease: LeaseSettings
   readonly #observer: JobSchedulerObserver
-  readonly #dirty = new Set<JobRecord>()
+  readonly #unstored = new UnstoredProgress()
   readonly #openSteps = new Set<StepRecord>()
   readonly #repeating = new Set<JobRecord>()
   /** Jobs cancelled before they were accepted: a submission whose response was lost may still reach the store. */
@@ -140,6 +142,7 @@
         if (occurrence < count) this.#createOccurrence(record, occurrence, now, progress)
       }
     }
+    if (progress !== undefined && progress.isDivided !== true && record.segmentCount > 1) this.#unstored.addAll(record)
     this.#completeIfDone(record, now)
   }
 
@@ -170,7 +173,7 @@
   #endJob (record: JobRecord, phase: 'completed' | 'failed' | 'cancelled', now: Instant): void {
     if (!record.setPhase(phase)) return
     record.endedAt = now
-    this.#dirty.add(record)
+    this.#unstored.addJob(record)
     this.#repeating.delete(record)
     this.#fairness.remove(record)
     for (const steps of record.occurrences.values()) {
@@ -188,7 +191,7 @@
     const finished: JobRecord[] = []
     for (const record of this.jobs.values()) {
       if (finished.length >= limit) break
-      if (record.endedAt === undefined || record.endedAt >= moment || this.#dirty.has(record)) continue
+      if (record.endedAt === undefined || record.endedAt >= moment || this.#unstored.has(record)) continue
       if (![...record.tasks()].some(task => task.runs.length > 0)) finished.push(record)
     }
     return finished
@@ -213,7 +216,7 @@
     record.movedTo = to
     for (const steps of record.occurrences.values()) for (const step of steps) this.#openSteps.delete(step)
     this.#fairness.remove(record)
-    this.#dirty.add(record)
+    this.#unstored.addJob(record)
   }
 
   /** Forgets a cancellation that came before its job, as the job belongs to another cell. Returns whether there was one. */
@@ -244,7 +247,7 @@
   /** Removes a job whose rows have been deleted, or that belongs to another cell. */
   removeJob (id: JobId): void {
     const record = this.jobs.get(id)
-    if (record !== undefined) this.#dirty.delete(record)
+    if (record !== undefined) this.#unstored.remove(record)
     this.jobs.delete(id)
   }
 
@@ -373,16 +376,15 @@
 
   // That a long-running task has run must last, as a later owner has to restart it before others.
   #recordStart (task: TaskRecord): void {
-    const { shape, job } = task.step
     if (task.hasRun) return
     task.hasRun = true
-    if (shape.isLasting && !job.isFinal) this.#dirty.add(job)
+    if (task.step.shape.isLasting) this.#unstored.addTask(task)
   }
 
   #markJobActive (task: TaskRecord): void {
     const { job } = task.step
     if (job.setPhase('active')) {
-      this.#dirty.add(job)
+      this.#unstored.addJob(job)
       this.#observer.phaseChanged(job)
     }
   }
@@ -434,7 +436,7 @@
     if (end.ending === 'done') this.#finishTask(task, now)
     else if (hasFailed && !task.step.shape.isLasting && !task.isDone && !task.failedAttempts.includes(end.attempt)) {
       task.failedAttempts.push(end.attempt)
-      if (!job.isFinal) this.#dirty.add(job)
+      this.#unstored.addTask(task)
     }
     if (run !== undefined) this.#endRun(run, end.ending, now)
     else this.#recordEnd(createRun(task, end.attempt, worker, 'running', now), end.ending, now, false)
@@ -445,7 +447,7 @@
     const { step } = task
     if (step.shape.isLasting || !step.markDone(task)) return
     for (const run of task.runs) run.isStopRequested = true
-    if (!step.job.isFinal) this.#dirty.add(step.job)
+    this.#unstored.addTask(task)
     if (step.isDone) this.#openReadySteps(step.job, step.occurrence)
     this.#completeIfDone(step.job, now)
   }
@@ -554,25 +556,18 @@
     if (run !== undefined) run.orderedPacePercent = UNKNOWN_PACE
   }
 
-  /** Takes jobs whose progress must be written; the caller writes them and calls `markEndsDurable`, or `markDirty` if the write failed. */
-  takeDirty (limit: number): readonly JobRecord[] {
-    const taken: JobRecord[] = []
-    for (const job of this.#dirty) {
-      if (taken.length >= limit) break
-      taken.push(job)
-      job.startStoring()
-      this.#dirty.delete(job)
-    }
-    return taken
+  /** Takes at most `limit` segments of progress that must be written; the caller writes them and calls `markStored`, or `markDirty` if the write failed. */
+  takeDirty (limit: number): readonly ProgressSegment[] {
+    return this.#unstored.take(limit)
   }
 
-  /** Records that the progress of jobs that were taken is durable. */
-  markStored (jobs: readonly JobRecord[]): void {
-    for (const job of jobs) job.markStored()
+  /** Records that segments that were taken are durable. */
+  markStored (segments: readonly ProgressSegment[]): void {
+    for (const segment of segments) segment.markStored()
   }
 
   get dirtyCount (): number {
-    return this.#dirty.size
+    return this.#unstored.size
   }
 
   /** Whether ends of runs have been applied whose effects are not durable yet. */
@@ -586,13 +581,13 @@
     return countQueuedJobs(this.jobs.values())
   }
 
-  /** Puts back jobs whose progress could not be written. */
-  markDirty (jobs: readonly JobRecord[]): void {
-    for (const job of jobs) this.#dirty.add(job)
+  /** Puts back segments that could not be written. */
+  markDirty (segments: readonly ProgressSegment[]): void {
+    this.#unstored.putBack(segments)
   }
 
   /**
-   * The last end applied for each worker with ends that are not durable. Call it once all dirty jobs are taken, and
+   * The last end applied for each worker with ends that are not durable. Call it once all dirty segments are taken, and
    * pass the result to `markEndsDurable` after the write.
    */
   appliedEnds (): ReadonlyMap<WorkerRecord, number> {
@@ -637,7 +632,7 @@
       if (!this.#crashDetector.mustAnnounce(task)) orders.push(startOrder(run))
       else {
         this.#announcedStarts.add(run)
-        this.#dirty.add(task.step.job)
+        this.#unstored.addTask(task)
       }
       if (++starts >= maxStarts) break
     }
@@ -647,9 +642,9 @@
     return orders
   }
 
-  /** A job's progress must be stored. */
-  progressChanged (job: JobRecord): void {
-    if (!job.isFinal) this.#dirty.add(job)
+  /** A task's progress must be stored. */
+  progressChanged (task: TaskRecord): void {
+    this.#unstored.addTask(task)
   }
 
   /** Observes the loss of a worker. */
@@ -693,8 +688,8 @@
     return isNewInTerm || this.#scheduler.isReconciled
   }
 
-  progressChanged (job: JobRecord): void {
-    this.#scheduler.progressChanged(job)
+  progressChanged (task: TaskRecord): void {
+    this.#scheduler.progressChanged(task)
   }
 
   workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void {
--- a/packages/core/src/jobs/StepRecord.ts
+++ b/packages/core/src/jobs/StepRecord.ts
@@ -21,13 +21,14 @@
   #doneCount = 0
   #isOpen = false
 
-  constructor (job: JobRecord, occurrence: number, number: number, shape: JobStep) {
+  /** `firstOrdinal`: the ordinal of the first task. */
+  constructor (job: JobRecord, occurrence: number, number: number, shape: JobStep, firstOrdinal = 0) {
     this.job = job
     this.occurrence = occurrence
     this.number = number
     this.shape = shape
     this.tasks = Array.from({ length: shape.taskCount }, (_, index) =>
-      new TaskRecord(this, index, nameTask({ job: job.job.id, occurrence, step: number, index })))
+      new TaskRecord(this, index, nameTask({ job: job.job.id, occurrence, step: number, index }), firstOrdinal + index))
   }
 
   /** Key of the step within its job's progress. */
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -74,6 +74,8 @@
   readonly step: StepRecord
   readonly index: number
   readonly name: TaskName
+  /** Number of the task, from 0, among all tasks of all occurrences of its job. */
+  readonly ordinal: number
   readonly runs: RunRecord[] = []
   /** Attempt numbers of the runs that failed. */
   readonly failedAttempts: number[] = []
@@ -95,10 +97,11 @@
   /** Runs in a row that failed soon after their start. */
   #shortFailures = 0
 
-  constructor (step: StepRecord, index: number, name: TaskName) {
+  constructor (step: StepRecord, index: number, name: TaskName, ordinal = index) {
     this.step = step
     this.index = index
     this.name = name
+    this.ordinal = ordinal
   }
 
   /** Key of the task within its job's progress. */
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -118,9 +118,6 @@
 export const MIN_RESTART_DELAY_MS = 200
 export const MAX_RESTART_DELAY_MS = 2_000
 
-/** Most tasks of a job whose lost runs are stored, so that the row of a job with thousands of tasks stays within the store's limit. */
-export const MAX_STORED_CRASHES = 400
-
 /** Workers that fall silent within this many milliseconds may have been lost for the same reason; calls to them time out after up to 2.3 s. */
 export const LOST_TOGETHER_MS = 2_500
 
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -93,6 +93,8 @@
   crashed?: Readonly<Record<string, readonly number[]>>
   /** The cell that the job is to be scheduled in instead; set only while no task of the job has ever been started. */
   movedTo?: CellId
+  /** Whether the job's other segments have rows of their own. Absent in rows of earlier versions, which hold all progress of a job. */
+  isDivided?: boolean
 }>
 
 /** A worker's entry in the list of workers. */
--- a/packages/core/tests/crashingTasks.test.ts
+++ b/packages/core/tests/crashingTasks.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Epoch, type Incarnation, type Instant, type WorkerId } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
-import { JobScheduler, type Job, type JobPhase, type JobProgress, type RunOrder, type TaskName } from '../src/index.ts'
+import { JobScheduler, type Job, type JobPhase, type JobProgress, type RunOrder, type TaskName, TASKS_PER_SEGMENT, type JobRecord } from '../src/index.ts'
 
 const CRASHING = '00000000000000d1'
 const CRASHING_TASK = `${CRASHING}.0.0.0`
@@ -217,16 +217,21 @@
   t.is([...scenario.scheduler.workers.values()].reduce((sum, { runs }) => sum + runs.size, 0), 20)
 })
 
-test('the progress of a job with thousands of tasks names only those that crashed the most workers, so that its row can be stored', t => {
+test('the rows of a job with thousands of tasks name all that crashed workers, and each can be stored', t => {
   const scenario = new CrashScenario(WORKERS, [jobOf(OTHER, [stepOf({ taskCount: 10_000, processors: 1 })])])
-  const [job] = scenario.scheduler.jobs.values()
-  for (const task of job?.tasks() ?? []) {
+  const job = [...scenario.scheduler.jobs.values()][0] as JobRecord
+  for (const task of job.tasks()) {
     task.crashes.add(brand(1))
     if (task.index >= 9_990) task.crashes.add(brand(2))
   }
-  const crashed = job?.progress.crashed ?? {}
-  // A row may have 65,536 bytes in base64, and the tasks that are done need most of them.
-  t.true(JSON.stringify(crashed).length <= 10_000)
+  const crashed: Record<string, readonly number[]> = {}
+  for (let segment = 0; segment < job.segmentCount; segment++) {
+    const ofSegment = job.segmentOf(segment * TASKS_PER_SEGMENT).progress.crashed ?? {}
+    // A row may have 65,536 bytes in base64, and the tasks that are done or have failed need most of them.
+    t.true(JSON.stringify(ofSegment).length <= 10_000)
+    Object.assign(crashed, ofSegment)
+  }
+  t.is(Object.keys(crashed).length, 10_000)
   for (let index = 9_990; index < 10_000; index++) t.deepEqual(crashed[`0.0.${index}`], [1, 2])
 })
 
--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -35,6 +35,8 @@
   slowJobReads = false
   /** Whether responses state the store's clock. */
   hasClock = true
+  /** Most bytes of a value in base64. */
+  maxRowBytes = 65_536
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -121,11 +123,13 @@
 
 /** Limits of the store for one transaction. */
 const MAX_ENTRIES = 100
-const MAX_ROW_BYTES = 65_536
+const MAX_CALL_BYTES = 1_000_000
 const BASE64_GROWTH = 4 / 3
 
-const isTooLarge = ({ checks, puts, deletes }: RowTransaction): boolean =>
-  checks.length + puts.length + deletes.length > MAX_ENTRIES || puts.some(({ value }) => Buffer.byteLength(value) * BASE64_GROWTH > MAX_ROW_BYTES)
+const isTooLarge = ({ checks, puts, deletes }: RowTransaction, maxRowBytes: number): boolean => {
+  const sizes = puts.map(({ value }) => Buffer.byteLength(value) * BASE64_GROWTH)
+  return checks.length + puts.length + deletes.length > MAX_ENTRIES || sizes.some(bytes => bytes > maxRowBytes) || sizes.reduce((sum, bytes) => sum + bytes, 0) > MAX_CALL_BYTES
+}
 
 const partPath = (table: string, part: string): string => `${table}/${part}`
 
@@ -141,8 +145,12 @@
     this.#clock = clock
   }
 
+  override get maxValueBytes (): number {
+    return Math.floor(this.#rows.maxRowBytes / BASE64_GROWTH)
+  }
+
   async transact (change: RowTransaction): Promise<Result<RowTransactionOutcome, AuburnpinError>> {
-    if (isTooLarge(change)) return Err(new AuburnpinError('invalid-request', 'The transaction has too many entries, or a row is too long', 'Divide it.'))
+    if (isTooLarge(change, this.#rows.maxRowBytes)) return Err(new AuburnpinError('invalid-request', 'The transaction has too many entries, or a row is too long', 'Divide it.'))
     const faultMode = this.#rows.faultModeOf(this.#process)
     if (faultMode === 'refusing') return Err(new AuburnpinError('unreachable', 'The store refused the call', 'Wait.'))
     if (faultMode === 'broken') throw new Error('an unexpected error of the client')
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,7 +2,7 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { countEvacuated, rackKey, runKey, type JobProgress, type JobRecord, type JobScheduler, type Layout, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { countEvacuated, rackKey, runKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { cellLoad } from './cellLoad.ts'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
@@ -19,7 +19,8 @@
 import { readPart } from './readPart.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { RowKey, StoredRow } from './RowStore.ts'
-import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readProgress, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
+import { allJobParts, cancelledJob, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readJob, readLayout, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
+import { StoredProgress } from './StoredProgress.ts'
 import { StoreClock } from './StoreClock.ts'
 import { TableFollower } from './TableFollower.ts'
 import { logCapacityChange } from './logCapacityChange.ts'
@@ -60,9 +61,7 @@
   readonly #jobsElsewhere = new Set<JobId>()
   /** Those of them that are cancelled, in case they move to this cell. */
   readonly #cancelledElsewhere = new Set<JobId>()
-  readonly #storedProgress = new Map<string, JobProgress>()
-  /** Jobs whose progress cannot be read. Tasks that are done might run again, so these jobs are not scheduled. */
-  readonly #damagedProgress = new Set<string>()
+  readonly #storedProgress = new StoredProgress()
   #isClosed = false
   #isRestored = false
   #isPassScheduled = false
@@ -171,12 +170,9 @@
     if (termRows.err) return termRows
     if (!await this.#membership.read()) return Err(new AuburnpinError('unreachable', 'The racks of the cell could not be read', 'They are read again automatically.'))
     if (!this.#restoreLayout(termRows.val.rows)) return Err(new AuburnpinError('corrupt', 'The layout of the cells cannot be read', 'Find what else writes to the table of terms; restore the rows of the layout.'))
-    for (const row of progress.val.rows) {
-      const read = readProgress(row.value)
-      if (read === undefined) this.#damagedProgress.add(row.key)
-      else this.#storedProgress.set(row.key, read)
-    }
-    if (this.#damagedProgress.size > 0) this.#ports.log.error('The progress of jobs cannot be read; they are not scheduled', { jobs: [...this.#damagedProgress].join(' ') })
+    for (const row of progress.val.rows) this.#storedProgress.add(row)
+    const { damaged } = this.#storedProgress
+    if (damaged.size > 0) this.#ports.log.error('The progress of jobs cannot be read; they are not scheduled', { jobs: [...damaged].join(' ') })
     const read = await this.#jobsFollower.readTable()
     if (read.err) return read
     this.#storedProgress.clear()
@@ -226,7 +222,7 @@
     this.#cancelledElsewhere.clear()
     this.updateJobs(rows, [])
     const present = new Set(rows.map(row => row.key))
-    for (const id of this.#storedProgress.keys()) if (!present.has(id)) this.#writer.deleteProgress(brand(id))
+    this.#writer.deleteProgress(this.#storedProgress.keysOfMissing(present))
   }
 
   /** Applies changed and deleted rows of the jobs table. */
@@ -240,10 +236,10 @@
         continue
       }
       const { job, cell } = assigned
-      if (this.#damagedProgress.has(row.key)) continue
+      if (this.#storedProgress.damaged.has(job.id)) continue
       if (cell === this.#claimed.cell) {
         this.#jobsElsewhere.delete(job.id)
-        this.#scheduler.addJob(job, now, this.#storedProgress.get(row.key), row.version > this.#claimed.version)
+        this.#scheduler.addJob(job, now, this.#storedProgress.of(job.id), row.version > this.#claimed.version)
         if (this.#cancelledElsewhere.delete(job.id)) this.#scheduler.cancel(job.id, now)
       } else this.jobMoved(job.id)
     }
@@ -379,8 +375,8 @@
   }
 
   /** A commit succeeded, so that pollers may acknowledge ends and use newly recorded workers. */
-  committed (jobs: readonly JobRecord[]): void {
-    this.#transfers.progressStored(jobs)
+  committed (segments: readonly ProgressSegment[]): void {
+    this.#transfers.progressStored(segments.map(({ job }) => job))
     for (const poller of this.#pollers.values()) poller.wake()
   }
 
@@ -544,8 +540,8 @@
     this.#owner = owner
   }
 
-  committed (jobs: readonly JobRecord[]): void {
-    this.#owner.committed(jobs)
+  committed (segments: readonly ProgressSegment[]): void {
+    this.#owner.committed(segments)
   }
 
   lost (reason: string): void {
--- a/packages/jobs/src/FinishedJobCleaner.ts
+++ b/packages/jobs/src/FinishedJobCleaner.ts
@@ -1,11 +1,11 @@
 /**
  * Deletes the rows of finished jobs whose retention time has passed.
  */
-import { brand, type Instant, type JobId } from '@auburnpin/common'
-import type { JobScheduler } from '@auburnpin/core'
+import { brand, type Instant } from '@auburnpin/common'
+import type { JobRecord, JobScheduler } from '@auburnpin/core'
 import { CLEANUP_INTERVAL_MS, MAX_JOBS_PER_CLEANUP, RETENTION_MARGIN_MS } from './constants.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
-import { cancelKey, jobPart, JOBS_TABLE } from './rows.ts'
+import { cancelKey, jobPart, JOBS_TABLE, progressKeys } from './rows.ts'
 import type { TermWriter } from './TermWriter.ts'
 
 /** Deletes rows periodically: first a job's rows in the jobs table and, with a later commit, its progress. */
@@ -40,19 +40,20 @@
     const { clock, log, finishedJobRetentionMs } = this.#ports
     const cutoff = brand<Instant>(clock.now() - finishedJobRetentionMs - RETENTION_MARGIN_MS)
     let dropped = 0
-    for (const { job: { id } } of this.#scheduler.finishedBefore(cutoff, MAX_JOBS_PER_CLEANUP)) {
-      if (!await this.#deleteJob(id)) break
+    for (const record of this.#scheduler.finishedBefore(cutoff, MAX_JOBS_PER_CLEANUP)) {
+      if (!await this.#deleteJob(record)) break
       dropped++
     }
     if (dropped > 0) log.info('Rows of finished jobs deleted', { dropped })
   }
 
-  async #deleteJob (id: JobId): Promise<boolean> {
+  async #deleteJob (record: JobRecord): Promise<boolean> {
+    const { id } = record.job
     const deletes = [id, cancelKey(id)].map(key => ({ table: JOBS_TABLE, key }))
     const outcome = await this.#ports.store.transact({ part: jobPart(id), checks: [], puts: [], deletes })
     if (outcome.err || this.#isStopped) return false
     this.#scheduler.removeJob(id)
-    this.#writer.deleteProgress(id)
+    this.#writer.deleteProgress(progressKeys(record))
     return true
   }
 }
--- a/packages/jobs/src/JobTransfers.ts
+++ b/packages/jobs/src/JobTransfers.ts
@@ -100,7 +100,7 @@
     if (await this.#tryChangeRow(id, to) && !this.#isStopped) {
       this.#recorded.delete(id)
       this.#host.jobMoved(id)
-      this.#writer.deleteProgress(id)
+      this.#writer.deleteProgress([id])
     }
     this.#inProgress.delete(id)
   }
--- a/packages/jobs/src/MonitoredStore.ts
+++ b/packages/jobs/src/MonitoredStore.ts
@@ -39,6 +39,10 @@
     return this.#unavailableSince !== undefined
   }
 
+  override get maxValueBytes (): number {
+    return this.#inner.maxValueBytes
+  }
+
   transact (transaction: RowTransaction): Promise<Result<RowTransactionOutcome, AuburnpinError>> {
     return this.#observe('transact', this.#inner.transact(transaction))
   }
--- a/packages/jobs/src/RowStore.ts
+++ b/packages/jobs/src/RowStore.ts
@@ -40,6 +40,9 @@
   | Readonly<{ kind: 'changes', changed: readonly StoredRow[], deleted: readonly RowKey[], version: RowVersion }>
   | Readonly<{ kind: 'trimmed' }>
 
+/** Bytes of a value whose base64 form takes 65,536 bytes. */
+const DEFAULT_MAX_VALUE_BYTES = 49_152
+
 /**
  * Client of the store. Errors: `overloaded` and `unreachable` mean that nothing was changed, `unknown-outcome`
  * that the change may have been made, or may still be made later if its checks hold by then.
@@ -48,6 +51,11 @@
  * const outcome = await store.transact({ part: 'p', checks: [], puts: [{ table: 't', key: 'k', value: 'v' }], deletes: [] })
  */
 export abstract class RowStore {
+  /** Most bytes of a row's value. */
+  get maxValueBytes (): number {
+    return DEFAULT_MAX_VALUE_BYTES
+  }
+
   abstract transact (transaction: RowTransaction): Promise<Result<RowTransactionOutcome, AuburnpinError>>
   abstract range (range: RowRange): Promise<Result<RowPage, AuburnpinError>>
   /** Waits up to `waitMs` for a change after `after`; without one it returns no changes. */
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,22 +1,26 @@
 /**
  * Renews an owner's term, and makes its progress durable under that term.
  */
-import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type JobId, type Log, type RowVersion, type WorkerId } from '@auburnpin/common'
-import { EMPTY_LAYOUT, type JobScheduler, type JobRecord, type Layout, type WorkerRecord } from '@auburnpin/core'
+import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type Log, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { EMPTY_LAYOUT, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import { encodeProgress } from './encodeProgress.ts'
 import type { RowTransaction, RowStore, StoreTime } from './RowStore.ts'
-import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
+import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, progressKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
 
 /** Content of one commit besides the term itself. */
 type Batch = Readonly<{
-  jobs: readonly JobRecord[]
+  segments: readonly ProgressSegment[]
+  /** The encoded progress of the segments, in their order. */
+  values: readonly string[]
   ends: ReadonlyMap<WorkerRecord, number>
   usedWorkers: readonly UsedWorker[] | undefined
   /** The layout as it is after this commit; `undefined` if it doesn't change. */
   layout: Layout | undefined
-  progressToDelete: readonly JobId[]
+  /** Keys of rows of progress. */
+  progressToDelete: readonly string[]
 }>
 
 /** One incarnation of a worker. */
@@ -26,8 +30,8 @@
 
 /** Receives the results of the commits. */
 export abstract class TermListener {
-  /** A commit succeeded: its ends may be acknowledged, its workers may be used, and the progress of `jobs` is durable. */
-  abstract committed (jobs: readonly JobRecord[]): void
+  /** A commit succeeded: its ends may be acknowledged, its workers may be used, and the progress of `segments` is durable. */
+  abstract committed (segments: readonly ProgressSegment[]): void
   /** Another process owns the cell. */
   abstract lost (reason: string): void
   /** What the next commit publishes about the load of the cells; empty in a deployment with one cell. */
@@ -61,7 +65,7 @@
   /** Ends of the leases of silent workers, as the store has them or may have them. */
   readonly #leaseEnds = new Map<string, StoreTime>()
   readonly #storeClock = new StoreClock()
-  #progressToDelete: JobId[] = []
+  #progressToDelete: string[] = []
   #layout: Layout = EMPTY_LAYOUT
   #durableLayout: Layout = EMPTY_LAYOUT
   #areUsedWorkersDirty = false
@@ -172,9 +176,9 @@
     this.requestCommit()
   }
 
-  /** Deletes a job's progress with a later commit. The job's rows in the jobs table must be deleted already. */
-  deleteProgress (id: JobId): void {
-    this.#progressToDelete.push(id)
+  /** Deletes rows of a job's progress with a later commit. The job's rows in the jobs table must be deleted already. */
+  deleteProgress (keys: readonly string[]): void {
+    for (const key of keys) this.#progressToDelete.push(key)
   }
 
   /** Whether the worker is recorded durably, so that the next owner finds it; before that it must get no orders. */
@@ -191,7 +195,7 @@
   async release (): Promise<void> {
     while (this.#isCommitting) await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
     const usedWorkers = this.#isRestored ? this.#recordLeaseEnds(true) : undefined
-    const transaction = this.#buildTransaction({ jobs: [], ends: new Map(), usedWorkers, layout: undefined, progressToDelete: [] }, this.#nextTerm({ ...this.#term, holder: '' }, usedWorkers))
+    const transaction = this.#buildTransaction({ segments: [], values: [], ends: new Map(), usedWorkers, layout: undefined, progressToDelete: [] }, this.#nextTerm({ ...this.#term, holder: '' }, usedWorkers))
     const outcome = await this.#store.transact(transaction)
     this.#log.info('Term released', { epoch: this.#term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
   }
@@ -215,7 +219,7 @@
       this.#isCommitting = false
       this.#areUsedWorkersDirty = true
       if (batch !== undefined) {
-        this.#scheduler.markDirty(batch.jobs)
+        this.#scheduler.markDirty(batch.segments)
         this.#progressToDelete.push(...batch.progressToDelete)
       }
       this.#log.error('Commit failed unexpectedly', { cell: this.#cell, epoch: this.#term.epoch, error: String(thrown) })
@@ -249,14 +253,14 @@
     if (outcome.ok && outcome.val.kind === 'committed') {
       this.#extendHold(sentAt, sentAtWall)
       this.#scheduler.markEndsDurable(batch.ends)
-      this.#scheduler.markStored(batch.jobs)
+      this.#scheduler.markStored(batch.segments)
       if (batch.layout !== undefined) this.#durableLayout = batch.layout
       if (batch.usedWorkers !== undefined) this.#markDurable(batch.usedWorkers)
-      this.#listener.committed(batch.jobs)
+      this.#listener.committed(batch.segments)
       await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
       return
     }
-    this.#scheduler.markDirty(batch.jobs)
+    this.#scheduler.markDirty(batch.segments)
     this.#progressToDelete.push(...batch.progressToDelete)
     if (batch.usedWorkers !== undefined) this.#areUsedWorkersDirty = true
     if (outcome.ok && outcome.val.kind === 'conflict') {
@@ -331,9 +335,25 @@
     const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers).size)
     const layout = this.#nextLayout()
     const limit = Math.max(0, MAX_ROWS_PER_COMMIT - usedWorkersRows - (layout === undefined ? 0 : MAX_LAYOUT_ROWS_PER_COMMIT + 1))
-    const jobs = this.#scheduler.takeDirty(limit)
+    const { segments, values } = this.#takeProgress(limit, MAX_BYTES_PER_COMMIT - (usedWorkers === undefined ? 0 : Buffer.byteLength(encodeRow(usedWorkers))))
     const ends = this.#scheduler.dirtyCount === 0 ? this.#scheduler.appliedEnds() : new Map<WorkerRecord, number>()
-    return { jobs, ends, usedWorkers, layout, progressToDelete: this.#progressToDelete.splice(0, limit - jobs.length) }
+    return { segments, values, ends, usedWorkers, layout, progressToDelete: this.#progressToDelete.splice(0, limit - segments.length) }
+  }
+
+  // What doesn't fit into this commit is part of a later one.
+  #takeProgress (maxRows: number, maxBytes: number): Pick<Batch, 'segments' | 'values'> {
+    const segments = this.#scheduler.takeDirty(maxRows)
+    const values: string[] = []
+    let bytes = 0
+    for (const { job: { job: { id } }, number, progress } of segments) {
+      const { value, omittedCheckpoints } = encodeProgress(progress, this.#store.maxValueBytes)
+      bytes += Buffer.byteLength(value)
+      if (bytes > maxBytes) break
+      if (omittedCheckpoints > 0) this.#log.warn('Checkpoints of a job are too long to be stored', { job: id, segment: number, omittedCheckpoints })
+      values.push(value)
+    }
+    this.#scheduler.markDirty(segments.slice(values.length))
+    return { segments: segments.slice(0, values.length), values }
   }
 
   // A layout with many changed cells takes several commits. The first cell comes last, so that a rack that leaves it is
@@ -350,9 +370,9 @@
     return this.#layout
   }
 
-  #buildTransaction ({ jobs, usedWorkers, layout, progressToDelete }: Batch, term: Term): RowTransaction {
+  #buildTransaction ({ segments, values, usedWorkers, layout, progressToDelete }: Batch, term: Term): RowTransaction {
     const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }]
-    const deletes = progressToDelete.map(key => ({ table: PROGRESS_TABLE, key: String(key) }))
+    const deletes = progressToDelete.map(key => ({ table: PROGRESS_TABLE, key }))
     if (usedWorkers !== undefined) {
       const rows = divideUsedWorkers(usedWorkers)
       for (const key of this.#usedWorkersKeys) if (!rows.has(key)) deletes.push({ table: TERMS_TABLE, key })
@@ -371,7 +391,7 @@
         if (this.#durableLayout.cells[index] !== cell) puts.push({ table: TERMS_TABLE, key: layoutCellKey(index), value: encodeRow(cell) })
       }
     }
-    for (const job of jobs) puts.push({ table: PROGRESS_TABLE, key: job.job.id, value: encodeRow(job.progress) })
+    for (const [index, { job, number }] of segments.entries()) puts.push({ table: PROGRESS_TABLE, key: progressKey(job.job.id, number), value: values[index] ?? '' })
     return { part: this.#cell, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes }
   }
 
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -89,6 +89,9 @@
 /** Most progress rows that one transaction writes or deletes; the store accepts 100 rows, and some belong to the term itself. */
 export const MAX_ROWS_PER_COMMIT = 90
 
+/** Most bytes of the values of one commit; the store accepts calls of 1 MB, in base64. */
+export const MAX_BYTES_PER_COMMIT = 700_000
+
 /** Delay before a failed commit is retried, in milliseconds. */
 export const COMMIT_RETRY_DELAY_MS = 100
 
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -2,7 +2,7 @@
  * Tables, keys and encodings of the rows that job scheduling stores.
  */
 import { brand, type CellId, type Epoch, type Incarnation, type JobId, type RowVersion, type ServiceName, type WorkerId } from '@auburnpin/common'
-import { NO_WORKERS, type CellLoad, type CellWaits, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type JobStep, type Layout } from '@auburnpin/core'
+import { NO_WORKERS, type CellLoad, type CellWaits, type CellWorkers, type FillerInterferenceState, type Job, type JobPhase, type JobProgress, type JobRecord, type JobStep, type Layout } from '@auburnpin/core'
 import { FIRST_CELL, JOB_PART_COUNT } from './constants.ts'
 import type { StoreTime } from './RowStore.ts'
 
@@ -23,6 +23,7 @@
 /** Version of a row that does not exist. */
 export const ABSENT_ROW_VERSION = brand<RowVersion>(0)
 
+const SEGMENT_SEPARATOR = '~'
 const CANCEL_SUFFIX = '~cancelled'
 /** Sorts after every other suffix of a job's keys. */
 const LAST_SUFFIX = '~~'
@@ -34,6 +35,15 @@
 export const cancelledJob = (key: string): JobId | undefined =>
   key.endsWith(CANCEL_SUFFIX) ? brand<JobId>(key.slice(0, -CANCEL_SUFFIX.length)) : undefined
 
+/** Key of the row of one segment of a job's progress; the row of the first one has the job's id. */
+export const progressKey = (job: JobId, segment: number): string => segment === 0 ? job : `${job}${SEGMENT_SEPARATOR}${segment}`
+
+/** Keys of all rows that a job's progress may have. */
+export const progressKeys = ({ job: { id }, segmentCount }: JobRecord): readonly string[] => Array.from({ length: segmentCount }, (_, segment) => progressKey(id, segment))
+
+/** The job whose progress a row is part of. */
+export const jobOfProgress = (key: string): JobId => brand<JobId>(key.split(SEGMENT_SEPARATOR, 1)[0] ?? '')
+
 /** Key range of all rows of one job in the jobs table. */
 export const jobKeyRange = (job: JobId): Readonly<{ from: string, to: string }> => ({ from: job, to: `${job}${LAST_SUFFIX}` })
 
