Serving tasks start where all workers that they may use are reserved

Cause: a tenth of a service's workers, rounded up and chosen by id, is closed to new serving tasks, whatever these require. The reserve could be all workers with a label or of a rack, all that have enough capacity, or a service's only worker.

Change: at least one worker of a service stays open; of the workers with the label that a task requires no more than a tenth is closed to it, and never all; a serving task that fits on no open worker may use the constant share while under half of its service is in use. What a measured demand reserves stays closed.

--- a/packages/core/src/jobs/WorkerReserve.ts
+++ b/packages/core/src/jobs/WorkerReserve.ts
@@ -4,7 +4,7 @@
 import type { Instant, ServiceName } from '@auburnpin/common'
 import { RESERVED_WORKER_SHARE } from './constants.ts'
 import { freeForShortTasks, usableProcessors } from './usableProcessors.ts'
-import { groupByService, reserveForDemand, reserveWorkers } from './reserveWorkers.ts'
+import { groupByService, reservedCount, reserveForDemand, reserveWorkers } from './reserveWorkers.ts'
 import { type Demand, isShort, ShortTaskDemand } from './ShortTaskDemand.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -12,6 +12,9 @@
 
 const NONE: ReadonlySet<WorkerRecord> = new Set()
 
+/** While less than this share of a service is in use, tasks that fit on no open worker may use a reserved one. */
+const IDLE_SHARE = 0.5
+
 /** The workers that one scheduling pass closes. */
 export class ReservedWorkers {
   /** Closed to serving tasks that have not run. */
@@ -19,7 +22,8 @@
   /** Closed to long-running tasks that have not run, as the demand of short tasks is above the constant share. */
   readonly added: ReadonlySet<WorkerRecord>
   readonly #candidates: readonly WorkerRecord[]
-  readonly #open = new Map<string, readonly WorkerRecord[]>()
+  readonly #closed = new Map<string, ReadonlySet<WorkerRecord>>()
+  readonly #open = new Map<ReadonlySet<WorkerRecord>, readonly WorkerRecord[]>()
 
   constructor (candidates: readonly WorkerRecord[], added = NONE, constant = reserveWorkers(candidates)) {
     this.#candidates = candidates
@@ -28,19 +32,61 @@
   }
 
   isClosedTo (task: TaskRecord, worker: WorkerRecord): boolean {
-    return (task.isNewServing && this.constant.has(worker)) || (isNewLongRunning(task) && this.added.has(worker))
+    return this.#closedTo(task).has(worker)
   }
 
   /** The candidates that are open to a task. */
   openTo (task: TaskRecord): readonly WorkerRecord[] {
-    const key = `${task.isNewServing} ${isNewLongRunning(task)}`
-    let open = this.#open.get(key)
+    const closed = this.#closedTo(task)
+    let open = this.#open.get(closed)
     if (open === undefined) {
-      open = this.#candidates.filter(worker => !this.isClosedTo(task, worker))
-      this.#open.set(key, open)
+      open = this.#candidates.filter(worker => !closed.has(worker))
+      this.#open.set(closed, open)
     }
     return open
   }
+
+  /**
+   * The workers of the constant share that a serving task may use as it fits on no other: those of its service while under
+   * half of the service's processors are in use. Those that are reserved for a measured demand stay closed.
+   */
+  lastResortFor ({ isNewServing, step: { job: { job: { policy: { service } } } } }: TaskRecord): readonly WorkerRecord[] {
+    if (!isNewServing || !this.#isHalfIdle(service)) return []
+    return [...this.constant].filter(worker => worker.entry.service === service && !this.added.has(worker))
+  }
+
+  #isHalfIdle (service: ServiceName): boolean {
+    let used = 0
+    let all = 0
+    for (const { processorsUsed, entry } of this.#candidates) {
+      if (entry.service !== service) continue
+      used += processorsUsed
+      all += entry.processors
+    }
+    return used < all * IDLE_SHARE
+  }
+
+  #closedTo (task: TaskRecord): ReadonlySet<WorkerRecord> {
+    const { isNewServing, step: { shape: { requiredLabel }, job: { job: { policy: { service } } } } } = task
+    const isLongRunning = isNewLongRunning(task)
+    if (!isNewServing && !isLongRunning) return NONE
+    const key = JSON.stringify([isNewServing, isLongRunning, ...(requiredLabel === '' ? [] : [service, requiredLabel])])
+    let closed = this.#closed.get(key)
+    if (closed === undefined) {
+      const constant = isNewServing ? this.constant : NONE
+      const added = isLongRunning ? this.added : NONE
+      closed = requiredLabel === '' ? new Set([...constant, ...added]) : closeAmong(this.#candidates.filter(({ entry }) => entry.service === service && entry.labels.includes(requiredLabel)), constant, added)
+      this.#closed.set(key, closed)
+    }
+    return closed
+  }
+}
+
+/** Of the workers that a task can use at all, no more than the constant share is closed to it, and never all. */
+const closeAmong = (workers: readonly WorkerRecord[], constant: ReadonlySet<WorkerRecord>, added: ReadonlySet<WorkerRecord>): ReadonlySet<WorkerRecord> => {
+  const reserved = workers.filter(worker => constant.has(worker)).sort((one, other) => one.entry.id < other.entry.id ? 1 : -1).slice(0, reservedCount(workers.length))
+  const closed = new Set([...reserved, ...workers.filter(worker => added.has(worker))])
+  return closed.size < workers.length ? closed : new Set(reserved)
 }
 
 /** The reserve of one service in one data centre. Processors are in thousandths of a core. */
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -2,6 +2,7 @@
  * Placement of waiting tasks on workers.
  */
 import type { Lateness } from './findLateness.ts'
+import { chooseWorker } from './chooseWorker.ts'
 import { holdWorkers } from './holdWorkers.ts'
 import { orderSteps } from './orderSteps.ts'
 import { placeCopies } from './placeCopies.ts'
@@ -50,7 +51,7 @@
       // A task that has run may use workers that are closed to those that have not.
       const usable = workersFor(task)
       if (stepCandidates?.workers !== usable) stepCandidates = new StepCandidates(usable, held, interference, now, reserve.packs(step, now))
-      const worker = places.choose(task, stepCandidates)
+      const worker = places.choose(task, stepCandidates) ?? chooseWorker(task, reserved.lastResortFor(task), held, interference, now)
       if (worker === DELAYED) continue
       if (worker === undefined) {
         reserve.recordLackOfRoom(step, candidates, now, wallTime)
--- a/packages/core/src/jobs/reserveWorkers.ts
+++ b/packages/core/src/jobs/reserveWorkers.ts
@@ -7,8 +7,11 @@
 import type { Demand } from './ShortTaskDemand.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
+/** Number of workers to reserve of a group, so that at least one stays open. */
+export const reservedCount = (workers: number): number => Math.min(Math.ceil(workers * RESERVED_WORKER_SHARE), Math.max(0, workers - 1))
+
 /**
- * Reserves, for each service, a share of the given workers: those with the highest identifiers.
+ * Reserves, for each service, a share of the given workers: those with the highest identifiers, but never all.
  *
  * @example
  * const reserved = reserveWorkers(candidates)
@@ -17,7 +20,7 @@
   const reserved = new Set<WorkerRecord>()
   for (const ofService of groupByService(workers).values()) {
     ofService.sort((one, other) => one.entry.id < other.entry.id ? 1 : -1)
-    for (const worker of ofService.slice(0, Math.ceil(ofService.length * RESERVED_WORKER_SHARE))) reserved.add(worker)
+    for (const worker of ofService.slice(0, reservedCount(ofService.length))) reserved.add(worker)
   }
   return reserved
 }
