--- a/packages/core/src/jobs/ProgressSegment.ts
+++ b/packages/core/src/jobs/ProgressSegment.ts
@@ -18,7 +18,7 @@
  * whose phase readers need, and the only one that is stored once the job has ended.
  *
  * @example
- * const { number, progress } = job.segmentOf(task)
+ * const { number, progress } = job.segmentOf(task.ordinal)
  */
 export class ProgressSegment {
   readonly job: JobRecord
@@ -98,7 +98,12 @@
   return { phase, done, started, failed, checkpoints, crashed }
 }
 
-/** The progress of a job of which nothing but the phase counts. */
+/**
+ * The progress of a job of which nothing but the phase counts.
+ *
+ * @example
+ * noProgress('completed').done // {}
+ */
 export const noProgress = (phase: JobProgress['phase']): JobProgress => ({ phase, done: {}, failed: {}, checkpoints: {} })
 
 const indexesOf = (tasks: readonly TaskRecord[]): readonly number[] => tasks.map(({ index }) => index)
--- a/packages/core/src/jobs/WorkerReserve.ts
+++ b/packages/core/src/jobs/WorkerReserve.ts
@@ -82,7 +82,10 @@
   }
 }
 
-/** Of the workers that a task can use at all, no more than the constant share is closed to it, and never all. */
+/**
+ * The closed ones of the workers that a task can use: at most the constant share of them and what a measured demand adds,
+ * or only the constant share if no worker were open otherwise.
+ */
 const closeAmong = (workers: readonly WorkerRecord[], constant: ReadonlySet<WorkerRecord>, added: ReadonlySet<WorkerRecord>): ReadonlySet<WorkerRecord> => {
   const reserved = workers.filter(worker => constant.has(worker)).sort((one, other) => one.entry.id < other.entry.id ? 1 : -1).slice(0, reservedCount(workers.length))
   const closed = new Set([...reserved, ...workers.filter(worker => added.has(worker))])
--- a/packages/core/src/jobs/reserveWorkers.ts
+++ b/packages/core/src/jobs/reserveWorkers.ts
@@ -7,7 +7,13 @@
 import type { Demand } from './ShortTaskDemand.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
-/** Number of workers to reserve of a group, so that at least one stays open. */
+/**
+ * Number of workers to reserve of a group, so that at least one stays open.
+ *
+ * @example
+ * reservedCount(33) // 4
+ * reservedCount(1) // 0
+ */
 export const reservedCount = (workers: number): number => Math.min(Math.ceil(workers * RESERVED_WORKER_SHARE), Math.max(0, workers - 1))
 
 /**
--- a/packages/core/tests/crashingTasks.test.ts
+++ b/packages/core/tests/crashingTasks.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Epoch, type Incarnation, type Instant, type WorkerId } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
-import { JobScheduler, type Job, type JobPhase, type JobProgress, type RunOrder, type TaskName, TASKS_PER_SEGMENT, type JobRecord } from '../src/index.ts'
+import { JobScheduler, TASKS_PER_SEGMENT, type Job, type JobPhase, type JobProgress, type JobRecord, type RunOrder, type TaskName } from '../src/index.ts'
 
 const CRASHING = '00000000000000d1'
 const CRASHING_TASK = `${CRASHING}.0.0.0`
--- a/packages/jobs/src/StoredProgress.ts
+++ b/packages/jobs/src/StoredProgress.ts
@@ -20,6 +20,7 @@
   /** Tasks of these jobs that are done might run again, so the jobs are not scheduled. */
   readonly #damaged = new Set<JobId>()
 
+  /** Adds a row, in ascending order of keys: what a job's first row says of a task yields to the row of its segment. */
   add ({ key, value }: StoredRow): void {
     const job = jobOfProgress(key)
     const progress = readProgress(value)
