--- a/packages/jobs/tests/taskDelegation.test.ts
+++ b/packages/jobs/tests/taskDelegation.test.ts
@@ -136,6 +136,38 @@
   t.deepEqual(full.simulation.breaches, [])
 })
 
+test('a task that is given back has one run, although the owner that gave it back dies and both cells have room again', async t => {
+  // The workers of the other cell don't have the label between the start of the job and the end of the owner.
+  const play = async (): Promise<{ full: FullCell, job: Job, lost: FakeJobWorker, restoreLabel: () => void }> => {
+    const full = new FullCell(2)
+    let hasLabel = true
+    full.simulation.mutateEntry = entry => hasLabel || full.workersOf(1).every(({ id }) => id !== entry.id) ? { ...entry, labels: ['big'] } : entry
+    await full.start()
+    const job = full.submit([wholeWorkers(4, { requiredLabel: 'big' })])
+    await full.simulation.advance(1_000)
+    hasLabel = false
+    const [lost] = full.workersOf(0)
+    full.lose(lost as FakeJobWorker)
+    return { full, job, lost: lost as FakeJobWorker, restoreLabel: () => { hasLabel = true } }
+  }
+  const { full, job } = await play()
+  const isGivenBack = (): boolean => full.simulation.rows.read('jobs', jobPart(job.id), `${job.id}~by-cell-1`)?.value.includes('"cell":"cell-0"') === true
+  while (!isGivenBack()) await full.simulation.advance(1)
+  const givenBackAt = full.simulation.clock.now()
+  for (const offsetMs of [-40, -20, -12, -8, -4, -1, 0, 2, 5, 8, 12, 20, 40]) {
+    const again = await play()
+    const { simulation } = again.full
+    await simulation.advance(givenBackAt + offsetMs - simulation.clock.now())
+    simulation.nodes.get(again.full.ownerOf(1) ?? '')?.kill()
+    again.restoreLabel()
+    again.lost.restart()
+    simulation.listed.add(again.lost.id)
+    await simulation.advance(15_000)
+    t.is(again.full.runs(again.job), 4, `killed ${offsetMs} ms after the task was given back`)
+    t.deepEqual(simulation.breaches, [], `killed ${offsetMs} ms after the task was given back`)
+  }
+})
+
 test('a delegated task that loses its worker in a cell that is full by then comes back wherever a worker is free', async t => {
   const { full, job, lost } = await loseWorkerOfFullCell(2)
   await full.simulation.advance(AWAY_MS)
@@ -242,6 +274,24 @@
   t.deepEqual(full.simulation.breaches, [])
 })
 
+test('a row that two cells share is only ever written over the one that the writer has seen', async t => {
+  const { full, job } = await loseWorkerOfFullCell(2)
+  const { rows } = full.simulation
+  const apply = rows.apply.bind(rows)
+  let writes = 0
+  rows.apply = transaction => {
+    for (const { key } of [...transaction.puts, ...transaction.deletes]) {
+      if (!/~(to|by)-/.test(key)) continue
+      writes++
+      t.true(transaction.checks.some(check => check.key === key), key)
+    }
+    return apply(transaction)
+  }
+  await full.simulation.advance(AWAY_MS)
+  t.is(full.runs(job), 4)
+  t.true(writes >= 2)
+})
+
 test('nothing is written for tasks that their own cell can hold, and nothing is delegated while all cells are full', async t => {
   const full = new FullCell(2)
   await full.start()
