An entry named like a property of every object no longer stops scheduling

Cause: offers of services, counts of queues and other texts from outside were keys of plain objects, where inherited names are found; assigning the racks threw. TableFollower counted the whole change as applied, so the sound workers were lost with the odd one.

Change: maps, or objects by hasOwn and fromEntries; a change that fails is applied row by row, and the record names the row.

Tests: oddEntries (jobs). Four of its stories failed before (services `__proto__`, `constructor`, `toString`, `hasOwnProperty`, after a takeover), all pass now.

--- a/packages/core/src/jobs/countQueuedJobs.ts
+++ b/packages/core/src/jobs/countQueuedJobs.ts
@@ -10,9 +10,10 @@
  * countQueuedJobs(jobs.values()) // { drafts: 12 }
  */
 export const countQueuedJobs = (jobs: Iterable<JobRecord>): Readonly<Record<string, number>> => {
-  const pending: Record<string, number> = {}
+  // A queue may have the name of a property that every object has.
+  const pending = new Map<string, number>()
   for (const { job, phase, isGuest } of jobs) {
-    if (phase === 'queued' && !isGuest) pending[job.queue] = (pending[job.queue] ?? 0) + 1
+    if (phase === 'queued' && !isGuest) pending.set(job.queue, (pending.get(job.queue) ?? 0) + 1)
   }
-  return pending
+  return Object.fromEntries(pending)
 }
--- a/packages/core/src/layout/assignRacks.ts
+++ b/packages/core/src/layout/assignRacks.ts
@@ -3,6 +3,7 @@
  */
 import type { ServiceName, WorkerId } from '@auburnpin/common'
 import type { WorkerEntry } from '../jobs/types.ts'
+import { addOffer, mergeOffers, type ServiceOffers } from './offers.ts'
 import type { CellWorkers, Layout, ServiceOffer } from './types.ts'
 
 /** A cell without workers. */
@@ -51,7 +52,7 @@
     }
   }
   const offers = offersOf(workers, cellOfRack, racks.length)
-  const cells = racks.map((ofCell, index) => updateCell(layout.cells[index], ofCell, offers[index] ?? {}))
+  const cells = racks.map((ofCell, index) => updateCell(layout.cells[index], ofCell, offers[index] ?? new Map()))
   const isUnchanged = cells.length === layout.cells.length && cells.every((cell, index) => cell === layout.cells[index])
   return isUnchanged ? layout : { version: layout.version + 1, cells }
 }
@@ -83,47 +84,27 @@
   return [...racks.values()].sort((one, other) => compareText(one.zone, other.zone) || compareText(one.key, other.key))
 }
 
-const offersOf = (workers: readonly WorkerEntry[], cellOfRack: ReadonlyMap<string, number>, cellCount: number): ReadonlyArray<Record<ServiceName, ServiceOffer>> => {
-  const offers = Array.from({ length: cellCount }, (): Record<ServiceName, ServiceOffer> => ({}))
+const offersOf = (workers: readonly WorkerEntry[], cellOfRack: ReadonlyMap<string, number>, cellCount: number): readonly ServiceOffers[] => {
+  const offers = Array.from({ length: cellCount }, (): ServiceOffers => new Map())
   for (const entry of workers) {
     const ofCell = offers[cellOfRack.get(rackKey(entry)) ?? -1]
-    if (ofCell === undefined) continue
-    const { service, processors, memoryMb, accelerators, labels } = entry
-    const offer = ofCell[service] ?? { processors: 0, memoryMb: 0, accelerators: 0, labels: [] }
-    ofCell[service] = {
-      processors: Math.max(offer.processors, processors),
-      memoryMb: Math.max(offer.memoryMb, memoryMb),
-      accelerators: Math.max(offer.accelerators, accelerators),
-      labels: labels.every(label => offer.labels.includes(label)) ? offer.labels : [...new Set([...offer.labels, ...labels])].sort(compareText)
-    }
+    if (ofCell !== undefined) addOffer(ofCell, entry)
   }
   return offers
 }
 
 // What a worker offered stays part of the offer when the worker leaves: most come back, and each change is written and read.
-const updateCell = (before: CellWorkers | undefined, racks: readonly string[], offers: Readonly<Record<ServiceName, ServiceOffer>>): CellWorkers => {
-  const services: Record<ServiceName, ServiceOffer> = { ...before?.services }
+const updateCell = (before: CellWorkers | undefined, racks: readonly string[], offers: ServiceOffers): CellWorkers => {
+  const services = new Map(Object.entries(before?.services ?? {}) as [ServiceName, ServiceOffer][])
   let isChanged = before === undefined || before.racks.length !== racks.length
-  for (const [service, offer] of Object.entries(offers) as [ServiceName, ServiceOffer][]) {
-    const known = services[service]
+  for (const [service, offer] of offers) {
+    const known = services.get(service)
     const merged = known === undefined ? offer : mergeOffers(known, offer)
     if (merged === known) continue
-    services[service] = merged
+    services.set(service, merged)
     isChanged = true
   }
-  return isChanged || before === undefined ? { racks, services, epochOffsets: before?.epochOffsets ?? {} } : before
-}
-
-const mergeOffers = (known: ServiceOffer, offer: ServiceOffer): ServiceOffer => {
-  const isCovered = offer.processors <= known.processors && offer.memoryMb <= known.memoryMb && offer.accelerators <= known.accelerators &&
-    offer.labels.every(label => known.labels.includes(label))
-  if (isCovered) return known
-  return {
-    processors: Math.max(known.processors, offer.processors),
-    memoryMb: Math.max(known.memoryMb, offer.memoryMb),
-    accelerators: Math.max(known.accelerators, offer.accelerators),
-    labels: [...new Set([...known.labels, ...offer.labels])].sort(compareText)
-  }
+  return isChanged || before === undefined ? { racks, services: Object.fromEntries(services), epochOffsets: before?.epochOffsets ?? {} } : before
 }
 
 const compareText = (one: string, other: string): number => one < other ? -1 : Number(one > other)
--- a/packages/core/src/layout/chooseCell.ts
+++ b/packages/core/src/layout/chooseCell.ts
@@ -2,6 +2,7 @@
  * Choice of the cell that a new job is scheduled in.
  */
 import type { Job, JobStep } from '../jobs/types.ts'
+import { offerOf } from './offers.ts'
 import type { CellWorkers, ServiceOffer } from './types.ts'
 
 /** A cell as its owner last published it. */
@@ -34,7 +35,7 @@
   const notEvacuated = ableAtAll.filter(index => loads[index]?.isEvacuated !== true)
   const able = notEvacuated.length > 0 ? notEvacuated : ableAtAll
   const nearData = able.filter(index => holdsData(job, cells[index]))
-  const ofService = cells.map((_, index) => index).filter(index => cells[index]?.services[job.policy.service] !== undefined)
+  const ofService = cells.map((_, index) => index).filter(index => offerOf(cells[index], job.policy.service) !== undefined)
   const suitable = [nearData, able, ofService].find(indexes => indexes.length > 0) ?? [0]
   const owned = suitable.filter(index => loads[index]?.isOwned === true)
   return pickByWeight(owned.length > 0 ? owned : suitable, index => weightOf(loads[index]), fraction)
@@ -57,13 +58,13 @@
 
 /** Whether the workers of a cell can run all steps of a job. */
 export const canRun = ({ steps, policy: { service } }: Job, cell: CellWorkers | undefined): boolean => {
-  const offer = cell?.services[service]
+  const offer = offerOf(cell, service)
   return offer !== undefined && steps.every(step => fits(step, offer))
 }
 
 /** Whether the workers of a cell can run the tasks of one step. */
 export const canRunStep = ({ policy: { service } }: Job, step: JobStep, cell: CellWorkers | undefined): boolean => {
-  const offer = cell?.services[service]
+  const offer = offerOf(cell, service)
   return offer !== undefined && fits(step, offer)
 }
 
@@ -72,6 +73,6 @@
   (requiredLabel === '' || offer.labels.includes(requiredLabel))
 
 const holdsData = ({ steps, policy: { service } }: Job, cell: CellWorkers | undefined): boolean => {
-  const labels = cell?.services[service]?.labels ?? []
+  const labels = offerOf(cell, service)?.labels ?? []
   return steps.some(({ dataRack }) => dataRack !== '' && labels.includes(dataRack))
 }
--- a/packages/jobs/src/CellMembership.ts
+++ b/packages/jobs/src/CellMembership.ts
@@ -2,7 +2,7 @@
  * The workers that belong to a cell.
  */
 import type { Clock, Epoch, Instant, Log, WorkerId } from '@auburnpin/common'
-import { assignRacks, chooseLeavingRacks, EMPTY_LAYOUT, moveRack, NO_WORKERS, rackKey, type CellWorkers, type Layout, type RackLoad, type WorkerEntry } from '@auburnpin/core'
+import { assignRacks, chooseLeavingRacks, covers, EMPTY_LAYOUT, moveRack, NO_WORKERS, offerOf, rackKey, type CellWorkers, type Layout, type RackLoad, type WorkerEntry } from '@auburnpin/core'
 import { FIRST_CELL, RACKS_POLL_INTERVAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, layoutCellKey, readCellWorkers, TERMS_TABLE } from './rows.ts'
@@ -112,9 +112,8 @@
   // Most changes of entries, such as a worker that drains, do not concern the layout.
   #isCovered (entry: WorkerEntry): boolean {
     const cell = this.#cellOfRack.get(rackKey(entry))
-    const offer = cell === undefined ? undefined : this.#layout.cells[cell]?.services[entry.service]
-    return offer !== undefined && entry.processors <= offer.processors && entry.memoryMb <= offer.memoryMb &&
-      entry.accelerators <= offer.accelerators && entry.labels.every(label => offer.labels.includes(label))
+    const offer = cell === undefined ? undefined : offerOf(this.#layout.cells[cell], entry.service)
+    return offer !== undefined && covers(offer, entry)
   }
 
   has (entry: WorkerEntry): boolean {
@@ -219,7 +218,8 @@
   }
 
   epochOffset (entry: WorkerEntry): number {
-    return this.#workers.epochOffsets[rackKey(entry)] ?? 0
+    const rack = rackKey(entry)
+    return Object.hasOwn(this.#workers.epochOffsets, rack) ? this.#workers.epochOffsets[rack] ?? 0 : 0
   }
 
   start (): void {
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -52,17 +52,17 @@
     if (this.#cellCount <= 1) return undefined
     if (this.#before !== undefined && this.#before.loads.some((_, index) => index > 0 && !this.#observed.has(index))) return { ...this.#before, waits: undefined }
     const now = this.#clock.now()
-    const pending: Record<string, number> = {}
+    const pending = new Map<string, number>()
     const loads = [first]
     const waits: (CellWaits | null)[] = [null]
     for (let index = 1; index < this.#cellCount; index++) {
       const observed = this.#observed.get(index)
-      for (const [queue, count] of Object.entries(observed?.term.pending ?? {})) pending[queue] = (pending[queue] ?? 0) + count
+      for (const [queue, count] of Object.entries(observed?.term.pending ?? {})) pending.set(queue, (pending.get(queue) ?? 0) + count)
       waits.push(observed !== undefined && isOwned(observed, now) && now - observed.changedAt <= MAX_FORECAST_AGE_MS ? observed.term.waits ?? null : null)
       const { workers = 0, evacuatedWorkers = 0, loadPercent = 0 } = observed?.term ?? {}
       loads.push(cellLoad(workers, evacuatedWorkers, loadPercent, observed !== undefined && isOwned(observed, now)))
     }
-    return { layoutVersion, loads, pending, waits: waits.some(ofCell => ofCell !== null) ? waits : undefined }
+    return { layoutVersion, loads, pending: Object.fromEntries(pending), waits: waits.some(ofCell => ofCell !== null) ? waits : undefined }
   }
 
   async #run (): Promise<void> {
--- a/packages/jobs/src/TableFollower.ts
+++ b/packages/jobs/src/TableFollower.ts
@@ -98,16 +98,26 @@
     // Without changes, the store responds only after the whole wait.
     const isUnchanged = changed.length === 0 && deleted.length === 0
     this.#currentAt = isUnchanged ? brand<Instant>(Math.min(requestedAt + FEED_WAIT_MS, this.#clock.now())) : requestedAt
-    if (changed.length > 0 || deleted.length > 0) this.#notify(() => this.#listener.update(changed, deleted))
+    if (changed.length > 0 || deleted.length > 0) this.#update(changed, deleted)
     return Ok(undefined)
   }
 
+  // A row that can't be applied costs no other row of the same change.
+  #update (changed: readonly StoredRow[], deleted: readonly RowKey[]): void {
+    const hasApplied = this.#notify(() => this.#listener.update(changed, deleted))
+    if (hasApplied || changed.length + deleted.length === 1) return
+    for (const row of changed) this.#notify(() => this.#listener.update([row], []), row.key)
+    if (deleted.length > 0) this.#notify(() => this.#listener.update([], deleted))
+  }
+
   // An unexpected error in one change must not keep the listener from later ones.
-  #notify (action: () => void): void {
+  #notify (action: () => void, row?: string): boolean {
     try {
       action()
+      return true
     } catch (thrown) {
-      this.#log.error('A change of a table could not be applied', { table: this.#table, version: this.#version, error: String(thrown) })
+      this.#log.error('A change of a table could not be applied', { table: this.#table, version: this.#version, row, error: String(thrown) })
+      return false
     }
   }
 
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -71,7 +71,7 @@
 
   #reportForecast (forecast: CellWaits | undefined): void {
     const { log, metrics } = this.#ports
-    for (const queue of this.#forecastQueues) if (forecast?.[queue] === undefined) metrics.gauge('queue.forecastWait', 0, { cell: this.#cell, queue })
+    for (const queue of this.#forecastQueues) if (forecast === undefined || !Object.hasOwn(forecast, queue)) metrics.gauge('queue.forecastWait', 0, { cell: this.#cell, queue })
     for (const [queue, { sizes, waits }] of Object.entries(forecast ?? {})) {
       metrics.gauge('queue.forecastWait', Math.max(...waits), { cell: this.#cell, queue })
       log.info('New jobs would wait', { cell: this.#cell, queue, sizes: sizes.join(' '), waitsMs: waits.join(' ') })
