Names that are too long for a row no longer stop all commits

Cause: rows of a term hold names of entries, images and queues without a bound, and a row that the store refuses stayed in each commit. Evidence: `a value of 94893 bytes for terms/workers-1`, refused 649 times.

Rows of used workers are divided by bytes; the description of a cell, terms and estimates keep to their rows; a row that is still too long is left out, with a record, a metric and a way out in the runbook. Rows of earlier versions recover by themselves.

--- a/packages/common/src/metricReference.ts
+++ b/packages/common/src/metricReference.ts
@@ -42,6 +42,8 @@
   'jobs.firstStart': { type: 'timing', unit: 'milliseconds', tags: [], meaning: 'From a job\'s acceptance to the first start of a task of it, by wall clocks.', worry: '99th percentile above 1 s while workers have room.' },
   'jobs.duration': { type: 'timing', unit: 'milliseconds', tags: ['phase'], meaning: 'From a job\'s acceptance to its end, by wall clocks.', worry: 'Beyond the queue\'s objective.' },
   'jobs.crashing': { type: 'count', unit: 'jobs', tags: [], meaning: 'Jobs that failed because workers were lost just after they had started one of their tasks.', worry: 'Above 0: the log record `Job fails, as workers are lost` names the task.' },
+  'workers.unusable': { type: 'gauge', unit: 'workers', tags: [], meaning: 'Entries in the list of workers that are invalid or of a service that no configuration names; the record `Worker entry is not usable` says which and why.', worry: 'Above 0: find what writes them.' },
+  'rows.leftOut': { type: 'count', unit: 'rows', tags: ['row'], meaning: 'Rows that an owner left out of a commit, as they would be longer than the store allows.', worry: 'Any; docs/RUNBOOK.md says what to do.' },
   'workers.lost': { type: 'count', unit: 'workers', tags: ['how'], meaning: 'Workers with runs that were silent until their lease was over, or that came back without their runs.', worry: 'Rises without a planned change.' },
   'runs.ordered': { type: 'count', unit: 'orders', tags: ['outcome'], meaning: 'Orders to start, by the worker\'s answer.', worry: 'Outcomes other than started above 2 %.' },
   'runs.ended': { type: 'count', unit: 'runs', tags: ['how'], meaning: 'Runs that ended, by how.', worry: 'Failed or lease over rises.' },
--- a/packages/core/src/layout/offers.ts
+++ b/packages/core/src/layout/offers.ts
@@ -3,6 +3,7 @@
  */
 import type { ServiceName } from '@auburnpin/common'
 import type { WorkerEntry } from '../jobs/types.ts'
+import { encodedBytes } from './encodedBytes.ts'
 import type { CellWorkers, ServiceOffer } from './types.ts'
 
 /** Offers of one cell; a service may have the name of a property that every object has, so that no plain object holds them. */
@@ -50,3 +51,44 @@
 /** Whether an offer has at least what another one, or a worker, has. */
 export const covers = (known: ServiceOffer, { processors, memoryMb, accelerators, labels }: ServiceOffer): boolean =>
   processors <= known.processors && memoryMb <= known.memoryMb && accelerators <= known.accelerators && labels.every(label => known.labels.includes(label))
+
+/**
+ * The offers in at most `maxBytes` of JSON, from the present workers of a cell: of services and labels, those that most
+ * workers have. A label that is left out keeps no job from the service's cells, as a job that no cell can run for certain goes to
+ * one with workers of its service.
+ *
+ * @example
+ * boundOffers(offers, workersOfCell, 16_000)
+ */
+export const boundOffers = (offers: ServiceOffers, workers: readonly WorkerEntry[], maxBytes: number): ServiceOffers => {
+  if (encodedBytes(Object.fromEntries(offers)) <= maxBytes) return offers
+  const bounded: ServiceOffers = new Map()
+  let bytes = 0
+  for (const [service, ofService] of mostFrequent(workers, ({ service }) => [service])) {
+    const offer = ofService.reduce((merged, { processors, memoryMb, accelerators }) => mergeOffers(merged, { processors, memoryMb, accelerators, labels: [] }), NO_OFFER)
+    bytes += encodedBytes({ [service]: offer })
+    if (bytes > maxBytes) break
+    const labels: string[] = []
+    for (const [label] of mostFrequent(ofService, worker => worker.labels)) {
+      const labelBytes = encodedBytes(label) + ','.length
+      if (bytes + labelBytes > maxBytes) break
+      bytes += labelBytes
+      labels.push(label)
+    }
+    bounded.set(service, { ...offer, labels: labels.sort() })
+  }
+  return bounded
+}
+
+// The workers with each name, the name with most workers first.
+const mostFrequent = <Name extends string>(workers: readonly WorkerEntry[], namesOf: (worker: WorkerEntry) => readonly Name[]): readonly (readonly [Name, readonly WorkerEntry[]])[] => {
+  const groups = new Map<Name, WorkerEntry[]>()
+  for (const worker of workers) {
+    for (const name of namesOf(worker)) {
+      const group = groups.get(name)
+      if (group === undefined) groups.set(name, [worker])
+      else group.push(worker)
+    }
+  }
+  return [...groups].sort(([one, ofOne], [other, ofOther]) => ofOther.length - ofOne.length || (one < other ? -1 : 1))
+}
--- a/packages/core/tests/taskDelegations.test.ts
+++ b/packages/core/tests/taskDelegations.test.ts
@@ -69,7 +69,12 @@
   guest.decide(brand<Instant>(NOW + 20_000), 0)
   t.is(guest.delegations.accept(JOB, HOME, delegated, NOW).length, 1)
   guest.delegations.returnTasks(brand<Instant>(NOW + 20_000))
+  store(guest)
   t.is(guest.delegations.returnTasks(brand<Instant>(NOW + 21_000)).length, 1)
+  const job = guest.jobs.get(JOB.id)!
+  t.deepEqual(guest.delegations.reportOf(job).delegations, {}, 'before it is durable')
+  store(guest)
+  t.deepEqual(guest.delegations.reportOf(job).delegations, { '0.0.0': { number: 1, lastAttempt: 200_000, cell: HOME } })
   t.is(guest.delegations.accept(JOB, HOME, delegated, NOW).length, 0)
   const stored = guest.jobs.get(JOB.id)!.progress
   const successor = schedulerOf(3)
--- a/packages/jobs/src/CellMembership.ts
+++ b/packages/jobs/src/CellMembership.ts
@@ -52,6 +52,7 @@
   readonly #log: Log
   readonly #epoch: Epoch
   readonly #workersPerCell: number
+  readonly #maxRowBytes: number
   #layout: Layout = EMPTY_LAYOUT
   #cellOfRack: ReadonlyMap<string, number> = new Map()
   #all: ReadonlyMap<WorkerId, WorkerEntry> = new Map()
@@ -62,13 +63,14 @@
   #lastUnassignedAt: Instant | undefined
   #isStopped = false
 
-  constructor (host: LayoutHost, clock: Clock, log: Log, epoch: Epoch, workersPerCell: number) {
+  constructor (host: LayoutHost, clock: Clock, log: Log, epoch: Epoch, workersPerCell: number, maxRowBytes: number) {
     super()
     this.#host = host
     this.#clock = clock
     this.#log = log
     this.#epoch = epoch
     this.#workersPerCell = workersPerCell
+    this.#maxRowBytes = maxRowBytes
   }
 
   get layout (): Layout {
@@ -103,7 +105,7 @@
   }
 
   #assign (layout: Layout, entries: Iterable<WorkerEntry>): void {
-    const assigned = assignRacks(layout, entries, this.#host.usedWorkers, this.#workersPerCell)
+    const assigned = assignRacks(layout, entries, this.#host.usedWorkers, this.#workersPerCell, this.#maxRowBytes)
     if (assigned === this.#layout) return
     this.restore(assigned)
     if (assigned.cells.length > 1) this.#host.storeLayout(assigned)
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -76,12 +76,12 @@
     this.#onOverload = onOverload
     const { store, clock, log } = ports
     this.#scheduler = createScheduler(ports, claimed)
-    this.#writer = new TermWriter(store, clock, log, this.#scheduler, new OwnerTermListener(this), claimed)
+    this.#writer = new TermWriter(store, clock, log, ports.metrics, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
     this.#evacuations = new EvacuationTracker(ports, claimed.cell)
     this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
     if (claimed.cell === FIRST_CELL) {
-      this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, claimed.term.epoch, ports.workersPerCell)
+      this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, claimed.term.epoch, ports.workersPerCell, store.maxValueBytes)
       this.#membership = this.#layout
     } else this.#membership = new StoredMembership(store, clock, log, indexOfCell(claimed.cell), () => this.membersChanged())
     this.#delegator = new TaskDelegator(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerDelegatorHost(this))
--- a/packages/jobs/src/TaskDelegator.ts
+++ b/packages/jobs/src/TaskDelegator.ts
@@ -5,7 +5,7 @@
 import type { JobProgress, JobRecord, JobScheduler, TaskRecord } from '@auburnpin/core'
 import { DELEGATION_INTERVAL_MS, MAX_DELEGATIONS_AT_ONCE, MAX_WAITING_DELEGATIONS, ROOM_READ_INTERVAL_MS } from './constants.ts'
 import { DelegateRoom } from './DelegateRoom.ts'
-import { delegationKey, readDelegationReport, readDelegationRow, reportKey, type DelegationRow, type DelegationRowName } from './delegationRows.ts'
+import { delegationKey, readDelegationReport, readDelegationRow, reportKey, type DelegationReport, type DelegationRow, type DelegationRowName } from './delegationRows.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { StoredRow } from './RowStore.ts'
 import { ABSENT_ROW_VERSION, encodeRow, jobPart, JOBS_TABLE, progressKeys } from './rows.ts'
@@ -229,7 +229,7 @@
     for (const delegate of job.delegates) {
       const tasks = delegations.delegatedTo(job, delegate)
       const row: DelegationRow = { ...tasks, home: this.#cell, ...(Object.keys(tasks.delegations).length === 0 ? {} : { job: job.job }) }
-      if (!this.#write(job, delegationKey(job.job.id, delegate), encodeRow(row))) areSettled = false
+      if (!this.#write(job, delegationKey(job.job.id, delegate), this.#encode(row))) areSettled = false
     }
     if (areSettled) this.#unsettled.delete(job.job.id)
   }
@@ -238,7 +238,14 @@
     const { delegations } = this.#scheduler
     const key = reportKey(guest.job.id, this.#cell)
     if (delegations.isOver(guest)) void this.#forget(guest, key)
-    else if (this.#write(guest, key, encodeRow(delegations.reportOf(guest))) && !delegations.isWithdrawn(guest)) this.#unsettled.delete(guest.job.id)
+    else if (this.#write(guest, key, this.#encode(delegations.reportOf(guest))) && !delegations.isWithdrawn(guest)) this.#unsettled.delete(guest.job.id)
+  }
+
+  // Workers choose how long checkpoints are; without them the tasks begin anew.
+  #encode (row: DelegationRow | DelegationReport): string {
+    const whole = encodeRow(row)
+    if (Buffer.byteLength(whole) <= this.#ports.store.maxValueBytes) return whole
+    return encodeRow({ ...row, progress: { ...row.progress, checkpoints: {} } })
   }
 
   // Whether the store has this value already.
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,11 +1,13 @@
 /**
  * Renews an owner's term, and makes its progress durable under that term.
  */
-import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type Log, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type Log, type Metrics, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { EMPTY_LAYOUT, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
+import { encodeEstimates, encodeTerm } from './boundedRows.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MAX_USED_WORKERS, MAX_USED_WORKERS_BYTES, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
 import { encodeProgress } from './encodeProgress.ts'
+import { LeftOutRows } from './LeftOutRows.ts'
 import type { RowTransaction, RowStore, StoreTime } from './RowStore.ts'
 import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, progressKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
@@ -13,7 +15,7 @@
 /** Content of one commit besides the term itself. */
 type Batch = Readonly<{
   segments: readonly ProgressSegment[]
-  /** The encoded progress of the segments, in their order. */
+  /** The encoded progress of the segments, in their order; empty for one that is too long to be stored. */
   values: readonly string[]
   ends: ReadonlyMap<WorkerRecord, number>
   usedWorkers: readonly UsedWorker[] | undefined
@@ -50,6 +52,7 @@
   readonly #scheduler: JobScheduler
   readonly #listener: TermListener
   readonly #cell: CellId
+  readonly #leftOut: LeftOutRows
   #term: Term
   #version: RowVersion
   #heldSince: Instant
@@ -75,11 +78,12 @@
   #isCommitting = false
   #lastCommitAt: Instant
 
-  constructor (store: RowStore, clock: Clock, log: Log, scheduler: JobScheduler, listener: TermListener, { cell, term, version, claimedAt, claimedAtWall }: ClaimedTerm) {
+  constructor (store: RowStore, clock: Clock, log: Log, metrics: Metrics, scheduler: JobScheduler, listener: TermListener, { cell, term, version, claimedAt, claimedAtWall }: ClaimedTerm) {
     this.#cell = cell
     this.#store = store
     this.#clock = clock
     this.#log = log
+    this.#leftOut = new LeftOutRows(clock, log, metrics)
     this.#sleep = new InterruptibleSleep(clock)
     this.#scheduler = scheduler
     this.#listener = listener
@@ -194,7 +198,7 @@
   /** Releases the term, so that another process can claim it at once. Owners in a row pass on when the leases of silent workers are over. */
   async release (): Promise<void> {
     while (this.#isCommitting) await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
-    const usedWorkers = this.#isRestored ? this.#recordLeaseEnds(true) : undefined
+    const usedWorkers = this.#isRestored ? this.#limitUsedWorkers(this.#recordLeaseEnds(true)) : undefined
     const transaction = this.#buildTransaction({ segments: [], values: [], ends: new Map(), usedWorkers, layout: undefined, progressToDelete: [] }, this.#nextTerm({ ...this.#term, holder: '' }, usedWorkers))
     const outcome = await this.#store.transact(transaction)
     this.#log.info('Term released', { epoch: this.#term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
@@ -304,6 +308,21 @@
     })
   }
 
+  // More workers than one commit can record are not used; those that are recorded already stay.
+  #limitUsedWorkers (workers: readonly UsedWorker[]): readonly UsedWorker[] {
+    const bytesOf = (worker: UsedWorker): number => Buffer.byteLength(JSON.stringify(worker))
+    if (workers.length <= MAX_USED_WORKERS && workers.reduce((sum, worker) => sum + bytesOf(worker), 0) <= MAX_USED_WORKERS_BYTES) return workers
+    const kept: UsedWorker[] = []
+    let bytes = 0
+    for (const worker of [...workers].sort((one, other) => Number(this.#durableWorkers.has(keyOf(other))) - Number(this.#durableWorkers.has(keyOf(one))))) {
+      bytes += bytesOf(worker)
+      if (kept.length >= MAX_USED_WORKERS || bytes > MAX_USED_WORKERS_BYTES) break
+      kept.push(worker)
+    }
+    this.#leftOut.record('workers', workers.length, kept.length)
+    return kept
+  }
+
   #isLeaseEndOutdated (worker: UsedWorker): boolean {
     return this.#leaseEnds.has(keyOf(worker)) !== (this.#leaseOverAt(worker, false) !== undefined)
   }
@@ -330,12 +349,12 @@
   }
 
   #takeBatch (): Batch {
-    const usedWorkers = this.#areUsedWorkersDirty ? this.#recordLeaseEnds(false) : undefined
+    const usedWorkers = this.#areUsedWorkersDirty ? this.#limitUsedWorkers(this.#recordLeaseEnds(false)) : undefined
     this.#areUsedWorkersDirty = false
-    const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers).size)
+    const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers, this.#store.maxValueBytes).size)
     const layout = this.#nextLayout()
     const limit = Math.max(0, MAX_ROWS_PER_COMMIT - usedWorkersRows - (layout === undefined ? 0 : MAX_LAYOUT_ROWS_PER_COMMIT + 1))
-    const { segments, values } = this.#takeProgress(limit, MAX_BYTES_PER_COMMIT - (usedWorkers === undefined ? 0 : Buffer.byteLength(encodeRow(usedWorkers))))
+    const { segments, values } = this.#takeProgress(limit, MAX_BYTES_PER_COMMIT - (layout === undefined ? 0 : MAX_LAYOUT_BYTES_PER_COMMIT) - (usedWorkers === undefined ? 0 : Buffer.byteLength(encodeRow(usedWorkers))))
     // A job that was forgotten may be back.
     const stored = new Set(segments.map(({ job, number }) => progressKey(job, number)))
     this.#progressToDelete = this.#progressToDelete.filter(key => !stored.has(key))
@@ -350,10 +369,11 @@
     let bytes = 0
     for (const { job: { job: { id } }, number, progress } of segments) {
       const { value, omittedCheckpoints } = encodeProgress(progress, this.#store.maxValueBytes)
-      bytes += Buffer.byteLength(value)
+      const isLeftOut = this.#leftOut.isTooLong(`progress ${id} ${number}`, value, this.#store.maxValueBytes)
+      bytes += isLeftOut ? 0 : Buffer.byteLength(value)
       if (bytes > maxBytes) break
       if (omittedCheckpoints > 0) this.#log.warn('Checkpoints of a job are too long to be stored', { job: id, segment: number, omittedCheckpoints })
-      values.push(value)
+      values.push(isLeftOut ? '' : value)
     }
     this.#scheduler.markDirty(segments.slice(values.length))
     return { segments: segments.slice(0, values.length), values }
@@ -365,19 +385,22 @@
     if (this.#layout === this.#durableLayout) return undefined
     const cells = [...this.#durableLayout.cells]
     let changed = 0
+    let bytes = 0
     for (const [index, cell] of [...this.#layout.cells.entries()].sort(([one], [other]) => Number(one === 0) - Number(other === 0))) {
       if (cells[index] === cell) continue
-      if (++changed > MAX_LAYOUT_ROWS_PER_COMMIT) return { version: this.#layout.version, cells }
+      bytes += Buffer.byteLength(encodeRow(cell))
+      if (++changed > MAX_LAYOUT_ROWS_PER_COMMIT || (changed > 1 && bytes > MAX_LAYOUT_BYTES_PER_COMMIT)) return { version: this.#layout.version, cells }
       cells[index] = cell
     }
     return this.#layout
   }
 
   #buildTransaction ({ segments, values, usedWorkers, layout, progressToDelete }: Batch, term: Term): RowTransaction {
-    const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeRow(term) }]
+    const { maxValueBytes } = this.#store
+    const puts = [{ table: TERMS_TABLE, key: TERM_KEY, value: encodeTerm(term, maxValueBytes) }]
     const deletes = progressToDelete.map(key => ({ table: PROGRESS_TABLE, key }))
     if (usedWorkers !== undefined) {
-      const rows = divideUsedWorkers(usedWorkers)
+      const rows = divideUsedWorkers(usedWorkers, maxValueBytes)
       for (const key of this.#usedWorkersKeys) if (!rows.has(key)) deletes.push({ table: TERMS_TABLE, key })
       for (const [key, workers] of rows) {
         this.#usedWorkersKeys.add(key)
@@ -386,15 +409,20 @@
     }
     if (this.#clock.now() - this.#estimatesWrittenAt >= ESTIMATES_INTERVAL_MS) {
       this.#estimatesWrittenAt = this.#clock.now()
-      puts.push({ table: TERMS_TABLE, key: ESTIMATES_KEY, value: encodeRow(this.#scheduler.interference.learnt) })
+      puts.push({ table: TERMS_TABLE, key: ESTIMATES_KEY, value: encodeEstimates(this.#scheduler.interference.learnt, maxValueBytes) })
     }
     if (layout !== undefined) {
       puts.push({ table: TERMS_TABLE, key: LAYOUT_KEY, value: encodeRow({ version: layout.version, cells: layout.cells.length }) })
       for (const [index, cell] of layout.cells.entries()) {
-        if (this.#durableLayout.cells[index] !== cell) puts.push({ table: TERMS_TABLE, key: layoutCellKey(index), value: encodeRow(cell) })
+        if (this.#durableLayout.cells[index] === cell) continue
+        const value = encodeRow(cell)
+        if (!this.#leftOut.isTooLong(layoutCellKey(index), value, maxValueBytes)) puts.push({ table: TERMS_TABLE, key: layoutCellKey(index), value })
       }
     }
-    for (const [index, { job, number }] of segments.entries()) puts.push({ table: PROGRESS_TABLE, key: progressKey(job, number), value: values[index] ?? '' })
+    for (const [index, { job, number }] of segments.entries()) {
+      const value = values[index] ?? ''
+      if (value !== '') puts.push({ table: PROGRESS_TABLE, key: progressKey(job, number), value })
+    }
     return { part: this.#cell, checks: [{ table: TERMS_TABLE, key: TERM_KEY, version: this.#version }], puts, deletes }
   }
 
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -109,6 +109,13 @@
 /** Most bytes of the values of one commit; the store accepts calls of 1 MB, in base64. */
 export const MAX_BYTES_PER_COMMIT = 700_000
 
+/** Most bytes of the rows of the layout in one commit, unless a single row takes more. */
+export const MAX_LAYOUT_BYTES_PER_COMMIT = 200_000
+
+/** Most workers that one owner uses, and most bytes of what it records of them, as one commit writes all; sixteen times a full cell. */
+export const MAX_USED_WORKERS = 4_000
+export const MAX_USED_WORKERS_BYTES = 400_000
+
 /** Delay before a failed commit is retried, in milliseconds. */
 export const COMMIT_RETRY_DELAY_MS = 100
 
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -126,18 +126,30 @@
   leaseOverAt?: StoreTime
 }>
 
-/** Workers in one row, so that a row stays within the store's limit however many workers there are: an id has up to 200 bytes. */
+/** Most workers in one row, so that the change of one doesn't write too many. */
 const USED_WORKERS_PER_ROW = 100
 
-/** Key and content of each row that records used workers. */
-export const divideUsedWorkers = (workers: readonly UsedWorker[]): ReadonlyMap<string, readonly UsedWorker[]> => {
-  const rows = new Map<string, readonly UsedWorker[]>()
-  for (let from = 0; from < workers.length; from += USED_WORKERS_PER_ROW) {
-    rows.set(`${USED_WORKERS_KEY}-${from / USED_WORKERS_PER_ROW}`, workers.slice(from, from + USED_WORKERS_PER_ROW))
+/** Key and content of each row that records used workers; a row has at most `maxBytes`, unless one worker alone takes more. */
+export const divideUsedWorkers = (workers: readonly UsedWorker[], maxBytes: number): ReadonlyMap<string, readonly UsedWorker[]> => {
+  const rows = new Map<string, UsedWorker[]>()
+  let row: UsedWorker[] = []
+  let bytes = 0
+  for (const worker of workers) {
+    // The store's time takes the place of an end that the next commit may add.
+    const ownBytes = Buffer.byteLength(JSON.stringify(worker)) + LEASE_END_BYTES
+    if (row.length === 0 || row.length >= USED_WORKERS_PER_ROW || bytes + ownBytes > maxBytes) {
+      row = []
+      bytes = '[]'.length
+      rows.set(`${USED_WORKERS_KEY}-${rows.size}`, row)
+    }
+    row.push(worker)
+    bytes += ownBytes
   }
   return rows
 }
 
+const LEASE_END_BYTES = '"leaseOverAt":9007199254740991,,'.length
+
 /** Whether a row records used workers; earlier versions stored all in one row, whose key has no number. */
 export const isUsedWorkersKey = (key: string): boolean => key === USED_WORKERS_KEY || key.startsWith(`${USED_WORKERS_KEY}-`)
 
