Interrupted tasks also go to cells where short tasks are about to make room

Cause: a task that its full cell couldn't hold was delegated only to a piece that is free now. Where short tasks take each free piece at once, no such piece is ever published, although interrupted tasks come before short ones in the cell that runs them. Change: owners also publish the largest pieces without what ends by itself; an interrupted task for which no worker of its own cell is held goes there and may wait 2.5 s for the worker that it holds. Tests: taskDelegation, workers that are all in use; fails without the second list, passes with it.

--- a/packages/core/src/jobs/SchedulerDelegationHost.ts
+++ b/packages/core/src/jobs/SchedulerDelegationHost.ts
@@ -30,6 +30,10 @@
     return this.#scheduler.waits
   }
 
+  isHolding (step: StepRecord): boolean {
+    return this.#scheduler.held.isHolder(step)
+  }
+
   get isReconciled (): boolean {
     return this.#scheduler.isReconciled
   }
--- a/packages/core/src/jobs/TaskDelegations.ts
+++ b/packages/core/src/jobs/TaskDelegations.ts
@@ -2,7 +2,7 @@
  * Tasks that one cell schedules for a job of another cell.
  */
 import { brand, type CellId, type Instant, type JobId } from '@auburnpin/common'
-import { MIN_DELEGATED_INTERRUPTION_MS, MIN_DELEGATED_WAIT_MS, RETURN_AFTER_MS } from './constants.ts'
+import { HELD_RETURN_AFTER_MS, MIN_DELEGATED_INTERRUPTION_MS, MIN_DELEGATED_WAIT_MS, RETURN_AFTER_MS } from './constants.ts'
 import { JobRecord } from './JobRecord.ts'
 import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
 import { noProgress } from './ProgressSegment.ts'
@@ -27,6 +27,8 @@
   abstract readonly jobs: Map<JobId, JobRecord>
   abstract readonly openSteps: ReadonlySet<StepRecord>
   abstract readonly waits: WaitingSteps
+  /** Whether a task of the step holds a worker of the cell until the tasks there have ended. */
+  abstract isHolding (step: StepRecord): boolean
   /** Whether all runs of earlier owners of the cell are known or have certainly ended. */
   abstract get isReconciled (): boolean
   /** The first attempt number of the term. */
@@ -187,7 +189,7 @@
         if (delegation === undefined || task.isElsewhere) continue
         const isWaiting = this.#host.isReconciled && task.step.waiting.has(task) && task.mayRestart(now) && !task.isOnTrial && !task.crashes.areUncertain
         delegation.waitingSince = isWaiting ? delegation.waitingSince ?? now : undefined
-        if (delegation.waitingSince === undefined || now - delegation.waitingSince < RETURN_AFTER_MS) continue
+        if (delegation.waitingSince === undefined || now - delegation.waitingSince < this.#returnAfterMs(task)) continue
         this.#giveBack(task, record.home)
         returned.push(task)
       }
@@ -195,6 +197,15 @@
     return returned
   }
 
+  #returnAfterMs (task: TaskRecord): number {
+    return task.isInterrupted && this.isHolding(task) ? HELD_RETURN_AFTER_MS : RETURN_AFTER_MS
+  }
+
+  /** Whether a worker of this cell is held for a task of the same step. */
+  isHolding ({ step }: TaskRecord): boolean {
+    return this.#host.isHolding(step)
+  }
+
   #giveBack (task: TaskRecord, home: CellId | undefined): void {
     const number = task.delegation?.current.number ?? 0
     this.#change(task, { number, lastAttempt: task.highestAttempt(this.#host.firstAttempt), ...(home === undefined ? {} : { cell: home }) })
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -201,7 +201,10 @@
 export const MIN_DELEGATED_INTERRUPTION_MS = 300
 
 /** The same for the wait of a step whose tasks have not run, in milliseconds: longer than a job waits before it moves as a whole. */
-export const MIN_DELEGATED_WAIT_MS = 1_500
+export const MIN_DELEGATED_WAIT_MS = 1_200
 
 /** A task that has waited this long in the cell that it was delegated to is given back, in milliseconds; leaves time for another cell within the 9 s that users allow. */
 export const RETURN_AFTER_MS = 700
+
+/** The same if it is an interrupted task that holds a worker there, in milliseconds; most tasks that end by themselves end before. */
+export const HELD_RETURN_AFTER_MS = 2_500
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -2,7 +2,7 @@
  * Schedules the jobs of a cell during one term of ownership.
  */
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { countEvacuated, freePieces, rackKey, runKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { countEvacuated, freePieces, laterPieces, rackKey, runKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { cellLoad } from './cellLoad.ts'
 import { CellJobs, CellJobsHost } from './CellJobs.ts'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
@@ -309,7 +309,7 @@
   }
 
   /** The load of this cell and, in the first of several cells, the state of all; empty in a deployment with one cell. */
-  publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'free' | 'cells'> {
+  publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'free' | 'freeLater' | 'cells'> {
     const { durableLayout } = this.#writer
     if (this.#layout !== undefined && durableLayout.cells.length <= 1) return {}
     const { loadPercent, workers } = this.#scheduler
@@ -317,7 +317,8 @@
     if (this.#isClosed) return { loadPercent }
     this.#gaugeCell(workers.size, loadPercent)
     const evacuatedWorkers = countEvacuated(workers.values())
-    return { loadPercent, free: freePieces(workers.values(), this.#ports.clock.now()), evacuatedWorkers: evacuatedWorkers === 0 ? undefined : evacuatedWorkers, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, cellLoad(workers.size, evacuatedWorkers, loadPercent, true)) }
+    const now = this.#ports.clock.now()
+    return { loadPercent, free: freePieces(workers.values(), now), freeLater: laterPieces(workers.values(), now), evacuatedWorkers: evacuatedWorkers === 0 ? undefined : evacuatedWorkers, cells: this.#layout === undefined ? undefined : this.#monitor.publish(durableLayout.version, cellLoad(workers.size, evacuatedWorkers, loadPercent, true)) }
   }
 
   #gaugeCell (workers: number, loadPercent: number): void {
@@ -509,7 +510,7 @@
     this.#owner.loseTerm(reason)
   }
 
-  publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'free' | 'cells'> {
+  publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'free' | 'freeLater' | 'cells'> {
     return this.#owner.publishedLoad()
   }
 }
--- a/packages/jobs/src/DelegateRoom.ts
+++ b/packages/jobs/src/DelegateRoom.ts
@@ -6,9 +6,15 @@
 import type { CellChooser } from './CellChooser.ts'
 import { MAX_REFUSAL_MS, MAX_ROOM_READS, MIN_REFUSAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
-import { cellAt, indexOfCell, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells } from './rows.ts'
+import { cellAt, indexOfCell, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
 import { soundTerm } from './soundTerm.ts'
 
+/** Pieces of one size that are told apart; more are not delegated to at once. */
+const MAX_PIECES_PER_SIZE = 100
+
+/** For each cell, the processors of single workers. */
+type Pieces = ReadonlyMap<CellId, number[]>
+
 type Refusal = Readonly<{ until: Instant, delayMs: number }>
 
 /**
@@ -17,15 +23,16 @@
  * @example
  * const room = new DelegateRoom(store, clock, cells, cell)
  * await room.read(loads)
- * room.take(task, now) // 'cell-1'
+ * room.take(task, false, now) // 'cell-1'
  */
 export class DelegateRoom {
   readonly #store: RowStore
   readonly #clock: Clock
   readonly #cells: CellChooser
   readonly #own: number
-  /** Free processors of single workers of each cell, largest first. */
-  #pieces = new Map<CellId, number[]>()
+  /** Free processors of single workers now, and once all tasks have ended that end by themselves. */
+  #now: Pieces = new Map()
+  #later: Pieces = new Map()
   readonly #refusals = new WeakMap<StepRecord, Map<CellId, Refusal>>()
 
   constructor (store: RowStore, clock: Clock, cells: CellChooser, own: CellId) {
@@ -39,44 +46,52 @@
   async read (loads: PublishedCells['loads']): Promise<void> {
     const able = [...loads.entries()].filter(([index, load]) => index !== this.#own && load.isOwned && load.isEvacuated !== true)
     const nearest = able.sort(([, one], [, other]) => one.loadPercent - other.loadPercent).slice(0, MAX_ROOM_READS)
-    const pieces = new Map<CellId, number[]>()
+    const now = new Map<CellId, number[]>()
+    const later = new Map<CellId, number[]>()
     await Promise.all(nearest.map(async ([index]) => {
-      const free = await this.#readOne(cellAt(index))
-      if (free !== undefined) pieces.set(cellAt(index), free.flatMap(([processors, workers]) => new Array<number>(Math.min(workers, MAX_PIECES_PER_SIZE)).fill(processors)))
+      const cell = cellAt(index)
+      const term = await this.#readTerm(cell)
+      if (term?.free === undefined) return
+      now.set(cell, listPieces(term.free))
+      later.set(cell, listPieces(term.freeLater ?? []))
     }))
-    this.#pieces = pieces
+    this.#now = now
+    this.#later = later
   }
 
-  async #readOne (cell: CellId): Promise<FreePieces | undefined> {
+  async #readTerm (cell: CellId): Promise<Term | undefined> {
     const page = await this.#store.range({ table: TERMS_TABLE, part: cell, from: TERM_KEY, to: `${TERM_KEY}~` })
     const row = page.ok ? page.val.rows.find(({ key }) => key === TERM_KEY) : undefined
     const term = row === undefined ? undefined : soundTerm(readTerm(row.value), row.version)
-    return term === undefined || term.holder === '' ? undefined : term.free
+    return term === undefined || term.holder === '' ? undefined : term
+  }
+
+  /**
+   * The cell with the largest free piece that may hold a task, which counts as used from then on; `undefined` if there is none.
+   * An interrupted task for which its own cell holds no worker (`isHeld`) may also wait for a piece elsewhere.
+   */
+  take (task: TaskRecord, isHeld: boolean, now: Instant): CellId | undefined {
+    return this.#takeFrom(this.#now, task, now) ?? (task.isInterrupted && !isHeld ? this.#takeFrom(this.#later, task, now) : undefined)
   }
 
-  /** The cell with the largest free piece that may hold a task, which counts as used from then on; `undefined` if there is none. */
-  take ({ step }: TaskRecord, now: Instant): CellId | undefined {
+  #takeFrom (pieces: Pieces, { step }: TaskRecord, now: Instant): CellId | undefined {
     const { shape, job: { job } } = step
     // A filler runs on processors that other tasks have reserved and don't use.
     const needed = shape.isFiller ? 0 : shape.processors
     let best: CellId | undefined
     let largest = -1
-    for (const [cell, pieces] of this.#pieces) {
-      const piece = Math.max(0, ...pieces)
+    for (const [cell, ofCell] of pieces) {
+      const piece = Math.max(0, ...ofCell)
       if (piece < needed || piece <= largest || this.#isRefused(step, cell, now) || !this.#cells.canRunStep(job, shape, cell)) continue
       best = cell
       largest = piece
     }
-    if (best !== undefined) this.#use(best, largest, needed)
+    const ofBest = best === undefined ? [] : pieces.get(best) ?? []
+    const index = ofBest.indexOf(largest)
+    if (index >= 0) ofBest[index] = largest - needed
     return best
   }
 
-  #use (cell: CellId, piece: number, needed: number): void {
-    const pieces = this.#pieces.get(cell) ?? []
-    const index = pieces.indexOf(piece)
-    if (index >= 0) pieces[index] = piece - needed
-  }
-
   #isRefused (step: StepRecord, cell: CellId, now: Instant): boolean {
     return (this.#refusals.get(step)?.get(cell)?.until ?? -Infinity) > now
   }
@@ -90,5 +105,4 @@
   }
 }
 
-/** Pieces of one size that are told apart; more are not delegated to at once. */
-const MAX_PIECES_PER_SIZE = 100
+const listPieces = (free: FreePieces): number[] => free.flatMap(([processors, workers]) => new Array<number>(Math.min(workers, MAX_PIECES_PER_SIZE)).fill(processors))
--- a/packages/jobs/src/TaskDelegator.ts
+++ b/packages/jobs/src/TaskDelegator.ts
@@ -192,7 +192,7 @@
     const { clock, log, metrics } = this.#ports
     if (!task.hasRun && this.#countWaiting() >= MAX_WAITING_DELEGATIONS) return false
     const { step: { job } } = task
-    const to = this.#room.take(task, clock.now())
+    const to = this.#room.take(task, this.#scheduler.delegations.isHolding(task), clock.now())
     if (to === undefined || !this.#fitsRow(job, to)) return false
     this.#scheduler.delegations.delegate(task, to)
     if (!task.hasRun) this.#waiting.add(task)
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -37,7 +37,7 @@
   /** Another process owns the cell. */
   abstract lost (reason: string): void
   /** What the next commit publishes about the load of the cells; empty in a deployment with one cell. */
-  abstract publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'free' | 'cells'>
+  abstract publishedLoad (): Pick<Term, 'loadPercent' | 'evacuatedWorkers' | 'free' | 'freeLater' | 'cells'>
 }
 
 /**
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -27,7 +27,7 @@
 export const DELEGATION_INTERVAL_MS = 250
 
 /** Time between two reads of the room of other cells while only tasks wait that have not run, in milliseconds. */
-export const ROOM_READ_INTERVAL_MS = 1_000
+export const ROOM_READ_INTERVAL_MS = 750
 
 /** Most cells whose room is read at once. */
 export const MAX_ROOM_READS = 8
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -100,6 +100,8 @@
   evacuatedWorkers?: number
   /** In a deployment with several cells: room for tasks that other cells can't hold. Owners of earlier versions publish none and get no such tasks. */
   free?: FreePieces
+  /** The same once all tasks have ended that end by themselves. */
+  freeLater?: FreePieces
   /** In the term of the first of several cells. */
   cells?: PublishedCells
   /** How long new jobs would wait in this cell. Absent if none would, or unless forecasts are published. */
--- a/packages/jobs/src/soundTerm.ts
+++ b/packages/jobs/src/soundTerm.ts
@@ -14,7 +14,7 @@
  */
 export const soundTerm = (term: Term | undefined, version: RowVersion): Term | undefined => {
   if (term === undefined || !isCount(term.epoch) || term.epoch > version) return undefined
-  const { pending, workers, loadPercent, evacuatedWorkers, free, cells, waits } = term
+  const { pending, workers, loadPercent, evacuatedWorkers, free, freeLater, cells, waits } = term
   return {
     ...term,
     commit: isCount(term.commit) ? term.commit : 0,
@@ -23,6 +23,7 @@
     loadPercent: typeof loadPercent === 'number' ? loadPercent : undefined,
     evacuatedWorkers: isCount(evacuatedWorkers) ? evacuatedWorkers : undefined,
     free: areFreePieces(free) ? free : undefined,
+    freeLater: areFreePieces(freeLater) ? freeLater : undefined,
     cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending), waits: soundWaitsOfCells(cells.waits) } : undefined,
     waits: isCellWaits(waits) ? waits : undefined
   }
--- a/packages/jobs/tests/taskDelegation.test.ts
+++ b/packages/jobs/tests/taskDelegation.test.ts
@@ -265,6 +265,19 @@
   t.deepEqual(full.simulation.breaches, [])
 })
 
+test('an interrupted task comes back in a cell whose workers are all in use, once short tasks have ended there', async t => {
+  const full = new FullCell(2, job => job === 1 ? { runMs: 1_500, ending: 'done' } : ENDLESS_RUN)
+  await full.start()
+  full.submit([stepOf({ taskCount: 200, processors: WORKER_PROCESSORS })], 1)
+  const job = full.submit([wholeWorkers(4)])
+  await full.simulation.advance(2_000)
+  t.is(full.runs(job), 4)
+  full.lose(full.workersOf(0)[0] as FakeJobWorker)
+  await full.simulation.advance(AWAY_MS)
+  t.deepEqual(full.runsByCell(job, 2), [3, 1])
+  t.deepEqual(full.simulation.breaches, [])
+})
+
 test('an owner that has lost the history of the jobs table still knows what is delegated', async t => {
   const { full, job } = await loseWorkerOfFullCell(2)
   await full.simulation.advance(AWAY_MS)
