Looks for delegations cost the same however many tasks wait, and are repeated sooner

Cause: each look went through every waiting task and every free piece, which in an overload is thousands times hundreds; and a cell that had given tasks back got none of their step for up to 60 s, also once it had room, while users allow 3 s. Change: at most 16 tasks of a step and one failed try for each, pieces in order of size; 2 s for long-running steps. Test: taskDelegation, room that appears after 11 to 28 s (three stories).

--- a/packages/core/src/jobs/TaskDelegations.ts
+++ b/packages/core/src/jobs/TaskDelegations.ts
@@ -64,7 +64,10 @@
     return this.#guests
   }
 
-  /** Tasks of this cell's jobs that have found no place here for some time: interrupted long-running ones first, the longest first. */
+  /**
+   * Tasks of this cell's jobs that have found no place here for some time: interrupted long-running ones first, the longest
+   * first, then some of each step that waits.
+   */
   waitingTasks (now: Instant): readonly TaskRecord[] {
     if (!this.#host.isReconciled) return []
     const interrupted: TaskRecord[] = []
@@ -72,11 +75,13 @@
     for (const step of this.#host.openSteps) {
       if (step.waiting.size === 0 || !mayBeDelegated(step)) continue
       const hasWaited = this.#host.waits.hasWaitedSince(step, brand<Instant>(now - MIN_DELEGATED_WAIT_MS))
+      let ofStep = 0
       for (const task of step.waiting) {
         // Only the owner that has observed the losses of workers can tell whether this task caused them.
         if (task.isOnTrial || task.crashes.areUncertain) continue
         if (!task.isInterrupted) {
-          if (hasWaited) others.push(task)
+          if (!hasWaited || ++ofStep > MAX_WAITING_TASKS_PER_STEP) break
+          others.push(task)
         } else if (task.mayRestart(now) && now - interruptedSince(task) >= MIN_DELEGATED_INTERRUPTION_MS) interrupted.push(task)
       }
     }
@@ -243,6 +248,9 @@
   }
 }
 
+/** Most tasks of one step that are considered at once; a step in an overload has thousands. */
+const MAX_WAITING_TASKS_PER_STEP = 16
+
 // The tasks of a gang have to be started together.
 const mayBeDelegated = ({ shape, job }: StepRecord): boolean =>
   !shape.isGang && !job.isGuest && !job.isFinal && job.movedTo === undefined
--- a/packages/jobs/src/DelegateRoom.ts
+++ b/packages/jobs/src/DelegateRoom.ts
@@ -4,7 +4,7 @@
 import { type CellId, type Clock, type Instant } from '@auburnpin/common'
 import type { FreePieces, StepRecord, TaskRecord } from '@auburnpin/core'
 import type { CellChooser } from './CellChooser.ts'
-import { MAX_REFUSAL_MS, MAX_ROOM_READS, MIN_REFUSAL_MS } from './constants.ts'
+import { LASTING_REFUSAL_MS, MAX_REFUSAL_MS, MAX_ROOM_READS, MIN_REFUSAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, indexOfCell, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
 import { soundTerm } from './soundTerm.ts'
@@ -12,7 +12,7 @@
 /** Pieces of one size that are told apart; more are not delegated to at once. */
 const MAX_PIECES_PER_SIZE = 100
 
-/** For each cell, the processors of single workers. */
+/** For each cell, the processors of single workers, largest first. */
 type Pieces = ReadonlyMap<CellId, number[]>
 
 type Refusal = Readonly<{ until: Instant, delayMs: number }>
@@ -81,14 +81,12 @@
     let best: CellId | undefined
     let largest = -1
     for (const [cell, ofCell] of pieces) {
-      const piece = Math.max(0, ...ofCell)
+      const [piece = 0] = ofCell
       if (piece < needed || piece <= largest || this.#isRefused(step, cell, now) || !this.#cells.canRunStep(job, shape, cell)) continue
       best = cell
       largest = piece
     }
-    const ofBest = best === undefined ? [] : pieces.get(best) ?? []
-    const index = ofBest.indexOf(largest)
-    if (index >= 0) ofBest[index] = largest - needed
+    if (best !== undefined) takeFromLargest(pieces.get(best) ?? [], needed)
     return best
   }
 
@@ -99,10 +97,17 @@
   /** A cell has given tasks of a step back. */
   refused (step: StepRecord, cell: CellId): void {
     const refusals = this.#refusals.get(step) ?? new Map<CellId, Refusal>()
-    const delayMs = Math.min(MAX_REFUSAL_MS, 2 * (refusals.get(cell)?.delayMs ?? MIN_REFUSAL_MS / 2))
+    const delayMs = step.shape.isLasting ? LASTING_REFUSAL_MS : Math.min(MAX_REFUSAL_MS, 2 * (refusals.get(cell)?.delayMs ?? MIN_REFUSAL_MS / 2))
     refusals.set(cell, { until: (this.#clock.now() + delayMs) as Instant, delayMs })
     this.#refusals.set(step, refusals)
   }
 }
 
 const listPieces = (free: FreePieces): number[] => free.flatMap(([processors, workers]) => new Array<number>(Math.min(workers, MAX_PIECES_PER_SIZE)).fill(processors))
+
+const takeFromLargest = (pieces: number[], needed: number): void => {
+  const [largest = 0] = pieces.splice(0, 1)
+  const rest = largest - needed
+  const at = pieces.findIndex(piece => piece <= rest)
+  pieces.splice(at < 0 ? pieces.length : at, 0, rest)
+}
--- a/packages/jobs/src/TaskDelegator.ts
+++ b/packages/jobs/src/TaskDelegator.ts
@@ -2,7 +2,7 @@
  * Gives tasks that a cell can't hold to other cells, and runs those that it gets from them.
  */
 import { type CellId, type JobId, type RowVersion } from '@auburnpin/common'
-import type { JobProgress, JobRecord, JobScheduler, TaskRecord } from '@auburnpin/core'
+import type { JobProgress, JobRecord, JobScheduler, StepRecord, TaskRecord } from '@auburnpin/core'
 import { DELEGATION_INTERVAL_MS, MAX_DELEGATIONS_AT_ONCE, MAX_WAITING_DELEGATIONS, ROOM_READ_INTERVAL_MS } from './constants.ts'
 import { DelegateRoom } from './DelegateRoom.ts'
 import { delegationKey, readDelegationReport, readDelegationRow, reportKey, type DelegationReport, type DelegationRow, type DelegationRowName } from './delegationRows.ts'
@@ -181,28 +181,30 @@
     await this.#room.read(loads)
     if (this.#isStopped || !this.#host.isHeld) return
     let delegated = 0
+    const refused = new Set<StepRecord>()
     for (const task of this.#scheduler.delegations.waitingTasks(clock.now())) {
-      if (delegated >= MAX_DELEGATIONS_AT_ONCE) break
+      if (delegated >= MAX_DELEGATIONS_AT_ONCE || (!task.isInterrupted && this.#countWaiting() >= MAX_WAITING_DELEGATIONS)) break
+      if (refused.has(task.step)) continue
       if (this.#delegate(task)) delegated++
+      else refused.add(task.step)
     }
     if (delegated > 0) this.#host.stateChanged()
   }
 
   #delegate (task: TaskRecord): boolean {
     const { clock, log, metrics } = this.#ports
-    if (!task.hasRun && this.#countWaiting() >= MAX_WAITING_DELEGATIONS) return false
     const { step: { job } } = task
     const to = this.#room.take(task, this.#scheduler.delegations.isHolding(task), clock.now())
     if (to === undefined || !this.#fitsRow(job, to)) return false
     this.#scheduler.delegations.delegate(task, to)
-    if (!task.hasRun) this.#waiting.add(task)
+    if (!task.isInterrupted) this.#waiting.add(task)
     metrics.count('tasks.delegated', 1, { cell: to })
     log.info('Task is delegated to another cell', { task: task.name, from: this.#cell, to, hasRun: task.hasRun, number: task.delegation?.current.number })
     return true
   }
 
   #countWaiting (): number {
-    for (const task of this.#waiting) if (task.hasRun || task.isDone || !task.isElsewhere || task.step.job.isFinal) this.#waiting.delete(task)
+    for (const task of this.#waiting) if (task.isDone || !task.isElsewhere || task.step.job.isFinal || (task.hasRun && task.step.shape.isLasting)) this.#waiting.delete(task)
     return this.#waiting.size
   }
 
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -36,7 +36,10 @@
 export const MAX_DELEGATIONS_AT_ONCE = 50
 export const MAX_WAITING_DELEGATIONS = 16
 
-/** How long a cell that gave tasks of a step back gets none of that step, in milliseconds: at first, and at most, as it doubles each time. */
+/** How long a cell that gave long-running tasks of a step back gets none of that step, in milliseconds: room that it has by then is used within the 3 s that users allow. */
+export const LASTING_REFUSAL_MS = 2_000
+
+/** The same for other tasks, in milliseconds: at first, and at most, as it doubles each time. */
 export const MIN_REFUSAL_MS = 5_000
 export const MAX_REFUSAL_MS = 60_000
 
--- a/packages/jobs/tests/taskDelegation.test.ts
+++ b/packages/jobs/tests/taskDelegation.test.ts
@@ -168,6 +168,25 @@
   }
 })
 
+test('a task that no cell can hold runs within 3 s once one can, however long it has waited', async t => {
+  for (const waitedMs of [11_000, 14_300, 27_700]) {
+    const full = new FullCell(2)
+    let hasLabel = true
+    full.simulation.mutateEntry = entry => hasLabel || full.workersOf(1).every(({ id }) => id !== entry.id) ? { ...entry, labels: ['big'] } : entry
+    await full.start()
+    const job = full.submit([wholeWorkers(4, { requiredLabel: 'big' })])
+    await full.simulation.advance(1_000)
+    hasLabel = false
+    full.lose(full.workersOf(0)[0] as FakeJobWorker)
+    await full.simulation.advance(waitedMs)
+    t.is(full.runs(job), 3)
+    hasLabel = true
+    await full.simulation.advance(3_000)
+    t.is(full.runs(job), 4, `after ${waitedMs}`)
+    t.deepEqual(full.simulation.breaches, [])
+  }
+})
+
 test('a delegated task that loses its worker in a cell that is full by then comes back wherever a worker is free', async t => {
   const { full, job, lost } = await loseWorkerOfFullCell(2)
   await full.simulation.advance(AWAY_MS)
