Rows that cells share are written by a module of their own, which no error ends

Cause: an error thrown by the store's client would have ended the looks for delegations for good, or kept a row from ever being written again (read in review, not seen); a cell that accepts a task wrote an empty report; while interrupted tasks found no cell, the room of others was read four times a second. Change: SharedRows; no report without news; two reads a second.

--- a/packages/jobs/src/TaskDelegator.ts
+++ b/packages/jobs/src/TaskDelegator.ts
@@ -1,14 +1,15 @@
 /**
  * Gives tasks that a cell can't hold to other cells, and runs those that it gets from them.
  */
-import { type CellId, type JobId, type RowVersion } from '@auburnpin/common'
+import type { CellId, JobId } from '@auburnpin/common'
 import type { JobProgress, JobRecord, JobScheduler, StepRecord, TaskRecord } from '@auburnpin/core'
-import { DELEGATION_INTERVAL_MS, MAX_DELEGATIONS_AT_ONCE, MAX_WAITING_DELEGATIONS, ROOM_READ_INTERVAL_MS } from './constants.ts'
+import { DELEGATION_INTERVAL_MS, INTERRUPTED_ROOM_READ_INTERVAL_MS, MAX_DELEGATIONS_AT_ONCE, MAX_WAITING_DELEGATIONS, ROOM_READ_INTERVAL_MS } from './constants.ts'
 import { DelegateRoom } from './DelegateRoom.ts'
 import { delegationKey, readDelegationReport, readDelegationRow, reportKey, type DelegationReport, type DelegationRow, type DelegationRowName } from './delegationRows.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { StoredRow } from './RowStore.ts'
-import { ABSENT_ROW_VERSION, encodeRow, jobPart, JOBS_TABLE, progressKeys } from './rows.ts'
+import { encodeRow, progressKeys } from './rows.ts'
+import { SharedRows } from './SharedRows.ts'
 import type { TermWriter } from './TermWriter.ts'
 
 /** What the delegator needs from the owner of the cell. */
@@ -17,8 +18,6 @@
   abstract stateChanged (): void
 }
 
-type KnownRow = Readonly<{ version: RowVersion, value: string }>
-
 /** Room that a row has besides what one more task adds to it, in bytes; attempt numbers and a checkpoint are short. */
 const ROW_MARGIN_BYTES = 2_000
 const TASK_BYTES = 400
@@ -26,9 +25,8 @@
 /**
  * Two cells share a job by two rows beside it in the jobs table, which each owner follows anyway. One, written by the owner
  * of the job's own cell, lists the tasks that are delegated; the other, written by the owner of the other cell, lists what it
- * has stored of them. Each is a copy of what its writer has made durable under its term, and is written only if the row is
- * still the one that the writer has seen. So a transaction of a former owner that is applied late changes nothing after the
- * next one has written the row, and says nothing before that which isn't durable.
+ * has stored of them. Each is a copy of what its writer has made durable under its term, so that it says nothing that a
+ * later owner doesn't know.
  */
 export class TaskDelegator {
   readonly #ports: OwnerPorts
@@ -37,12 +35,10 @@
   readonly #writer: TermWriter
   readonly #host: DelegatorHost
   readonly #room: DelegateRoom
-  /** The rows that the owner of this cell writes, as the store has them. */
-  readonly #known = new Map<string, KnownRow>()
+  readonly #rows: SharedRows
   /** Jobs whose rows may have to be written. */
   readonly #unsettled = new Set<JobId>()
-  readonly #inProgress = new Set<string>()
-  /** Delegated tasks that have not run, as far as this owner knows. */
+  /** Delegated tasks but interrupted ones, until they are done or back, or run if they are long-running. */
   readonly #waiting = new Set<TaskRecord>()
   /** During a read of the whole table: jobs of which tasks are delegated to this cell. */
   #listedGuests: Set<JobId> | undefined
@@ -56,6 +52,7 @@
     this.#writer = writer
     this.#host = host
     this.#room = new DelegateRoom(ports.store, ports.clock, ports.cells, cell)
+    this.#rows = new SharedRows(ports.store, ports.log, () => !this.#isStopped && host.isHeld)
   }
 
   /** Starts with what earlier owners have stored. */
@@ -79,7 +76,7 @@
 
   /** The whole jobs table is about to be passed on. */
   startReplacing (): void {
-    this.#known.clear()
+    this.#rows.forgetAll()
     this.#listedGuests = new Set()
   }
 
@@ -97,7 +94,7 @@
     const job = this.#scheduler.jobs.get(id)
     const isOwn = job !== undefined && !job.isGuest
     if (isFromHome ? isOwn : delegate === this.#cell) {
-      if (row.version > (this.#known.get(row.key)?.version ?? ABSENT_ROW_VERSION)) this.#known.set(row.key, row)
+      this.#rows.seen(row)
       this.#unsettled.add(id)
       if (isOwn) job.delegates.add(delegate)
     } else if (isFromHome && delegate === this.#cell) this.#readDelegation(id, row, isCancelled, stored)
@@ -142,7 +139,7 @@
 
   /** A row that two cells share was deleted. */
   rowDeleted ({ kind, job: id, delegate }: DelegationRowName): void {
-    this.#known.delete(kind === 'delegation' ? delegationKey(id, delegate) : reportKey(id, delegate))
+    this.#rows.forget(kind === 'delegation' ? delegationKey(id, delegate) : reportKey(id, delegate))
     const guest = this.#scheduler.jobs.get(id)
     if (kind === 'delegation' && delegate === this.#cell && guest?.isGuest === true) this.#withdrawAll(guest)
   }
@@ -157,9 +154,13 @@
     while (!this.#isStopped) {
       await this.#ports.clock.sleep(DELEGATION_INTERVAL_MS)
       if (this.#isStopped || !this.#host.isHeld) continue
-      this.#returnTasks()
-      await this.#delegateTasks()
-      for (const id of [...this.#unsettled]) this.#settle(id)
+      try {
+        this.#returnTasks()
+        await this.#delegateTasks()
+        for (const id of [...this.#unsettled]) this.#settle(id)
+      } catch (thrown) {
+        this.#ports.log.error('A look for tasks to delegate failed unexpectedly', { cell: this.#cell, error: String(thrown) })
+      }
     }
   }
 
@@ -176,7 +177,8 @@
     const { loads } = cells
     if (loads === undefined) return
     const [first] = this.#scheduler.delegations.waitingTasks(clock.now())
-    if (first === undefined || (!first.isInterrupted && clock.now() - this.#roomReadAt < ROOM_READ_INTERVAL_MS)) return
+    if (first === undefined) return
+    if (clock.now() - this.#roomReadAt < (first.isInterrupted ? INTERRUPTED_ROOM_READ_INTERVAL_MS : ROOM_READ_INTERVAL_MS)) return
     this.#roomReadAt = clock.now()
     await this.#room.read(loads)
     if (this.#isStopped || !this.#host.isHeld) return
@@ -231,7 +233,7 @@
     for (const delegate of job.delegates) {
       const tasks = delegations.delegatedTo(job, delegate)
       const row: DelegationRow = { ...tasks, home: this.#cell, ...(Object.keys(tasks.delegations).length === 0 ? {} : { job: job.job }) }
-      if (!this.#write(job, delegationKey(job.job.id, delegate), this.#encode(row))) areSettled = false
+      if (!this.#rows.write(job.job.id, delegationKey(job.job.id, delegate), this.#encode(row))) areSettled = false
     }
     if (areSettled) this.#unsettled.delete(job.job.id)
   }
@@ -239,8 +241,13 @@
   #writeReport (guest: JobRecord): void {
     const { delegations } = this.#scheduler
     const key = reportKey(guest.job.id, this.#cell)
-    if (delegations.isOver(guest)) void this.#forget(guest, key)
-    else if (this.#write(guest, key, this.#encode(delegations.reportOf(guest))) && !delegations.isWithdrawn(guest)) this.#unsettled.delete(guest.job.id)
+    if (delegations.isOver(guest)) {
+      void this.#forget(guest, key)
+      return
+    }
+    const report = delegations.reportOf(guest)
+    const isNews = this.#rows.has(key) || Object.keys(report.delegations).length > 0
+    if ((!isNews || this.#rows.write(guest.job.id, key, this.#encode(report))) && !delegations.isWithdrawn(guest)) this.#unsettled.delete(guest.job.id)
   }
 
   // Workers choose how long checkpoints are; without them the tasks begin anew.
@@ -250,41 +257,10 @@
     return encodeRow({ ...row, progress: { ...row.progress, checkpoints: {} } })
   }
 
-  // Whether the store has this value already.
-  #write (job: JobRecord, key: string, value: string): boolean {
-    if (this.#known.get(key)?.value === value) return true
-    void this.#put(job.job.id, key, value)
-    return false
-  }
-
-  async #put (id: JobId, key: string, value: string | undefined): Promise<boolean> {
-    if (this.#inProgress.has(key) || this.#isStopped || !this.#host.isHeld) return false
-    this.#inProgress.add(key)
-    const row = { table: JOBS_TABLE, key }
-    const outcome = await this.#ports.store.transact({
-      part: jobPart(id),
-      checks: [{ ...row, version: this.#known.get(key)?.version ?? ABSENT_ROW_VERSION }],
-      puts: value === undefined ? [] : [{ ...row, value }],
-      deletes: value === undefined ? [row] : []
-    })
-    this.#inProgress.delete(key)
-    if (outcome.err) return false
-    const { val } = outcome
-    if (val.kind === 'conflict') {
-      const current = val.rows.find(other => other.key === key)
-      if (current === undefined) this.#known.delete(key)
-      else this.#known.set(key, current)
-      return false
-    }
-    if (value === undefined) this.#known.delete(key)
-    else this.#known.set(key, { version: val.version, value })
-    return true
-  }
-
   // First the row that the other cell reads, then what this one has stored.
   async #forget (guest: JobRecord, key: string): Promise<void> {
     const { id } = guest.job
-    if (this.#known.has(key) && !await this.#put(id, key, undefined)) return
+    if (!await this.#rows.delete(id, key)) return
     if (this.#isStopped || this.#scheduler.jobs.get(id) !== guest || !this.#scheduler.delegations.isOver(guest)) return
     this.#scheduler.removeJob(id)
     this.#writer.deleteProgress(progressKeys(guest))
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -26,6 +26,9 @@
 /** Time between two looks for tasks that another cell should schedule, or get back, in milliseconds. */
 export const DELEGATION_INTERVAL_MS = 250
 
+/** Time between two reads of the room of other cells while long-running tasks are interrupted, in milliseconds; terms are renewed as often. */
+export const INTERRUPTED_ROOM_READ_INTERVAL_MS = 500
+
 /** Time between two reads of the room of other cells while only tasks wait that have not run, in milliseconds. */
 export const ROOM_READ_INTERVAL_MS = 750
 
