Encodings of bounded rows, and the record of what is left out, in a form that can be read

No change of behaviour but one: a rack that fits into no cell is no longer counted as one of the first.

--- a/packages/core/src/layout/assignRacks.ts
+++ b/packages/core/src/layout/assignRacks.ts
@@ -35,9 +35,9 @@
  * are assigned already stay where they are; `moveRack` moves one. New racks go
  * to the cell with the fewest workers, one data centre after another, so that each cell has some of every data centre.
  * There are as many cells as it takes for `workersPerCell` each. Racks of `usedWorkers`, which the owner of the first
- * cell may have sent orders to before there was a layout, go to the first cell. With several cells, which are stored, the description of each fits
- * into `maxRowBytes`: a rack that fits into no cell any more is not assigned, and one whose key is too long is removed, as no
- * worker has it.
+ * cell may have sent orders to before there was a layout, go to the first cell. With several cells, which are stored, the
+ * description of each fits into `maxRowBytes`: a rack that fits into no cell any more is not assigned, and one whose key
+ * is too long is removed, as no worker has it.
  *
  * @example
  * const layout = assignRacks(EMPTY_LAYOUT, entries, new Set(), 250, 49_152)
@@ -64,6 +64,7 @@
     for (const { key, workers: size } of newRacks(unassigned, cellOfRack)) {
       const open = sizes.map((workersOfCell, cell) => isFull(cell, key) ? Infinity : workersOfCell)
       const smallest = open.indexOf(Math.min(...open))
+      if (open[smallest] === Infinity) continue
       assignTo(smallest, key)
       sizes[smallest] = (sizes[smallest] ?? 0) + size
     }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -319,7 +319,7 @@
       if (kept.length >= MAX_USED_WORKERS || bytes > MAX_USED_WORKERS_BYTES) break
       kept.push(worker)
     }
-    this.#leftOut.record('workers', workers.length, kept.length)
+    this.#leftOut.record('workers', { workers: workers.length, recorded: kept.length })
     return kept
   }
 
