--- a/packages/jobs/src/boundedRows.ts
+++ b/packages/jobs/src/boundedRows.ts
@@ -12,6 +12,8 @@
  * encodeTerm(term, store.maxValueBytes)
  */
 export const encodeTerm = (term: Term, maxBytes: number): string => {
+  const whole = encodeRow(term)
+  if (Buffer.byteLength(whole) <= maxBytes) return whole
   let fitting: Term = term
   const excess = (): number => Buffer.byteLength(encodeRow(fitting)) - maxBytes
   if (excess() > 0) fitting = { ...fitting, waits: undefined, cells: fitting.cells === undefined ? undefined : { ...fitting.cells, waits: undefined } }
@@ -27,6 +29,8 @@
  * encodeEstimates(scheduler.interference.learnt, store.maxValueBytes)
  */
 export const encodeEstimates = (state: FillerInterferenceState, maxBytes: number): string => {
+  const whole = encodeRow(state)
+  if (Buffer.byteLength(whole) <= maxBytes) return whole
   let { estimates: { bases, pairs }, shortest } = state
   const encode = (): string => encodeRow({ estimates: { bases, pairs }, shortest })
   const excess = (): number => Buffer.byteLength(encode()) - maxBytes
