Interrupted tasks are delegated although tasks of their step have never found a place

Cause: the look for waiting tasks left a step at its first task that had not waited long enough, or after 16 that have not run, and so never reached interrupted ones behind them. Change: those are passed over instead. Test: taskDelegations, failed before and passes now.

--- a/packages/core/src/jobs/TaskDelegations.ts
+++ b/packages/core/src/jobs/TaskDelegations.ts
@@ -80,8 +80,7 @@
         // Only the owner that has observed the losses of workers can tell whether this task caused them.
         if (task.isOnTrial || task.crashes.areUncertain) continue
         if (!task.isInterrupted) {
-          if (!hasWaited || ++ofStep > MAX_WAITING_TASKS_PER_STEP) break
-          others.push(task)
+          if (hasWaited && ++ofStep <= MAX_WAITING_TASKS_PER_STEP) others.push(task)
         } else if (task.mayRestart(now) && now - interruptedSince(task) >= MIN_DELEGATED_INTERRUPTION_MS) interrupted.push(task)
       }
     }
--- a/packages/core/tests/taskDelegations.test.ts
+++ b/packages/core/tests/taskDelegations.test.ts
@@ -42,6 +42,19 @@
   t.true(taskOf(scheduler).isElsewhere)
 })
 
+test('an interrupted task is delegated although more tasks of its step have never found a place', t => {
+  const scheduler = schedulerOf()
+  scheduler.addJob(jobOf(ID, [stepOf({ isLasting: true, taskCount: 60 })]), NOW)
+  scheduler.decide(brand<Instant>(NOW + 20_000), 0)
+  const step = scheduler.jobs.get(JOB.id)!.occurrences.get(0)![0]!
+  step.tasks[59]!.hasRun = true
+  for (const elapsedMs of [20_000, 30_000]) {
+    scheduler.decide(brand<Instant>(NOW + elapsedMs), 0)
+    t.is(scheduler.delegations.waitingTasks(brand<Instant>(NOW + elapsedMs))[0]?.index, 59, `after ${elapsedMs} ms`)
+  }
+  t.is(scheduler.delegations.waitingTasks(brand<Instant>(NOW + 30_000)).length, 17)
+})
+
 test('attempts of each stay in a cell are above all earlier ones, whatever the epochs of the cells', t => {
   const home = schedulerOf(50)
   home.addJob(JOB, NOW)
