Read-through of the change: names, one callback for two hosts, parts that can be read alone

Free capacity has the code's own word (RemoteCapacity), the limit of open delegations the name of what it counts, CellJobs a callback in place of a second host, TermWriter a function less (limitUsedWorkers); what a row that two cells share means is told by two plain cases.

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -123,7 +123,7 @@
     return this.occurrences.get(occurrence)?.[step]?.tasks[index]
   }
 
-  /** Opens each step whose preceding steps are done; the job's own cell delegates only tasks of open steps. */
+  /** Opens each step whose preceding steps are done; of a guest each with a task here, as its home delegates only tasks of open steps. */
   openReadySteps (occurrence: number): void {
     const steps = this.occurrences.get(occurrence) ?? []
     for (const step of steps) {
--- a/packages/core/src/jobs/TaskDelegations.ts
+++ b/packages/core/src/jobs/TaskDelegations.ts
@@ -14,6 +14,9 @@
 import type { Delegation, Job, JobProgress } from './types.ts'
 import type { WaitingSteps } from './WaitingSteps.ts'
 
+/** Most tasks of one step, but interrupted ones, that are considered at once; a step in an overload has thousands. */
+const MAX_WAITING_TASKS_PER_STEP = 16
+
 /** What one cell tells another of the tasks that it has delegated to it, or got from it. */
 export type DelegatedTasks = Readonly<{
   /** By `occurrence.step.index`. */
@@ -247,9 +250,6 @@
   }
 }
 
-/** Most tasks of one step that are considered at once; a step in an overload has thousands. */
-const MAX_WAITING_TASKS_PER_STEP = 16
-
 // The tasks of a gang have to be started together.
 const mayBeDelegated = ({ shape, job }: StepRecord): boolean =>
   !shape.isGang && !job.isGuest && !job.isFinal && job.movedTo === undefined
--- a/packages/jobs/src/CellJobs.ts
+++ b/packages/jobs/src/CellJobs.ts
@@ -13,16 +13,11 @@
 import type { TaskDelegator } from './TaskDelegator.ts'
 import type { TermWriter } from './TermWriter.ts'
 
-/** Is told of changes of the jobs. */
-export abstract class CellJobsHost {
-  abstract stateChanged (): void
-}
-
 /**
  * Passes the jobs of a cell and their cancellations to its scheduler, and what concerns delegated tasks to the delegator.
  *
  * @example
- * const jobs = new CellJobs(ports, claimed, scheduler, writer, delegator, host)
+ * const jobs = new CellJobs(ports, claimed, scheduler, writer, delegator, () => requestPass())
  * const follower = new TableFollower(store, clock, log, 'jobs', allJobParts(), jobs)
  */
 export class CellJobs extends TableListener {
@@ -31,7 +26,7 @@
   readonly #scheduler: JobScheduler
   readonly #writer: TermWriter
   readonly #delegator: TaskDelegator
-  readonly #host: CellJobsHost
+  readonly #onChange: () => void
   /** Progress as earlier owners stored it, until the jobs are restored. */
   readonly storedProgress = new StoredProgress()
   /** Jobs of other cells, whose cancellations concern this one only if it runs some of their tasks. */
@@ -39,14 +34,14 @@
   /** Those of them that are cancelled, in case they or some of their tasks come to this cell. */
   readonly #cancelledElsewhere = new Set<JobId>()
 
-  constructor (ports: OwnerPorts, claimed: ClaimedTerm, scheduler: JobScheduler, writer: TermWriter, delegator: TaskDelegator, host: CellJobsHost) {
+  constructor (ports: OwnerPorts, claimed: ClaimedTerm, scheduler: JobScheduler, writer: TermWriter, delegator: TaskDelegator, onChange: () => void) {
     super()
     this.#ports = ports
     this.#claimed = claimed
     this.#scheduler = scheduler
     this.#writer = writer
     this.#delegator = delegator
-    this.#host = host
+    this.#onChange = onChange
   }
 
   /** Applies the whole jobs table. Progress of jobs without a row there is deleted. */
@@ -83,7 +78,7 @@
       this.#jobsElsewhere.delete(brand<JobId>(key))
       this.#cancelledElsewhere.delete(brand<JobId>(key))
     }
-    this.#host.stateChanged()
+    this.#onChange()
   }
 
   #applyJob (row: StoredRow): void {
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -4,7 +4,7 @@
 import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
 import { countEvacuated, freePieces, laterPieces, rackKey, runKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { cellLoad } from './cellLoad.ts'
-import { CellJobs, CellJobsHost } from './CellJobs.ts'
+import { CellJobs } from './CellJobs.ts'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
@@ -85,7 +85,7 @@
       this.#membership = this.#layout
     } else this.#membership = new StoredMembership(store, clock, log, indexOfCell(claimed.cell), () => this.membersChanged())
     this.#delegator = new TaskDelegator(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerDelegatorHost(this))
-    this.#jobs = new CellJobs(ports, claimed, this.#scheduler, this.#writer, this.#delegator, new OwnerJobsHost(this))
+    this.#jobs = new CellJobs(ports, claimed, this.#scheduler, this.#writer, this.#delegator, () => this.stateChanged())
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), this.#jobs)
     this.#pollerHost = new OwnerPollerHost(this)
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
@@ -549,19 +549,6 @@
   }
 }
 
-class OwnerJobsHost extends CellJobsHost {
-  readonly #owner: CellOwner
-
-  constructor (owner: CellOwner) {
-    super()
-    this.#owner = owner
-  }
-
-  stateChanged (): void {
-    this.#owner.stateChanged()
-  }
-}
-
 class OwnerLayoutHost extends LayoutHost {
   readonly #owner: CellOwner
 
--- a/packages/jobs/src/DelegateRoom.ts
+++ b/packages/jobs/src/RemoteCapacity.ts
@@ -1,10 +1,10 @@
 /**
- * Room that other cells have for tasks that the own cell can't hold.
+ * Free capacity of other cells, for tasks that the own cell can't hold.
  */
-import { type CellId, type Clock, type Instant } from '@auburnpin/common'
+import { brand, type CellId, type Clock, type Instant } from '@auburnpin/common'
 import type { FreePieces, StepRecord, TaskRecord } from '@auburnpin/core'
 import type { CellChooser } from './CellChooser.ts'
-import { LASTING_REFUSAL_MS, MAX_REFUSAL_MS, MAX_ROOM_READS, MIN_REFUSAL_MS } from './constants.ts'
+import { LASTING_REFUSAL_MS, MAX_REFUSAL_MS, MAX_CAPACITY_READS, MIN_REFUSAL_MS } from './constants.ts'
 import type { RowStore } from './RowStore.ts'
 import { cellAt, indexOfCell, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
 import { soundTerm } from './soundTerm.ts'
@@ -18,21 +18,21 @@
 type Refusal = Readonly<{ until: Instant, delayMs: number }>
 
 /**
- * Reads from the terms of other cells what is free there, only when tasks wait, and chooses a cell for each of them.
+ * Chooses the cell that a task is delegated to, by what the owners of other cells publish in their terms.
  *
  * @example
- * const room = new DelegateRoom(store, clock, cells, cell)
- * await room.read(loads)
- * room.take(task, false, now) // 'cell-1'
+ * const capacity = new RemoteCapacity(store, clock, cells, cell)
+ * await capacity.read(loads)
+ * capacity.take(task, false, now) // 'cell-1'
  */
-export class DelegateRoom {
+export class RemoteCapacity {
   readonly #store: RowStore
   readonly #clock: Clock
   readonly #cells: CellChooser
   readonly #own: number
   /** Free processors of single workers now, and once all tasks have ended that end by themselves. */
-  #now: Pieces = new Map()
-  #later: Pieces = new Map()
+  #freeNow: Pieces = new Map()
+  #freeLater: Pieces = new Map()
   readonly #refusals = new WeakMap<StepRecord, Map<CellId, Refusal>>()
 
   constructor (store: RowStore, clock: Clock, cells: CellChooser, own: CellId) {
@@ -42,21 +42,21 @@
     this.#own = indexOfCell(own)
   }
 
-  /** Reads the room of the least loaded of the other cells. */
+  /** Reads the terms of the least loaded of the other cells. */
   async read (loads: PublishedCells['loads']): Promise<void> {
     const able = [...loads.entries()].filter(([index, load]) => index !== this.#own && load.isOwned && load.isEvacuated !== true)
-    const nearest = able.sort(([, one], [, other]) => one.loadPercent - other.loadPercent).slice(0, MAX_ROOM_READS)
-    const now = new Map<CellId, number[]>()
-    const later = new Map<CellId, number[]>()
-    await Promise.all(nearest.map(async ([index]) => {
+    const leastLoaded = able.sort(([, one], [, other]) => one.loadPercent - other.loadPercent).slice(0, MAX_CAPACITY_READS)
+    const freeNow = new Map<CellId, number[]>()
+    const freeLater = new Map<CellId, number[]>()
+    await Promise.all(leastLoaded.map(async ([index]) => {
       const cell = cellAt(index)
       const term = await this.#readTerm(cell)
       if (term?.free === undefined) return
-      now.set(cell, listPieces(term.free))
-      later.set(cell, listPieces(term.freeLater ?? []))
+      freeNow.set(cell, listPieces(term.free))
+      freeLater.set(cell, listPieces(term.freeLater ?? []))
     }))
-    this.#now = now
-    this.#later = later
+    this.#freeNow = freeNow
+    this.#freeLater = freeLater
   }
 
   async #readTerm (cell: CellId): Promise<Term | undefined> {
@@ -71,7 +71,7 @@
    * An interrupted task for which its own cell holds no worker (`isHeld`) may also wait for a piece elsewhere.
    */
   take (task: TaskRecord, isHeld: boolean, now: Instant): CellId | undefined {
-    return this.#takeFrom(this.#now, task, now) ?? (task.isInterrupted && !isHeld ? this.#takeFrom(this.#later, task, now) : undefined)
+    return this.#takeFrom(this.#freeNow, task, now) ?? (task.isInterrupted && !isHeld ? this.#takeFrom(this.#freeLater, task, now) : undefined)
   }
 
   #takeFrom (pieces: Pieces, { step }: TaskRecord, now: Instant): CellId | undefined {
@@ -98,7 +98,7 @@
   refused (step: StepRecord, cell: CellId): void {
     const refusals = this.#refusals.get(step) ?? new Map<CellId, Refusal>()
     const delayMs = step.shape.isLasting ? LASTING_REFUSAL_MS : Math.min(MAX_REFUSAL_MS, 2 * (refusals.get(cell)?.delayMs ?? MIN_REFUSAL_MS / 2))
-    refusals.set(cell, { until: (this.#clock.now() + delayMs) as Instant, delayMs })
+    refusals.set(cell, { until: brand<Instant>(this.#clock.now() + delayMs), delayMs })
     this.#refusals.set(step, refusals)
   }
 }
--- a/packages/jobs/src/TaskDelegator.ts
+++ b/packages/jobs/src/TaskDelegator.ts
@@ -3,11 +3,11 @@
  */
 import type { CellId, JobId } from '@auburnpin/common'
 import type { JobProgress, JobRecord, JobScheduler, StepRecord, TaskRecord } from '@auburnpin/core'
-import { DELEGATION_INTERVAL_MS, INTERRUPTED_ROOM_READ_INTERVAL_MS, MAX_DELEGATIONS_AT_ONCE, MAX_WAITING_DELEGATIONS, ROOM_READ_INTERVAL_MS } from './constants.ts'
-import { DelegateRoom } from './DelegateRoom.ts'
+import { DELEGATION_INTERVAL_MS, INTERRUPTED_CAPACITY_READ_INTERVAL_MS, MAX_DELEGATIONS_AT_ONCE, MAX_OPEN_DELEGATIONS, CAPACITY_READ_INTERVAL_MS } from './constants.ts'
 import { delegationKey, readDelegationReport, readDelegationRow, reportKey, type DelegationReport, type DelegationRow, type DelegationRowName } from './delegationRows.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { StoredRow } from './RowStore.ts'
+import { RemoteCapacity } from './RemoteCapacity.ts'
 import { encodeRow, progressKeys } from './rows.ts'
 import { SharedRows } from './SharedRows.ts'
 import type { TermWriter } from './TermWriter.ts'
@@ -18,9 +18,9 @@
   abstract stateChanged (): void
 }
 
-/** Room that a row has besides what one more task adds to it, in bytes; attempt numbers and a checkpoint are short. */
-const ROW_MARGIN_BYTES = 2_000
+/** Bytes that one task takes in a row with its attempt numbers and a checkpoint, and that are kept free for longer ones. */
 const TASK_BYTES = 400
+const ROW_MARGIN_BYTES = 2_000
 
 /**
  * Two cells share a job by two rows beside it in the jobs table, which each owner follows anyway. One, written by the owner
@@ -34,15 +34,15 @@
   readonly #scheduler: JobScheduler
   readonly #writer: TermWriter
   readonly #host: DelegatorHost
-  readonly #room: DelegateRoom
+  readonly #capacity: RemoteCapacity
   readonly #rows: SharedRows
   /** Jobs whose rows may have to be written. */
   readonly #unsettled = new Set<JobId>()
-  /** Delegated tasks but interrupted ones, until they are done or back, or run if they are long-running. */
-  readonly #waiting = new Set<TaskRecord>()
+  /** Delegated tasks that count towards `MAX_OPEN_DELEGATIONS`. */
+  readonly #open = new Set<TaskRecord>()
   /** During a read of the whole table: jobs of which tasks are delegated to this cell. */
   #listedGuests: Set<JobId> | undefined
-  #roomReadAt = -Infinity
+  #capacityReadAt = -Infinity
   #isStopped = false
 
   constructor (ports: OwnerPorts, cell: CellId, scheduler: JobScheduler, writer: TermWriter, host: DelegatorHost) {
@@ -51,7 +51,7 @@
     this.#scheduler = scheduler
     this.#writer = writer
     this.#host = host
-    this.#room = new DelegateRoom(ports.store, ports.clock, ports.cells, cell)
+    this.#capacity = new RemoteCapacity(ports.store, ports.clock, ports.cells, cell)
     this.#rows = new SharedRows(ports.store, ports.log, () => !this.#isStopped && host.isHeld)
   }
 
@@ -90,15 +90,23 @@
   /** A row that two cells share was written. `stored`: what an earlier owner of this cell has stored of the job. */
   rowChanged (name: DelegationRowName, row: StoredRow, isCancelled: boolean, stored: JobProgress | undefined): void {
     const { kind, job: id, delegate } = name
-    const isFromHome = kind === 'delegation'
     const job = this.#scheduler.jobs.get(id)
-    const isOwn = job !== undefined && !job.isGuest
-    if (isFromHome ? isOwn : delegate === this.#cell) {
-      this.#rows.seen(row)
-      this.#unsettled.add(id)
-      if (isOwn) job.delegates.add(delegate)
-    } else if (isFromHome && delegate === this.#cell) this.#readDelegation(id, row, isCancelled, stored)
-    else if (isOwn) this.#readReport(job, delegate, row)
+    const isHome = job !== undefined && !job.isGuest
+    const isDelegate = delegate === this.#cell
+    if (isHome) job.delegates.add(delegate)
+    if (kind === 'delegation') {
+      if (isHome) this.#ownRowChanged(id, row)
+      else if (isDelegate) this.#readDelegation(id, row, isCancelled, stored)
+    } else {
+      if (isDelegate) this.#ownRowChanged(id, row)
+      else if (isHome) this.#readReport(job, delegate, row)
+    }
+  }
+
+  // Written by this owner or an earlier one of this cell.
+  #ownRowChanged (id: JobId, row: StoredRow): void {
+    this.#rows.seen(row)
+    this.#unsettled.add(id)
   }
 
   #readDelegation (id: JobId, row: StoredRow, isCancelled: boolean, stored: JobProgress | undefined): void {
@@ -129,7 +137,7 @@
       return
     }
     const returned = this.#scheduler.delegations.applyReport(job, delegate, report, clock.now())
-    for (const { step } of returned) this.#room.refused(step, delegate)
+    for (const { step } of returned) this.#capacity.refused(step, delegate)
     if (returned.length > 0) {
       metrics.count('tasks.returned', returned.length, { cell: delegate })
       log.info('Tasks are given back by another cell', { job: job.job.id, from: delegate, tasks: returned.length })
@@ -178,14 +186,14 @@
     if (loads === undefined) return
     const [first] = this.#scheduler.delegations.waitingTasks(clock.now())
     if (first === undefined) return
-    if (clock.now() - this.#roomReadAt < (first.isInterrupted ? INTERRUPTED_ROOM_READ_INTERVAL_MS : ROOM_READ_INTERVAL_MS)) return
-    this.#roomReadAt = clock.now()
-    await this.#room.read(loads)
+    if (clock.now() - this.#capacityReadAt < (first.isInterrupted ? INTERRUPTED_CAPACITY_READ_INTERVAL_MS : CAPACITY_READ_INTERVAL_MS)) return
+    this.#capacityReadAt = clock.now()
+    await this.#capacity.read(loads)
     if (this.#isStopped || !this.#host.isHeld) return
     let delegated = 0
     const refused = new Set<StepRecord>()
     for (const task of this.#scheduler.delegations.waitingTasks(clock.now())) {
-      if (delegated >= MAX_DELEGATIONS_AT_ONCE || (!task.isInterrupted && this.#countWaiting() >= MAX_WAITING_DELEGATIONS)) break
+      if (delegated >= MAX_DELEGATIONS_AT_ONCE || (!task.isInterrupted && this.#countOpen() >= MAX_OPEN_DELEGATIONS)) break
       if (refused.has(task.step)) continue
       if (this.#delegate(task)) delegated++
       else refused.add(task.step)
@@ -196,18 +204,18 @@
   #delegate (task: TaskRecord): boolean {
     const { clock, log, metrics } = this.#ports
     const { step: { job } } = task
-    const to = this.#room.take(task, this.#scheduler.delegations.isHolding(task), clock.now())
+    const to = this.#capacity.take(task, this.#scheduler.delegations.isHolding(task), clock.now())
     if (to === undefined || !this.#fitsRow(job, to)) return false
     this.#scheduler.delegations.delegate(task, to)
-    if (!task.isInterrupted) this.#waiting.add(task)
+    if (!task.isInterrupted) this.#open.add(task)
     metrics.count('tasks.delegated', 1, { cell: to })
     log.info('Task is delegated to another cell', { task: task.name, from: this.#cell, to, hasRun: task.hasRun, number: task.delegation?.current.number })
     return true
   }
 
-  #countWaiting (): number {
-    for (const task of this.#waiting) if (task.isDone || !task.isElsewhere || task.step.job.isFinal || (task.hasRun && task.step.shape.isLasting)) this.#waiting.delete(task)
-    return this.#waiting.size
+  #countOpen (): number {
+    for (const task of this.#open) if (task.isDone || !task.isElsewhere || task.step.job.isFinal || (task.hasRun && task.step.shape.isLasting)) this.#open.delete(task)
+    return this.#open.size
   }
 
   // The row must take the job and all its tasks in that cell, with what they may still bring.
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -5,9 +5,10 @@
 import { EMPTY_LAYOUT, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
 import { encodeEstimates, encodeTerm } from './boundedRows.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MAX_USED_WORKERS, MAX_USED_WORKERS_BYTES, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
 import { encodeProgress } from './encodeProgress.ts'
 import { LeftOutRows } from './LeftOutRows.ts'
+import { limitUsedWorkers } from './limitUsedWorkers.ts'
 import type { RowTransaction, RowStore, StoreTime } from './RowStore.ts'
 import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, progressKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
@@ -308,19 +309,10 @@
     })
   }
 
-  // More workers than one commit can record are not used; those that are recorded already stay.
   #limitUsedWorkers (workers: readonly UsedWorker[]): readonly UsedWorker[] {
-    const bytesOf = (worker: UsedWorker): number => Buffer.byteLength(JSON.stringify(worker))
-    if (workers.length <= MAX_USED_WORKERS && workers.reduce((sum, worker) => sum + bytesOf(worker), 0) <= MAX_USED_WORKERS_BYTES) return workers
-    const kept: UsedWorker[] = []
-    let bytes = 0
-    for (const worker of [...workers].sort((one, other) => Number(this.#durableWorkers.has(keyOf(other))) - Number(this.#durableWorkers.has(keyOf(one))))) {
-      bytes += bytesOf(worker)
-      if (kept.length >= MAX_USED_WORKERS || bytes > MAX_USED_WORKERS_BYTES) break
-      kept.push(worker)
-    }
-    this.#leftOut.record('workers', { workers: workers.length, recorded: kept.length })
-    return kept
+    const recorded = limitUsedWorkers(workers, worker => this.#durableWorkers.has(keyOf(worker)))
+    if (recorded.length < workers.length) this.#leftOut.record('workers', { workers: workers.length, recorded: recorded.length })
+    return recorded
   }
 
   #isLeaseEndOutdated (worker: UsedWorker): boolean {
@@ -355,7 +347,7 @@
     const layout = this.#nextLayout()
     const limit = Math.max(0, MAX_ROWS_PER_COMMIT - usedWorkersRows - (layout === undefined ? 0 : MAX_LAYOUT_ROWS_PER_COMMIT + 1))
     const { segments, values } = this.#takeProgress(limit, MAX_BYTES_PER_COMMIT - (layout === undefined ? 0 : MAX_LAYOUT_BYTES_PER_COMMIT) - (usedWorkers === undefined ? 0 : Buffer.byteLength(encodeRow(usedWorkers))))
-    // A job that was forgotten may be back.
+    // A job of another cell that was forgotten may have come back before the deletion of its progress was committed.
     const stored = new Set(segments.map(({ job, number }) => progressKey(job, number)))
     this.#progressToDelete = this.#progressToDelete.filter(key => !stored.has(key))
     const ends = this.#scheduler.dirtyCount === 0 ? this.#scheduler.appliedEnds() : new Map<WorkerRecord, number>()
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -26,20 +26,22 @@
 /** Time between two looks for tasks that another cell should schedule, or get back, in milliseconds. */
 export const DELEGATION_INTERVAL_MS = 250
 
-/** Time between two reads of the room of other cells while long-running tasks are interrupted, in milliseconds; terms are renewed as often. */
-export const INTERRUPTED_ROOM_READ_INTERVAL_MS = 500
+/** Time between two reads of the free capacity of other cells while long-running tasks are interrupted, in milliseconds; terms are renewed as often. */
+export const INTERRUPTED_CAPACITY_READ_INTERVAL_MS = 500
 
-/** Time between two reads of the room of other cells while only tasks wait that have not run, in milliseconds. */
-export const ROOM_READ_INTERVAL_MS = 750
+/** The same while only other tasks wait, in milliseconds. */
+export const CAPACITY_READ_INTERVAL_MS = 750
 
-/** Most cells whose room is read at once. */
-export const MAX_ROOM_READS = 8
+/** Most cells whose free capacity is read at once. */
+export const MAX_CAPACITY_READS = 8
 
-/** Most tasks that are delegated at once, and most that have not run and are delegated at the same time; each costs some four small writes. */
+/** Most tasks that are delegated at once; each costs some four small writes. */
 export const MAX_DELEGATIONS_AT_ONCE = 50
-export const MAX_WAITING_DELEGATIONS = 16
 
-/** How long a cell that gave long-running tasks of a step back gets none of that step, in milliseconds: room that it has by then is used within the 3 s that users allow. */
+/** Most tasks but interrupted ones that are delegated at the same time and aren't done, or, if long-running, haven't started. */
+export const MAX_OPEN_DELEGATIONS = 16
+
+/** How long a cell that gave long-running tasks of a step back gets none of that step, in milliseconds: capacity that comes free meanwhile is used within the 3 s that users allow. */
 export const LASTING_REFUSAL_MS = 2_000
 
 /** The same for other tasks, in milliseconds: at first, and at most, as it doubles each time. */
--- a/packages/jobs/src/delegationRows.ts
+++ b/packages/jobs/src/delegationRows.ts
@@ -4,7 +4,7 @@
  */
 import { brand, type CellId, type JobId } from '@auburnpin/common'
 import type { DelegatedTasks, Job } from '@auburnpin/core'
-import { areDelegations, hasShape, isSoundJob, isSoundProgress, parseRow } from './rows.ts'
+import { areDelegations, isSoundJob, isSoundProgress, parseRow } from './rows.ts'
 
 /** The tasks that a job's own cell delegates to another one. Without tasks, the other cell needs no more than that. */
 export type DelegationRow = Readonly<DelegatedTasks & { job?: Job, home: CellId }>
@@ -51,5 +51,5 @@
 /** Reads what a cell reports; `undefined` if the value is invalid. */
 export const readDelegationReport = (value: string): DelegationReport | undefined => {
   const report = parseRow<DelegationReport>(value, { delegations: {}, progress: PROGRESS_SHAPE })
-  return report !== undefined && areDelegations(report.delegations) && hasShape(report.progress, PROGRESS_SHAPE) && isSoundProgress(report.progress) ? report : undefined
+  return report !== undefined && areDelegations(report.delegations) && isSoundProgress(report.progress) ? report : undefined
 }
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -98,7 +98,7 @@
   loadPercent?: number
   /** In a deployment with several cells: number of the workers in evacuated data centres, if any. */
   evacuatedWorkers?: number
-  /** In a deployment with several cells: room for tasks that other cells can't hold. Owners of earlier versions publish none and get no such tasks. */
+  /** In a deployment with several cells: free capacity for tasks that other cells can't hold. Owners of earlier versions publish none and get no such tasks. */
   free?: FreePieces
   /** The same once all tasks have ended that end by themselves. */
   freeLater?: FreePieces
@@ -203,7 +203,7 @@
 const JOB_SHAPE = { id: '', queue: '', policy: POLICY_SHAPE, spec: '', steps: [STEP_SHAPE], acceptedAt: 0, occurrences: 0, firstRunAt: 0, intervalMs: 0 }
 
 // The values have to be of the types of the shape; a list has any number of values like its first one.
-export const hasShape = (value: unknown, shape: unknown): boolean => {
+const hasShape = (value: unknown, shape: unknown): boolean => {
   if (Array.isArray(shape)) return Array.isArray(value) && (shape.length === 0 || value.every(item => hasShape(item, shape[0])))
   if (typeof shape !== 'object' || shape === null) return typeof value === typeof shape
   if (typeof value !== 'object' || value === null || Array.isArray(value)) return false
--- a/packages/jobs/tests/taskDelegation.test.ts
+++ b/packages/jobs/tests/taskDelegation.test.ts
@@ -297,6 +297,21 @@
   t.deepEqual(full.simulation.breaches, [])
 })
 
+test('interrupted tasks for which no worker of their cell is held go elsewhere while another one of their step waits for such a worker', async t => {
+  for (const lostAfterMs of [0, 800, 1_600]) {
+    const full = new FullCell(2, job => job === 1 ? ENDLESS_RUN : { runMs: 2_200, ending: 'done' })
+    await full.start()
+    const job = full.submit([wholeWorkers(3)])
+    await full.simulation.advance(1_000)
+    for (const cell of [0, 1]) full.submit([stepOf({ taskCount: 200, processors: WORKER_PROCESSORS })], cell)
+    await full.simulation.advance(2_200 + lostAfterMs)
+    for (const worker of full.workersOf(0).filter(({ running }) => running.some(task => task.startsWith(job.id))).slice(0, 2)) full.lose(worker)
+    await full.simulation.advance(AWAY_MS)
+    t.is(full.runs(job), 3, `lost after ${lostAfterMs}`)
+    t.deepEqual(full.simulation.breaches, [])
+  }
+})
+
 test('an owner that has lost the history of the jobs table still knows what is delegated', async t => {
   const { full, job } = await loseWorkerOfFullCell(2)
   await full.simulation.advance(AWAY_MS)
