A summary of all tasks that wait, and of the jobs without a run

Change: IdleJobs follows since when each job with tasks that wait has had no run, counted from its acceptance if this term knows none; summariseBacklog groups all waiting tasks by kind and timeliness; BacklogReporter writes at most nine records every 2 s and two gauges. No decision reads them.

--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -53,12 +53,12 @@
 
   /** Milliseconds since 1970 at which an occurrence misses its objective, by the client's estimates. */
   objectiveAt (occurrence: number): number {
-    return this.#startsAt(occurrence) + this.#objectiveMs
+    return this.startsAt(occurrence) + this.#objectiveMs
   }
 
   /** Milliseconds since 1970 after which the result of an occurrence is useless to its client. */
   uselessAfter (occurrence: number): number {
-    return this.#startsAt(occurrence) + this.#objectiveMs * MAX_USEFUL_OBJECTIVES
+    return this.startsAt(occurrence) + this.#objectiveMs * MAX_USEFUL_OBJECTIVES
   }
 
   /** Milliseconds that an occurrence may wait in all and still meet its objective. */
@@ -83,7 +83,8 @@
     return this.job.steps.reduce((work, shape) => work + shape.taskCount * taskWork(shape), 0)
   }
 
-  #startsAt (occurrence: number): number {
+  /** Milliseconds since 1970 from which an occurrence may run. */
+  startsAt (occurrence: number): number {
     const { occurrences, firstRunAt, intervalMs, acceptedAt } = this.job
     return occurrences > 0 ? firstRunAt + occurrence * intervalMs : acceptedAt
   }
--- a/packages/core/src/jobs/StepRecord.ts
+++ b/packages/core/src/jobs/StepRecord.ts
@@ -61,6 +61,11 @@
     if (this.#isOpen && !task.isDone && !task.isElsewhere && task.runs.length === 0) this.waiting.add(task)
   }
 
+  /** Whether a task has a run, or is scheduled by another cell. */
+  get hasRuns (): boolean {
+    return this.#isOpen && this.#doneCount + this.waiting.size < this.tasks.length
+  }
+
   /** Marks a task as done; returns `false` if it already was. */
   markDone (task: TaskRecord): boolean {
     if (task.isDone) return false
--- a/packages/core/src/jobs/WaitingSteps.ts
+++ b/packages/core/src/jobs/WaitingSteps.ts
@@ -5,6 +5,7 @@
 import type { FillerInterference } from './FillerInterference.ts'
 import { findObstacles, type WorkerObstacles } from './findObstacles.ts'
 import type { HeldWorkers } from './HeldWorkers.ts'
+import { IdleJobs } from './IdleJobs.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
@@ -49,6 +50,8 @@
  * waits.longest('batch', 4, 2_000, workers, held, interference, now)[0]?.obstacles.counts // Map { 'processors' => 29, 'label' => 4 }
  */
 export class WaitingSteps {
+  /** Jobs with tasks that wait and no run, as of the last scheduling pass. */
+  readonly idleJobs = new IdleJobs()
   #placed = NOTHING_PLACED
   readonly #waits = new Map<StepRecord, Readonly<{ since: Instant, placedBefore: TaskAmounts }>>()
 
@@ -66,6 +69,11 @@
     }
   }
 
+  /** The open steps with tasks that wait, as of the last scheduling pass. */
+  get steps (): Iterable<StepRecord> {
+    return this.#waits.keys()
+  }
+
   /** Whether a step has had tasks that wait since a moment. */
   hasWaitedSince (step: StepRecord, moment: Instant): boolean {
     return (this.#waits.get(step)?.since ?? Infinity) <= moment
--- a/packages/core/src/jobs/index.ts
+++ b/packages/core/src/jobs/index.ts
@@ -17,6 +17,8 @@
 export { placeTasks, type PlacedTask } from './placeTasks.ts'
 export { chooseWorker } from './chooseWorker.ts'
 export { STEP_KINDS, WaitingSteps, type StepWait, type TaskAmount, type TaskAmounts, type StepKind } from './WaitingSteps.ts'
+export { IdleJobs } from './IdleJobs.ts'
+export { summariseBacklog, type BacklogGroup, type IdleExample, type Timeliness } from './summariseBacklog.ts'
 export type { Obstacle } from './findObstacle.ts'
 export { findObstacles, type WorkerObstacles } from './findObstacles.ts'
 export { DelayScheduling } from './DelayScheduling.ts'
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -29,8 +29,9 @@
  * for (const { task, worker } of placeTasks(openSteps, workers, context)) start(task, worker)
  */
 export function * placeTasks (steps: Iterable<StepRecord>, workers: Iterable<WorkerRecord>, context: PlacingContext): Generator<PlacedTask> {
-  const { held, interference, reserve, now, wallTime } = context
+  const { held, interference, reserve, waits, now, wallTime } = context
   const allWorkers = [...workers]
+  waits.idleJobs.observe(steps, now, wallTime)
   const available = allWorkers.filter(worker => worker.acceptsRestarts(now))
   const waitingSteps = [...steps].filter(({ waiting }) => waiting.size > 0)
   yield * placeTrials(waitingSteps, available, context)
--- /dev/null
+++ b/packages/jobs/src/BacklogReporter.ts
@@ -0,0 +1,61 @@
+/**
+ * Logs and measures all tasks that wait, and the jobs without a run among theirs.
+ */
+import type { Instant } from '@auburnpin/common'
+import { STEP_KINDS, summariseBacklog, type BacklogGroup, type JobScheduler } from '@auburnpin/core'
+import { obstacleFields } from './obstacleFields.ts'
+import type { OwnerPorts } from './OwnerPorts.ts'
+
+const MS_PER_SECOND = 1_000
+
+/**
+ * Writes one record for each kind of task and each timeliness of jobs of which tasks wait, at most nine in all; updates
+ * the gauges of idle jobs.
+ *
+ * @example
+ * const reporter = new BacklogReporter(ports, scheduler)
+ * reporter.report(now)
+ * reporter.stop()
+ */
+export class BacklogReporter {
+  readonly #ports: Pick<OwnerPorts, 'clock' | 'log' | 'metrics'>
+  readonly #scheduler: JobScheduler
+
+  constructor (ports: Pick<OwnerPorts, 'clock' | 'log' | 'metrics'>, scheduler: JobScheduler) {
+    this.#ports = ports
+    this.#scheduler = scheduler
+  }
+
+  report (now: Instant): void {
+    const groups = summariseBacklog(this.#scheduler, now, this.#ports.clock.wallTime())
+    for (const group of groups) this.#write(group)
+    this.#gauge(groups)
+  }
+
+  stop (): void {
+    this.#gauge([])
+  }
+
+  #gauge (groups: readonly BacklogGroup[]): void {
+    for (const kind of STEP_KINDS) {
+      const ofKind = groups.filter(group => group.kind === kind)
+      this.#ports.metrics.gauge('jobs.idle', ofKind.reduce((sum, { idleJobs }) => sum + idleJobs, 0), { kind })
+      this.#ports.metrics.gauge('jobs.longestIdle', Math.max(0, ...ofKind.map(({ longestIdleMs }) => longestIdleMs)) / MS_PER_SECOND, { kind })
+    }
+  }
+
+  #write ({ kind, timeliness, jobs, steps, tasks, processors, oldestMs, idleJobs, longestIdleMs, longestIdle }: BacklogGroup): void {
+    this.#ports.log.info('Tasks that wait', {
+      kind,
+      timeliness,
+      jobs,
+      steps,
+      tasks,
+      processors,
+      oldestMs: Math.round(oldestMs),
+      idleJobs,
+      longestIdleMs: Math.round(longestIdleMs),
+      ...(longestIdle === undefined ? {} : { longestIdle: `${longestIdle.step.job.job.id}.${longestIdle.step.key}`, ...obstacleFields(longestIdle.obstacles) })
+    })
+  }
+}
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -2,8 +2,10 @@
  * Logs which tasks wait for workers, and why.
  */
 import type { CellId, Instant } from '@auburnpin/common'
-import { findObstacles, STEP_KINDS, type CellWaits, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerObstacles, type WorkerRecord } from '@auburnpin/core'
+import { findObstacles, STEP_KINDS, type CellWaits, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
+import { BacklogReporter } from './BacklogReporter.ts'
+import { obstacleFields } from './obstacleFields.ts'
 import { ReserveReporter } from './ReserveReporter.ts'
 import { MAX_REPORTED_INTERRUPTIONS, MAX_REPORTED_WAITS, MIN_REPORTED_INTERRUPTION_MS, MIN_REPORTED_WAIT_MS, WAIT_REPORT_INTERVAL_MS } from './constants.ts'
 
@@ -23,6 +25,7 @@
 export class WaitReporter {
   readonly #ports: OwnerPorts
   readonly #scheduler: JobScheduler
+  readonly #backlogReporter: BacklogReporter
   readonly #reserveReporter: ReserveReporter
   readonly #cell: CellId
   #isStopped = false
@@ -32,6 +35,7 @@
     this.#cell = cell
     this.#ports = ports
     this.#scheduler = scheduler
+    this.#backlogReporter = new BacklogReporter(ports, scheduler)
     this.#reserveReporter = new ReserveReporter(ports, scheduler)
   }
 
@@ -46,6 +50,7 @@
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
+    this.#backlogReporter.stop()
     this.#reserveReporter.stop()
     this.#ports.metrics.gauge('durations.learnt', 0)
     this.#ports.metrics.gauge('tasks.delayed', 0)
@@ -55,6 +60,7 @@
   #report (): void {
     const now = this.#ports.clock.now()
     const { waits, held, interference, reserve, durations } = this.#scheduler
+    this.#backlogReporter.report(now)
     this.#reserveReporter.report(now)
     this.#ports.metrics.gauge('durations.learnt', durations.learntCount)
     for (const [kind, { tasks, longestMs }] of waits.totals(now)) this.#gauge(kind, tasks, longestMs)
@@ -126,6 +132,3 @@
     })
   }
 }
-
-const obstacleFields = ({ counts, free, largestFree }: WorkerObstacles): Readonly<{ obstacles: string, free: number, largestFree: number }> =>
-  ({ obstacles: [...counts].map(([obstacle, count]) => `${obstacle}:${count}`).join(' '), free, largestFree })
