Jobs that missed their objective are run although others keep coming

Cause: starvation. Late jobs come after those in time, useless ones after all, and among them the least remaining work comes first, so a large job that is too late is passed over by each one that comes after it, however long it has waited; a takeover changes nothing in that. No step was missing from what waits. Change: IdleJobShare gives a sixteenth of the started work to useless jobs without a run, as a scheduler with weighted queues does, and placeIdleJobs starts one task of each, those without a run for longest first; while no job in time waits, late jobs without a run come first. The time without a run counts from the acceptance of the job if this term knows no run, so that the next owner continues in the same order. The longest idle batch job that fits nowhere holds a worker. The steps that fit nowhere are a module of their own. Bound: until a useless job gets a task, the work of one task of each job idle for longer, over a sixteenth of the rate at which work starts. Test: lateJobs, whose six stories failed before; a trial that gave late jobs that are still useful a part of the share failed overload.test.ts (jobs of a burst must not make later jobs late), so they get none while jobs in time wait.

--- a/packages/core/src/jobs/IdleJobs.ts
+++ b/packages/core/src/jobs/IdleJobs.ts
@@ -2,6 +2,7 @@
  * Jobs that have tasks to run and no run.
  */
 import { brand, type Instant } from '@auburnpin/common'
+import { IdleJobShare } from './IdleJobShare.ts'
 import type { JobRecord } from './JobRecord.ts'
 import type { StepRecord } from './StepRecord.ts'
 
@@ -14,6 +15,8 @@
  * idleJobs.idleMs(job, now) // 4_200
  */
 export class IdleJobs {
+  /** What may be started of them before other jobs. */
+  readonly share = new IdleJobShare()
   #since = new Map<JobRecord, Instant>()
   readonly #hasRun = new WeakSet<JobRecord>()
 
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -142,6 +142,18 @@
 /** A job whose remaining slack is below this share of the whole may be promoted and may hold workers. */
 export const AFFORDABLE_SLACK_SHARE = 0.5
 
+/** Milliseconds without any run after which a job that can't meet its objective counts as idle; users allow 3 s while workers are free. */
+export const IDLE_JOB_MS = 1_000
+
+/** Share of the started work that goes to idle jobs while jobs in time wait. */
+export const IDLE_JOB_SHARE = 1 / 16
+
+/** Most work of idle jobs that is owed to them, in milliseconds of all processors of the service. */
+export const MAX_IDLE_CREDIT_MS = 250
+
+/** Milliseconds for which a job has been idle before a worker is held for it. */
+export const IDLE_HOLD_AFTER_MS = 10_000
+
 /** Milliseconds that a long-running task waits before it holds a worker. */
 export const LONG_RUNNING_HOLD_AFTER_MS = 2_000
 
--- /dev/null
+++ b/packages/core/src/jobs/findIdleSteps.ts
@@ -0,0 +1,19 @@
+/**
+ * Steps of jobs that have no run and can no longer meet their objective.
+ */
+import { IDLE_JOB_MS } from './constants.ts'
+import type { PlacingContext } from './PlacingContext.ts'
+import type { StepRecord } from './StepRecord.ts'
+import { IN_TIME, timelinessOf } from './timeliness.ts'
+
+/**
+ * Returns the steps with waiting tasks of such jobs, the longest idle first. Steps that wait for a rack by choice are left out.
+ *
+ * @example
+ * const [longestIdle] = findIdleSteps(steps, context)
+ */
+export const findIdleSteps = (steps: readonly StepRecord[], { waits: { idleJobs }, delays, now, wallTime }: Pick<PlacingContext, 'waits' | 'delays' | 'now' | 'wallTime'>): StepRecord[] => {
+  const idle = steps.filter(step => !step.shape.isLasting && step.waiting.size > 0 && idleJobs.idleMs(step.job, now) >= IDLE_JOB_MS &&
+    timelinessOf(step, wallTime) !== IN_TIME && !delays.isDelayed(step))
+  return idle.sort((one, other) => idleJobs.idleMs(other.job, now) - idleJobs.idleMs(one.job, now))
+}
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -8,21 +8,23 @@
 import { placeCopies } from './placeCopies.ts'
 import { DELAYED, PlaceChooser } from './PlaceChooser.ts'
 import { placeTrials } from './placeTrials.ts'
+import { placeIdleJobs } from './placeIdleJobs.ts'
 import { placeInterruptedTasks } from './placeInterruptedTasks.ts'
+import { RefusedSteps } from './RefusedSteps.ts'
+import { ServiceCapacity } from './ServiceCapacity.ts'
 import { StepCandidates } from './StepCandidates.ts'
 import type { PlacingContext } from './PlacingContext.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import type { JobStep } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /** A task and the worker on which it is to start; with `lateness`, beside its late run. */
 export type PlacedTask = Readonly<{ task: TaskRecord, worker: WorkerRecord, lateness?: Lateness }>
 
 /**
- * Places waiting tasks: interrupted long-running tasks first, then the most urgent job. A task that does not fit anywhere
- * does not block others that need less, unless it has waited long and holds a worker. Designed for bursts in which more
- * tasks wait than fit. The caller must add each run to its worker before it takes the next one, since the worker tracks
+ * Places waiting tasks: interrupted long-running tasks first, then idle jobs within their share, then the most urgent job.
+ * A task that does not fit anywhere does not block others that need less, unless it has waited long and holds a worker.
+ * Designed for bursts in which more tasks wait than fit. The caller must add each run to its worker before it takes the next one, since the worker tracks
  * its used capacity.
  *
  * @example
@@ -42,10 +44,12 @@
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => reserved.openTo(task)
   const ordered = orderSteps(waitingSteps, candidates, context)
   holdWorkers(ordered, workersFor, context)
+  const refused = new RefusedSteps(candidates.length)
+  const capacity = new ServiceCapacity(candidates)
+  yield * placeIdleJobs(waitingSteps, workersFor, refused, context)
   const places = new PlaceChooser(candidates, context)
-  const refused: StepRecord[] = []
   for (const step of ordered) {
-    if (!held.isHolder(step) && refused.some(other => needsAtLeast(step, other))) continue
+    if (!held.isHolder(step) && refused.includes(step)) continue
     let stepCandidates: StepCandidates | undefined
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
@@ -56,23 +60,12 @@
       if (worker === DELAYED) continue
       if (worker === undefined) {
         reserve.recordLackOfRoom(step, candidates, now, wallTime)
-        if (isUnconstrained(step.shape) && usable.length === candidates.length) refused.push(step)
+        refused.add(step, usable)
         break
       }
+      waits.idleJobs.share.recordStart(step, capacity)
       yield { task, worker }
     }
   }
   yield * placeCopies(steps, allWorkers, candidates, context)
 }
-
-// If an unconstrained task fits nowhere, neither does any task of the service that needs at least as much. Fillers of
-// another image may fit, as they may interfere less with serving tasks.
-const needsAtLeast = (step: StepRecord, refused: StepRecord): boolean => {
-  const { shape, job: { job: { policy: { service } } } } = step
-  const { shape: other } = refused
-  if (service !== refused.job.job.policy.service || shape.isFiller !== other.isFiller || (shape.isFiller && shape.image !== other.image)) return false
-  return shape.processors >= other.processors && shape.memoryMb >= other.memoryMb && shape.accelerators >= other.accelerators
-}
-
-const isUnconstrained = (shape: JobStep): boolean =>
-  shape.requiredLabel === '' && shape.maxPerWorker === 0
--- /dev/null
+++ b/packages/core/tests/lateJobs.test.ts
@@ -0,0 +1,81 @@
+import test from 'ava'
+import { brand, type JobId } from '@auburnpin/common'
+import { stepOf } from '@auburnpin/fakes'
+import type { JobStep } from '../src/index.ts'
+import { SchedulerScenario } from './support/SchedulerScenario.ts'
+
+const LARGE = '00000000000000a1'
+const RUN_MS = 700
+const FILLER = { isFiller: true, image: 'report' }
+
+const smallId = (number: number): string => `b${number.toString(16).padStart(15, '0')}`
+const largeId = (number: number): string => `a${number.toString(16).padStart(15, '0')}`
+
+/** Two workers of 8 cores, and more small jobs in time than they can run. */
+class Overload {
+  readonly scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  readonly #step: JobStep
+  #count = 0
+
+  constructor (overrides: Partial<JobStep> = {}) {
+    this.#step = stepOf({ processors: 2_000, estimateMs: RUN_MS, ...overrides })
+  }
+
+  advance (ms: number, jobsPerPass = 2): void {
+    this.scenario.advance(ms, () => {
+      for (let number = 0; number < jobsPerPass; number++) this.scenario.submit(smallId(this.#count++), [this.#step], { runMs: RUN_MS })
+    })
+  }
+}
+
+for (const [kind, overrides] of [['filler', FILLER], ['batch', {}]] as const) {
+  test(`a job that missed its objective is run although more jobs in time arrive than fit: ${kind}`, t => {
+    const overload = new Overload(overrides)
+    overload.advance(5_000)
+    overload.scenario.submit(LARGE, [stepOf({ taskCount: 12, processors: 2_000, estimateMs: RUN_MS, ...overrides })], { runMs: RUN_MS, acceptedAt: -60_000 })
+    overload.advance(10_000)
+    t.true(overload.scenario.startsOf(LARGE) > 0)
+  })
+
+  test(`jobs that missed their objective take no more than a fifteenth of what jobs in time get: ${kind}`, t => {
+    const overload = new Overload(overrides)
+    for (let number = 0; number < 40; number++) overload.scenario.submit(largeId(number), [stepOf({ taskCount: 12, processors: 2_000, estimateMs: RUN_MS, ...overrides })], { runMs: RUN_MS, acceptedAt: -60_000 })
+    overload.advance(60_000)
+    const late = overload.scenario.starts.filter(({ task }) => task.startsWith('a'))
+    const inTime = overload.scenario.starts.length - late.length
+    t.true(late.length >= inTime / 20, `${late.length} beside ${inTime}`)
+    // Capacity that small jobs leave for a moment, before the first and between others, also goes to late jobs.
+    t.true(late.length <= inTime / 12, `${late.length} beside ${inTime}`)
+  })
+}
+
+test('of jobs that missed their objective, none is without a run for long while others of its kind are run', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  const jobs = 20
+  for (let number = 0; number < jobs; number++) {
+    scenario.submit(largeId(number), [stepOf({ taskCount: 20 + number, processors: 2_000, estimateMs: RUN_MS, ...FILLER })], { runMs: RUN_MS, acceptedAt: -60_000 })
+  }
+  const lastStart = new Map<string, number>()
+  let longest = 0
+  let seen = 0
+  scenario.advance(15_000, now => {
+    for (; seen < scenario.starts.length; seen++) {
+      const { task, at } = scenario.starts[seen] as { task: string, at: number }
+      lastStart.set(task.slice(0, LARGE.length), at)
+    }
+    for (let number = 0; number < jobs; number++) {
+      const id = largeId(number)
+      if (scenario.scheduler.jobs.get(brand<JobId>(id))?.isFinal === false) longest = Math.max(longest, now - (lastStart.get(id) ?? 0))
+    }
+  })
+  // Half of the 8 tasks that fit at once are of idle jobs, so that 20 jobs take 5 waves.
+  t.true(longest <= 5 * RUN_MS + 2_000, `${longest} ms`)
+})
+
+test('of two jobs that missed their objective the next owner first runs the one accepted first, whatever their sizes', t => {
+  const scenario = new SchedulerScenario({ w1: 2_000 })
+  scenario.submit(largeId(1), [stepOf({ taskCount: 20, processors: 2_000, estimateMs: RUN_MS, ...FILLER })], { runMs: RUN_MS, acceptedAt: -90_000 })
+  scenario.submit(largeId(2), [stepOf({ taskCount: 2, processors: 2_000, estimateMs: RUN_MS, ...FILLER })], { runMs: RUN_MS, acceptedAt: -60_000 })
+  scenario.advance(100)
+  t.is(scenario.starts[0]?.task.slice(0, LARGE.length), largeId(1))
+})
