The fake worker reports a reading for each run

Cause: readings were always 0, so that an owner in the simulation learnt nothing about fillers beside serving tasks. Change: FakeRunBehaviour has an optional reading, 0 if absent.

--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -11,10 +11,11 @@
 /**
  * How long a task runs and how it ends. A long-running task is at work, at 100 percent, after `startupMs`. A crashing task
  * crashes its worker `crashAfterMs` after its start. `checkpoint` is listed with the run while it runs; empty for none.
+ * `reading` is that of each report; 0 if absent.
  */
-export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed', startupMs?: number, crashAfterMs?: number, checkpoint?: string }>
+export type FakeRunBehaviour = Readonly<{ runMs: number, ending: 'done' | 'failed', startupMs?: number, crashAfterMs?: number, checkpoint?: string, reading?: number }>
 
-type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number, readonly fullProgressMs: number, readonly checkpoint: string }
+type Run = { readonly task: TaskName, readonly attempt: Attempt, readonly timer: Timer, readonly startedAt: number, readonly fullProgressMs: number, readonly checkpoint: string, readonly reading: number }
 
 /**
  * Start or end of a run. `unacknowledged`: the worker crashed or its lease expired before the end was acknowledged. A run
@@ -119,8 +120,8 @@
     if (attempt <= (this.#highestAttempts.get(task) ?? 0)) return 'superseded'
     if (leaseEndMs <= this.clockMs) return 'too-late'
     if (this.capacity.refuses(task, this.running)) return 'no-room'
-    const { runMs, ending, startupMs = runMs, crashAfterMs, checkpoint = '' } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
-    const run: Run = { task, attempt, fullProgressMs: startupMs, checkpoint, startedAt: this.#clock.now(), timer: this.#clock.after(crashAfterMs ?? runMs, () => crashAfterMs === undefined ? this.#finish(run, ending) : this.#crashUnder(run)) }
+    const { runMs, ending, startupMs = runMs, crashAfterMs, checkpoint = '', reading = 0 } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
+    const run: Run = { task, attempt, fullProgressMs: startupMs, checkpoint, reading, startedAt: this.#clock.now(), timer: this.#clock.after(crashAfterMs ?? runMs, () => crashAfterMs === undefined ? this.#finish(run, ending) : this.#crashUnder(run)) }
     this.#highestAttempts.set(task, attempt)
     this.#runs.set(task, run)
     this.#emit({ kind: 'started', worker: this.id, task, attempt, how: '', at: this.#clock.now() })
@@ -142,8 +143,8 @@
     this.expireLeaseIfDue()
     if (leaseEndMs !== undefined) this.#extendLease(leaseEndMs)
     this.#ended = this.#ended.filter(end => end.sequence > acknowledgedEnd)
-    const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, fullProgressMs, checkpoint }) =>
-      ({ task, attempt, checkpoint, progressPercent: Math.min(100, Math.floor(100 * (this.#clock.now() - startedAt) / fullProgressMs)), reading: 0 }))
+    const running: ReportedRun[] = [...this.#runs.values()].map(({ task, attempt, startedAt, fullProgressMs, checkpoint, reading }) =>
+      ({ task, attempt, checkpoint, progressPercent: Math.min(100, Math.floor(100 * (this.#clock.now() - startedAt) / fullProgressMs)), reading }))
     return { incarnation: this.entry.incarnation, clockMs: this.clockMs, running, ended: this.#ended.slice(0, MAX_ENDS_PER_REPORT), mayHaveMoreEnds: this.#ended.length >= MAX_ENDS_PER_REPORT }
   }
 
