Fillers of idle late jobs may start at a reduced pace where serving tasks are near their target

Cause: at the end 115 of 152 useless jobs had no run for up to 5.9 s while 823 to 976 cores of 26 workers were free: 21 to 23 of the workers were closed to each filler that interferes, as one of the serving tasks there was at the peak of its load. Change: chooseSlowStart finds the worker and the highest pace at which all serving tasks are expected to stay below the limit for placing, or at which the filler adds a negligible pressure. It is used only for jobs without a run for 1.5 s and while no job in time waits, and not beside two fillers below full pace. A filler goes on at its pace until full pace is expected to do no harm. Tests: servingLoad (three stories), lateJobs (one).

--- a/packages/core/src/jobs/FillerInterference.ts
+++ b/packages/core/src/jobs/FillerInterference.ts
@@ -4,7 +4,7 @@
 import { brand, type Instant, type ServiceName } from '@auburnpin/common'
 import { LearntInterference, type LearntEstimates } from '../interference/LearntInterference.ts'
 import type { Neighbour } from '../interference/InterferenceModel.ts'
-import { DEFAULT_SHORTEST_TAIL_SHARE, IDLE_TAIL_SHARE, NEGLIGIBLE_ADDED_PRESSURE, PACE_SETTLE_MS, PLACING_HORIZON_MS } from './constants.ts'
+import { DEFAULT_SHORTEST_TAIL_SHARE, IDLE_TAIL_SHARE, MAX_PLACING_PRESSURE, NEGLIGIBLE_ADDED_PRESSURE, PACE_SETTLE_MS, PLACING_HORIZON_MS } from './constants.ts'
 import { FillerCapacity, ServingEffects } from './FillerCapacity.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { RunRecord } from './TaskRecord.ts'
@@ -102,17 +102,33 @@
 
   /** Highest pressure expected soon on any serving task that one more filler would interfere with. */
   maxExpectedPressure (filler: JobStep, runs: Iterable<RunRecord>, now: Instant): number {
-    const all = [...runs]
     let worst = 0
+    for (const { added, expected } of this.#affected(filler, [...runs], now)) worst = Math.max(worst, added + expected)
+    return worst
+  }
+
+  /**
+   * The largest share of full pace at which one more filler is expected to leave all serving tasks some margin below
+   * their target, or adds a negligible pressure; 1 if it interferes with none.
+   */
+  sustainablePace (filler: JobStep, runs: Iterable<RunRecord>, now: Instant): number {
+    let share = 1
+    for (const { added, expected } of this.#affected(filler, [...runs], now)) {
+      share = Math.min(share, Math.max(NEGLIGIBLE_ADDED_PRESSURE, MAX_PLACING_PRESSURE - expected) / added)
+    }
+    return share
+  }
+
+  // One serving task of each step with which a filler would interfere, and the pressures that it would add and that are expected there without it.
+  * #affected (filler: JobStep, runs: readonly RunRecord[], now: Instant): Generator<Readonly<{ added: number, expected: number }>> {
     const seen = new Set<StepRecord>()
-    for (const run of all) {
+    for (const run of runs) {
       const { step } = run.task
       if (step.shape.latencyTargetMs === 0 || seen.has(step)) continue
       seen.add(step)
       const added = this.#addedPressure(step.shape, filler)
-      if (added >= NEGLIGIBLE_ADDED_PRESSURE) worst = Math.max(worst, added + this.#expectedPressureOn(run, all, now))
+      if (added >= NEGLIGIBLE_ADDED_PRESSURE) yield { added, expected: this.#expectedPressureOn(run, runs, now) }
     }
-    return worst
   }
 
   // Adds the estimate for fillers whose effect is not visible in the readings yet.
--- a/packages/core/src/jobs/FillerPacing.ts
+++ b/packages/core/src/jobs/FillerPacing.ts
@@ -2,7 +2,7 @@
  * Pace of the fillers on one worker, limited by the pressure on its serving tasks.
  */
 import { brand, type Instant } from '@auburnpin/common'
-import { HARMLESS_ADDED_PRESSURE, MAX_MOVES, MIN_MEASURED_INTERFERENCE, PACE_SETTLE_MS, PRESSURE_FORECAST_HIGH, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW, SPEED_UP_GAP_MS } from './constants.ts'
+import { HARMLESS_ADDED_PRESSURE, MAX_MOVES, MAX_PLACING_PRESSURE, MIN_MEASURED_INTERFERENCE, PACE_SETTLE_MS, PRESSURE_FORECAST_HIGH, PRESSURE_GOAL, PRESSURE_HIGH, PRESSURE_LOW, SPEED_UP_GAP_MS } from './constants.ts'
 import type { FillerInterference } from './FillerInterference.ts'
 import type { ServingPressure } from './ServingPressure.ts'
 import { FULL_PACE, type RunRecord } from './TaskRecord.ts'
@@ -65,7 +65,8 @@
     let expected = pressure
     let raised = 0
     for (const { run, addedPressure } of [...fillers].reverse()) {
-      if (run.pacePercent === FULL_PACE) continue
+      // A filler that was started at a reduced pace goes on at it until full pace is expected to do no harm.
+      if (run.pacePercent === FULL_PACE || (run.pacePercent > 0 && pressure + addedPressure > MAX_PLACING_PRESSURE)) continue
       expected += addedPressure
       if (raised > 0 && expected > PRESSURE_GOAL) break
       run.pacePercent = FULL_PACE
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -640,10 +640,10 @@
     this.held = new HeldWorkers(this.workers.size - countEvacuated(this.workers.values()))
     this.interference.capacity.startPass()
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, durations: this.durations, copyInterval: this.#copyInterval, delays: this.delays, now, wallTime }
-    for (const { task, worker, lateness } of placeTasks(startableSteps, this.workers.values(), context)) {
+    for (const { task, worker, lateness, pacePercent } of placeTasks(startableSteps, this.workers.values(), context)) {
       if (!task.wasOrdered) this.#fairness.startTask(task, now)
       if (lateness === undefined) this.forecast?.startTask(task, now)
-      const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now)
+      const run = createRun(task, task.nextAttempt(this.#firstAttempt), worker, 'ordered', now, pacePercent)
       this.#addRun(run)
       if (lateness === undefined) this.waits.recordPlacement(task)
       else this.#observer.copyStarted(run, lateness)
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -151,6 +151,15 @@
 /** Most work of idle jobs that is owed to them, in milliseconds of all processors of the service. */
 export const MAX_IDLE_CREDIT_MS = 250
 
+/** Milliseconds for which a job has been idle before its fillers may start at a reduced pace. */
+export const SLOW_START_AFTER_MS = 1_500
+
+/** Lowest pace at which a filler is started, in percent of full speed. */
+export const MIN_SLOW_PACE_PERCENT = 5
+
+/** Most fillers below full pace beside which another one is started at a reduced pace; together they add less than `HARMLESS_ADDED_PRESSURE`. */
+export const MAX_SLOW_FILLERS = 2
+
 /** Milliseconds for which a job has been idle before a worker is held for it. */
 export const IDLE_HOLD_AFTER_MS = 10_000
 
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -18,8 +18,8 @@
 import type { TaskRecord } from './TaskRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
-/** A task and the worker on which it is to start; with `lateness`, beside its late run. */
-export type PlacedTask = Readonly<{ task: TaskRecord, worker: WorkerRecord, lateness?: Lateness }>
+/** A task and the worker on which it is to start; with `lateness`, beside its late run, with `pacePercent`, at a reduced pace. */
+export type PlacedTask = Readonly<{ task: TaskRecord, worker: WorkerRecord, lateness?: Lateness, pacePercent?: number }>
 
 /**
  * Places waiting tasks: interrupted long-running tasks first, then idle jobs within their share, then the most urgent job.
@@ -46,7 +46,7 @@
   holdWorkers(ordered, workersFor, context)
   const refused = new RefusedSteps(candidates.length)
   const capacity = new ServiceCapacity(candidates)
-  yield * placeIdleJobs(waitingSteps, workersFor, refused, context)
+  yield * placeIdleJobs(waitingSteps, candidates, workersFor, refused, context)
   const places = new PlaceChooser(candidates, context)
   for (const step of ordered) {
     if (!held.isHolder(step) && refused.includes(step)) continue
--- a/packages/core/tests/lateJobs.test.ts
+++ b/packages/core/tests/lateJobs.test.ts
@@ -5,6 +5,7 @@
 import { SchedulerScenario } from './support/SchedulerScenario.ts'
 
 const LARGE = '00000000000000a1'
+const SERVING = '00000000000000c1'
 const RUN_MS = 700
 const FILLER = { isFiller: true, image: 'report' }
 
@@ -79,3 +80,22 @@
   scenario.advance(100)
   t.is(scenario.starts[0]?.task.slice(0, LARGE.length), largeId(1))
 })
+
+test('when no job in time waits, a filler of a late job starts at a reduced pace although the serving tasks are near their target', t => {
+  const scenario = new SchedulerScenario({ w1: 32_000 })
+  const idleTailMs = 25
+  let busy = 0.05
+  scenario.reportOf = task => task.startsWith(SERVING) ? { progressPercent: 100, reading: Math.round(idleTailMs / (1 - busy)) } : {}
+  scenario.submit(SERVING, [stepOf({ taskCount: 3, processors: 6_000, isLasting: true, latencyTargetMs: 150, image: 'watch' })])
+  scenario.advance(1_000)
+  busy = 0.72
+  scenario.advance(2_000)
+  scenario.submit(LARGE, [stepOf({ processors: 14_000, estimateMs: RUN_MS, ...FILLER })], { runMs: 20_000, acceptedAt: -60_000 })
+  scenario.advance(1_000)
+  t.is(scenario.startsOf(LARGE), 1)
+  const pace = [...scenario.paces.values()].at(0) ?? 100
+  t.true(pace > 0 && pace < 100, `${pace}`)
+  busy = 0.1
+  scenario.advance(3_000)
+  t.is([...scenario.paces.values()].at(-1), 100)
+})
--- a/packages/core/tests/servingLoad.test.ts
+++ b/packages/core/tests/servingLoad.test.ts
@@ -1,12 +1,13 @@
 import test from 'ava'
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
 import { jobOf, stepOf, workerEntryOf } from '@auburnpin/fakes'
-import { chooseWorker, createRun, FillerInterference, HeldWorkers, JobRecord, WorkerRecord, type JobStep, type RunRecord, type StepRecord } from '../src/index.ts'
+import { chooseSlowStart, chooseWorker, createRun, FillerInterference, HeldWorkers, JobRecord, WorkerRecord, type JobStep, type RunRecord, type SlowStart, type StepRecord } from '../src/index.ts'
 
 const TARGET_MS = 150
 const IDLE_TAIL_MS = 25
 const REPORT_GAP_MS = 600
 const SERVING = stepOf({ image: 'watch', isLasting: true, latencyTargetMs: TARGET_MS, processors: 8_000, taskCount: 6 })
+const SMALL_FILLER = stepOf({ image: 'batch', isFiller: true, processors: 8_000 })
 const FILLER = stepOf({ image: 'batch', isFiller: true, processors: 14_000 })
 
 const workerOf = (id: string): WorkerRecord => {
@@ -120,3 +121,36 @@
   workers.report(0.1, { afterMs: 100 })
   t.is(task === undefined ? undefined : chooseWorker(task, [workers.first], new HeldWorkers(1), workers.interference, workers.now), undefined)
 })
+
+const slowStartOn = ({ second, interference, now }: TwoWorkers): SlowStart | undefined => {
+  const [task] = stepsOf(SMALL_FILLER).tasks
+  return task === undefined ? undefined : chooseSlowStart(task, [second], new HeldWorkers(1), interference, now)
+}
+
+test('a filler that would raise tail latencies over their target at full pace may start at a pace that leaves them below', t => {
+  const workers = new TwoWorkers()
+  workers.report(0.05)
+  for (let round = 0; round < 4; round++) workers.report(0.7, { added: 0.1 })
+  const { pacePercent = 0 } = slowStartOn(workers) ?? {}
+  t.true(pacePercent > 0 && pacePercent < 100, `${pacePercent}`)
+  const running = workers.second.runs.values()
+  t.true(workers.interference.maxExpectedPressure({ ...SMALL_FILLER, processors: SMALL_FILLER.processors * pacePercent / 100 }, running, workers.now) < 1)
+})
+
+test('a filler that leaves tail latencies below their target starts at full pace', t => {
+  const workers = new TwoWorkers()
+  workers.report(0.05)
+  for (let round = 0; round < 4; round++) workers.report(0.3)
+  t.is(slowStartOn(workers)?.pacePercent, 100)
+})
+
+test('no filler starts at a reduced pace beside two that run below full pace', t => {
+  const workers = new TwoWorkers()
+  workers.report(0.05)
+  for (let round = 0; round < 4; round++) workers.report(0.7, { added: 0.1 })
+  const slow = stepsOf(stepOf({ image: 'other', isFiller: true, processors: 1_000, taskCount: 2 }))
+  runOn(workers.second, slow, 0).pacePercent = 10
+  t.truthy(slowStartOn(workers))
+  runOn(workers.second, slow, 1).pacePercent = 0
+  t.is(slowStartOn(workers), undefined)
+})
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -3,7 +3,7 @@
  */
 import { brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, workerEntryOf } from '@auburnpin/fakes'
-import { JobScheduler, type DelayScheduling, type Job, type JobStep, type ReportedEnd, type RunOrder, type TaskName, type WorkerEntry } from '../../src/index.ts'
+import { JobScheduler, type DelayScheduling, type Job, type JobStep, type ReportedEnd, type ReportedRun, type RunOrder, type TaskName, type WorkerEntry } from '../../src/index.ts'
 
 const LEASE_MS = 10_000
 const PASS_INTERVAL_MS = 100
@@ -16,6 +16,10 @@
 export class SchedulerScenario {
   readonly scheduler: JobScheduler
   readonly starts: Start[] = []
+  /** The last pace that was ordered for each task, in percent. */
+  readonly paces = new Map<TaskName, number>()
+  /** What a report says of a task's run beside its name; by default a progress that changes, and a reading of 0. */
+  reportOf: (task: TaskName) => Partial<ReportedRun> = () => ({})
   /** Milliseconds for which a task runs; infinite for long-running ones. */
   readonly #runMs = new Map<JobId, number>()
   readonly #running = new Map<WorkerId, Run[]>()
@@ -89,6 +93,8 @@
       this.scheduler.recordStopAccepted(order.worker, order.task, order.attempt, this.now)
       const run = this.#runsOn(order.worker).find(one => one.order.task === order.task && one.order.attempt === order.attempt)
       if (run !== undefined) this.#end(run, 'stopped')
+    } else {
+      this.paces.set(order.task, order.percent)
     }
   }
 
@@ -110,7 +116,7 @@
   #report (): void {
     for (const { entry: { id, incarnation } } of this.scheduler.workers.values()) {
       for (const run of this.#runsOn(id).filter(({ endsAt }) => endsAt <= this.#now)) this.#end(run, 'done')
-      const running = this.#runsOn(id).map(({ order: { task, attempt } }) => ({ task, attempt, checkpoint: '', progressPercent: (this.#now / PASS_INTERVAL_MS) % 100, reading: 0 }))
+      const running = this.#runsOn(id).map(({ order: { task, attempt } }) => ({ task, attempt, checkpoint: '', progressPercent: (this.#now / PASS_INTERVAL_MS) % 100, reading: 0, ...this.reportOf(task) }))
       this.scheduler.applyReport(id, { incarnation, clockMs: this.#now, running, ended: this.#ends.get(id) ?? [] }, this.now, this.now)
     }
   }
