Idle late jobs take turns with jobs that are still useful, whatever fits and whoever owns the cell

A task's charge is limited, as estimates may be far too high, and at most 32 idle jobs are started in a pass.

--- a/packages/core/src/jobs/FillerCapacity.ts
+++ b/packages/core/src/jobs/FillerCapacity.ts
@@ -49,6 +49,16 @@
     return this.#of(worker, now).free
   }
 
+  /** The same once all other tasks than serving ones have ended there. */
+  freeOnceEnded (worker: WorkerRecord, now: Instant): number {
+    let free = worker.entry.processors
+    for (const { task: { step } } of worker.runs.values()) {
+      if (step.shape.latencyTargetMs > 0) free -= this.#servingUse(step, now)
+      else if (step.shape.isLasting) free -= step.shape.processors
+    }
+    return free
+  }
+
   /** The highest pressure expected on a serving task of the worker if a filler of this shape starts there; 1 is exactly on target. */
   pressure (filler: JobStep, worker: WorkerRecord, now: Instant): number {
     const { pressures } = this.#of(worker, now)
@@ -72,9 +82,13 @@
     let free = entry.processors - (processorsUsed - servingProcessors)
     for (const { task: { step }, reading = 0 } of runs.values()) {
       const { shape } = step
-      if (shape.latencyTargetMs > 0) free -= shape.processors * (this.#effects.expectedUtilisation(step, now) ?? DEFAULT_SERVING_UTILISATION)
+      if (shape.latencyTargetMs > 0) free -= this.#servingUse(step, now)
       else if (shape.isFiller) free -= reading > 0 ? Math.min(reading, shape.processors) : shape.processors
     }
     return free
   }
+
+  #servingUse (step: StepRecord, now: Instant): number {
+    return step.shape.processors * (this.#effects.expectedUtilisation(step, now) ?? DEFAULT_SERVING_UTILISATION)
+  }
 }
--- a/packages/core/src/jobs/HeldWorkers.ts
+++ b/packages/core/src/jobs/HeldWorkers.ts
@@ -2,7 +2,8 @@
  * Workers that are held for interrupted long-running tasks and for tasks that have waited long.
  */
 import type { Instant } from '@auburnpin/common'
-import { HELD_WORKER_SHARE } from './constants.ts'
+import { HELD_WORKER_SHARE, MAX_PLACING_PRESSURE } from './constants.ts'
+import type { FillerInterference } from './FillerInterference.ts'
 import { findFixedObstacle } from './findObstacle.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
@@ -23,6 +24,8 @@
   readonly #holders = new Map<WorkerRecord, TaskRecord>()
   /** Workers on which a task on trial is to start, and nothing else. */
   readonly #trials = new Map<WorkerRecord, TaskRecord>()
+  /** Workers on which other fillers leave enough processors for this one, and what is free for fillers there. */
+  readonly #fillerHolders = new Map<WorkerRecord, Readonly<{ step: StepRecord, free: () => number }>>()
   readonly #holdingSteps = new Set<StepRecord>()
   readonly #limit: number
 
@@ -69,6 +72,34 @@
     return true
   }
 
+  /**
+   * Holds the worker on which a filler can probably start first against other fillers; returns `false` if there is none.
+   * Other tasks still start there.
+   */
+  holdForFiller (task: TaskRecord, workers: Iterable<WorkerRecord>, interference: FillerInterference, now: Instant): boolean {
+    const { capacity } = interference
+    const { shape } = task.step
+    let best: WorkerRecord | undefined
+    let mostFree = -Infinity
+    for (const worker of workers) {
+      const free = capacity.free(worker, now)
+      if (free <= mostFree || capacity.freeOnceEnded(worker, now) < shape.processors || !willFit({ ...shape, processors: 0 }, worker)) continue
+      if (findFixedObstacle(task, worker, now) !== undefined || (worker.servingRuns > 0 && capacity.pressure(shape, worker, now) > MAX_PLACING_PRESSURE)) continue
+      best = worker
+      mostFree = free
+    }
+    if (best === undefined) return false
+    const worker = best
+    this.#fillerHolders.set(worker, { step: task.step, free: () => capacity.free(worker, now) })
+    return true
+  }
+
+  /** Whether a worker is held for a filler of this step, whose start must be paid for by the share of idle jobs. */
+  isFillerHolder (step: StepRecord): boolean {
+    for (const holder of this.#fillerHolders.values()) if (holder.step === step) return true
+    return false
+  }
+
   /** Whether a worker is held for a task of this step. */
   isHolder (step: StepRecord): boolean {
     return this.#holdingSteps.has(step)
@@ -78,6 +109,8 @@
   accepts (task: TaskRecord, worker: WorkerRecord): boolean {
     const apart = this.#trials.get(worker)
     if (apart !== undefined) return apart === task
+    const filler = this.#fillerHolders.get(worker)
+    if (filler !== undefined && task.step.shape.isFiller && task.step !== filler.step && filler.free() < filler.step.shape.processors + task.step.shape.processors) return false
     const holder = this.#holders.get(worker)
     if (holder === undefined || takesPrecedence(task, holder)) return true
     const { entry, processorsUsed, memoryUsedMb, acceleratorsUsed } = worker
--- a/packages/core/src/jobs/IdleJobShare.ts
+++ b/packages/core/src/jobs/IdleJobShare.ts
@@ -1,10 +1,11 @@
 /**
  * Share of the started work that goes to idle jobs which can no longer meet their objective.
  */
-import { IDLE_JOB_SHARE, MAX_IDLE_CREDIT_MS } from './constants.ts'
+import { IDLE_JOB_SHARE, IDLE_JOB_SHARE_BESIDE_LATE, MAX_IDLE_CREDIT_MS, MAX_IDLE_DEBT_MS } from './constants.ts'
 import type { ServiceCapacity } from './ServiceCapacity.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { taskWork } from './taskWork.ts'
+import { IN_TIME, LATE, timelinessOf } from './timeliness.ts'
 
 /**
  * Divides the started work between idle jobs and all others, as a scheduler with weighted queues does. Each started task
@@ -13,34 +14,61 @@
  * their own, as they don't compete for the same processors.
  *
  * @example
+ * share.startPass(waitingSteps, capacity, wallTime)
  * if (share.allows(idleStep)) share.charge(idleStep)
- * share.recordStart(otherStep, capacity)
+ * share.recordStart(otherStep)
  */
 export class IdleJobShare {
   /** In thousandths of a core times milliseconds. */
   readonly #credits = new Map<string, number>()
+  /** The least timeliness of the jobs that wait, by what they compete for. */
+  #contention = new Map<string, number>()
+  #capacity: ServiceCapacity | undefined
 
-  /** Whether a task of an idle job may start before those of jobs in time. */
+  /** Notes which jobs wait in this scheduling pass. */
+  startPass (steps: Iterable<StepRecord>, capacity: ServiceCapacity, wallTime: number): void {
+    this.#capacity = capacity
+    this.#contention = new Map()
+    for (const step of steps) {
+      const key = competitionKey(step)
+      this.#contention.set(key, Math.min(this.#contention.get(key) ?? Infinity, timelinessOf(step, wallTime)))
+    }
+  }
+
+  /** Whether jobs that can still meet their objective wait for the same processors. */
+  isBesideTimelyJobs (step: StepRecord): boolean {
+    return this.#contention.get(competitionKey(step)) === IN_TIME
+  }
+
+  /** Whether a task of an idle job may start before those of jobs that are still useful. */
   allows (step: StepRecord): boolean {
-    return this.#creditOf(step) >= 0
+    return !this.#isContended(step) || this.#creditOf(step) >= 0
   }
 
-  /** Pays for the start of a task of an idle job. */
+  /** Pays for the start of a task of an idle job, unless no useful job waits. */
   charge (step: StepRecord): void {
-    this.#credits.set(competitionKey(step), this.#creditOf(step) - taskWork(step.shape))
+    if (this.#isContended(step)) this.#credits.set(competitionKey(step), Math.max(this.#creditOf(step) - taskWork(step.shape), -this.#processorsFor(step) * MAX_IDLE_DEBT_MS))
   }
 
   /** Adds to the credit for the start of a task of any other job. */
-  recordStart (step: StepRecord, capacity: ServiceCapacity): void {
+  recordStart (step: StepRecord): void {
     if (step.shape.isLasting) return
-    const limit = capacity.of(step.job.job.policy.service) * MAX_IDLE_CREDIT_MS
-    const earned = taskWork(step.shape) * IDLE_JOB_SHARE / (1 - IDLE_JOB_SHARE)
-    this.#credits.set(competitionKey(step), Math.min(limit, this.#creditOf(step) + earned))
+    const share = this.isBesideTimelyJobs(step) ? IDLE_JOB_SHARE : IDLE_JOB_SHARE_BESIDE_LATE
+    const earned = taskWork(step.shape) * share / (1 - share)
+    this.#credits.set(competitionKey(step), Math.min(this.#processorsFor(step) * MAX_IDLE_CREDIT_MS, this.#creditOf(step) + earned))
+  }
+
+  #isContended (step: StepRecord): boolean {
+    return (this.#contention.get(competitionKey(step)) ?? Infinity) <= LATE
   }
 
   #creditOf (step: StepRecord): number {
     return this.#credits.get(competitionKey(step)) ?? 0
   }
+
+  #processorsFor (step: StepRecord): number {
+    return this.#capacity?.of(step.job.job.policy.service) ?? 0
+  }
 }
 
 /**
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -148,9 +148,18 @@
 /** Share of the started work that goes to idle jobs while jobs in time wait. */
 export const IDLE_JOB_SHARE = 1 / 16
 
+/** The same while late jobs wait that are still useful, and none in time. */
+export const IDLE_JOB_SHARE_BESIDE_LATE = 1 / 2
+
 /** Most work of idle jobs that is owed to them, in milliseconds of all processors of the service. */
 export const MAX_IDLE_CREDIT_MS = 250
 
+/** Most that one task of an idle job can cost, in the same unit; estimates may be far too high. */
+export const MAX_IDLE_DEBT_MS = 10_000
+
+/** Most idle jobs of which a task is started in one scheduling pass; each costs a search of all workers. */
+export const MAX_IDLE_STARTS = 32
+
 /** Milliseconds for which a job has been idle before its fillers may start at a reduced pace. */
 export const SLOW_START_AFTER_MS = 1_500
 
--- a/packages/core/src/jobs/holdWorkers.ts
+++ b/packages/core/src/jobs/holdWorkers.ts
@@ -11,33 +11,42 @@
 
 /**
  * Holds workers for tasks that have waited long while smaller ones were placed: the most urgent first, and the largest
- * first among equal priorities, as smaller ones fit into less free capacity. Of the jobs that are useless, only the one that
- * has been idle for longest holds a worker.
+ * first among equal priorities, as smaller ones fit into less free capacity. Of the jobs that are too late,
+ * only those that have been idle for longest hold one.
  *
  * @example
  * holdWorkers(steps, () => workers, context)
  */
 export const holdWorkers = (steps: readonly StepRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], context: PlacingContext): void => {
   const { held, waits, delays, now } = context
-  const longestIdle = findLongestIdle(steps, context)
-  const holders = steps.filter(step => (step === longestIdle || isOverdue(step, context)) && !delays.isDelayed(step) && waits.isPassedBySmaller(step))
+  const holders = steps.filter(step => isOverdue(step, context) && !delays.isDelayed(step) && waits.isPassedBySmaller(step))
   holders.sort((one, other) => one.job.job.policy.priority - other.job.job.policy.priority ||
     other.shape.processors - one.shape.processors || waits.waitedMs(other, now) - waits.waitedMs(one, now))
   for (const step of holders) {
     for (const task of step.waiting) {
       // Interrupted tasks hold workers already, and those that may crash theirs start apart.
       if (!task.isInterrupted && !task.isOnTrial && !held.hold(task, workersFor(task), now)) break
-      if (step === longestIdle) break
     }
   }
+  holdForIdleJobs(steps, workersFor, context)
 }
 
-const findLongestIdle = (steps: readonly StepRecord[], context: PlacingContext): StepRecord | undefined => {
-  const { waits: { idleJobs }, now } = context
-  return findIdleSteps(steps, context).find(({ job, shape }) => !shape.isFiller && idleJobs.idleMs(job, now) >= IDLE_HOLD_AFTER_MS)
+// One worker for the batch job, and one for the filler, that have been idle for longest of those that any worker can hold.
+const holdForIdleJobs = (steps: readonly StepRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], context: PlacingContext): void => {
+  const { held, interference, waits, now } = context
+  let isHeld = false
+  let isHeldForFiller = false
+  for (const step of findIdleSteps(steps, context)) {
+    if ((isHeld && isHeldForFiller) || waits.idleJobs.idleMs(step.job, now) < IDLE_HOLD_AFTER_MS) break
+    const [task] = step.waiting
+    const { isFiller } = step.shape
+    if (task === undefined || task.isOnTrial || (isFiller ? isHeldForFiller : isHeld)) continue
+    if (isFiller) isHeldForFiller = held.holdForFiller(task, workersFor(task), interference, now)
+    else if (waits.isPassedBySmaller(step)) isHeld = held.hold(task, workersFor(task), now)
+  }
 }
 
-// Fillers use no processors that could be held.
+// Fillers use no processors that other tasks could hold.
 const isOverdue = (step: StepRecord, { waits, now, wallTime }: PlacingContext): boolean => {
   const { shape } = step
   if (shape.isFiller) return false
--- a/packages/core/src/jobs/placeIdleJobs.ts
+++ b/packages/core/src/jobs/placeIdleJobs.ts
@@ -3,7 +3,7 @@
  */
 import { chooseSlowStart, type SlowStart } from './chooseSlowStart.ts'
 import { chooseWorker } from './chooseWorker.ts'
-import { SLOW_START_AFTER_MS } from './constants.ts'
+import { MAX_IDLE_STARTS, SLOW_START_AFTER_MS } from './constants.ts'
 import { findIdleSteps } from './findIdleSteps.ts'
 import { competitionKey } from './IdleJobShare.ts'
 import type { JobRecord } from './JobRecord.ts'
@@ -12,41 +12,49 @@
 import { RefusedSteps } from './RefusedSteps.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import { IN_TIME, timelinessOf, USELESS } from './timeliness.ts'
+import { timelinessOf, USELESS } from './timeliness.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
- * Places one task of each idle job, those without a run for longest first. While jobs in time wait, only useless ones are
- * placed here, within the share of `IdleJobShare`; else all late ones are, before any other task of a late job, fillers also
- * at a reduced pace. The order of `orderSteps` alone would never run a large job that is too late while others keep coming.
- * `workersFor` returns those of the candidates that are open to a task.
+ * Places one task of each idle job, those without a run for longest first, within the share of `IdleJobShare`. While jobs
+ * in time wait, only useless jobs count; else all late ones, and fillers may also start at a reduced pace. The order of
+ * `orderSteps` alone would never run a large job that is too late while others keep coming. `workersFor` returns those of
+ * the candidates that are open to a task.
  *
  * @example
- * for (const { task, worker } of placeIdleJobs(steps, workers, task => workers, refused, context)) start(task, worker)
+ * for (const { task, worker } of placeIdleJobs(steps, workers, task => workers, context)) start(task, worker)
  */
-export function * placeIdleJobs (steps: readonly StepRecord[], candidates: readonly WorkerRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], refused: RefusedSteps, context: PlacingContext): Generator<PlacedTask> {
-  const { waits: { idleJobs: { share } } } = context
-  const contended = contendedKeys(steps, context)
-  const refusedSlowly = new RefusedSteps(candidates.length)
+export function * placeIdleJobs (steps: readonly StepRecord[], candidates: readonly WorkerRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], context: PlacingContext): Generator<PlacedTask> {
+  const { held, waits: { idleJobs: { share } }, wallTime } = context
+  const refused = new RefusedSteps(candidates.length)
+  const refusedAtReducedPace = new RefusedSteps(candidates.length)
   const placed = new Set<JobRecord>()
+  const reserved = new Set<string>()
   for (const step of findIdleSteps(steps, context)) {
-    const isContended = contended.has(competitionKey(step))
-    if (placed.has(step.job) || (isContended && !(share.allows(step) && timelinessOf(step, context.wallTime) === USELESS))) continue
+    if (placed.size >= MAX_IDLE_STARTS) break
+    const isContended = share.isBesideTimelyJobs(step)
+    if (placed.has(step.job) || reserved.has(competitionKey(step)) || !share.allows(step)) continue
+    if (isContended && timelinessOf(step, wallTime) !== USELESS) continue
     const task = firstTask(step)
     if (task === undefined) continue
-    const start = chooseStart(task, workersFor(task), refused, context) ?? (isContended ? undefined : chooseReducedStart(task, workersFor(task), refusedSlowly, context))
-    if (start === undefined) continue
+    const workers = workersFor(task)
+    const start = chooseStart(task, workers, refused, context) ?? (isContended ? undefined : chooseReducedStart(task, workers, refusedAtReducedPace, context))
+    if (start === undefined) {
+      // The share goes next to the job that holds a worker, so that smaller ones don't pass it again and again.
+      if (isContended && held.isFillerHolder(step)) reserved.add(competitionKey(step))
+      continue
+    }
     placed.add(step.job)
-    if (isContended) share.charge(step)
+    share.charge(step)
     yield { task, ...start }
   }
 }
 
 const chooseStart = (task: TaskRecord, workers: readonly WorkerRecord[], refused: RefusedSteps, { held, interference, now }: PlacingContext): Pick<PlacedTask, 'worker'> | undefined => {
-  if (refused.includes(task.step)) return undefined
+  if (!held.isHolder(task.step) && refused.includes(task.step)) return undefined
   const worker = chooseWorker(task, workers, held, interference, now)
   if (worker !== undefined) return { worker }
-  refused.add(task.step, workers)
+  refuse(task, workers, refused)
   return undefined
 }
 
@@ -54,18 +62,21 @@
   const { step } = task
   if (!step.shape.isFiller || idleJobs.idleMs(step.job, now) < SLOW_START_AFTER_MS || refused.includes(step)) return undefined
   const start = chooseSlowStart(task, workers, held, interference, now)
-  if (start === undefined) refused.add(step, workers)
+  if (start === undefined) refuse(task, workers, refused)
   return start
 }
 
-// The processors that jobs in time wait for.
-const contendedKeys = (steps: readonly StepRecord[], { wallTime }: PlacingContext): ReadonlySet<string> => {
-  const keys = new Set<string>()
-  for (const step of steps) if (!step.shape.isLasting && timelinessOf(step, wallTime) === IN_TIME) keys.add(competitionKey(step))
-  return keys
+// A task that may crash its worker may be refused for a reason of its own.
+const refuse = ({ step, crashes }: TaskRecord, workers: readonly WorkerRecord[], refused: RefusedSteps): void => {
+  if (crashes.count === 0 && !crashes.areUncertain) refused.add(step, workers)
 }
 
 const firstTask = ({ waiting }: StepRecord): TaskRecord | undefined => {
-  for (const task of waiting) if (!task.isOnTrial) return task
-  return undefined
+  let first: TaskRecord | undefined
+  for (const task of waiting) {
+    if (task.isOnTrial) continue
+    if (!task.crashes.areUncertain) return task
+    first ??= task
+  }
+  return first
 }
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -44,12 +44,13 @@
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => reserved.openTo(task)
   const ordered = orderSteps(waitingSteps, candidates, context)
   holdWorkers(ordered, workersFor, context)
-  const refused = new RefusedSteps(candidates.length)
-  const capacity = new ServiceCapacity(candidates)
-  yield * placeIdleJobs(waitingSteps, candidates, workersFor, refused, context)
+  const { share } = waits.idleJobs
+  share.startPass(waitingSteps, new ServiceCapacity(candidates), wallTime)
+  yield * placeIdleJobs(waitingSteps, candidates, workersFor, context)
   const places = new PlaceChooser(candidates, context)
+  const refused = new RefusedSteps(candidates.length)
   for (const step of ordered) {
-    if (!held.isHolder(step) && refused.includes(step)) continue
+    if (held.isFillerHolder(step) || (!held.isHolder(step) && refused.includes(step))) continue
     let stepCandidates: StepCandidates | undefined
     for (const task of step.waiting) {
       if (task.isInterrupted || task.isOnTrial) continue
@@ -63,7 +64,7 @@
         refused.add(step, usable)
         break
       }
-      waits.idleJobs.share.recordStart(step, capacity)
+      share.recordStart(step)
       yield { task, worker }
     }
   }
