--- a/packages/core/tests/lateJobs.test.ts
+++ b/packages/core/tests/lateJobs.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava'
 import { brand, type JobId } from '@auburnpin/common'
-import { stepOf } from '@auburnpin/fakes'
-import type { JobStep } from '../src/index.ts'
+import { jobOf, stepOf } from '@auburnpin/fakes'
+import type { JobStep, QueuePolicy } from '../src/index.ts'
 import { SchedulerScenario } from './support/SchedulerScenario.ts'
 
 const LARGE = '00000000000000a1'
 const SERVING = '00000000000000c1'
+const LATE = '00000000000000e1'
 const RUN_MS = 700
 const FILLER = { isFiller: true, image: 'report' }
 
@@ -99,3 +100,45 @@
   scenario.advance(3_000)
   t.is([...scenario.paces.values()].at(-1), 100)
 })
+
+test('a useless filler that needs most of a worker is run although smaller ones in time keep coming', t => {
+  const overload = new Overload(FILLER)
+  overload.advance(2_000)
+  overload.scenario.submit(LARGE, [stepOf({ taskCount: 3, processors: 7_000, estimateMs: RUN_MS, ...FILLER })], { runMs: RUN_MS, acceptedAt: -60_000 })
+  overload.advance(30_000)
+  t.true(overload.scenario.startsOf(LARGE) > 0)
+})
+
+test('new serving tasks start although useless batch jobs wait that could use all processors', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  for (let number = 0; number < 60; number++) scenario.submit(largeId(number), [stepOf({ taskCount: 12, processors: 2_000, estimateMs: RUN_MS })], { runMs: RUN_MS, acceptedAt: -60_000 })
+  scenario.advance(2_000)
+  scenario.submit(SERVING, [stepOf({ taskCount: 2, processors: 2_000, isLasting: true, latencyTargetMs: 150, image: 'watch' })])
+  scenario.advance(10_000)
+  t.is(scenario.startsOf(SERVING), 2)
+})
+
+test('a late job that is still useful is run soon although many useless ones wait', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000 })
+  for (let number = 0; number < 200; number++) scenario.submit(largeId(number), [stepOf({ taskCount: 12, processors: 2_000, estimateMs: RUN_MS })], { runMs: RUN_MS, acceptedAt: -60_000 })
+  scenario.advance(2_000)
+  // Its objective is 2.4 s after its acceptance, and it is useless after 7.2 s.
+  scenario.submit(LATE, [stepOf({ processors: 2_000, estimateMs: RUN_MS })], { runMs: RUN_MS, acceptedAt: -1_000 })
+  scenario.advance(2_500)
+  t.is(scenario.startsOf(LATE), 1)
+})
+
+test('useless jobs that fit nowhere do not hide an urgent job in time that may use a held worker', t => {
+  const scenario = new SchedulerScenario({ w1: 8_000 })
+  const policyOf = (priority: number): QueuePolicy => ({ ...jobOf(LARGE, []).policy, priority })
+  scenario.submit(SERVING, [stepOf({ processors: 3_000, estimateMs: 60_000 })], { runMs: 60_000 })
+  scenario.advance(100)
+  scenario.submit(largeId(1), [stepOf({ processors: 8_000, estimateMs: RUN_MS })], { acceptedAt: -60_000, policy: policyOf(2) })
+  let count = 0
+  scenario.advance(15_000, () => scenario.submit(smallId(count++), [stepOf({ processors: 1_000, estimateMs: RUN_MS })], { runMs: RUN_MS, policy: policyOf(2) }))
+  scenario.submit(largeId(2), [stepOf({ processors: 4_000, estimateMs: RUN_MS })], { acceptedAt: -60_000, policy: policyOf(2) })
+  scenario.advance(2_000)
+  scenario.submit(LATE, [stepOf({ processors: 4_000, estimateMs: RUN_MS })], { runMs: RUN_MS, policy: policyOf(0) })
+  scenario.advance(2_000)
+  t.is(scenario.startsOf(LATE), 1)
+})
