Idle fillers start at a negligible pace also beside serving tasks that are over their target

A filler that adds a negligible pressure may start anywhere already; one at a pace that adds as little is no different.

--- a/packages/core/src/jobs/FillerInterference.ts
+++ b/packages/core/src/jobs/FillerInterference.ts
@@ -109,12 +109,11 @@
 
   /**
    * The largest share of full pace at which one more filler is expected to leave all serving tasks some margin below
-   * their target, or adds a negligible pressure; 1 if it interferes with none, 0 if one of them is over its target anyway.
+   * their target, or adds a negligible pressure; 1 if it interferes with none.
    */
   sustainablePace (filler: JobStep, runs: Iterable<RunRecord>, now: Instant): number {
     let share = 1
     for (const { added, expected } of this.#affected(filler, [...runs], now)) {
-      if (expected >= 1) return 0
       share = Math.min(share, Math.max(NEGLIGIBLE_ADDED_PRESSURE, MAX_PLACING_PRESSURE - expected) / added)
     }
     return share
