--- a/packages/core/src/jobs/chooseSlowStart.ts
+++ b/packages/core/src/jobs/chooseSlowStart.ts
@@ -13,7 +13,7 @@
 export type SlowStart = Readonly<{ worker: WorkerRecord, pacePercent: number }>
 
 /**
- * Returns the worker on which a filler may start at the highest pace; `undefined` if it may start on none. Designed for
+ * Returns the worker on which a filler may start at the highest pace below full pace; `undefined` if there is none. Designed for
  * peaks of load at which all workers with free processors are closed to fillers that interfere. The pace rises as soon as
  * the pressure on the serving tasks allows.
  *
@@ -27,7 +27,7 @@
     if (freeProcessors(step, worker, interference, now) < step.shape.processors || task.failedOn.has(worker)) continue
     if (countSlowFillers(worker) >= MAX_SLOW_FILLERS || findConstraint(task, worker, held, now) !== undefined) continue
     const pacePercent = Math.floor(FULL_PACE * interference.sustainablePace(step.shape, worker.runs.values(), now))
-    if (pacePercent >= MIN_SLOW_PACE_PERCENT && pacePercent > (best?.pacePercent ?? 0)) best = { worker, pacePercent }
+    if (pacePercent >= MIN_SLOW_PACE_PERCENT && pacePercent < FULL_PACE && pacePercent > (best?.pacePercent ?? 0)) best = { worker, pacePercent }
   }
   return best
 }
--- a/packages/core/src/jobs/placeIdleJobs.ts
+++ b/packages/core/src/jobs/placeIdleJobs.ts
@@ -32,21 +32,23 @@
   const reserved = new Set<string>()
   for (const step of findIdleSteps(steps, context)) {
     if (placed.size >= MAX_IDLE_STARTS) break
+    if (placed.has(step.job) || reserved.has(competitionKey(step))) continue
     const isContended = share.isBesideTimelyJobs(step)
-    if (placed.has(step.job) || reserved.has(competitionKey(step)) || !share.allows(step)) continue
-    if (isContended && timelinessOf(step, wallTime) !== USELESS) continue
     const task = firstTask(step)
-    if (task === undefined) continue
+    if (task === undefined || (isContended && timelinessOf(step, wallTime) !== USELESS)) continue
     const workers = workersFor(task)
-    const start = chooseStart(task, workers, refused, context) ?? (isContended ? undefined : chooseReducedStart(task, workers, refusedAtReducedPace, context))
-    if (start === undefined) {
+    const start = share.allows(step) ? chooseStart(task, workers, refused, context) : undefined
+    if (start !== undefined) share.charge(step)
+    // No other task may use what a filler uses at a reduced pace, so it needs no share.
+    const reducedStart = start === undefined && !isContended ? chooseReducedStart(task, workers, refusedAtReducedPace, context) : undefined
+    const chosen = start ?? reducedStart
+    if (chosen === undefined) {
       // The share goes next to the job that holds a worker, so that smaller ones don't pass it again and again.
       if (isContended && held.isFillerHolder(step)) reserved.add(competitionKey(step))
       continue
     }
     placed.add(step.job)
-    share.charge(step)
-    yield { task, ...start }
+    yield { task, ...chosen }
   }
 }
 
