No worker is held for a late filler that may not start yet; four slow fillers on a worker

Cause: while jobs in time wait, a worker was held for the longest idle filler of a late job, though only those of useless jobs may start then. What may start is now decided in one place, for the hold and the start.

--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -166,8 +166,8 @@
 /** Lowest pace at which a filler is started, in percent of full speed. */
 export const MIN_SLOW_PACE_PERCENT = 5
 
-/** Most fillers below full pace beside which another one is started at a reduced pace; together they add less than `HARMLESS_ADDED_PRESSURE`. */
-export const MAX_SLOW_FILLERS = 2
+/** Most fillers below full pace beside which another one is started at a reduced pace. */
+export const MAX_SLOW_FILLERS = 4
 
 /** Milliseconds for which a job has been idle before a worker is held for it. */
 export const IDLE_HOLD_AFTER_MS = 10_000
--- a/packages/core/src/jobs/placeIdleJobs.ts
+++ b/packages/core/src/jobs/placeIdleJobs.ts
@@ -12,20 +12,18 @@
 import { RefusedSteps } from './RefusedSteps.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import { timelinessOf, USELESS } from './timeliness.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
- * Places one task of each idle job, those without a run for longest first, within the share of `IdleJobShare`. While jobs
- * in time wait, only useless jobs count; else all late ones, and fillers may also start at a reduced pace. The order of
- * `orderSteps` alone would never run a large job that is too late while others keep coming. `workersFor` returns those of
- * the candidates that are open to a task.
+ * Places one task of each idle job, those without a run for longest first, within the share of `IdleJobShare`; fillers also
+ * at a reduced pace, while no job in time waits. The order of `orderSteps` alone would never run a large job that is too
+ * late while others keep coming. `workersFor` returns those of the candidates that are open to a task.
  *
  * @example
  * for (const { task, worker } of placeIdleJobs(steps, workers, task => workers, context)) start(task, worker)
  */
 export function * placeIdleJobs (steps: readonly StepRecord[], candidates: readonly WorkerRecord[], workersFor: (task: TaskRecord) => readonly WorkerRecord[], context: PlacingContext): Generator<PlacedTask> {
-  const { held, waits: { idleJobs: { share } }, wallTime } = context
+  const { held, waits: { idleJobs: { share } } } = context
   const refused = new RefusedSteps(candidates.length)
   const refusedAtReducedPace = new RefusedSteps(candidates.length)
   const placed = new Set<JobRecord>()
@@ -35,7 +33,7 @@
     if (placed.has(step.job) || reserved.has(competitionKey(step))) continue
     const isContended = share.isBesideTimelyJobs(step)
     const task = firstTask(step)
-    if (task === undefined || (isContended && timelinessOf(step, wallTime) !== USELESS)) continue
+    if (task === undefined) continue
     const workers = workersFor(task)
     const start = share.allows(step) ? chooseStart(task, workers, refused, context) : undefined
     if (start !== undefined) share.charge(step)
--- a/packages/core/src/jobs/placeTasks.ts
+++ b/packages/core/src/jobs/placeTasks.ts
@@ -43,9 +43,9 @@
   const reserved = reserve.select(candidates, now)
   const workersFor = (task: TaskRecord): readonly WorkerRecord[] => reserved.openTo(task)
   const ordered = orderSteps(waitingSteps, candidates, context)
-  holdWorkers(ordered, workersFor, context)
   const { share } = waits.idleJobs
   share.startPass(waitingSteps, new ServiceCapacity(candidates), wallTime)
+  holdWorkers(ordered, workersFor, context)
   yield * placeIdleJobs(waitingSteps, candidates, workersFor, context)
   const places = new PlaceChooser(candidates, context)
   const refused = new RefusedSteps(candidates.length)
