--- a/packages/core/src/jobs/placeIdleJobs.ts
+++ b/packages/core/src/jobs/placeIdleJobs.ts
@@ -27,10 +27,10 @@
   const refused = new RefusedSteps(candidates.length)
   const refusedAtReducedPace = new RefusedSteps(candidates.length)
   const placed = new Set<JobRecord>()
-  const reserved = new Set<string>()
+  const keptForHolder = new Set<string>()
   for (const step of findIdleSteps(steps, context)) {
     if (placed.size >= MAX_IDLE_STARTS) break
-    if (placed.has(step.job) || reserved.has(competitionKey(step))) continue
+    if (placed.has(step.job) || keptForHolder.has(competitionKey(step))) continue
     const isContended = share.isBesideTimelyJobs(step)
     const task = firstTask(step)
     if (task === undefined) continue
@@ -38,11 +38,11 @@
     const start = share.allows(step) ? chooseStart(task, workers, refused, context) : undefined
     if (start !== undefined) share.charge(step)
     // No other task may use what a filler uses at a reduced pace, so it needs no share.
-    const reducedStart = start === undefined && !isContended ? chooseReducedStart(task, workers, refusedAtReducedPace, context) : undefined
-    const chosen = start ?? reducedStart
+    const slowStart = start === undefined && !isContended ? chooseStartAtReducedPace(task, workers, refusedAtReducedPace, context) : undefined
+    const chosen = start ?? slowStart
     if (chosen === undefined) {
       // The share goes next to the job that holds a worker, so that smaller ones don't pass it again and again.
-      if (isContended && held.isFillerHolder(step)) reserved.add(competitionKey(step))
+      if (isContended && held.isFillerHolder(step)) keptForHolder.add(competitionKey(step))
       continue
     }
     placed.add(step.job)
@@ -58,7 +58,7 @@
   return undefined
 }
 
-const chooseReducedStart = (task: TaskRecord, workers: readonly WorkerRecord[], refused: RefusedSteps, { held, interference, waits: { idleJobs }, now }: PlacingContext): SlowStart | undefined => {
+const chooseStartAtReducedPace = (task: TaskRecord, workers: readonly WorkerRecord[], refused: RefusedSteps, { held, interference, waits: { idleJobs }, now }: PlacingContext): SlowStart | undefined => {
   const { step } = task
   if (!step.shape.isFiller || idleJobs.idleMs(step.job, now) < SLOW_START_AFTER_MS || refused.includes(step)) return undefined
   const start = chooseSlowStart(task, workers, held, interference, now)
