--- a/packages/core/src/jobs/FillerInterference.ts
+++ b/packages/core/src/jobs/FillerInterference.ts
@@ -119,7 +119,7 @@
     return share
   }
 
-  // One serving task of each step with which a filler would interfere, and the pressures that it would add and that are expected there without it.
+  // For one task of each serving step that a filler would disturb: the pressure it adds, and that expected without it.
   * #affected (filler: JobStep, runs: readonly RunRecord[], now: Instant): Generator<Readonly<{ added: number, expected: number }>> {
     const seen = new Set<StepRecord>()
     for (const run of runs) {
--- a/packages/core/src/jobs/IdleJobs.ts
+++ b/packages/core/src/jobs/IdleJobs.ts
@@ -16,7 +16,7 @@
  * idleJobs.idleMs(job, now) // 4_200
  */
 export class IdleJobs {
-  /** What may be started of them before other jobs. */
+  /** The part of the started work that they get. */
   readonly share = new IdleJobShare()
   #firstPassAt: Instant | undefined
   #since = new Map<JobRecord, Instant>()
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -154,7 +154,7 @@
 /** Most work of idle jobs that is owed to them, in milliseconds of all processors of the service. */
 export const MAX_IDLE_CREDIT_MS = 250
 
-/** Most that one task of an idle job can cost, in the same unit; estimates may be far too high. */
+/** Most by which idle jobs can overdraw that, in the same unit; the estimate of a task may be far too high. */
 export const MAX_IDLE_DEBT_MS = 10_000
 
 /** Most idle jobs of which a task is started in one scheduling pass; each costs a search of all workers. */
--- a/packages/core/tests/lateJobs.test.ts
+++ b/packages/core/tests/lateJobs.test.ts
@@ -39,7 +39,7 @@
     t.true(overload.scenario.startsOf(LARGE) > 0)
   })
 
-  test(`jobs that missed their objective take no more than a fifteenth of what jobs in time get: ${kind}`, t => {
+  test(`jobs that missed their objective take no more than a twelfth of what jobs in time get: ${kind}`, t => {
     const overload = new Overload(overrides)
     for (let number = 0; number < 40; number++) overload.scenario.submit(largeId(number), [stepOf({ taskCount: 12, processors: 2_000, estimateMs: RUN_MS, ...overrides })], { runMs: RUN_MS, acceptedAt: -60_000 })
     overload.advance(60_000)
