Logs tell which calls with a lease a reborn worker may still carry out

A worker that is reborn carries out calls meant for its earlier incarnation. The records could not tell whether a call with a lease had no response, which end it carried for which incarnation, whether a start for an earlier incarnation was carried out, or which end of the lease the owner counted with when it gave a run up. Owners now keep the calls with a lease that had no response (LeaseCalls), and write the records 'Worker is reborn', 'A start for an earlier incarnation was carried out', leaseEndMs and incarnation of a start or report that failed, and leaseOverForMs of a run that ended as 'lease over'; the count workers.reborn has the same in short. No decision changes.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -275,6 +275,7 @@
       if (existing !== undefined) {
         worker.inheritLeases(existing)
         this.#replaceIncarnation(existing, worker, now)
+        this.#observer.workerReborn(worker, existing)
         if (existing.isEarlier && !existing.hasReported) this.#crashDetector.earlierWorkerLost()
       }
       return
@@ -334,6 +335,7 @@
       const task = this.#findTask(reported.task, now)
       const run = worker.runs.get(key)
       if (run !== undefined) {
+        if (run.isFromLostIncarnation) this.#observer.runInherited(run)
         this.#confirmRunning(run, now)
         this.#crashDetector.runReported(run, clockMs)
         recordProgress(run, reported, clockMs, now)
--- a/packages/core/src/jobs/JobSchedulerObserver.ts
+++ b/packages/core/src/jobs/JobSchedulerObserver.ts
@@ -5,6 +5,7 @@
 import type { Lateness } from './findLateness.ts'
 import type { JobRecord } from './JobRecord.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
 
 /** Receives the changes of state that are logged and counted. */
 export abstract class JobSchedulerObserver {
@@ -21,6 +22,10 @@
   abstract workerQuarantined (worker: WorkerId, reason: string): void
   /** `suspects`: the tasks that had just started there, one of which may have crashed the worker. */
   abstract workerLost (worker: WorkerId, ending: string, suspects: readonly TaskRecord[]): void
+  /** A later incarnation of a worker is known; it has the runs that calls for the earlier one may have started. */
+  abstract workerReborn (current: WorkerRecord, earlier: WorkerRecord): void
+  /** A worker lists a run whose order was meant for an earlier incarnation. */
+  abstract runInherited (run: RunRecord): void
   /** The job of the task fails, as workers were lost just after they had started the task. */
   abstract taskGivenUp (task: TaskRecord): void
 }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -4,6 +4,7 @@
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
 import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
 import { FillerPacing } from './FillerPacing.ts'
+import { LeaseCalls, type LeaseCall } from './LeaseCalls.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { ClockSample, TaskName, WorkerEntry } from './types.ts'
 import type { WorkerEvacuation } from './workerEvacuation.ts'
@@ -44,6 +45,8 @@
   reportRequestedAt = brand<Instant>(-Infinity)
   /** Sets the pace of the fillers on this worker. */
   readonly pacing = new FillerPacing()
+  /** Calls with a lease that were meant for this incarnation. */
+  readonly leaseCalls = new LeaseCalls()
   processorsUsed = 0
   servingProcessors = 0
   /** Used by long-running tasks, which do not end by themselves. */
@@ -172,6 +175,14 @@
     return this.#clockSample === undefined ? Infinity : now - this.#clockSample.at
   }
 
+  /** Records that a call that extends the lease to `untilMs`, on the worker's clock, is about to be sent. */
+  beginLeaseCall (untilMs: number, sentAt: Instant): LeaseCall {
+    const call = { sentAt, untilMs }
+    this.leaseCalls.begin(call)
+    this.extendLease(untilMs)
+    return call
+  }
+
   /** Records that a call with this end of the lease is about to be sent. */
   extendLease (untilMs: number): void {
     this.#leasedUntilMs = Math.max(this.#leasedUntilMs, untilMs)
--- a/packages/fakes/src/SilentJobSchedulerObserver.ts
+++ b/packages/fakes/src/SilentJobSchedulerObserver.ts
@@ -11,5 +11,7 @@
   phaseChanged (): void {}
   workerQuarantined (): void {}
   workerLost (): void {}
+  workerReborn (): void {}
+  runInherited (): void {}
   taskGivenUp (): void {}
 }
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -443,11 +443,12 @@
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
       return
     }
-    worker.extendLease(leaseEndMs)
     const sentAt = clock.now()
+    const leaseCall = worker.beginLeaseCall(leaseEndMs, sentAt)
     this.#scheduler.recordStartSent(order.worker, order.task, order.attempt, sentAt)
     const { outcome, clockMs } = await this.#callStart(order, worker, leaseEndMs)
     const now = clock.now()
+    worker.leaseCalls.end(leaseCall, outcome !== 'unknown' && worker === this.#scheduler.workers.get(order.worker))
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#isClosed) return
     const current = this.#scheduler.workers.get(order.worker)
@@ -456,7 +457,7 @@
       current?.inheritLease(leaseEndMs, clockMs, now)
     }
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
-    if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, outcome })
+    if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, incarnation: worker.entry.incarnation, epoch: this.#claimed.term.epoch, outcome, leaseEndMs, clockMs })
     if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now, clockMs)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
     const poller = this.#pollers.get(order.worker)
     if (outcome === 'unknown' || outcome === 'superseded') poller?.reportNow()
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -2,7 +2,7 @@
  * Logs and counts the changes of state that the job scheduler reports.
  */
 import type { WorkerId } from '@auburnpin/common'
-import { JobSchedulerObserver, type JobRecord, type Lateness, type RunRecord, type TaskRecord } from '@auburnpin/core'
+import { JobSchedulerObserver, type JobRecord, type Lateness, type RunRecord, type TaskRecord, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
 
 const MAX_LOGGED_SUSPECTS = 20
@@ -17,12 +17,14 @@
   }
 
   runEnded (run: RunRecord, how: string, worker: WorkerId): void {
-    const { log, metrics } = this.#ports
+    const { log, metrics, clock } = this.#ports
     metrics.count('runs.ended', 1, { how })
     if (run.isCopy) metrics.count('copies.ended', 1, { how })
     // Records of one message are limited per second, and those of short tasks would suppress the few of long-running ones.
     const message = run.task.step.shape.isLasting ? 'Run of a long-running task ended' : 'Run ended'
-    log.info(message, { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length })
+    // How long ago the lease ended, as far as this owner knew, tells whether it knew of the lease that the worker held.
+    const leaseOverForMs = how === 'lease over' ? Math.round(clock.now() - run.worker.leaseExpiresAt) : undefined
+    log.info(message, { task: run.task.name, attempt: run.attempt, worker, how, failures: run.task.failedAttempts.length, leaseOverForMs })
   }
 
   copyStarted ({ task, attempt, worker }: RunRecord, { run, reason, remainingMs, totalMs, learnt }: Lateness): void {
@@ -71,6 +73,26 @@
     log.warn('Worker was lost with its runs', { worker, how, suspects: suspects.length, crashes: crashes.join(' ') })
   }
 
+  workerReborn (current: WorkerRecord, earlier: WorkerRecord): void {
+    const { log, metrics, clock } = this.#ports
+    const now = clock.now()
+    const unansweredForMs = now - earlier.leaseCalls.lastSentAt
+    metrics.count('workers.reborn', 1, { hasUnansweredLease: String(Number.isFinite(unansweredForMs)) })
+    log.warn('Worker is reborn', {
+      worker: current.entry.id,
+      incarnation: current.entry.incarnation,
+      earlierIncarnation: earlier.entry.incarnation,
+      keptRuns: current.runs.size,
+      unansweredForMs: Number.isFinite(unansweredForMs) ? Math.round(unansweredForMs) : undefined,
+      leaseOverInMs: Math.round(current.leaseExpiresAt - now)
+    })
+  }
+
+  runInherited ({ task, attempt, worker, sentAt }: RunRecord): void {
+    const { log, clock } = this.#ports
+    log.warn('A start for an earlier incarnation was carried out', { task: task.name, attempt, worker: worker.entry.id, incarnation: worker.entry.incarnation, sentForMs: sentAt === undefined ? undefined : Math.round(clock.now() - sentAt) })
+  }
+
   taskGivenUp ({ name, step: { job: { job } }, crashes }: TaskRecord): void {
     const { log, metrics } = this.#ports
     metrics.count('jobs.crashing')
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -160,12 +160,13 @@
   async #report (worker: WorkerRecord, waitMs: number, isLeasing = true): Promise<Result<WorkerReport, AuburnpinError>> {
     const requestedAt = this.#clock.now()
     const leaseEndMs = isLeasing && worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
-    if (leaseEndMs !== undefined) worker.extendLease(leaseEndMs)
+    const leaseCall = leaseEndMs === undefined ? undefined : worker.beginLeaseCall(leaseEndMs, requestedAt)
     // A new incarnation counts its ends from 1 and would forget those up to this number, which nobody has read.
     const acknowledgedEnd = worker.isIncarnationCertain ? worker.durableEnd : 0
     const outcome = await this.#request(worker, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
+    if (leaseCall !== undefined) worker.leaseCalls.end(leaseCall, outcome.ok && outcome.val.incarnation === worker.entry.incarnation)
     if (this.#isStopped) return outcome
-    this.#logStateChange(outcome)
+    this.#logStateChange(outcome, worker, leaseEndMs)
     if (outcome.err) {
       worker.markUnresponsive()
       if (outcome.val.kind === 'fenced') this.#host.fenced(this.#worker)
@@ -192,10 +193,10 @@
     }
   }
 
-  #logStateChange (outcome: Result<WorkerReport, AuburnpinError>): void {
+  #logStateChange (outcome: Result<WorkerReport, AuburnpinError>, { entry: { incarnation } }: WorkerRecord, leaseEndMs: number | undefined): void {
     if (outcome.err === (this.#failingSince !== undefined)) return
     this.#failingSince = outcome.err ? this.#clock.now() : undefined
-    if (outcome.err) this.#log.warn('Worker does not report', { worker: this.#worker, error: outcome.val.message })
+    if (outcome.err) this.#log.warn('Worker does not report', { worker: this.#worker, incarnation, leaseEndMs, error: outcome.val.message })
     else this.#log.info('Worker reports', { worker: this.#worker, incarnation: outcome.val.incarnation, running: outcome.val.running.length, ended: outcome.val.ended.length, mayHaveMoreEnds: outcome.val.mayHaveMoreEnds === true })
   }
 }
