A module of its own sends the orders of an owner

CellOwner has over 600 lines, and what follows changes how orders are sent and their responses are taken. OrderSender now holds sending starts, stops and paces and applying their responses, unchanged; CellOwner has 35 lines less. Run: leaseCalls, lostStarts, takeover, evacuation, ownerOverload, leaseEnds and startWindow, 54 tests, unchanged.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -1,14 +1,14 @@
 /**
  * Schedules the jobs of a cell during one term of ownership.
  */
-import { assertNever, AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
-import { countEvacuated, freePieces, laterPieces, rackKey, runKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
+import { AuburnpinError, brand, Err, type Epoch, type Instant, type JobId, type Result, type WorkerId } from '@auburnpin/common'
+import { countEvacuated, freePieces, laterPieces, rackKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { cellLoad } from './cellLoad.ts'
 import { CellJobs } from './CellJobs.ts'
 import { CellMembership, LayoutHost, LayoutMembership, StoredMembership } from './CellMembership.ts'
 import { CellMonitor } from './CellMonitor.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, SURVIVAL_REPORT_DELAY_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { FEED_RETRY_DELAY_MS, MAX_RESTORE_MS, FIRST_CELL, TICK_INTERVAL_MS } from './constants.ts'
 import { createScheduler } from './createScheduler.ts'
 import { EvacuationTracker } from './EvacuationTracker.ts'
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
@@ -16,8 +16,8 @@
 import { DelegatorHost, TaskDelegator } from './TaskDelegator.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
 import { PassSpacing } from './PassSpacing.ts'
-import { StartWindow } from './StartWindow.ts'
 import { readPart } from './readPart.ts'
+import { OrderHost, OrderSender } from './OrderSender.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { StoredRow } from './RowStore.ts'
 import { allJobParts, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readLayout, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
@@ -29,7 +29,6 @@
 import { unlistedEntry } from './unlistedEntry.ts'
 import { WaitReporter } from './WaitReporter.ts'
 import { PollerHost, WorkerPoller } from './WorkerPoller.ts'
-import type { StartResponse } from './WorkerCalls.ts'
 import { WorkerListener } from './WorkerList.ts'
 
 /** Owns a cell from `open` until `close` or until the term is lost. */
@@ -59,10 +58,10 @@
   #entries = new Map<WorkerId, WorkerEntry>()
   readonly #jobs: CellJobs
   readonly #delegator: TaskDelegator
+  readonly #orders: OrderSender
   #isClosed = false
   #isRestored = false
   #isPassScheduled = false
-  readonly #startWindow = new StartWindow()
   readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
   #isGauged = false
@@ -88,6 +87,7 @@
     this.#jobs = new CellJobs(ports, claimed, this.#scheduler, this.#writer, this.#delegator, () => this.stateChanged())
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), this.#jobs)
     this.#pollerHost = new OwnerPollerHost(this)
+    this.#orders = new OrderSender(ports, this.#scheduler, claimed.term.epoch, new OwnerOrderHost(this))
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
     this.#waitReporter = new WaitReporter(ports, this.#scheduler, claimed.cell)
@@ -97,6 +97,18 @@
     return !this.#isClosed && this.#writer.isHeld
   }
 
+  get isClosed (): boolean {
+    return this.#isClosed
+  }
+
+  get evacuations (): EvacuationTracker {
+    return this.#evacuations
+  }
+
+  pollerOf (worker: WorkerId): WorkerPoller | undefined {
+    return this.#pollers.get(worker)
+  }
+
   /** Whether any worker has fallen silent a short time ago, as of the last scheduling pass. */
   get hasAnyFallenSilent (): boolean {
     return this.#hasAnyFallenSilent
@@ -267,8 +279,8 @@
     return Math.max(this.#membership.epochOffset(entry), this.#recordedOffsets.get(entry.id) ?? 0)
   }
 
-  // The epoch in orders for a worker.
-  #epochFor ({ entry }: WorkerRecord): Epoch {
+  /** The fencing epoch of calls to a worker. */
+  epochOf ({ entry }: WorkerRecord): Epoch {
     return brand<Epoch>(this.#claimed.term.epoch + this.#epochOffset(entry))
   }
 
@@ -301,7 +313,7 @@
       const { entry: { id } } = worker
       if (this.#pollers.has(id)) continue
       const { calls, clock, log } = this.#ports
-      const poller = new WorkerPoller(id, this.#epochFor(worker), this.#scheduler, calls, clock, log, this.#pollerHost)
+      const poller = new WorkerPoller(id, this.epochOf(worker), this.#scheduler, calls, clock, log, this.#pollerHost)
       this.#pollers.set(id, poller)
       poller.start()
     }
@@ -392,107 +404,20 @@
       if (worker.isUnresponsive && this.#pollers.get(worker.entry.id)?.hasBeenSilentForLong !== true) this.#hasAnyFallenSilent = true
     }
     this.#evacuations.update(this.#scheduler.workers.values(), this.#entries, startedAt)
-    const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#evacuations.isKnown ? this.#startWindow.free : 0)
+    const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#evacuations.isKnown ? this.#orders.freeStarts : 0)
     this.#passSpacing.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
       this.#wasReconciled = this.#scheduler.isReconciled
       this.#ports.log.info('All earlier runs are reported or have ended; tasks may start', { epoch: this.#claimed.term.epoch, workers: this.#scheduler.workers.size })
     }
     logPlacements(orders, this.#claimed.term.epoch, this.#ports.log)
-    for (const order of orders) {
-      this.#execute(order).catch((thrown: unknown) => { this.#ports.log.error('An order failed unexpectedly', { kind: order.kind, task: order.task, worker: order.worker, error: String(thrown) }) })
-    }
+    for (const order of orders) void this.#orders.send(order)
     if (this.#scheduler.dirtyCount > 0) this.#writer.requestCommit()
   }
 
   #mayStartOn (worker: WorkerRecord): boolean {
     return this.#writer.isLeasable(worker.entry) && this.#pollers.get(worker.entry.id)?.acknowledgesEarlierIncarnation(worker) !== true
   }
-
-  async #execute (order: RunOrder): Promise<void> {
-    const worker = this.#scheduler.workers.get(order.worker)
-    if (worker === undefined) return
-    switch (order.kind) {
-      case 'start':
-        await this.#start(order, worker)
-        break
-      case 'stop':
-        await this.#stop(order, worker)
-        break
-      case 'pace':
-        await this.#pace(order, worker)
-        return
-      default:
-        assertNever(order, 'order')
-    }
-    this.stateChanged()
-  }
-
-  async #start (order: RunOrder & { kind: 'start' }, worker: WorkerRecord): Promise<void> {
-    const { clock, log } = this.#ports
-    this.#startWindow.open()
-    // A task must neither wait for the lease of an idle worker that has left unnoticed, nor give one that was reborn a lease meant for the incarnation before.
-    const isConfirmed = await this.#pollers.get(order.worker)?.confirm(worker) === true
-    if (this.#isClosed) return
-    const isWanted = isConfirmed && this.#evacuations.admits(order, worker) && worker.runs.get(runKey(order.task, order.attempt))?.isStopRequested === false
-    // Read before the check, so that the lease counts from a moment at which the term is held.
-    const decidedAt = clock.now()
-    const leaseEndMs = isWanted && this.isHeld && this.#writer.isLeasable(worker.entry) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
-    if (leaseEndMs === undefined) {
-      this.#startWindow.close(decidedAt, decidedAt, false)
-      this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
-      return
-    }
-    const sentAt = clock.now()
-    const leaseCall = worker.beginLeaseCall(leaseEndMs, sentAt)
-    this.#scheduler.recordStartSent(order.worker, order.task, order.attempt, sentAt)
-    const { outcome, clockMs } = await this.#callStart(order, worker, leaseEndMs)
-    const now = clock.now()
-    worker.leaseCalls.end(leaseCall, outcome !== 'unknown' && worker === this.#scheduler.workers.get(order.worker))
-    this.#startWindow.close(sentAt, now, clockMs !== undefined)
-    if (this.#isClosed) return
-    const current = this.#scheduler.workers.get(order.worker)
-    if (clockMs !== undefined) {
-      if (worker === current) worker.recordClock(clockMs, sentAt, now)
-      current?.inheritLease(leaseEndMs, clockMs, now)
-    }
-    this.#ports.metrics.count('runs.ordered', 1, { outcome })
-    if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, incarnation: worker.entry.incarnation, epoch: this.#claimed.term.epoch, outcome, leaseEndMs, clockMs })
-    if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now, clockMs)) this.loseTerm(`worker ${order.worker} has accepted a later owner`)
-    const poller = this.#pollers.get(order.worker)
-    if (outcome === 'unknown' || outcome === 'superseded') poller?.reportNow()
-    else poller?.wake()
-    // A task that may crash the worker is cleared by the first report after it has survived its start.
-    if (worker.suspects.size > 0) clock.after(SURVIVAL_REPORT_DELAY_MS, () => poller?.reportNow())
-  }
-
-  // An unexpected error may come after the order was sent, and the run must not stay in progress for ever.
-  async #callStart (order: RunOrder & { kind: 'start' }, worker: WorkerRecord, leaseEndMs: number): Promise<StartResponse> {
-    try {
-      return await this.#ports.calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#epochFor(worker) })
-    } catch (thrown) {
-      this.#ports.log.error('A start order failed unexpectedly', { task: order.task, worker: order.worker, error: String(thrown) })
-      return { outcome: 'unknown' }
-    }
-  }
-
-  async #pace (order: RunOrder & { kind: 'pace' }, worker: WorkerRecord): Promise<void> {
-    this.#ports.metrics.count('runs.paced')
-    const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#epochFor(worker))
-    if (this.#isClosed) return
-    this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, answer })
-    if (answer === 'fenced') this.loseTerm(`worker ${order.worker} has accepted a later owner`)
-    if (answer === 'failed') this.#scheduler.recordPaceFailure(order.worker, order.task, order.attempt)
-  }
-
-  async #stop (order: RunOrder & { kind: 'stop' }, worker: WorkerRecord): Promise<void> {
-    const { clock, calls, log } = this.#ports
-    const answer = await calls.stop(worker.entry, order, this.#epochFor(worker))
-    if (this.#isClosed) return
-    log.info('Stop ordered', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#claimed.term.epoch, answer })
-    if (answer === 'fenced') this.loseTerm(`worker ${order.worker} has accepted a later owner`)
-    if (answer === 'taken') this.#scheduler.recordStopAccepted(order.worker, order.task, order.attempt, clock.now())
-  }
 }
 
 class OwnerTermListener extends TermListener {
@@ -624,3 +549,44 @@
     this.#owner.loseTerm(`worker ${worker} has accepted a later owner`)
   }
 }
+
+class OwnerOrderHost extends OrderHost {
+  readonly #owner: CellOwner
+
+  constructor (owner: CellOwner) {
+    super()
+    this.#owner = owner
+  }
+
+  get isHeld (): boolean {
+    return this.#owner.isHeld
+  }
+
+  get isClosed (): boolean {
+    return this.#owner.isClosed
+  }
+
+  isLeasable ({ entry }: WorkerRecord): boolean {
+    return this.#owner.writer.isLeasable(entry)
+  }
+
+  epochOf (worker: WorkerRecord): Epoch {
+    return this.#owner.epochOf(worker)
+  }
+
+  admits (order: RunOrder, worker: WorkerRecord): boolean {
+    return this.#owner.evacuations.admits(order, worker)
+  }
+
+  pollerOf (worker: WorkerId): WorkerPoller | undefined {
+    return this.#owner.pollerOf(worker)
+  }
+
+  fenced (worker: WorkerId): void {
+    this.#owner.loseTerm(`worker ${worker} has accepted a later owner`)
+  }
+
+  stateChanged (): void {
+    this.#owner.stateChanged()
+  }
+}
