--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -47,6 +47,7 @@
   #highestEpoch = 0
   #leaseEndMs = 0
   #leaseTimer: Timer | undefined
+  #awaitingUp: (() => void)[] = []
   #isFailing = false
   #isStalling = false
   hasCrashed = false
@@ -97,6 +98,7 @@
 
   #crash (cause?: Run): void {
     this.hasCrashed = true
+    this.#leaseTimer?.cancel()
     for (const run of [...this.#runs.values()]) this.#end(run, run === cause ? 'crashing' : 'crashed')
     this.#emitUnacknowledgedEnds()
     this.#ended = []
@@ -110,6 +112,13 @@
     this.#highestAttempts = new Map()
     this.#highestEpoch = 0
     this.#leaseEndMs = 0
+    for (const action of this.#awaitingUp.splice(0)) action()
+  }
+
+  /** Acts at once, or if the worker is down, as soon as its next incarnation is up. */
+  whenUp (action: () => void): void {
+    if (this.hasCrashed) this.#awaitingUp.push(action)
+    else action()
   }
 
   start ({ task, attempt, leaseEndMs, epoch }: StartRequest): StartOutcome {
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -9,8 +9,11 @@
 import { AdmissionControl, CellChooser, CellElections, JobRepository, KnownEvacuations, MonitoredStore, TableFollower, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type AdmissionMode, type ReportRequest, type RowKey, type RunName, type StartResponse, type StartRequest, type TableListener, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
-/** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. `unheard`: calls are executed and time out. */
-export type LinkState = 'well' | 'mute' | 'late' | 'refused' | 'broken' | 'unheard'
+/** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. `unheard`: calls are executed and time out. `delayed`: calls that `delayOf` names a delay for time out and are executed that much later, or as soon as the worker is up from then on, even if the link has been cut meanwhile. `waiting`: calls to a worker that is down reach its next incarnation if that is up before the time-out. */
+export type LinkState = 'well' | 'mute' | 'late' | 'refused' | 'broken' | 'unheard' | 'delayed' | 'waiting'
+
+/** A call to a worker that a process sends. */
+export type SentCall = Readonly<{ kind: 'start' | 'stop' | 'report', node: string, worker: WorkerId }>
 
 const CALL_MS = 1
 const CALL_TIMEOUT_MS = 700
@@ -190,6 +193,8 @@
   log: Log = new SilentLog()
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
+  /** Time until a call over a `delayed` link is executed, in milliseconds; `undefined` if it is as over a good link. */
+  delayOf = (_call: SentCall): number | undefined => DELAYED_CALL_MS
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
   returnAfterMs = 3_000
   /** Whether the connections of a worker that crashes are closed at once, as when its process ends; otherwise a request that it holds ends with its return or a time-out. */
@@ -338,7 +343,7 @@
   }
 
   async start (worker: WorkerAddress, request: StartRequest): Promise<StartResponse> {
-    const outcome = await this.#call<StartOutcome>(worker, fake => fake.start(request))
+    const outcome = await this.#call<StartOutcome>('start', worker, fake => fake.start(request))
     if (this.#simulation.unansweredStarts.has(request.task)) {
       await this.#node.clock.sleep(CALL_TIMEOUT_MS)
       return { outcome: 'unknown' }
@@ -347,7 +352,7 @@
   }
 
   async stop (worker: WorkerAddress, run: RunName, epoch: number): Promise<'taken' | 'fenced' | 'failed'> {
-    const answer = await this.#call(worker, fake => fake.stop(run, brand(epoch)))
+    const answer = await this.#call('stop', worker, fake => fake.stop(run, brand(epoch)))
     return answer === undefined || answer === 'refused' ? 'failed' : answer
   }
 
@@ -360,28 +365,39 @@
     this.#simulation.reportCounts.set(worker.id, (this.#simulation.reportCounts.get(worker.id) ?? 0) + 1)
     const asked = this.#simulation.worker(worker.id)
     const { incarnation } = asked.entry
-    for (let waitedMs = 0; waitedMs < request.waitMs; waitedMs += POLL_INTERVAL_MS) {
+    const state = this.#simulation.link(this.#node.name, worker.id)
+    // A worker holds only a request that has reached it.
+    const heldMs = state === 'delayed' || (state === 'waiting' && asked.hasCrashed) ? 0 : request.waitMs
+    for (let waitedMs = 0; waitedMs < heldMs; waitedMs += POLL_INTERVAL_MS) {
       if (this.#simulation.closesConnections && asked.hasCrashed) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
       if (asked.hasEndAfter(request.acknowledgedEnd)) break
       await this.#node.clock.sleep(POLL_INTERVAL_MS)
       // A request that the worker holds ends with the incarnation that received it.
       if (asked.entry.incarnation !== incarnation) return Err(new AuburnpinError('unreachable', 'the connection is lost', 'Wait.'))
     }
-    const report = await this.#call(worker, fake => fake.report(request))
+    const report = await this.#call('report', worker, fake => fake.report(request), CALL_TIMEOUT_MS + request.waitMs - heldMs)
     if (report === 'fenced') return Err(new AuburnpinError('fenced', 'fenced', 'Nothing.'))
     if (report === undefined || report === 'refused') return Err(new AuburnpinError('unreachable', 'no answer', 'Wait.'))
     return Ok(report)
   }
 
-  async #call<Value> ({ id }: { id: WorkerId }, action: (worker: FakeJobWorker) => Value): Promise<Value | undefined | 'refused'> {
+  async #call<Value> (kind: SentCall['kind'], { id }: { id: WorkerId }, action: (worker: FakeJobWorker) => Value, timeoutMs = CALL_TIMEOUT_MS): Promise<Value | undefined | 'refused'> {
     const worker = this.#simulation.worker(id)
     const state = this.#simulation.link(this.#node.name, id)
     if (state === 'refused') return 'refused'
     if (state === 'broken') throw new Error('an unexpected error of the client')
-    if (state === 'well' && !worker.hasCrashed) {
+    const delayMs = state === 'delayed' ? this.#simulation.delayOf({ kind, node: this.#node.name, worker: id }) : undefined
+    if (delayMs !== undefined) {
+      this.#simulation.clock.after(delayMs, () => worker.whenUp(() => action(worker)))
+      await this.#node.clock.sleep(timeoutMs)
+      return undefined
+    }
+    if (state === 'waiting' && worker.hasCrashed) return await this.#callOnceUp(worker, action, timeoutMs)
+    if ((state === 'well' || state === 'delayed' || state === 'waiting') && !worker.hasCrashed) {
       await this.#node.processor.handleMessage()
       await this.#node.clock.sleep(CALL_MS)
       if (worker.hasCrashed) {
+        if (state === 'waiting') return await this.#callOnceUp(worker, action, timeoutMs)
         await this.#node.clock.sleep(CALL_TIMEOUT_MS)
         return undefined
       }
@@ -395,4 +411,19 @@
     await this.#node.clock.sleep(CALL_TIMEOUT_MS)
     return undefined
   }
+
+  // The answer arrives unless the link has been cut meanwhile.
+  async #callOnceUp<Value> (worker: FakeJobWorker, action: (worker: FakeJobWorker) => Value, timeoutMs: number): Promise<Value | undefined> {
+    const { clock } = this.#simulation
+    const givesUpAt = clock.now() + timeoutMs
+    const answers: Value[] = []
+    worker.whenUp(() => {
+      if (clock.now() >= givesUpAt) return
+      const value = action(worker)
+      const state = this.#simulation.link(this.#node.name, worker.id)
+      if (state === 'well' || state === 'waiting') answers.push(value)
+    })
+    for (let waitedMs = 0; waitedMs < timeoutMs && answers.length === 0; waitedMs += POLL_INTERVAL_MS) await this.#node.clock.sleep(POLL_INTERVAL_MS)
+    return answers[0]
+  }
 }
