Workers refuse calls that were meant for their earlier incarnations

Callers saw tasks with two runs at once after workers had started again under their old ids and were cut off soon after. A call names a worker and not its incarnation, so a call without a response is carried out by whichever incarnation is there, up to 12 s after it was sent: a start becomes a run that nobody lists yet, an end of the lease on the old clock becomes the longest lease on the new one, an acknowledgement makes the worker forget ends that nobody has read. The owner's books extended the earlier incarnation's lease only.

The owner now raises its epoch, in the commit that records a later incarnation, and calls that incarnation with the higher one (WorkerEpochs). Once it has answered such a call it refuses whatever was meant for an earlier one; it gets no start before. Until then each call with a lease that had no response counts as one that it may carry out: its lease is waited for until the last of these is over, and no longer than for the longest lease after its first answer (InheritedLease). The first request to it is not held back. A call that is refused because it was meant for an earlier incarnation no longer makes the owner give up its term. A worker that has left is kept for as long as calls to it may be carried out. An order may come 12 s late, as workers are allowed; 5 s were assumed, and the test that names the bound follows. That no request acknowledges ends of another incarnation needs no rule of its own any more.

Run: lateCallsAfterRebirth, rebornWorkers, lostStarts, rebornWorkerEnds, workerLease, lateReports, leaseCalls, workerEpochs.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -1,10 +1,10 @@
 /**
  * Scheduling of jobs by the owner of a cell: the state of its jobs and workers, and the orders that follow.
  */
-import { assertNever, brand, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
+import { assertNever, type CellId, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import type { AdmissionForecast } from './AdmissionForecast.ts'
 import { AnnouncedStarts } from './AnnouncedStarts.ts'
-import { ATTEMPTS_PER_TERM, RESERVED_WORKER_SHARE } from './constants.ts'
+import { ATTEMPTS_PER_TERM, MAX_ORDER_DELAY_MS, RESERVED_WORKER_SHARE } from './constants.ts'
 import { CopyInterval } from './CopyInterval.ts'
 import { CrashDetector } from './CrashDetector.ts'
 import { countQueuedJobs } from './countQueuedJobs.ts'
@@ -37,7 +37,7 @@
 import { startOrder } from './startOrder.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { stopOrders } from './stopOrders.ts'
-import { TakeoverReconciliation } from './TakeoverReconciliation.ts'
+import { TakeoverReconciliation, type RecordedLease } from './TakeoverReconciliation.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
 import { TaskDelegations } from './TaskDelegations.ts'
 import { parseTaskName } from './taskName.ts'
@@ -48,7 +48,7 @@
 import { untouchedJobs } from './untouchedJobs.ts'
 import { WaitingSteps } from './WaitingSteps.ts'
 import { countEvacuated } from './workerEvacuation.ts'
-import { leaseExpiry, runKey, WorkerRecord } from './WorkerRecord.ts'
+import { runKey, WorkerRecord } from './WorkerRecord.ts'
 import { WorkerReserve } from './WorkerReserve.ts'
 
 /** Stands for an unknown pace, such as that of an earlier owner's run; differs from every real pace, so that an order to set the pace follows. */
@@ -110,7 +110,7 @@
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
     this.delegations = new TaskDelegations(new SchedulerDelegationHost(this, this.#firstAttempt, this.#openSteps))
     this.#termStartedAt = now
-    this.#reconciliation = new TakeoverReconciliation(leaseExpiry(lease.leaseMs, now))
+    this.#reconciliation = new TakeoverReconciliation(lease.leaseMs, now)
   }
 
   /** Whether all runs of earlier owners are known or have certainly ended, so that tasks may start. */
@@ -271,9 +271,8 @@
     if (existing === undefined || existing.entry.incarnation < entry.incarnation) {
       const worker = new WorkerRecord(entry, now, this.#lease.leaseMs)
       this.workers.set(entry.id, worker)
-      worker.isReborn = existing !== undefined
       if (existing !== undefined) {
-        worker.inheritLeases(existing)
+        worker.inheritFrom(existing)
         this.#replaceIncarnation(existing, worker, now)
         this.#observer.workerReborn(worker, existing)
         if (existing.isEarlier && !existing.hasReported) this.#crashDetector.earlierWorkerLost()
@@ -283,17 +282,14 @@
     if (existing.entry.incarnation === entry.incarnation) existing.update(entry)
   }
 
-  /**
-   * Adds a worker that an earlier owner used; it isn't listed until `upsertWorker` gets its entry. `leaseOverAt`: when
-   * the leases of earlier owners on it are over, if that is recorded.
-   */
-  restoreWorker (entry: WorkerEntry, now: Instant, leaseOverAt = this.#reconciliation.earlierLeasesExpireAt): void {
+  /** Adds a worker that an earlier owner used, with what is recorded of its leases; it isn't listed until `upsertWorker` gets its entry. */
+  restoreWorker (entry: WorkerEntry, now: Instant, lease: RecordedLease = {}): void {
     this.upsertWorker(entry, now)
     this.unlistWorker(entry.id)
     const worker = this.workers.get(entry.id)
     if (worker === undefined) return
     worker.isEarlier = true
-    worker.limitEarlierLeases(brand<Instant>(Math.min(leaseOverAt, this.#reconciliation.earlierLeasesExpireAt)), now)
+    this.#reconciliation.limitLeases(worker, lease, now)
   }
 
   /** Marks a worker as no longer listed. */
@@ -687,7 +683,7 @@
       // A worker that responds reports how its runs ended; one that does not is detected before its lease expires.
       if (worker.runs.size > 0 && now >= worker.leaseExpiresAt && worker.isUnresponsive) this.#expireRuns(worker, now)
       if (worker.isEarlier && !worker.hasReported && now >= worker.leaseExpiresAt) this.#crashDetector.earlierWorkerLost()
-      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt && !worker.mayReportMoreEnds(now)) this.workers.delete(id)
+      if (this.#isListRead && !worker.isListed && worker.runs.size === 0 && now >= worker.leaseExpiresAt && !worker.mayReportMoreEnds(now) && worker.lastCallAt + MAX_ORDER_DELAY_MS <= now) this.workers.delete(id)
     }
   }
 
--- a/packages/core/src/jobs/LeaseCalls.ts
+++ b/packages/core/src/jobs/LeaseCalls.ts
@@ -24,7 +24,7 @@
     this.#inProgress.add(call)
   }
 
-  /** The call has got a response of the incarnation that it was meant for, or none in time. */
+  /** The call has got a response, whichever incarnation it is of, or none in time. */
   end (call: LeaseCall, isAnswered: boolean): void {
     if (!this.#inProgress.delete(call) || isAnswered) return
     this.#lastUnansweredAt = brand<Instant>(Math.max(this.#lastUnansweredAt, call.sentAt))
--- a/packages/core/src/jobs/TakeoverReconciliation.ts
+++ b/packages/core/src/jobs/TakeoverReconciliation.ts
@@ -1,26 +1,34 @@
 /**
  * When the runs of earlier owners are known or have certainly ended.
  */
-import type { Instant } from '@auburnpin/common'
+import { brand, type Instant } from '@auburnpin/common'
+import { InheritedLease } from './InheritedLease.ts'
+import { leaseExpiry } from './leaseExpiry.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
+/** When the leases of a worker are over by the record of an earlier owner: those that it extended, and those that calls for earlier incarnations may have set. */
+export type RecordedLease = Readonly<{ overAt?: Instant | undefined, inheritedOverAt?: Instant | undefined }>
+
 /**
  * Keeps back the tasks that an earlier owner may have started until each worker has reported all of its runs to this owner,
  * or its lease has certainly expired. A worker that has more ends than one report lists counts as soon as the last of them
  * has arrived: until then a task that isn't listed may be done.
  *
  * @example
- * const reconciliation = new TakeoverReconciliation(leaseExpiry(leaseMs, now))
+ * const reconciliation = new TakeoverReconciliation(leaseMs, earlierTermOverAt)
  * if (reconciliation.update(workers, now)) start(earlierTasks)
  */
 export class TakeoverReconciliation {
+  readonly #earlierTermOverAt: Instant
   /** When all leases that earlier owners extended have expired. */
-  readonly earlierLeasesExpireAt: Instant
+  readonly #earlierLeasesExpireAt: Instant
   #areEarlierWorkersKnown = true
   #isDone = false
 
-  constructor (earlierLeasesExpireAt: Instant) {
-    this.earlierLeasesExpireAt = earlierLeasesExpireAt
+  /** Earlier owners extended leases by at most `leaseMs` and sent their last call before `earlierTermOverAt`. */
+  constructor (leaseMs: number, earlierTermOverAt: Instant) {
+    this.#earlierTermOverAt = earlierTermOverAt
+    this.#earlierLeasesExpireAt = leaseExpiry(leaseMs, earlierTermOverAt)
   }
 
   /** Whether all runs of earlier owners were known or had ended at the last update. */
@@ -33,6 +41,15 @@
     this.#areEarlierWorkersKnown = false
   }
 
+  /** Limits the leases of a worker that earlier owners used to what is recorded, and to what their last call can have set. */
+  limitLeases (worker: WorkerRecord, { overAt, inheritedOverAt }: RecordedLease, now: Instant): void {
+    const longest = new InheritedLease()
+    longest.inheritCalls(this.#earlierTermOverAt)
+    const expiresAt = brand<Instant>(Math.min(overAt ?? Infinity, this.#earlierLeasesExpireAt))
+    const inheritedExpiresAt = inheritedOverAt === undefined ? undefined : brand<Instant>(Math.min(inheritedOverAt, longest.expiresAt))
+    worker.restoreLeases(expiresAt, inheritedExpiresAt, this.#earlierTermOverAt, now)
+  }
+
   /** Checks the workers unless all runs are known already, and returns whether they are. */
   update (workers: Iterable<WorkerRecord>, now: Instant): boolean {
     this.#isDone ||= this.#areAllKnown(workers, now)
@@ -40,12 +57,12 @@
   }
 
   #areAllKnown (workers: Iterable<WorkerRecord>, now: Instant): boolean {
-    const areEarlierLeasesOver = now >= this.earlierLeasesExpireAt
+    const areEarlierLeasesOver = now >= this.#earlierLeasesExpireAt
     if (!areEarlierLeasesOver && !this.#areEarlierWorkersKnown) return false
     for (const worker of workers) {
       // This owner may have extended the lease since, so the ends are lost only with that lease.
       if (worker.mayReportMoreEnds(now)) return false
-      if (!areEarlierLeasesOver && !worker.hasReported && now < worker.leaseExpiresAt) return false
+      if (!worker.hasReported && now < (areEarlierLeasesOver ? worker.inheritedLease.expiresAt : worker.leaseExpiresAt)) return false
     }
     return true
   }
--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -2,9 +2,11 @@
  * State of one incarnation of a worker, as known to the owner.
  */
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { FAILURES_TO_QUARANTINE, LEASE_MARGIN_MS, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
+import { FAILURES_TO_QUARANTINE, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
 import { FillerPacing } from './FillerPacing.ts'
+import { InheritedLease } from './InheritedLease.ts'
 import { LeaseCalls, type LeaseCall } from './LeaseCalls.ts'
+import { leaseExpiry } from './leaseExpiry.ts'
 import type { RunRecord } from './TaskRecord.ts'
 import type { ClockSample, TaskName, WorkerEntry } from './types.ts'
 import type { WorkerEvacuation } from './workerEvacuation.ts'
@@ -29,7 +31,7 @@
   isEarlier = false
   /** Whether the worker is in the list of workers. */
   isListed = true
-  /** Whether an earlier incarnation was known to this owner; orders for that one may still reach this one. */
+  /** Whether an earlier incarnation was known to this owner. */
   isReborn = false
   /** Whether this owner may extend the worker's lease: not while the record of the term names the end of the lease. */
   isLeasable = true
@@ -61,9 +63,12 @@
   #hasClockGoneBack = false
   #leasedUntilMs = 0
   #leaseExpiresAt: Instant
-  /** When the leases are over that calls for earlier incarnations may have set on this one, and from when on that is known. */
-  #inheritedLeaseExpiresAt = brand<Instant>(-Infinity)
-  #inheritedLeaseKnownSince = brand<Instant>(-Infinity)
+  readonly #inheritedLease = new InheritedLease()
+  /** When the last call for an earlier incarnation, or of an earlier owner, was sent that may still be carried out. */
+  #lastEarlierCallAt = brand<Instant>(-Infinity)
+  /** Whether an earlier owner's order, of which this one doesn't know, may have started a run here. */
+  #mayHaveUnknownRuns = false
+  #refusesEarlierCalls = true
   #leaseKnownSince: Instant
   #pausedUntil: Instant
   #quarantinedUntil: Instant
@@ -106,18 +111,48 @@
 
   /** When all runs on the worker have certainly ended unless the lease is extended, by this process's clock. */
   get leaseExpiresAt (): Instant {
-    return brand<Instant>(Math.max(this.#leaseExpiresAt, this.#inheritedLeaseExpiresAt))
+    return brand<Instant>(Math.max(this.#leaseExpiresAt, this.#inheritedLease.expiresAt))
   }
 
   /** From when on the time until `leaseExpiresAt` counts: the worker's leases last at most that long from this moment. */
   get leaseKnownSince (): Instant {
-    return brand<Instant>(Math.max(this.#leaseKnownSince, this.#inheritedLeaseKnownSince))
+    return brand<Instant>(Math.max(this.#leaseKnownSince, this.#inheritedLease.knownSince))
   }
 
-  /** Records, at `now` and before any call to the worker, when the leases of earlier owners are over. */
-  limitEarlierLeases (expiresAt: Instant, now: Instant): void {
+  /** The lease that calls for earlier incarnations may have set here. */
+  get inheritedLease (): Readonly<Pick<InheritedLease, 'expiresAt' | 'knownSince'>> {
+    return this.#inheritedLease
+  }
+
+  /** Whether the inherited lease may cover runs for longer than the leases of `leaseMs` that owners extend. */
+  needsInheritedLease (leaseMs: number, now: Instant): boolean {
+    if (!this.#refusesEarlierCalls && this.runs.size === 0 && !this.#mayHaveUnknownRuns) return false
+    return this.#inheritedLease.expiresAt > leaseExpiry(leaseMs, now)
+  }
+
+  /** Whether this incarnation has answered a call with its own epoch, or there is no earlier one, so that it carries out no call for an earlier one. */
+  get refusesEarlierCalls (): boolean {
+    return this.#refusesEarlierCalls
+  }
+
+  /** Records an answer, received at `at`, to a call that was meant for this incarnation. */
+  recordOwnAnswer (at: Instant): void {
+    this.#refusesEarlierCalls = true
+    this.#inheritedLease.endCalls(at)
+  }
+
+  /** When the last call was sent that this incarnation or the next one may still carry out; `-Infinity` without one. */
+  get lastCallAt (): Instant {
+    return brand<Instant>(Math.max(this.leaseCalls.lastSentAt, this.#lastEarlierCallAt))
+  }
+
+  /** Records, at `now` and before any call to the worker, when the leases of earlier owners are over, which sent none after `lastCallAt`. */
+  restoreLeases (expiresAt: Instant, inheritedExpiresAt: Instant | undefined, lastCallAt: Instant, now: Instant): void {
     this.#leaseExpiresAt = expiresAt
     this.#leaseKnownSince = now
+    this.#lastEarlierCallAt = lastCallAt
+    this.#mayHaveUnknownRuns = true
+    if (inheritedExpiresAt !== undefined) this.#inheritedLease.extend(inheritedExpiresAt, now)
   }
 
   /**
@@ -194,17 +229,17 @@
    * incarnation. Whichever incarnation carried it out, its lease ends at most this much later than the reading of its clock.
    */
   inheritLease (untilMs: number, clockMs: number, at: Instant): void {
-    this.#inherit(leaseExpiry(Math.min(untilMs - clockMs, MAX_WORKER_LEASE_MS), at), at)
+    this.#inheritedLease.extend(leaseExpiry(Math.min(untilMs - clockMs, MAX_WORKER_LEASE_MS), at), at)
   }
 
-  /** Records that this incarnation may have carried out calls for an earlier one. */
-  inheritLeases ({ leaseExpiresAt, leaseKnownSince }: WorkerRecord): void {
-    this.#inherit(leaseExpiresAt, leaseKnownSince)
-  }
-
-  #inherit (expiresAt: Instant, knownSince: Instant): void {
-    this.#inheritedLeaseExpiresAt = brand<Instant>(Math.max(this.#inheritedLeaseExpiresAt, expiresAt))
-    this.#inheritedLeaseKnownSince = brand<Instant>(Math.max(this.#inheritedLeaseKnownSince, knownSince))
+  /** Records that this incarnation may carry out calls for an earlier one, until it has answered a call of its own. */
+  inheritFrom (earlier: WorkerRecord): void {
+    this.isReborn = true
+    this.#refusesEarlierCalls = false
+    this.#lastEarlierCallAt = earlier.lastCallAt
+    this.#mayHaveUnknownRuns = earlier.#mayHaveUnknownRuns
+    this.#inheritedLease.extend(earlier.leaseExpiresAt, earlier.leaseKnownSince)
+    this.#inheritedLease.inheritCalls(earlier.lastCallAt)
   }
 
   #updateLeaseExpiry (): void {
@@ -221,7 +256,7 @@
   /** Whether interrupted tasks may be sent to the worker, also while it is quarantined: it may be sound, and they may find no other. */
   acceptsRestarts (now: Instant): boolean {
     // What an unknown run needs is unknown as well, so nothing may start beside it until it has been stopped.
-    return this.hasReported && this.isListed && this.isLeasable && this.evacuation !== 'evacuated' && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive && this.unknownRuns.size === 0
+    return this.hasReported && this.refusesEarlierCalls && this.isListed && this.isLeasable && this.evacuation !== 'evacuated' && !this.#entry.isDraining && now >= this.#pausedUntil && !this.isUnresponsive && this.unknownRuns.size === 0
   }
 
   /** Whether several runs in a row failed here a short time ago, so that the worker may be faulty. */
@@ -287,8 +322,5 @@
   }
 }
 
-/** When a lease with `remainingMs` left on a worker's clock at `at` has certainly ended, by this process's clock. */
-export const leaseExpiry = (remainingMs: number, at: Instant): Instant => brand<Instant>(at + Math.max(0, remainingMs) / MIN_CLOCK_RATE + LEASE_MARGIN_MS)
-
 /** Key of a run among those of its worker. */
 export const runKey = (task: TaskName, attempt: number): string => `${task}#${attempt}`
--- a/packages/core/src/jobs/moveRun.ts
+++ b/packages/core/src/jobs/moveRun.ts
@@ -4,7 +4,8 @@
 import { brand, type Instant } from '@auburnpin/common'
 import { MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS } from './constants.ts'
 import type { RunRecord } from './TaskRecord.ts'
-import { leaseExpiry, type WorkerRecord } from './WorkerRecord.ts'
+import { leaseExpiry } from './leaseExpiry.ts'
+import type { WorkerRecord } from './WorkerRecord.ts'
 
 /**
  * The run as it is kept for the next incarnation of its worker, which its order may still reach or has reached.
--- a/packages/core/tests/lateReports.test.ts
+++ b/packages/core/tests/lateReports.test.ts
@@ -61,8 +61,8 @@
   scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unknown', at(sentMs + 700))
   scheduler.upsertWorker(workerEntryOf(order.worker, { incarnation: brand<Incarnation>(2) }), at(sentMs + 800))
   scheduler.workers.get(order.worker)?.markUnresponsive()
-  // The order comes within 5 s, and gives the worker a lease of at most 10 s on a clock that may be 2 % slow.
-  const overMs = sentMs + 5_000 + 10_000 / 0.98
+  // The order comes within 12 s, and gives the worker a lease of at most 10 s on a clock that may be 2 % slow.
+  const overMs = sentMs + 12_000 + 10_000 / 0.98
   t.deepEqual(startsAt(overMs - 1), [])
   const [again] = startsAt(overMs + 201)
   t.not(again?.worker, order.worker)
--- a/packages/core/tests/workerLease.test.ts
+++ b/packages/core/tests/workerLease.test.ts
@@ -45,7 +45,7 @@
   const untilMs = earlier.leaseEnd(LEASE_MS, at(50_000)) as number
   earlier.extendLease(untilMs)
   const reborn = new WorkerRecord(workerEntryOf('w1', { incarnation: brand<Incarnation>(2) }), at(50_001), LEASE_MS)
-  reborn.inheritLeases(earlier)
+  reborn.inheritFrom(earlier)
   reborn.inheritLease(untilMs, 30, at(50_002))
   reborn.recordClock(40, at(50_010), at(50_012))
   reborn.extendLease(reborn.leaseEnd(LEASE_MS, at(50_020)) as number)
--- a/packages/jobs/src/CellMembership.ts
+++ b/packages/jobs/src/CellMembership.ts
@@ -30,6 +30,8 @@
 
 /** What the first cell's membership needs from the owner. */
 export abstract class LayoutHost {
+  /** The highest epoch that a call of this owner has. */
+  abstract get epoch (): Epoch
   /** Workers that this owner or an earlier one may have sent orders to. */
   abstract get usedWorkers (): ReadonlySet<WorkerId>
   /** The workers that the owner still has, also those of leaving racks, by their racks; `undefined` while the rack of one is unknown. */
@@ -50,7 +52,6 @@
   readonly #host: LayoutHost
   readonly #clock: Clock
   readonly #log: Log
-  readonly #epoch: Epoch
   readonly #workersPerCell: number
   readonly #maxRowBytes: number
   #layout: Layout = EMPTY_LAYOUT
@@ -63,12 +64,11 @@
   #lastUnassignedAt: Instant | undefined
   #isStopped = false
 
-  constructor (host: LayoutHost, clock: Clock, log: Log, epoch: Epoch, workersPerCell: number, maxRowBytes: number) {
+  constructor (host: LayoutHost, clock: Clock, log: Log, workersPerCell: number, maxRowBytes: number) {
     super()
     this.#host = host
     this.#clock = clock
     this.#log = log
-    this.#epoch = epoch
     this.#workersPerCell = workersPerCell
     this.#maxRowBytes = maxRowBytes
   }
@@ -172,7 +172,7 @@
       if (loads.some(load => load.rack === rack)) continue
       const to = smallestCell(layout, this.#all)
       this.#log.info('Rack moved to another cell', { rack, cell: cellAt(to) })
-      layout = moveRack(layout, rack, to, this.#epoch)
+      layout = moveRack(layout, rack, to, this.#host.epoch)
     }
     const leaving = chooseLeavingRacks(loads, this.#all.size, layout.cells.length, this.#workersPerCell, new Set([...this.#leaving].filter(rack => loads.some(load => load.rack === rack))))
     const hasChanged = layout !== this.#layout || leaving.size !== this.#leaving.size
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -17,11 +17,11 @@
 import { OverloadDetector } from './OverloadDetector.ts'
 import { PassSpacing } from './PassSpacing.ts'
 import { readPart } from './readPart.ts'
+import { recordedLease } from './recordedLease.ts'
 import { OrderHost, OrderSender } from './OrderSender.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { StoredRow } from './RowStore.ts'
 import { allJobParts, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readLayout, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
-import { StoreClock } from './StoreClock.ts'
 import { TableFollower } from './TableFollower.ts'
 import { logCapacityChange } from './logCapacityChange.ts'
 import { logPlacements } from './logPlacements.ts'
@@ -80,7 +80,7 @@
     this.#evacuations = new EvacuationTracker(ports, claimed.cell)
     this.#monitor = new CellMonitor(store, clock, claimed.term.cells)
     if (claimed.cell === FIRST_CELL) {
-      this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, claimed.term.epoch, ports.workersPerCell, store.maxValueBytes)
+      this.#layout = new LayoutMembership(new OwnerLayoutHost(this), clock, log, ports.workersPerCell, store.maxValueBytes)
       this.#membership = this.#layout
     } else this.#membership = new StoredMembership(store, clock, log, indexOfCell(claimed.cell), () => this.membersChanged())
     this.#delegator = new TaskDelegator(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerDelegatorHost(this))
@@ -210,9 +210,8 @@
     }
     for (const worker of usedWorkers) {
       this.#recordedOffsets.set(worker.id, worker.epochOffset ?? 0)
-      const { leaseOverAt } = worker
       const { storeTime } = termRows.val
-      this.#scheduler.restoreWorker(unlistedEntry(worker), now, leaseOverAt === undefined || storeTime === undefined ? undefined : StoreClock.toInstant(leaseOverAt, storeTime, termRowsAt))
+      this.#scheduler.restoreWorker(unlistedEntry(worker), now, recordedLease(worker, storeTime, termRowsAt))
     }
     this.#writer.restoreUsedWorkers(usedWorkers, usedWorkersKeys)
     return read
@@ -279,9 +278,10 @@
     return Math.max(this.#membership.epochOffset(entry), this.#recordedOffsets.get(entry.id) ?? 0)
   }
 
-  /** The fencing epoch of calls to a worker. */
-  epochOf ({ entry }: WorkerRecord): Epoch {
-    return brand<Epoch>(this.#claimed.term.epoch + this.#epochOffset(entry))
+  /** The fencing epoch of calls to this incarnation of a worker; `undefined` before it may be called. */
+  epochOf ({ entry }: WorkerRecord): Epoch | undefined {
+    const epoch = this.#writer.epochOf(entry)
+    return epoch === undefined ? undefined : brand<Epoch>(epoch + this.#epochOffset(entry))
   }
 
   /** Applies changed and removed entries of the list of workers. */
@@ -309,11 +309,10 @@
       poller.stop()
       this.#pollers.delete(id)
     }
-    for (const worker of workers) {
-      const { entry: { id } } = worker
+    for (const { entry: { id } } of workers) {
       if (this.#pollers.has(id)) continue
       const { calls, clock, log } = this.#ports
-      const poller = new WorkerPoller(id, this.epochOf(worker), this.#scheduler, calls, clock, log, this.#pollerHost)
+      const poller = new WorkerPoller(id, this.#scheduler, calls, clock, log, this.#pollerHost)
       this.#pollers.set(id, poller)
       poller.start()
     }
@@ -339,10 +338,11 @@
     this.#ports.metrics.gauge('cell.load', loadPercent, { cell: this.#claimed.cell })
   }
 
-  /** A report of a worker was applied to the scheduler's state. */
+  /** A report of a worker was applied to the scheduler's state. One that it has shown to be reborn is not in the record yet. */
   workerReported (id: WorkerId): void {
     const worker = this.#scheduler.workers.get(id)
-    if (worker !== undefined) this.#writer.workerReported(worker.entry)
+    if (worker !== undefined && !this.#writer.isUsed(worker.entry)) this.#writer.setUsedWorkers(this.#usedWorkers())
+    else if (worker !== undefined) this.#writer.workerReported(worker.entry)
     this.stateChanged()
   }
 
@@ -378,7 +378,6 @@
     }
   }
 
-  // A worker that its own report has shown to be reborn is not in the record yet.
   #updateUsedWorkers (): void {
     const workers = [...this.#scheduler.workers.values()]
     if (this.#writer.usedWorkerIds.size > workers.length || workers.some(({ entry }) => !this.#writer.isUsed(entry))) this.#writer.setUsedWorkers(this.#usedWorkers())
@@ -400,7 +399,7 @@
     const startedAt = clock.now()
     this.#hasAnyFallenSilent = false
     for (const worker of this.#scheduler.workers.values()) {
-      worker.isLeasable = this.#mayStartOn(worker)
+      worker.isLeasable = this.#writer.isLeasable(worker.entry)
       if (worker.isUnresponsive && this.#pollers.get(worker.entry.id)?.hasBeenSilentForLong !== true) this.#hasAnyFallenSilent = true
     }
     this.#evacuations.update(this.#scheduler.workers.values(), this.#entries, startedAt)
@@ -414,10 +413,6 @@
     for (const order of orders) void this.#orders.send(order)
     if (this.#scheduler.dirtyCount > 0) this.#writer.requestCommit()
   }
-
-  #mayStartOn (worker: WorkerRecord): boolean {
-    return this.#writer.isLeasable(worker.entry) && this.#pollers.get(worker.entry.id)?.acknowledgesEarlierIncarnation(worker) !== true
-  }
 }
 
 class OwnerTermListener extends TermListener {
@@ -483,6 +478,10 @@
     this.#owner = owner
   }
 
+  get epoch (): Epoch {
+    return this.#owner.writer.epoch
+  }
+
   get usedWorkers (): ReadonlySet<WorkerId> {
     return this.#owner.writer.usedWorkerIds
   }
@@ -529,8 +528,8 @@
     return this.#owner.isHeld
   }
 
-  isUsable ({ entry }: WorkerRecord): boolean {
-    return this.#owner.writer.isUsable(entry)
+  epochOf (worker: WorkerRecord): Epoch | undefined {
+    return this.#owner.epochOf(worker)
   }
 
   isLeasable ({ entry }: WorkerRecord): boolean {
@@ -570,7 +569,7 @@
     return this.#owner.writer.isLeasable(entry)
   }
 
-  epochOf (worker: WorkerRecord): Epoch {
+  epochOf (worker: WorkerRecord): Epoch | undefined {
     return this.#owner.epochOf(worker)
   }
 
--- a/packages/jobs/src/OrderSender.ts
+++ b/packages/jobs/src/OrderSender.ts
@@ -19,8 +19,8 @@
   abstract get isClosed (): boolean
   /** Whether the worker's lease may be extended. */
   abstract isLeasable (worker: WorkerRecord): boolean
-  /** The fencing epoch of calls to this incarnation of the worker. */
-  abstract epochOf (worker: WorkerRecord): Epoch
+  /** The fencing epoch of calls to this incarnation; `undefined` until it is recorded durably. */
+  abstract epochOf (worker: WorkerRecord): Epoch | undefined
   /** Whether the evacuations still allow the start. */
   abstract admits (order: RunOrder, worker: WorkerRecord): boolean
   abstract pollerOf (worker: WorkerId): WorkerPoller | undefined
@@ -89,7 +89,8 @@
     // Read before the check, so that the lease counts from a moment at which the term is held.
     const decidedAt = clock.now()
     const leaseEndMs = isWanted && this.#host.isHeld && this.#host.isLeasable(worker) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
-    if (leaseEndMs === undefined) {
+    const epoch = this.#host.epochOf(worker)
+    if (leaseEndMs === undefined || epoch === undefined) {
       this.#startWindow.close(decidedAt, decidedAt, false)
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
       return
@@ -97,15 +98,17 @@
     const sentAt = clock.now()
     const leaseCall = worker.beginLeaseCall(leaseEndMs, sentAt)
     this.#scheduler.recordStartSent(order.worker, order.task, order.attempt, sentAt)
-    const { outcome, clockMs } = await this.#callStart(order, worker, leaseEndMs)
+    const { outcome: answer, clockMs } = await this.#callStart(order, worker, leaseEndMs, epoch)
     const now = clock.now()
     const current = this.#scheduler.workers.get(order.worker)
-    worker.leaseCalls.end(leaseCall, outcome !== 'unknown' && worker === current)
+    // A later incarnation refuses calls for an earlier one as well.
+    const outcome = answer === 'fenced' && worker !== current ? 'reborn' : answer
+    worker.leaseCalls.end(leaseCall, outcome !== 'unknown')
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
     if (this.#host.isClosed) return
     if (clockMs !== undefined) {
       if (worker === current) worker.recordClock(clockMs, sentAt, now)
-      current?.inheritLease(leaseEndMs, clockMs, now)
+      if (worker === current || current?.refusesEarlierCalls === false) current.inheritLease(leaseEndMs, clockMs, now)
     }
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
     if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, incarnation: worker.entry.incarnation, epoch: this.#epoch, outcome, leaseEndMs, clockMs })
@@ -118,9 +121,9 @@
   }
 
   // An unexpected error may come after the order was sent, and the run must not stay in progress for ever.
-  async #callStart (order: Order<'start'>, worker: WorkerRecord, leaseEndMs: number): Promise<StartResponse> {
+  async #callStart (order: Order<'start'>, worker: WorkerRecord, leaseEndMs: number, epoch: Epoch): Promise<StartResponse> {
     try {
-      return await this.#ports.calls.start(worker.entry, { ...order, leaseEndMs, epoch: this.#host.epochOf(worker) })
+      return await this.#ports.calls.start(worker.entry, { ...order, leaseEndMs, epoch })
     } catch (thrown) {
       this.#ports.log.error('A start order failed unexpectedly', { task: order.task, worker: order.worker, error: String(thrown) })
       return { outcome: 'unknown' }
@@ -129,19 +132,27 @@
 
   async #pace (order: Order<'pace'>, worker: WorkerRecord): Promise<void> {
     this.#ports.metrics.count('runs.paced')
-    const answer = await this.#ports.calls.pace(worker.entry, order, order.percent, this.#host.epochOf(worker))
+    const epoch = this.#host.epochOf(worker)
+    const answer = epoch === undefined ? 'failed' : await this.#ports.calls.pace(worker.entry, order, order.percent, epoch)
     if (this.#host.isClosed) return
     this.#ports.log.info('Pace ordered', { task: order.task, attempt: order.attempt, worker: order.worker, percent: order.percent, answer })
-    if (answer === 'fenced') this.#host.fenced(order.worker)
+    if (answer === 'fenced') this.#fenced(worker)
     if (answer === 'failed') this.#scheduler.recordPaceFailure(order.worker, order.task, order.attempt)
   }
 
   async #stop (order: Order<'stop'>, worker: WorkerRecord): Promise<void> {
     const { clock, calls, log } = this.#ports
-    const answer = await calls.stop(worker.entry, order, this.#host.epochOf(worker))
+    const epoch = this.#host.epochOf(worker)
+    const answer = epoch === undefined ? 'failed' : await calls.stop(worker.entry, order, epoch)
     if (this.#host.isClosed) return
     log.info('Stop ordered', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#epoch, answer })
-    if (answer === 'fenced') this.#host.fenced(order.worker)
+    if (answer === 'fenced') this.#fenced(worker)
     if (answer === 'taken') this.#scheduler.recordStopAccepted(order.worker, order.task, order.attempt, clock.now())
   }
+
+  // A later incarnation refuses calls for an earlier one as well.
+  #fenced (worker: WorkerRecord): void {
+    const { id } = worker.entry
+    if (this.#scheduler.workers.get(id) === worker) this.#host.fenced(id)
+  }
 }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -1,7 +1,7 @@
 /**
  * Renews an owner's term, and makes its progress durable under that term.
  */
-import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Instant, type Log, type Metrics, type RowVersion, type WorkerId } from '@auburnpin/common'
+import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Epoch, type Instant, type Log, type Metrics, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { EMPTY_LAYOUT, NOTHING_PUBLISHED, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
 import { encodeEstimates, encodeTerm } from './boundedRows.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
@@ -12,6 +12,7 @@
 import type { RowTransaction, RowStore, StoreTime } from './RowStore.ts'
 import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, progressKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
+import { WorkerEpochs } from './WorkerEpochs.ts'
 
 /** Content of one commit besides the term itself. */
 type Batch = Readonly<{
@@ -64,6 +65,9 @@
   /** Keys of the rows of used workers that the store has, or may have. */
   #usedWorkersKeys = new Set<string>()
   #durableWorkers = new Set<string>()
+  readonly #workerEpochs = new WorkerEpochs()
+  /** The highest epoch of a commit of this term, whose response may have been lost. */
+  #highestEpoch: Epoch
   /** Those of them whose leases may be extended. A worker leaves it before a commit that names the end of its lease is sent. */
   #leasableWorkers = new Set<string>()
   /** Ends of the leases of silent workers, as the store has them or may have them. */
@@ -89,6 +93,7 @@
     this.#scheduler = scheduler
     this.#listener = listener
     this.#term = term
+    this.#highestEpoch = term.epoch
     this.#version = version
     this.#heldSince = claimedAt
     this.#heldSinceWall = claimedAtWall
@@ -191,6 +196,16 @@
     return this.#durableWorkers.has(keyOf(worker))
   }
 
+  /** The fencing epoch of the calls to an incarnation of a worker; `undefined` unless it is usable. */
+  epochOf (worker: WorkerIdentity): Epoch | undefined {
+    return this.#workerEpochs.of(worker)
+  }
+
+  /** The epoch that the store has; no call of this term has a higher one. */
+  get epoch (): Epoch {
+    return this.#term.epoch
+  }
+
   /** Whether the worker's lease may be extended, by a start or otherwise: it is recorded durably without an end of its lease. */
   isLeasable (worker: WorkerIdentity): boolean {
     return this.#leasableWorkers.has(keyOf(worker))
@@ -260,7 +275,7 @@
       this.#scheduler.markEndsDurable(batch.ends)
       this.#scheduler.markStored(batch.segments)
       if (batch.layout !== undefined) this.#durableLayout = batch.layout
-      if (batch.usedWorkers !== undefined) this.#markDurable(batch.usedWorkers)
+      if (batch.usedWorkers !== undefined) this.#markDurable(batch.usedWorkers, next.epoch)
       this.#listener.committed(batch.segments)
       await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
       return
@@ -283,13 +298,17 @@
     else this.#log.warn('Commit failed', fields)
   }
 
-  #markDurable (workers: readonly UsedWorker[]): void {
+  #markDurable (workers: readonly UsedWorker[], epoch: Epoch): void {
     this.#durableWorkers = new Set(workers.map(keyOf))
+    this.#workerEpochs.assign(workers, epoch)
     this.#leasableWorkers = new Set(workers.filter(({ leaseOverAt }) => leaseOverAt === undefined).map(keyOf))
   }
 
   #nextTerm (term: Term, usedWorkers: readonly UsedWorker[] | undefined): Term {
-    return { ...term, commit: term.commit + 1, areLeaseEndsRecorded: usedWorkers === undefined ? term.areLeaseEndsRecorded : true }
+    const isHigherEpochNeeded = usedWorkers !== undefined && this.#workerEpochs.areHigherNeeded(usedWorkers)
+    const epoch = isHigherEpochNeeded ? brand<Epoch>(this.#highestEpoch + 1) : term.epoch
+    this.#highestEpoch = brand<Epoch>(Math.max(this.#highestEpoch, epoch))
+    return { ...term, epoch, commit: term.commit + 1, areLeaseEndsRecorded: usedWorkers === undefined ? term.areLeaseEndsRecorded : true }
   }
 
   // An earlier commit without a response may still be applied, but none of them after one that has succeeded: each
@@ -421,9 +440,9 @@
   // Either an earlier commit of this term was applied although its response was lost, or another process owns the cell.
   #handleConflict (row: { value: string, version: RowVersion } | undefined): void {
     const term = row === undefined ? undefined : readTerm(row.value)
-    if (row !== undefined && term?.life === this.#term.life && term.epoch === this.#term.epoch) {
+    if (row !== undefined && term?.life === this.#term.life && term.epoch >= this.#term.epoch && term.epoch <= this.#highestEpoch) {
       this.#version = row.version
-      this.#term = { ...this.#term, commit: Math.max(this.#term.commit, term.commit) }
+      this.#term = { ...this.#term, epoch: term.epoch, commit: Math.max(this.#term.commit, term.commit) }
       return
     }
     this.#isStopped = true
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -1,17 +1,17 @@
 /**
  * Polls one worker for reports and renews its lease while anything runs there.
  */
-import { InterruptibleSleep, type AuburnpinError, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
+import { AuburnpinError, Err, InterruptibleSleep, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
 import { MAX_CLOCK_AGE_MS, MAX_REPORT_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, SILENCE_WATCH_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
-import type { ReportRequest, WorkerCalls } from './WorkerCalls.ts'
+import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
 export abstract class PollerHost {
   /** Whether the term is held, so that orders may be sent. */
   abstract get isHeld (): boolean
-  /** Whether the worker is recorded durably, so that the next owner finds it. */
-  abstract isUsable (worker: WorkerRecord): boolean
+  /** The fencing epoch of calls to this incarnation; `undefined` until it is recorded durably, so that the next owner finds it. */
+  abstract epochOf (worker: WorkerRecord): Epoch | undefined
   /** Whether the worker's lease may be extended. */
   abstract isLeasable (worker: WorkerRecord): boolean
   /** Whether any worker of the cell has fallen silent a short time ago, so that idle ones may be gone as well. */
@@ -25,7 +25,6 @@
 /** Requests reports from one worker, one at a time, and renews its lease with each request. */
 export class WorkerPoller {
   readonly #worker: WorkerId
-  readonly #epoch: Epoch
   readonly #scheduler: JobScheduler
   readonly #calls: WorkerCalls
   readonly #clock: Clock
@@ -33,15 +32,12 @@
   readonly #sleep: InterruptibleSleep
   readonly #host: PollerHost
   #confirmation: Promise<boolean> | undefined
-  /** For each incarnation, the number of requests without an outcome yet that acknowledge ends. */
-  readonly #openAcknowledgements = new Map<WorkerRecord, number>()
   #isStopped = false
   #hasEnded = false
   #failingSince: Instant | undefined
 
-  constructor (worker: WorkerId, epoch: Epoch, scheduler: JobScheduler, calls: WorkerCalls, clock: Clock, log: Log, host: PollerHost) {
+  constructor (worker: WorkerId, scheduler: JobScheduler, calls: WorkerCalls, clock: Clock, log: Log, host: PollerHost) {
     this.#worker = worker
-    this.#epoch = epoch
     this.#scheduler = scheduler
     this.#calls = calls
     this.#clock = clock
@@ -97,15 +93,6 @@
     }
   }
 
-  /**
-   * Whether a request that acknowledges ends of an earlier incarnation has no outcome yet. The present one may have
-   * received it, and would forget its own ends up to that number.
-   */
-  acknowledgesEarlierIncarnation (current: WorkerRecord): boolean {
-    for (const worker of this.#openAcknowledgements.keys()) if (worker !== current) return true
-    return false
-  }
-
   #logUnexpected (thrown: unknown): void {
     this.#log.error('A report could not be applied', { worker: this.#worker, error: String(thrown) })
   }
@@ -136,14 +123,14 @@
     }
     const areEndsDurable = worker.appliedEnd <= worker.durableEnd
     // Without an extension of the lease the report is wanted at once: it shows that the worker is back, or the next one extends the lease.
-    const mayWait = areEndsDurable && this.#failingSince === undefined && worker.runs.size > 0 && !worker.hasInheritedRuns && worker.isIncarnationCertain && this.#mayExtendLease(worker)
+    const mayWait = areEndsDurable && this.#failingSince === undefined && worker.runs.size > 0 && !worker.hasInheritedRuns && worker.isIncarnationCertain && worker.refusesEarlierCalls && this.#mayExtendLease(worker)
     const outcome = await this.#report(worker, mayWait ? reportWaitMs(worker) : 0)
     if (outcome.err) await this.#clock.sleep(REPORT_RETRY_DELAY_MS)
     else await this.#waitBetweenReports(worker)
   }
 
   #mayPoll (worker: WorkerRecord): boolean {
-    return this.#host.isHeld && this.#host.isUsable(worker)
+    return this.#host.isHeld && this.#host.epochOf(worker) !== undefined
   }
 
   // The lease of a worker that does not respond isn't renewed: the worker may be lost, and then its lease must expire; it may also execute this call late.
@@ -158,41 +145,33 @@
   }
 
   async #report (worker: WorkerRecord, waitMs: number, isLeasing = true): Promise<Result<WorkerReport, AuburnpinError>> {
+    const epoch = this.#host.epochOf(worker)
+    if (epoch === undefined) return Err(new AuburnpinError('unreachable', `Worker ${this.#worker} is not recorded`, 'It is called once it is recorded.'))
     const requestedAt = this.#clock.now()
     const leaseEndMs = isLeasing && worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     const leaseCall = leaseEndMs === undefined ? undefined : worker.beginLeaseCall(leaseEndMs, requestedAt)
-    // A new incarnation counts its ends from 1 and would forget those up to this number, which nobody has read.
+    // A later incarnation counts its ends from 1 and would forget those up to this number, which nobody has read.
     const acknowledgedEnd = worker.isIncarnationCertain ? worker.durableEnd : 0
-    const outcome = await this.#request(worker, { epoch: this.#epoch, acknowledgedEnd, leaseEndMs, waitMs })
-    if (leaseCall !== undefined) worker.leaseCalls.end(leaseCall, outcome.ok && outcome.val.incarnation === worker.entry.incarnation)
+    const outcome = await this.#calls.report(worker.entry, { epoch, acknowledgedEnd, leaseEndMs, waitMs })
+    if (leaseCall !== undefined) worker.leaseCalls.end(leaseCall, outcome.ok)
     if (this.#isStopped) return outcome
     this.#logStateChange(outcome, worker, leaseEndMs)
     if (outcome.err) {
       worker.markUnresponsive()
-      if (outcome.val.kind === 'fenced') this.#host.fenced(this.#worker)
+      // A later incarnation refuses calls for an earlier one as well.
+      if (outcome.val.kind === 'fenced' && this.#scheduler.workers.get(this.#worker) === worker) this.#host.fenced(this.#worker)
       return outcome
     }
     worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, acknowledgedEnd)
     this.#scheduler.applyReport(this.#worker, outcome.val, requestedAt, this.#clock.now())
     const current = this.#scheduler.workers.get(this.#worker)
+    if (outcome.val.incarnation === worker.entry.incarnation) worker.recordOwnAnswer(this.#clock.now())
     // A reborn worker has read the end of the lease on its own clock, although it was meant for its earlier incarnation's.
-    if (leaseEndMs !== undefined && current !== worker) current?.inheritLease(leaseEndMs, outcome.val.clockMs, this.#clock.now())
+    if (leaseEndMs !== undefined && current !== worker && current?.refusesEarlierCalls === false) current.inheritLease(leaseEndMs, outcome.val.clockMs, this.#clock.now())
     this.#host.reported(this.#worker)
     return outcome
   }
 
-  async #request (worker: WorkerRecord, request: ReportRequest): Promise<Result<WorkerReport, AuburnpinError>> {
-    if (request.acknowledgedEnd === 0) return await this.#calls.report(worker.entry, request)
-    this.#openAcknowledgements.set(worker, (this.#openAcknowledgements.get(worker) ?? 0) + 1)
-    try {
-      return await this.#calls.report(worker.entry, request)
-    } finally {
-      const remaining = (this.#openAcknowledgements.get(worker) ?? 0) - 1
-      if (remaining > 0) this.#openAcknowledgements.set(worker, remaining)
-      else this.#openAcknowledgements.delete(worker)
-    }
-  }
-
   #logStateChange (outcome: Result<WorkerReport, AuburnpinError>, { entry: { incarnation } }: WorkerRecord, leaseEndMs: number | undefined): void {
     if (outcome.err === (this.#failingSince !== undefined)) return
     this.#failingSince = outcome.err ? this.#clock.now() : undefined
--- a/packages/jobs/tests/lateCallsAfterRebirth.test.ts
+++ b/packages/jobs/tests/lateCallsAfterRebirth.test.ts
@@ -47,8 +47,7 @@
   t.deepEqual(await play(ofEachKind({ owner: 'killed', ownerEndsAfterMs: 2_500 })), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('a task of a reborn VM that is cut off has one run under the same owner, whenever calls to the incarnation before come', async t => {
+test.serial('a task of a reborn VM that is cut off has one run under the same owner, whenever calls to the incarnation before come', async t => {
   t.deepEqual(await play(ofEachKind({})), [])
 })
 
@@ -67,8 +66,7 @@
   t.deepEqual(await play(ofEachOwner({ late: ['start'] })), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('late reports with a lease alone leave one run of each task', async t => {
+test.serial('late reports with a lease alone leave one run of each task', async t => {
   t.deepEqual(await play(ofEachOwner({ late: ['report'] })), [])
 })
 
@@ -76,8 +74,7 @@
   t.deepEqual(await play(ofEachOwner({ late: ['stop'], isCancelled: true })), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('late starts and the stops that follow them leave one run of each task', async t => {
+test.serial('late starts and the stops that follow them leave one run of each task', async t => {
   t.deepEqual(await play(ofEachOwner({ late: ['start', 'stop'], isCancelled: true })), [])
 })
 
@@ -87,8 +84,7 @@
   t.deepEqual(await play(ofEachOwner(unnoticed, [400])), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('calls sent before the rebirth is noticed that come seconds late leave one run of each task', async t => {
+test.serial('calls sent before the rebirth is noticed that come seconds late leave one run of each task', async t => {
   const unnoticed = { answersAfterMs: 800, listedAfterMs: 2_000 }
   t.deepEqual(await play(ofEachOwner(unnoticed)), [])
 })
@@ -107,8 +103,7 @@
   t.deepEqual(await play(ofEachOwner(unheard, NO_DELAY)), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('a task of a VM that is reborn twice in a row has one run, whenever calls to the incarnations before come', async t => {
+test.serial('a task of a VM that is reborn twice in a row has one run, whenever calls to the incarnations before come', async t => {
   t.deepEqual(await play(ofEachOwner({ rebirths: 2 })), [])
 })
 
@@ -160,8 +155,7 @@
   return simulation.breaches.map(breach => `late by ${lateMs} ms, runs for ${runMs} ms, cut off for ${cutOffMs} ms: ${breach}`)
 }
 
-// See KNOWN-RED.txt.
-test.serial.failing('a late report that acknowledges ends of an earlier incarnation does not make a VM forget those of its present one', async t => {
+test.serial('a late report that acknowledges ends of an earlier incarnation does not make a VM forget those of its present one', async t => {
   const breaches: string[] = []
   for (const lateMs of [2_000, 3_000, 5_000]) {
     for (const runMs of [100, 700]) {
@@ -201,8 +195,7 @@
   return simulation.breaches.map(breach => `reborn after ${rebornAfterMs} ms, late by ${lateMs} ms, owners of ${killedCells.join(' and ') || 'none'} killed: ${breach}`)
 }
 
-// See KNOWN-RED.txt.
-test.serial.failing('a task that is delegated to a cell whose VMs have just been reborn has one run, whichever owners are killed as the VM is cut off', async t => {
+test.serial('a task that is delegated to a cell whose VMs have just been reborn has one run, whichever owners are killed as the VM is cut off', async t => {
   const breaches: string[] = []
   for (const rebornAfterMs of [1_500, 3_800]) {
     for (const lateMs of [2_000, 6_000]) {
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -179,8 +179,7 @@
   t.deepEqual(await playNextOwner(true), [])
 })
 
-// See KNOWN-RED.txt.
-test.failing('a late report for an earlier incarnation of a VM does not give the runs there a lease that the owner does not wait for', async t => {
+test('a late report for an earlier incarnation of a VM does not give the runs there a lease that the owner does not wait for', async t => {
   const breaches: string[] = []
   for (const isLasting of [true, false]) {
     for (const lateForMs of [300, 800, 1_500]) {
