The next owner waits for leases that reborn workers may have inherited

Callers saw tasks with two runs at once after the owner was killed while a reborn worker was cut off. The record named no end of the lease for a reborn worker, so the next owner waited 4.8 s, the lease that owners mean to extend, while a call for the earlier incarnation had given the worker 10 s.

An owner now records, for each reborn worker that may run something, when the leases that calls for earlier incarnations can set are over, and extends its lease or starts anything there only once that is durable. Before the end is known by the store's clock it is recorded as unknown, and the next owner waits for the longest that its predecessor's last call can set. An end that is much too late is recorded again. A worker whose rebirth only the list shows may run what an earlier owner ordered, so a new owner that cannot reach it waits as long. For a worker that is dead, and was not reborn, nobody waits longer than before.

--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -5,12 +5,13 @@
 import { EMPTY_LAYOUT, NOTHING_PUBLISHED, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
 import { encodeEstimates, encodeTerm } from './boundedRows.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
-import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SILENT_CALLS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
+import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
 import { encodeProgress } from './encodeProgress.ts'
+import { keyOf, LeaseRecord, type WorkerIdentity } from './LeaseRecord.ts'
 import { LeftOutRows } from './LeftOutRows.ts'
 import { limitUsedWorkers } from './limitUsedWorkers.ts'
-import type { RowTransaction, RowStore, StoreTime } from './RowStore.ts'
-import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, progressKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
+import type { RowTransaction, RowStore } from './RowStore.ts'
+import { divideUsedWorkers, encodeRow, ESTIMATES_KEY, LAYOUT_KEY, layoutCellKey, progressKey, PROGRESS_TABLE, readTerm, TERM_KEY, TERMS_TABLE, withoutLeaseEnds, type Term, type UsedWorker } from './rows.ts'
 import { StoreClock } from './StoreClock.ts'
 import { WorkerEpochs } from './WorkerEpochs.ts'
 
@@ -27,11 +28,6 @@
   progressToDelete: readonly string[]
 }>
 
-/** One incarnation of a worker. */
-type WorkerIdentity = Pick<UsedWorker, 'id' | 'incarnation'>
-
-const keyOf = ({ id, incarnation }: WorkerIdentity): string => `${id}#${incarnation}`
-
 /** Receives the results of the commits. */
 export abstract class TermListener {
   /** A commit succeeded: its ends may be acknowledged, its workers may be used, and the progress of `segments` is durable. */
@@ -68,11 +64,8 @@
   readonly #workerEpochs = new WorkerEpochs()
   /** The highest epoch of a commit of this term, whose response may have been lost. */
   #highestEpoch: Epoch
-  /** Those of them whose leases may be extended. A worker leaves it before a commit that names the end of its lease is sent. */
-  #leasableWorkers = new Set<string>()
-  /** Ends of the leases of silent workers, as the store has them or may have them. */
-  readonly #leaseEnds = new Map<string, StoreTime>()
   readonly #storeClock = new StoreClock()
+  readonly #leases: LeaseRecord
   #progressToDelete: string[] = []
   #layout: Layout = EMPTY_LAYOUT
   #durableLayout: Layout = EMPTY_LAYOUT
@@ -91,6 +84,7 @@
     this.#leftOut = new LeftOutRows(clock, log, metrics)
     this.#sleep = new InterruptibleSleep(clock)
     this.#scheduler = scheduler
+    this.#leases = new LeaseRecord(scheduler, clock, this.#storeClock)
     this.#listener = listener
     this.#term = term
     this.#highestEpoch = term.epoch
@@ -141,8 +135,8 @@
   /** Sets the workers that the owner before used, and the keys of the rows that record them. */
   restoreUsedWorkers (workers: readonly UsedWorker[], keys: readonly string[]): void {
     for (const key of keys) this.#usedWorkersKeys.add(key)
-    for (const worker of workers) if (worker.leaseOverAt !== undefined) this.#leaseEnds.set(keyOf(worker), worker.leaseOverAt)
-    this.setUsedWorkers(workers.map(withoutLeaseEnd))
+    this.#leases.restore(workers)
+    this.setUsedWorkers(workers.map(withoutLeaseEnds))
   }
 
   /** Whether a worker is among those set last, so that it is recorded or about to be. */
@@ -152,14 +146,14 @@
 
   /** Requests that ends of leases are recorded or removed, if workers have fallen silent or have reported. */
   updateLeaseEnds (): void {
-    if (!this.#usedWorkers.some(worker => this.#isLeaseEndOutdated(worker))) return
+    if (!this.#usedWorkers.some(worker => this.#leases.isOutdated(worker))) return
     this.#areUsedWorkersDirty = true
     this.requestCommit()
   }
 
   /** A worker has reported: its lease may be extended once the end is removed from the record. */
   workerReported (worker: WorkerIdentity): void {
-    if (!this.#leaseEnds.has(keyOf(worker))) return
+    if (!this.#leases.hasEnd(worker) && !this.#leases.isOutdated(worker)) return
     this.#areUsedWorkersDirty = true
     this.requestCommit()
   }
@@ -206,15 +200,15 @@
     return this.#term.epoch
   }
 
-  /** Whether the worker's lease may be extended, by a start or otherwise: it is recorded durably without an end of its lease. */
+  /** Whether the worker's lease may be extended, by a start or otherwise. */
   isLeasable (worker: WorkerIdentity): boolean {
-    return this.#leasableWorkers.has(keyOf(worker))
+    return this.#leases.isLeasable(worker)
   }
 
   /** Releases the term, so that another process can claim it at once. Owners in a row pass on when the leases of silent workers are over. */
   async release (): Promise<void> {
     while (this.#isCommitting) await this.#clock.sleep(MIN_COMMIT_INTERVAL_MS)
-    const usedWorkers = this.#isRestored ? this.#limitUsedWorkers(this.#recordLeaseEnds(true)) : undefined
+    const usedWorkers = this.#isRestored ? this.#limitUsedWorkers(this.#leases.record(this.#usedWorkers, true)) : undefined
     const transaction = this.#buildTransaction({ segments: [], values: [], ends: new Map(), usedWorkers, layout: undefined, progressToDelete: [] }, this.#nextTerm({ ...this.#term, holder: '' }, usedWorkers))
     const outcome = await this.#store.transact(transaction)
     this.#log.info('Term released', { epoch: this.#term.epoch, done: outcome.ok && outcome.val.kind === 'committed' })
@@ -301,7 +295,7 @@
   #markDurable (workers: readonly UsedWorker[], epoch: Epoch): void {
     this.#durableWorkers = new Set(workers.map(keyOf))
     this.#workerEpochs.assign(workers, epoch)
-    this.#leasableWorkers = new Set(workers.filter(({ leaseOverAt }) => leaseOverAt === undefined).map(keyOf))
+    this.#leases.markDurable(workers)
   }
 
   #nextTerm (term: Term, usedWorkers: readonly UsedWorker[] | undefined): Term {
@@ -311,56 +305,19 @@
     return { ...term, epoch, commit: term.commit + 1, areLeaseEndsRecorded: usedWorkers === undefined ? term.areLeaseEndsRecorded : true }
   }
 
-  // An earlier commit without a response may still be applied, but none of them after one that has succeeded: each
-  // checks the same version. So it is enough that a worker isn't leasable from before the first such commit until one
-  // without the end has succeeded.
-  #recordLeaseEnds (isReleasing: boolean): readonly UsedWorker[] {
-    return this.#usedWorkers.map(worker => {
-      const key = keyOf(worker)
-      const leaseOverAt = this.#leaseOverAt(worker, isReleasing)
-      if (leaseOverAt === undefined) {
-        this.#leaseEnds.delete(key)
-        return worker
-      }
-      this.#leaseEnds.set(key, leaseOverAt)
-      this.#leasableWorkers.delete(key)
-      return { ...worker, leaseOverAt }
-    })
-  }
-
   #limitUsedWorkers (workers: readonly UsedWorker[]): readonly UsedWorker[] {
     const recorded = limitUsedWorkers(workers, worker => this.#durableWorkers.has(keyOf(worker)))
     if (recorded.length < workers.length) this.#leftOut.record('workers', { workers: workers.length, recorded: recorded.length })
     return recorded
   }
 
-  #isLeaseEndOutdated (worker: UsedWorker): boolean {
-    return this.#leaseEnds.has(keyOf(worker)) !== (this.#leaseOverAt(worker, false) !== undefined)
-  }
-
-  // An end that was recorded holds until the worker is leasable again. For a reborn worker there is none, as a late
-  // order for the incarnation before can set a lease that ends at any time.
-  #leaseOverAt (worker: UsedWorker, isReleasing: boolean): StoreTime | undefined {
-    const record = this.#scheduler.workers.get(worker.id)
-    if (record === undefined || record.entry.incarnation !== worker.incarnation || record.isReborn) return undefined
-    const recorded = this.#leaseEnds.get(keyOf(worker))
-    if (!this.#isSilent(record, recorded !== undefined || isReleasing)) return undefined
-    const computed = this.#storeClock.toStoreTime(record.leaseExpiresAt, record.leaseKnownSince)
-    return recorded === undefined || computed === undefined ? recorded ?? computed : brand<StoreTime>(Math.min(recorded, computed))
-  }
-
-  #isSilent ({ hasReported, isUnresponsive, failedCalls }: WorkerRecord, isRecordedOrReleasing: boolean): boolean {
-    if (!hasReported) return isRecordedOrReleasing || isUnresponsive
-    return isRecordedOrReleasing ? isUnresponsive : failedCalls >= SILENT_CALLS
-  }
-
   #extendHold (sentAt: Instant, sentAtWall: number): void {
     this.#heldSince = sentAt
     this.#heldSinceWall = sentAtWall
   }
 
   #takeBatch (): Batch {
-    const usedWorkers = this.#areUsedWorkersDirty ? this.#limitUsedWorkers(this.#recordLeaseEnds(false)) : undefined
+    const usedWorkers = this.#areUsedWorkersDirty ? this.#limitUsedWorkers(this.#leases.record(this.#usedWorkers, false)) : undefined
     this.#areUsedWorkersDirty = false
     const usedWorkersRows = usedWorkers === undefined ? 0 : Math.max(this.#usedWorkersKeys.size, divideUsedWorkers(usedWorkers, this.#store.maxValueBytes).size)
     const layout = this.#nextLayout()
--- a/packages/jobs/src/recordedLease.ts
+++ b/packages/jobs/src/recordedLease.ts
@@ -1,7 +1,7 @@
 /**
  * What a new owner reads from the record about the leases of a worker.
  */
-import type { Instant } from '@auburnpin/common'
+import { brand, type Instant } from '@auburnpin/common'
 import type { RecordedLease } from '@auburnpin/core'
 import type { StoreTime } from './RowStore.ts'
 import type { UsedWorker } from './rows.ts'
@@ -13,5 +13,10 @@
  * @example
  * scheduler.restoreWorker(unlistedEntry(worker), now, recordedLease(worker, page.storeTime, receivedAt))
  */
-export const recordedLease = ({ leaseOverAt }: UsedWorker, storeTime: StoreTime | undefined, receivedAt: Instant): RecordedLease =>
-  ({ overAt: leaseOverAt === undefined || storeTime === undefined ? undefined : StoreClock.toInstant(leaseOverAt, storeTime, receivedAt) })
+export const recordedLease = ({ leaseOverAt, inheritedLeaseOverAt }: UsedWorker, storeTime: StoreTime | undefined, receivedAt: Instant): RecordedLease => {
+  const toInstant = (time: StoreTime): Instant | undefined => storeTime === undefined ? undefined : StoreClock.toInstant(time, storeTime, receivedAt)
+  return {
+    overAt: leaseOverAt === undefined ? undefined : toInstant(leaseOverAt),
+    inheritedOverAt: inheritedLeaseOverAt === undefined ? undefined : toInstant(inheritedLeaseOverAt) ?? brand<Instant>(Infinity)
+  }
+}
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -130,8 +130,13 @@
   epochOffset?: number
   /** From then on no lease that an owner so far extended is running on the worker. While it is stored, no owner extends one. */
   leaseOverAt?: StoreTime
+  /** From then on no lease is running that calls for earlier incarnations may have set on this one; absent if it ends before the ordinary ones. */
+  inheritedLeaseOverAt?: StoreTime
 }>
 
+/** Stands for an end of a lease that is not known yet; an owner then waits for the longest that there can be. */
+export const UNKNOWN_LEASE_END = brand<StoreTime>(Number.MAX_SAFE_INTEGER)
+
 /** Most workers in one row, so that the change of one doesn't write too many. */
 const USED_WORKERS_PER_ROW = 100
 
@@ -141,7 +146,7 @@
   let row: UsedWorker[] = []
   let bytes = 0
   for (const worker of workers) {
-    // The store's time takes the place of an end that the next commit may add.
+    // Times of the store take the place of ends that the next commit may add.
     const ownBytes = Buffer.byteLength(JSON.stringify(worker)) + LEASE_END_BYTES
     if (row.length === 0 || row.length >= USED_WORKERS_PER_ROW || bytes + ownBytes > maxBytes) {
       row = []
@@ -154,7 +159,7 @@
   return rows
 }
 
-const LEASE_END_BYTES = '"leaseOverAt":9007199254740991,,'.length
+const LEASE_END_BYTES = '"leaseOverAt":9007199254740991,"inheritedLeaseOverAt":9007199254740991,,'.length
 
 /** Whether a row records used workers; earlier versions stored all in one row, whose key has no number. */
 export const isUsedWorkersKey = (key: string): boolean => key === USED_WORKERS_KEY || key.startsWith(`${USED_WORKERS_KEY}-`)
@@ -274,12 +279,20 @@
 export const readTerm = (value: string): Term | undefined => parseRow(value, { holder: '', life: '', epoch: 0, commit: 0, pending: {}, workers: 0 })
 export const readUsedWorkers = (value: string): readonly UsedWorker[] | undefined => {
   const workers = parseRow<readonly UsedWorker[]>(value, [{ id: '', incarnation: 0, address: '', service: '' }])
-  return workers?.map(worker => hasLeaseEnd(worker) ? worker : withoutLeaseEnd(worker))
+  return workers?.map(worker => withSoundInheritedEnd(hasLeaseEnd(worker) ? worker : withoutLeaseEnd(worker)))
 }
 
 /** The same worker, for which a new owner waits as long as any lease can last. */
 export const withoutLeaseEnd = ({ leaseOverAt, ...worker }: UsedWorker): UsedWorker => worker
 
-const hasLeaseEnd = ({ leaseOverAt }: UsedWorker): boolean => Number.isSafeInteger(leaseOverAt) && Number(leaseOverAt) >= 0
+/** The same worker without anything about its leases. */
+export const withoutLeaseEnds = ({ leaseOverAt, inheritedLeaseOverAt, ...worker }: UsedWorker): UsedWorker => worker
+
+const hasLeaseEnd = ({ leaseOverAt }: UsedWorker): boolean => isStoreTime(leaseOverAt)
+
+const withSoundInheritedEnd = (worker: UsedWorker): UsedWorker =>
+  worker.inheritedLeaseOverAt === undefined || isStoreTime(worker.inheritedLeaseOverAt) ? worker : { ...worker, inheritedLeaseOverAt: UNKNOWN_LEASE_END }
+
+const isStoreTime = (time: unknown): boolean => Number.isSafeInteger(time) && Number(time) >= 0
 
 const JOB_PHASES: ReadonlySet<string> = new Set<JobPhase>(['queued', 'active', 'completed', 'failed', 'cancelled'])
--- a/packages/jobs/tests/lateCallsAfterRebirth.test.ts
+++ b/packages/jobs/tests/lateCallsAfterRebirth.test.ts
@@ -37,13 +37,11 @@
   return breaches
 }
 
-// See KNOWN-RED.txt.
-test.serial.failing('a task of a reborn VM that is cut off after its owner was killed has one run, whenever calls to the incarnation before come', async t => {
+test.serial('a task of a reborn VM that is cut off after its owner was killed has one run, whenever calls to the incarnation before come', async t => {
   t.deepEqual(await play(ofEachKind({ owner: 'killed' })), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('so it has if the owner is killed some time after the cut', async t => {
+test.serial('so it has if the owner is killed some time after the cut', async t => {
   t.deepEqual(await play(ofEachKind({ owner: 'killed', ownerEndsAfterMs: 2_500 })), [])
 })
 
@@ -51,18 +49,15 @@
   t.deepEqual(await play(ofEachKind({})), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('a task of a reborn VM that is cut off has one run if its owner stops and hands over, whenever calls to the incarnation before come', async t => {
+test.serial('a task of a reborn VM that is cut off has one run if its owner stops and hands over, whenever calls to the incarnation before come', async t => {
   t.deepEqual(await play([...ofEachKind({ owner: 'stopped' }), ...storiesWith({ owner: 'stopped', ownerEndsAfterMs: 2_500 })]), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('a short task that ends behind the cut has one run, whenever calls to the incarnation before come', async t => {
+test.serial('a short task that ends behind the cut has one run, whenever calls to the incarnation before come', async t => {
   t.deepEqual(await play((['stays', 'killed', 'stopped'] as const).flatMap(owner => storiesWith({ isLasting: false, runMs: SHORT_RUN_MS, owner }))), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('late starts alone leave one run of each task', async t => {
+test.serial('late starts alone leave one run of each task', async t => {
   t.deepEqual(await play(ofEachOwner({ late: ['start'] })), [])
 })
 
@@ -78,8 +73,7 @@
   t.deepEqual(await play(ofEachOwner({ late: ['start', 'stop'], isCancelled: true })), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('calls sent before the rebirth is noticed that come a moment late leave one run of each task', async t => {
+test.serial('calls sent before the rebirth is noticed that come a moment late leave one run of each task', async t => {
   const unnoticed = { answersAfterMs: 300, listedAfterMs: 400 }
   t.deepEqual(await play(ofEachOwner(unnoticed, [400])), [])
 })
@@ -93,8 +87,7 @@
   t.deepEqual(await play([...ofEachKind({ link: 'waiting' }, NO_DELAY), ...ofEachKind({ link: 'waiting', listedAfterMs: 600 }, NO_DELAY)]), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('so they do if the owner is killed', async t => {
+test.serial('so they do if the owner is killed', async t => {
   t.deepEqual(await play([...ofEachKind({ link: 'waiting', owner: 'killed' }, NO_DELAY), ...storiesWith({ link: 'waiting', listedAfterMs: 600, owner: 'killed' }, NO_DELAY)]), [])
 })
 
@@ -107,8 +100,7 @@
   t.deepEqual(await play(ofEachOwner({ rebirths: 2 })), [])
 })
 
-// See KNOWN-RED.txt.
-test.serial.failing('a task of a reborn VM that is cut off before it has answered has one run, whenever calls to the incarnation before come', async t => {
+test.serial('a task of a reborn VM that is cut off before it has answered has one run, whenever calls to the incarnation before come', async t => {
   const unanswered = [true, false].flatMap(isLasting => LATE_MS.map(lateMs => ({ isLasting, lateMs, orderedAfterMs: 0, cutOffAfterMs: 0 })))
   t.deepEqual(await play([...unanswered, ...unanswered.map(story => ({ ...story, owner: 'killed' as const }))]), [])
 })
