Each start is preceded by an answer of the worker that is at most 100 ms old

Callers saw tasks with two runs at once, or kept away for 10.6 s, after a worker had started again unnoticed: it was confirmed before a start only if it was idle and had not reported for 2 s, and counted as the same incarnation as long as it had a run that had been reported. A start that reached the next incarnation gave it a lease of 10 s that an owner that was killed at once had not recorded.

A worker is now asked before a start unless it has answered a call within the last 100 ms with a clock that has not gone back. A rebirth is noticed by that answer, which carries no lease, and the start is not sent.

Run: rebornWorkers, lateCallsAfterRebirth, idleWorkersLost, lostStarts, silentWorkers, manyWorkers, acceptance, ownerOverload.

--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -3,7 +3,7 @@
  */
 import { AuburnpinError, Err, InterruptibleSleep, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MAX_CLOCK_AGE_MS, MAX_REPORT_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, SILENCE_WATCH_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_CLOCK_AGE_MS, MAX_CONFIRMATION_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, SILENCE_WATCH_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -76,9 +76,9 @@
     return this.#failingSince !== undefined && this.#clock.now() - this.#failingSince >= SILENCE_WATCH_MS
   }
 
-  /** Whether the worker is there and still the same incarnation; an idle one is asked unless it has reported a short time ago. */
+  /** Whether the worker is there and still the same incarnation; it is asked unless it has answered a call just now. */
   async confirm (worker: WorkerRecord): Promise<boolean> {
-    if (this.#clock.now() - worker.reportedAt < MAX_REPORT_AGE_MS || [...worker.runs.values()].some(({ isReported }) => isReported)) return true
+    if (worker.isIncarnationCertain && worker.clockAgeMs(this.#clock.now()) < MAX_CONFIRMATION_AGE_MS) return true
     this.#confirmation ??= this.#askForReport(worker).finally(() => { this.#confirmation = undefined })
     return await this.#confirmation && this.#scheduler.workers.get(this.#worker) === worker
   }
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -81,8 +81,8 @@
 /** Milliseconds after the start of a task that may crash its worker until a report shows that it has survived its start, also on a slow clock. */
 export const SURVIVAL_REPORT_DELAY_MS = MIN_SURVIVAL_MS / MIN_CLOCK_RATE + 20
 
-/** Age of an idle worker's latest report from which on the worker is asked before a task starts there, in milliseconds: more than between two reports of a busy one. */
-export const MAX_REPORT_AGE_MS = 2_000
+/** Age of a worker's latest answer from which on the worker is asked before a task starts there, in milliseconds: no worker starts again in less. */
+export const MAX_CONFIRMATION_AGE_MS = 100
 
 /** Shortest time between two reports of one worker, in milliseconds, so that one report lists several ended runs. */
 export const MIN_REPORT_INTERVAL_MS = 25
--- a/packages/jobs/tests/lostStarts.test.ts
+++ b/packages/jobs/tests/lostStarts.test.ts
@@ -101,7 +101,6 @@
   t.deepEqual(await playLateReports(1_700), [])
 })
 
-// See KNOWN-RED.txt.
-test.failing('nor does a report that was in flight when the VM fell silent', async t => {
+test('nor does a report that was in flight when the VM fell silent', async t => {
   t.deepEqual(await playLateReports(300), [])
 })
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -104,8 +104,7 @@
   t.deepEqual(await playDeaths(REBIRTHS.filter(({ isLasting, hasJustReported }) => isLasting && !hasJustReported), MAX_AWAY_MS), [])
 })
 
-// See KNOWN-RED.txt.
-test.failing('so is one whose VM had reported just before it was reborn', async t => {
+test('so is one whose VM had reported just before it was reborn', async t => {
   t.deepEqual(await playDeaths(REBIRTHS.filter(({ isLasting, hasJustReported }) => isLasting && hasJustReported), MAX_AWAY_MS), [])
 })
 
@@ -174,11 +173,35 @@
   t.deepEqual(await playNextOwner(false), [])
 })
 
-// See KNOWN-RED.txt.
-test.failing('so it does if the VM had reported just before it was reborn', async t => {
+test('so it does if the VM had reported just before it was reborn', async t => {
   t.deepEqual(await playNextOwner(true), [])
 })
 
+test('the next owner waits for the lease of a busy VM that was reborn unnoticed before the order', async t => {
+  const breaches: string[] = []
+  for (const rebornAfterMs of [300, 700, 1_100, 1_400]) {
+    for (const endsAfterMs of [0, 500, 1_500]) {
+      const simulation = new JobsSimulation(2, () => ({ runMs: LASTING_MS, ending: 'done' }))
+      simulation.listed.delete('w2')
+      const node = simulation.addNode('n1')
+      simulation.addNode('n2')
+      await simulation.advance(20_000)
+      await simulation.settle(node.jobs.submit(jobOf(SHORT_JOB, [stepOf({ isLasting: true })]), 2_000))
+      await simulation.advance(3_000 + rebornAfterMs)
+      simulation.restartUnnoticed('w1')
+      await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting: true })]), 2_000))
+      for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length === 0; waitedMs++) await simulation.advance(1)
+      simulation.listed.add('w2')
+      simulation.links.set('w1', 'mute')
+      await simulation.advance(endsAfterMs)
+      simulation.nodes.get('n1')?.kill()
+      await simulation.advance(20_000)
+      for (const breach of simulation.breaches) breaches.push(`reborn after ${rebornAfterMs} ms, owner killed after ${endsAfterMs} ms: ${breach}`)
+    }
+  }
+  t.deepEqual(breaches, [])
+})
+
 test('a late report for an earlier incarnation of a VM does not give the runs there a lease that the owner does not wait for', async t => {
   const breaches: string[] = []
   for (const isLasting of [true, false]) {
