--- a/packages/fakes/src/FakeWorkers.ts
+++ b/packages/fakes/src/FakeWorkers.ts
@@ -103,7 +103,7 @@
   }
 }
 
-/** All workers by address. */
+/** All workers by address; a call reaches the one that is at the address once it is delivered. */
 export class FakeWorkers extends Workers {
   readonly #link: FakeLink
   readonly #member: string
@@ -117,19 +117,19 @@
   }
 
   at (address: string): Worker {
-    return new FakeWorker(this.#vms.get(address), this.#link, this.#member, address)
+    return new FakeWorker(this.#vms, this.#link, this.#member, address)
   }
 }
 
 class FakeWorker extends Worker {
-  readonly #vm: FakeVmWorker | undefined
+  readonly #vms: ReadonlyMap<string, FakeVmWorker>
   readonly #link: FakeLink
   readonly #member: string
   readonly #address: string
 
-  constructor (vm: FakeVmWorker | undefined, link: FakeLink, member: string, address: string) {
+  constructor (vms: ReadonlyMap<string, FakeVmWorker>, link: FakeLink, member: string, address: string) {
     super()
-    this.#vm = vm
+    this.#vms = vms
     this.#link = link
     this.#member = member
     this.#address = address
@@ -171,8 +171,9 @@
 
   #call<Value> (operation: string, effect: (vm: FakeVmWorker) => Value): Promise<Result<Value, AuburnpinError>> {
     return this.#link.deliver(this.#member, this.#address, operation, () => {
-      if (this.#vm === undefined || this.#vm.isDead) return Err(new AuburnpinError('unreachable', `No worker at ${this.#address}`, 'See the VM list.'))
-      return Ok(effect(this.#vm))
+      const vm = this.#vms.get(this.#address)
+      if (vm === undefined || vm.isDead) return Err(new AuburnpinError('unreachable', `No worker at ${this.#address}`, 'See the VM list.'))
+      return Ok(effect(vm))
     })
   }
 }
