A VM whose worker starts again at another address goes on with its work

Callers saw a task that counts as running for good, and a VM that gets no work: if a worker of the older scheduler starts again at another address, the VM list tells it, but the link keeps asking at the address that it was made with. No report comes, the VM is listed, so nothing ends its attempts until another owner takes over.

Now the link is replaced once its worker hasn't responded for as long as a lease lasts, with the margin, and the list names another address. So long because the worker may be cut off and run on, of which the one at the other address knows nothing; a list that names a wrong address for a while changes nothing, as before. A link that was stopped posts nothing more of the exchange in progress.

--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -6,7 +6,7 @@
   type CellId, type Clock, type Instant, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LearntInterference,
+  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LEASE_MARGIN_MS, LearntInterference, WORKER_LEASE_MS,
   type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskReason, type TaskSpec, type Vm
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
@@ -246,7 +246,9 @@
   #syncWorkerLinks (): void {
     const { clock, random, log, workers } = this.#ports
     for (const vm of this.#cell.state.vms.values()) {
-      if (this.#links.has(vm.id)) continue
+      const current = this.#links.get(vm.id)
+      if (current !== undefined && !this.#isOutdated(current, vm)) continue
+      void current?.stop()
       const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, event => this.#events.enqueue({ event }), event => this.#record(event), () => this.#loseOwnership())
       this.#links.set(vm.id, link)
       link.start()
@@ -258,6 +260,11 @@
     }
   }
 
+  // The worker at the address of before may run attempts under its lease, of which the one at the other knows nothing.
+  #isOutdated (link: WorkerLink, { address }: Vm): boolean {
+    return link.address !== address && this.#ports.clock.now() - link.respondedAt >= WORKER_LEASE_MS + LEASE_MARGIN_MS
+  }
+
   // A link must not wait for the store while the cell is being closed.
   #record (event: CellEvent): Promise<boolean> {
     if (this.#isClosed) return Promise.resolve(false)
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -25,6 +25,8 @@
   #renewedAt: Instant | undefined
   #usageAt: Instant | undefined
   #usageSince = 0
+  #respondedAt: Instant
+  #isStopped = false
 
   /** `record` resolves to whether all changes that the event caused are durable; `post` doesn't wait for them. */
   constructor (
@@ -35,6 +37,7 @@
     this.#term = term
     this.#worker = worker
     this.#clock = clock
+    this.#respondedAt = clock.now()
     this.#random = random
     this.#post = post
     this.#record = record
@@ -42,11 +45,22 @@
     this.#ticker = new Ticker(clock, REPORT_INTERVAL_MS, () => this.exchange(), error => log.error(String(error), { vm: vm.id }))
   }
 
+  get address (): string {
+    return this.#vm.address
+  }
+
+  /** When the worker last responded, or this link was created. */
+  get respondedAt (): Instant {
+    return this.#respondedAt
+  }
+
   start (): void {
     this.#ticker.start(this.#random.fraction() * REPORT_INTERVAL_MS)
   }
 
+  /** Ends the exchanges; of one in progress nothing more is posted, as another link may have replaced this one. */
   async stop (): Promise<void> {
+    this.#isStopped = true
     await this.#ticker.stop()
   }
 
@@ -54,7 +68,8 @@
   async exchange (): Promise<void> {
     const askedAt = this.#clock.now()
     const report = await this.#worker.report()
-    if (report.err) return
+    if (report.err || this.#isStopped) return
+    this.#respondedAt = this.#clock.now()
     // Posted before the renewal, so that a cell waiting for the lease to expire allows for a renewal in flight.
     if (!await this.#postReport(report.val, askedAt)) return
     if (this.#isRenewalDue(report.val)) await this.#renew(report.val)
@@ -93,7 +108,7 @@
     const session = report.session ?? this.#newSession()
     const sentAt = this.#clock.now()
     const response = await this.#worker.lease({ session, epoch: this.#term.epoch, ttlMs: WORKER_LEASE_MS, isNew })
-    if (response.err) return
+    if (response.err || this.#isStopped) return
     if (response.val.kind === 'refused') {
       this.#session = undefined
       // A worker has a higher epoch only if another owner has claimed the cell since.
--- a/packages/scheduler/tests/rebornWorkers.test.ts
+++ b/packages/scheduler/tests/rebornWorkers.test.ts
@@ -109,8 +109,7 @@
   })
 }
 
-// See KNOWN-RED.txt.
-test.failing('a VM whose worker starts again at another address goes on with its work', async t => {
+test('a VM whose worker starts again at another address goes on with its work', async t => {
   const { world, runner } = await openWithTasks(1)
   await advance(world, runner, 3_000)
   const worker = workerOf(world, 'vm-1')
@@ -124,6 +123,32 @@
   assertConsistent(t, world, runner, 'at another address')
 })
 
+test('so does a VM that the list names at another address while its first worker is cut off and runs on', async t => {
+  const { world, runner } = await openWithTasks(2)
+  const [first, second] = world.listed
+  if (first === undefined || second === undefined) throw new Error('There are no two VMs')
+  world.listed = [first]
+  await advance(world, runner, 3_000)
+  world.link.setDeliveryPolicy((_from, to) => to === first.address ? REQUEST_LOST : IMMEDIATE)
+  world.listed = [{ ...first, address: second.address }]
+  await advance(world, runner, 2 * MINUTE_MS)
+  assertConsistent(t, world, runner, 'cut off')
+})
+
+test('a VM that the list names at another address for a while, although its worker is where it was, keeps its tasks', async t => {
+  const { world, runner } = await openWithTasks(1)
+  const { listed } = world
+  await advance(world, runner, 1_000)
+  for (let round = 0; round < 5; round++) {
+    world.listed = listed.map(vm => ({ ...vm, address: 'vm-1:2' }))
+    await advance(world, runner, 40_000)
+    world.listed = listed
+    await advance(world, runner, 5_000)
+  }
+  assertConsistent(t, world, runner, 'named elsewhere')
+  for (const id of [...ORDERS, WATCH]) t.is(world.starts(id), 1, id)
+})
+
 // See KNOWN-RED.txt.
 test.failing('a VM that gets the address of one that is gone keeps its tasks and their results', async t => {
   for (let atMs = 1_000; atMs <= 5_000; atMs += 500) {
