An owner leaves the worker of another VM alone that has got the address of one that is gone

Callers saw tasks stopped without a reason, and a finished task that counts as running for good. A VM that leaves the list with tasks placed on it keeps its link until they are ended. If another VM gets its address meanwhile, the link took that one's report for its own VM's: it stopped the tasks in it, as they are placed elsewhere, and acknowledged their ends before the right link had recorded them; the start that was then sent again is refused for good. With a worker of another cell it also renewed the lease with its own cell's epoch.

Now the name of a session ends with its VM, after the cell, epoch and random id, and a link ignores a report whose session isn't its cell's and its VM's. It opens no session at an address that the list doesn't name for its VM. Sessions of earlier versions name no VM and are taken as before. The bench of the worker's control names its session accordingly.

Two tests were known red (packages/scheduler/tests/rebornWorkers): waiting-3 was running after 2 minutes with vm-1 lost at 1,000 ms and vm-3 at its address 500 ms later, and two tasks of another cell were stopped.

--- a/bench/workerControl.ts
+++ b/bench/workerControl.ts
@@ -12,7 +12,7 @@
 const RESOURCES = { processors: 64, memoryMb: 256_000, accelerators: 0 }
 const WARM_UP_MS = 4_000
 const MEASURED_MS = 20_000
-const SESSION = 'bench-session'
+const SESSION = 'colombo-0.1.abcdefghijkl.vm-1'
 const EPOCH = 1
 
 const measure = async (tasks: number): Promise<object> => {
@@ -25,7 +25,7 @@
   }
   const client = new HttpClient(4)
   const vm = { id: brand<VmId>('vm-1'), dataCentre: brand<DataCentre>('colombo'), rack: brand<RackId>('r1'), address, resources: RESOURCES, isLeaving: false }
-  const owner = new WorkerLink(vm, { cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(EPOCH) }, new HttpWorkers(client).at(address), new SystemClock(), new SystemRandom(), new SilentLog(), () => {}, () => Promise.resolve(true), () => {})
+  const owner = new WorkerLink(vm, { cell: brand<CellId>('colombo-0'), epoch: brand<Epoch>(EPOCH) }, new HttpWorkers(client).at(address), new SystemClock(), new SystemRandom(), new SilentLog(), { post: () => {}, record: () => Promise.resolve(true), onFenced: () => {}, isListed: () => true })
   owner.start()
   await new Promise(resolve => setTimeout(resolve, WARM_UP_MS))
   const before = proxy.bytes
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -18,7 +18,7 @@
 import { recoverCell, type RecoveredJournal } from './recoverCell.ts'
 import { SnapshotWriter } from './SnapshotWriter.ts'
 import { reportTransitions } from './reportTransitions.ts'
-import { WorkerLink } from './WorkerLink.ts'
+import { WorkerLink, type LinkHandlers } from './WorkerLink.ts'
 
 /** Dependencies of a cell runner. */
 export type CellPorts = Readonly<{
@@ -249,7 +249,7 @@
       const current = this.#links.get(vm.id)
       if (current !== undefined && !this.#isOutdated(current, vm)) continue
       void current?.stop()
-      const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, event => this.#events.enqueue({ event }), event => this.#record(event), () => this.#loseOwnership())
+      const link = new WorkerLink(vm, this.#claimed, workers.at(vm.address), clock, random, log, this.#linkHandlers)
       this.#links.set(vm.id, link)
       link.start()
     }
@@ -260,6 +260,18 @@
     }
   }
 
+  get #linkHandlers (): LinkHandlers {
+    return {
+      post: event => this.#events.enqueue({ event }),
+      record: event => this.#record(event),
+      onFenced: () => this.#loseOwnership(),
+      isListed: ({ id, address }) => {
+        const vm = this.#cell.state.vms.get(id)
+        return vm?.address === address && vm.missingSince === undefined
+      }
+    }
+  }
+
   // The worker at the address of before may run attempts under its lease, of which the one at the other knows nothing.
   #isOutdated (link: WorkerLink, { address }: Vm): boolean {
     return link.address !== address && this.#ports.clock.now() - link.respondedAt >= WORKER_LEASE_MS + LEASE_MARGIN_MS
