A late renewal at a worker that is cut off leaves one run of its tasks

Callers saw a watch run on two workers. The attempts on a VM that has left the list are given up 28 s after that, 3 s more than a lease lasts. A renewal that got no response may be carried out later than that margin, and the worker counts its lease from then; cut off, it runs its tasks beside their next attempts.

Now the link tells of a renewal without a response, and the 28 s count from 12 s after it (MAX_CALL_DELAY_MS) at the earliest, also before a link follows its VM to another address. A VM whose worker dies is waited for no longer unless a renewal was on its way. The next owner doesn't know of such a renewal.

--- a/packages/core/src/cell/Cell.ts
+++ b/packages/core/src/cell/Cell.ts
@@ -94,6 +94,9 @@
         return this.#drainLeavingVms(now)
       case 'lease-granted':
         return this.#recordLease(event)
+      case 'lease-unanswered':
+        this.#state.updateVm(event.vm, { unansweredAt: event.sentAt })
+        return EMPTY_STEP
       case 'lease-refused':
         this.#state.updateVm(event.vm, { session: undefined })
         return EMPTY_STEP
--- a/packages/core/src/cell/reconcileReport.ts
+++ b/packages/core/src/cell/reconcileReport.ts
@@ -2,7 +2,7 @@
  * Reconciles a worker's report with the attempts that the cell has placed on it.
  */
 import type { Instant, LeaseSession, VmId } from '@auburnpin/common'
-import { MIN_SURVIVAL_MS, REPLICA_DRAIN_MS } from '../constants.ts'
+import { MAX_CALL_DELAY_MS, MIN_SURVIVAL_MS, REPLICA_DRAIN_MS } from '../constants.ts'
 import type { CellState } from './CellState.ts'
 import type { CellAction, CellEvent, CrashRole, Placement, ReportedTask, Task, Transition, Vm } from './types.ts'
 
@@ -116,7 +116,7 @@
 export const endAttemptsOnLostVms = (state: CellState, now: Instant, leaseMs: number): Transition[] => {
   const transitions: Transition[] = []
   for (const vm of state.vms.values()) {
-    if (vm.missingSince === undefined || now - vm.missingSince < leaseMs) continue
+    if (vm.missingSince === undefined || now - Math.max(vm.missingSince, latestExecution(vm)) < leaseMs) continue
     for (const id of state.placedOn(vm.id)) transitions.push(lostTransition(state, id, vm.id))
   }
   for (const [vm, since] of state.unlistedSince) {
@@ -126,6 +126,10 @@
   return transitions
 }
 
+// A renewal that got no response may start the lease anew when it is carried out.
+const latestExecution = ({ unansweredAt }: Vm): number =>
+  unansweredAt === undefined ? -Infinity : unansweredAt + MAX_CALL_DELAY_MS
+
 const lostTransition = (state: CellState, id: Task['spec']['id'], vmId: VmId): Transition => {
   const task = state.tasks.get(id) as Task
   const vm = state.vms.get(vmId)
--- a/packages/core/src/cell/types.ts
+++ b/packages/core/src/cell/types.ts
@@ -131,6 +131,8 @@
   session?: LeaseSession
   /** When the last successful renewal of the lease was sent; the worker counts the lease from a later moment. */
   renewedAt?: Instant
+  /** When the last renewal without a response was sent. */
+  unansweredAt?: Instant
 }>
 
 /** One VM of the VM list. */
@@ -173,6 +175,8 @@
   | Readonly<{ kind: 'configured', configuration: Configuration, declared: readonly TaskSpec[] }>
   | Readonly<{ kind: 'vms-listed', vms: readonly ListedVm[] }>
   | Readonly<{ kind: 'lease-granted', vm: VmId, session: LeaseSession, sentAt: Instant }>
+  /** A renewal got no response and may be carried out later. */
+  | Readonly<{ kind: 'lease-unanswered', vm: VmId, sentAt: Instant }>
   | Readonly<{ kind: 'lease-refused', vm: VmId, openSession: LeaseSession | null }>
   | Readonly<{ kind: 'reported', vm: VmId, askedAt: Instant, session: LeaseSession | null, isNewIncarnation?: boolean, tasks: readonly ReportedTask[] }>
   | Readonly<{ kind: 'usage', vm: VmId, readings: readonly UsageReading[] }>
--- a/packages/core/src/constants.ts
+++ b/packages/core/src/constants.ts
@@ -2,6 +2,8 @@
 export const WORKER_LEASE_MS = 25_000
 /** Added whenever the expiry of a lease is waited for, to allow for clock drift, in milliseconds. */
 export const LEASE_MARGIN_MS = 3_000
+/** Time after which a call that got no response is carried out no more. */
+export const MAX_CALL_DELAY_MS = 12_000
 /** Time that the VM list must stay empty before its VMs count as removed, in milliseconds. */
 export const EMPTY_LIST_CONFIRMATION_MS = 60_000
 /** How long finished, failed and cancelled tasks are kept for queries, in milliseconds. */
--- a/packages/scheduler/src/CellRunner.ts
+++ b/packages/scheduler/src/CellRunner.ts
@@ -6,7 +6,7 @@
   type CellId, type Clock, type Instant, type InvariantCounter, type Log, type Metrics, type Random, type Result, type TaskId, type VmId
 } from '@auburnpin/common'
 import {
-  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LEASE_MARGIN_MS, LearntInterference, WORKER_LEASE_MS,
+  Cell, ColocationPolicy, declaredTasks, DEFAULT_COLOCATION, fromSnapshot, LEASE_MARGIN_MS, LearntInterference, MAX_CALL_DELAY_MS, WORKER_LEASE_MS,
   type CellEvent, type CellStep, type Configuration, type DurableTasks, type ListedVm, type Task, type TaskReason, type TaskSpec, type Vm
 } from '@auburnpin/core'
 import type { ClaimedCell, EndpointsNotice } from '@auburnpin/cluster'
@@ -273,8 +273,9 @@
   }
 
   // The worker at the address of before may run attempts under its lease, of which the one at the other knows nothing.
-  #isOutdated (link: WorkerLink, { address }: Vm): boolean {
-    return link.address !== address && this.#ports.clock.now() - link.respondedAt >= WORKER_LEASE_MS + LEASE_MARGIN_MS
+  #isOutdated (link: WorkerLink, { address, unansweredAt }: Vm): boolean {
+    const silentSince = Math.max(link.respondedAt, unansweredAt === undefined ? 0 : unansweredAt + MAX_CALL_DELAY_MS)
+    return link.address !== address && this.#ports.clock.now() - silentSince >= WORKER_LEASE_MS + LEASE_MARGIN_MS
   }
 
   // A link must not wait for the store while the cell is being closed.
--- a/packages/scheduler/src/WorkerLink.ts
+++ b/packages/scheduler/src/WorkerLink.ts
@@ -134,7 +134,11 @@
     const session = report.session ?? this.#newSession()
     const sentAt = this.#clock.now()
     const response = await this.#worker.lease({ session, epoch: this.#term.epoch, ttlMs: WORKER_LEASE_MS, isNew })
-    if (response.err || this.#isStopped) return
+    if (this.#isStopped) return
+    if (response.err) {
+      if (response.val.kind === 'unknown-outcome') this.#handlers.post({ kind: 'lease-unanswered', vm: this.#vm.id, sentAt })
+      return
+    }
     if (response.val.kind === 'refused') {
       this.#session = undefined
       // A worker has a higher epoch only if another owner has claimed the cell since.
--- a/packages/scheduler/tests/rebornWorkers.test.ts
+++ b/packages/scheduler/tests/rebornWorkers.test.ts
@@ -124,15 +124,19 @@
 })
 
 test('so does a VM that the list names at another address while its first worker is cut off and runs on', async t => {
-  const { world, runner } = await openWithTasks(2)
-  const [first, second] = world.listed
-  if (first === undefined || second === undefined) throw new Error('There are no two VMs')
-  world.listed = [first]
-  await advance(world, runner, 3_000)
-  world.link.setDeliveryPolicy((_from, to) => to === first.address ? REQUEST_LOST : IMMEDIATE)
-  world.listed = [{ ...first, address: second.address }]
-  await advance(world, runner, 2 * MINUTE_MS)
-  assertConsistent(t, world, runner, 'cut off')
+  for (const late of [lateBy(12_000), IMMEDIATE]) {
+    const { world, runner } = await openWithTasks(2)
+    const [first, second] = world.listed
+    if (first === undefined || second === undefined) throw new Error('There are no two VMs')
+    world.listed = [first]
+    await advance(world, runner, 3_000)
+    world.link.setDeliveryPolicy((_from, to, operation) => to === first.address && operation === 'lease' ? late : IMMEDIATE)
+    await advance(world, runner, 6_000)
+    world.link.setDeliveryPolicy((_from, to) => to === first.address ? REQUEST_LOST : IMMEDIATE)
+    world.listed = [{ ...first, address: second.address }]
+    await advance(world, runner, 2 * MINUTE_MS)
+    assertConsistent(t, world, runner, `renewals before it are ${late.loss}`)
+  }
 })
 
 test('a VM that the list names at another address for a while, although its worker is where it was, keeps its tasks', async t => {
@@ -207,3 +211,16 @@
     t.deepEqual(runner.tasks.get(brand<TaskId>(CRASHING))?.crashedOn, [brand('vm-1')], `${delayMs} ms late`)
   }
 })
+
+test('a renewal that is carried out late at a worker that is cut off, and whose VM has left the list, leaves one run of its tasks', async t => {
+  for (const delayMs of [3_500, 6_000, 12_000]) {
+    const { world, runner } = await openWithTasks(2)
+    await advance(world, runner, 3_000)
+    world.link.setDeliveryPolicy((_from, to, operation) => to === 'vm-1' && operation === 'lease' ? lateBy(delayMs) : IMMEDIATE)
+    await advance(world, runner, 6_000)
+    world.link.setDeliveryPolicy((_from, to) => to === 'vm-1' ? REQUEST_LOST : IMMEDIATE)
+    world.listed = world.listed.filter(({ id }) => id !== 'vm-1')
+    await advance(world, runner, 2 * MINUTE_MS)
+    assertConsistent(t, world, runner, `${delayMs} ms late`)
+  }
+})
