A run that its worker has answered for ends with that incarnation

Callers waited 22 s for a long-running task whose worker had started it, was reborn before its next report and could not be reached since: the run was kept for the later incarnation, which calls without a response may give a lease.

The answer to a start names the worker's clock, and the worker has been asked just before, so the answer tells which incarnation has the run: it ends with that one. Other runs are kept for the next incarnation as long as its inherited lease may last, long-running tasks as well, as they may run there; the time that short tasks had of their own (keptUntil) is part of that.

Run: rebornWorkers, lateCallsAfterRebirth, lostStarts, crashingTasks, lateReports, workerLease, longRunningRestart.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -491,14 +491,14 @@
     this.#observer.runEnded(run, ending, worker)
   }
 
-  // Runs that the old incarnation reported have ended with it. Any other run is kept for the new incarnation, which its
-  // order may still reach, or whose response to the order may have been taken for one of the old incarnation. In the
-  // second case the next report that was requested after the response lists the run, or it has ended.
+  // Runs that the old incarnation has shown to have, by a report or its response to the order, have ended with it. Any
+  // other run is kept for the new incarnation, which may have carried out its order or may still do so.
   #replaceIncarnation (old: WorkerRecord, current: WorkerRecord, now: Instant): void {
     this.#crashDetector.workerLost(old, 'reborn', now)
     for (const run of [...old.runs.values()]) {
-      if (run.isReported || this.#announcedStarts.has(run)) {
-        this.#endRun(run, run.isReported ? 'reborn' : 'not ordered', now)
+      const isShown = run.isReported || run.isAnswered
+      if (isShown || this.#announcedStarts.has(run)) {
+        this.#endRun(run, isShown ? 'reborn' : 'not ordered', now)
         continue
       }
       old.removeRun(run)
@@ -509,10 +509,8 @@
   }
 
   #expireRuns (worker: WorkerRecord, now: Instant): void {
-    const expired = [...worker.runs.values()].filter(({ keptUntil }) => keptUntil === undefined || now >= keptUntil)
-    if (expired.length === 0) return
     this.#crashDetector.workerLost(worker, 'lease over', now)
-    for (const run of expired) this.#endRun(run, 'lease over', now)
+    for (const run of [...worker.runs.values()]) this.#endRun(run, 'lease over', now)
   }
 
   /** Records that the call with an order to start is about to be sent. */
@@ -530,6 +528,7 @@
       case 'started':
         this.#confirmRunning(run, now)
         recordStarted(run, now, clockMs)
+        run.isAnswered ||= clockMs !== undefined && worker.isIncarnationCertain && !run.isFromLostIncarnation
         return false
       case 'fenced':
         return true
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -35,6 +35,8 @@
   since: Instant
   /** Whether the worker's incarnation has listed the run in a report. */
   isReported: boolean
+  /** Whether the response to the order was certainly that of the worker's present incarnation. */
+  isAnswered: boolean
   /** When the response to the order showed that the run had just started. */
   startedAt?: Instant
   /** The first and the last known progress, with the worker's clock at that time. */
@@ -47,8 +49,6 @@
   /** Whether the run was ordered from an earlier incarnation of the worker, which may have been lost because of it. */
   isFromLostIncarnation: boolean
   isStopRequested: boolean
-  /** Until when a reborn worker that is silent may run it, if the order got no response and was meant for the incarnation before. */
-  keptUntil?: Instant
   /** Last reported value: a serving task's tail latency in milliseconds, or the thousandths of a core that any other task uses. */
   reading?: number
   /** Last reported progress in percent; 100 for a long-running task that is ready. */
--- a/packages/core/src/jobs/createRun.ts
+++ b/packages/core/src/jobs/createRun.ts
@@ -13,4 +13,4 @@
  * worker.addRun(createRun(task, attempt, worker, 'ordered', now))
  */
 export const createRun = (task: TaskRecord, attempt: Attempt, worker: WorkerRecord, state: RunRecord['state'], now: Instant, pacePercent = FULL_PACE): RunRecord =>
-  ({ task, attempt, worker, state, orderedAt: now, isCopy: state === 'ordered' && task.runs.length > 0, isFromCheckpoint: task.checkpoint !== '', since: now, isReported: false, hasSurvivedStart: false, isFromLostIncarnation: false, isStopRequested: false, wasSlowedDown: false, pacePercent, orderedPacePercent: FULL_PACE, pressure: new ServingPressure() })
+  ({ task, attempt, worker, state, orderedAt: now, isCopy: state === 'ordered' && task.runs.length > 0, isFromCheckpoint: task.checkpoint !== '', since: now, isReported: false, isAnswered: false, hasSurvivedStart: false, isFromLostIncarnation: false, isStopRequested: false, wasSlowedDown: false, pacePercent, orderedPacePercent: FULL_PACE, pressure: new ServingPressure() })
--- a/packages/core/tests/lateReports.test.ts
+++ b/packages/core/tests/lateReports.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { brand, type Epoch, type Incarnation, type Instant } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, stepOf, workerEntryOf } from '@auburnpin/fakes'
-import { JobScheduler, type RunOrder } from '../src/index.ts'
+import { JobScheduler, type RunOrder, type WorkerRecord } from '../src/index.ts'
 
 const LEASE_MS = 4_000
 const LATE_MS = 9_000
@@ -57,7 +57,10 @@
   const order = scheduler.decide(at(10), 10).find(isStart)
   if (order === undefined) throw new Error('Nothing was started')
   const sentMs = 10 + ASKED_MS
+  const worker = scheduler.workers.get(order.worker) as WorkerRecord
+  const call = worker.beginLeaseCall(sentMs + LEASE_MS, at(sentMs))
   scheduler.recordStartSent(order.worker, order.task, order.attempt, at(sentMs))
+  worker.leaseCalls.end(call, false)
   scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unknown', at(sentMs + 700))
   scheduler.upsertWorker(workerEntryOf(order.worker, { incarnation: brand<Incarnation>(2) }), at(sentMs + 800))
   scheduler.workers.get(order.worker)?.markUnresponsive()
--- a/packages/jobs/tests/rebornWorkers.test.ts
+++ b/packages/jobs/tests/rebornWorkers.test.ts
@@ -149,6 +149,30 @@
   t.deepEqual(late, [])
 })
 
+test('a long-running task whose VM is reborn before it reported the run, and can not be reached since, is back in time', async t => {
+  const late: string[] = []
+  for (const rebornAfterMs of [10, 200, 700, 1_300]) {
+    const simulation = new JobsSimulation(2, () => ({ runMs: LASTING_MS, ending: 'done' }))
+    simulation.listed.delete('w2')
+    const node = simulation.addNode('n1')
+    await simulation.advance(20_000)
+    await simulation.settle(node.jobs.submit(jobOf(SHORT_JOB, [stepOf({ isLasting: true })]), 2_000))
+    await simulation.advance(3_000)
+    await simulation.settle(node.jobs.submit(jobOf('00000000000000a1', [stepOf({ isLasting: true })]), 2_000))
+    for (let waitedMs = 0; waitedMs < 500 && simulation.worker('w1').running.length < 2; waitedMs++) await simulation.advance(1)
+    await simulation.advance(rebornAfterMs)
+    simulation.links.set('w1', 'mute')
+    simulation.listed.add('w2')
+    simulation.worker('w1').crash()
+    simulation.worker('w1').restart()
+    await simulation.advance(20_000)
+    const awayMs = awayMsOf(simulation, '00000000000000a1.0.0.0')
+    if (awayMs > MAX_AWAY_MS) late.push(`reborn after ${rebornAfterMs} ms: away for ${Math.round(awayMs)} ms`)
+    t.deepEqual(simulation.breaches, [])
+  }
+  t.deepEqual(late, [])
+})
+
 /** Plays the end of an owner that has just started a task on a reborn VM, which is cut off from then on. */
 const playNextOwner = async (hasJustReported: boolean): Promise<readonly string[]> => {
   const breaches: string[] = []
