--- a/packages/jobs/tests/lateCallsAfterRebirth.test.ts
+++ b/packages/jobs/tests/lateCallsAfterRebirth.test.ts
@@ -1,6 +1,8 @@
 /** Calls that a VM's earlier incarnation was sent are carried out by a later one, which is cut off soon after. */
 import test from 'ava'
 import { jobOf, stepOf, type FakeJobWorker } from '@auburnpin/fakes'
+import { FIRST_CELL } from '../src/index.ts'
+import { readTerm } from '../src/rows.ts'
 import { FullCell, wholeWorkers } from './support/FullCell.ts'
 import { JobsSimulation } from './support/JobsSimulation.ts'
 import { LateCallsStory, type LateCalls } from './support/LateCallsStory.ts'
@@ -122,6 +124,16 @@
   }
 })
 
+test.serial('a call that a later incarnation of a VM answers slowly, after faster ones that followed it, does not cost the owner its term', async t => {
+  for (const lateMs of [300, 650, 1_200]) {
+    for (const lateForMs of [20, 60, 200, 500, 1_600]) {
+      const { breaches, simulation } = await new LateCallsStory({ link: 'slow', lateMs, lateForMs, downMs: 5, cutOffAfterMs: Infinity }).play()
+      t.deepEqual(breaches, [])
+      t.is(Number(readTerm(simulation.rows.read('terms', FIRST_CELL, 'term')?.value ?? '')?.epoch), 1, `late by ${lateMs} ms, sent up to ${lateForMs} ms before`)
+    }
+  }
+})
+
 /** Plays a VM whose later incarnation ends a short task behind a cut, while a report comes late that acknowledges ends of the incarnation before. */
 const playLateAcknowledgement = async (lateMs: number, runMs: number, cutOffMs: number): Promise<readonly string[]> => {
   const simulation = new JobsSimulation(1, task => ({ runMs: task.startsWith('00000000000000b1') ? 300 : task.startsWith('00000000000000b2') ? runMs : 1e9, ending: 'done' }))
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -9,8 +9,8 @@
 import { AdmissionControl, CellChooser, CellElections, JobRepository, KnownEvacuations, MonitoredStore, TableFollower, FIRST_CELL, WORKERS_PER_CELL, WorkerCalls, WorkerList, type AdmissionMode, type ReportRequest, type RowKey, type RunName, type StartResponse, type StartRequest, type TableListener, type WorkerAddress, type WorkerListener } from '../../src/index.ts'
 import { FakeJobWorker, FakeRows, RunInvariantChecker, type FakeRunBehaviour, type WorkerEvent } from '@auburnpin/fakes'
 
-/** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. `unheard`: calls are executed and time out. `delayed`: calls that `delayOf` names a delay for time out and are executed that much later, or as soon as the worker is up from then on, even if the link has been cut meanwhile. `waiting`: calls to a worker that is down reach its next incarnation if that is up before the time-out. */
-export type LinkState = 'well' | 'mute' | 'late' | 'refused' | 'broken' | 'unheard' | 'delayed' | 'waiting'
+/** State of the link to a worker. `mute`: calls are lost; `late`: calls time out and are executed 3 s later; `refused`: connections are refused. `broken`: the client throws before the call. `unheard`: calls are executed and time out. `delayed`: calls that `delayOf` names a delay for time out and are executed that much later, or as soon as the worker is up from then on, even if the link has been cut meanwhile; `slow`: they are answered, if that is before the time-out. `waiting`: calls to a worker that is down reach its next incarnation if that is up before the time-out. */
+export type LinkState = 'well' | 'mute' | 'late' | 'refused' | 'broken' | 'unheard' | 'delayed' | 'slow' | 'waiting'
 
 /** A call to a worker that a process sends. */
 export type SentCall = Readonly<{ kind: 'start' | 'stop' | 'report', node: string, worker: WorkerId }>
@@ -193,7 +193,7 @@
   log: Log = new SilentLog()
   /** Tasks whose orders to start are executed without a response. */
   readonly unansweredStarts = new Set<string>()
-  /** Time until a call over a `delayed` link is executed, in milliseconds; `undefined` if it is as over a good link. */
+  /** Time until a call over a `delayed` or `slow` link is executed, in milliseconds; `undefined` if it is as over a good link. */
   delayOf = (_call: SentCall): number | undefined => DELAYED_CALL_MS
   /** Time until a worker that crashed under a crashing task returns as a new incarnation, in milliseconds. */
   returnAfterMs = 3_000
@@ -367,7 +367,7 @@
     const { incarnation } = asked.entry
     const state = this.#simulation.link(this.#node.name, worker.id)
     // A worker holds only a request that has reached it.
-    const heldMs = state === 'delayed' || (state === 'waiting' && asked.hasCrashed) ? 0 : request.waitMs
+    const heldMs = state === 'delayed' || state === 'slow' || (state === 'waiting' && asked.hasCrashed) ? 0 : request.waitMs
     for (let waitedMs = 0; waitedMs < heldMs; waitedMs += POLL_INTERVAL_MS) {
       if (this.#simulation.closesConnections && asked.hasCrashed) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
       if (asked.hasEndAfter(request.acknowledgedEnd)) break
@@ -386,14 +386,15 @@
     const state = this.#simulation.link(this.#node.name, id)
     if (state === 'refused') return 'refused'
     if (state === 'broken') throw new Error('an unexpected error of the client')
-    const delayMs = state === 'delayed' ? this.#simulation.delayOf({ kind, node: this.#node.name, worker: id }) : undefined
+    const delayMs = state === 'delayed' || state === 'slow' ? this.#simulation.delayOf({ kind, node: this.#node.name, worker: id }) : undefined
+    if (delayMs !== undefined && state === 'slow') return await this.#callLate(worker, action, delayMs, timeoutMs)
     if (delayMs !== undefined) {
       this.#simulation.clock.after(delayMs, () => worker.whenUp(() => action(worker)))
       await this.#node.clock.sleep(timeoutMs)
       return undefined
     }
     if (state === 'waiting' && worker.hasCrashed) return await this.#callOnceUp(worker, action, timeoutMs)
-    if ((state === 'well' || state === 'delayed' || state === 'waiting') && !worker.hasCrashed) {
+    if ((state === 'well' || state === 'delayed' || state === 'slow' || state === 'waiting') && !worker.hasCrashed) {
       await this.#node.processor.handleMessage()
       await this.#node.clock.sleep(CALL_MS)
       if (worker.hasCrashed) {
@@ -423,6 +424,16 @@
       const state = this.#simulation.link(this.#node.name, worker.id)
       if (state === 'well' || state === 'waiting') answers.push(value)
     })
+    return await this.#firstOf(answers, timeoutMs)
+  }
+
+  async #callLate<Value> (worker: FakeJobWorker, action: (worker: FakeJobWorker) => Value, delayMs: number, timeoutMs: number): Promise<Value | undefined> {
+    const answers: Value[] = []
+    this.#simulation.clock.after(delayMs, () => worker.whenUp(() => answers.push(action(worker))))
+    return await this.#firstOf(answers, timeoutMs)
+  }
+
+  async #firstOf<Value> (answers: readonly Value[], timeoutMs: number): Promise<Value | undefined> {
     for (let waitedMs = 0; waitedMs < timeoutMs && answers.length === 0; waitedMs += POLL_INTERVAL_MS) await this.#node.clock.sleep(POLL_INTERVAL_MS)
     return answers[0]
   }
