A worker that has left keeps its epoch while calls to it may be carried out

A worker that left the record of used workers was forgotten at once, so an incarnation that came back under its id within 12 s could get calls with the epoch that calls to the one before had (found by reading; the new test of WorkerEpochs fails without the change). Its epoch is now kept for 12 s, without being used.

The recorded end of an inherited lease is compared by the owner's clock: two translations of the same end to the store's clock differ by some milliseconds, and each difference would have been recorded again. Run: workerEpochs, lateCallsAfterRebirth, rebornWorkers, leaseEnds, rebirthStories, workerListedAgain, takeover.

--- a/packages/jobs/src/LeaseRecord.ts
+++ b/packages/jobs/src/LeaseRecord.ts
@@ -1,7 +1,7 @@
 /**
  * What the record of a term tells the next owner about the leases of the workers.
  */
-import { brand, type Clock } from '@auburnpin/common'
+import { brand, type Clock, type Instant } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord } from '@auburnpin/core'
 import { SILENT_CALLS, WORKER_LEASE_MS } from './constants.ts'
 import type { StoreTime } from './RowStore.ts'
@@ -30,8 +30,8 @@
   #leasable: ReadonlySet<string> = new Set()
   /** Ends of the leases of silent workers, as the store has them or may have them. */
   readonly #ends = new Map<string, StoreTime>()
-  /** Ends of the leases that calls for earlier incarnations may have set, likewise. */
-  readonly #inheritedEnds = new Map<string, StoreTime>()
+  /** Ends of the leases that calls for earlier incarnations may have set, likewise, and by this process's clock when they were recorded. */
+  readonly #inheritedEnds = new Map<string, Readonly<{ overAt: StoreTime, expiresAt: Instant }>>()
   #durablyInherited: ReadonlySet<string> = new Set()
 
   constructor (scheduler: JobScheduler, clock: Clock, storeClock: StoreClock) {
@@ -42,10 +42,7 @@
 
   /** Continues with what the owner before recorded. */
   restore (workers: readonly UsedWorker[]): void {
-    for (const worker of workers) {
-      if (worker.leaseOverAt !== undefined) this.#ends.set(keyOf(worker), worker.leaseOverAt)
-      if (worker.inheritedLeaseOverAt !== undefined) this.#inheritedEnds.set(keyOf(worker), worker.inheritedLeaseOverAt)
-    }
+    for (const worker of workers) if (worker.leaseOverAt !== undefined) this.#ends.set(keyOf(worker), worker.leaseOverAt)
   }
 
   /** Whether the worker's lease may be extended: its record names no end of it, and names that of the lease that it may have inherited. */
@@ -75,7 +72,7 @@
       else this.#ends.set(key, leaseOverAt)
       if (leaseOverAt !== undefined) silent.add(key)
       if (inheritedLeaseOverAt === undefined) this.#inheritedEnds.delete(key)
-      else this.#inheritedEnds.set(key, inheritedLeaseOverAt)
+      else this.#inheritedEnds.set(key, { overAt: inheritedLeaseOverAt, expiresAt: this.#inheritedExpiresAt(worker) })
       return { ...worker, ...(leaseOverAt === undefined ? {} : { leaseOverAt }), ...(inheritedLeaseOverAt === undefined ? {} : { inheritedLeaseOverAt }) }
     })
     this.#leasable = new Set([...this.#leasable].filter(key => !silent.has(key)))
@@ -110,7 +107,12 @@
     const overAt = this.#inheritedOverAt(worker)
     if (overAt === undefined) return false
     const recorded = this.#inheritedEnds.get(keyOf(worker))
-    return recorded === undefined || overAt > recorded || overAt < recorded - MAX_EXCESS_MS
+    // Two translations of the same end differ by a few milliseconds, and both hold.
+    return recorded === undefined || this.#inheritedExpiresAt(worker) > recorded.expiresAt || overAt < recorded.overAt - MAX_EXCESS_MS
+  }
+
+  #inheritedExpiresAt (worker: WorkerIdentity): Instant {
+    return this.#recordOf(worker)?.inheritedLease.expiresAt ?? brand<Instant>(-Infinity)
   }
 
   #recordOf ({ id, incarnation }: WorkerIdentity): WorkerRecord | undefined {
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -294,7 +294,7 @@
 
   #markDurable (workers: readonly UsedWorker[], epoch: Epoch): void {
     this.#durableWorkers = new Set(workers.map(keyOf))
-    this.#workerEpochs.assign(workers, epoch)
+    this.#workerEpochs.assign(workers, epoch, this.#clock.now())
     this.#leases.markDurable(workers)
   }
 
