A reborn worker that is idle is asked at once, so that it may get starts

Tasks waited that long for it (rebornWorkerEnds, both tests at phase 0 ms; longRunningTasksComeBack, story 4 with rebirths). It is now asked without a wait until it has answered a call of its own. rebornWorkerCapacity drives the scheduler without the poller, so it records that answer itself; what it checks before and after stays. Run: rebornWorkerEnds, rebornWorkers, rebornWorkerCapacity pass; longRunningTasksComeBack: story 21 with rebirths fails, traced next.

--- a/packages/core/tests/rebornWorkerCapacity.test.ts
+++ b/packages/core/tests/rebornWorkerCapacity.test.ts
@@ -18,6 +18,7 @@
   t.is(startsOf(scheduler, 200), 0)
   scheduler.upsertWorker(NEW, at(300))
   t.is(startsOf(scheduler, 300), 0)
+  scheduler.workers.get(NEW.id)?.recordOwnAnswer(at(350))
   scheduler.addJob(jobOf('00000000000000a2', [stepOf({ processors: 1_000, requiredLabel: 'small' })]), at(400))
   t.is(startsOf(scheduler, 400), 1)
 })
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -185,4 +185,4 @@
 
 // An idle worker needs no lease, and each report takes processor time on both sides.
 const needsReport = (worker: WorkerRecord, now: Instant, maxIdleMs: number): boolean =>
-  !worker.hasReported || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= maxIdleMs
+  !worker.hasReported || !worker.refusesEarlierCalls || worker.runs.size > 0 || worker.isUnresponsive || worker.unknownRuns.size > 0 || worker.durableEnd > worker.acknowledgedEnd || worker.appliedEnd > worker.durableEnd || worker.clockAgeMs(now) >= maxIdleMs
