The next owner waits for an inherited lease only if it may cover runs

The end of an inherited lease is now recorded for workers that have runs, that may get starts, or that may have runs of which this owner doesn't know, and is taken out once none of these holds; starts then wait for the next record.

--- a/packages/core/src/jobs/WorkerRecord.ts
+++ b/packages/core/src/jobs/WorkerRecord.ts
@@ -2,7 +2,7 @@
  * State of one incarnation of a worker, as known to the owner.
  */
 import { brand, type Attempt, type Instant } from '@auburnpin/common'
-import { FAILURES_TO_QUARANTINE, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
+import { FAILURES_TO_QUARANTINE, MAX_ORDER_DELAY_MS, MAX_WORKER_LEASE_MS, MIN_CLOCK_RATE, QUARANTINE_MS, REFUSAL_PAUSE_MS } from './constants.ts'
 import { FillerPacing } from './FillerPacing.ts'
 import { InheritedLease } from './InheritedLease.ts'
 import { LeaseCalls, type LeaseCall } from './LeaseCalls.ts'
@@ -66,7 +66,9 @@
   readonly #inheritedLease = new InheritedLease()
   /** When the last call for an earlier incarnation, or of an earlier owner, was sent that may still be carried out. */
   #lastEarlierCallAt = brand<Instant>(-Infinity)
-  /** Whether an earlier owner's order, of which this one doesn't know, may have started a run here. */
+  /** When earlier owners, whose orders this one doesn't know, sent their last call to this or an earlier incarnation. */
+  #lastUnknownCallAt = brand<Instant>(-Infinity)
+  /** Whether such an order may have started a run here. */
   #mayHaveUnknownRuns = false
   #refusesEarlierCalls = true
   #leaseKnownSince: Instant
@@ -124,10 +126,15 @@
     return this.#inheritedLease
   }
 
-  /** Whether the inherited lease may cover runs for longer than the leases of `leaseMs` that owners extend. */
+  /** Whether the inherited lease may cover runs, also those that may start soon, for longer than the leases of `leaseMs` that owners extend. */
   needsInheritedLease (leaseMs: number, now: Instant): boolean {
-    if (!this.#refusesEarlierCalls && this.runs.size === 0 && !this.#mayHaveUnknownRuns) return false
-    return this.#inheritedLease.expiresAt > leaseExpiry(leaseMs, now)
+    return this.#inheritedLease.expiresAt > leaseExpiry(leaseMs, now) && this.#mayRun
+  }
+
+  get #mayRun (): boolean {
+    if (this.runs.size > 0 || this.unknownRuns.size > 0) return true
+    if (this.hasReported && this.#refusesEarlierCalls) return this.isListed && !this.isUnresponsive
+    return this.#mayHaveUnknownRuns
   }
 
   /** Whether this incarnation has answered a call with its own epoch, or there is no earlier one, so that it carries out no call for an earlier one. */
@@ -151,6 +158,7 @@
     this.#leaseExpiresAt = expiresAt
     this.#leaseKnownSince = now
     this.#lastEarlierCallAt = lastCallAt
+    this.#lastUnknownCallAt = lastCallAt
     this.#mayHaveUnknownRuns = true
     if (inheritedExpiresAt !== undefined) this.#inheritedLease.extend(inheritedExpiresAt, now)
   }
@@ -237,7 +245,8 @@
     this.isReborn = true
     this.#refusesEarlierCalls = false
     this.#lastEarlierCallAt = earlier.lastCallAt
-    this.#mayHaveUnknownRuns = earlier.#mayHaveUnknownRuns
+    this.#lastUnknownCallAt = earlier.#lastUnknownCallAt
+    this.#mayHaveUnknownRuns = earlier.reportedAt < earlier.#lastUnknownCallAt + MAX_ORDER_DELAY_MS
     this.#inheritedLease.extend(earlier.leaseExpiresAt, earlier.leaseKnownSince)
     this.#inheritedLease.inheritCalls(earlier.lastCallAt)
   }
--- a/packages/jobs/src/LeaseRecord.ts
+++ b/packages/jobs/src/LeaseRecord.ts
@@ -76,6 +76,7 @@
       return { ...worker, ...(leaseOverAt === undefined ? {} : { leaseOverAt }), ...(inheritedLeaseOverAt === undefined ? {} : { inheritedLeaseOverAt }) }
     })
     this.#leasable = new Set([...this.#leasable].filter(key => !silent.has(key)))
+    this.#durablyInherited = new Set([...this.#durablyInherited].filter(key => this.#inheritedEnds.has(key)))
     return recorded
   }
 
@@ -105,8 +106,9 @@
 
   #isInheritedEndOutdated (worker: WorkerIdentity): boolean {
     const overAt = this.#inheritedOverAt(worker)
-    if (overAt === undefined) return false
     const recorded = this.#inheritedEnds.get(keyOf(worker))
+    // The next owner need not wait for a worker that runs nothing.
+    if (overAt === undefined) return recorded !== undefined && this.#inheritedExpiresAt(worker) > this.#clock.now()
     // Two translations of the same end differ by a few milliseconds, and both hold.
     return recorded === undefined || this.#inheritedExpiresAt(worker) > recorded.expiresAt || overAt < recorded.overAt - MAX_EXCESS_MS
   }
