--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -131,9 +131,11 @@
     if (this.capacity.refuses(task, this.running)) return 'no-room'
     const { runMs, ending, startupMs = runMs, crashAfterMs, checkpoint = '', reading = 0 } = this.#isFailing ? FAILING_RUN : this.#isStalling ? STALLED_RUN : this.#behaviourOf(task)
     const run: Run = { task, attempt, fullProgressMs: startupMs, checkpoint, reading, startedAt: this.#clock.now(), timer: this.#clock.after(crashAfterMs ?? runMs, () => crashAfterMs === undefined ? this.#finish(run, ending) : this.#crashUnder(run)) }
+    const replaced = this.#runs.get(task)
     this.#highestAttempts.set(task, attempt)
-    this.#runs.set(task, run)
     this.#emit({ kind: 'started', worker: this.id, task, attempt, how: '', at: this.#clock.now() })
+    if (replaced !== undefined) this.#end(replaced, 'stopped')
+    this.#runs.set(task, run)
     return 'started'
   }
 
