An acknowledgement is sent until it is answered, and no longer

Tasks started again after they were done: each request for a report repeated the number of the last durable end, although the worker had long forgotten the ends up to it. The number is now sent until a request with it has been answered, otherwise 0.

The stand-in answered a request at once whose number was below its last end, also if that was forgotten; it now answers at once if it has an end to list. Run: lostStarts, rebornWorkerEnds, lateCallsAfterRebirth, manyEnds, retention, acceptance, rebornWorkers, wireWorker, workerReports.

--- a/packages/fakes/src/FakeJobWorker.ts
+++ b/packages/fakes/src/FakeJobWorker.ts
@@ -160,7 +160,7 @@
   }
 
   hasEndAfter (acknowledgedEnd: number): boolean {
-    return this.#lastSequence > acknowledgedEnd
+    return this.#ended.some(({ sequence }) => sequence > acknowledgedEnd)
   }
 
   /**
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -150,8 +150,8 @@
     const requestedAt = this.#clock.now()
     const leaseEndMs = isLeasing && worker.runs.size > 0 && this.#mayExtendLease(worker) ? worker.leaseEnd(WORKER_LEASE_MS, requestedAt) : undefined
     const leaseCall = leaseEndMs === undefined ? undefined : worker.beginLeaseCall(leaseEndMs, requestedAt)
-    // A later incarnation counts its ends from 1 and would forget those up to this number, which nobody has read.
-    const acknowledgedEnd = worker.isIncarnationCertain ? worker.durableEnd : 0
+    // A later incarnation counts its ends from 1 and would forget those up to this number, which nobody has read. So it is sent until it is answered, and no longer.
+    const acknowledgedEnd = worker.isIncarnationCertain && worker.durableEnd > worker.acknowledgedEnd ? worker.durableEnd : 0
     const outcome = await this.#calls.report(worker.entry, { epoch, acknowledgedEnd, leaseEndMs, waitMs })
     if (leaseCall !== undefined) worker.leaseCalls.end(leaseCall, outcome.ok)
     if (this.#isStopped) return outcome
