--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -87,7 +87,7 @@
     this.#jobs = new CellJobs(ports, claimed, this.#scheduler, this.#writer, this.#delegator, () => this.stateChanged())
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), this.#jobs)
     this.#pollerHost = new OwnerPollerHost(this)
-    this.#orders = new OrderSender(ports, this.#scheduler, claimed.term.epoch, new OwnerOrderHost(this))
+    this.#orders = new OrderSender(ports, this.#scheduler, new OwnerOrderHost(this))
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
     this.#waitReporter = new WaitReporter(ports, this.#scheduler, claimed.cell)
--- a/packages/jobs/src/OrderSender.ts
+++ b/packages/jobs/src/OrderSender.ts
@@ -34,15 +34,12 @@
 export class OrderSender {
   readonly #ports: OwnerPorts
   readonly #scheduler: JobScheduler
-  readonly #epoch: Epoch
   readonly #host: OrderHost
   readonly #startWindow = new StartWindow()
 
-  /** `epoch` is that of the term. */
-  constructor (ports: OwnerPorts, scheduler: JobScheduler, epoch: Epoch, host: OrderHost) {
+  constructor (ports: OwnerPorts, scheduler: JobScheduler, host: OrderHost) {
     this.#ports = ports
     this.#scheduler = scheduler
-    this.#epoch = epoch
     this.#host = host
   }
 
@@ -111,7 +108,7 @@
       if (worker === current || current?.refusesEarlierCalls === false) current.inheritLease(leaseEndMs, clockMs, now)
     }
     this.#ports.metrics.count('runs.ordered', 1, { outcome })
-    if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, incarnation: worker.entry.incarnation, epoch: this.#epoch, outcome, leaseEndMs, clockMs })
+    if (outcome !== 'started') log.warn('Start order not accepted', { task: order.task, attempt: order.attempt, worker: order.worker, incarnation: worker.entry.incarnation, epoch, outcome, leaseEndMs, clockMs })
     if (this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, outcome, now, clockMs)) this.#host.fenced(order.worker)
     const poller = this.#host.pollerOf(order.worker)
     if (outcome === 'unknown' || outcome === 'superseded') poller?.reportNow()
@@ -145,7 +142,7 @@
     const epoch = this.#host.epochOf(worker)
     const answer = epoch === undefined ? 'failed' : await calls.stop(worker.entry, order, epoch)
     if (this.#host.isClosed) return
-    log.info('Stop ordered', { task: order.task, attempt: order.attempt, worker: order.worker, epoch: this.#epoch, answer })
+    log.info('Stop ordered', { task: order.task, attempt: order.attempt, worker: order.worker, epoch, answer })
     if (answer === 'fenced') this.#fenced(worker)
     if (answer === 'taken') this.#scheduler.recordStopAccepted(order.worker, order.task, order.attempt, clock.now())
   }
