Simulation: a worker takes a request for a report as it arrives

The simulated worker extended its lease and forgot acknowledged ends only at the end of a request that it held back, up to 1.5 s late, unlike workers of the platform and the stand-in on the wire. It now takes the request on arrival and holds only the response.

--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -368,6 +368,8 @@
     const state = this.#simulation.link(this.#node.name, worker.id)
     // A worker holds only a request that has reached it.
     const heldMs = state === 'delayed' || state === 'slow' || (state === 'waiting' && asked.hasCrashed) ? 0 : request.waitMs
+    // It takes the request as it arrives, and holds only the response.
+    if (heldMs > 0 && ['well', 'unheard', 'waiting'].includes(state) && !asked.hasCrashed) asked.report(request)
     for (let waitedMs = 0; waitedMs < heldMs; waitedMs += POLL_INTERVAL_MS) {
       if (this.#simulation.closesConnections && asked.hasCrashed) return Err(new AuburnpinError('unreachable', 'connection closed', 'Wait.'))
       if (asked.hasEndAfter(request.acknowledgedEnd)) break
