Owners log how well they keep up: passes, delays, starts, processor time and garbage collection

The records could not tell an owner without processor time from late takeovers and from tasks that wait for workers.

New record 'Load of the owner' every 2 s, gauges owner.loopDelay and owner.passTime, and lateMs in 'Job changed' of a completed job. OwnerLoad holds the overload detector and the spacing of passes, so that CellOwner keeps its size.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -14,11 +14,10 @@
 import { FinishedJobCleaner } from './FinishedJobCleaner.ts'
 import { JobTransfers, TransferHost } from './JobTransfers.ts'
 import { DelegatorHost, TaskDelegator } from './TaskDelegator.ts'
-import { OverloadDetector } from './OverloadDetector.ts'
-import { PassSpacing } from './PassSpacing.ts'
 import { readPart } from './readPart.ts'
 import { recordedLease } from './recordedLease.ts'
 import { OrderHost, OrderSender } from './OrderSender.ts'
+import { OwnerLoad } from './OwnerLoad.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { StoredRow } from './RowStore.ts'
 import { allJobParts, ESTIMATES_KEY, hasSeveralCells, indexOfCell, isUsedWorkersKey, JOBS_TABLE, PROGRESS_TABLE, readEstimates, readLayout, readUsedWorkers, TERMS_TABLE, withoutLeaseEnd, type Term, type UsedWorker } from './rows.ts'
@@ -37,7 +36,7 @@
   readonly #claimed: ClaimedTerm
   readonly #onTermLost: () => void
   readonly #onOverload: () => void
-  readonly #overloadDetector = new OverloadDetector()
+  readonly #load: OwnerLoad
   readonly #scheduler: JobScheduler
   readonly #writer: TermWriter
   readonly #jobsFollower: TableFollower
@@ -62,7 +61,6 @@
   #isClosed = false
   #isRestored = false
   #isPassScheduled = false
-  readonly #passSpacing = new PassSpacing()
   #wasReconciled = false
   #isGauged = false
   #hasAnyFallenSilent = false
@@ -74,6 +72,7 @@
     this.#onTermLost = onTermLost
     this.#onOverload = onOverload
     const { store, clock, log } = ports
+    this.#load = new OwnerLoad(ports, claimed.cell)
     this.#scheduler = createScheduler(ports, claimed)
     this.#writer = new TermWriter(store, clock, log, ports.metrics, this.#scheduler, new OwnerTermListener(this), claimed)
     this.#workerListener = new OwnerWorkerListener(this)
@@ -87,10 +86,10 @@
     this.#jobs = new CellJobs(ports, claimed, this.#scheduler, this.#writer, this.#delegator, () => this.stateChanged())
     this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), this.#jobs)
     this.#pollerHost = new OwnerPollerHost(this)
-    this.#orders = new OrderSender(ports, this.#scheduler, new OwnerOrderHost(this))
+    this.#orders = new OrderSender(ports, this.#scheduler, new OwnerOrderHost(this), this.#load)
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
     this.#cleaner = new FinishedJobCleaner(ports, this.#scheduler, this.#writer)
-    this.#waitReporter = new WaitReporter(ports, this.#scheduler, claimed.cell)
+    this.#waitReporter = new WaitReporter(ports, this.#scheduler, claimed.cell, this.#load)
   }
 
   get isHeld (): boolean {
@@ -340,6 +339,7 @@
 
   /** A report of a worker was applied to the scheduler's state. One that it has shown to be reborn is not in the record yet. */
   workerReported (id: WorkerId): void {
+    this.#load.recordReport()
     const worker = this.#scheduler.workers.get(id)
     if (worker !== undefined && !this.#writer.isUsed(worker.entry)) this.#writer.setUsedWorkers(this.#usedWorkers())
     else if (worker !== undefined) this.#writer.workerReported(worker.entry)
@@ -359,7 +359,7 @@
     if (this.#scheduler.dirtyCount > 0 || this.#scheduler.hasNonDurableEnds) this.#writer.requestCommit()
     if (this.#isPassScheduled || this.#isClosed) return
     this.#isPassScheduled = true
-    this.#ports.clock.after(this.#passSpacing.delayMs, () => {
+    this.#ports.clock.after(this.#load.passDelayMs, () => {
       this.#isPassScheduled = false
       this.#runPassSafely()
     })
@@ -370,7 +370,7 @@
       const dueAt = this.#ports.clock.now() + TICK_INTERVAL_MS
       await this.#ports.clock.sleep(TICK_INTERVAL_MS)
       const now = this.#ports.clock.now()
-      const isOverloaded = this.#overloadDetector.recordTick(now - dueAt) || (!this.#isRestored && now - this.#claimed.claimedAt > MAX_RESTORE_MS)
+      const isOverloaded = this.#load.recordTick(now - dueAt) || (!this.#isRestored && now - this.#claimed.claimedAt > MAX_RESTORE_MS)
       if (isOverloaded && !this.#isClosed) this.#onOverload()
       // A new owner waits for all recorded workers, so those that have left for certain are removed from the record.
       if (this.#isRestored) this.#updateUsedWorkers()
@@ -404,7 +404,7 @@
     }
     this.#evacuations.update(this.#scheduler.workers.values(), this.#entries, startedAt)
     const orders = this.#scheduler.decide(startedAt, clock.wallTime(), this.#evacuations.isKnown ? this.#orders.freeStarts : 0)
-    this.#passSpacing.recordPass(clock.now() - startedAt)
+    this.#load.recordPass(clock.now() - startedAt)
     if (this.#scheduler.isReconciled !== this.#wasReconciled) {
       this.#wasReconciled = this.#scheduler.isReconciled
       this.#ports.log.info('All earlier runs are reported or have ended; tasks may start', { epoch: this.#claimed.term.epoch, workers: this.#scheduler.workers.size })
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -50,7 +50,8 @@
     this.#ports.log.warn('Run makes no progress and is moved to another worker', { task: run.task.name, attempt: run.attempt, worker, progressPercent: run.progressPercent, moves: run.task.moves })
   }
 
-  phaseChanged ({ job, phase }: JobRecord): void {
+  phaseChanged (record: JobRecord): void {
+    const { job, phase } = record
     const { log, metrics, clock } = this.#ports
     const ageMs = clock.wallTime() - job.acceptedAt
     if (phase === 'active') metrics.timing('jobs.firstStart', ageMs)
@@ -58,7 +59,9 @@
       metrics.count('jobs.ended', 1, { phase })
       metrics.timing('jobs.duration', ageMs, { phase })
     }
-    log.info('Job changed', { job: job.id, queue: job.queue, phase, ageMs })
+    // Above 0 after the objective; the age of phase `active` tells whether the job waited for its first start.
+    const lateMs = phase === 'completed' && job.occurrences === 0 ? Math.round(clock.wallTime() - record.objectiveAt(0)) : undefined
+    log.info('Job changed', { job: job.id, queue: job.queue, phase, ageMs, lateMs })
   }
 
   workerQuarantined (worker: WorkerId, why: string): void {
--- a/packages/jobs/src/OrderSender.ts
+++ b/packages/jobs/src/OrderSender.ts
@@ -4,6 +4,7 @@
 import { assertNever, type Epoch, type WorkerId } from '@auburnpin/common'
 import { runKey, type JobScheduler, type RunOrder, type WorkerRecord } from '@auburnpin/core'
 import { SURVIVAL_REPORT_DELAY_MS, WORKER_LEASE_MS } from './constants.ts'
+import type { OwnerLoad } from './OwnerLoad.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { StartWindow } from './StartWindow.ts'
 import type { StartResponse } from './WorkerCalls.ts'
@@ -35,12 +36,14 @@
   readonly #ports: OwnerPorts
   readonly #scheduler: JobScheduler
   readonly #host: OrderHost
+  readonly #load: OwnerLoad
   readonly #startWindow = new StartWindow()
 
-  constructor (ports: OwnerPorts, scheduler: JobScheduler, host: OrderHost) {
+  constructor (ports: OwnerPorts, scheduler: JobScheduler, host: OrderHost, load: OwnerLoad) {
     this.#ports = ports
     this.#scheduler = scheduler
     this.#host = host
+    this.#load = load
   }
 
   /** Number of orders to start that may be sent now. */
@@ -102,6 +105,7 @@
     const outcome = answer === 'fenced' && worker !== current ? 'reborn' : answer
     worker.leaseCalls.end(leaseCall, outcome !== 'unknown')
     this.#startWindow.close(sentAt, now, clockMs !== undefined)
+    if (clockMs !== undefined) this.#load.recordStart(now - sentAt)
     if (this.#host.isClosed) return
     if (clockMs !== undefined) {
       if (worker === current) worker.recordClock(clockMs, sentAt, now)
--- a/packages/jobs/src/OwnerPorts.ts
+++ b/packages/jobs/src/OwnerPorts.ts
@@ -5,6 +5,7 @@
 import type { AdmissionMode } from './AdmissionMode.ts'
 import type { CellChooser } from './CellChooser.ts'
 import type { EvacuationList } from './EvacuationList.ts'
+import type { ProcessUsage } from './ProcessUsage.ts'
 import type { RowStore } from './RowStore.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 import type { WorkerList } from './WorkerList.ts'
@@ -27,6 +28,8 @@
   remoteFactor?: number
   /** What new jobs are refused for. */
   admission: AdmissionMode
+  /** Absent if it can't be measured. */
+  usage?: ProcessUsage
   /** What is published of the other cells. */
   cells: CellChooser
 }>
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -3,6 +3,7 @@
  */
 import type { CellId, Instant } from '@auburnpin/common'
 import { findObstacles, STEP_KINDS, type CellWaits, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerRecord } from '@auburnpin/core'
+import type { OwnerLoad } from './OwnerLoad.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { BacklogReporter } from './BacklogReporter.ts'
 import { obstacleFields } from './obstacleFields.ts'
@@ -25,14 +26,16 @@
 export class WaitReporter {
   readonly #ports: OwnerPorts
   readonly #scheduler: JobScheduler
+  readonly #load: OwnerLoad
   readonly #backlogReporter: BacklogReporter
   readonly #reserveReporter: ReserveReporter
   readonly #cell: CellId
   #isStopped = false
   #forecastQueues: readonly string[] = []
 
-  constructor (ports: OwnerPorts, scheduler: JobScheduler, cell: CellId) {
+  constructor (ports: OwnerPorts, scheduler: JobScheduler, cell: CellId, load: OwnerLoad) {
     this.#cell = cell
+    this.#load = load
     this.#ports = ports
     this.#scheduler = scheduler
     this.#backlogReporter = new BacklogReporter(ports, scheduler, cell)
@@ -50,6 +53,7 @@
     this.#isStopped = true
     for (const kind of STEP_KINDS) this.#gauge(kind, 0, 0)
     this.#gaugeInterruptions(0, 0)
+    this.#load.stop()
     this.#backlogReporter.stop()
     this.#reserveReporter.stop()
     this.#ports.metrics.gauge('durations.learnt', 0)
@@ -60,6 +64,7 @@
   #report (): void {
     const now = this.#ports.clock.now()
     const { waits, held, interference, reserve, durations } = this.#scheduler
+    this.#load.report()
     this.#backlogReporter.report(now)
     this.#reserveReporter.report(now)
     this.#ports.metrics.gauge('durations.learnt', durations.learntCount)
