--- a/packages/jobs/src/OrderSender.ts
+++ b/packages/jobs/src/OrderSender.ts
@@ -81,7 +81,7 @@
 
   async #start (order: Order<'start'>, worker: WorkerRecord): Promise<void> {
     const { clock, log } = this.#ports
-    this.#startWindow.open()
+    const opened = this.#startWindow.open(clock.now())
     // A task must neither wait for the lease of an idle worker that has left unnoticed, nor give one that was reborn a lease meant for the incarnation before.
     const isConfirmed = await this.#host.pollerOf(order.worker)?.confirm(worker) === true
     if (this.#host.isClosed) return
@@ -91,7 +91,7 @@
     const leaseEndMs = isWanted && this.#host.isHeld && this.#host.isLeasable(worker) ? worker.leaseEnd(WORKER_LEASE_MS, decidedAt) : undefined
     const epoch = this.#host.epochOf(worker)
     if (leaseEndMs === undefined || epoch === undefined) {
-      this.#startWindow.close(decidedAt, decidedAt, false)
+      this.#startWindow.close(opened, decidedAt, decidedAt, false)
       this.#scheduler.recordStartOutcome(order.worker, order.task, order.attempt, 'unavailable', clock.now())
       return
     }
@@ -104,7 +104,7 @@
     // A later incarnation refuses calls for an earlier one as well.
     const outcome = answer === 'fenced' && worker !== current ? 'reborn' : answer
     worker.leaseCalls.end(leaseCall, outcome !== 'unknown')
-    this.#startWindow.close(sentAt, now, clockMs !== undefined)
+    this.#startWindow.close(opened, sentAt, now, clockMs !== undefined)
     if (clockMs !== undefined) this.#load.recordStart(now - sentAt)
     if (this.#host.isClosed) return
     if (clockMs !== undefined) {
