A late owner asks its workers less often, and a report lists more ends

Cause: a worker with many short tasks reports each end, up to 40 times a second, and handling a report takes about as much processor time as a start.

Change: the shortest time between two reports of one worker grows from 25 to at most 200 ms with the time for which answers wait for the owner.

--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -311,7 +311,7 @@
     for (const { entry: { id } } of workers) {
       if (this.#pollers.has(id)) continue
       const { calls, clock, log } = this.#ports
-      const poller = new WorkerPoller(id, this.#scheduler, calls, clock, log, this.#pollerHost)
+      const poller = new WorkerPoller(id, this.#scheduler, calls, clock, log, this.#pollerHost, this.#load)
       this.#pollers.set(id, poller)
       poller.start()
     }
--- a/packages/jobs/src/OwnerLoad.ts
+++ b/packages/jobs/src/OwnerLoad.ts
@@ -2,11 +2,15 @@
  * Measures how well a process keeps up with the cell that it owns.
  */
 import type { CellId } from '@auburnpin/common'
+import { MAX_REPORT_INTERVAL_MS, MIN_REPORT_INTERVAL_MS } from './constants.ts'
 import { OverloadDetector } from './OverloadDetector.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { PassSpacing } from './PassSpacing.ts'
 import type { UsedTime } from './ProcessUsage.ts'
 
+/** Weight of the last answer in the recent time until answers. */
+const RESPONSE_SMOOTHING = 0.05
+
 type Figures = { passes: number, passMs: number, longestPassMs: number, loopDelayMs: number, starts: number, startMs: number, longestStartMs: number, reports: number }
 
 const noFigures = (): Figures => ({ passes: 0, passMs: 0, longestPassMs: 0, loopDelayMs: 0, starts: 0, startMs: 0, longestStartMs: 0, reports: 0 })
@@ -32,6 +36,7 @@
   readonly #overloadDetector = new OverloadDetector()
   readonly #passSpacing = new PassSpacing()
   #figures = noFigures()
+  #responseMs = 0
   #reportedAt: number
   #used: UsedTime | undefined
 
@@ -61,8 +66,14 @@
     return this.#overloadDetector.recordTick(lateMs)
   }
 
+  /** Time between two reports of one worker, in milliseconds. While answers of workers wait for this process, it is as long as they wait, so that a report lists more ends. */
+  get reportIntervalMs (): number {
+    return Math.min(MAX_REPORT_INTERVAL_MS, Math.max(MIN_REPORT_INTERVAL_MS, this.#responseMs))
+  }
+
   /** Records the answer to an order to start, by the milliseconds since the order was sent. */
   recordStart (durationMs: number): void {
+    this.#responseMs += RESPONSE_SMOOTHING * (durationMs - this.#responseMs)
     this.#figures.starts++
     this.#figures.startMs += durationMs
     this.#figures.longestStartMs = Math.max(this.#figures.longestStartMs, durationMs)
--- a/packages/jobs/src/WorkerPoller.ts
+++ b/packages/jobs/src/WorkerPoller.ts
@@ -3,7 +3,8 @@
  */
 import { AuburnpinError, Err, InterruptibleSleep, type Clock, type Epoch, type Instant, type Log, type Result, type WorkerId } from '@auburnpin/common'
 import type { JobScheduler, WorkerRecord, WorkerReport } from '@auburnpin/core'
-import { MAX_CLOCK_AGE_MS, MAX_CONFIRMATION_AGE_MS, MIN_REPORT_INTERVAL_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, SILENCE_WATCH_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import { MAX_CLOCK_AGE_MS, MAX_CONFIRMATION_AGE_MS, PENDING_COMMIT_REPORT_INTERVAL_MS, REPORT_RETRY_DELAY_MS, REPORT_WAIT_MS, SERVING_REPORT_WAIT_MS, SILENCE_WATCH_MS, TICK_INTERVAL_MS, WORKER_LEASE_MS } from './constants.ts'
+import type { OwnerLoad } from './OwnerLoad.ts'
 import type { WorkerCalls } from './WorkerCalls.ts'
 
 /** What a poller needs from the owner of the cell. */
@@ -31,12 +32,13 @@
   readonly #log: Log
   readonly #sleep: InterruptibleSleep
   readonly #host: PollerHost
+  readonly #load: OwnerLoad
   #confirmation: Promise<boolean> | undefined
   #isStopped = false
   #hasEnded = false
   #failingSince: Instant | undefined
 
-  constructor (worker: WorkerId, scheduler: JobScheduler, calls: WorkerCalls, clock: Clock, log: Log, host: PollerHost) {
+  constructor (worker: WorkerId, scheduler: JobScheduler, calls: WorkerCalls, clock: Clock, log: Log, host: PollerHost, load: OwnerLoad) {
     this.#worker = worker
     this.#scheduler = scheduler
     this.#calls = calls
@@ -44,6 +46,7 @@
     this.#log = log
     this.#sleep = new InterruptibleSleep(clock)
     this.#host = host
+    this.#load = load
   }
 
   start (): void {
@@ -140,7 +143,7 @@
 
   // A worker reports ends again until they are acknowledged, so the next request waits until they are durable, or until the lease may be extended.
   async #waitBetweenReports (worker: WorkerRecord): Promise<void> {
-    await this.#clock.sleep(MIN_REPORT_INTERVAL_MS)
+    await this.#clock.sleep(this.#load.reportIntervalMs)
     if (worker.appliedEnd > worker.durableEnd || (worker.runs.size > 0 && !this.#mayExtendLease(worker))) await this.#sleep.sleep(PENDING_COMMIT_REPORT_INTERVAL_MS)
   }
 
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -87,6 +87,9 @@
 /** Shortest time between two reports of one worker, in milliseconds, so that one report lists several ended runs. */
 export const MIN_REPORT_INTERVAL_MS = 25
 
+/** Longest such time while the process is late, in milliseconds. */
+export const MAX_REPORT_INTERVAL_MS = 200
+
 /** Longest delay of the next report while reported ends are not durable yet, in milliseconds. */
 export const PENDING_COMMIT_REPORT_INTERVAL_MS = 200
 
--- a/packages/jobs/tests/ownerLoad.test.ts
+++ b/packages/jobs/tests/ownerLoad.test.ts
@@ -51,3 +51,15 @@
   const { passes, passMs, processorPercent } = log.records.at(-1) ?? {}
   t.deepEqual([passes, passMs, processorPercent], [0, 0, 0])
 })
+
+test('while answers wait for the owner, it asks each worker less often, and soon as often as before once they are prompt', t => {
+  const { load } = create()
+  load.recordStart(4)
+  t.is(load.reportIntervalMs, 25)
+  for (let start = 0; start < 100; start++) load.recordStart(120)
+  t.is(Math.round(load.reportIntervalMs), 119)
+  for (let start = 0; start < 100; start++) load.recordStart(2_000)
+  t.is(load.reportIntervalMs, 200)
+  for (let start = 0; start < 100; start++) load.recordStart(4)
+  t.true(load.reportIntervalMs < 30)
+})
