--- a/bench/jobOwner.ts
+++ b/bench/jobOwner.ts
@@ -45,7 +45,7 @@
 
 const platform = new WirePlatform()
 await platform.start(WORKERS, { runMs: RUN_MS, ending: 'done' })
-const child = spawn(process.execPath, ['--max-old-space-size=160', '--max-semi-space-size=2', ...NODE_OPTIONS, PROGRAM, `${PORTS.metrics}/metrics`], { env: { ...process.env, AUBURNPIN_SETTINGS: platform.writeSettings('bench-1', PORTS) }, stdio: ['ignore', 'ignore', 'inherit'] })
+const child = spawn(process.execPath, ['--single-threaded-gc', '--max-old-space-size=160', '--max-semi-space-size=16', ...NODE_OPTIONS, PROGRAM, `${PORTS.metrics}/metrics`], { env: { ...process.env, AUBURNPIN_SETTINGS: platform.writeSettings('bench-1', PORTS) }, stdio: ['ignore', 'ignore', 'inherit'] })
 await sleep(WARM_UP_MS)
 let jobs = 0
 let accepted = 0
