--- a/review/standins-2/Lab.ts
+++ b/review/standins-2/Lab.ts
@@ -180,7 +180,7 @@
     }, limitMs)
   }
 
-  /** Sends a request as a requester and records it with its answer. */
+  /** Sends a request as a client and records it with its answer. */
   async call (node: Node, method: string, path: string, body?: unknown): Promise<Answer | undefined> {
     const sentAt = this.now
     const answer = await send(node.host, node.frontend, method, path, 'desk.example', body).catch(() => undefined)
--- a/review/standins-2/LateOrders.ts
+++ b/review/standins-2/LateOrders.mts
@@ -1,5 +1,5 @@
 /**
- * An HTTP proxy before one minion. It passes all calls on; a part of the orders (starts, stops, paces) gets no response and
+ * An HTTP proxy before one worker. It passes all calls on; a part of the orders (starts, stops, paces) gets no response and
  * is passed on seconds later.
  */
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http'
@@ -19,10 +19,10 @@
   lateness: Lateness | undefined
   /** How many orders have come, and how many of them were late. */
   readonly counts = { orders: 0, late: 0 }
-  /** Called when a late order is passed on, with the minion's answer. */
+  /** Called when a late order is passed on, with the worker's answer. */
   onLate: (path: string, body: string, lateMs: number, answer: string) => void = () => {}
 
-  /** `address`: that of the minion. */
+  /** `address`: that of the worker. */
   constructor (address: string) {
     const [host = '', port = ''] = address.split(':')
     this.#host = host
@@ -69,7 +69,7 @@
       const outgoing = this.#open(incoming, path)
       outgoing.setTimeout(RESPONSE_MS, () => outgoing.destroy())
       outgoing.on('response', answer => { void readBody(answer).then(text => this.onLate(path, body, lateMs, `${answer.statusCode ?? 0} ${text ?? ''}`)) })
-      outgoing.on('error', () => this.onLate(path, body, lateMs, 'the minion is down'))
+      outgoing.on('error', () => this.onLate(path, body, lateMs, 'the worker is down'))
       outgoing.end(body)
     }, lateMs)
   }
--- a/review/standins-2/case6.ts
+++ b/review/standins-2/case6.ts
@@ -5,7 +5,7 @@
 import { WirePlatform } from '../../platform/standIn/WirePlatform.ts'
 import { Lab, sleep, stateOf, type Node } from './Lab.ts'
 import { openNarrowLink } from './NarrowLink.ts'
-import { TimedStore } from './TimedStore.ts'
+import { TimedStore } from './TimedStore.mts'
 
 const [recordPath = 'record.txt'] = process.argv.slice(2)
 const hasTrouble = process.env.TROUBLE !== '0'
--- a/review/standins-2/case7.ts
+++ b/review/standins-2/case7.ts
@@ -4,7 +4,7 @@
 import type { WorkerEvent } from '@auburnpin/fakes'
 import { WirePlatform } from '../../platform/standIn/WirePlatform.ts'
 import { Lab, sleep, type Node } from './Lab.ts'
-import { TimedStore } from './TimedStore.ts'
+import { TimedStore } from './TimedStore.mts'
 
 const [recordPath = 'record.txt'] = process.argv.slice(2)
 const hasTrouble = process.env.TROUBLE !== '0'
--- a/review/standins-2/case8.ts
+++ b/review/standins-2/case8.ts
@@ -1,25 +1,25 @@
 /**
- * Some minions leave a part of the orders unanswered and carry them out late, then crash and start again under their ids.
+ * Some workers leave a part of the orders unanswered and carry them out late, then crash and start again under their ids.
  */
 import { brand, SeededRandom, type Epoch } from '@auburnpin/common'
 import type { WorkerEvent } from '@auburnpin/fakes'
 import { WirePlatform } from '../../platform/standIn/WirePlatform.ts'
 import type { WireWorker } from '../../platform/standIn/WireWorker.ts'
 import { Lab, sleep, type Node } from './Lab.ts'
-import { LateOrders } from './LateOrders.ts'
+import { LateOrders } from './LateOrders.mts'
 
 const [recordPath = 'record.txt'] = process.argv.slice(2)
 const hasTrouble = process.env.TROUBLE !== '0'
 const SEED = Number(process.env.SEED ?? 1)
-const MINIONS = 30
-/** Minions that crash in a round, and how long they are down. */
+const WORKERS = 30
+/** Workers that crash in a round, and how long they are down. */
 const CRASHED = 4
 const DOWN_MS = 4_500
-/** Part of the orders to these minions that are late, for how long before the crash. */
+/** Part of the orders to these workers that are late, for how long before the crash. */
 const LATE_SHARE = 0.45
 const LATE_FOR_MS = 5_500
 const LATE = { fromMs: 2_000, toMs: 12_000 }
-/** A minion writes its entry about this often. */
+/** It writes its entry about this often. */
 const HEARTBEAT_MS = 1_500
 const ROUNDS = 8
 const ROUND_MS = 12_000
@@ -76,27 +76,27 @@
   runs.set(worker, attempt)
 }
 
-/** A minion is slow to carry out calls, crashes, and starts again. */
-const crash = async (minion: WireWorker): Promise<void> => {
-  const proxy = proxies.get(minion)
+/** A worker is slow to carry out calls, crashes, and starts again. */
+const crash = async (worker: WireWorker): Promise<void> => {
+  const proxy = proxies.get(worker)
   if (proxy === undefined) return
-  lab.record(`orders to ${minion.worker.id} are late`)
+  lab.record(`orders to ${worker.worker.id} are late`)
   proxy.lateness = { share: LATE_SHARE, ...LATE, random }
   await sleep(LATE_FOR_MS)
   proxy.lateness = undefined
-  lab.record(`${minion.worker.id} crashes`)
-  minion.worker.crash()
+  lab.record(`${worker.worker.id} crashes`)
+  worker.worker.crash()
   await sleep(DOWN_MS)
-  minion.worker.restart()
-  lab.record(`${minion.worker.id} has started again`)
+  worker.worker.restart()
+  lab.record(`${worker.worker.id} has started again`)
   await sleep(HEARTBEAT_MS * random.fraction())
-  platform.publishEntry(minion)
-  lab.record(`${minion.worker.id} has written its entry`)
+  platform.publishEntry(worker)
+  lab.record(`${worker.worker.id} has written its entry`)
 }
 
 const playRound = async (): Promise<void> => {
-  const order = platform.workers.map(minion => ({ minion, place: random.fraction() })).sort((one, other) => one.place - other.place)
-  await Promise.all(order.slice(0, CRASHED).map(({ minion }) => crash(minion)))
+  const order = platform.workers.map(worker => ({ worker, place: random.fraction() })).sort((one, other) => one.place - other.place)
+  await Promise.all(order.slice(0, CRASHED).map(({ worker }) => crash(worker)))
 }
 
 const submitSteadily = async (nodes: readonly Node[]): Promise<void> => {
@@ -112,7 +112,7 @@
 const isBroken = (): boolean => doubled.length > 0 || repeated.size > 0
 
 const main = async (): Promise<void> => {
-  await platform.start(MINIONS, task => isLasting(Number.parseInt(task.slice(11, 16), 16)) ? { runMs: 1e9, ending: 'done', startupMs: 200 } : { runMs: RUN_MS, ending: 'done' }, 100_000)
+  await platform.start(WORKERS, task => isLasting(Number.parseInt(task.slice(11, 16), 16)) ? { runMs: 1e9, ending: 'done', startupMs: 200 } : { runMs: RUN_MS, ending: 'done' }, 100_000)
   platform.observe(note)
   for (const [index, worker] of platform.workers.entries()) {
     worker.worker.rack = `r${1 + Math.floor(index / 6)}`
