A row that this process has deleted isn't taken for a new one when an older read of it arrives

Cause: after a 410 the follower reads all parts and passes them on together. A row that was read before the owner deleted it, and passed on after, named a job that the scheduler had forgotten, so that it was added as a new one. A job that goes to another cell and rows that two cells share had the same race.

Change: the owner's client of the store records the versions that its transactions gave to rows of the jobs table, and those that conflicts show. The follower applies them to what it has read, and passes on no change of a row that is older. All listeners and writers of the owner are served in this one place; a transferred job counts as gone only if no later version of its row has been read.

--- a/packages/fakes/src/FakeRows.ts
+++ b/packages/fakes/src/FakeRows.ts
@@ -76,7 +76,7 @@
 
   apply ({ part, checks, puts, deletes }: RowTransaction): RowTransactionOutcome {
     const differing = checks.filter(({ table, key, version }) => (this.read(table, part, key)?.version ?? 0) !== version)
-    if (differing.length > 0) return { kind: 'conflict', rows: differing.flatMap(({ table, key }) => this.read(table, part, key) ?? []) }
+    if (differing.length > 0) return { kind: 'conflict', rows: differing.flatMap(({ table, key }) => this.read(table, part, key) ?? []), version: this.version }
     this.#version++
     for (const { table, key, value } of puts) this.#record({ table, part, key, value, version: this.version }, false)
     for (const { table, key } of deletes) this.#record({ table, part, key, value: '', version: this.version }, true)
--- a/packages/jobs/src/CellJobs.ts
+++ b/packages/jobs/src/CellJobs.ts
@@ -7,7 +7,7 @@
 import { parseDelegationKey } from './delegationRows.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import type { RowKey, StoredRow } from './RowStore.ts'
-import { cancelledJob, readJob } from './rows.ts'
+import { ABSENT_ROW_VERSION, cancelledJob, readJob } from './rows.ts'
 import { StoredProgress } from './StoredProgress.ts'
 import { TableListener } from './TableFollower.ts'
 import type { TaskDelegator } from './TaskDelegator.ts'
@@ -29,6 +29,7 @@
   readonly #onChange: () => void
   /** Progress as earlier owners stored it, until the jobs are restored. */
   readonly storedProgress = new StoredProgress()
+  /** Versions of the rows of this cell's jobs. */
   readonly #rowVersions = new Map<JobId, RowVersion>()
   /** Jobs of other cells, whose cancellations concern this one only if it runs some of their tasks. */
   readonly #jobsElsewhere = new Set<JobId>()
@@ -93,7 +94,7 @@
     const { job, cell } = assigned
     if (this.storedProgress.damaged.has(job.id)) return
     if (cell !== this.#claimed.cell) {
-      this.jobMoved(job.id)
+      this.jobMoved(job.id, row.version)
       return
     }
     this.#jobsElsewhere.delete(job.id)
@@ -113,8 +114,9 @@
     this.#scheduler.removeJob(id)
   }
 
-  /** A job belongs to another cell. */
-  jobMoved (id: JobId): void {
+  /** A job belongs to another cell as of a version of the store, unless a later version of its row has been read. */
+  jobMoved (id: JobId, version: RowVersion): void {
+    if ((this.#rowVersions.get(id) ?? ABSENT_ROW_VERSION) > version) return
     this.#rowVersions.delete(id)
     this.#jobsElsewhere.add(id)
     if (this.#scheduler.takeCancellation(id)) this.#cancelledElsewhere.add(id)
--- a/packages/jobs/src/CellOwner.ts
+++ b/packages/jobs/src/CellOwner.ts
@@ -1,7 +1,7 @@
 /**
  * Schedules the jobs of a cell during one term of ownership.
  */
-import { brand, type Epoch, type JobId, type WorkerId } from '@auburnpin/common'
+import { brand, type Epoch, type JobId, type RowVersion, type WorkerId } from '@auburnpin/common'
 import { countEvacuated, freePieces, laterPieces, rackKey, type JobScheduler, type Layout, type ProgressSegment, type RackLoad, type RunOrder, type WorkerEntry, type WorkerRecord } from '@auburnpin/core'
 import { cellLoad } from './cellLoad.ts'
 import { CellJobs } from './CellJobs.ts'
@@ -15,8 +15,10 @@
 import { JobTransfers, TransferHost } from './JobTransfers.ts'
 import { DelegatorHost, TaskDelegator } from './TaskDelegator.ts'
 import { OrderHost, OrderSender } from './OrderSender.ts'
+import { OwnCommits } from './OwnCommits.ts'
 import { OwnerLoad } from './OwnerLoad.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
+import { RecordingStore } from './RecordingStore.ts'
 import { allJobParts, indexOfCell, JOBS_TABLE, type Term, type UsedWorker } from './rows.ts'
 import { TableFollower } from './TableFollower.ts'
 import { logCapacityChange } from './logCapacityChange.ts'
@@ -64,7 +66,9 @@
   #hasAnyFallenSilent = false
 
   /** `onOverload` is called repeatedly while this process can't keep up with the cell, or if it can't restore it in time. */
-  constructor (ports: OwnerPorts, claimed: ClaimedTerm, onTermLost: () => void, onOverload: () => void) {
+  constructor (sharedPorts: OwnerPorts, claimed: ClaimedTerm, onTermLost: () => void, onOverload: () => void) {
+    const commits = new OwnCommits(JOBS_TABLE)
+    const ports = { ...sharedPorts, store: new RecordingStore(sharedPorts.store, commits) }
     this.#ports = ports
     this.#claimed = claimed
     this.#onTermLost = onTermLost
@@ -82,7 +86,7 @@
     } else this.#membership = new StoredMembership(store, clock, log, indexOfCell(claimed.cell), () => this.membersChanged())
     this.#delegator = new TaskDelegator(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerDelegatorHost(this))
     this.#jobs = new CellJobs(ports, claimed, this.#scheduler, this.#writer, this.#delegator, () => this.stateChanged())
-    this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), this.#jobs, { onPage: () => this.#restoration.recordProgress() })
+    this.#jobsFollower = new TableFollower(store, clock, log, JOBS_TABLE, allJobParts(), this.#jobs, { commits, onPage: () => this.#restoration.recordProgress() })
     this.#pollerHost = new OwnerPollerHost(this)
     this.#orders = new OrderSender(ports, this.#scheduler, new OwnerOrderHost(this), this.#load)
     this.#transfers = new JobTransfers(ports, claimed.cell, this.#scheduler, this.#writer, new OwnerTransferHost(this))
@@ -387,8 +391,8 @@
     return this.#owner.isHeld
   }
 
-  jobMoved (id: JobId): void {
-    this.#owner.jobs.jobMoved(id)
+  jobMoved (id: JobId, version: RowVersion): void {
+    this.#owner.jobs.jobMoved(id, version)
   }
 }
 
--- a/packages/jobs/src/JobTransfers.ts
+++ b/packages/jobs/src/JobTransfers.ts
@@ -1,7 +1,7 @@
 /**
  * Gives jobs that wait in one cell to another.
  */
-import { brand, type CellId, type Instant, type JobId } from '@auburnpin/common'
+import { brand, type CellId, type Instant, type JobId, type RowVersion } from '@auburnpin/common'
 import { addedLoad, countEvacuated, type CellLoad, type JobRecord, type JobScheduler } from '@auburnpin/core'
 import { MIN_TRANSFER_WAIT_MS, TRANSFER_INTERVAL_MS } from './constants.ts'
 import { cellLoad } from './cellLoad.ts'
@@ -12,8 +12,8 @@
 /** What becomes of a job once its row names the other cell. */
 export abstract class TransferHost {
   abstract get isHeld (): boolean
-  /** The job belongs to another cell now. */
-  abstract jobMoved (id: JobId): void
+  /** The job belongs to another cell as of a version of the store. */
+  abstract jobMoved (id: JobId, version: RowVersion): void
 }
 
 /**
@@ -97,27 +97,28 @@
   async #changeRow (id: JobId, to: CellId): Promise<void> {
     if (this.#inProgress.has(id)) return
     this.#inProgress.add(id)
-    if (await this.#tryChangeRow(id, to) && !this.#isStopped) {
+    const version = await this.#tryChangeRow(id, to)
+    if (version !== undefined && !this.#isStopped) {
       this.#recorded.delete(id)
-      this.#host.jobMoved(id)
+      this.#host.jobMoved(id, version)
       this.#writer.deleteProgress([id])
     }
     this.#inProgress.delete(id)
   }
 
-  // Returns whether the row certainly names another cell, or is gone.
-  async #tryChangeRow (id: JobId, to: CellId): Promise<boolean> {
+  // Returns a version as of which the row certainly names another cell, or is gone.
+  async #tryChangeRow (id: JobId, to: CellId): Promise<RowVersion | undefined> {
     const { store } = this.#ports
     const part = jobPart(id)
     const page = await store.range({ table: JOBS_TABLE, part, from: id, to: `${id}\u0000` })
-    if (page.err) return false
+    if (page.err) return undefined
     const [row] = page.val.rows
-    if (row === undefined) return true
+    if (row === undefined) return page.val.version
     const assigned = readJob(row)
-    if (assigned === undefined) return false
-    if (assigned.cell !== this.#cell) return true
+    if (assigned === undefined) return undefined
+    if (assigned.cell !== this.#cell) return page.val.version
     const key = { table: JOBS_TABLE, key: id }
     const outcome = await store.transact({ part, checks: [{ ...key, version: row.version }], puts: [{ ...key, value: encodeJob({ job: assigned.job, cell: to }) }], deletes: [] })
-    return outcome.ok && outcome.val.kind === 'committed'
+    return outcome.ok && outcome.val.kind === 'committed' ? outcome.val.version : undefined
   }
 }
--- a/packages/jobs/src/RowStore.ts
+++ b/packages/jobs/src/RowStore.ts
@@ -22,12 +22,12 @@
 export type StoreTime = Branded<number, 'StoreTime'>
 
 /**
- * Result of a transaction. `conflict`: nothing was changed, and `rows` contains those that failed their checks.
- * `storeTime` was read between the call and its response; a store may omit it.
+ * Result of a transaction. `conflict`: nothing was changed, and `rows` contains those that failed their checks as of
+ * `version`, perhaps with others that were checked. `storeTime` was read between the call and its response; a store may omit it.
  */
 export type RowTransactionOutcome =
   | Readonly<{ kind: 'committed', version: RowVersion, storeTime?: StoreTime }>
-  | Readonly<{ kind: 'conflict', rows: readonly StoredRow[] }>
+  | Readonly<{ kind: 'conflict', rows: readonly StoredRow[], version?: RowVersion }>
 
 /** A range of keys of one part, from `from` inclusive to `to` exclusive; an empty bound means no bound. A page has at most `limit` rows. */
 export type RowRange = Readonly<{ table: string, part: string, from: string, to: string, limit?: number }>
--- a/packages/jobs/src/TableFollower.ts
+++ b/packages/jobs/src/TableFollower.ts
@@ -3,6 +3,7 @@
  */
 import { brand, Ok, type AuburnpinError, type Clock, type Instant, type Log, type Result, type RowVersion } from '@auburnpin/common'
 import { FEED_RETRY_DELAY_MS, FEED_WAIT_MS } from './constants.ts'
+import { OwnCommits } from './OwnCommits.ts'
 import type { RowKey, RowStore, StoredRow } from './RowStore.ts'
 import { TableReading } from './TableReading.ts'
 
@@ -13,11 +14,12 @@
   abstract update (changed: readonly StoredRow[], deleted: readonly RowKey[]): void
 }
 
-/** `onPage`: called with each page of a whole read. */
-export type TableFollowerOptions = Readonly<{ onPage?: () => void }>
+/** `commits`: what this process commits to the table itself, if the listener acts on that. `onPage`: called with each page of a whole read. */
+export type TableFollowerOptions = Readonly<{ commits?: OwnCommits, onPage?: () => void }>
 
 /**
- * Keeps a listener up to date with a table. It reads the whole table again if the store has trimmed changes.
+ * Keeps a listener up to date with a table. It reads the whole table again if the store has trimmed changes. What the
+ * listener is told of a row never goes back in versions, neither behind what it was told nor behind `commits`.
  *
  * @example
  * const follower = new TableFollower(store, clock, log, 'jobs', parts, listener)
@@ -30,6 +32,7 @@
   readonly #table: string
   readonly #parts: readonly string[]
   readonly #listener: TableListener
+  readonly #commits: OwnCommits
   readonly #onPage: (() => void) | undefined
   /** The read of the whole table in progress; continued after a failure. */
   #reading: TableReading | undefined
@@ -39,13 +42,14 @@
   #isStopped = false
   #isFailing = false
 
-  constructor (store: RowStore, clock: Clock, log: Log, table: string, parts: readonly string[], listener: TableListener, { onPage }: TableFollowerOptions = {}) {
+  constructor (store: RowStore, clock: Clock, log: Log, table: string, parts: readonly string[], listener: TableListener, { commits = new OwnCommits(table), onPage }: TableFollowerOptions = {}) {
     this.#store = store
     this.#clock = clock
     this.#log = log
     this.#table = table
     this.#parts = parts
     this.#listener = listener
+    this.#commits = commits
     this.#onPage = onPage
   }
 
@@ -81,7 +85,9 @@
     const { rows, version, currentAt } = outcome.val
     this.#version = version
     this.#currentAt = currentAt
-    this.#notify(() => this.#listener.replaceAll([...rows.values()]))
+    const current = this.#commits.applyTo(rows, version)
+    this.#commits.forgetUntil(version)
+    this.#notify(() => this.#listener.replaceAll(current))
     return Ok(undefined)
   }
 
@@ -104,10 +110,13 @@
       this.#version = undefined
       return Ok(undefined)
     }
-    const { changed, deleted, version } = outcome.val
+    const { version } = outcome.val
+    const changed = outcome.val.changed.filter(({ key }) => !this.#commits.isOutdated(key, version))
+    const deleted = outcome.val.deleted.filter(({ key }) => !this.#commits.isOutdated(key, version))
+    this.#commits.forgetUntil(version)
     this.#version = version
     // Without changes, the store responds only after the whole wait.
-    const isUnchanged = changed.length === 0 && deleted.length === 0
+    const isUnchanged = outcome.val.changed.length === 0 && outcome.val.deleted.length === 0
     this.#currentAt = isUnchanged ? brand<Instant>(Math.min(requestedAt + FEED_WAIT_MS, this.#clock.now())) : requestedAt
     if (changed.length > 0 || deleted.length > 0) this.#update(changed, deleted)
     return Ok(undefined)
