Owners keep a bounded number of tasks, and jobs that they couldn't keep are refused

Cause: an owner kept a record of every task of every occurrence that was ever due, some 700 bytes each, until the job's rows were deleted 150 s after its end, at ten jobs a second at most. What was accepted was bounded by nothing that is known at the time.

Change: - A repeating job has at most 2,000 open tasks: occurrences that are still useful first, then the others in order.

--- a/packages/core/src/jobs/CrashDetector.ts
+++ b/packages/core/src/jobs/CrashDetector.ts
@@ -101,8 +101,8 @@
   }
 
   #count ({ task, attempt }: RunRecord): boolean {
-    const { crashes, isDone, step: { job } } = task
-    if (isDone || job.isFinal || !crashes.add(attempt)) return false
+    const { isDone, step: { job } } = task
+    if (isDone || job.isFinal || !task.crashes.add(attempt)) return false
     if (task.isOnTrial) this.#onTrial.add(task)
     this.#host.progressChanged(task)
     return true
--- a/packages/core/src/jobs/JobRecord.ts
+++ b/packages/core/src/jobs/JobRecord.ts
@@ -2,9 +2,10 @@
  * A job and the state of its tasks.
  */
 import type { CellId, Instant } from '@auburnpin/common'
+import { DoneOccurrences } from './DoneOccurrences.ts'
 import { collectProgress, noProgress, ProgressSegment, TASKS_PER_SEGMENT } from './ProgressSegment.ts'
 import { restoreStep } from './restoreStep.ts'
-import { StepRecord } from './StepRecord.ts'
+import { stepKey, StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
 import { expectedMs, taskWork } from './taskWork.ts'
 import type { Job, JobPhase, JobProgress } from './types.ts'
@@ -12,7 +13,7 @@
 /** A job that takes more than this many times its objective is useless to its client; a rule of the clients. */
 const MAX_USEFUL_OBJECTIVES = 3
 
-/** State of one job. Occurrences are created when they are due. */
+/** State of one job. Occurrences are created when they are due, and their tasks are forgotten once they are done. */
 export class JobRecord {
   readonly job: Job
   readonly occurrences = new Map<number, readonly StepRecord[]>()
@@ -32,7 +33,8 @@
   /** Tasks of one occurrence; at least 1. */
   readonly tasksPerOccurrence: number
   readonly #segments = new Map<number, ProgressSegment>()
-  #doneOccurrences = new Set<number>()
+  /** Occurrences of which every task is done. */
+  readonly done = new DoneOccurrences()
   /** For each step, the duration of the longest chain of steps that starts with it, by the client's estimates, in milliseconds. */
   readonly #remainingMs: readonly number[]
   readonly #objectiveMs: number
@@ -104,10 +106,11 @@
     return true
   }
 
-  /** Creates an occurrence and restores the state of its tasks from the progress. */
+  /** Creates an occurrence that isn't done, and restores the state of its tasks from the progress. */
   createOccurrence (occurrence: number, progress?: JobProgress): readonly StepRecord[] {
     const existing = this.occurrences.get(occurrence)
     if (existing !== undefined) return existing
+    if (this.done.has(occurrence)) return []
     let firstOrdinal = occurrence * this.tasksPerOccurrence
     const steps = this.job.steps.map((shape, number) => {
       const step = new StepRecord(this, occurrence, number, shape, firstOrdinal)
@@ -126,17 +129,26 @@
 
   /** Opens each step whose preceding steps are done; of a guest each with a task here, as its home delegates only tasks of open steps. */
   openReadySteps (occurrence: number): void {
-    const steps = this.occurrences.get(occurrence) ?? []
+    const steps = this.occurrences.get(occurrence)
+    if (steps === undefined) return
     for (const step of steps) {
       const isReady = this.isGuest ? step.tasks.some(task => !task.isElsewhere) : step.shape.after.every(before => steps[before]?.isDone === true)
       if (!step.isOpen && isReady) step.open()
     }
-    if (steps.every(step => step.isDone)) this.#doneOccurrences.add(occurrence)
+    if (steps.every(step => step.isDone)) this.done.add(occurrence)
+  }
+
+  /** Forgets the tasks of occurrences that are done and have no runs left. A job without occurrences keeps its own. */
+  forgetDoneOccurrences (): void {
+    if (this.job.occurrences === 0) return
+    for (const [occurrence, steps] of this.occurrences) {
+      if (this.done.has(occurrence) && !steps.some(step => step.tasks.some(task => task.runs.length > 0 || task.delegation !== undefined))) this.occurrences.delete(occurrence)
+    }
   }
 
   /** Whether every task of every occurrence is done. */
   get isDone (): boolean {
-    return this.#doneOccurrences.size >= Math.max(1, this.job.occurrences)
+    return this.done.count >= Math.max(1, this.job.occurrences)
   }
 
   /** All tasks of the occurrences created so far. */
@@ -146,6 +158,26 @@
     }
   }
 
+  /** The occurrences that have been opened or are done. */
+  * knownOccurrences (): Generator<number> {
+    for (let occurrence = 0; occurrence < Math.max(1, this.job.occurrences); occurrence++) {
+      if (this.done.has(occurrence) || this.occurrences.has(occurrence)) yield occurrence
+    }
+  }
+
+  /** Keys of the steps whose tasks were forgotten as done, of those with an ordinal from `first` to before `end`. */
+  * forgottenSteps (first: number, end: number): Generator<string> {
+    const { steps, occurrences } = this.job
+    for (let occurrence = Math.floor(first / this.tasksPerOccurrence); occurrence < occurrences && occurrence * this.tasksPerOccurrence < end; occurrence++) {
+      if (!this.done.has(occurrence) || this.occurrences.has(occurrence)) continue
+      let stepStart = occurrence * this.tasksPerOccurrence
+      for (const [number, { taskCount }] of steps.entries()) {
+        if (stepStart < end && stepStart + taskCount > first) yield stepKey(occurrence, number)
+        stepStart += taskCount
+      }
+    }
+  }
+
   /** The segment that a task's progress is stored in; `ordinal` as in `TaskRecord`. */
   segmentOf (ordinal: number): ProgressSegment {
     const number = Math.floor(ordinal / TASKS_PER_SEGMENT)
@@ -174,7 +206,7 @@
   get progress (): JobProgress {
     if (this.isFinal) return noProgress(this.#phase)
     if (this.movedTo !== undefined) return { ...noProgress(this.#phase), movedTo: this.movedTo }
-    return collectProgress(this.#phase, [...this.occurrences.values()].flat().map(step => ({ step, tasks: step.tasks })))
+    return collectProgress(this.#phase, [...this.occurrences.values()].flat().map(step => ({ step, tasks: step.tasks })), this.forgottenSteps(0, this.job.occurrences * this.tasksPerOccurrence))
   }
 }
 
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -22,7 +22,8 @@
 import { LearntDurations } from './LearntDurations.ts'
 import { availableProcessors, loadPercent } from './loadPercent.ts'
 import { moveRun } from './moveRun.ts'
-import { occurrencesWithProgress } from './occurrencesWithProgress.ts'
+import { isOccurrenceDone, occurrencesWithProgress } from './occurrencesWithProgress.ts'
+import { openableOccurrences } from './openableOccurrences.ts'
 import { paceOrders } from './paceOrders.ts'
 import { MAX_SPECULATIVE_RUNS } from './placeCopies.ts'
 import { placeTasks } from './placeTasks.ts'
@@ -150,7 +151,9 @@
     else this.#createOccurrence(record, 0, now, progress)
     if (job.occurrences > 0 && progress !== undefined) {
       for (const occurrence of occurrencesWithProgress(progress)) {
-        if (occurrence < count) this.#createOccurrence(record, occurrence, now, progress)
+        if (occurrence >= count) continue
+        if (isOccurrenceDone(job, occurrence, progress)) record.done.add(occurrence)
+        else this.#createOccurrence(record, occurrence, now, progress)
       }
     }
     if (progress !== undefined && progress.isDivided !== true && record.segmentCount > 1) this.#unstored.addAll(record)
@@ -158,7 +161,7 @@
   }
 
   #createOccurrence (record: JobRecord, occurrence: number, now: Instant, progress?: JobProgress): void {
-    if (record.occurrences.has(occurrence)) return
+    if (record.occurrences.has(occurrence) || record.done.has(occurrence)) return
     this.#crashDetector.restore(record.createOccurrence(occurrence, progress))
     this.#fairness.accept(record, occurrence, now)
     this.#openReadySteps(record, occurrence)
@@ -414,7 +417,7 @@
   }
 
   #addRun (run: RunRecord): void {
-    run.task.runs.push(run)
+    run.task.addRun(run)
     run.task.step.waiting.delete(run.task)
     run.worker.addRun(run)
   }
@@ -440,14 +443,14 @@
     this.#recordStart(task)
     const job = task.step.job
     const hasFailed = end.ending === 'failed'
-    if (hasFailed) task.failedOn.add(worker)
+    if (hasFailed) task.recordFailureOn(worker)
     if (end.checkpoint !== '') task.checkpoint = end.checkpoint
     // A long-running task that fails some time after its start, or again and again, says nothing about the worker.
     const isEvidence = end.ending === 'done' || (hasFailed && (!task.step.shape.isLasting || (isShortRun(run, now) && !task.hasFailedAtOnce)))
     if (isEvidence && worker.recordRunResult(hasFailed, now)) this.#observer.workerQuarantined(worker.entry.id, 'several consecutive runs failed')
     if (end.ending === 'done') this.#finishTask(task, now)
     else if (hasFailed && !task.step.shape.isLasting && !task.isDone && !task.failedAttempts.includes(end.attempt)) {
-      task.failedAttempts.push(end.attempt)
+      task.addFailedAttempt(end.attempt)
       this.#unstored.addTask(task)
     }
     if (run !== undefined) this.#endRun(run, end.ending, now)
@@ -474,8 +477,7 @@
     if (ending === 'lease over' && run.state === 'ordered') this.#lateStarts.record(run)
     run.worker.removeRun(run)
     this.#crashDetector.runEnded(run)
-    const index = task.runs.indexOf(run)
-    if (index >= 0) task.runs.splice(index, 1)
+    task.removeRun(run)
     if (ending === 'done') recordDuration(run, this.durations, now)
     this.#recordEnd(run, ending, now, ending === 'failed' && isShortRun(run, now))
     if (!task.step.job.isFinal && !this.#lateStarts.holdBack(task)) task.step.queue(task)
@@ -500,7 +502,7 @@
       }
       old.removeRun(run)
       const moved = moveRun(run, current, now)
-      run.task.runs.splice(run.task.runs.indexOf(run), 1, moved)
+      run.task.removeRun(run, moved)
       current.addRun(moved)
     }
   }
@@ -692,9 +694,8 @@
 
   #createDueOccurrences (now: Instant, wallTime: number): void {
     for (const record of this.#repeating) {
-      const { firstRunAt, intervalMs, occurrences } = record.job
-      const due = Math.min(occurrences, Math.floor((wallTime - firstRunAt) / Math.max(1, intervalMs)) + 1)
-      for (let occurrence = 0; occurrence < due; occurrence++) this.#createOccurrence(record, occurrence, now)
+      record.forgetDoneOccurrences()
+      for (const occurrence of openableOccurrences(record, wallTime)) this.#createOccurrence(record, occurrence, now)
     }
   }
 }
--- a/packages/core/src/jobs/ProgressSegment.ts
+++ b/packages/core/src/jobs/ProgressSegment.ts
@@ -41,7 +41,8 @@
     // The job's own cell still has to learn which of its tasks have failed here.
     if (isFinal && !isGuest) return { ...noProgress(phase), isDivided: true }
     if (movedTo !== undefined) return { ...noProgress(phase), isDivided: true, movedTo }
-    return { ...collectProgress(phase, this.#stepTasks()), isDivided: true }
+    const first = this.number * TASKS_PER_SEGMENT
+    return { ...collectProgress(phase, this.#stepTasks(), this.job.forgottenSteps(first, first + TASKS_PER_SEGMENT)), isDivided: true }
   }
 
   /** The progress is about to be stored. */
@@ -49,7 +50,7 @@
     this.#isEndBeingStored = this.isFirst && this.job.isFinal
     for (const { tasks } of this.#stepTasks()) {
       for (const task of tasks) {
-        task.crashes.startStoring()
+        task.recordedCrashes?.startStoring()
         task.delegation?.startStoring(task)
       }
     }
@@ -59,8 +60,8 @@
   markStored (): void {
     if (this.#isEndBeingStored) this.job.isEndStored = true
     for (const { tasks } of this.#stepTasks()) {
-      for (const { crashes, delegation } of tasks) {
-        crashes.markStored()
+      for (const { recordedCrashes, delegation } of tasks) {
+        recordedCrashes?.markStored()
         delegation?.markStored()
       }
     }
@@ -84,13 +85,14 @@
 }
 
 /**
- * The progress of some tasks of a job.
+ * The progress of some tasks of a job. All tasks of the steps with `doneSteps` as keys are done.
  *
  * @example
  * collectProgress('active', [{ step, tasks: step.tasks }]).done // { '0.0': [3, 5] }
  */
-export const collectProgress = (phase: JobProgress['phase'], stepTasks: Iterable<StepTasks>): JobProgress => {
+export const collectProgress = (phase: JobProgress['phase'], stepTasks: Iterable<StepTasks>, doneSteps: Iterable<string> = []): JobProgress => {
   const done: Record<string, readonly number[] | 'all'> = {}
+  for (const key of doneSteps) done[key] = 'all'
   const started: Record<string, readonly number[] | 'all'> = {}
   const failed: Record<string, readonly number[]> = {}
   const checkpoints: Record<string, string> = {}
@@ -107,7 +109,8 @@
       if (task.delegation !== undefined) delegations[task.progressKey] = task.delegation.current
       if (task.isDone) continue
       if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
-      if (task.crashes.toStore.length > 0) crashed[task.progressKey] = task.crashes.toStore
+      const lost = task.recordedCrashes?.toStore ?? []
+      if (lost.length > 0) crashed[task.progressKey] = lost
       if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
     }
   }
--- a/packages/core/src/jobs/StepCandidates.ts
+++ b/packages/core/src/jobs/StepCandidates.ts
@@ -58,4 +58,4 @@
 
 // What has happened to a task may rule out workers or change their scores.
 const isLikeOthers = (task: TaskRecord): boolean =>
-  !task.hasRun && task.runs.length === 0 && task.failedOn.size === 0 && task.crashes.count === 0 && !task.crashes.areUncertain
+  !task.hasRun && task.runs.length === 0 && task.failedOn.size === 0 && (task.recordedCrashes?.count ?? 0) === 0 && task.recordedCrashes?.areUncertain !== true
--- a/packages/core/src/jobs/StepRecord.ts
+++ b/packages/core/src/jobs/StepRecord.ts
@@ -3,10 +3,12 @@
  */
 import type { JobRecord } from './JobRecord.ts'
 import { ServingLoad } from './ServingLoad.ts'
-import { nameTask } from './taskName.ts'
 import { TaskRecord } from './TaskRecord.ts'
 import type { JobStep } from './types.ts'
 
+/** Key of a step within its job's progress. */
+export const stepKey = (occurrence: number, step: number): string => `${occurrence}.${step}`
+
 /** State of one step and its tasks. */
 export class StepRecord {
   readonly job: JobRecord
@@ -28,12 +30,12 @@
     this.number = number
     this.shape = shape
     this.tasks = Array.from({ length: shape.taskCount }, (_, index) =>
-      new TaskRecord(this, index, nameTask({ job: job.job.id, occurrence, step: number, index }), firstOrdinal + index))
+      new TaskRecord(this, index, firstOrdinal + index))
   }
 
   /** Key of the step within its job's progress. */
   get key (): string {
-    return `${this.occurrence}.${this.number}`
+    return stepKey(this.occurrence, this.number)
   }
 
   get isDone (): boolean {
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -7,6 +7,7 @@
 import type { ServingPressure } from './ServingPressure.ts'
 import type { StepRecord } from './StepRecord.ts'
 import { TaskCrashes } from './TaskCrashes.ts'
+import { nameTask } from './taskName.ts'
 import type { TaskDelegation } from './TaskDelegation.ts'
 import type { TaskName } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
@@ -71,18 +72,17 @@
 /** How a run ended; `ending` is as in `JobSchedulerObserver.runEnded`. */
 export type RunEnd = Readonly<{ attempt: Attempt, ending: string, worker: WorkerId, at: Instant }>
 
+// Most tasks wait, or are done, without any of these.
+const NO_RUNS: readonly RunRecord[] = Object.freeze([])
+const NO_ATTEMPTS: readonly number[] = Object.freeze([])
+const NO_WORKERS: ReadonlySet<WorkerRecord> = new Set()
+
 /** State of one task, its failures and its current runs. */
 export class TaskRecord {
   readonly step: StepRecord
   readonly index: number
-  readonly name: TaskName
   /** Number of the task, from 0, among all tasks of all occurrences of its job. */
   readonly ordinal: number
-  readonly runs: RunRecord[] = []
-  /** Attempt numbers of the runs that failed. */
-  readonly failedAttempts: number[] = []
-  /** Workers on which a run failed or stalled during this term. */
-  readonly failedOn = new Set<WorkerRecord>()
   isDone = false
   /** Whether a run was ordered. */
   wasOrdered = false
@@ -91,23 +91,74 @@
   checkpoint = ''
   /** The end of the last run that ended during this term. */
   lastEnd?: RunEnd
-  /** Workers that were lost just after they had started the task. */
-  readonly crashes = new TaskCrashes()
   /** How often a run was stopped to continue on another worker. */
   moves = 0
   /** Set once the task has been delegated, in both cells. */
   delegation?: TaskDelegation
+  #name: TaskName | undefined
+  #runs = NO_RUNS
+  #failedAttempts = NO_ATTEMPTS
+  #failedOn = NO_WORKERS
+  #crashes: TaskCrashes | undefined
   #lastAttempt = 0
   /** Runs in a row that failed soon after their start. */
   #shortFailures = 0
 
-  constructor (step: StepRecord, index: number, name: TaskName, ordinal = index) {
+  constructor (step: StepRecord, index: number, ordinal = index) {
     this.step = step
     this.index = index
-    this.name = name
     this.ordinal = ordinal
   }
 
+  get name (): TaskName {
+    const { job: { job: { id } }, occurrence, number } = this.step
+    this.#name ??= nameTask({ job: id, occurrence, step: number, index: this.index })
+    return this.#name
+  }
+
+  get runs (): readonly RunRecord[] {
+    return this.#runs
+  }
+
+  addRun (run: RunRecord): void {
+    this.#runs = [...this.#runs, run]
+  }
+
+  /** Removes a run, or puts another one in its place. */
+  removeRun (run: RunRecord, replacement?: RunRecord): void {
+    const runs = this.#runs.flatMap(other => other !== run ? [other] : replacement === undefined ? [] : [replacement])
+    this.#runs = runs.length === 0 ? NO_RUNS : runs
+  }
+
+  /** Attempt numbers of the runs that failed. */
+  get failedAttempts (): readonly number[] {
+    return this.#failedAttempts
+  }
+
+  addFailedAttempt (attempt: number): void {
+    if (!this.#failedAttempts.includes(attempt)) this.#failedAttempts = [...this.#failedAttempts, attempt]
+  }
+
+  /** Workers on which a run failed or stalled during this term. */
+  get failedOn (): ReadonlySet<WorkerRecord> {
+    return this.#failedOn
+  }
+
+  recordFailureOn (worker: WorkerRecord): void {
+    this.#failedOn = new Set([...this.#failedOn, worker])
+  }
+
+  /** Workers that were lost just after they had started the task. */
+  get crashes (): TaskCrashes {
+    this.#crashes ??= new TaskCrashes()
+    return this.#crashes
+  }
+
+  /** The same; `undefined` if nothing was ever recorded, so that a look at many tasks takes no memory. */
+  get recordedCrashes (): TaskCrashes | undefined {
+    return this.#crashes
+  }
+
   /** Key of the task within its job's progress. */
   get progressKey (): string {
     return `${this.step.key}.${this.index}`
@@ -131,7 +182,7 @@
 
   /** Whether the next loss of a worker may fail the job, so that no other start may be taken for its cause. */
   get isOnTrial (): boolean {
-    return this.crashes.count >= CRASHES_TO_GIVE_UP - 1
+    return (this.#crashes?.count ?? 0) >= CRASHES_TO_GIVE_UP - 1
   }
 
   /** Records the end of a run, and whether it failed soon after its start. */
--- a/packages/core/src/jobs/UnstoredProgress.ts
+++ b/packages/core/src/jobs/UnstoredProgress.ts
@@ -33,9 +33,12 @@
 
   /** All of a job's progress is to be stored anew. Its first segment comes last, as its row holds all of it until then. */
   addAll (job: JobRecord): void {
-    for (const task of job.tasks()) {
-      const segment = job.segmentOf(task.ordinal)
-      if (!segment.isFirst) this.#segments.add(segment)
+    for (const occurrence of job.knownOccurrences()) {
+      const first = occurrence * job.tasksPerOccurrence
+      for (let ordinal = first; ordinal < first + job.tasksPerOccurrence; ordinal++) {
+        const segment = job.segmentOf(ordinal)
+        if (!segment.isFirst) this.#segments.add(segment)
+      }
     }
     this.#segments.add(job.firstSegment)
   }
--- a/packages/core/src/jobs/constants.ts
+++ b/packages/core/src/jobs/constants.ts
@@ -12,6 +12,9 @@
 /** Longest time after which an order that got no response is carried out, in milliseconds. */
 export const MAX_ORDER_DELAY_MS = 12_000
 
+/** Most tasks of a repeating job that are open at the same time, unless a single occurrence has more. */
+export const MAX_OPEN_TASKS_PER_JOB = 2_000
+
 /** How often an order to start that got no answer is sent to the same incarnation again before its run is stopped. */
 export const MAX_START_REPEATS = 3
 
--- a/packages/core/src/jobs/findObstacle.ts
+++ b/packages/core/src/jobs/findObstacle.ts
@@ -47,7 +47,7 @@
   if (!(task.isInterrupted ? worker.acceptsRestarts(now) : worker.acceptsWork(now))) return worker.evacuation === 'none' ? 'unavailable' : 'evacuated'
   if (shape.requiredLabel !== '' && !entry.labels.includes(shape.requiredLabel)) return 'label'
   if (shape.processors > entry.processors || shape.memoryMb > entry.memoryMb || shape.accelerators > entry.accelerators) return 'too-small'
-  if (task.crashes.areUncertain) return 'trial'
+  if (task.recordedCrashes?.areUncertain === true) return 'trial'
   if (runs.some(run => run.worker === worker)) return 'tasks-per-worker'
   if (shape.maxPerWorker > 0 && countRunsOfStep(step, worker) >= shape.maxPerWorker) return 'tasks-per-worker'
   return undefined
--- a/packages/core/src/jobs/occurrencesWithProgress.ts
+++ b/packages/core/src/jobs/occurrencesWithProgress.ts
@@ -1,7 +1,8 @@
 /**
  * Occurrences of a repeating job that an earlier owner has worked on.
  */
-import type { JobProgress } from './types.ts'
+import { stepKey } from './StepRecord.ts'
+import type { Job, JobProgress } from './types.ts'
 
 /**
  * The numbers of the occurrences that the progress of a job names.
@@ -16,3 +17,12 @@
   }
   return occurrences
 }
+
+/**
+ * Whether the progress of a job says that all tasks of an occurrence are done, and nothing else of them is kept.
+ *
+ * @example
+ * isOccurrenceDone(job, 0, progress) // true
+ */
+export const isOccurrenceDone = ({ steps }: Job, occurrence: number, { done, delegations = {} }: JobProgress): boolean =>
+  steps.every((_step, number) => done[stepKey(occurrence, number)] === 'all') && !Object.keys(delegations).some(key => key.startsWith(`${occurrence}.`))
--- a/packages/core/src/jobs/restoreStep.ts
+++ b/packages/core/src/jobs/restoreStep.ts
@@ -34,8 +34,9 @@
  * restoreAttempts(task, report.progress)
  */
 export const restoreAttempts = (task: TaskRecord, { failed, crashed, checkpoints }: JobProgress): void => {
-  for (const attempt of failed[task.progressKey] ?? []) if (!task.failedAttempts.includes(attempt)) task.failedAttempts.push(attempt)
-  task.crashes.restore((crashed?.[task.progressKey] ?? []).map(attempt => brand<Attempt>(attempt)))
+  for (const attempt of failed[task.progressKey] ?? []) task.addFailedAttempt(attempt)
+  const lost = crashed?.[task.progressKey]
+  if (lost !== undefined) task.crashes.restore(lost.map(attempt => brand<Attempt>(attempt)))
   const checkpoint = checkpoints[task.progressKey]
   if (checkpoint !== undefined) task.checkpoint = checkpoint
 }
--- a/packages/core/src/jobs/stopStalledRuns.ts
+++ b/packages/core/src/jobs/stopStalledRuns.ts
@@ -17,7 +17,7 @@
     if (!isStalled(run, now)) continue
     run.isStopRequested = true
     run.task.moves++
-    run.task.failedOn.add(worker)
+    run.task.recordFailureOn(worker)
     observer.runStalled(run, worker.entry.id)
   }
 }
--- a/packages/core/tests/placeCopies.test.ts
+++ b/packages/core/tests/placeCopies.test.ts
@@ -54,7 +54,7 @@
   const spoilers: ((task: TaskRecord) => void)[] = [
     task => { task.crashes.add(brand<Attempt>(1)) },
     task => { task.crashes.announce(brand<Attempt>(1)) },
-    task => { if (task.failedAttempts.length === 0) task.failedAttempts.push(90, 91) }
+    task => { if (task.failedAttempts.length === 0) for (const attempt of [90, 91]) task.addFailedAttempt(attempt) }
   ]
   for (const spoil of spoilers) {
     const scenario = startLateJob()
--- a/packages/core/tests/progressSegments.test.ts
+++ b/packages/core/tests/progressSegments.test.ts
@@ -19,7 +19,7 @@
     for (const step of record.createOccurrence(occurrence)) {
       for (const task of step.tasks) {
         if (task.ordinal % 3 === 0) step.markDone(task)
-        for (let attempt = 1; attempt <= FAILED_RUNS; attempt++) task.failedAttempts.push(9_000_000 + attempt)
+        for (let attempt = 1; attempt <= FAILED_RUNS; attempt++) task.addFailedAttempt(9_000_000 + attempt)
         task.crashes.add(brand<Attempt>(9_000_020))
         task.checkpoint = checkpoint
       }
--- a/packages/jobs/src/AdmissionControl.ts
+++ b/packages/jobs/src/AdmissionControl.ts
@@ -4,6 +4,7 @@
 import type { Clock, JobId, Log, Metrics } from '@auburnpin/common'
 import { findBacklogRefusal, JobAdmission, type AdmissionDecision, type BacklogRefusal, type Job, type PublishedBacklogs, type PublishedWaits } from '@auburnpin/core'
 import { MAX_ADMISSION_READ_MS } from './constants.ts'
+import { KeptTasksLimit, type KeptTasksRefusal, type PublishedTasks } from './KeptTasksLimit.ts'
 import type { JobRepository } from './JobRepository.ts'
 
 /** Shares are logged to the percent. */
@@ -21,6 +22,8 @@
   waitsFor: (job: Job) => PublishedWaits | undefined
   /** The same for the backlogs of accepted work. */
   backlogsFor: (job: Job) => PublishedBacklogs | undefined
+  /** Tasks that the owners of these cells keep in memory; `undefined` if nothing is known. */
+  keptTasksFor: (job: Job) => PublishedTasks | undefined
   clock: Clock
   log: Log
   metrics: Metrics
@@ -37,6 +40,7 @@
 export class AdmissionControl {
   readonly #ports: AdmissionPorts
   readonly #admission = new JobAdmission()
+  readonly #keptTasks = new KeptTasksLimit()
 
   constructor (ports: AdmissionPorts) {
     this.#ports = ports
@@ -44,19 +48,27 @@
 
   /** The refusal of a job; `undefined` if it is accepted. */
   async refusalOf (job: Job): Promise<JobRefusal | undefined> {
-    const { backlogsFor, waitsFor, clock, metrics } = this.#ports
+    const { backlogsFor, waitsFor, keptTasksFor, clock, metrics } = this.#ports
     const published = waitsFor(job)
     const byWait = this.#admission.decide(job, published, clock.now())
-    const decision = byWait.kind === 'refuse' ? byWait : findBacklogRefusal(job, backlogsFor(job)) ?? byWait
+    const byMemory = this.#keptTasks.findRefusal(job, keptTasksFor(job), clock.now())
+    const decision = byMemory ?? (byWait.kind === 'refuse' ? byWait : findBacklogRefusal(job, backlogsFor(job)) ?? byWait)
     if (decision.kind === 'accept' || await this.#mayBeStored(job.id)) {
       this.#admission.recordAcceptance(job.id)
+      this.#keptTasks.recordAcceptance(job, clock.now())
       metrics.count('jobs.admitted', 1, { queue: job.queue, why: decision.kind === 'accept' ? decision.why : 'may be stored' })
       return undefined
     }
-    metrics.count('jobs.refused', 1, { queue: job.queue, why: decision.kind === 'backlog' ? 'backlog' : 'wait' })
+    metrics.count('jobs.refused', 1, { queue: job.queue, why: decision.kind === 'refuse' ? 'wait' : decision.kind })
+    if (decision.kind === 'memory') return this.#refuseForMemory(job, decision)
     return decision.kind === 'backlog' ? this.#refuseForBacklog(job, decision) : this.#refuseForWait(job, decision, published?.ageMs ?? 0)
   }
 
+  #refuseForMemory (job: Job, { tasks, keptTasks, retryAfterMs }: KeptTasksRefusal): JobRefusal {
+    this.#ports.log.info('Job refused, as too many tasks are open', { job: job.id, queue: job.queue, tasks, keptTasks, retryAfterMs })
+    return { retryAfterMs, why: 'more tasks are open than can be kept; the job is not stored' }
+  }
+
   #refuseForBacklog (job: Job, { drainMs, limitMs, share, retryAfterMs }: BacklogRefusal): JobRefusal {
     this.#ports.log.info('Job refused, as too much accepted work waits', { job: job.id, queue: job.queue, drainMs, limitMs, share: roundShare(share), retryAfterMs: Math.round(retryAfterMs) })
     return { retryAfterMs, why: 'more work is accepted than can be done in time; the job is not stored' }
--- a/packages/jobs/src/CellElections.ts
+++ b/packages/jobs/src/CellElections.ts
@@ -4,6 +4,7 @@
 import { rendezvousRank, type CellId, type QueueName, type Random } from '@auburnpin/common'
 import type { Job, PublishedBacklogs, PublishedWaits } from '@auburnpin/core'
 import { CORES_PER_WORKER, FIRST_CELL, STANDBY_CELLS, TERM_POLL_INTERVAL_MS } from './constants.ts'
+import type { PublishedTasks } from './KeptTasksLimit.ts'
 import { OwnerElection, type CandidateIdentity } from './OwnerElection.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { cellAt, type PublishedCells } from './rows.ts'
@@ -62,6 +63,15 @@
     return { cells: this.#ports.cells.candidates(job).map(index => index === 0 ? own : ofCells?.[index] ?? undefined), ageMs }
   }
 
+  /** Tasks that the owner with the fewest keeps of those cells that could run a job, as last published; `undefined` if one doesn't say. */
+  keptTasksFor (job: Job): PublishedTasks | undefined {
+    const first = this.#first.publishedTasks
+    if (first === undefined) return undefined
+    const ofCells = this.#ports.cells.candidates(job).map(index => index === 0 ? first.tasks : this.publishedCells?.keptTasks?.[index] ?? undefined)
+    const known = ofCells.filter(tasks => tasks !== undefined)
+    return known.length < ofCells.length ? undefined : { tasks: Math.min(...known), ageMs: first.ageMs }
+  }
+
   /** Cells that this process owns. */
   get ownedCells (): readonly CellId[] {
     const owned = this.#first.isOwner ? [FIRST_CELL] : []
--- a/packages/jobs/src/CellMonitor.ts
+++ b/packages/jobs/src/CellMonitor.ts
@@ -56,6 +56,7 @@
     const loads = [first]
     const waits: (CellWaits | null)[] = [null]
     const backlogs: (CellBacklog | null)[] = [null]
+    const keptTasks: (number | null)[] = [null]
     for (let index = 1; index < this.#cellCount; index++) {
       const observed = this.#observed.get(index)
       for (const [queue, count] of Object.entries(observed?.term.pending ?? {})) pending.set(queue, (pending.get(queue) ?? 0) + count)
@@ -64,8 +65,9 @@
       backlogs.push(isRecent ? observed.term.backlog ?? null : null)
       const { workers = 0, evacuatedWorkers = 0, loadPercent = 0 } = observed?.term ?? {}
       loads.push(cellLoad(workers, evacuatedWorkers, loadPercent, observed !== undefined && isOwned(observed, now)))
+      keptTasks.push(observed?.term.keptTasks ?? null)
     }
-    return { layoutVersion, loads, pending: Object.fromEntries(pending), waits: waits.some(ofCell => ofCell !== null) ? waits : undefined, backlogs: backlogs.some(ofCell => ofCell !== null) ? backlogs : undefined }
+    return { layoutVersion, loads, pending: Object.fromEntries(pending), keptTasks, waits: waits.some(ofCell => ofCell !== null) ? waits : undefined, backlogs: backlogs.some(ofCell => ofCell !== null) ? backlogs : undefined }
   }
 
   async #run (): Promise<void> {
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -6,6 +6,7 @@
 import { CORES_PER_WORKER, FIRST_CELL, HANDOVER_CLAIM_PAUSE_MS, MIN_HANDOVER_INTERVAL_MS, OWNED_CELL_CLAIM_DELAY_MS, SHORTFALL_CLAIM_DELAY_MS, SUSPENSION_THRESHOLD_MS, TERM_EXPIRY_MS, TERM_LENGTH_MS, TERM_POLL_INTERVAL_MS } from './constants.ts'
 import { CellOwner } from './CellOwner.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
+import type { PublishedTasks } from './KeptTasksLimit.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { ABSENT_ROW_VERSION, encodeRow, readTerm, TERM_KEY, TERMS_TABLE, type PublishedCells, type Term } from './rows.ts'
 import { hasUnreadableForecast, soundTerm } from './soundTerm.ts'
@@ -92,6 +93,12 @@
     return { own: backlog, ofCells: cells?.backlogs, ageMs: this.#clock.now() - observedAt }
   }
 
+  /** Tasks that the owner keeps in memory, as last published; `undefined` without an owner that says. */
+  get publishedTasks (): PublishedTasks | undefined {
+    if (this.#observed?.term.keptTasks === undefined || this.#observed.term.holder === '') return undefined
+    return { tasks: this.#observed.term.keptTasks, ageMs: this.#clock.now() - this.#observed.observedAt }
+  }
+
   /** Whether this process owns the cell or is about to. */
   get isBusy (): boolean {
     return this.#isClaiming || this.#owner !== undefined
@@ -192,6 +199,7 @@
       commit: 0,
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
+      keptTasks: previous?.term.keptTasks,
       loadPercent: previous?.term.loadPercent,
       evacuatedWorkers: previous?.term.evacuatedWorkers,
       cells: previous?.term.cells === undefined ? undefined : { ...previous.term.cells, waits: undefined },
--- a/packages/jobs/src/StoredProgress.ts
+++ b/packages/jobs/src/StoredProgress.ts
@@ -2,7 +2,7 @@
  * Progress of jobs as earlier owners stored it.
  */
 import type { JobId } from '@auburnpin/common'
-import { noProgress, type JobPhase, type JobProgress } from '@auburnpin/core'
+import { noProgress, type Delegation, type JobPhase, type JobProgress } from '@auburnpin/core'
 import type { StoredRow } from './RowStore.ts'
 import { jobOfProgress, readProgress } from './rows.ts'
 
@@ -15,7 +15,7 @@
  * scheduler.addJob(job, now, stored.of(job.id))
  */
 export class StoredProgress {
-  readonly #progress = new Map<JobId, JobProgress>()
+  readonly #progress = new Map<JobId, JoinedProgress>()
   readonly #keys = new Map<JobId, string[]>()
   /** Tasks of these jobs that are done might run again, so the jobs are not scheduled. */
   readonly #damaged = new Set<JobId>()
@@ -29,12 +29,15 @@
       return
     }
     const earlier = this.#progress.get(job)
-    this.#progress.set(job, earlier === undefined ? progress : mergeProgress(earlier, progress))
-    this.#keys.set(job, [...this.#keys.get(job) ?? [], key])
+    if (earlier === undefined) this.#progress.set(job, new JoinedProgress(progress))
+    else earlier.add(progress)
+    const keys = this.#keys.get(job)
+    if (keys === undefined) this.#keys.set(job, [key])
+    else keys.push(key)
   }
 
   of (job: JobId): JobProgress | undefined {
-    return this.#progress.get(job)
+    return this.#progress.get(job)?.progress
   }
 
   /** Jobs with a row that cannot be read. */
@@ -54,38 +57,67 @@
   }
 }
 
-type TaskIndexes = JobProgress['done']
+type TaskIndexes = Record<string, readonly number[] | 'all'>
 
 /**
- * The progress that two rows of a job hold together.
+ * The progress that several rows of a job hold together. Rows are added in place, as a job may have a thousand of them.
  *
  * @example
- * mergeProgress({ ...noProgress('active'), done: { '0.0': [1] } }, { ...noProgress('active'), done: { '0.0': [101] } }).done // { '0.0': [1, 101] }
+ * const joined = new JoinedProgress({ ...noProgress('active'), done: { '0.0': [1] } })
+ * joined.add({ ...noProgress('active'), done: { '0.0': [101] } })
+ * joined.progress.done // { '0.0': [1, 101] }
  */
-export const mergeProgress = (one: JobProgress, other: JobProgress): JobProgress => {
-  const phase = latestPhase(one.phase, other.phase)
-  const movedTo = one.movedTo ?? other.movedTo
-  return {
-    ...noProgress(phase),
-    done: mergeIndexes(one.done, other.done),
-    ...(one.started === undefined && other.started === undefined ? {} : { started: mergeIndexes(one.started ?? {}, other.started ?? {}) }),
-    failed: { ...one.failed, ...other.failed },
-    checkpoints: { ...one.checkpoints, ...other.checkpoints },
-    crashed: { ...one.crashed, ...other.crashed },
-    delegations: { ...one.delegations, ...other.delegations },
-    isDivided: one.isDivided === true && other.isDivided === true,
-    ...(movedTo === undefined ? {} : { movedTo })
+class JoinedProgress {
+  readonly #done: TaskIndexes = {}
+  readonly #started: TaskIndexes = {}
+  readonly #failed: Record<string, readonly number[]> = {}
+  readonly #checkpoints: Record<string, string> = {}
+  readonly #crashed: Record<string, readonly number[]> = {}
+  readonly #delegations: Record<string, Delegation> = {}
+  #phase: JobPhase
+  #hasStarted = false
+  #isDivided = true
+  #movedTo: JobProgress['movedTo']
+
+  constructor (first: JobProgress) {
+    this.#phase = first.phase
+    this.add(first)
+  }
+
+  add ({ phase, done, started, failed, checkpoints, crashed, delegations, isDivided, movedTo }: JobProgress): void {
+    this.#phase = latestPhase(this.#phase, phase)
+    joinIndexes(this.#done, done)
+    joinIndexes(this.#started, started ?? {})
+    this.#hasStarted ||= started !== undefined
+    Object.assign(this.#failed, failed)
+    Object.assign(this.#checkpoints, checkpoints)
+    Object.assign(this.#crashed, crashed)
+    Object.assign(this.#delegations, delegations)
+    this.#isDivided &&= isDivided === true
+    this.#movedTo ??= movedTo
+  }
+
+  get progress (): JobProgress {
+    return {
+      ...noProgress(this.#phase),
+      done: this.#done,
+      ...(this.#hasStarted ? { started: this.#started } : {}),
+      failed: this.#failed,
+      checkpoints: this.#checkpoints,
+      crashed: this.#crashed,
+      delegations: this.#delegations,
+      isDivided: this.#isDivided,
+      ...(this.#movedTo === undefined ? {} : { movedTo: this.#movedTo })
+    }
   }
 }
 
 // A final phase never changes, and no job returns to `queued`.
 const latestPhase = (one: JobPhase, other: JobPhase): JobPhase => one === 'queued' || (one === 'active' && other !== 'queued') ? other : one
 
-const mergeIndexes = (one: TaskIndexes, other: TaskIndexes): TaskIndexes => {
-  const merged: Record<string, readonly number[] | 'all'> = { ...one }
-  for (const [key, indexes] of Object.entries(other)) {
-    const before = merged[key]
-    merged[key] = before === 'all' || indexes === 'all' ? 'all' : [...new Set([...before ?? [], ...indexes])]
+const joinIndexes = (joined: TaskIndexes, added: JobProgress['done']): void => {
+  for (const [key, indexes] of Object.entries(added)) {
+    const before = joined[key]
+    joined[key] = before === undefined ? indexes : before === 'all' || indexes === 'all' ? 'all' : [...new Set([...before, ...indexes])]
   }
-  return merged
 }
--- a/packages/jobs/src/TermWriter.ts
+++ b/packages/jobs/src/TermWriter.ts
@@ -2,7 +2,7 @@
  * Renews an owner's term, and makes its progress durable under that term.
  */
 import { brand, InterruptibleSleep, type AuburnpinError, type CellId, type Clock, type Epoch, type Instant, type Log, type Metrics, type RowVersion, type WorkerId } from '@auburnpin/common'
-import { EMPTY_LAYOUT, NOTHING_PUBLISHED, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
+import { countKeptTasks, EMPTY_LAYOUT, NOTHING_PUBLISHED, type JobScheduler, type Layout, type ProgressSegment, type WorkerRecord } from '@auburnpin/core'
 import { encodeEstimates, encodeTerm } from './boundedRows.ts'
 import type { ClaimedTerm } from './ClaimedTerm.ts'
 import { COMMIT_RETRY_DELAY_MS, ESTIMATES_INTERVAL_MS, MAX_BYTES_PER_COMMIT, MAX_LAYOUT_BYTES_PER_COMMIT, MAX_LAYOUT_ROWS_PER_COMMIT, MAX_ROWS_PER_COMMIT, MIN_COMMIT_INTERVAL_MS, SUSPENSION_THRESHOLD_MS, TERM_LENGTH_MS, TERM_RENEWAL_INTERVAL_MS } from './constants.ts'
@@ -249,7 +249,7 @@
 
   async #commit (batch: Batch): Promise<void> {
     this.#isCommitting = true
-    const next = this.#nextTerm({ ...this.#term, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers, ...this.#scheduler.forecast?.published(this.#clock.now(), this.#term) ?? NOTHING_PUBLISHED, ...this.#listener.publishedLoad() }, batch.usedWorkers)
+    const next = this.#nextTerm({ ...this.#term, pending: this.#isRestored ? this.#scheduler.countQueuedJobs() : this.#term.pending, workers: this.#isRestored ? this.#scheduler.workers.size : this.#term.workers, keptTasks: this.#isRestored ? countKeptTasks(this.#scheduler.jobs.values()) : this.#term.keptTasks, ...this.#scheduler.forecast?.published(this.#clock.now(), this.#term) ?? NOTHING_PUBLISHED, ...this.#listener.publishedLoad() }, batch.usedWorkers)
     const sentAt = this.#clock.now()
     const sentAtWall = this.#clock.wallTime()
     this.#lastCommitAt = sentAt
--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -199,5 +199,8 @@
 /** Most submissions with an unknown outcome that a process remembers; an outage of some seconds leaves some hundreds. */
 export const MAX_UNCERTAIN_SUBMISSIONS = 5_000
 
+/** Most tasks that an owner keeps: a quarter of the heap of the deploy file, at some 300 bytes a task. */
+export const MAX_KEPT_TASKS = 130_000
+
 /** Longest wait for the row of a job that is about to be refused, in milliseconds; leaves most of a client's time limit for its submission. */
 export const MAX_ADMISSION_READ_MS = 400
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -79,6 +79,8 @@
   loads: readonly CellLoad[]
   /** For all cells but the first: number of jobs of each queue that have no started task. */
   pending: Readonly<Record<string, number>>
+  /** For each cell but the first: the tasks that its owner keeps in memory, `null` if it doesn't say. */
+  keptTasks?: ReadonlyArray<number | null>
   /** For each cell but the first: its forecast of waits, `null` without one. Absent unless forecasts are published. */
   waits?: ReadonlyArray<CellWaits | null>
   /** The same for its backlog of accepted work. */
@@ -96,6 +98,8 @@
   commit: number
   /** Number of jobs of each queue that have no started task. */
   pending: Readonly<Record<string, number>>
+  /** Number of tasks that the owner keeps in memory. Absent in rows of earlier versions. */
+  keptTasks?: number | undefined
   /** Number of workers that the owner uses; determines how much processor time the cell needs. */
   workers: number
   /** In a deployment with several cells: processors that running and waiting tasks need, as a percentage of all. */
--- a/packages/jobs/src/soundTerm.ts
+++ b/packages/jobs/src/soundTerm.ts
@@ -20,11 +20,12 @@
     commit: isCount(term.commit) ? term.commit : 0,
     pending: countsOf(pending),
     workers: isCount(workers) ? workers : 0,
+    keptTasks: isCount(term.keptTasks) ? term.keptTasks : undefined,
     loadPercent: typeof loadPercent === 'number' ? loadPercent : undefined,
     evacuatedWorkers: isCount(evacuatedWorkers) ? evacuatedWorkers : undefined,
     free: areFreePieces(free) ? free : undefined,
     freeLater: areFreePieces(freeLater) ? freeLater : undefined,
-    cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending), waits: soundWaitsOfCells(cells.waits), backlogs: soundBacklogsOfCells(cells.backlogs) } : undefined,
+    cells: isPublishedCells(cells) ? { ...cells, pending: countsOf(cells.pending), keptTasks: areCountsOfCells(cells.keptTasks) ? cells.keptTasks : undefined, waits: soundWaitsOfCells(cells.waits), backlogs: soundBacklogsOfCells(cells.backlogs) } : undefined,
     waits: isCellWaits(waits) ? waits : undefined,
     backlog: isCellBacklog(backlog) ? backlog : undefined
   }
@@ -37,6 +38,9 @@
 
 const isCount = (value: unknown): value is number => Number.isSafeInteger(value) && Number(value) >= 0
 
+const areCountsOfCells = (counts: unknown): counts is NonNullable<PublishedCells['keptTasks']> =>
+  Array.isArray(counts) && counts.every(count => count === null || isCount(count))
+
 const isObject = (value: unknown): value is Readonly<Record<string, unknown>> => typeof value === 'object' && value !== null && !Array.isArray(value)
 
 const countsOf = (counts: Readonly<Record<string, unknown>>): Readonly<Record<string, number>> =>
--- a/packages/jobs/tests/admissionFailures.test.ts
+++ b/packages/jobs/tests/admissionFailures.test.ts
@@ -14,7 +14,7 @@
 const JOB = jobOf('00000000000000a1', [stepOf({ taskCount: 3 })])
 
 /** Admission control of a process that sees a hopeless forecast. */
-const hopelessControl = ({ jobs, clock }: Node): AdmissionControl => new AdmissionControl({ jobs, waitsFor: () => HOPELESS, backlogsFor: () => undefined, clock, log: new SilentLog(), metrics: new SilentMetrics() })
+const hopelessControl = ({ jobs, clock }: Node): AdmissionControl => new AdmissionControl({ jobs, waitsFor: () => HOPELESS, backlogsFor: () => undefined, keptTasksFor: () => undefined, clock, log: new SilentLog(), metrics: new SilentMetrics() })
 
 const startNodes = async (): Promise<[JobsSimulation, Node, Node]> => {
   const simulation = new JobsSimulation(2, () => ({ runMs: 300, ending: 'done' }))
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -53,7 +53,7 @@
     const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: simulation.log, metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, admission: simulation.admission, remoteFactor: simulation.remoteFactor, maxReservedShare: simulation.maxReservedShare, cells, evacuations: this.evacuations }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
-    this.admission = new AdmissionControl({ jobs: this.jobs, waitsFor: job => this.election.waitsFor(job), backlogsFor: job => this.election.backlogsFor(job), clock: this.clock, log: simulation.log, metrics: new SilentMetrics() })
+    this.admission = new AdmissionControl({ jobs: this.jobs, waitsFor: job => this.election.waitsFor(job), backlogsFor: job => this.election.backlogsFor(job), keptTasksFor: job => this.election.keptTasksFor(job), clock: this.clock, log: simulation.log, metrics: new SilentMetrics() })
     cells.start()
     this.election.start()
   }
