--- a/packages/jobs/src/constants.ts
+++ b/packages/jobs/src/constants.ts
@@ -120,11 +120,11 @@
 /** Most progress rows that one transaction writes or deletes; the store accepts 100 rows, and some belong to the term itself. */
 export const MAX_ROWS_PER_COMMIT = 90
 
-/** Most bytes of the values of one commit; the store accepts calls of 1 MB, in base64. */
-export const MAX_BYTES_PER_COMMIT = 700_000
+/** Most bytes of the values of one commit: half of the time of a call over a link of 7 Mbit/s, in base64. */
+export const MAX_BYTES_PER_COMMIT = 250_000
 
 /** Most bytes of the rows of the layout in one commit, unless a single row takes more. */
-export const MAX_LAYOUT_BYTES_PER_COMMIT = 200_000
+export const MAX_LAYOUT_BYTES_PER_COMMIT = 100_000
 
 /** Most workers that one owner uses, and most bytes of what it records of them, as one commit writes all; sixteen times a full cell. */
 export const MAX_USED_WORKERS = 4_000
