An order to start is sent again also to a worker that takes no other work at the moment

Cause: found by reading the change of late starts. A worker that was paused after a refusal wasn't sent the order again, so that the run was stopped and its task held back for up to 12 s; and an order whose run a report had listed before its answer was given up counted as one that may still be carried out.

Change: only a worker that leaves, is evacuated or may not be leased is not sent the order again, as the run's capacity is taken there already; an order counts as late only if no report has listed its run.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -361,7 +361,7 @@
       return
     }
     if (requestedAt <= run.since) return
-    if (run.state === 'unconfirmed' && !this.#lateStarts.repeat(run, now)) run.isStopRequested = true
+    if (run.state === 'unconfirmed' && !this.#lateStarts.repeat(run)) run.isStopRequested = true
     if (run.state !== 'running') return
     this.#crashDetector.runMissing(run)
     this.#endRun(run, 'vanished', now)
@@ -537,7 +537,8 @@
         // The next report shows whether this run exists.
         if (outcome === 'unknown') {
           worker.markUnresponsive()
-          this.#lateStarts.record(run)
+          // A report may have listed the run meanwhile.
+          if (run.state === 'ordered') this.#lateStarts.record(run)
         }
         if (run.state === 'ordered') {
           run.state = 'unconfirmed'
--- a/packages/core/src/jobs/LateStarts.ts
+++ b/packages/core/src/jobs/LateStarts.ts
@@ -57,10 +57,10 @@
   }
 
   /** A report doesn't list a run whose order got no answer. Returns whether the order is sent again. */
-  repeat (run: RunRecord, now: Instant): boolean {
+  repeat (run: RunRecord): boolean {
     const start = this.#starts.get(run.task)
     if (start?.attempt !== run.attempt || start.worker !== run.worker || start.repeats >= MAX_START_REPEATS) return false
-    if (run.isStopRequested || !run.worker.acceptsRestarts(now)) return false
+    if (run.isStopRequested || !mayStartHere(run.worker)) return false
     start.repeats++
     this.#toRepeat.add(run)
     return true
@@ -107,6 +107,10 @@
   }
 }
 
+// Its capacity is taken already, so that nothing else counts.
+const mayStartHere = ({ isListed, isLeasable, evacuation, entry: { isDraining } }: WorkerRecord): boolean =>
+  isListed && isLeasable && evacuation !== 'evacuated' && !isDraining
+
 // A later incarnation refuses the order once it has answered a call of its own.
 const isRefused = ({ worker }: LateStart, current: WorkerRecord | undefined): boolean =>
   current !== undefined && current.entry.incarnation > worker.entry.incarnation && current.hasReported && current.refusesEarlierCalls
