--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -237,11 +237,6 @@
     return findInterruptions(this.#openSteps, minMs, this.#termStartedAt, now)
   }
 
-  /** Workers whose earlier runs aren't all known to this owner, for which tasks accepted before its term wait. */
-  get awaitedWorkers (): readonly WorkerRecord[] {
-    return this.isReconciled ? [] : [...this.workers.values()].filter(({ hasReported, hasUnreportedEnds }) => !hasReported || hasUnreportedEnds)
-  }
-
   /** Processors of all listed workers, in thousandths of a core. */
   get processors (): number {
     return availableProcessors(this.workers.values())
@@ -514,9 +509,8 @@
 
   /** Records that the call with an order to start is about to be sent. */
   recordStartSent (id: WorkerId, name: TaskName, attempt: number, now: Instant): void {
-    const worker = this.workers.get(id)
-    const run = worker?.runs.get(runKey(name, attempt))
-    if (run !== undefined) Object.assign(run, { sentAt: now, sentTo: worker })
+    const run = this.workers.get(id)?.runs.get(runKey(name, attempt))
+    if (run !== undefined) Object.assign(run, { sentAt: now, sentTo: run.worker })
   }
 
   /** Records the outcome of an order to start, and the worker's clock if the response has it. Returns `true` if this owner's fencing token is no longer the highest. */
--- a/packages/jobs/src/WaitReporter.ts
+++ b/packages/jobs/src/WaitReporter.ts
@@ -2,7 +2,7 @@
  * Logs which tasks wait for workers, and why.
  */
 import type { CellId, Instant } from '@auburnpin/common'
-import { findObstacles, STEP_KINDS, type CellWaits, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerRecord } from '@auburnpin/core'
+import { awaitedWorkers, findObstacles, STEP_KINDS, type CellWaits, type Interruption, type JobScheduler, type StepKind, type StepWait, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerLoad } from './OwnerLoad.ts'
 import type { OwnerPorts } from './OwnerPorts.ts'
 import { BacklogReporter } from './BacklogReporter.ts'
@@ -101,7 +101,8 @@
   }
 
   #writeInterruption ({ task, interruptedMs }: Interruption, workers: readonly WorkerRecord[], now: Instant): void {
-    const { held, interference, awaitedWorkers } = this.#scheduler
+    const { held, interference } = this.#scheduler
+    const awaited = awaitedWorkers(this.#scheduler)
     const { shape } = task.step
     const obstacles = findObstacles(task, workers, held, interference, now)
     const { largest } = obstacles
@@ -117,8 +118,8 @@
       largestFreeOn: largest?.entry.id,
       largestObstacle: obstacles.largestObstacle,
       reportAgeMs: largest === undefined ? undefined : Math.round(now - largest.reportRequestedAt),
-      awaitedWorkers: awaitedWorkers.slice(0, MAX_NAMED_WORKERS).map(({ entry }) => entry.id).join(' '),
-      awaited: awaitedWorkers.length
+      awaitedWorkers: awaited.slice(0, MAX_NAMED_WORKERS).map(({ entry }) => entry.id).join(' '),
+      awaited: awaited.length
     })
   }
 
