--- a/packages/jobs/src/TableReading.ts
+++ b/packages/jobs/src/TableReading.ts
@@ -12,7 +12,7 @@
 const NO_WAIT_MS = 1
 
 /**
- * The parts are read one after another, at different versions. The changes since the oldest are then applied to what was read,
+ * The parts are read a few at a time, at different versions. The changes since the oldest are then applied to what was read,
  * until it is as of one version. A failed `run` is repeated with what is missing.
  *
  * @example
