--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -94,14 +94,14 @@
   }
 
   /** Stops a process as the platform does, and starts it again. */
-  async restart (entry, signal) {
+  async restart (entry, signal, delayMs = RESTART_DELAY_MS) {
     this.record('process is stopped', { process: entry.name, signal })
     this.processes = this.processes.filter(other => other !== entry)
     entry.child.kill(signal)
     const grace = setTimeout(() => entry.child.kill('SIGKILL'), this.bounds.grace_s * 1_000)
     await this.until('the process has ended', () => entry.hasEnded)
     clearTimeout(grace)
-    await sleep(RESTART_DELAY_MS)
+    await sleep(delayMs)
     await this.#startProcess(entry.index)
   }
 
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -18,6 +18,8 @@
   #partFreeAt = new Map()
   #waiters = new Set()
   #startedAt = performance.now()
+  /** Called with the rows of each transaction that was made, before its response is sent. */
+  onCommit = () => {}
   #server = createServer((request, response) => { void this.#serve(request, response) })
 
   async listen (host) {
@@ -100,6 +102,7 @@
     this.#version++
     for (const { table, key, value } of puts) this.#set({ table, part, key, value, ver: this.#version })
     for (const row of remove) if (current(row) !== undefined) this.#delete({ table: row.table, part, key: row.key })
+    this.onCommit(puts.map(({ table, key, value }) => ({ table, part, key, text: Buffer.from(value, 'base64').toString() })))
     sendJson(response, 200, this.#time)
     this.#notify()
   }
