--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -37,10 +37,10 @@
     const { status } = await deployment.request('POST', `/drafts/${id}`, { spec: JSON.stringify({ ms: WORK_MS, cpu: 7_000 }), steps: [{ count: 8, cpu: 7_000, mem_mb: 13_000, estimate_ms: WORK_MS }] })
     if (status === 200) accepted.push(id)
   }
-  let isPlaying = true
+  const load = { isOn: true }
   const traffic = (async () => {
-    while (isPlaying) {
-      void submit()
+    while (load.isOn) {
+      submit()
       await sleep(800)
     }
   })()
@@ -62,7 +62,7 @@
     lost.heal()
   } else await sleep(LOSING_MS)
   await sleep(2_000)
-  isPlaying = false
+  load.isOn = false
   await traffic
   record('the traffic has ended', { accepted: accepted.length })
   await sleep(FINISH_MS)
--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -22,6 +22,7 @@
   minions = []
   processes = []
   #children = []
+  #isClosing = false
   events = []
   #folder = mkdtempSync(join(tmpdir(), 'auburnpin-review-'))
   #file
@@ -71,6 +72,7 @@
     writeFileSync(settings, settingsText({ name, ip, zone: ZONES[index % ZONES.length], frontend, readiness, control, store: this.storeAddress, bounds: this.bounds }))
     // The `run` and `env` lines of deploy/system.toml.
     const deploy = readFileSync('deploy/system.toml', 'utf8')
+    if (this.#isClosing) return
     const [program, ...args] = /^run = "(.*)"$/m.exec(deploy)[1].split(' ')
     const env = Object.fromEntries([.../^env = \{(.*)\}$/m.exec(deploy)[1].matchAll(/(\w+) = "(.*?)"/g)].map(([, key, value]) => [key, value]))
     if (!args.includes(`${METRICS_PORT}/metrics`)) throw new Error('The run line of the deploy file has changed')
@@ -131,6 +133,7 @@
   }
 
   async close () {
+    this.#isClosing = true
     for (const { child, hasEnded } of this.#children) if (!hasEnded) child.kill('SIGKILL')
     await sleep(100)
     for (const minion of this.minions) minion.close()
@@ -176,7 +179,7 @@
     await deployment.close()
     process.exit(code)
   }
-  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { void finish(2, 'the case was interrupted') })
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => { finish(2, 'the case was interrupted') })
   try {
     const { broken, why } = await play(deployment)
     await finish(broken ? 1 : 0, why)
--- a/review/standins-3/minion.mjs
+++ b/review/standins-3/minion.mjs
@@ -63,7 +63,7 @@
     this.#bootAt = performance.now()
     this.born = Date.now()
     this.isUp = true
-    this.#server = createServer((request, response) => { void this.#serve(request, response) })
+    this.#server = createServer((request, response) => { this.#serve(request, response) })
     this.#server.on('connection', socket => {
       this.#sockets.add(socket)
       socket.on('error', () => {})
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -20,7 +20,7 @@
   #startedAt = performance.now()
   /** Called with the rows of each transaction that was made, before its response is sent. */
   onCommit = () => {}
-  #server = createServer((request, response) => { void this.#serve(request, response) })
+  #server = createServer((request, response) => { this.#serve(request, response) })
 
   async listen (host) {
     await new Promise(resolve => { this.#server.listen(0, host, resolve) })
