A held-back task is released whatever settles its order

The order to start one of its tasks had got no answer, the worker was cut off and listed the run as lapsed when it was back.

Cause: `release` went over the orders without an answer and freed the tasks held back for them. A report that lists the attempt deletes the order, and with it the only way to the task. Ends as failed or stopped, and a run that is still there, do the same.

Change: `release` goes over the held tasks and frees each one for which no order counts any more.

Why it works: nothing but the pass itself has to come for a release.

--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -87,7 +87,8 @@
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
   readonly #announcedStarts = new AnnouncedStarts()
-  readonly #lateStarts = new LateStarts()
+  /** Orders to start without an answer, and the tasks that wait because of them. */
+  readonly lateStarts: LateStarts
   /** Tasks that this cell has delegated to others, or got from them. */
   readonly delegations: TaskDelegations
   /** Forecast for the admission of new jobs; `undefined` unless it is published. */
@@ -108,6 +109,7 @@
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
+    this.lateStarts = new LateStarts(observer)
     this.reserve = new WorkerReserve(maxReservedShare)
     this.delays = delays
     this.#crashDetector = new CrashDetector(new SchedulerCrashHost(this))
@@ -330,7 +332,7 @@
       present.add(key)
       const task = this.#findTask(reported.task, now)
       const run = worker.runs.get(key)
-      if (task !== undefined) this.#lateStarts.carriedOut(task, reported.attempt)
+      if (task !== undefined) this.lateStarts.carriedOut(task, reported.attempt)
       if (run !== undefined) {
         if (run.isFromLostIncarnation) this.#observer.runInherited(run)
         this.#confirmRunning(run, now)
@@ -356,7 +358,7 @@
       return
     }
     if (requestedAt <= run.since) return
-    if (run.state === 'unconfirmed' && !this.#lateStarts.repeat(run)) run.isStopRequested = true
+    if (run.state === 'unconfirmed' && !this.lateStarts.repeat(run)) run.isStopRequested = true
     if (run.state !== 'running') return
     this.#crashDetector.runMissing(run)
     this.#endRun(run, 'vanished', now)
@@ -431,8 +433,8 @@
     const run = worker.runs.get(runKey(end.task, end.attempt))
     if (task === undefined) return
     task.recordAttempt(end.attempt)
-    this.#lateStarts.carriedOut(task, end.attempt)
-    const acknowledgeableFrom = end.ending === 'done' ? this.#lateStarts.acknowledgeableFrom(task, worker) : undefined
+    this.lateStarts.carriedOut(task, end.attempt)
+    const acknowledgeableFrom = end.ending === 'done' ? this.lateStarts.acknowledgeableFrom(task, worker) : undefined
     if (acknowledgeableFrom !== undefined) worker.heldEnds.hold(end.sequence, acknowledgeableFrom)
     this.#crashDetector.attemptReported(task, end.attempt)
     this.#recordStart(task)
@@ -469,13 +471,13 @@
   // The run has certainly ended: its resources are free and its task may run again.
   #endRun (run: RunRecord, ending: string, now: Instant): void {
     const { task } = run
-    if (ending === 'lease over' && run.state === 'ordered') this.#lateStarts.record(run)
+    if (ending === 'lease over' && run.state === 'ordered') this.lateStarts.record(run)
     run.worker.removeRun(run)
     this.#crashDetector.runEnded(run)
     task.removeRun(run)
     if (ending === 'done') recordDuration(run, this.durations, now)
     this.#recordEnd(run, ending, now, ending === 'failed' && isShortRun(run, now))
-    if (!task.step.job.isFinal && !this.#lateStarts.holdBack(task)) task.step.queue(task)
+    if (!task.step.job.isFinal && !this.lateStarts.holdBack(task)) task.step.queue(task)
   }
 
   #recordEnd (run: RunRecord, ending: string, now: Instant, hasFailedAtOnce: boolean): void {
@@ -532,7 +534,7 @@
         if (outcome === 'unknown') {
           worker.markUnresponsive()
           // A report may have listed the run meanwhile.
-          if (run.state === 'ordered') this.#lateStarts.record(run)
+          if (run.state === 'ordered') this.lateStarts.record(run)
         }
         if (run.state === 'ordered') {
           run.state = 'unconfirmed'
@@ -548,7 +550,7 @@
         if (run.state !== 'ordered') return false
         worker.pause(now)
         // Without a stop, an earlier order for the same run might still be carried out.
-        if (this.#lateStarts.has(run.task) && outcome !== 'reborn') Object.assign(run, { state: 'unconfirmed', since: now, isStopRequested: true })
+        if (this.lateStarts.has(run.task) && outcome !== 'reborn') Object.assign(run, { state: 'unconfirmed', since: now, isStopRequested: true })
         else this.#endRun(run, outcome, now)
         return false
       default:
@@ -623,8 +625,8 @@
   decide (now: Instant, wallTime: number, maxStarts = Infinity): RunOrder[] {
     this.#expireLeases(now)
     this.#createDueOccurrences(now, wallTime)
-    for (const task of this.#lateStarts.release(this.workers, now)) if (!task.step.job.isFinal) task.step.queue(task)
-    const orders: RunOrder[] = [...this.#lateStarts.takeRepeats(now)]
+    for (const task of this.lateStarts.release(this.workers, now)) if (!task.step.job.isFinal) task.step.queue(task)
+    const orders: RunOrder[] = [...this.lateStarts.takeRepeats(now)]
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
     const isReconciled = this.#reconciliation.update(this.workers.values(), now)
     this.#crashDetector.observe(this.workers, now)
--- a/packages/core/src/jobs/JobSchedulerObserver.ts
+++ b/packages/core/src/jobs/JobSchedulerObserver.ts
@@ -1,7 +1,7 @@
 /**
  * Changes of state of a scheduler of jobs that are logged and counted.
  */
-import type { WorkerId } from '@auburnpin/common'
+import type { Attempt, WorkerId } from '@auburnpin/common'
 import type { Lateness } from './findLateness.ts'
 import type { JobRecord } from './JobRecord.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
@@ -26,6 +26,8 @@
   abstract workerReborn (current: WorkerRecord, earlier: WorkerRecord): void
   /** A worker lists a run whose order was meant for an earlier incarnation. */
   abstract runInherited (run: RunRecord): void
+  /** A run of the task has ended, and no other starts until the order of this attempt can't be carried out any more. */
+  abstract taskHeldBack (task: TaskRecord, worker: WorkerId, attempt: Attempt): void
   /** The job of the task fails, as workers were lost just after they had started the task. */
   abstract taskGivenUp (task: TaskRecord): void
 }
--- a/packages/core/src/jobs/LateStarts.ts
+++ b/packages/core/src/jobs/LateStarts.ts
@@ -3,6 +3,7 @@
  */
 import { brand, type Attempt, type Instant, type WorkerId } from '@auburnpin/common'
 import { MAX_LASTING_HOLD_MS, MAX_ORDER_DELAY_MS, MAX_START_REPEATS } from './constants.ts'
+import type { JobSchedulerObserver } from './JobSchedulerObserver.ts'
 import { startOrder } from './startOrder.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
 import type { RunOrder } from './types.ts'
@@ -31,12 +32,17 @@
  * for (const task of lateStarts.release(workers, now)) step.queue(task)
  */
 export class LateStarts {
+  readonly #observer: JobSchedulerObserver
   readonly #starts = new Map<TaskRecord, LateStart>()
-  /** Tasks that are not queued until their order can't be carried out any more. */
+  /** Tasks that are not queued until their order can't be carried out any more; `release` looks at each of them. */
   readonly #heldBack = new Set<TaskRecord>()
   /** Runs whose order is to be sent again. */
   readonly #toRepeat = new Set<RunRecord>()
 
+  constructor (observer: JobSchedulerObserver) {
+    this.#observer = observer
+  }
+
   /** The order to start a run got no answer. Copies of a speculative task may run beside one another anyway. */
   record ({ task, sentTo: worker, attempt, sentAt }: RunRecord): void {
     if (sentAt === undefined || worker === undefined || task.step.shape.isSpeculative) return
@@ -81,11 +87,18 @@
 
   /** A run of the task has ended. Returns whether the task must wait before it starts again. */
   holdBack (task: TaskRecord): boolean {
-    if (!this.#starts.has(task)) return false
+    const start = this.#starts.get(task)
+    if (start === undefined) return false
     this.#heldBack.add(task)
+    this.#observer.taskHeldBack(task, start.worker.entry.id, start.attempt)
     return true
   }
 
+  /** Whether the task isn't queued as its order may still be carried out. */
+  isHeldBack (task: TaskRecord): boolean {
+    return this.#heldBack.has(task)
+  }
+
   /**
    * From when on the end of a run may be acknowledged; `undefined` for at once. Until then the order may start the task again
    * in the next incarnation, which does no harm as long as nobody relies on the end.
@@ -95,13 +108,18 @@
     return start?.worker === worker ? brand<Instant>(start.sentAt + MAX_ORDER_DELAY_MS) : undefined
   }
 
-  /** The tasks that may start again from now on. */
+  /** The tasks that may start again from now on, for whatever reason their orders have ceased to count. */
   release (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): readonly TaskRecord[] {
-    const released: TaskRecord[] = []
     for (const [task, start] of this.#starts) {
       const isOver = now - start.sentAt >= MAX_ORDER_DELAY_MS || isRefused(start, workers.get(start.worker.entry.id))
       if (isOver) this.#starts.delete(task)
-      if ((isOver || hasWaitedLong(task, start, now)) && this.#heldBack.delete(task)) released.push(task)
+    }
+    const released: TaskRecord[] = []
+    for (const task of this.#heldBack) {
+      const start = this.#starts.get(task)
+      if (start !== undefined && !hasWaitedLong(task, start, now)) continue
+      this.#heldBack.delete(task)
+      released.push(task)
     }
     return released
   }
--- a/packages/fakes/src/SilentJobSchedulerObserver.ts
+++ b/packages/fakes/src/SilentJobSchedulerObserver.ts
@@ -13,5 +13,6 @@
   workerLost (): void {}
   workerReborn (): void {}
   runInherited (): void {}
+  taskHeldBack (): void {}
   taskGivenUp (): void {}
 }
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -1,7 +1,7 @@
 /**
  * Logs and counts the changes of state that the job scheduler reports.
  */
-import type { WorkerId } from '@auburnpin/common'
+import type { Attempt, WorkerId } from '@auburnpin/common'
 import { JobSchedulerObserver, type JobRecord, type Lateness, type RunRecord, type TaskRecord, type WorkerRecord } from '@auburnpin/core'
 import type { OwnerPorts } from './OwnerPorts.ts'
 
@@ -96,6 +96,10 @@
     log.warn('A start for an earlier incarnation was carried out', { task: task.name, attempt, worker: worker.entry.id, incarnation: worker.entry.incarnation, sentForMs: sentAt === undefined ? undefined : Math.round(clock.now() - sentAt) })
   }
 
+  taskHeldBack ({ name, lastEnd }: TaskRecord, worker: WorkerId, attempt: Attempt): void {
+    this.#ports.log.info('Task held back, as an order to start it may still be carried out', { task: name, attempt, worker, lastEnding: lastEnd?.ending })
+  }
+
   taskGivenUp ({ name, step: { job: { job } }, crashes }: TaskRecord): void {
     const { log, metrics } = this.#ports
     metrics.count('jobs.crashing')
