A stored start names its worker, so that the next owner asks before it counts a crash

Cause: the progress held the number of the attempt alone. The next owner counted it as a lost worker; only a report of that very attempt took it back, and there is none if the order was never sent.

Change: the progress names the incarnation of the worker beside each attempt that counts. The record of a job that is given up names the workers.

Why it works: a worker that reports to a later owner refuses the order of the former one by its epoch, so it can't start that attempt any more.

--- a/packages/core/src/jobs/AnnouncedStarts.ts
+++ b/packages/core/src/jobs/AnnouncedStarts.ts
@@ -20,7 +20,7 @@
 
   /** Announces a run that was added to its worker; the job's progress must be stored. */
   add (run: RunRecord): void {
-    run.task.crashes.announce(run.attempt)
+    run.task.crashes.announce(run.attempt, run.worker.entry)
     this.#runs.add(run)
   }
 
--- a/packages/core/src/jobs/CrashDetector.ts
+++ b/packages/core/src/jobs/CrashDetector.ts
@@ -6,7 +6,8 @@
 import type { JobRecord } from './JobRecord.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
-import { WorkerLosses } from './WorkerLosses.ts'
+import { WorkerLosses, type Suspect } from './WorkerLosses.ts'
+import type { WorkerIncarnation } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /** What the detector needs from the scheduler. */
@@ -49,8 +50,13 @@
   }
 
   /** The tasks of these steps were restored from the progress of an earlier owner. */
-  restore (steps: readonly StepRecord[]): void {
-    for (const { tasks } of steps) for (const task of tasks) if (task.isOnTrial) this.#onTrial.add(task)
+  restore (steps: readonly StepRecord[], now: Instant): void {
+    for (const { tasks } of steps) {
+      for (const task of tasks) {
+        for (const { attempt, worker } of task.recordedCrashes?.runsToStore ?? []) this.#losses.restore(worker, { task, attempt }, now)
+        if (task.isOnTrial) this.#onTrial.add(task)
+      }
+    }
   }
 
   /** Counts losses as soon as workers are silent, so that they are stored in time, and gives up the tasks that caused them. */
@@ -100,15 +106,16 @@
     this.#losses.add(worker.entry, suspects, now)
   }
 
-  #count ({ task, attempt }: RunRecord): boolean {
+  #count (run: RunRecord): boolean {
+    const { task, attempt } = run
     const { isDone, step: { job } } = task
-    if (isDone || job.isFinal || !task.crashes.add(attempt)) return false
+    if (isDone || job.isFinal || !task.crashes.add(attempt, lostWorker(run))) return false
     if (task.isOnTrial) this.#onTrial.add(task)
     this.#host.progressChanged(task)
     return true
   }
 
-  #withdraw (runs: readonly RunRecord[]): void {
+  #withdraw (runs: readonly Suspect[]): void {
     for (const { task, attempt } of runs) this.attemptReported(task, attempt)
   }
 
@@ -147,4 +154,7 @@
   }
 }
 
+// A run that an order for an earlier incarnation may have started was lost with that one.
+const lostWorker = ({ worker, sentTo, isFromLostIncarnation }: RunRecord): WorkerIncarnation | undefined => isFromLostIncarnation ? sentTo?.entry : worker.entry
+
 const mayHaveCrashed = ({ state, hasSurvivedStart }: RunRecord): boolean => state !== 'ordered' && !hasSurvivedStart
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -164,7 +164,7 @@
 
   #createOccurrence (record: JobRecord, occurrence: number, now: Instant, progress?: JobProgress): void {
     if (record.occurrences.has(occurrence) || record.done.has(occurrence)) return
-    this.#crashDetector.restore(record.createOccurrence(occurrence, progress))
+    this.#crashDetector.restore(record.createOccurrence(occurrence, progress), now)
     this.#fairness.accept(record, occurrence, now)
     this.#openReadySteps(record, occurrence)
   }
--- a/packages/core/src/jobs/ProgressSegment.ts
+++ b/packages/core/src/jobs/ProgressSegment.ts
@@ -4,9 +4,9 @@
 import type { JobRecord } from './JobRecord.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import type { Delegation, JobProgress } from './types.ts'
+import type { Delegation, JobProgress, SuspectedRun } from './types.ts'
 
-/** Tasks of one segment: what is stored of each has some 50 bytes, and 150 more with a checkpoint and many failures. */
+/** Tasks of one segment: what is stored of each has some 50 bytes, 150 more with a checkpoint and many failures, and 80 more for each worker lost under it. */
 export const TASKS_PER_SEGMENT = 100
 
 /** Some tasks of one step. */
@@ -97,6 +97,7 @@
   const failed: Record<string, readonly number[]> = {}
   const checkpoints: Record<string, string> = {}
   const crashed: Record<string, readonly number[]> = {}
+  const crashedOn: Record<string, readonly SuspectedRun[]> = {}
   const delegations: Record<string, Delegation> = {}
   for (const { step, tasks } of stepTasks) {
     if (step.isDone) done[step.key] = 'all'
@@ -111,11 +112,13 @@
       if (task.failedAttempts.length > 0) failed[task.progressKey] = [...task.failedAttempts]
       const lost = task.recordedCrashes?.toStore ?? []
       if (lost.length > 0) crashed[task.progressKey] = lost
+      const suspected = task.recordedCrashes?.runsToStore ?? []
+      if (suspected.length > 0) crashedOn[task.progressKey] = suspected
       if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
     }
   }
   const progress = { phase, done, started, failed, checkpoints, crashed }
-  return Object.keys(delegations).length === 0 ? progress : { ...progress, delegations }
+  return { ...progress, ...(isEmpty(crashedOn) ? {} : { crashedOn }), ...(isEmpty(delegations) ? {} : { delegations }) }
 }
 
 /**
@@ -126,4 +129,6 @@
  */
 export const noProgress = (phase: JobProgress['phase']): JobProgress => ({ phase, done: {}, failed: {}, checkpoints: {} })
 
+const isEmpty = (record: object): boolean => Object.keys(record).length === 0
+
 const indexesOf = (tasks: readonly TaskRecord[]): readonly number[] => tasks.map(({ index }) => index)
--- a/packages/core/src/jobs/WorkerLosses.ts
+++ b/packages/core/src/jobs/WorkerLosses.ts
@@ -1,14 +1,17 @@
 /**
  * Workers that were lost, and the runs that may have crashed them.
  */
-import type { Incarnation, Instant, WorkerId } from '@auburnpin/common'
+import type { Instant, WorkerId } from '@auburnpin/common'
 import { LISTED_ALIVE_MS, LOSS_MEMORY_MS, LOST_TOGETHER_MS } from './constants.ts'
 import type { RunRecord, TaskRecord } from './TaskRecord.ts'
+import type { WorkerIncarnation } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
-type IncarnationName = Readonly<{ id: WorkerId, incarnation: Incarnation }>
+/** A run that may have crashed its worker. */
+export type Suspect = Pick<RunRecord, 'task' | 'attempt'>
 
-type WorkerLoss = Readonly<{ worker: IncarnationName, at: Instant, suspects: RunRecord[] }>
+/** `isObserved`: this owner has seen the loss, and has not read of it in the store. */
+type WorkerLoss = Readonly<{ worker: WorkerIncarnation, at: Instant, suspects: Suspect[], isObserved: boolean }>
 
 /**
  * Remembers the recent losses of workers. A worker that was only out of reach reports again in the same incarnation, or
@@ -28,22 +31,36 @@
   }
 
   /** Records the loss of an incarnation, or further runs that were lost with it. */
-  add (worker: IncarnationName, suspects: readonly RunRecord[], now: Instant): void {
-    const loss = this.#losses.get(keyOf(worker))
-    if (loss === undefined) this.#losses.set(keyOf(worker), { worker, at: now, suspects: [...suspects] })
-    else loss.suspects.push(...suspects)
+  add (worker: WorkerIncarnation, suspects: readonly Suspect[], now: Instant): void {
+    this.#add(worker, suspects, now, true)
+  }
+
+  /** An earlier owner stored that the worker might be lost with this run. Unless it turns out to be alive, it was. */
+  restore (worker: WorkerIncarnation, suspect: Suspect, now: Instant): void {
+    this.#add(worker, [suspect], now, false)
+  }
+
+  #add (worker: WorkerIncarnation, suspects: readonly Suspect[], now: Instant, isObserved: boolean): void {
+    const key = keyOf(worker)
+    const loss = this.#losses.get(key)
+    if (loss === undefined) this.#losses.set(key, { worker, at: now, suspects: [...suspects], isObserved })
+    else if (loss.isObserved || !isObserved) loss.suspects.push(...suspects)
+    else {
+      this.#losses.delete(key)
+      this.#losses.set(key, { worker, at: now, suspects: [...loss.suspects, ...suspects], isObserved })
+    }
   }
 
   /** The worker is alive: forgets the loss and returns the runs that can't have caused it. */
-  withdraw (worker: IncarnationName): readonly RunRecord[] {
+  withdraw (worker: WorkerIncarnation): readonly Suspect[] {
     const loss = this.#losses.get(keyOf(worker))
     this.#losses.delete(keyOf(worker))
     return loss?.suspects ?? []
   }
 
   /** Forgets the losses of all workers that are still listed so long afterwards that they must be alive, and returns their runs. */
-  withdrawListed (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): readonly RunRecord[] {
-    const cleared: RunRecord[] = []
+  withdrawListed (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): readonly Suspect[] {
+    const cleared: Suspect[] = []
     for (const { worker, at } of this.#losses.values()) {
       if (now - at >= LISTED_ALIVE_MS && isListed(worker, workers)) cleared.push(...this.withdraw(worker))
     }
@@ -58,7 +75,7 @@
 
   /** Whether no other worker was lost at about the same time as the last one under the task, so that the task is the likely cause. */
   wasLastAlone (task: TaskRecord, now: Instant): boolean {
-    const losses = [...this.#losses.values()]
+    const losses = [...this.#losses.values()].filter(({ isObserved }) => isObserved)
     const last = losses.filter(loss => concerns(loss, task)).at(-1)
     // Others of the same time may be forgotten already.
     if (last === undefined || now - last.at >= LOSS_MEMORY_MS - LOST_TOGETHER_MS) return false
@@ -66,11 +83,11 @@
   }
 }
 
-const keyOf = ({ id, incarnation }: IncarnationName): string => `${id}#${incarnation}`
+const keyOf = ({ id, incarnation }: WorkerIncarnation): string => `${id}#${incarnation}`
 
 const concerns = ({ suspects }: WorkerLoss, task: TaskRecord): boolean => suspects.some(run => run.task === task)
 
-const isListed = ({ id, incarnation }: IncarnationName, workers: ReadonlyMap<WorkerId, WorkerRecord>): boolean => {
+const isListed = ({ id, incarnation }: WorkerIncarnation, workers: ReadonlyMap<WorkerId, WorkerRecord>): boolean => {
   const worker = workers.get(id)
   return worker?.isListed === true && worker.entry.incarnation === incarnation
 }
--- a/packages/core/src/jobs/restoreStep.ts
+++ b/packages/core/src/jobs/restoreStep.ts
@@ -33,10 +33,10 @@
  * @example
  * restoreAttempts(task, report.progress)
  */
-export const restoreAttempts = (task: TaskRecord, { failed, crashed, checkpoints }: JobProgress): void => {
+export const restoreAttempts = (task: TaskRecord, { failed, crashed, crashedOn, checkpoints }: JobProgress): void => {
   for (const attempt of failed[task.progressKey] ?? []) task.addFailedAttempt(attempt)
   const lost = crashed?.[task.progressKey]
-  if (lost !== undefined) task.crashes.restore(lost.map(attempt => brand<Attempt>(attempt)))
+  if (lost !== undefined) task.crashes.restore(lost.map(attempt => brand<Attempt>(attempt)), crashedOn?.[task.progressKey] ?? [])
   const checkpoint = checkpoints[task.progressKey]
   if (checkpoint !== undefined) task.checkpoint = checkpoint
 }
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -90,6 +90,12 @@
   cell?: CellId
 }>
 
+/** One incarnation of a worker. */
+export type WorkerIncarnation = Readonly<{ id: WorkerId, incarnation: Incarnation }>
+
+/** A run under which this incarnation of a worker was lost, or may be. */
+export type SuspectedRun = Readonly<{ attempt: Attempt, worker: WorkerIncarnation }>
+
 /** Durable state of a job, from which the next owner continues: tasks done, long-running tasks that have run, failed runs, checkpoints and runs lost with their workers. */
 export type JobProgress = Readonly<{
   phase: JobPhase
@@ -103,6 +109,8 @@
   checkpoints: Readonly<Record<string, string>>
   /** For each `occurrence.step.index`: the attempt numbers of runs under which workers were lost, or may be; see `TaskCrashes`. Absent in rows of earlier versions. */
   crashed?: Readonly<Record<string, readonly number[]>>
+  /** For each `occurrence.step.index`: the workers of these runs, as far as they are known, so that the next owner can ask them. Absent in rows of earlier versions. */
+  crashedOn?: Readonly<Record<string, readonly SuspectedRun[]>>
   /** For each `occurrence.step.index` of a task that was ever delegated: its latest delegation. */
   delegations?: Readonly<Record<string, Delegation>>
   /** The cell that the job is to be scheduled in instead; set only while no task of the job has ever been started. */
--- a/packages/core/tests/placeCopies.test.ts
+++ b/packages/core/tests/placeCopies.test.ts
@@ -53,7 +53,7 @@
 test('a copy neither hides which task crashes workers nor uses the last attempt of its job', t => {
   const spoilers: ((task: TaskRecord) => void)[] = [
     task => { task.crashes.add(brand<Attempt>(1)) },
-    task => { task.crashes.announce(brand<Attempt>(1)) },
+    task => { task.crashes.announce(brand<Attempt>(1), { id: brand('w1'), incarnation: brand(1) }) },
     task => { if (task.failedAttempts.length === 0) for (const attempt of [90, 91]) task.addFailedAttempt(attempt) }
   ]
   for (const spoil of spoilers) {
--- a/packages/core/tests/progressSegments.test.ts
+++ b/packages/core/tests/progressSegments.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check'
 import { brand, type Attempt, type Epoch, type Instant } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, stepOf } from '@auburnpin/fakes'
-import { JobRecord, JobScheduler, TASKS_PER_SEGMENT, type JobProgress } from '../src/index.ts'
+import { CRASHES_TO_GIVE_UP, JobRecord, JobScheduler, TASKS_PER_SEGMENT, type JobProgress } from '../src/index.ts'
 
 const ID = '00000000000000a1'
 
@@ -11,6 +11,8 @@
 const MAX_ROW_BYTES = 49_152
 /** Failed runs of a task, one fewer than may fail. */
 const FAILED_RUNS = 9
+/** Workers lost under a task by the time its job has failed. */
+const MAX_LOSSES = CRASHES_TO_GIVE_UP + 1
 
 const fullRecord = (stepSizes: readonly number[], occurrences: number, checkpoint: string): JobRecord => {
   const record = new JobRecord(jobOf(ID, stepSizes.map(taskCount => stepOf({ taskCount })), { occurrences, firstRunAt: 0, intervalMs: 1 }))
@@ -20,7 +22,7 @@
       for (const task of step.tasks) {
         if (task.ordinal % 3 === 0) step.markDone(task)
         for (let attempt = 1; attempt <= FAILED_RUNS; attempt++) task.addFailedAttempt(9_000_000 + attempt)
-        task.crashes.add(brand<Attempt>(9_000_020))
+        for (let loss = 1; loss <= MAX_LOSSES; loss++) task.crashes.add(brand<Attempt>(9_000_020 + loss), { id: brand('i-0123456789abcdef'), incarnation: brand(1_796_686_540_785) })
         task.checkpoint = checkpoint
       }
     }
@@ -36,7 +38,7 @@
     const whole = record.progress
     const segments = segmentsOf(record)
     for (const segment of segments) if (Buffer.byteLength(JSON.stringify(segment)) > MAX_ROW_BYTES) return false
-    for (const field of ['failed', 'checkpoints', 'crashed'] as const) {
+    for (const field of ['failed', 'checkpoints', 'crashed', 'crashedOn'] as const) {
       const entries = segments.flatMap(segment => Object.entries(segment[field] ?? {}))
       t.is(entries.length, Object.keys(whole[field] ?? {}).length)
       t.deepEqual(Object.fromEntries(entries), whole[field])
--- a/packages/jobs/src/LoggingJobSchedulerObserver.ts
+++ b/packages/jobs/src/LoggingJobSchedulerObserver.ts
@@ -103,6 +103,6 @@
   taskGivenUp ({ name, step: { job: { job } }, crashes }: TaskRecord): void {
     const { log, metrics } = this.#ports
     metrics.count('jobs.crashing')
-    log.error('Job fails, as workers are lost whenever they start one of its tasks', { job: job.id, queue: job.queue, task: name, crashes: crashes.count })
+    log.error('Job fails, as workers are lost whenever they start one of its tasks', { job: job.id, queue: job.queue, task: name, crashes: crashes.count, workers: crashes.runsToStore.map(({ worker }) => worker.id).join(' ') })
   }
 }
--- a/packages/jobs/src/StoredProgress.ts
+++ b/packages/jobs/src/StoredProgress.ts
@@ -2,7 +2,7 @@
  * Progress of jobs as earlier owners stored it.
  */
 import type { JobId } from '@auburnpin/common'
-import { noProgress, type Delegation, type JobPhase, type JobProgress } from '@auburnpin/core'
+import { noProgress, type Delegation, type JobPhase, type JobProgress, type SuspectedRun } from '@auburnpin/core'
 import type { StoredRow } from './RowStore.ts'
 import { jobOfProgress, readProgress } from './rows.ts'
 
@@ -73,6 +73,7 @@
   readonly #failed: Record<string, readonly number[]> = {}
   readonly #checkpoints: Record<string, string> = {}
   readonly #crashed: Record<string, readonly number[]> = {}
+  readonly #crashedOn: Record<string, readonly SuspectedRun[]> = {}
   readonly #delegations: Record<string, Delegation> = {}
   #phase: JobPhase
   #hasStarted = false
@@ -84,7 +85,7 @@
     this.add(first)
   }
 
-  add ({ phase, done, started, failed, checkpoints, crashed, delegations, isDivided, movedTo }: JobProgress): void {
+  add ({ phase, done, started, failed, checkpoints, crashed, crashedOn, delegations, isDivided, movedTo }: JobProgress): void {
     this.#phase = latestPhase(this.#phase, phase)
     joinIndexes(this.#done, done)
     joinIndexes(this.#started, started ?? {})
@@ -92,6 +93,7 @@
     Object.assign(this.#failed, failed)
     Object.assign(this.#checkpoints, checkpoints)
     Object.assign(this.#crashed, crashed)
+    Object.assign(this.#crashedOn, crashedOn)
     Object.assign(this.#delegations, delegations)
     this.#isDivided &&= isDivided === true
     this.#movedTo ??= movedTo
@@ -105,6 +107,7 @@
       failed: this.#failed,
       checkpoints: this.#checkpoints,
       crashed: this.#crashed,
+      crashedOn: this.#crashedOn,
       delegations: this.#delegations,
       isDivided: this.#isDivided,
       ...(this.#movedTo === undefined ? {} : { movedTo: this.#movedTo })
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -261,6 +261,7 @@
     areTaskIndexes(progress.done) && areTaskIndexes(progress.started ?? {}) &&
     Object.values(progress.failed).every(failed => hasShape(failed, [0])) &&
     areAttempts(progress.crashed ?? {}) &&
+    areSuspectedRuns(progress.crashedOn ?? {}) &&
     areDelegations(progress.delegations ?? {}) &&
     Object.values(progress.checkpoints).every(checkpoint => typeof checkpoint === 'string')
 
@@ -270,6 +271,9 @@
 const areAttempts = (attempts: unknown): boolean =>
   hasShape(attempts, {}) && Object.values(attempts as object).every(ofTask => hasShape(ofTask, [0]))
 
+const areSuspectedRuns = (runs: unknown): boolean =>
+  hasShape(runs, {}) && Object.values(runs as object).every(ofTask => hasShape(ofTask, [{ attempt: 0, worker: { id: '', incarnation: 0 } }]))
+
 /** Whether a value of a row has delegations by task. */
 export const areDelegations = (delegations: unknown): boolean =>
   hasShape(delegations, {}) && Object.values(delegations as object).every((delegation: Partial<Delegation>) =>
