After a takeover a task waits only for workers that may still run it

The owner had been killed, and the task's worker had crashed, started again and gone before another process owned the cell.

Cause: all tasks accepted before a term waited until every earlier worker had reported or its longest lease was over, which is 22 s for one that was reborn and never called.

Change: a task whose run a worker lists in this term waits for nothing else. Of a long-running task the last run is stored with the incarnation of its worker, and replaced in the store before the next one is ordered; the task waits for that worker only, and not once it is known to be reborn. Tasks of which neither is known wait as before. Runs that were stored before a term of an earlier version don't count. In the simulation of packages/jobs the list of workers follows the clock of its process: one that was killed still learnt of rebirths and recorded them.

Why it works: a run that an incarnation has listed ends with it, and no later one can have been ordered.

--- a/packages/core/src/jobs/AnnouncedStarts.ts
+++ b/packages/core/src/jobs/AnnouncedStarts.ts
@@ -1,7 +1,7 @@
 /**
  * Starts that wait until their attempts are stored.
  */
-import type { Instant } from '@auburnpin/common'
+import type { Epoch, Instant } from '@auburnpin/common'
 import type { RunRecord } from './TaskRecord.ts'
 import { runKey } from './WorkerRecord.ts'
 
@@ -16,11 +16,17 @@
  * for (const run of announced.take(now, 64).due) order(run)
  */
 export class AnnouncedStarts {
+  readonly #epoch: Epoch
   readonly #runs = new Set<RunRecord>()
 
+  constructor (epoch: Epoch) {
+    this.#epoch = epoch
+  }
+
   /** Announces a run that was added to its worker; the job's progress must be stored. */
   add (run: RunRecord): void {
     run.task.crashes.announce(run.attempt, run.worker.entry)
+    if (run.task.knownRun !== undefined) run.task.nextKnownRun = { attempt: run.attempt, worker: { id: run.worker.entry.id, incarnation: run.worker.entry.incarnation }, epoch: this.#epoch, isListed: false }
     this.#runs.add(run)
   }
 
@@ -37,6 +43,7 @@
       const isWanted = mayStart(run, now)
       if (isWanted && !run.task.crashes.isStored(run.attempt)) continue
       this.#runs.delete(run)
+      settleKnownRun(run, isWanted)
       if (isWanted) due.push(run)
       else if (run.task.runs.includes(run)) obsolete.push(run)
     }
@@ -44,5 +51,12 @@
   }
 }
 
+// The order is about to be sent, or is not sent at all.
+const settleKnownRun = ({ task, attempt }: RunRecord, isSent: boolean): void => {
+  if (task.nextKnownRun?.attempt !== attempt) return
+  if (isSent) task.knownRun = task.nextKnownRun
+  task.nextKnownRun = undefined
+}
+
 const mayStart = ({ task, attempt, worker, isStopRequested }: RunRecord, now: Instant): boolean =>
   task.crashes.isAnnounced(attempt) && !isStopRequested && worker.runs.has(runKey(task.name, attempt)) && worker.acceptsRestarts(now)
--- a/packages/core/src/jobs/JobScheduler.ts
+++ b/packages/core/src/jobs/JobScheduler.ts
@@ -30,6 +30,7 @@
 import type { PlacingSettings } from './PlacingContext.ts'
 import type { ProgressSegment } from './ProgressSegment.ts'
 import { recordDuration } from './recordDuration.ts'
+import { recordKnownRun } from './recordKnownRun.ts'
 import { recordProgress } from './recordProgress.ts'
 import { SchedulerCrashHost } from './SchedulerCrashHost.ts'
 import { SchedulerDelegationHost } from './SchedulerDelegationHost.ts'
@@ -71,6 +72,7 @@
 export class JobScheduler {
   readonly jobs = new Map<JobId, JobRecord>()
   readonly workers = new Map<WorkerId, WorkerRecord>()
+  readonly #epoch: Epoch
   readonly #firstAttempt: number
   readonly #lease: LeaseSettings
   readonly #observer: JobSchedulerObserver
@@ -86,7 +88,7 @@
   readonly #copyInterval = new CopyInterval()
   readonly #fairness = new SizeFairness()
   readonly #crashDetector: CrashDetector
-  readonly #announcedStarts = new AnnouncedStarts()
+  readonly #announcedStarts: AnnouncedStarts
   /** Orders to start without an answer, and the tasks that wait because of them. */
   readonly lateStarts: LateStarts
   /** Tasks that this cell has delegated to others, or got from them. */
@@ -106,6 +108,8 @@
   #isListRead = false
 
   constructor (epoch: Epoch, lease: LeaseSettings, now: Instant, observer: JobSchedulerObserver, { delays = new DelayScheduling(), maxReservedShare = RESERVED_WORKER_SHARE }: PlacingSettings = {}) {
+    this.#epoch = epoch
+    this.#announcedStarts = new AnnouncedStarts(epoch)
     this.#firstAttempt = (epoch - 1) * ATTEMPTS_PER_TERM + 1
     this.#lease = lease
     this.#observer = observer
@@ -164,7 +168,9 @@
 
   #createOccurrence (record: JobRecord, occurrence: number, now: Instant, progress?: JobProgress): void {
     if (record.occurrences.has(occurrence) || record.done.has(occurrence)) return
-    this.#crashDetector.restore(record.createOccurrence(occurrence, progress), now)
+    const steps = record.createOccurrence(occurrence, progress)
+    this.#crashDetector.restore(steps, now)
+    this.#reconciliation.tasks.restore(steps)
     this.#fairness.accept(record, occurrence, now)
     this.#openReadySteps(record, occurrence)
   }
@@ -338,6 +344,7 @@
         this.#confirmRunning(run, now)
         this.#crashDetector.runReported(run, clockMs)
         recordProgress(run, reported, clockMs, now)
+        if (recordKnownRun(run, this.#epoch, this.lateStarts)) this.#unstored.addTask(run.task)
       } else if (task !== undefined) this.#crashDetector.runReported(this.#adoptRun(worker, task, reported, now), clockMs)
       else if (!worker.unknownRuns.has(key)) worker.unknownRuns.set(key, { task: reported.task, attempt: reported.attempt })
       if (task !== undefined && reported.checkpoint !== '') task.checkpoint = reported.checkpoint
@@ -406,6 +413,7 @@
     const run: RunRecord = { ...createRun(task, attempt, worker, 'running', now), isReported: true, isStopRequested: this.#isRedundant(task), orderedPacePercent: UNKNOWN_PACE, reading: reported.reading, progressPercent: reported.progressPercent }
     this.#addRun(run)
     this.#markJobActive(task)
+    if (!this.isReconciled) this.#reconciliation.tasks.add(task)
     return run
   }
 
@@ -628,15 +636,15 @@
     for (const task of this.lateStarts.release(this.workers, now)) if (!task.step.job.isFinal) task.step.queue(task)
     const orders: RunOrder[] = [...this.lateStarts.takeRepeats(now)]
     for (const worker of this.workers.values()) orders.push(...stopOrders(worker, now), ...paceOrders(worker, now))
-    const isReconciled = this.#reconciliation.update(this.workers.values(), now)
+    const isReconciled = this.#reconciliation.update(this.workers, now)
     this.#crashDetector.observe(this.workers, now)
-    const startableSteps = isReconciled ? this.#openSteps : [...this.#openSteps].filter(({ job }) => job.isNewInTerm)
     if (maxStarts <= 0) return orders
     const { due, obsolete } = this.#announcedStarts.take(now, maxStarts)
     for (const run of obsolete) this.#endRun(run, 'not ordered', now)
     orders.push(...due.map(startOrder))
     let starts = due.length
     if (starts >= maxStarts) return orders
+    const startableSteps = this.#reconciliation.startableSteps(this.#openSteps)
     this.held = new HeldWorkers(this.workers.size - countEvacuated(this.workers.values()))
     this.interference.capacity.startPass()
     const context = { interference: this.interference, held: this.held, fairness: this.#fairness, tasksOnTrial: this.#crashDetector.tasksOnTrial, waits: this.waits, reserve: this.reserve, durations: this.durations, copyInterval: this.#copyInterval, delays: this.delays, now, wallTime }
@@ -647,13 +655,14 @@
       this.#addRun(run)
       if (lateness === undefined) this.waits.recordPlacement(task)
       else this.#observer.copyStarted(run, lateness)
-      if (!this.#crashDetector.mustAnnounce(task)) orders.push(startOrder(run))
+      if (!this.#crashDetector.mustAnnounce(task) && task.knownRun === undefined) orders.push(startOrder(run))
       else {
         this.#announcedStarts.add(run)
         this.#unstored.addTask(task)
       }
       if (++starts >= maxStarts) break
     }
+    this.#reconciliation.tasks.close()
     this.waits.observe(this.#openSteps, now)
     this.reserve.observe(startableSteps, this.workers.values(), now, wallTime)
     if (isReconciled) this.forecast?.observe(startableSteps, this.delays, this.workers.values(), this.#fairness, now, wallTime)
--- a/packages/core/src/jobs/ProgressSegment.ts
+++ b/packages/core/src/jobs/ProgressSegment.ts
@@ -4,7 +4,7 @@
 import type { JobRecord } from './JobRecord.ts'
 import type { StepRecord } from './StepRecord.ts'
 import type { TaskRecord } from './TaskRecord.ts'
-import type { Delegation, JobProgress, SuspectedRun } from './types.ts'
+import type { Delegation, JobProgress, KnownRun, SuspectedRun } from './types.ts'
 
 /** Tasks of one segment: what is stored of each has some 50 bytes, 150 more with a checkpoint and many failures, and 80 more for each worker lost under it. */
 export const TASKS_PER_SEGMENT = 100
@@ -98,6 +98,7 @@
   const checkpoints: Record<string, string> = {}
   const crashed: Record<string, readonly number[]> = {}
   const crashedOn: Record<string, readonly SuspectedRun[]> = {}
+  const knownRuns: Record<string, KnownRun> = {}
   const delegations: Record<string, Delegation> = {}
   for (const { step, tasks } of stepTasks) {
     if (step.isDone) done[step.key] = 'all'
@@ -114,11 +115,13 @@
       if (lost.length > 0) crashed[task.progressKey] = lost
       const suspected = task.recordedCrashes?.runsToStore ?? []
       if (suspected.length > 0) crashedOn[task.progressKey] = suspected
+      const knownRun = task.nextKnownRun ?? task.knownRun
+      if (knownRun !== undefined) knownRuns[task.progressKey] = knownRun
       if (task.checkpoint !== '') checkpoints[task.progressKey] = task.checkpoint
     }
   }
   const progress = { phase, done, started, failed, checkpoints, crashed }
-  return { ...progress, ...(isEmpty(crashedOn) ? {} : { crashedOn }), ...(isEmpty(delegations) ? {} : { delegations }) }
+  return { ...progress, ...(isEmpty(crashedOn) ? {} : { crashedOn }), ...(isEmpty(knownRuns) ? {} : { knownRuns }), ...(isEmpty(delegations) ? {} : { delegations }) }
 }
 
 /**
--- a/packages/core/src/jobs/TakeoverReconciliation.ts
+++ b/packages/core/src/jobs/TakeoverReconciliation.ts
@@ -1,9 +1,11 @@
 /**
  * When the runs of earlier owners are known or have certainly ended.
  */
-import { brand, type Instant } from '@auburnpin/common'
+import { brand, type Instant, type WorkerId } from '@auburnpin/common'
 import { InheritedLease } from './InheritedLease.ts'
 import { leaseExpiry } from './leaseExpiry.ts'
+import { ResolvedTasks } from './ResolvedTasks.ts'
+import type { StepRecord } from './StepRecord.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /** When the leases of a worker are over by the record of an earlier owner: those that it extended, and those that calls for earlier incarnations may have set. */
@@ -11,7 +13,7 @@
 
 /**
  * Keeps back the tasks that an earlier owner may have started until each worker has reported all of its runs to this owner,
- * or its lease has certainly expired. A worker that has more ends than one report lists counts as soon as the last of them
+ * or its lease has certainly expired; some of them are known sooner (`ResolvedTasks`). A worker that has more ends than one report lists counts as soon as the last of them
  * has arrived: until then a task that isn't listed may be done.
  *
  * @example
@@ -24,6 +26,8 @@
   readonly #earlierLeasesExpireAt: Instant
   /** When all leases have expired that their calls can have set on reborn workers. */
   readonly #inheritedLeasesExpireAt: Instant
+  /** Tasks that may start before all runs are known. */
+  readonly tasks = new ResolvedTasks()
   #areEarlierWorkersKnown = true
   #isDone = false
 
@@ -54,11 +58,18 @@
   }
 
   /** Checks the workers unless all runs are known already, and returns whether they are. */
-  update (workers: Iterable<WorkerRecord>, now: Instant): boolean {
-    this.#isDone ||= this.#areAllKnown(workers, now)
+  update (workers: ReadonlyMap<WorkerId, WorkerRecord>, now: Instant): boolean {
+    this.#isDone ||= this.#areAllKnown(workers.values(), now)
+    if (this.#isDone) this.tasks.clear()
+    else this.tasks.update(workers, now)
     return this.#isDone
   }
 
+  /** The steps with tasks that may start in this pass, which `tasks.close` ends. */
+  startableSteps (steps: ReadonlySet<StepRecord>): Iterable<StepRecord> {
+    return this.#isDone ? steps : this.tasks.open(steps)
+  }
+
   #areAllKnown (workers: Iterable<WorkerRecord>, now: Instant): boolean {
     const areEarlierLeasesOver = now >= this.#earlierLeasesExpireAt
     if (!this.#areEarlierWorkersKnown && now < this.#inheritedLeasesExpireAt) return false
--- a/packages/core/src/jobs/TaskDelegations.ts
+++ b/packages/core/src/jobs/TaskDelegations.ts
@@ -246,6 +246,8 @@
     if (task.delegation === undefined) task.delegation = new TaskDelegation(next)
     else task.delegation.change(next)
     task.delegation.waitingSince = undefined
+    task.knownRun = undefined
+    task.nextKnownRun = undefined
     this.#host.progressChanged(task)
   }
 }
--- a/packages/core/src/jobs/TaskRecord.ts
+++ b/packages/core/src/jobs/TaskRecord.ts
@@ -9,7 +9,7 @@
 import { TaskCrashes } from './TaskCrashes.ts'
 import { nameTask } from './taskName.ts'
 import type { TaskDelegation } from './TaskDelegation.ts'
-import type { TaskName } from './types.ts'
+import type { KnownRun, TaskName } from './types.ts'
 import type { WorkerRecord } from './WorkerRecord.ts'
 
 /** Pace of a run that is not slowed down, in percent. */
@@ -89,6 +89,9 @@
   /** Whether a run has started or may have; a long-running task that ran before must be restarted soon. */
   hasRun = false
   checkpoint = ''
+  /** The last run of a long-running task. While it is set, another one is ordered only once the store has that as `nextKnownRun`. */
+  knownRun?: KnownRun | undefined
+  nextKnownRun?: KnownRun | undefined
   /** The end of the last run that ended during this term. */
   lastEnd?: RunEnd
   /** How often a run was stopped to continue on another worker. */
--- a/packages/core/src/jobs/restoreStep.ts
+++ b/packages/core/src/jobs/restoreStep.ts
@@ -20,6 +20,7 @@
     const started = progress.started?.[step.key]
     task.hasRun = started === undefined ? task.wasOrdered : isNamed(started, task)
     restoreAttempts(task, progress)
+    task.knownRun = progress.knownRuns?.[task.progressKey]
     const delegation = progress.delegations?.[task.progressKey]
     if (delegation === undefined) continue
     task.delegation = TaskDelegation.restore(delegation, task)
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -5,7 +5,7 @@
  * (`isFiller`) uses only processors that other tasks leave unused. A *long-running task* (`isLasting`) runs
  * until its job is cancelled.
  */
-import type { Attempt, Branded, CellId, Incarnation, Instant, JobId, QueueName, ServiceName, WorkerId } from '@auburnpin/common'
+import type { Epoch, Attempt, Branded, CellId, Incarnation, Instant, JobId, QueueName, ServiceName, WorkerId } from '@auburnpin/common'
 
 /** One step of a job: a number of tasks with the same requirements. */
 export type JobStep = Readonly<{
@@ -96,6 +96,9 @@
 /** A run under which this incarnation of a worker was lost, or may be. */
 export type SuspectedRun = Readonly<{ attempt: Attempt, worker: WorkerIncarnation }>
 
+/** The last run of a long-running task that the owner with this epoch, or one before, can have ordered. `isListed`: that incarnation of the worker has listed it. */
+export type KnownRun = SuspectedRun & Readonly<{ epoch: Epoch, isListed: boolean }>
+
 /** Durable state of a job, from which the next owner continues: tasks done, long-running tasks that have run, failed runs, checkpoints and runs lost with their workers. */
 export type JobProgress = Readonly<{
   phase: JobPhase
@@ -111,6 +114,8 @@
   crashed?: Readonly<Record<string, readonly number[]>>
   /** For each `occurrence.step.index`: the workers of these runs, as far as they are known, so that the next owner can ask them. Absent in rows of earlier versions. */
   crashedOn?: Readonly<Record<string, readonly SuspectedRun[]>>
+  /** For each `occurrence.step.index` of a long-running task: its last run, if it is known. Absent in rows of earlier versions. */
+  knownRuns?: Readonly<Record<string, KnownRun>>
   /** For each `occurrence.step.index` of a task that was ever delegated: its latest delegation. */
   delegations?: Readonly<Record<string, Delegation>>
   /** The cell that the job is to be scheduled in instead; set only while no task of the job has ever been started. */
--- a/packages/core/tests/interruptedTasks.test.ts
+++ b/packages/core/tests/interruptedTasks.test.ts
@@ -18,6 +18,7 @@
 
 test('after a takeover only those long-running tasks of a started job count as interrupted that have run', t => {
   const scenario = new SchedulerScenario({ w1: 8_000, w2: 8_000, w3: 8_000 })
+  scenario.isStoreUp = false
   scenario.submit(WATCH, [STEP])
   scenario.advance(500)
   // The third worker is reserved for restarts.
--- a/packages/core/tests/progressSegments.test.ts
+++ b/packages/core/tests/progressSegments.test.ts
@@ -24,6 +24,7 @@
         for (let attempt = 1; attempt <= FAILED_RUNS; attempt++) task.addFailedAttempt(9_000_000 + attempt)
         for (let loss = 1; loss <= MAX_LOSSES; loss++) task.crashes.add(brand<Attempt>(9_000_020 + loss), { id: brand('i-0123456789abcdef'), incarnation: brand(1_796_686_540_785) })
         task.checkpoint = checkpoint
+        task.knownRun = { attempt: brand<Attempt>(9_000_030), worker: { id: brand('i-0123456789abcdef'), incarnation: brand(1_796_686_540_785) }, epoch: brand(900), isListed: false }
       }
     }
   }
@@ -38,7 +39,7 @@
     const whole = record.progress
     const segments = segmentsOf(record)
     for (const segment of segments) if (Buffer.byteLength(JSON.stringify(segment)) > MAX_ROW_BYTES) return false
-    for (const field of ['failed', 'checkpoints', 'crashed', 'crashedOn'] as const) {
+    for (const field of ['failed', 'checkpoints', 'crashed', 'crashedOn', 'knownRuns'] as const) {
       const entries = segments.flatMap(segment => Object.entries(segment[field] ?? {}))
       t.is(entries.length, Object.keys(whole[field] ?? {}).length)
       t.deepEqual(Object.fromEntries(entries), whole[field])
--- a/packages/core/tests/startedTasks.test.ts
+++ b/packages/core/tests/startedTasks.test.ts
@@ -26,6 +26,7 @@
 
 test('each start of a long-running task is written, also those after the first of its job', t => {
   const scenario = new SchedulerScenario({ w1: 8_000 })
+  scenario.isStoreUp = false
   scenario.submit(WATCH, [STEP])
   scenario.advance(500)
   t.deepEqual(storedStarts(scenario.scheduler), [0])
--- a/packages/core/tests/support/SchedulerScenario.ts
+++ b/packages/core/tests/support/SchedulerScenario.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a job scheduler against workers that answer at once and whose tasks end after a fixed time.
+ * Runs a job scheduler against a store and workers that answer at once, and whose tasks end after a fixed time.
  */
 import { brand, type Epoch, type Instant, type JobId, type WorkerId } from '@auburnpin/common'
 import { jobOf, SilentJobSchedulerObserver, workerEntryOf } from '@auburnpin/fakes'
@@ -18,6 +18,8 @@
   readonly starts: Start[] = []
   /** The last pace that was ordered for each task, in percent. */
   readonly paces = new Map<TaskName, number>()
+  /** Whether progress is stored after each scheduling pass, which is followed by another one then. */
+  isStoreUp = true
   /** What a report says of a task's run beside its name; by default a progress that changes, and a reading of 0. */
   reportOf: (task: TaskName) => Partial<ReportedRun> = () => ({})
   /** Milliseconds for which a task runs; infinite for long-running ones. */
@@ -73,7 +75,10 @@
       this.#now += PASS_INTERVAL_MS
       this.#report()
       onPass(this.#now)
-      for (const order of this.scheduler.decide(this.now, this.#now)) this.#execute(order)
+      this.#pass()
+      if (!this.isStoreUp) continue
+      this.scheduler.markStored(this.scheduler.takeDirty(Infinity))
+      this.#pass()
     }
   }
 
@@ -83,6 +88,10 @@
     this.#report()
   }
 
+  #pass (): void {
+    for (const order of this.scheduler.decide(this.now, this.#now)) this.#execute(order)
+  }
+
   #execute (order: RunOrder): void {
     if (order.kind === 'start') {
       const jobId = brand<JobId>(order.task.slice(0, order.task.indexOf('.')))
--- a/packages/core/tests/workerEvacuation.test.ts
+++ b/packages/core/tests/workerEvacuation.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { brand, type Instant, type ServiceName, type WorkerId } from '@auburnpin/common'
+import { brand, type Epoch, type Instant, type ServiceName, type WorkerId } from '@auburnpin/common'
 import { jobOf, stepOf } from '@auburnpin/fakes'
 import { chooseCell, chooseTransfer, evacuationOf, findObstacles, type CellLoad, type CellWorkers, type WorkerEvacuation } from '../src/index.ts'
 import { AnnouncedStarts } from '../src/jobs/AnnouncedStarts.ts'
@@ -22,7 +22,7 @@
   scenario.advance(200)
   t.is(scheduler.loadPercent, 75)
   const run = [...scheduler.workers.get(brand<WorkerId>('w1'))?.runs.values() ?? []][0]!
-  const announced = new AnnouncedStarts()
+  const announced = new AnnouncedStarts(brand<Epoch>(1))
   announced.add(run)
   run.task.crashes.markStored()
   setEvacuation(scenario, 'evacuated', 'w1')
--- a/packages/jobs/src/OwnerElection.ts
+++ b/packages/jobs/src/OwnerElection.ts
@@ -192,10 +192,11 @@
     await this.#clock.sleep(delayMs)
     // After a long delay another process has probably claimed the cell.
     if (this.#isRetired || (delayMs > TERM_POLL_INTERVAL_MS && !await this.#isClaimable())) return
+    const epoch = brand<Epoch>((previous?.term.epoch ?? 0) + 1)
     const term: Term = {
       holder: this.#identity.name,
       life: this.#identity.life,
-      epoch: brand<Epoch>((previous?.term.epoch ?? 0) + 1),
+      epoch,
       commit: 0,
       pending: previous?.term.pending ?? {},
       workers: previous?.term.workers ?? 0,
@@ -204,7 +205,8 @@
       evacuatedWorkers: previous?.term.evacuatedWorkers,
       cells: previous?.term.cells === undefined ? undefined : { ...previous.term.cells, waits: undefined },
       backlog: previous?.term.backlog,
-      areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded
+      areLeaseEndsRecorded: previous?.term.areLeaseEndsRecorded,
+      knownRunsSince: previous?.term.knownRunsSince ?? epoch
     }
     const claimedAt = this.#clock.now()
     const claimedAtWall = this.#clock.wallTime()
--- a/packages/jobs/src/StoredProgress.ts
+++ b/packages/jobs/src/StoredProgress.ts
@@ -1,8 +1,8 @@
 /**
  * Progress of jobs as earlier owners stored it.
  */
-import type { JobId } from '@auburnpin/common'
-import { noProgress, type Delegation, type JobPhase, type JobProgress, type SuspectedRun } from '@auburnpin/core'
+import type { Epoch, JobId } from '@auburnpin/common'
+import { noProgress, type Delegation, type JobPhase, type JobProgress, type KnownRun, type SuspectedRun } from '@auburnpin/core'
 import type { StoredRow } from './RowStore.ts'
 import { jobOfProgress, readProgress } from './rows.ts'
 
@@ -11,7 +11,7 @@
  *
  * @example
  * const stored = new StoredProgress()
- * for (const row of rows) stored.add(row)
+ * for (const row of rows) stored.add(row, knownRunsSince)
  * scheduler.addJob(job, now, stored.of(job.id))
  */
 export class StoredProgress {
@@ -20,8 +20,11 @@
   /** Tasks of these jobs that are done might run again, so the jobs are not scheduled. */
   readonly #damaged = new Set<JobId>()
 
-  /** Adds a row, in ascending order of keys: what a job's first row says of a task yields to the row of its segment. */
-  add ({ key, value }: StoredRow): void {
+  /**
+   * Adds a row, in ascending order of keys: what a job's first row says of a task yields to the row of its segment. Known runs
+   * hold if they were recorded in the term `knownRunsSince` or later.
+   */
+  add ({ key, value }: StoredRow, knownRunsSince: Epoch): void {
     const job = jobOfProgress(key)
     const progress = readProgress(value)
     if (progress === undefined) {
@@ -29,7 +32,7 @@
       return
     }
     const earlier = this.#progress.get(job)
-    if (earlier === undefined) this.#progress.set(job, new JoinedProgress(progress))
+    if (earlier === undefined) this.#progress.set(job, new JoinedProgress(progress, knownRunsSince))
     else earlier.add(progress)
     const keys = this.#keys.get(job)
     if (keys === undefined) this.#keys.set(job, [key])
@@ -63,7 +66,7 @@
  * The progress that several rows of a job hold together. Rows are added in place, as a job may have a thousand of them.
  *
  * @example
- * const joined = new JoinedProgress({ ...noProgress('active'), done: { '0.0': [1] } })
+ * const joined = new JoinedProgress({ ...noProgress('active'), done: { '0.0': [1] } }, knownRunsSince)
  * joined.add({ ...noProgress('active'), done: { '0.0': [101] } })
  * joined.progress.done // { '0.0': [1, 101] }
  */
@@ -74,18 +77,21 @@
   readonly #checkpoints: Record<string, string> = {}
   readonly #crashed: Record<string, readonly number[]> = {}
   readonly #crashedOn: Record<string, readonly SuspectedRun[]> = {}
+  readonly #knownRuns: Record<string, KnownRun> = {}
   readonly #delegations: Record<string, Delegation> = {}
+  readonly #knownRunsSince: Epoch
   #phase: JobPhase
   #hasStarted = false
   #isDivided = true
   #movedTo: JobProgress['movedTo']
 
-  constructor (first: JobProgress) {
+  constructor (first: JobProgress, knownRunsSince: Epoch) {
+    this.#knownRunsSince = knownRunsSince
     this.#phase = first.phase
     this.add(first)
   }
 
-  add ({ phase, done, started, failed, checkpoints, crashed, crashedOn, delegations, isDivided, movedTo }: JobProgress): void {
+  add ({ phase, done, started, failed, checkpoints, crashed, crashedOn, knownRuns, delegations, isDivided, movedTo }: JobProgress): void {
     this.#phase = latestPhase(this.#phase, phase)
     joinIndexes(this.#done, done)
     joinIndexes(this.#started, started ?? {})
@@ -94,6 +100,7 @@
     Object.assign(this.#checkpoints, checkpoints)
     Object.assign(this.#crashed, crashed)
     Object.assign(this.#crashedOn, crashedOn)
+    for (const [task, run] of Object.entries(knownRuns ?? {})) if (run.epoch >= this.#knownRunsSince) this.#knownRuns[task] = run
     Object.assign(this.#delegations, delegations)
     this.#isDivided &&= isDivided === true
     this.#movedTo ??= movedTo
@@ -108,6 +115,7 @@
       checkpoints: this.#checkpoints,
       crashed: this.#crashed,
       crashedOn: this.#crashedOn,
+      knownRuns: this.#knownRuns,
       delegations: this.#delegations,
       isDivided: this.#isDivided,
       ...(this.#movedTo === undefined ? {} : { movedTo: this.#movedTo })
--- a/packages/jobs/src/TermRestoration.ts
+++ b/packages/jobs/src/TermRestoration.ts
@@ -81,7 +81,7 @@
     if (!this.#restoreLayout(termRows.val)) return Err(new AuburnpinError('corrupt', 'The layout of the cells cannot be read', 'Find what else writes to the table of terms; restore the rows of the layout.'))
     if (!this.#isProgressKept) {
       this.#isProgressKept = true
-      for (const row of progress.val.rows) storedProgress.add(row)
+      for (const row of progress.val.rows) storedProgress.add(row, this.#claimed.term.knownRunsSince ?? this.#claimed.term.epoch)
       const { damaged } = storedProgress
       if (damaged.size > 0) this.#ports.log.error('The progress of jobs cannot be read; they are not scheduled', { jobs: [...damaged].join(' ') })
     }
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -121,6 +121,11 @@
    * unchanged although it extends leases, and doesn't write this field.
    */
   areLeaseEndsRecorded?: boolean
+  /**
+   * The first epoch since which every owner has removed the known run of a task from the store before it ordered another.
+   * An owner of an earlier version doesn't, and doesn't write this field.
+   */
+  knownRunsSince?: Epoch | undefined
 }>
 
 /** A job, and the cell that it was assigned to when it was accepted. */
@@ -262,6 +267,7 @@
     Object.values(progress.failed).every(failed => hasShape(failed, [0])) &&
     areAttempts(progress.crashed ?? {}) &&
     areSuspectedRuns(progress.crashedOn ?? {}) &&
+    areKnownRuns(progress.knownRuns ?? {}) &&
     areDelegations(progress.delegations ?? {}) &&
     Object.values(progress.checkpoints).every(checkpoint => typeof checkpoint === 'string')
 
@@ -274,6 +280,9 @@
 const areSuspectedRuns = (runs: unknown): boolean =>
   hasShape(runs, {}) && Object.values(runs as object).every(ofTask => hasShape(ofTask, [{ attempt: 0, worker: { id: '', incarnation: 0 } }]))
 
+const areKnownRuns = (runs: unknown): boolean =>
+  hasShape(runs, {}) && Object.values(runs as object).every(run => hasShape(run, { attempt: 0, worker: { id: '', incarnation: 0 }, epoch: 0, isListed: true }))
+
 /** Whether a value of a row has delegations by task. */
 export const areDelegations = (delegations: unknown): boolean =>
   hasShape(delegations, {}) && Object.values(delegations as object).every((delegation: Partial<Delegation>) =>
--- a/packages/jobs/tests/support/JobsSimulation.ts
+++ b/packages/jobs/tests/support/JobsSimulation.ts
@@ -50,7 +50,7 @@
     this.#evacuationsFollower = new TableFollower(store, this.clock, new SilentLog(), EVACUATIONS_TABLE, [''], evacuationRows(this.evacuations))
     if (simulation.followsEvacuations) this.followEvacuations()
     const cells = new CellChooser(store, this.clock, new SilentLog(), new SeededRandom(name.length), () => this.election.publishedCells)
-    const ports = { store, workerList: new FakeWorkerList(simulation), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: simulation.log, metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, admission: simulation.admission, remoteFactor: simulation.remoteFactor, maxReservedShare: simulation.maxReservedShare, cells, evacuations: this.evacuations }
+    const ports = { store, workerList: new FakeWorkerList(simulation, this.clock), calls: new FakeWorkerCalls(simulation, this), clock: this.clock, log: simulation.log, metrics: new SilentMetrics(), finishedJobRetentionMs: 120_000, workersPerCell: simulation.workersPerCell, admission: simulation.admission, remoteFactor: simulation.remoteFactor, maxReservedShare: simulation.maxReservedShare, cells, evacuations: this.evacuations }
     this.election = new CellElections(ports, { name, life, claimDelayMs: 20, processorShare }, new SeededRandom(name.length + name.charCodeAt(name.length - 1)))
     this.jobs = new JobRepository(store, this.clock, new SilentLog(), cells)
     this.admission = new AdmissionControl({ jobs: this.jobs, waitsFor: job => this.election.waitsFor(job), backlogsFor: job => this.election.backlogsFor(job), keptTasksFor: job => this.election.keptTasksFor(job), clock: this.clock, log: simulation.log, metrics: new SilentMetrics() })
@@ -296,11 +296,14 @@
 
 class FakeWorkerList extends WorkerList {
   readonly #simulation: JobsSimulation
+  readonly #clock: Clock
   readonly #listeners = new Set<WorkerListener>()
 
-  constructor (simulation: JobsSimulation) {
+  // By the clock of the process, as one that was killed learns nothing more.
+  constructor (simulation: JobsSimulation, clock: Clock) {
     super()
     this.#simulation = simulation
+    this.#clock = clock
   }
 
   subscribe (listener: WorkerListener): void {
@@ -313,7 +316,7 @@
   }
 
   async #follow (listener: WorkerListener): Promise<void> {
-    if (this.#simulation.listReadMs > 0) await this.#simulation.clock.sleep(this.#simulation.listReadMs)
+    if (this.#simulation.listReadMs > 0) await this.#clock.sleep(this.#simulation.listReadMs)
     let known = new Map<WorkerId, string>()
     listener.replaceAll(this.#entries)
     while (this.#listeners.has(listener)) {
@@ -323,7 +326,7 @@
       const removed = [...known.keys()].filter(id => !current.has(id))
       if (changed.length > 0 || removed.length > 0) listener.update(changed, removed)
       known = current
-      await this.#simulation.clock.sleep(100)
+      await this.#clock.sleep(100)
     }
   }
 
