Comments and the order of imports of the takeover's tasks

Found by reading the change once more: a comment said that a known run is removed from the store, which replaces it; sizes in a row. No code but the order of names in an import has changed; types and linter pass.

--- a/packages/core/src/jobs/ProgressSegment.ts
+++ b/packages/core/src/jobs/ProgressSegment.ts
@@ -6,7 +6,7 @@
 import type { TaskRecord } from './TaskRecord.ts'
 import type { Delegation, JobProgress, KnownRun, SuspectedRun } from './types.ts'
 
-/** Tasks of one segment: what is stored of each has some 50 bytes, 150 more with a checkpoint and many failures, and 80 more for each worker lost under it. */
+/** Tasks of one segment: what is stored of each has some 50 bytes, 150 more with a checkpoint and many failures, 80 more for each worker lost under it, and 120 more for a long-running one's last run. */
 export const TASKS_PER_SEGMENT = 100
 
 /** Some tasks of one step. */
--- a/packages/core/src/jobs/ResolvedTasks.ts
+++ b/packages/core/src/jobs/ResolvedTasks.ts
@@ -60,7 +60,7 @@
     }
   }
 
-  /** The steps with tasks that may start now; the others of their tasks don't wait until `close`. */
+  /** The steps with tasks that may start now. Their other tasks are taken out of those that wait, until `close`. */
   open (steps: Iterable<StepRecord>): StepRecord[] {
     const startable: StepRecord[] = []
     for (const step of steps) {
--- a/packages/core/src/jobs/types.ts
+++ b/packages/core/src/jobs/types.ts
@@ -5,7 +5,7 @@
  * (`isFiller`) uses only processors that other tasks leave unused. A *long-running task* (`isLasting`) runs
  * until its job is cancelled.
  */
-import type { Epoch, Attempt, Branded, CellId, Incarnation, Instant, JobId, QueueName, ServiceName, WorkerId } from '@auburnpin/common'
+import type { Attempt, Branded, CellId, Epoch, Incarnation, Instant, JobId, QueueName, ServiceName, WorkerId } from '@auburnpin/common'
 
 /** One step of a job: a number of tasks with the same requirements. */
 export type JobStep = Readonly<{
--- a/packages/jobs/src/rows.ts
+++ b/packages/jobs/src/rows.ts
@@ -122,7 +122,7 @@
    */
   areLeaseEndsRecorded?: boolean
   /**
-   * The first epoch since which every owner has removed the known run of a task from the store before it ordered another.
+   * The first epoch since which every owner has stored a run of a long-running task in place of the known one before it ordered it.
    * An owner of an earlier version doesn't, and doesn't write this field.
    */
   knownRunsSince?: Epoch | undefined
