The play of a stopped owner stops it

Found by reading: `stop` in announcedStarts.test.ts killed the owner in the same instant, so the play was one of a kill under another name. The owner now releases its term and ends 300 ms later.

--- a/packages/jobs/tests/announcedStarts.test.ts
+++ b/packages/jobs/tests/announcedStarts.test.ts
@@ -9,7 +9,7 @@
 const TASK_KEY = '0.0.0'
 const LASTING_MS = 1e9
 
-/** What happens as soon as a start is stored: the owner is killed, or stopped; with `cut`, the worker is cut off as well. */
+/** What happens as soon as a start is stored: the owner is killed or stopped; with `cut`, the worker is cut off as well. */
 type Trouble = 'kill' | 'stop' | 'kill and cut'
 
 const storedAttempts = ({ simulation }: CrashingCluster, { id }: Job): readonly number[] => {
@@ -35,7 +35,6 @@
     const stored = storedAttempts(cluster, job).filter(attempt => !announced.has(attempt))
     if (stored.length === 0 || simulation.owner === undefined) continue
     for (const attempt of stored) announced.add(attempt)
-    if (trouble === 'stop') void simulation.owner.election.stop()
     if (trouble === 'kill and cut') {
       const row = simulation.rows.read(PROGRESS_TABLE, FIRST_CELL, job.id)
       const worker = readProgress(row?.value ?? '')?.crashedOn?.[TASK_KEY]?.at(-1)?.worker.id
@@ -44,7 +43,8 @@
         simulation.clock.after(5_500, () => simulation.links.delete(worker))
       }
     }
-    cluster.killOwner(3_500)
+    if (trouble === 'stop') cluster.stopOwner(3_500)
+    else cluster.killOwner(3_500)
   }
   await simulation.advance(40_000)
   t.deepEqual(await cluster.findHarmlessUndone(), [], story)
--- a/packages/jobs/tests/support/CrashingCluster.ts
+++ b/packages/jobs/tests/support/CrashingCluster.ts
@@ -12,6 +12,8 @@
 /** Time in which a task of a job that has failed could start again. */
 const WATCH_MS = 12_000
 const STEP_MS = 10
+/** Time that a process takes to stop. */
+const STOP_MS = 300
 
 /** Decides how a run of a task behaves. */
 export type TaskBehaviour = (task: TaskNameParts) => FakeRunBehaviour
@@ -91,10 +93,21 @@
 
   /** Kills the owner of the first cell; its process starts again later. */
   killOwner (backAfterMs = 1_000): void {
+    const { owner } = this.simulation
+    if (owner !== undefined) this.#kill(owner, backAfterMs)
+  }
+
+  /** Stops the owner of the first cell, which releases its term; its process then ends and starts again later. */
+  stopOwner (backAfterMs = 1_000): void {
     const { owner } = this.simulation
     if (owner === undefined) return
-    owner.kill()
-    this.simulation.clock.after(backAfterMs, () => this.simulation.addNode(owner.name, `${owner.name}-life${++this.#lives}`))
+    void owner.election.stop()
+    this.simulation.clock.after(STOP_MS, () => this.#kill(owner, backAfterMs))
+  }
+
+  #kill (node: Node, backAfterMs: number): void {
+    node.kill()
+    this.simulation.clock.after(backAfterMs, () => this.simulation.addNode(node.name, `${node.name}-life${++this.#lives}`))
   }
 
   suspendOwner (ms: number): void {
